--- /dev/null
+++ b/src/main/java/dev/wisteriarail/cli/DemoCommand.java
@@ -0,0 +1,37 @@
+package dev.wisteriarail.cli;
+
+import dev.wisteriarail.core.result.WisteriarailException;
+import dev.wisteriarail.demo.Demo;
+import java.io.PrintStream;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/** Runs the demo. */
+final class DemoCommand implements Command {
+
+  @Override
+  public String name() {
+    return "demo";
+  }
+
+  @Override
+  public String summary() {
+    return "runs several nodes and stand-ins in one process and checks what they do";
+  }
+
+  @Override
+  public String example() {
+    return "wisteriarail demo --once";
+  }
+
+  @Override
+  public void declareOptions(OptionParser parser) {
+    parser.accepts("once", "run the scenes once and exit");
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, PrintStream out)
+      throws WisteriarailException, InterruptedException {
+    return Demo.run(out) ? ExitCode.SUCCESS : ExitCode.FAILED;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/codec/package-info.java
@@ -0,0 +1,2 @@
+/** JSON and MessagePack forms of the typed records. */
+package dev.wisteriarail.codec;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -0,0 +1,225 @@
+package dev.wisteriarail.core;
+
+import dev.wisteriarail.core.cell.CellController;
+import dev.wisteriarail.core.cell.CellLedger;
+import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.config.ConfigurationLedger;
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.LogRecord;
+import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.membership.Membership;
+import dev.wisteriarail.core.peer.Demand;
+import dev.wisteriarail.core.peer.PeerMessage;
+import dev.wisteriarail.core.placement.PlacementPlanner;
+import dev.wisteriarail.core.request.Ending;
+import dev.wisteriarail.core.request.InboundRequest;
+import dev.wisteriarail.core.request.Refusal;
+import dev.wisteriarail.core.request.RequestTable;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.routing.Router;
+import dev.wisteriarail.core.routing.RunnerTable;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A node as a deterministic state machine: {@code (event, time) -> effects}.
+ *
+ * <p>The same settings and the same sequence of events and times give the same effects. The core
+ * reads no clock, opens no socket and starts no thread; adapters around it do.
+ *
+ * <p>Life cycle: one per run of a process. Not thread-safe; one thread feeds it.
+ */
+public final class NodeCore {
+
+  private final NodeSettings settings;
+  private final ConfigurationLedger configurations = ConfigurationLedger.create();
+  private final RunnerTable runners = RunnerTable.create();
+  private final Membership membership;
+  private final CellLedger ledger;
+  private final CellController controller;
+  private final RequestTable requests;
+  private Optional<Instant> nextDemandReport = Optional.empty();
+  private boolean logRead;
+  private boolean draining;
+  private boolean drainAnnounced;
+
+  private NodeCore(NodeSettings settings, PlacementPlanner planner) {
+    this.settings = settings;
+    membership = Membership.create(settings);
+    ledger = CellLedger.create(settings.cell());
+    controller = CellController.create(settings, ledger, planner);
+    requests = RequestTable.create(settings, Router.create());
+  }
+
+  /** Returns the core of a node that has read nothing yet. */
+  public static NodeCore create(NodeSettings settings, PlacementPlanner planner) {
+    return new NodeCore(settings, planner);
+  }
+
+  // Events
+
+  /**
+   * Takes one event.
+   *
+   * @param event the event
+   * @param now the time on the node's monotonic clock, not before that of the previous event
+   * @return the effects, in the order in which they have to be started
+   */
+  public List<Effect> handle(Event event, Instant now) {
+    Step step = Step.at(now);
+    accept(event, step);
+    advance(step);
+    return step.effects();
+  }
+
+  private void accept(Event event, Step step) {
+    switch (event) {
+      case Event.RequestArrived arrived -> acceptRequest(arrived.request(), step);
+      case Event.CallerLeft left -> requests.acceptCallerLeft(left.request(), runners, step);
+      case Event.AttemptProgressed progress -> requests.acceptProgress(progress, step);
+      case Event.AttemptEnded ended -> requests.acceptEnd(ended, runners, step);
+      case Event.EngineReported reported -> {
+        runners.acceptReport(reported.report());
+        controller.acceptReport(reported.report(), step);
+      }
+      case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
+      case Event.OrderAnswered answered ->
+          controller.acceptOrder(answered.order(), answered.runner(), answered.outcome(), step);
+      case Event.LogRead read -> acceptLog(read, step);
+      case Event.LogReadFailed failed ->
+          step.log(EventCode.LOG_UNREACHABLE, "reason", failed.reason());
+      case Event.AppendAnswered answered ->
+          controller.acceptAppend(answered.record(), answered.outcome());
+      case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
+      case Event.PeerReceived received -> acceptPeer(received, step);
+      case Event.TimerFired fired -> {}
+      case Event.DrainRequested drain -> {
+        draining = true;
+        step.log(EventCode.NODE_DRAINING, "node", settings.node());
+      }
+    }
+  }
+
+  private void acceptRequest(InboundRequest request, Step step) {
+    step.log(EventCode.REQUEST_ARRIVED, "request", request.id(), "customer", request.customer());
+    if (draining) {
+      Refusal refusal =
+          Refusal.notRun(ResultCode.DRAINING, "the node is shutting down", Duration.ZERO);
+      step.emit(new Effect.EndRequest(request.id(), new Ending.Refused(refusal)));
+      return;
+    }
+    requests.accept(request, configurations.current(), step);
+    nextDemandReport = Optional.of(step.now());
+  }
+
+  private void acceptLog(Event.LogRead read, Step step) {
+    logRead = true;
+    for (LogRecord logged : read.records()) {
+      if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
+        acceptChange(change, step);
+      } else {
+        controller.acceptRecord(logged, step);
+      }
+    }
+  }
+
+  private void acceptChange(RecordBody.ConfigurationChanged change, Step step) {
+    boolean accepted = configurations.apply(change);
+    step.log(
+        accepted ? EventCode.CONFIGURATION_ACCEPTED : EventCode.CONFIGURATION_REJECTED,
+        "section",
+        change.section().name(),
+        "revision",
+        configurations.current().revision());
+  }
+
+  private void acceptPeer(Event.PeerReceived received, Step step) {
+    if (!membership.acceptMessage(received.from(), received.incarnation(), step)) {
+      return;
+    }
+    switch (received.message()) {
+      case PeerMessage.Heartbeat heartbeat -> {}
+      case PeerMessage.DemandReported reported ->
+          controller.acceptDemand(received.from(), reported.demands(), step.now());
+      case PeerMessage.Goodbye goodbye -> {
+        membership.markClosed(received.from());
+        step.log(EventCode.PEER_CLOSED, "peer", received.from());
+      }
+    }
+  }
+
+  // Progress
+
+  private void advance(Step step) {
+    Configuration configuration = configurations.current();
+    requests.advance(step, configuration, runners, controller::isRoutable);
+    reportDemand(step);
+    if (logRead) {
+      controller.advance(step, configuration, membership, runners);
+    }
+    membership.advance(
+        step, new PeerMessage.Heartbeat(configuration.revision(), ledger.fence(), draining));
+    finishDrain(step);
+  }
+
+  private void reportDemand(Step step) {
+    if (nextDemandReport.isEmpty() || step.now().isBefore(nextDemandReport.get())) {
+      return;
+    }
+    List<Demand> demands = requests.takeDemand(step.now());
+    if (controller.isController()) {
+      controller.acceptDemand(settings.node(), demands, step.now());
+    } else {
+      ledger
+          .claim()
+          .ifPresent(
+              claim ->
+                  step.emit(
+                      new Effect.SendPeer(
+                          claim.holder(), new PeerMessage.DemandReported(demands))));
+    }
+    nextDemandReport =
+        requests.isEmpty()
+            ? Optional.empty()
+            : Optional.of(step.now().plus(settings.timings().demandReport()));
+  }
+
+  private void finishDrain(Step step) {
+    if (!draining || drainAnnounced || !requests.isEmpty()) {
+      return;
+    }
+    drainAnnounced = true;
+    for (NodeId peer : membership.peers()) {
+      step.emit(new Effect.SendPeer(peer, new PeerMessage.Goodbye()));
+    }
+    step.emit(new Effect.DrainCompleted());
+  }
+
+  // Accessors
+
+  /** Returns when the core wants a {@link Event.TimerFired} if nothing happens before. */
+  public Optional<Instant> nextWakeUp() {
+    Optional<Instant> own = Deadlines.earliest(nextDemandReport, requests.nextWakeUp());
+    Optional<Instant> others = Deadlines.earliest(controller.nextWakeUp(), membership.nextWakeUp());
+    return Deadlines.earliest(own, others);
+  }
+
+  /** Returns the configuration in force on this node. */
+  public Configuration configuration() {
+    return configurations.current();
+  }
+
+  /** Returns whether the balancer may send callers to this node. */
+  public boolean isReady() {
+    return !draining && configurations.current().revision().compareTo(Revision.NONE) > 0;
+  }
+
+  /** Returns whether this node controls its cell. */
+  public boolean isController() {
+    return controller.isController();
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/cell/DemandBoard.java
@@ -0,0 +1,40 @@
+package dev.wisteriarail.core.cell;
+
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.peer.Demand;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * What the callers of all nodes want, merged by model.
+ *
+ * <p>Life cycle: one per controller. Not thread-safe; owned by the node's core.
+ */
+final class DemandBoard {
+
+  private final Map<NodeId, List<Demand>> byNode = new TreeMap<>();
+
+  /** Replaces what one node wants. */
+  void accept(NodeId node, List<Demand> demands) {
+    byNode.put(node, demands);
+  }
+
+  /** Forgets nodes that fail the test. */
+  void retain(Predicate<NodeId> live) {
+    byNode.keySet().removeIf(live.negate());
+  }
+
+  /** Returns one entry a model, summed over the nodes. */
+  List<Demand> merged() {
+    Map<ModelId, Demand> merged = new TreeMap<>();
+    for (List<Demand> demands : byNode.values()) {
+      for (Demand demand : demands) {
+        merged.merge(demand.model(), demand, Demand::plus);
+      }
+    }
+    return List.copyOf(merged.values());
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/cell/Reservation.java
@@ -0,0 +1,32 @@
+package dev.wisteriarail.core.cell;
+
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.RunnerId;
+
+/**
+ * Accelerator memory that a decision holds on a runner.
+ *
+ * @param replica the replica
+ * @param model its model
+ * @param version the model's version
+ * @param runner the runner
+ * @param bytes the memory, in bytes
+ * @param fence fencing number of the controller that decided it
+ * @param unloading whether its unloading was decided too
+ */
+public record Reservation(
+    ReplicaId replica,
+    ModelId model,
+    String version,
+    RunnerId runner,
+    long bytes,
+    FencingNumber fence,
+    boolean unloading) {
+
+  /** Returns the same reservation with its unloading decided. */
+  public Reservation withUnloading() {
+    return new Reservation(replica, model, version, runner, bytes, fence, true);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/config/CheckpointPlace.java
@@ -0,0 +1,11 @@
+package dev.wisteriarail.core.config;
+
+import dev.wisteriarail.core.id.RunnerId;
+
+/**
+ * A checkpoint held on a runner.
+ *
+ * @param runner the runner that holds it
+ * @param tier the tier on that runner, {@link CheckpointTier#MEMORY} or {@link CheckpointTier#DISK}
+ */
+public record CheckpointPlace(RunnerId runner, CheckpointTier tier) {}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/config/Configuration.java
@@ -0,0 +1,72 @@
+package dev.wisteriarail.core.config;
+
+import dev.wisteriarail.core.id.AdapterId;
+import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.id.KindId;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.id.ServiceId;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * The configuration in force: all accepted sections merged.
+ *
+ * <p>Immutable; safe to share between threads.
+ *
+ * @param revision number of accepted changes that led to it
+ * @param deployment limits of the deployment
+ * @param models models by identifier
+ * @param adapters adapters by identifier
+ * @param customers customers by identifier
+ * @param kinds kinds of request by identifier
+ * @param services plain services by identifier
+ * @param runners runners by identifier
+ */
+public record Configuration(
+    Revision revision,
+    DeploymentSpec deployment,
+    Map<ModelId, ModelSpec> models,
+    Map<AdapterId, AdapterSpec> adapters,
+    Map<CustomerId, CustomerSpec> customers,
+    Map<KindId, KindSpec> kinds,
+    Map<ServiceId, ServiceSpec> services,
+    Map<RunnerId, RunnerSpec> runners) {
+
+  /** The configuration before any answers are published. */
+  public static final Configuration EMPTY = merge(Revision.NONE, List.of());
+
+  /** Merges sections; on equal identifiers the first section's entry stays. */
+  public static Configuration merge(Revision revision, Collection<Section> sections) {
+    DeploymentSpec deployment =
+        sections.stream()
+            .flatMap(section -> section.deployment().stream())
+            .findFirst()
+            .orElse(DeploymentSpec.UNNAMED);
+    return new Configuration(
+        revision,
+        deployment,
+        index(sections, Section::models, ModelSpec::id),
+        index(sections, Section::adapters, AdapterSpec::id),
+        index(sections, Section::customers, CustomerSpec::id),
+        index(sections, Section::kinds, KindSpec::id),
+        index(sections, Section::services, ServiceSpec::id),
+        index(sections, Section::runners, RunnerSpec::id));
+  }
+
+  private static <K extends Comparable<K>, V> Map<K, V> index(
+      Collection<Section> sections, Function<Section, List<V>> entries, Function<V, K> key) {
+    Map<K, V> indexed = new TreeMap<>();
+    for (Section section : sections) {
+      for (V entry : entries.apply(section)) {
+        indexed.putIfAbsent(key.apply(entry), entry);
+      }
+    }
+    return Collections.unmodifiableMap(indexed);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/engine/EngineReport.java
@@ -0,0 +1,34 @@
+package dev.wisteriarail.core.engine;
+
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.RunnerId;
+import java.util.List;
+
+/**
+ * A report of a runner's state; it lags behind the truth.
+ *
+ * @param runner the runner
+ * @param incarnation the engine process's incarnation; a higher one has lost all replicas
+ * @param highestFence highest fencing number that the engine has seen
+ * @param leaving whether the runner wants no new work
+ * @param activeRequests requests that it is running
+ * @param queuedRequests requests that wait in it
+ * @param memoryUsedBytes accelerator memory in use, in bytes
+ * @param replicas its replicas
+ */
+public record EngineReport(
+    RunnerId runner,
+    Incarnation incarnation,
+    FencingNumber highestFence,
+    boolean leaving,
+    int activeRequests,
+    int queuedRequests,
+    long memoryUsedBytes,
+    List<ReplicaStatus> replicas) {
+
+  /** Copies the list. */
+  public EngineReport {
+    replicas = List.copyOf(replicas);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/engine/package-info.java
@@ -0,0 +1,2 @@
+/** What an engine reports, and the orders that it takes. */
+package dev.wisteriarail.core.engine;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events that the core emits. */
+package dev.wisteriarail.core.event;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/id/FencingNumber.java
@@ -0,0 +1,35 @@
+package dev.wisteriarail.core.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * The number that orders a cell's controllers: the log offset of the controller's claim. An engine
+ * that checks fencing numbers refuses an order with a lower one than it has seen.
+ *
+ * @param value the number
+ */
+public record FencingNumber(@JsonValue long value) implements Comparable<FencingNumber> {
+
+  /** The number before any claim. */
+  public static final FencingNumber NONE = new FencingNumber(-1);
+
+  /** Accepts any number. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+  public FencingNumber {}
+
+  /** Returns the typed form of the given number. */
+  public static FencingNumber of(long value) {
+    return new FencingNumber(value);
+  }
+
+  @Override
+  public int compareTo(FencingNumber other) {
+    return Long.compare(value, other.value);
+  }
+
+  @Override
+  public String toString() {
+    return Long.toString(value);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/log/RecordBody.java
@@ -0,0 +1,122 @@
+package dev.wisteriarail.core.log;
+
+import dev.wisteriarail.core.config.Section;
+import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.IdempotencyKey;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.id.RunnerId;
+
+/** The content of a log record. */
+public sealed interface RecordBody {
+
+  // Control of cells
+
+  /**
+   * Claims the control of a cell. Valid if it names the fencing number of the claim before it; its
+   * own offset is then the cell's fencing number.
+   *
+   * @param cell the cell
+   * @param holder the claiming node
+   * @param incarnation the holder's incarnation
+   * @param previous the fencing number that the claim replaces
+   */
+  record ClaimRecorded(CellId cell, NodeId holder, Incarnation incarnation, FencingNumber previous)
+      implements RecordBody {}
+
+  /**
+   * Decides to load a replica. Void if its fencing number is not the cell's.
+   *
+   * @param cell the cell
+   * @param fence the deciding controller's fencing number
+   * @param replica the replica
+   * @param model its model
+   * @param version the model's version
+   * @param runner the runner that gets it
+   * @param bytes accelerator memory reserved for it, in bytes
+   */
+  record LoadDecided(
+      CellId cell,
+      FencingNumber fence,
+      ReplicaId replica,
+      ModelId model,
+      String version,
+      RunnerId runner,
+      long bytes)
+      implements RecordBody {}
+
+  /**
+   * Decides to unload a replica. Void if its fencing number is not the cell's.
+   *
+   * @param cell the cell
+   * @param fence the deciding controller's fencing number
+   * @param replica the replica
+   */
+  record UnloadDecided(CellId cell, FencingNumber fence, ReplicaId replica) implements RecordBody {}
+
+  /**
+   * Frees a replica's reservation: it is gone and cannot come back. Void if its fencing number is
+   * not the cell's.
+   *
+   * @param cell the cell
+   * @param fence the controller's fencing number
+   * @param replica the replica
+   * @param reason why it can no longer exist
+   */
+  record ReplicaClosed(CellId cell, FencingNumber fence, ReplicaId replica, String reason)
+      implements RecordBody {}
+
+  // Requests that run at most once
+
+  /**
+   * States that a node is about to run a non-repeatable request. The first record of a customer's
+   * key wins.
+   *
+   * @param customer the customer
+   * @param key its idempotency key
+   * @param bodyHash hash of the request's content
+   * @param request the request
+   * @param owner the node that may run it
+   * @param incarnation the owner's incarnation
+   */
+  record IntentRecorded(
+      CustomerId customer,
+      IdempotencyKey key,
+      String bodyHash,
+      RequestId request,
+      NodeId owner,
+      Incarnation incarnation)
+      implements RecordBody {}
+
+  /**
+   * Keeps the answer of a finished non-repeatable request.
+   *
+   * @param customer the customer
+   * @param key its idempotency key
+   * @param request the request that ran
+   * @param status HTTP status of the answer
+   * @param answer the answer's body
+   */
+  record IntentFinished(
+      CustomerId customer, IdempotencyKey key, RequestId request, int status, String answer)
+      implements RecordBody {}
+
+  // Configuration
+
+  /**
+   * Proposes a team's answers. Accepted if it names the revision at which the section last changed.
+   *
+   * @param basedOn the section's revision that the change was made from
+   * @param section the answers
+   * @param author who published it
+   * @param reason why
+   */
+  record ConfigurationChanged(Revision basedOn, Section section, String author, String reason)
+      implements RecordBody {}
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/log/package-info.java
@@ -0,0 +1,2 @@
+/** The records that nodes keep on the platform's log service. */
+package dev.wisteriarail.core.log;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
@@ -0,0 +1,35 @@
+package dev.wisteriarail.core.peer;
+
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.Revision;
+import java.util.List;
+
+/** A message between two nodes. The transport adds the sender and its incarnation. */
+public sealed interface PeerMessage {
+
+  /**
+   * Shows that the sender lives, and what it knows.
+   *
+   * @param revision the configuration that is in force on it
+   * @param fence the highest fencing number of its cell that it has read
+   * @param draining whether it is shutting down
+   */
+  record Heartbeat(Revision revision, FencingNumber fence, boolean draining)
+      implements PeerMessage {}
+
+  /**
+   * Reports to the controller what the sender's callers want.
+   *
+   * @param demands one entry a model; models without an entry want nothing
+   */
+  record DemandReported(List<Demand> demands) implements PeerMessage {
+
+    /** Copies the list. */
+    public DemandReported {
+      demands = List.copyOf(demands);
+    }
+  }
+
+  /** Says that the sender has stopped: it sends no order and no dispatch any more. */
+  record Goodbye() implements PeerMessage {}
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The messages that nodes send each other. */
+package dev.wisteriarail.core.peer;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/InboundRequest.java
@@ -0,0 +1,31 @@
+package dev.wisteriarail.core.request;
+
+import dev.wisteriarail.core.config.Urgency;
+import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.id.IdempotencyKey;
+import dev.wisteriarail.core.id.KindId;
+import dev.wisteriarail.core.id.RequestId;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * A caller's request after its headers were checked.
+ *
+ * @param id the request
+ * @param customer the authenticated customer
+ * @param kind the kind of request
+ * @param target what it is addressed to
+ * @param key the idempotency key, where given
+ * @param urgency override of the kind's urgency
+ * @param deadline override of the kind's deadline, counted from arrival
+ * @param body the request's body, UTF-8 text
+ */
+public record InboundRequest(
+    RequestId id,
+    CustomerId customer,
+    KindId kind,
+    Target target,
+    Optional<IdempotencyKey> key,
+    Optional<Urgency> urgency,
+    Optional<Duration> deadline,
+    String body) {}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/Target.java
@@ -0,0 +1,27 @@
+package dev.wisteriarail.core.request;
+
+import dev.wisteriarail.core.id.AdapterId;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.ServiceId;
+import java.util.Optional;
+
+/** What a request is addressed to. */
+public sealed interface Target {
+
+  /**
+   * A model, with an adapter on it where one is asked for.
+   *
+   * @param model the model
+   * @param adapter the adapter
+   */
+  record ModelTarget(ModelId model, Optional<AdapterId> adapter) implements Target {}
+
+  /**
+   * A plain service.
+   *
+   * @param service the service
+   * @param method the HTTP method
+   * @param path path and query below the service, starting with a slash
+   */
+  record ServiceTarget(ServiceId service, String method, String path) implements Target {}
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/package-info.java
@@ -0,0 +1,2 @@
+/** Requests of callers: their states, queues, attempts and endings. */
+package dev.wisteriarail.core.request;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -0,0 +1,138 @@
+package dev.wisteriarail.core.result;
+
+/**
+ * Numbered result codes of requests, platform calls, peers and the command line.
+ *
+ * <p>The numbers are stable: they stand in answers, logs and docs/ERRORS.md, and are never reused.
+ */
+public enum ResultCode {
+  /** Success. */
+  OK(0, 200, "success"),
+
+  // Callers' requests.
+  /** The request is malformed. */
+  BAD_REQUEST(1001, 400, "the request is malformed"),
+  /** The request body exceeds the size limit. */
+  REQUEST_TOO_LARGE(1002, 413, "the request body exceeds the size limit"),
+  /** The request body did not arrive in time. */
+  REQUEST_TIMED_OUT_READING(1003, 408, "the request body did not arrive in time"),
+  /** No such path. */
+  NOT_FOUND(1004, 404, "no such path"),
+  /** The path does not take this method. */
+  METHOD_NOT_ALLOWED(1005, 405, "the path does not take this method"),
+  /** The bearer token is missing or unknown. */
+  UNAUTHENTICATED(1101, 401, "the bearer token is missing or unknown"),
+  /** The model does not exist or belongs to another customer. */
+  MODEL_UNKNOWN(1102, 404, "the model does not exist or belongs to another customer"),
+  /** The adapter does not exist or belongs to another customer. */
+  ADAPTER_UNKNOWN(1103, 404, "the adapter does not exist or belongs to another customer"),
+  /** The kind of request is not configured. */
+  KIND_UNKNOWN(1104, 400, "the kind of request is not configured"),
+  /** The service does not exist. */
+  SERVICE_UNKNOWN(1105, 404, "the service does not exist"),
+  /** The customer exceeds its request rate. */
+  RATE_LIMITED(1201, 429, "the customer exceeds its request rate"),
+  /** The customer's queue is full. */
+  QUEUE_FULL(1202, 429, "the customer's queue is full"),
+  /** The deadline cannot be met from the current load. */
+  DEADLINE_UNREACHABLE(1203, 503, "the deadline cannot be met from the current load"),
+  /** The deadline passed before the request was dispatched. */
+  DEADLINE_PASSED(1204, 504, "the deadline passed before the request was dispatched"),
+  /** No runner can hold the model. */
+  NO_CAPACITY(1205, 503, "no runner can hold the model"),
+  /** The log service is down and the request needs it. */
+  LOG_UNAVAILABLE(1206, 503, "the log service is down and the request needs it"),
+  /** The node is shutting down. */
+  DRAINING(1207, 503, "the node is shutting down"),
+  /** The request crashed several backend servers and is refused. */
+  POISON_REQUEST(1208, 422, "the request crashed several backend servers"),
+  /** No controller can decide on loading the model. */
+  NO_CONTROLLER(1209, 503, "no controller can decide on loading the model"),
+  /** A request of this kind needs an Idempotency-Key header. */
+  IDEMPOTENCY_KEY_MISSING(1301, 400, "requests of this kind need an Idempotency-Key"),
+  /** The idempotency key was used with another request body. */
+  IDEMPOTENCY_KEY_REUSED(1302, 422, "the idempotency key was used with another request body"),
+  /** The idempotency key is older than the log keeps. */
+  IDEMPOTENCY_KEY_EXPIRED(1303, 409, "the idempotency key is older than the log keeps"),
+  /** The request was handed to a backend server and its outcome is not known. */
+  OUTCOME_UNKNOWN(1304, 502, "the request was handed over and its outcome is not known"),
+  /** The backend server failed. */
+  BACKEND_FAILED(1401, 502, "the backend server failed"),
+  /** The backend server refused the request. */
+  BACKEND_REFUSED(1402, 502, "the backend server refused the request"),
+  /** The answer was cut before its end. */
+  ANSWER_INCOMPLETE(1403, 502, "the answer was cut before its end"),
+
+  // Platform and peers.
+  /** The log service did not take the record. */
+  LOG_APPEND_FAILED(2001, 503, "the log service did not take the record"),
+  /** The answer to an append was lost. */
+  LOG_APPEND_UNKNOWN(2002, 503, "the answer to an append was lost"),
+  /** The log service could not be read. */
+  LOG_READ_FAILED(2003, 503, "the log service could not be read"),
+  /** The log dropped records that had not been read. */
+  LOG_RECORDS_DROPPED(2004, 503, "the log dropped records that had not been read"),
+  /** The VM list could not be read. */
+  VM_LIST_UNAVAILABLE(2005, 503, "the VM list could not be read"),
+  /** The engine could not be reached. */
+  ENGINE_UNREACHABLE(2101, 503, "the engine could not be reached"),
+  /** The engine refused an order with an old fencing number. */
+  ENGINE_ORDER_FENCED(2102, 409, "the engine refused an order with an old fencing number"),
+  /** The engine could not carry out an order. */
+  ENGINE_ORDER_FAILED(2103, 502, "the engine could not carry out an order"),
+  /** The answer to an engine order was lost. */
+  ENGINE_ORDER_UNKNOWN(2104, 502, "the answer to an engine order was lost"),
+  /** A peer could not be reached. */
+  PEER_UNREACHABLE(2201, 503, "a peer could not be reached"),
+  /** A peer sent a frame that cannot be read. */
+  PEER_FRAME_INVALID(2202, 400, "a peer sent a frame that cannot be read"),
+  /** A peer has no valid certificate. */
+  PEER_UNTRUSTED(2203, 403, "a peer has no valid certificate"),
+
+  // Settings, answers and the command line.
+  /** The command line is wrong. */
+  USAGE(3001, 400, "the command line is wrong"),
+  /** The settings are invalid. */
+  SETTINGS_INVALID(3002, 400, "the settings are invalid"),
+  /** A file cannot be read. */
+  FILE_UNREADABLE(3003, 400, "a file cannot be read"),
+  /** The answers are invalid. */
+  ANSWERS_INVALID(3101, 400, "the answers are invalid"),
+  /** The section changed since the revision that the change was based on. */
+  REVISION_CONFLICT(
+      3102, 409, "the section changed since the revision that the change was based on"),
+
+  // Internal.
+  /** An internal error. */
+  INTERNAL(9001, 500, "an internal error");
+
+  private final int number;
+  private final int httpStatus;
+  private final String summary;
+
+  ResultCode(int number, int httpStatus, String summary) {
+    this.number = number;
+    this.httpStatus = httpStatus;
+    this.summary = summary;
+  }
+
+  /** Returns the stable number. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the HTTP status sent to a caller with this code. */
+  public int httpStatus() {
+    return httpStatus;
+  }
+
+  /** Returns a one-line meaning in English. */
+  public String summary() {
+    return summary;
+  }
+
+  /** Returns the text form, for example {@code WR-1201}. */
+  public String label() {
+    return "WR-" + number;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/result/SettingsException.java
@@ -0,0 +1,17 @@
+package dev.wisteriarail.core.result;
+
+/** Reports invalid settings, answers or command line. */
+public final class SettingsException extends WisteriarailException {
+
+  private static final long serialVersionUID = 1L;
+
+  /** Creates an exception without a cause. */
+  public SettingsException(ResultCode code, String location, String message) {
+    super(code, location, message);
+  }
+
+  /** Creates an exception with its cause. */
+  public SettingsException(ResultCode code, String location, String message, Throwable cause) {
+    super(code, location, message, cause);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/result/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered result codes and the exception family that carries them. */
+package dev.wisteriarail.core.result;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of a runner for a request. */
+package dev.wisteriarail.core.routing;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/demo/package-info.java
@@ -0,0 +1,2 @@
+/** A fleet of nodes and stand-ins in one process. */
+package dev.wisteriarail.demo;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Engines and plain services over HTTP. */
+package dev.wisteriarail.engine;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/http/AnswerWriter.java
@@ -0,0 +1,125 @@
+package dev.wisteriarail.http;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import dev.wisteriarail.codec.Codecs;
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.request.Ending;
+import dev.wisteriarail.core.request.Refusal;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Blocker;
+
+/** Writes one answer to a caller from its exchange. Not thread-safe; one per call. */
+final class AnswerWriter {
+
+  private final Response response;
+  private final RequestId request;
+  private final String model;
+  private final AnswerForm form;
+
+  AnswerWriter(Response response, RequestId request, String model, AnswerForm form) {
+    this.response = response;
+    this.request = request;
+    this.model = model;
+    this.form = form;
+  }
+
+  /**
+   * Writes the answer until its end.
+   *
+   * @return the ending, for the metrics
+   * @throws IOException if the caller has gone, or after an answer that must look cut
+   */
+  Ending write(Exchange exchange) throws IOException, InterruptedException {
+    return form.isEventStream() ? writeEvents(exchange) : writeWhole(exchange);
+  }
+
+  private Ending writeWhole(Exchange exchange) throws IOException, InterruptedException {
+    StringBuilder text = new StringBuilder();
+    while (true) {
+      switch (exchange.take()) {
+        case Exchange.Item.Piece piece -> text.append(piece.text());
+        case Exchange.Item.End end -> {
+          switch (end.ending()) {
+            case Ending.Completed completed -> {
+              response.setStatus(completed.status());
+              response.getHeaders().put(HttpHeader.CONTENT_TYPE, form.contentType());
+              send(form.whole(request.value(), model, text.toString()), true);
+            }
+            case Ending.Refused refused -> refuse(refused.refusal());
+          }
+          return end.ending();
+        }
+      }
+    }
+  }
+
+  private Ending writeEvents(Exchange exchange) throws IOException, InterruptedException {
+    boolean started = false;
+    while (true) {
+      switch (exchange.take()) {
+        case Exchange.Item.Piece piece -> {
+          start(started);
+          started = true;
+          send(form.event(request.value(), model, piece.text()), false);
+        }
+        case Exchange.Item.End end -> {
+          writeEnd(end.ending(), started);
+          return end.ending();
+        }
+      }
+    }
+  }
+
+  private void writeEnd(Ending ending, boolean started) throws IOException {
+    switch (ending) {
+      case Ending.Completed completed -> {
+        start(started);
+        send("data: [DONE]\n\n", true);
+      }
+      case Ending.Refused refused -> {
+        if (!started) {
+          refuse(refused.refusal());
+          return;
+        }
+        String problem =
+            Codecs.json().writeValueAsString(ProblemBody.of(refused.refusal(), request.value()));
+        send("event: error\ndata: " + problem + "\n\n", false);
+        throw new IOException("the answer was cut");
+      }
+    }
+  }
+
+  private void start(boolean started) {
+    if (!started) {
+      response.setStatus(HttpStatus.OK_200);
+      response.getHeaders().put(HttpHeader.CONTENT_TYPE, form.contentType());
+      response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
+    }
+  }
+
+  /** Writes a refusal as the whole answer. */
+  void refuse(Refusal refusal) throws IOException {
+    response.setStatus(refusal.code().httpStatus());
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/problem+json");
+    refusal
+        .retryAfter()
+        .ifPresent(
+            delay -> {
+              long seconds = Math.max(1, delay.plusMillis(999).toSeconds());
+              response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
+            });
+    send(Codecs.json().writeValueAsString(ProblemBody.of(refusal, request.value())), true);
+  }
+
+  private void send(String text, boolean last) throws IOException {
+    try (Blocker.Callback blocker = Blocker.callback()) {
+      response.write(last, ByteBuffer.wrap(text.getBytes(UTF_8)), blocker);
+      blocker.block();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/http/CallerServer.java
@@ -0,0 +1,60 @@
+package dev.wisteriarail.http;
+
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.result.SettingsException;
+import org.apache.logging.log4j.LogManager;
+import org.eclipse.jetty.server.Server;
+
+/**
+ * The HTTP server for callers.
+ *
+ * <p>Life cycle: {@link #start}, then {@link #close}. Thread-safe.
+ */
+public final class CallerServer implements AutoCloseable {
+
+  private final Server server;
+
+  private CallerServer(Server server) {
+    this.server = server;
+  }
+
+  /**
+   * Starts a server.
+   *
+   * @param host IP number to listen on
+   * @param port port to listen on; 0 for any free one
+   * @throws SettingsException if the port cannot be bound
+   */
+  public static CallerServer start(
+      String host,
+      int port,
+      HttpLimits limits,
+      NodeView node,
+      ExchangeTable exchanges,
+      NodeMetrics metrics)
+      throws SettingsException {
+    Server server = JettyServers.create(host, port, limits);
+    server.setHandler(new CallerHandler(node, exchanges, limits, metrics));
+    try {
+      server.start();
+    } catch (Exception failure) {
+      throw new SettingsException(
+          ResultCode.SETTINGS_INVALID, "http.port", "cannot listen on " + port, failure);
+    }
+    return new CallerServer(server);
+  }
+
+  /** Returns the port that the server listens on. */
+  public int port() {
+    return JettyServers.port(server);
+  }
+
+  @Override
+  public void close() {
+    try {
+      server.stop();
+    } catch (Exception failure) {
+      LogManager.getLogger(CallerServer.class).warn("the HTTP server did not stop", failure);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/http/NodeMetrics.java
@@ -0,0 +1,50 @@
+package dev.wisteriarail.http;
+
+import dev.wisteriarail.core.request.Ending;
+import dev.wisteriarail.core.result.ResultCode;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+
+/** The metrics of a node, by Micrometer in the Prometheus format. Thread-safe. */
+public final class NodeMetrics {
+
+  private static final String REQUESTS = "wisteriarail.requests";
+
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+  private NodeMetrics() {}
+
+  /** Returns the metrics of a node that has served nothing. */
+  public static NodeMetrics create() {
+    NodeMetrics metrics = new NodeMetrics();
+    new JvmMemoryMetrics().bindTo(metrics.registry);
+    new ProcessorMetrics().bindTo(metrics.registry);
+    return metrics;
+  }
+
+  /** Counts a request that ended. */
+  public void recordEnding(Ending ending, Duration duration) {
+    ResultCode code =
+        switch (ending) {
+          case Ending.Completed completed -> ResultCode.OK;
+          case Ending.Refused refused -> refused.refusal().code();
+        };
+    Timer.builder(REQUESTS).tag("code", code.name()).register(registry).record(duration);
+  }
+
+  /** Returns all metrics as text. */
+  public String scrape() {
+    return registry.scrape();
+  }
+
+  /** Returns the registry, for gauges of other adapters. */
+  public MeterRegistry registry() {
+    return registry;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/http/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' HTTP API on Jetty. */
+package dev.wisteriarail.http;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/node/Node.java
@@ -0,0 +1,170 @@
+package dev.wisteriarail.node;
+
+import dev.wisteriarail.core.Event;
+import dev.wisteriarail.core.NodeCore;
+import dev.wisteriarail.core.NodeSettings;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.membership.VmEntry;
+import dev.wisteriarail.core.placement.FixedTimeoutPlanner;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.engine.HttpEngineClient;
+import dev.wisteriarail.http.CallerServer;
+import dev.wisteriarail.http.ExchangeTable;
+import dev.wisteriarail.http.NodeMetrics;
+import dev.wisteriarail.http.NodeView;
+import dev.wisteriarail.peer.TcpPeerServer;
+import dev.wisteriarail.peer.TcpPeerTransport;
+import dev.wisteriarail.platform.HttpClients;
+import dev.wisteriarail.platform.HttpLogService;
+import dev.wisteriarail.platform.HttpVmList;
+import dev.wisteriarail.runtime.EventLog;
+import dev.wisteriarail.runtime.MonotonicClock;
+import dev.wisteriarail.runtime.NodeAdapters;
+import dev.wisteriarail.runtime.NodeRuntime;
+import dev.wisteriarail.settings.Endpoint;
+import dev.wisteriarail.settings.NodeFile;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import javax.net.SocketFactory;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * One node with its servers, assembled from its settings.
+ *
+ * <p>Life cycle: {@link #start}, then {@link #stop} for a graceful stop or {@link #kill} for an
+ * abrupt one. Thread-safe.
+ */
+public final class Node {
+
+  private static final Duration IDLE_PLANNER_TIMEOUT = Duration.ofMinutes(5);
+
+  private final NodeFile file;
+  private final NodeRuntime runtime;
+  private final CallerServer callers;
+  private final TcpPeerServer peers;
+  private final ServerSocket peerSocket;
+  private final HttpClient http;
+
+  private Node(
+      NodeFile file,
+      NodeRuntime runtime,
+      CallerServer callers,
+      TcpPeerServer peers,
+      ServerSocket peerSocket,
+      HttpClient http) {
+    this.file = file;
+    this.runtime = runtime;
+    this.callers = callers;
+    this.peers = peers;
+    this.peerSocket = peerSocket;
+    this.http = http;
+  }
+
+  // Life cycle
+
+  /**
+   * Starts a node.
+   *
+   * @throws SettingsException if an address of its settings cannot be used
+   */
+  public static Node start(NodeFile file) throws SettingsException {
+    MonotonicClock clock = MonotonicClock.start();
+    NodeSettings settings =
+        new NodeSettings(
+            file.node(),
+            Incarnation.of(clock.instant().toEpochMilli()),
+            file.failureDomain(),
+            file.cell(),
+            file.seed(),
+            file.timings());
+    EventLog events = EventLog.forNode(file.node());
+    HttpClient http = HttpClients.start();
+    ServerSocket peerSocket = bind(file.peer());
+    AtomicReference<NodeRuntime> runtime = new AtomicReference<>();
+    Consumer<Event> submit = event -> runtime.get().submit(event);
+    ExchangeTable exchanges = ExchangeTable.create(submit);
+    NodeAdapters adapters =
+        new NodeAdapters(
+            HttpEngineClient.create(
+                http, id -> Optional.ofNullable(runtime.get().configuration().runners().get(id))),
+            HttpLogService.create(http, file.logAddress()),
+            HttpVmList.create(http, file.vmListAddress()),
+            TcpPeerTransport.create(
+                file.node(), settings.incarnation(), SocketFactory.getDefault()),
+            exchanges,
+            events);
+    NodeCore core =
+        NodeCore.create(settings, FixedTimeoutPlanner.withTimeout(IDLE_PLANNER_TIMEOUT));
+    runtime.set(NodeRuntime.create(settings, core, adapters, clock));
+    NodeView view =
+        new NodeView(
+            file.node(),
+            settings.incarnation(),
+            () -> runtime.get().configuration(),
+            () -> runtime.get().isReady(),
+            submit,
+            clock);
+    TcpPeerServer peers = TcpPeerServer.start(peerSocket, submit, events);
+    CallerServer callers =
+        CallerServer.start(
+            file.http().host(),
+            file.http().port(),
+            file.limits(),
+            view,
+            exchanges,
+            NodeMetrics.create());
+    runtime.get().start();
+    return new Node(file, runtime.get(), callers, peers, peerSocket, http);
+  }
+
+  /** Stops gracefully: finishes what is in flight, then closes. */
+  public boolean stop() throws InterruptedException {
+    boolean drained = runtime.drain(file.drainLimit());
+    kill();
+    return drained;
+  }
+
+  /** Stops at once. */
+  public void kill() {
+    runtime.close();
+    peers.close();
+    callers.close();
+    HttpClients.stop(http);
+  }
+
+  private static ServerSocket bind(Endpoint endpoint) throws SettingsException {
+    try {
+      ServerSocket socket = new ServerSocket();
+      socket.setReuseAddress(true);
+      socket.bind(new InetSocketAddress(endpoint.host(), endpoint.port()));
+      return socket;
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.SETTINGS_INVALID, "peer.port", "cannot listen on " + endpoint.port(), failure);
+    }
+  }
+
+  // Accessors
+
+  /** Returns this node's entry for the VM list. */
+  public VmEntry vmEntry() {
+    return new VmEntry(
+        file.node(), file.peer().host(), peerSocket.getLocalPort(), file.failureDomain(), false);
+  }
+
+  /** Returns the base address for callers. */
+  public String address() {
+    return "http://" + file.http().host() + ":" + callers.port();
+  }
+
+  /** Returns the runtime. */
+  public NodeRuntime runtime() {
+    return runtime;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/node/package-info.java
@@ -0,0 +1,2 @@
+/** Assembles a node from its settings: core, runtime and adapters. */
+package dev.wisteriarail.node;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerServer.java
@@ -0,0 +1,98 @@
+package dev.wisteriarail.peer;
+
+import dev.wisteriarail.core.Event;
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.event.NodeEvent;
+import dev.wisteriarail.core.result.PeerException;
+import dev.wisteriarail.runtime.EventLog;
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+/**
+ * Accepts connections of peers and passes their messages on.
+ *
+ * <p>Life cycle: {@link #start}, then {@link #close}. Thread-safe.
+ */
+public final class TcpPeerServer implements AutoCloseable {
+
+  private final ServerSocket server;
+  private final Consumer<Event> events;
+  private final EventLog log;
+  private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+  private TcpPeerServer(ServerSocket server, Consumer<Event> events, EventLog log) {
+    this.server = server;
+    this.events = events;
+    this.log = log;
+  }
+
+  /**
+   * Starts to accept connections.
+   *
+   * @param server a bound server socket
+   * @param events takes {@link Event.PeerReceived}
+   * @param log the node's event log
+   */
+  public static TcpPeerServer start(ServerSocket server, Consumer<Event> events, EventLog log) {
+    TcpPeerServer peers = new TcpPeerServer(server, events, log);
+    Thread.ofVirtual().name("peer-accept").start(peers::acceptAll);
+    return peers;
+  }
+
+  private void acceptAll() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        connections.add(socket);
+        Thread.ofVirtual().name("peer-read").start(() -> readAll(socket));
+      } catch (IOException closed) {
+        if (!server.isClosed()) {
+          log.write(NodeEvent.of(EventCode.PEER_REFUSED, "reason", closed));
+        }
+      }
+    }
+  }
+
+  private void readAll(Socket socket) {
+    try (socket) {
+      DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+      while (!server.isClosed()) {
+        PeerFrame frame = FrameCodec.read(in);
+        events.accept(new Event.PeerReceived(frame.from(), frame.incarnation(), frame.message()));
+      }
+    } catch (PeerException refused) {
+      log.write(
+          NodeEvent.of(
+              EventCode.PEER_REFUSED,
+              "address",
+              socket.getRemoteSocketAddress(),
+              "reason",
+              refused.describe()));
+    } catch (IOException gone) {
+      // The peer closed the connection; it opens a new one when it has something to say.
+    } finally {
+      connections.remove(socket);
+    }
+  }
+
+  @Override
+  public void close() {
+    closeQuietly(server);
+    connections.forEach(TcpPeerServer::closeQuietly);
+  }
+
+  private static void closeQuietly(Closeable closeable) {
+    try {
+      closeable.close();
+    } catch (IOException alreadyClosed) {
+      // Nothing is left to close.
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -0,0 +1,142 @@
+package dev.wisteriarail.peer;
+
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.membership.VmEntry;
+import dev.wisteriarail.core.peer.PeerMessage;
+import dev.wisteriarail.spi.PeerTransport;
+import java.io.BufferedOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import javax.net.SocketFactory;
+
+/**
+ * Sends frames to peers, one connection and one bounded queue a peer.
+ *
+ * <p>A message to a peer that cannot be reached, or whose queue is full, is dropped; the core
+ * repeats what matters. Thread-safe.
+ */
+public final class TcpPeerTransport implements PeerTransport {
+
+  private static final int QUEUE_LIMIT = 256;
+  private static final int CONNECT_TIMEOUT_MILLIS = 500;
+  private static final Duration RECONNECT_DELAY = Duration.ofMillis(200);
+
+  private final NodeId self;
+  private final Incarnation incarnation;
+  private final SocketFactory sockets;
+  private final Map<NodeId, Link> links = new ConcurrentHashMap<>();
+
+  private TcpPeerTransport(NodeId self, Incarnation incarnation, SocketFactory sockets) {
+    this.self = self;
+    this.incarnation = incarnation;
+    this.sockets = sockets;
+  }
+
+  /** Returns a transport without connections. */
+  public static TcpPeerTransport create(
+      NodeId self, Incarnation incarnation, SocketFactory sockets) {
+    return new TcpPeerTransport(self, incarnation, sockets);
+  }
+
+  @Override
+  public void send(VmEntry peer, PeerMessage message) {
+    Link link =
+        links.compute(
+            peer.node(),
+            (node, known) -> known != null && known.leadsTo(peer) ? known : replace(known, peer));
+    link.offer(new PeerFrame(PeerFrame.VERSION, self, incarnation, message));
+  }
+
+  private Link replace(Link known, VmEntry peer) {
+    if (known != null) {
+      known.stop();
+    }
+    return Link.start(peer, sockets);
+  }
+
+  @Override
+  public void close() {
+    links.values().forEach(Link::finish);
+  }
+
+  /** The connection to one peer and the frames that wait for it. */
+  private static final class Link {
+
+    private final VmEntry peer;
+    private final SocketFactory sockets;
+    private final BlockingQueue<PeerFrame> queue = new ArrayBlockingQueue<>(QUEUE_LIMIT);
+    private final Thread thread;
+    private volatile boolean finishing;
+
+    private Link(VmEntry peer, SocketFactory sockets) {
+      this.peer = peer;
+      this.sockets = sockets;
+      thread = Thread.ofVirtual().name("peer-" + peer.node()).unstarted(this::run);
+    }
+
+    static Link start(VmEntry peer, SocketFactory sockets) {
+      Link link = new Link(peer, sockets);
+      link.thread.start();
+      return link;
+    }
+
+    boolean leadsTo(VmEntry entry) {
+      return peer.host().equals(entry.host()) && peer.port() == entry.port();
+    }
+
+    void offer(PeerFrame frame) {
+      if (!queue.offer(frame)) {
+        queue.poll();
+        queue.offer(frame);
+      }
+    }
+
+    void stop() {
+      thread.interrupt();
+    }
+
+    void finish() {
+      finishing = true;
+      if (queue.isEmpty()) {
+        stop();
+      }
+    }
+
+    private void run() {
+      try {
+        while (true) {
+          connectAndWrite();
+          if (finishing) {
+            return;
+          }
+          Thread.sleep(RECONNECT_DELAY);
+          queue.clear();
+        }
+      } catch (InterruptedException stopped) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    private void connectAndWrite() throws InterruptedException {
+      try (Socket socket = sockets.createSocket()) {
+        socket.connect(new InetSocketAddress(peer.host(), peer.port()), CONNECT_TIMEOUT_MILLIS);
+        socket.setTcpNoDelay(true);
+        DataOutputStream out =
+            new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
+        while (!finishing || !queue.isEmpty()) {
+          FrameCodec.write(out, queue.take());
+        }
+      } catch (IOException unreachable) {
+        // Heartbeats tell the core; the link tries again after a delay.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between nodes: TCP frames with MessagePack. */
+package dev.wisteriarail.peer;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/runtime/NodeAdapters.java
@@ -0,0 +1,25 @@
+package dev.wisteriarail.runtime;
+
+import dev.wisteriarail.spi.CallerGateway;
+import dev.wisteriarail.spi.EngineClient;
+import dev.wisteriarail.spi.LogService;
+import dev.wisteriarail.spi.PeerTransport;
+import dev.wisteriarail.spi.VmList;
+
+/**
+ * The adapters around a core.
+ *
+ * @param engines engines and plain services
+ * @param log the platform's log
+ * @param vmList the platform's VM list
+ * @param peers the transport to peers
+ * @param callers the way back to callers
+ * @param events the event log
+ */
+public record NodeAdapters(
+    EngineClient engines,
+    LogService log,
+    VmList vmList,
+    PeerTransport peers,
+    CallerGateway callers,
+    EventLog events) {}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
@@ -0,0 +1,282 @@
+package dev.wisteriarail.runtime;
+
+import dev.wisteriarail.core.Effect;
+import dev.wisteriarail.core.Event;
+import dev.wisteriarail.core.NodeCore;
+import dev.wisteriarail.core.NodeSettings;
+import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.engine.OrderOutcome;
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.event.NodeEvent;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.AppendOutcome;
+import dev.wisteriarail.core.membership.VmEntry;
+import dev.wisteriarail.core.request.AttemptOutcome;
+import dev.wisteriarail.core.result.PlatformException;
+import dev.wisteriarail.spi.AttemptListener;
+import dev.wisteriarail.spi.LogBatch;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Runs a core: one thread feeds it events and starts its effects; virtual threads carry them out.
+ *
+ * <p>Life cycle: {@link #start}, then events through {@link #submit}, then {@link #close}.
+ * Thread-safe.
+ */
+public final class NodeRuntime implements AutoCloseable {
+
+  private static final Duration LOG_WAIT = Duration.ofMillis(500);
+  private static final Duration LOG_RETRY = Duration.ofMillis(200);
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
+  private static final Duration VM_LIST_INTERVAL = Duration.ofSeconds(1);
+  private static final long MAX_WAIT_NANOS = Duration.ofSeconds(1).toNanos();
+
+  private final NodeSettings settings;
+  private final NodeCore core;
+  private final NodeAdapters adapters;
+  private final InstantSource clock;
+  private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+  private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
+  private final CountDownLatch drained = new CountDownLatch(1);
+  private final Map<NodeId, VmEntry> addresses = new ConcurrentHashMap<>();
+  private final Set<RunnerId> polled = ConcurrentHashMap.newKeySet();
+  private final AtomicBoolean open = new AtomicBoolean(true);
+  private volatile Configuration configuration = Configuration.EMPTY;
+  private volatile boolean ready;
+  private volatile boolean controller;
+
+  private NodeRuntime(
+      NodeSettings settings, NodeCore core, NodeAdapters adapters, InstantSource clock) {
+    this.settings = settings;
+    this.core = core;
+    this.adapters = adapters;
+    this.clock = clock;
+  }
+
+  /** Returns a runtime that does nothing yet. */
+  public static NodeRuntime create(
+      NodeSettings settings, NodeCore core, NodeAdapters adapters, InstantSource clock) {
+    return new NodeRuntime(settings, core, adapters, clock);
+  }
+
+  // Life cycle
+
+  /** Starts the event loop and the readers of the platform. */
+  public void start() {
+    adapters.events().write(NodeEvent.of(EventCode.NODE_STARTED, "node", settings.node()));
+    Thread.ofPlatform().name("core-" + settings.node()).start(this::runLoop);
+    workers.execute(this::readLog);
+    workers.execute(this::readVmList);
+  }
+
+  /** Stops taking requests and waits until those in flight have ended. */
+  public boolean drain(Duration limit) throws InterruptedException {
+    submit(new Event.DrainRequested());
+    return drained.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    if (open.compareAndSet(true, false)) {
+      events.add(new Event.TimerFired());
+      workers.shutdownNow();
+      adapters.peers().close();
+    }
+  }
+
+  // Events
+
+  /** Queues an event for the core. */
+  public void submit(Event event) {
+    events.add(event);
+  }
+
+  private void runLoop() {
+    while (open.get()) {
+      try {
+        Event event = events.poll(waitNanos(), TimeUnit.NANOSECONDS);
+        step(event == null ? new Event.TimerFired() : event);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        return;
+      } catch (RuntimeException fault) {
+        adapters.events().write(NodeEvent.of(EventCode.NODE_FAULT, "fault", fault));
+      }
+    }
+  }
+
+  private void step(Event event) {
+    List<Effect> effects = core.handle(event, clock.instant());
+    publishState();
+    for (Effect effect : effects) {
+      perform(effect);
+    }
+  }
+
+  private void publishState() {
+    configuration = core.configuration();
+    controller = core.isController();
+    if (core.isReady() && !ready) {
+      adapters.events().write(NodeEvent.of(EventCode.NODE_READY, "node", settings.node()));
+    }
+    ready = core.isReady();
+    for (RunnerId runner : configuration.runners().keySet()) {
+      if (polled.add(runner)) {
+        workers.execute(() -> pollRunner(runner));
+      }
+    }
+  }
+
+  private long waitNanos() {
+    return core.nextWakeUp()
+        .map(wakeUp -> Duration.between(clock.instant(), wakeUp).toNanos())
+        .map(nanos -> Math.clamp(nanos, 0, MAX_WAIT_NANOS))
+        .orElse(MAX_WAIT_NANOS);
+  }
+
+  // Effects
+
+  private void perform(Effect effect) {
+    switch (effect) {
+      case Effect.AnswerChunk chunk -> adapters.callers().answer(chunk);
+      case Effect.EndRequest end -> adapters.callers().end(end);
+      case Effect.Dispatch dispatch -> execute(() -> dispatch(dispatch));
+      case Effect.CancelAttempt cancel ->
+          execute(() -> adapters.engines().cancel(cancel.attempt(), cancel.runner()));
+      case Effect.OrderEngine order -> execute(() -> order(order));
+      case Effect.RequestReport request -> execute(() -> reportOnce(request.runner()));
+      case Effect.Append append -> execute(() -> append(append));
+      case Effect.SendPeer send -> {
+        VmEntry peer = addresses.get(send.to());
+        if (peer != null) {
+          adapters.peers().send(peer, send.message());
+        }
+      }
+      case Effect.Emit emit -> adapters.events().write(emit.event());
+      case Effect.DrainCompleted completed -> drained.countDown();
+    }
+  }
+
+  private void execute(Runnable task) {
+    if (open.get()) {
+      workers.execute(task);
+    }
+  }
+
+  private void dispatch(Effect.Dispatch dispatch) {
+    adapters
+        .engines()
+        .dispatch(
+            dispatch,
+            new AttemptListener() {
+              @Override
+              public void progressed(long position, String text) {
+                submit(new Event.AttemptProgressed(dispatch.attempt(), position, text));
+              }
+
+              @Override
+              public void ended(AttemptOutcome outcome) {
+                submit(new Event.AttemptEnded(dispatch.attempt(), outcome));
+              }
+            });
+  }
+
+  private void order(Effect.OrderEngine order) {
+    OrderOutcome outcome = adapters.engines().order(order);
+    submit(new Event.OrderAnswered(order.order(), order.runner(), outcome));
+  }
+
+  private void append(Effect.Append append) {
+    AppendOutcome outcome =
+        adapters.log().append(append.record(), settings.node().value(), append.body());
+    submit(new Event.AppendAnswered(append.record(), outcome));
+  }
+
+  private void reportOnce(RunnerId runner) {
+    try {
+      submit(new Event.EngineReported(adapters.engines().report(runner)));
+    } catch (PlatformException failure) {
+      submit(new Event.EngineUnreachable(runner));
+    }
+  }
+
+  // Readers of the platform
+
+  private void readLog() {
+    long offset = 0;
+    while (open.get()) {
+      try {
+        LogBatch batch = adapters.log().read(offset, LOG_WAIT);
+        offset = batch.nextOffset();
+        submit(new Event.LogRead(batch.records(), batch.nextOffset(), batch.firstOffset()));
+      } catch (PlatformException failure) {
+        submit(new Event.LogReadFailed(failure.describe()));
+        pause(LOG_RETRY);
+      }
+    }
+  }
+
+  private void readVmList() {
+    while (open.get()) {
+      try {
+        List<VmEntry> nodes = adapters.vmList().read();
+        nodes.forEach(entry -> addresses.put(entry.node(), entry));
+        submit(new Event.VmListRead(nodes));
+      } catch (PlatformException failure) {
+        // The list lags anyway: the previous reading stays in force until the next one.
+      }
+      pause(VM_LIST_INTERVAL);
+    }
+  }
+
+  private void pollRunner(RunnerId runner) {
+    while (open.get() && configuration.runners().containsKey(runner)) {
+      reportOnce(runner);
+      pause(REPORT_INTERVAL);
+    }
+    polled.remove(runner);
+  }
+
+  private void pause(Duration duration) {
+    try {
+      Thread.sleep(duration);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  // Accessors
+
+  /** Returns the configuration in force. */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /** Returns whether the balancer may send callers to this node. */
+  public boolean isReady() {
+    return ready;
+  }
+
+  /** Returns whether the node controls its cell. */
+  public boolean isController() {
+    return controller;
+  }
+
+  /** Returns the node's own settings. */
+  public NodeSettings settings() {
+    return settings;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/settings/package-info.java
@@ -0,0 +1,2 @@
+/** TOML settings, checked as a whole before anything starts. */
+package dev.wisteriarail.settings;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/spi/PeerTransport.java
@@ -0,0 +1,14 @@
+package dev.wisteriarail.spi;
+
+import dev.wisteriarail.core.membership.VmEntry;
+import dev.wisteriarail.core.peer.PeerMessage;
+
+/** Sends messages to peers. Thread-safe; calls do not block. */
+public interface PeerTransport extends AutoCloseable {
+
+  /** Sends a message; it is dropped where the peer cannot be reached. */
+  void send(VmEntry peer, PeerMessage message);
+
+  @Override
+  void close();
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/spi/VmList.java
@@ -0,0 +1,16 @@
+package dev.wisteriarail.spi;
+
+import dev.wisteriarail.core.membership.VmEntry;
+import dev.wisteriarail.core.result.PlatformException;
+import java.util.List;
+
+/** The platform's lagging list of VMs. Thread-safe; calls block. */
+public interface VmList {
+
+  /**
+   * Reads the nodes on the list.
+   *
+   * @throws PlatformException if the list cannot be read
+   */
+  List<VmEntry> read() throws PlatformException;
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/standin/Call.java
@@ -0,0 +1,102 @@
+package dev.wisteriarail.standin;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import dev.wisteriarail.codec.Codecs;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Blocker;
+import org.eclipse.jetty.util.Fields;
+
+/** One HTTP call to a stand-in. Not thread-safe; its handler runs on a virtual thread. */
+public final class Call {
+
+  private final Request request;
+  private final Response response;
+  private boolean answered;
+
+  Call(Request request, Response response) {
+    this.request = request;
+    this.response = response;
+  }
+
+  // Request
+
+  /** Returns the HTTP method. */
+  public String method() {
+    return request.getMethod();
+  }
+
+  /** Returns the path, without the query. */
+  public String path() {
+    return Request.getPathInContext(request);
+  }
+
+  /** Returns the parts of the path between its slashes. */
+  public List<String> parts() {
+    return Arrays.stream(path().split("/")).filter(part -> !part.isEmpty()).toList();
+  }
+
+  /** Returns a whole number from the query, or a default. */
+  public long query(String name, long whenAbsent) {
+    Fields fields = Request.extractQueryParameters(request);
+    String value = fields.getValue(name);
+    return value == null ? whenAbsent : Long.parseLong(value);
+  }
+
+  /** Returns a header's value. */
+  public Optional<String> header(String name) {
+    return Optional.ofNullable(request.getHeaders().get(name));
+  }
+
+  /** Reads the body as UTF-8 text. */
+  public String body() throws IOException {
+    try (InputStream in = Content.Source.asInputStream(request)) {
+      return new String(in.readAllBytes(), UTF_8);
+    }
+  }
+
+  /** Reads the body as JSON. */
+  public <T> T body(Class<T> type) throws IOException {
+    return Codecs.json().readValue(body(), type);
+  }
+
+  // Answer
+
+  /** Answers with a text. */
+  public void reply(int status, String text) throws IOException {
+    response.setStatus(status);
+    write(text, true);
+    answered = true;
+  }
+
+  /** Answers with JSON. */
+  public void replyJson(Object value) throws IOException {
+    response.getHeaders().put("Content-Type", "application/json");
+    reply(200, Codecs.json().writeValueAsString(value));
+  }
+
+  /** Writes one line of a longer answer. */
+  public void writeLine(Object value, boolean last) throws IOException {
+    write(Codecs.json().writeValueAsString(value) + "\n", last);
+    answered = last;
+  }
+
+  boolean answered() {
+    return answered;
+  }
+
+  private void write(String text, boolean last) throws IOException {
+    try (Blocker.Callback blocker = Blocker.callback()) {
+      response.write(last, ByteBuffer.wrap(text.getBytes(UTF_8)), blocker);
+      blocker.block();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/standin/ServiceStandin.java
@@ -0,0 +1,81 @@
+package dev.wisteriarail.standin;
+
+import dev.wisteriarail.core.engine.EngineReport;
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.settings.Endpoint;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * A stand-in for an application runner with plain services: {@code /services/{name}/…}.
+ *
+ * <p>Counts how often each idempotency key ran. Thread-safe.
+ */
+public final class ServiceStandin implements AutoCloseable {
+
+  private final RunnerId runner;
+  private final boolean deduplicates;
+  private final StandinServer server;
+  private final Incarnation incarnation = Incarnation.of(System.nanoTime());
+  private final Map<String, Integer> runsByKey = new ConcurrentHashMap<>();
+
+  private ServiceStandin(Endpoint endpoint, long seed, RunnerId runner, boolean deduplicates)
+      throws SettingsException {
+    this.runner = runner;
+    this.deduplicates = deduplicates;
+    server = StandinServer.start(endpoint, seed, this::serve);
+  }
+
+  /**
+   * Starts a runner.
+   *
+   * @param deduplicates whether a repeated key runs only once
+   * @throws SettingsException if the port cannot be bound
+   */
+  public static ServiceStandin start(
+      Endpoint endpoint, long seed, RunnerId runner, boolean deduplicates)
+      throws SettingsException {
+    return new ServiceStandin(endpoint, seed, runner, deduplicates);
+  }
+
+  private void serve(Call call) throws IOException {
+    if (call.path().equals("/report")) {
+      call.replyJson(
+          new EngineReport(runner, incarnation, FencingNumber.NONE, false, 0, 0, 0, List.of()));
+      return;
+    }
+    if (!call.path().startsWith("/services/")) {
+      call.reply(404, "no such path\n");
+      return;
+    }
+    String body = call.body();
+    call.header("Idempotency-Key").ifPresent(this::countRun);
+    if (!server.losesAnswer()) {
+      call.reply(200, "{\"ran\":" + (body.isEmpty() ? "null" : body) + "}");
+    }
+  }
+
+  private void countRun(String key) {
+    runsByKey.merge(key, 1, (runs, one) -> deduplicates ? runs : runs + one);
+  }
+
+  /** Returns how often a key ran. */
+  public int runs(String key) {
+    return runsByKey.getOrDefault(key, 0);
+  }
+
+  /** Returns the server, for its address and faults. */
+  public StandinServer server() {
+    return server;
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -0,0 +1,91 @@
+package dev.wisteriarail.codec;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.wisteriarail.core.config.DeploymentSpec;
+import dev.wisteriarail.core.config.Section;
+import dev.wisteriarail.core.config.Urgency;
+import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.id.RecordId;
+import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.LogRecord;
+import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.peer.Demand;
+import dev.wisteriarail.core.peer.PeerMessage;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class CodecsTest {
+
+  static Stream<RecordBody> bodies() {
+    return Stream.of(
+        new RecordBody.ClaimRecorded(
+            CellId.of("main"), NodeId.of("n1"), Incarnation.of(7), FencingNumber.NONE),
+        new RecordBody.LoadDecided(
+            CellId.of("main"),
+            FencingNumber.of(3),
+            ReplicaId.of("m1.3.1"),
+            ModelId.of("m1"),
+            "v1",
+            RunnerId.of("r1"),
+            1L << 40),
+        new RecordBody.ConfigurationChanged(
+            Revision.NONE,
+            new Section(
+                "team",
+                Optional.of(DeploymentSpec.UNNAMED),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of()),
+            "author",
+            "reason"));
+  }
+
+  static Stream<PeerMessage> messages() {
+    return Stream.of(
+        new PeerMessage.Heartbeat(Revision.of(4), FencingNumber.of(9), true),
+        new PeerMessage.Goodbye(),
+        new PeerMessage.DemandReported(
+            List.of(
+                new Demand(
+                    ModelId.of("m1"),
+                    Optional.empty(),
+                    Urgency.URGENT,
+                    3,
+                    1,
+                    2,
+                    Duration.ofMillis(1_500)))));
+  }
+
+  @ParameterizedTest
+  @MethodSource("bodies")
+  void logRecordsSurviveJson(RecordBody body) throws IOException {
+    LogRecord logged = new LogRecord(5, RecordId.of("n1.7.r1"), "n1", body);
+    assertThat(copy(Codecs.json(), logged, LogRecord.class)).isEqualTo(logged);
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void peerMessagesSurviveMessagePack(PeerMessage message) throws IOException {
+    assertThat(copy(Codecs.messagePack(), message, PeerMessage.class)).isEqualTo(message);
+  }
+
+  private static <T> T copy(ObjectMapper mapper, T value, Class<T> type) throws IOException {
+    return mapper.readValue(mapper.writerFor(type).writeValueAsBytes(value), type);
+  }
+}
