Track whether this node can read the log

Cause: cells and requests both have to know of an outage, and each failed read logged an event. Change: LogHealth; one event at the start and one at the end of an outage. Conclusion: the parts share one notion of an outage.

--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.LogHealth;
 import dev.wisteriarail.core.log.LogRecord;
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.membership.Membership;
@@ -35,15 +36,18 @@
  */
 public final class NodeCore {
 
+  private static final Duration LOG_OUTAGE_AFTER = Duration.ofSeconds(1);
+
   private final NodeSettings settings;
   private final ConfigurationLedger configurations = ConfigurationLedger.create();
   private final RunnerTable runners = RunnerTable.create();
+  private final LogHealth logHealth = LogHealth.create(LOG_OUTAGE_AFTER);
   private final Membership membership;
   private final CellLedger ledger;
   private final CellController controller;
   private final RequestTable requests;
   private Optional<Instant> nextDemandReport = Optional.empty();
-  private boolean logRead;
+  private boolean outageLogged;
   private boolean draining;
   private boolean drainAnnounced;
 
@@ -90,8 +94,7 @@
       case Event.OrderAnswered answered ->
           controller.acceptOrder(answered.order(), answered.runner(), answered.outcome(), step);
       case Event.LogRead read -> acceptLog(read, step);
-      case Event.LogReadFailed failed ->
-          step.log(EventCode.LOG_UNREACHABLE, "reason", failed.reason());
+      case Event.LogReadFailed failed -> acceptLogFailure(failed, step);
       case Event.AppendAnswered answered ->
           controller.acceptAppend(answered.record(), answered.outcome());
       case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
@@ -117,7 +120,11 @@
   }
 
   private void acceptLog(Event.LogRead read, Step step) {
-    logRead = true;
+    logHealth.acceptRead(step.now());
+    if (outageLogged) {
+      outageLogged = false;
+      step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
+    }
     for (LogRecord logged : read.records()) {
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, step);
@@ -127,6 +134,14 @@
     }
   }
 
+  private void acceptLogFailure(Event.LogReadFailed failed, Step step) {
+    logHealth.acceptFailure(step.now());
+    if (!outageLogged && logHealth.isDown(step.now())) {
+      outageLogged = true;
+      step.log(EventCode.LOG_UNREACHABLE, "reason", failed.reason());
+    }
+  }
+
   private void acceptChange(RecordBody.ConfigurationChanged change, Step step) {
     boolean accepted = configurations.apply(change);
     step.log(
@@ -158,7 +173,7 @@
     Configuration configuration = configurations.current();
     requests.advance(step, configuration, runners, controller::isRoutable);
     reportDemand(step);
-    if (logRead) {
+    if (logHealth.wasRead()) {
       controller.advance(step, configuration, membership, runners);
     }
     membership.advance(
