--- a/src/main/java/dev/wisteriarail/demo/Demo.java
+++ b/src/main/java/dev/wisteriarail/demo/Demo.java
@@ -1,54 +1,42 @@
 package dev.wisteriarail.demo;
 
-import dev.wisteriarail.core.config.Section;
-import dev.wisteriarail.core.id.RecordId;
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.node.Node;
-import dev.wisteriarail.platform.HttpClients;
-import dev.wisteriarail.platform.HttpLogService;
-import dev.wisteriarail.settings.NodeFile;
-import dev.wisteriarail.settings.TomlDocument;
 import dev.wisteriarail.standin.EngineStandin;
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.function.BooleanSupplier;
 import org.HdrHistogram.Histogram;
-import org.eclipse.jetty.client.ContentResponse;
-import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.StringRequestContent;
 
 /**
  * Runs a fleet of nodes and stand-ins in one process and checks what it does.
  *
  * <p>A burst for an idle model reaches all nodes at once; the model must be loaded once and every
- * caller must get the whole answer to its own request.
+ * caller must get the whole answer to its own request. Then a node is killed and another model
+ * asked for, and a configuration change is published.
  */
 public final class Demo {
 
   private static final int NODES = 3;
-  private static final int ENGINES = 4;
   private static final int BURST_PER_NODE = 8;
-  private static final long LOAD_MILLIS = 400;
-  private static final Duration READY_LIMIT = Duration.ofSeconds(15);
-  private static final Duration CALL_LIMIT = Duration.ofSeconds(20);
-  private static final Duration POLL = Duration.ofMillis(20);
+  private static final Duration LIMIT = Duration.ofSeconds(15);
 
   private final PrintStream out;
-  private final List<Node> nodes = new ArrayList<>();
+  private final DemoFleet fleet;
+  private final DemoCaller caller;
   private boolean allRight = true;
 
-  private Demo(PrintStream out) {
+  private Demo(PrintStream out, DemoFleet fleet) {
     this.out = out;
+    this.fleet = fleet;
+    caller = new DemoCaller(fleet.http(), fleet.token());
   }
 
   /**
@@ -57,141 +45,104 @@
    * @return whether each outcome was right
    */
   public static boolean run(PrintStream out) throws SettingsException, InterruptedException {
-    return new Demo(out).runAll();
+    try (DemoFleet fleet = DemoFleet.start(NODES, StandinPlan.DEMO)) {
+      return new Demo(out, fleet).runAll();
+    }
   }
 
-  private boolean runAll() throws SettingsException, InterruptedException {
-    HttpClient http = HttpClients.start();
-    try (StandinFleet standins = StandinFleet.start(ENGINES, 1, LOAD_MILLIS)) {
-      startNodes(standins);
-      publish(http, standins);
-      check("all nodes ready", await(() -> nodes.stream().allMatch(this::isServing)));
-      burst(http, standins);
-    } finally {
-      nodes.forEach(Node::kill);
-      HttpClients.stop(http);
-    }
+  private boolean runAll() throws InterruptedException {
+    check("all nodes ready", DemoFleet.await(this::allReady, LIMIT));
+    burst("m001", "burst");
+    changeConfiguration();
+    killController();
     out.println(allRight ? "demo: all outcomes right" : "demo: an outcome was wrong");
     return allRight;
   }
 
-  private void startNodes(StandinFleet standins) throws SettingsException {
-    for (int i = 1; i <= NODES; i++) {
-      Node node = Node.start(nodeFile("n" + i, standins));
-      nodes.add(node);
-      standins.vmList().put(node.vmEntry());
-    }
-  }
-
-  private static NodeFile nodeFile(String name, StandinFleet standins) throws SettingsException {
-    String text =
-        """
-        [node]
-        id = "%s"
-        failure_domain = "fd1"
-        [http]
-        port = 0
-        [peer]
-        port = 0
-        [log]
-        address = "%s"
-        [vm_list]
-        address = "%s"
-        """
-            .formatted(
-                name, standins.log().server().address(), standins.vmList().server().address());
-    return NodeFile.from(TomlDocument.parse("demo.toml", text));
-  }
-
-  private void publish(HttpClient http, StandinFleet standins) {
-    Section section = DemoConfiguration.section(standins.runnerSpecs());
-    RecordBody change =
-        new RecordBody.ConfigurationChanged(Revision.NONE, section, "demo", "first answers");
-    HttpLogService.create(http, standins.log().server().address())
-        .append(RecordId.of("demo-1"), "demo", change);
-  }
-
-  private boolean isServing(Node node) {
-    return node.runtime().isReady();
-  }
-
   // Scenes
 
-  private void burst(HttpClient http, StandinFleet standins) throws InterruptedException {
+  private void burst(String model, String scene) throws InterruptedException {
+    long decidedBefore = decisions();
+    int loadsBefore = loads();
     Histogram millis = new Histogram(3);
     List<CompletableFuture<Boolean>> calls = new ArrayList<>();
     try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
-      for (Node node : nodes) {
+      for (Node node : fleet.nodes()) {
         for (int i = 0; i < BURST_PER_NODE; i++) {
           String prompt = node.vmEntry().node() + " asks " + i;
-          calls.add(CompletableFuture.supplyAsync(() -> call(http, node, prompt, millis), callers));
+          calls.add(
+              CompletableFuture.supplyAsync(
+                  () -> caller.complete(node, model, prompt, millis), callers));
         }
       }
     }
     long whole = calls.stream().filter(CompletableFuture::join).count();
-    int loads = standins.engines().stream().mapToInt(EngineStandin::loads).sum();
-    long decided =
-        standins.log().records().stream()
-            .filter(logged -> logged.body() instanceof RecordBody.LoadDecided)
-            .count();
+    long decided = decisions() - decidedBefore;
+    int loaded = loads() - loadsBefore;
     out.printf(
-        "burst: %d callers at %d nodes for an idle model; whole answers %d; loads decided %d,"
+        "%s: %d callers at %d nodes for the idle model %s; whole answers %d; loads decided %d,"
             + " done %d; time to the whole answer p50 %d ms, max %d ms%n",
+        scene,
         calls.size(),
-        NODES,
+        fleet.nodes().size(),
+        model,
         whole,
         decided,
-        loads,
+        loaded,
         millis.getValueAtPercentile(50),
         millis.getMaxValue());
     check("every caller got its own whole answer", whole == calls.size());
-    check("the model was loaded once, as decided", loads == 1 && decided == 1);
+    check("the model was loaded once, as decided", loaded == 1 && decided == 1);
   }
 
-  private static boolean call(HttpClient http, Node node, String prompt, Histogram millis) {
+  private void changeConfiguration() throws InterruptedException {
+    Revision before = fleet.nodes().getFirst().runtime().configuration().revision();
     long start = System.nanoTime();
-    try {
-      ContentResponse response =
-          http.POST(node.address() + "/v1/completions")
-              .headers(
-                  headers ->
-                      headers
-                          .put("Authorization", "Bearer " + DemoConfiguration.TOKEN)
-                          .put("X-Request-Kind", "fault-summary"))
-              .body(
-                  new StringRequestContent(
-                      "application/json",
-                      "{\"model\":\"m001\",\"max_tokens\":8,\"prompt\":\"" + prompt + "\"}"))
-              .timeout(CALL_LIMIT.toMillis(), TimeUnit.MILLISECONDS)
-              .send();
-      synchronized (millis) {
-        millis.recordValue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start));
-      }
-      String answer = response.getContentAsString();
-      return response.getStatus() == 200 && answer.contains(prompt) && answer.contains(" t7");
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
-      return false;
-    } catch (TimeoutException | ExecutionException failure) {
-      return false;
+    fleet.publish("demo-2", before, DemoConfiguration.addedModel());
+    fleet.publish("demo-3", Revision.NONE, DemoConfiguration.addedModel());
+    boolean everywhere = DemoFleet.await(this::allHaveAddedModel, LIMIT);
+    out.printf(
+        "configuration: a new section in force on all nodes after %d ms%n",
+        Duration.ofNanos(System.nanoTime() - start).toMillis());
+    check("the change is in force on every node", everywhere);
+  }
+
+  private void killController() throws InterruptedException {
+    Optional<Node> controller =
+        fleet.nodes().stream().filter(node -> node.runtime().isController()).findFirst();
+    check("a controller is known", controller.isPresent());
+    if (controller.isPresent()) {
+      fleet.killNode(controller.get().vmEntry().node().value());
+      out.println("killed the controller " + controller.get().vmEntry().node());
+      burst("m002", "after the kill");
     }
   }
 
   // Helpers
 
+  private boolean allReady() {
+    return fleet.nodes().stream().allMatch(node -> node.runtime().isReady());
+  }
+
+  private boolean allHaveAddedModel() {
+    return fleet.nodes().stream()
+        .allMatch(
+            node ->
+                node.runtime().configuration().models().containsKey(DemoConfiguration.ADDED_MODEL));
+  }
+
+  private int loads() {
+    return fleet.standins().engines().stream().mapToInt(EngineStandin::loads).sum();
+  }
+
+  private long decisions() {
+    return fleet.standins().log().records().stream()
+        .filter(logged -> logged.body() instanceof RecordBody.LoadDecided)
+        .count();
+  }
+
   private void check(String outcome, boolean right) {
     out.printf("%s: %s%n", right ? "right" : "WRONG", outcome);
     allRight &= right;
   }
-
-  private static boolean await(BooleanSupplier condition) throws InterruptedException {
-    long deadline = System.nanoTime() + READY_LIMIT.toNanos();
-    while (!condition.getAsBoolean()) {
-      if (System.nanoTime() > deadline) {
-        return false;
-      }
-      Thread.sleep(POLL);
-    }
-    return true;
-  }
 }
--- a/src/main/java/dev/wisteriarail/demo/DemoConfiguration.java
+++ b/src/main/java/dev/wisteriarail/demo/DemoConfiguration.java
@@ -31,8 +31,24 @@
   private static final CustomerId CUSTOMER = CustomerId.of("c01");
   private static final long MODEL_BYTES = 16L * 1024 * 1024 * 1024;
 
+  /** The model that a later change adds. */
+  static final ModelId ADDED_MODEL = ModelId.of("m101");
+
   private DemoConfiguration() {}
 
+  /** Returns a section of another team, with one more model. */
+  static Section addedModel() {
+    return new Section(
+        "added",
+        Optional.empty(),
+        List.of(model(ADDED_MODEL.value())),
+        List.of(),
+        List.of(),
+        List.of(),
+        List.of(),
+        List.of());
+  }
+
   static Section section(List<RunnerSpec> runners) {
     return new Section(
         "demo",
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/demo/DemoFleet.java
@@ -0,0 +1,144 @@
+package dev.wisteriarail.demo;
+
+import dev.wisteriarail.core.config.Section;
+import dev.wisteriarail.core.id.RecordId;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.node.Node;
+import dev.wisteriarail.platform.HttpClients;
+import dev.wisteriarail.platform.HttpLogService;
+import dev.wisteriarail.settings.NodeFile;
+import dev.wisteriarail.settings.TomlDocument;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * Nodes and stand-ins in one process, with a small configuration published.
+ *
+ * <p>Life cycle: {@link #start}, then {@link #close}. Not thread-safe.
+ */
+public final class DemoFleet implements AutoCloseable {
+
+  private static final Duration POLL = Duration.ofMillis(20);
+
+  private final StandinFleet standins;
+  private final HttpClient http;
+  private final Map<String, Node> nodes = new TreeMap<>();
+
+  private DemoFleet(StandinFleet standins, HttpClient http) {
+    this.standins = standins;
+    this.http = http;
+  }
+
+  /**
+   * Starts stand-ins and nodes and publishes the demo's configuration.
+   *
+   * @param nodeCount number of nodes
+   * @param plan the stand-ins' sizes and times
+   * @throws SettingsException if a port cannot be bound
+   */
+  public static DemoFleet start(int nodeCount, StandinPlan plan) throws SettingsException {
+    DemoFleet fleet = new DemoFleet(StandinFleet.start(plan), HttpClients.start());
+    for (int i = 1; i <= nodeCount; i++) {
+      fleet.startNode("n" + i);
+    }
+    fleet.publish("demo-1", Revision.NONE, DemoConfiguration.section(fleet.standins.runnerSpecs()));
+    return fleet;
+  }
+
+  // Nodes
+
+  /** Starts a node and puts it on the VM list. */
+  public void startNode(String name) throws SettingsException {
+    Node node = Node.start(nodeFile(name));
+    nodes.put(name, node);
+    standins.vmList().put(node.vmEntry());
+  }
+
+  /** Stops a node at once, as when its VM fails. The VM list lags and keeps it. */
+  public void killNode(String name) {
+    nodes.remove(name).kill();
+  }
+
+  /** Takes a node out for a graceful stop by the caller; the VM list drops it. */
+  public Node removeNode(String name) {
+    Node node = nodes.remove(name);
+    standins.vmList().remove(node.vmEntry().node());
+    return node;
+  }
+
+  /** Publishes a section based on a revision. */
+  public void publish(String record, Revision basedOn, Section section) {
+    RecordBody change =
+        new RecordBody.ConfigurationChanged(basedOn, section, "demo", "published by the demo");
+    HttpLogService.create(http, standins.log().server().address())
+        .append(RecordId.of(record), "demo", change);
+  }
+
+  private NodeFile nodeFile(String name) throws SettingsException {
+    String text =
+        """
+        [node]
+        id = "%s"
+        failure_domain = "fd1"
+        [http]
+        port = 0
+        [peer]
+        port = 0
+        [log]
+        address = "%s"
+        [vm_list]
+        address = "%s"
+        """
+            .formatted(
+                name, standins.log().server().address(), standins.vmList().server().address());
+    return NodeFile.from(TomlDocument.parse("demo.toml", text));
+  }
+
+  // Accessors
+
+  /** Returns the running nodes in order of their names. */
+  public List<Node> nodes() {
+    return List.copyOf(nodes.values());
+  }
+
+  /** Returns the stand-ins. */
+  public StandinFleet standins() {
+    return standins;
+  }
+
+  /** Returns an HTTP client. */
+  public HttpClient http() {
+    return http;
+  }
+
+  /** Returns a bearer token of the demo's customer. */
+  public String token() {
+    return DemoConfiguration.TOKEN;
+  }
+
+  /** Waits until a condition holds; returns whether it did within the limit. */
+  public static boolean await(BooleanSupplier condition, Duration limit)
+      throws InterruptedException {
+    long deadline = System.nanoTime() + limit.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        return false;
+      }
+      Thread.sleep(POLL);
+    }
+    return true;
+  }
+
+  @Override
+  public void close() {
+    nodes.values().forEach(Node::kill);
+    HttpClients.stop(http);
+    standins.close();
+  }
+}
--- a/src/main/java/dev/wisteriarail/demo/StandinFleet.java
+++ b/src/main/java/dev/wisteriarail/demo/StandinFleet.java
@@ -27,9 +27,9 @@
 
   private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
   private static final long MEMORY_BYTES = 80L * 1024 * 1024 * 1024;
-  private static final int SLOTS = 16;
   private static final int RETENTION = 100_000;
 
+  private final StandinPlan plan;
   private final HttpClient http;
   private final LogStandin log;
   private final VmListStandin vmList;
@@ -38,12 +38,14 @@
   private final ServiceStandin services;
 
   private StandinFleet(
+      StandinPlan plan,
       HttpClient http,
       LogStandin log,
       VmListStandin vmList,
       WeightStoreStandin weightStore,
       List<EngineStandin> engines,
       ServiceStandin services) {
+    this.plan = plan;
     this.http = http;
     this.log = log;
     this.vmList = vmList;
@@ -55,28 +57,27 @@
   /**
    * Starts the stand-ins.
    *
-   * @param engineCount number of engines
-   * @param loadMillis time that a load takes, in milliseconds
    * @throws SettingsException if a port cannot be bound
    */
-  public static StandinFleet start(int engineCount, long seed, long loadMillis)
-      throws SettingsException {
+  public static StandinFleet start(StandinPlan plan) throws SettingsException {
+    long seed = plan.seed();
     HttpClient http = HttpClients.start();
     WeightStoreStandin weightStore = WeightStoreStandin.start(ANY_PORT, seed, 7.0, 4);
     List<EngineStandin> engines = new ArrayList<>();
-    for (int i = 1; i <= engineCount; i++) {
+    for (int i = 1; i <= plan.engines(); i++) {
       EngineSetup setup =
           new EngineSetup(
               RunnerId.of("r" + i),
               MEMORY_BYTES,
-              SLOTS,
+              plan.slots(),
               i % 2 == 1,
-              loadMillis,
-              2,
+              plan.loadMillis(),
+              plan.tokenMillis(),
               Optional.of(weightStore.server().address()));
       engines.add(EngineStandin.start(ANY_PORT, seed + i, setup, http));
     }
     return new StandinFleet(
+        plan,
         http,
         LogStandin.start(ANY_PORT, seed, RETENTION),
         VmListStandin.start(ANY_PORT, seed),
@@ -119,7 +120,7 @@
               RunnerRole.MODEL,
               MEMORY_BYTES,
               8,
-              SLOTS,
+              plan.slots(),
               i % 2 == 0));
     }
     specs.add(
@@ -130,7 +131,7 @@
             RunnerRole.APPLICATION,
             0,
             0,
-            SLOTS,
+            plan.slots(),
             false));
     return specs;
   }
--- a/src/test/java/dev/wisteriarail/cli/MainTest.java
+++ b/src/test/java/dev/wisteriarail/cli/MainTest.java
@@ -19,6 +19,10 @@
     "serve --help, SUCCESS, ''",
     "serve --config /does/not/exist, INVALID_INPUT, WR-3003 /does/not/exist",
     "demo --twice, USAGE, twice",
+    "load --scenario steady, USAGE, --target: is required",
+    "load --target x --token t --model m --scenario storm, USAGE, no scenario storm",
+    "load --target x --token t --model m --rate 0, USAGE, must be positive",
+    "load --target x --token t --model m --scenario flood, USAGE, two tokens",
   })
   void commandLineGivesClearVerdict(String line, ExitCode expected, String inErrors)
       throws InterruptedException {
