--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -18,7 +18,12 @@
 
   private static final String PROGRAM = "wisteriarail";
   private static final List<Command> COMMANDS =
-      List.of(new ServeCommand(), new StandinCommand(), new DemoCommand(), new LoadCommand());
+      List.of(
+          new AnswersCommand(),
+          new DemoCommand(),
+          new LoadCommand(),
+          new ServeCommand(),
+          new StandinCommand());
 
   private Main() {}
 
