--- a/src/main/java/dev/wisteriarail/standin/StandinFile.java
+++ b/src/main/java/dev/wisteriarail/standin/StandinFile.java
@@ -1,6 +1,9 @@
 package dev.wisteriarail.standin;
 
+import dev.wisteriarail.core.id.FailureDomain;
+import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.membership.VmEntry;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.platform.HttpClients;
 import dev.wisteriarail.settings.Endpoint;
@@ -23,6 +26,7 @@
  * @param fullSpeedFetches fetches that run at full speed at once
  * @param engines the engines
  * @param services the application runners
+ * @param nodes the nodes on the VM list at the start
  */
 public record StandinFile(
     long seed,
@@ -33,7 +37,8 @@
     double fetchesPerSecond,
     int fullSpeedFetches,
     List<EngineEntry> engines,
-    List<ServiceEntry> services) {
+    List<ServiceEntry> services,
+    List<VmEntry> nodes) {
 
   private static final int MAX_PORT = 65_535;
   private static final int DEFAULT_RETENTION = 100_000;
@@ -73,7 +78,8 @@
             toml.number("weight_store.fetches_per_second", 0.1, 10_000, 7.0),
             (int) toml.integer("weight_store.full_speed_fetches", 1, 10_000, 4),
             engines(toml),
-            services(toml));
+            services(toml),
+            nodes(toml));
     toml.check();
     return file;
   }
@@ -87,7 +93,9 @@
   public List<String> start() throws SettingsException {
     List<String> lines = new ArrayList<>();
     lines.add("log " + LogStandin.start(log, seed, retention).server().address());
-    lines.add("vm_list " + VmListStandin.start(vmList, seed).server().address());
+    VmListStandin list = VmListStandin.start(vmList, seed);
+    nodes.forEach(list::put);
+    lines.add("vm_list " + list.server().address());
     WeightStoreStandin store =
         WeightStoreStandin.start(weightStore, seed, fetchesPerSecond, fullSpeedFetches);
     lines.add("weight_store " + store.server().address());
@@ -128,6 +136,22 @@
     return engines;
   }
 
+  private static List<VmEntry> nodes(TomlDocument toml) {
+    List<VmEntry> nodes = new ArrayList<>();
+    for (int i = 0; i < toml.size("node"); i++) {
+      String path = "node." + i;
+      Endpoint peer = endpoint(toml, path);
+      nodes.add(
+          new VmEntry(
+              NodeId.of(toml.text(path + ".id")),
+              peer.host(),
+              peer.port(),
+              FailureDomain.of(toml.text(path + ".failure_domain")),
+              toml.flag(path + ".leaving", false)));
+    }
+    return nodes;
+  }
+
   private static List<ServiceEntry> services(TomlDocument toml) {
     List<ServiceEntry> services = new ArrayList<>();
     for (int i = 0; i < toml.size("services"); i++) {
