Give every malformed or oversized call a numbered problem; bound open requests on a node

Cause: an oversized header was answered with an HTML page by the server library, and nothing bounded the requests that a node holds. Conclusion: each of these calls gets a problem document that says "not run".

--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -20,6 +20,10 @@
   NOT_FOUND(1004, 404, "no such path"),
   /** The path does not take this method. */
   METHOD_NOT_ALLOWED(1005, 405, "the path does not take this method"),
+  /** The request header exceeds the size limit. */
+  HEADERS_TOO_LARGE(1006, 431, "the request header exceeds the size limit"),
+  /** The node holds as many open requests as it may. */
+  NODE_FULL(1007, 503, "the node holds as many open requests as it may"),
   /** The bearer token is missing or unknown. */
   UNAUTHENTICATED(1101, 401, "the bearer token is missing or unknown"),
   /** The model does not exist or belongs to another customer. */
--- a/src/main/java/dev/wisteriarail/http/CallerHandler.java
+++ b/src/main/java/dev/wisteriarail/http/CallerHandler.java
@@ -37,10 +37,12 @@
  */
 final class CallerHandler extends Handler.Abstract {
 
+  private static final Duration FULL_RETRY_AFTER = Duration.ofSeconds(1);
   private static final String SERVICES_PREFIX = "/services/";
 
   private final NodeView node;
   private final ExchangeTable exchanges;
+  private final int maxOpenRequests;
   private final RequestReader reader;
   private final NodeMetrics metrics;
   private final Authenticator authenticator = new Authenticator();
@@ -50,6 +52,7 @@
     this.node = node;
     this.exchanges = exchanges;
     this.metrics = metrics;
+    maxOpenRequests = limits.maxOpenRequests();
     reader = new RequestReader(limits);
   }
 
@@ -127,7 +130,12 @@
   }
 
   private void run(InboundRequest inbound, AnswerWriter writer)
-      throws IOException, InterruptedException {
+      throws RefusedException, IOException, InterruptedException {
+    if (exchanges.size() >= maxOpenRequests) {
+      throw new RefusedException(
+          Refusal.notRun(
+              ResultCode.NODE_FULL, "the limit is " + maxOpenRequests, FULL_RETRY_AFTER));
+    }
     Instant start = node.clock().instant();
     Exchange exchange = exchanges.open(inbound.id());
     node.events().accept(new Event.RequestArrived(inbound));
--- a/src/main/java/dev/wisteriarail/http/CallerServer.java
+++ b/src/main/java/dev/wisteriarail/http/CallerServer.java
@@ -34,6 +34,7 @@
       NodeMetrics metrics)
       throws SettingsException {
     Server server = JettyServers.create(host, port, limits);
+    server.setErrorHandler(new ProblemErrorHandler());
     server.setHandler(new CallerHandler(node, exchanges, limits, metrics));
     try {
       server.start();
--- a/src/main/java/dev/wisteriarail/settings/NodeFile.java
+++ b/src/main/java/dev/wisteriarail/settings/NodeFile.java
@@ -97,6 +97,7 @@
         (int) toml.integer("http.max_body_bytes", 1, MAX_BYTES, defaults.maxBodyBytes()),
         (int) toml.integer("http.max_header_bytes", 1024, MAX_BYTES, defaults.maxHeaderBytes()),
         toml.millis("http.body_timeout_ms", defaults.bodyTimeout()),
-        toml.millis("http.idle_timeout_ms", defaults.idleTimeout()));
+        toml.millis("http.idle_timeout_ms", defaults.idleTimeout()),
+        (int) toml.integer("http.max_open_requests", 1, 1_000_000, defaults.maxOpenRequests()));
   }
 }
