Run non-repeatable requests at most once through intents on the log

Cause: requests that must not run twice were refused, since nothing recorded that one of them was about to run.

Change: IntentLedger folds IntentRecorded, IntentFinished, IntentUnresolved and IntentReleased from the log; the first record of a customer's key wins on every node. A request runs only after its own intent was read back as the holder of the key, and only while its node still has it; an intent that appears after its request was given up is released by its owner. A repeat gets the stored answer, 'outcome unknown', or a refusal for changed content. With the log down it is refused as not run at once.

Conclusion: an open intent of a lost owner stays 'outcome unknown': whether it was handed over cannot be known.

--- a/src/main/java/dev/wisteriarail/codec/Codecs.java
+++ b/src/main/java/dev/wisteriarail/codec/Codecs.java
@@ -50,11 +50,19 @@
     mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     for (Class<?> sealedType : SEALED_TYPES) {
       mapper.addMixIn(sealedType, TypeProperty.class);
-      for (Class<?> permitted : sealedType.getPermittedSubclasses()) {
+      registerSubtypes(mapper, sealedType);
+    }
+    return mapper;
+  }
+
+  private static void registerSubtypes(ObjectMapper mapper, Class<?> sealedType) {
+    for (Class<?> permitted : sealedType.getPermittedSubclasses()) {
+      if (permitted.isSealed()) {
+        registerSubtypes(mapper, permitted);
+      } else {
         mapper.registerSubtypes(new NamedType(permitted, permitted.getSimpleName()));
       }
     }
-    return mapper;
   }
 
   /** Adds the type property to a sealed interface. */
--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.cell.CellController;
 import dev.wisteriarail.core.cell.CellLedger;
+import dev.wisteriarail.core.cell.Claim;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.ConfigurationLedger;
 import dev.wisteriarail.core.event.EventCode;
@@ -17,6 +18,7 @@
 import dev.wisteriarail.core.request.Ending;
 import dev.wisteriarail.core.request.InboundRequest;
 import dev.wisteriarail.core.request.Refusal;
+import dev.wisteriarail.core.request.RequestContext;
 import dev.wisteriarail.core.request.RequestTable;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.routing.Router;
@@ -95,8 +97,10 @@
           controller.acceptOrder(answered.order(), answered.runner(), answered.outcome(), step);
       case Event.LogRead read -> acceptLog(read, step);
       case Event.LogReadFailed failed -> acceptLogFailure(failed, step);
-      case Event.AppendAnswered answered ->
-          controller.acceptAppend(answered.record(), answered.outcome());
+      case Event.AppendAnswered answered -> {
+        controller.acceptAppend(answered.record(), answered.outcome());
+        requests.acceptAppend(answered.record(), answered.outcome(), step.now());
+      }
       case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
       case Event.PeerReceived received -> acceptPeer(received, step);
       case Event.TimerFired fired -> {}
@@ -115,7 +119,7 @@
       step.emit(new Effect.EndRequest(request.id(), new Ending.Refused(refusal)));
       return;
     }
-    requests.accept(request, configurations.current(), step);
+    requests.accept(request, context(step));
     nextDemandReport = Optional.of(step.now());
   }
 
@@ -125,7 +129,9 @@
       outageLogged = false;
       step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
     }
+    requests.acceptRead(read);
     for (LogRecord logged : read.records()) {
+      requests.acceptRecord(logged.body(), context(step));
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, step);
       } else {
@@ -160,6 +166,7 @@
       case PeerMessage.Heartbeat heartbeat -> {}
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
+      case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
       case PeerMessage.Goodbye goodbye -> {
         membership.markClosed(received.from());
         step.log(EventCode.PEER_CLOSED, "peer", received.from());
@@ -171,7 +178,7 @@
 
   private void advance(Step step) {
     Configuration configuration = configurations.current();
-    requests.advance(step, configuration, runners, controller::isRoutable);
+    requests.advance(context(step));
     reportDemand(step);
     if (logHealth.wasRead()) {
       controller.advance(step, configuration, membership, runners);
@@ -204,7 +211,8 @@
   }
 
   private void finishDrain(Step step) {
-    if (!draining || drainAnnounced || !requests.isEmpty()) {
+    boolean finished = requests.isFinished(logHealth.isDown(step.now()));
+    if (!draining || drainAnnounced || !finished) {
       return;
     }
     drainAnnounced = true;
@@ -214,6 +222,18 @@
     step.emit(new Effect.DrainCompleted());
   }
 
+  private RequestContext context(Step step) {
+    return new RequestContext(
+        step,
+        configurations.current(),
+        runners,
+        controller::isRoutable,
+        !logHealth.wasRead() || logHealth.isDown(step.now()),
+        ledger.claim().map(Claim::holder).filter(node -> membership.isLive(node, step.now())),
+        membership.peers().size() + 1,
+        membership::isClosed);
+  }
+
   // Accessors
 
   /** Returns when the core wants a {@link Event.TimerFired} if nothing happens before. */
--- a/src/main/java/dev/wisteriarail/core/log/RecordBody.java
+++ b/src/main/java/dev/wisteriarail/core/log/RecordBody.java
@@ -12,6 +12,8 @@
 import dev.wisteriarail.core.id.RequestId;
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.result.Execution;
+import java.util.List;
 
 /** The content of a log record. */
 public sealed interface RecordBody {
@@ -74,13 +76,26 @@
 
   // Requests that run at most once
 
+  /** A change of what is known of one idempotency key. */
+  sealed interface IntentChange extends RecordBody {
+
+    /** Returns the customer. */
+    CustomerId customer();
+
+    /** Returns the customer's idempotency key. */
+    IdempotencyKey key();
+
+    /** Returns the request that the change is about. */
+    RequestId request();
+  }
+
   /**
    * States that a node is about to run a non-repeatable request. The first record of a customer's
-   * key wins.
+   * key wins; a later one changes nothing.
    *
    * @param customer the customer
    * @param key its idempotency key
-   * @param bodyHash hash of the request's content
+   * @param bodyHash hash of the request's target and content
    * @param request the request
    * @param owner the node that may run it
    * @param incarnation the owner's incarnation
@@ -92,10 +107,10 @@
       RequestId request,
       NodeId owner,
       Incarnation incarnation)
-      implements RecordBody {}
+      implements IntentChange {}
 
   /**
-   * Keeps the answer of a finished non-repeatable request.
+   * Keeps the answer of a finished non-repeatable request. Void unless the request holds the key.
    *
    * @param customer the customer
    * @param key its idempotency key
@@ -105,7 +120,49 @@
    */
   record IntentFinished(
       CustomerId customer, IdempotencyKey key, RequestId request, int status, String answer)
-      implements RecordBody {}
+      implements IntentChange {}
+
+  /**
+   * States that a non-repeatable request was handed over and that no answer of it is kept. Void
+   * unless the request holds the key.
+   *
+   * @param customer the customer
+   * @param key its idempotency key
+   * @param request the request
+   * @param execution whether it ran, as far as its owner knows
+   * @param reason an English sentence
+   */
+  record IntentUnresolved(
+      CustomerId customer,
+      IdempotencyKey key,
+      RequestId request,
+      Execution execution,
+      String reason)
+      implements IntentChange {}
+
+  /**
+   * Frees a key: its owner has not handed the request over and never will. Void unless the request
+   * holds the key.
+   *
+   * @param customer the customer
+   * @param key its idempotency key
+   * @param request the request that was given up
+   */
+  record IntentReleased(CustomerId customer, IdempotencyKey key, RequestId request)
+      implements IntentChange {}
+
+  /**
+   * Several changes appended as one record, in order.
+   *
+   * @param changes the changes
+   */
+  record IntentBatch(List<IntentChange> changes) implements RecordBody {
+
+    /** Copies the list. */
+    public IntentBatch {
+      changes = List.copyOf(changes);
+    }
+  }
 
   // Configuration
 
--- a/src/main/java/dev/wisteriarail/core/membership/Membership.java
+++ b/src/main/java/dev/wisteriarail/core/membership/Membership.java
@@ -102,6 +102,15 @@
         && now.isBefore(heard.plus(settings.timings().suspectAfter()));
   }
 
+  /** Returns whether one run of a node is known to have ended for good. */
+  public boolean isClosed(NodeId node, Incarnation incarnation) {
+    if (node.equals(settings.node())) {
+      return incarnation.compareTo(settings.incarnation()) < 0;
+    }
+    Incarnation known = incarnations.getOrDefault(node, Incarnation.NONE);
+    return incarnation.compareTo(known) < 0 || (incarnation.equals(known) && closed.contains(node));
+  }
+
   /** Returns this node's rank among the live ones, 0 for the first by name. */
   public int rank(Instant now) {
     return (int)
--- a/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.RecordBody;
 import java.util.List;
 
 /** A message between two nodes. The transport adds the sender and its incarnation. */
@@ -30,6 +31,20 @@
     }
   }
 
+  /**
+   * Asks the controller to append changes of idempotency keys together with those of other nodes.
+   * It is not answered: the sender reads the changes back from the log, or appends them itself.
+   *
+   * @param changes the changes
+   */
+  record IntentsOffered(List<RecordBody.IntentChange> changes) implements PeerMessage {
+
+    /** Copies the list. */
+    public IntentsOffered {
+      changes = List.copyOf(changes);
+    }
+  }
+
   /** Says that the sender has stopped: it sends no order and no dispatch any more. */
   record Goodbye() implements PeerMessage {}
 }
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/IntentGate.java
@@ -0,0 +1,310 @@
+package dev.wisteriarail.core.request;
+
+import dev.wisteriarail.core.NodeSettings;
+import dev.wisteriarail.core.id.RecordId;
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.log.AppendOutcome;
+import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.log.RecordBody.IntentChange;
+import dev.wisteriarail.core.log.RecordBody.IntentRecorded;
+import dev.wisteriarail.core.result.Execution;
+import dev.wisteriarail.core.result.ResultCode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * Holds non-repeatable requests back until the log says what may be done with them.
+ *
+ * <p>A request runs only on the node that its intent names, only after that node read the intent
+ * back as the holder of its key, and only while the node still has the request. An intent that
+ * comes into the log after its request was given up is released by its owner, so it blocks nobody.
+ *
+ * <p>Life cycle: one per node. Not thread-safe; owned by the request table.
+ */
+final class IntentGate {
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final NodeSettings settings;
+  private final IntentLimits limits;
+  private final IntentLedger ledger;
+  private final IntentRecorder recorder;
+  private final Map<IntentKey, List<PendingRequest>> waiting = new TreeMap<>();
+
+  private IntentGate(NodeSettings settings, IntentLimits limits, IntentLedger ledger) {
+    this.settings = settings;
+    this.limits = limits;
+    this.ledger = ledger;
+    recorder = IntentRecorder.create(settings);
+  }
+
+  /** Returns a gate without requests. */
+  static IntentGate create(NodeSettings settings, IntentLimits limits, IntentLedger ledger) {
+    return new IntentGate(settings, limits, ledger);
+  }
+
+  // Requests
+
+  /** Holds a request back until {@link #remove}. */
+  void add(PendingRequest pending) {
+    waiting.computeIfAbsent(pending.intentKey(), key -> new ArrayList<>()).add(pending);
+  }
+
+  /** Lets a request go, to run or to be ended. */
+  void remove(PendingRequest pending) {
+    List<PendingRequest> sharing = waiting.get(pending.intentKey());
+    if (sharing != null && sharing.remove(pending) && sharing.isEmpty()) {
+      waiting.remove(pending.intentKey());
+    }
+  }
+
+  /**
+   * Returns what may be done with a request now, and records its intent where its key is free.
+   *
+   * @param isOpenHere whether this node still has a request
+   */
+  IntentVerdict decide(
+      PendingRequest pending, RequestContext context, Predicate<RequestId> isOpenHere) {
+    Optional<IntentState> state = ledger.find(pending.intentKey());
+    if (state.isPresent()) {
+      return decideHeld(pending, state.get(), context, isOpenHere);
+    }
+    if (ledger.isExpired(pending.intentKey())) {
+      return refuse(
+          Refusal.outcomeUnknown(
+              ResultCode.IDEMPOTENCY_KEY_EXPIRED, "the key was used too long ago"));
+    }
+    if (isBlocked(context)) {
+      return refuse(
+          Refusal.notRun(
+              ResultCode.LOG_UNAVAILABLE, "the intent cannot be recorded now", RETRY_AFTER));
+    }
+    if (!ledger.isComplete()) {
+      return refuse(
+          Refusal.notRun(
+              ResultCode.KEYS_INCOMPLETE,
+              "this node has not read all used keys yet; another node may have",
+              RETRY_AFTER));
+    }
+    recorder.offer(intentOf(pending));
+    return new IntentVerdict.Wait();
+  }
+
+  private IntentVerdict decideHeld(
+      PendingRequest pending,
+      IntentState state,
+      RequestContext context,
+      Predicate<RequestId> isOpenHere) {
+    IntentRecorded recorded = state.recorded();
+    if (recorded.equals(intentOf(pending))) {
+      return new IntentVerdict.Run();
+    }
+    recorder.forget(intentOf(pending));
+    if (!recorded.bodyHash().equals(pending.contentHash())) {
+      return refuse(
+          Refusal.notRun(
+              ResultCode.IDEMPOTENCY_KEY_REUSED,
+              "the key belongs to a request with other content"));
+    }
+    if (state.conclusion().isPresent()) {
+      return concluded(state.conclusion().get());
+    }
+    boolean mine = isMine(recorded);
+    boolean ownerGone =
+        mine
+            ? !isOpenHere.test(recorded.request())
+            : context.closed().test(recorded.owner(), recorded.incarnation());
+    return ownerGone ? refuse(outcomeUnknown()) : new IntentVerdict.Wait();
+  }
+
+  private static IntentVerdict concluded(IntentChange conclusion) {
+    return switch (conclusion) {
+      case RecordBody.IntentFinished finished ->
+          new IntentVerdict.Answer(finished.status(), finished.answer());
+      case RecordBody.IntentUnresolved unresolved ->
+          refuse(
+              new Refusal(
+                  unresolved.execution() == Execution.RAN
+                      ? ResultCode.ANSWER_NOT_KEPT
+                      : ResultCode.OUTCOME_UNKNOWN,
+                  unresolved.execution(),
+                  unresolved.reason(),
+                  Optional.empty()));
+      case IntentRecorded recorded -> throw new IllegalStateException("not a conclusion");
+      case RecordBody.IntentReleased released -> throw new IllegalStateException("not kept");
+    };
+  }
+
+  /** Returns the refusal of a request that waited for the outcome of another in vain. */
+  Refusal refusalAtDeadline(PendingRequest pending) {
+    boolean heldByOther =
+        ledger.find(pending.intentKey()).filter(state -> !holds(pending, state)).isPresent();
+    return heldByOther
+        ? outcomeUnknown()
+        : Refusal.notRun(
+            ResultCode.DEADLINE_PASSED, "the intent was not recorded in time", RETRY_AFTER);
+  }
+
+  // Outcomes
+
+  /** Notes that a request was answered to the end. */
+  void finish(PendingRequest pending, int status) {
+    String answer = pending.answer();
+    if (answer.length() > limits.answerLength()) {
+      leaveUnresolved(pending, Execution.RAN, "it ran with status " + status + "; answer not kept");
+      return;
+    }
+    recorder.offer(
+        new RecordBody.IntentFinished(
+            pending.intentKey().customer(),
+            pending.intentKey().key(),
+            pending.request().id(),
+            status,
+            answer));
+  }
+
+  /** Notes that a request was handed over and that its answer is missing. */
+  void leaveUnresolved(PendingRequest pending, Execution execution, String reason) {
+    recorder.offer(
+        new RecordBody.IntentUnresolved(
+            pending.intentKey().customer(),
+            pending.intentKey().key(),
+            pending.request().id(),
+            execution,
+            reason));
+  }
+
+  /** Gives up a request that was never handed over, and frees its key where it holds it. */
+  void giveUp(PendingRequest pending) {
+    remove(pending);
+    recorder.forget(intentOf(pending));
+    if (ledger.find(pending.intentKey()).filter(state -> holds(pending, state)).isPresent()) {
+      recorder.offer(releaseOf(intentOf(pending)));
+    }
+  }
+
+  // Log and peers
+
+  /** Takes what is known of an append. */
+  void acceptAppend(RecordId record, AppendOutcome outcome, Instant now) {
+    recorder.acceptAppend(record, outcome, now);
+  }
+
+  /**
+   * Applies a record of the log.
+   *
+   * @return the held requests that it may concern
+   */
+  List<PendingRequest> acceptRecord(RecordBody body, Predicate<RequestId> isOpenHere) {
+    List<PendingRequest> concerned = new ArrayList<>();
+    for (IntentChange change : ledger.apply(body)) {
+      recorder.confirm(change);
+      concerned.addAll(waiting.getOrDefault(IntentKey.of(change), List.of()));
+      if (change instanceof IntentRecorded recorded) {
+        releaseIfGivenUp(recorded, isOpenHere);
+      }
+    }
+    return concerned.stream().distinct().toList();
+  }
+
+  /** Takes the state of another reader of the log. */
+  void restore(IntentSnapshot snapshot, Predicate<RequestId> isOpenHere) {
+    ledger.restore(snapshot);
+    recorder.confirmConcluded(ledger);
+    for (IntentState state : ledger.openOf(settings.node(), settings.incarnation())) {
+      releaseIfGivenUp(state.recorded(), isOpenHere);
+    }
+  }
+
+  private void releaseIfGivenUp(IntentRecorded recorded, Predicate<RequestId> isOpenHere) {
+    boolean holdsKey =
+        ledger
+            .find(IntentKey.of(recorded))
+            .filter(state -> state.isOpen() && state.recorded().equals(recorded))
+            .isPresent();
+    if (holdsKey
+        && isMine(recorded)
+        && !isOpenHere.test(recorded.request())
+        && !recorder.isRecording(recorded.request())) {
+      recorder.offer(releaseOf(recorded));
+    }
+  }
+
+  /** Takes changes that other nodes want appended. */
+  void acceptOffer(List<IntentChange> changes) {
+    recorder.acceptOffer(changes);
+  }
+
+  /** Sends what is due to the controller or the log. */
+  void advance(RequestContext context) {
+    recorder.advance(context);
+  }
+
+  // Accessors
+
+  /** Returns the requests that are held back. */
+  Collection<PendingRequest> held() {
+    return waiting.values().stream().flatMap(List::stream).toList();
+  }
+
+  /** Returns whether held requests are to be refused since no intent can be recorded. */
+  boolean isBlocked(RequestContext context) {
+    return context.logDown() || recorder.isRefused(context.step().now());
+  }
+
+  /** Returns whether no request is held back. */
+  boolean isIdle() {
+    return waiting.isEmpty();
+  }
+
+  /** Returns whether every change of this node was read back. */
+  boolean isRecorded() {
+    return recorder.isEmpty();
+  }
+
+  /** Returns when something is due without an event. */
+  Optional<Instant> nextWakeUp() {
+    return recorder.nextWakeUp();
+  }
+
+  // Helpers
+
+  private boolean isMine(IntentRecorded recorded) {
+    return recorded.owner().equals(settings.node())
+        && recorded.incarnation().equals(settings.incarnation());
+  }
+
+  private boolean holds(PendingRequest pending, IntentState state) {
+    return state.recorded().equals(intentOf(pending));
+  }
+
+  private IntentRecorded intentOf(PendingRequest pending) {
+    return new IntentRecorded(
+        pending.intentKey().customer(),
+        pending.intentKey().key(),
+        pending.contentHash(),
+        pending.request().id(),
+        settings.node(),
+        settings.incarnation());
+  }
+
+  private static RecordBody.IntentReleased releaseOf(IntentRecorded recorded) {
+    return new RecordBody.IntentReleased(recorded.customer(), recorded.key(), recorded.request());
+  }
+
+  private static Refusal outcomeUnknown() {
+    return Refusal.outcomeUnknown(
+        ResultCode.OUTCOME_UNKNOWN, "a request with this key was taken and its outcome is unknown");
+  }
+
+  private static IntentVerdict refuse(Refusal refusal) {
+    return new IntentVerdict.Refuse(refusal);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/IntentLedger.java
@@ -0,0 +1,158 @@
+package dev.wisteriarail.core.request;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.log.RecordBody.IntentChange;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The idempotency keys that the log's records add up to. Every reader comes to the same state,
+ * whatever its clock says: a key's age is counted in later keys, never in time.
+ *
+ * <p>Life cycle: one per node, fed in log order. Not thread-safe; owned by the node's core.
+ */
+public final class IntentLedger {
+
+  private final IntentLimits limits;
+  private final Map<IntentKey, IntentState> held = new LinkedHashMap<>();
+  private final Set<Long> expired = new LinkedHashSet<>();
+  private boolean complete = true;
+
+  private IntentLedger(IntentLimits limits) {
+    this.limits = limits;
+  }
+
+  /** Returns the ledger of a log without records. */
+  public static IntentLedger create(IntentLimits limits) {
+    return new IntentLedger(limits);
+  }
+
+  // Updates
+
+  /** Applies one record and returns the changes that it holds, void ones included. */
+  public List<IntentChange> apply(RecordBody body) {
+    List<IntentChange> changes =
+        switch (body) {
+          case IntentChange change -> List.of(change);
+          case RecordBody.IntentBatch batch -> batch.changes();
+          default -> List.of();
+        };
+    changes.forEach(this::applyChange);
+    return changes;
+  }
+
+  private void applyChange(IntentChange change) {
+    IntentKey key = IntentKey.of(change);
+    IntentState state = held.get(key);
+    if (change instanceof RecordBody.IntentRecorded recorded) {
+      if (state == null && !isExpired(key)) {
+        held.put(key, new IntentState(recorded, Optional.empty()));
+        expireOldest();
+      }
+      return;
+    }
+    if (state == null || !state.isOpen() || !state.request().equals(change.request())) {
+      return;
+    }
+    if (change instanceof RecordBody.IntentReleased) {
+      held.remove(key);
+    } else {
+      held.put(key, state.withConclusion(change));
+    }
+  }
+
+  private void expireOldest() {
+    if (held.size() <= limits.keys()) {
+      return;
+    }
+    Iterator<IntentKey> oldest = held.keySet().iterator();
+    addExpired(digest(oldest.next()));
+    oldest.remove();
+  }
+
+  private void addExpired(long digest) {
+    expired.add(digest);
+    if (expired.size() > limits.expiredKeys()) {
+      Iterator<Long> oldest = expired.iterator();
+      oldest.next();
+      oldest.remove();
+    }
+  }
+
+  /** Notes that records were dropped before they were read: a key not known may have been used. */
+  public void markIncomplete() {
+    complete = false;
+  }
+
+  // Snapshots
+
+  /** Returns the whole state. */
+  public IntentSnapshot snapshot() {
+    List<IntentChange> changes = new ArrayList<>();
+    for (IntentState state : held.values()) {
+      changes.add(state.recorded());
+      state.conclusion().ifPresent(changes::add);
+    }
+    return new IntentSnapshot(changes, List.copyOf(expired));
+  }
+
+  /** Replaces the state by that of another reader of the log. */
+  public void restore(IntentSnapshot snapshot) {
+    held.clear();
+    expired.clear();
+    snapshot.expired().forEach(this::addExpired);
+    snapshot.changes().forEach(this::applyChange);
+    complete = true;
+  }
+
+  // Accessors
+
+  /** Returns what is known of a key that is held. */
+  public Optional<IntentState> find(IntentKey key) {
+    return Optional.ofNullable(held.get(key));
+  }
+
+  /** Returns whether a key was used so long ago that its outcome is no longer kept. */
+  public boolean isExpired(IntentKey key) {
+    return !expired.isEmpty() && expired.contains(digest(key));
+  }
+
+  /** Returns whether every key that the log ever held was read or restored. */
+  public boolean isComplete() {
+    return complete;
+  }
+
+  /** Returns the open intents of one run of a node, oldest first. */
+  public List<IntentState> openOf(NodeId owner, Incarnation incarnation) {
+    return held.values().stream()
+        .filter(IntentState::isOpen)
+        .filter(state -> state.recorded().owner().equals(owner))
+        .filter(state -> state.recorded().incarnation().equals(incarnation))
+        .toList();
+  }
+
+  // Helpers
+
+  /**
+   * Returns 8 bytes of a SHA-256 hash; a collision refuses a new key, and never runs an old one.
+   */
+  private static long digest(IntentKey key) {
+    String text = key.customer().value().length() + ":" + key.customer() + key.key();
+    byte[] hash = Fingerprints.sha256(text.getBytes(UTF_8));
+    long digest = 0;
+    for (int i = 0; i < Long.BYTES; i++) {
+      digest = (digest << Byte.SIZE) | (hash[i] & 0xff);
+    }
+    return digest;
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/request/RequestTable.java
+++ b/src/main/java/dev/wisteriarail/core/request/RequestTable.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.request;
 
+import dev.wisteriarail.core.Deadlines;
 import dev.wisteriarail.core.Effect;
 import dev.wisteriarail.core.Event;
 import dev.wisteriarail.core.NodeSettings;
@@ -7,13 +8,18 @@
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.KindSpec;
 import dev.wisteriarail.core.config.ModelSpec;
+import dev.wisteriarail.core.config.ServiceSpec;
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.id.AttemptId;
 import dev.wisteriarail.core.id.ModelId;
-import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.RecordId;
 import dev.wisteriarail.core.id.RequestId;
 import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.AppendOutcome;
+import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.log.RecordBody.IntentChange;
 import dev.wisteriarail.core.peer.Demand;
+import dev.wisteriarail.core.result.Execution;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.routing.Route;
 import dev.wisteriarail.core.routing.Router;
@@ -27,7 +33,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.function.Predicate;
 
 /**
  * The requests of a node's callers, from arrival to their one ending.
@@ -40,14 +45,18 @@
 
   private final NodeSettings settings;
   private final Router router;
+  private final IntentLedger ledger = IntentLedger.create(IntentLimits.DEFAULT);
+  private final IntentGate gate;
   private final Map<RequestId, PendingRequest> requests = new LinkedHashMap<>();
   private final Map<AttemptId, RequestId> attempts = new HashMap<>();
   private final Map<ModelId, Integer> arrivals = new TreeMap<>();
   private long attemptSequence;
+  private long nextOffset;
 
   private RequestTable(NodeSettings settings, Router router) {
     this.settings = settings;
     this.router = router;
+    gate = IntentGate.create(settings, IntentLimits.DEFAULT, ledger);
   }
 
   /** Returns the table of a node without requests. */
@@ -55,10 +64,12 @@
     return new RequestTable(settings, router);
   }
 
-  // Updates
+  // Callers
 
-  /** Takes a new request: queues it or refuses it. */
-  public void accept(InboundRequest request, Configuration configuration, Step step) {
+  /** Takes a new request: queues it, holds it back or refuses it. */
+  public void accept(InboundRequest request, RequestContext context) {
+    Step step = context.step();
+    Configuration configuration = context.configuration();
     Optional<Refusal> refusal = check(request, configuration);
     if (refusal.isPresent()) {
       step.emit(new Effect.EndRequest(request.id(), new Ending.Refused(refusal.get())));
@@ -66,23 +77,64 @@
     }
     KindSpec kind = configuration.kinds().get(request.kind());
     Duration limit = request.deadline().orElse(kind.deadline());
-    requests.put(
-        request.id(),
+    PendingRequest pending =
         new PendingRequest(
-            request, request.urgency().orElse(kind.urgency()), step.now().plus(limit)));
+            request,
+            request.urgency().orElse(kind.urgency()),
+            step.now(),
+            step.now().plus(limit),
+            needsIntent(request, kind, configuration));
+    requests.put(request.id(), pending);
     if (request.target() instanceof Target.ModelTarget target) {
       arrivals.merge(target.model(), 1, Integer::sum);
     }
+    if (pending.onlyOnce()) {
+      pending.hold();
+      gate.add(pending);
+      settle(pending, context);
+    }
   }
 
+  /**
+   * Takes that a caller has left. Its request is dropped, but for a non-repeatable one that was
+   * handed over: that runs on, so that a repeat finds its answer.
+   */
+  public void acceptCallerLeft(RequestId request, RunnerTable runners, Step step) {
+    PendingRequest pending = requests.get(request);
+    if (pending == null) {
+      return;
+    }
+    step.log(EventCode.CALLER_LEFT, "request", request);
+    boolean dispatched = pending.phase() == PendingRequest.Phase.DISPATCHED;
+    if (dispatched && pending.onlyOnce()) {
+      pending.leaveCaller();
+      return;
+    }
+    requests.remove(request);
+    if (pending.onlyOnce()) {
+      gate.giveUp(pending);
+    }
+    if (dispatched) {
+      RunnerId runner = pending.runner().orElseThrow();
+      attempts.remove(pending.attempt().orElseThrow());
+      runners.removeAttempt(runner);
+      step.emit(new Effect.CancelAttempt(pending.attempt().get(), runner));
+    }
+  }
+
+  // Attempts
+
   /** Passes a piece of an answer on. A piece of a superseded attempt is dropped. */
   public void acceptProgress(Event.AttemptProgressed progress, Step step) {
     PendingRequest pending = find(progress.attempt());
     if (pending == null || progress.position() != pending.delivered()) {
       return;
     }
-    pending.countPiece();
-    step.emit(new Effect.AnswerChunk(pending.request().id(), progress.position(), progress.text()));
+    pending.addPiece(progress.text());
+    if (!pending.callerLeft()) {
+      step.emit(
+          new Effect.AnswerChunk(pending.request().id(), progress.position(), progress.text()));
+    }
   }
 
   /** Takes the end of an attempt. */
@@ -94,38 +146,87 @@
     }
     runners.removeAttempt(pending.runner().orElseThrow());
     switch (ended.outcome()) {
-      case AttemptOutcome.Completed completed ->
-          end(pending, new Ending.Completed(completed.status()), step);
-      case AttemptOutcome.Rejected rejected -> pending.requeue();
-      case AttemptOutcome.NotHandedOver notHandedOver -> pending.requeue();
+      case AttemptOutcome.Completed completed -> complete(pending, completed.status(), step);
+      case AttemptOutcome.NotHandedOver notHandedOver -> pending.queue();
+      case AttemptOutcome.Rejected rejected -> {
+        if (pending.onlyOnce()) {
+          leaveUnresolved(pending, ResultCode.OUTCOME_UNKNOWN, rejected.reason(), step);
+        } else {
+          pending.queue();
+        }
+      }
       case AttemptOutcome.Broken broken ->
-          end(
+          leaveUnresolved(
               pending,
-              new Ending.Refused(
-                  Refusal.outcomeUnknown(ResultCode.ANSWER_INCOMPLETE, broken.reason())),
+              pending.onlyOnce() ? ResultCode.OUTCOME_UNKNOWN : ResultCode.ANSWER_INCOMPLETE,
+              broken.reason(),
               step);
     }
   }
 
-  /** Drops a request whose caller has left. */
-  public void acceptCallerLeft(RequestId request, RunnerTable runners, Step step) {
-    PendingRequest pending = requests.remove(request);
-    if (pending == null || pending.attempt().isEmpty()) {
-      return;
+  private void complete(PendingRequest pending, int status, Step step) {
+    if (pending.onlyOnce()) {
+      gate.finish(pending, status);
     }
-    RunnerId runner = pending.runner().orElseThrow();
-    attempts.remove(pending.attempt().get());
-    runners.removeAttempt(runner);
-    step.emit(new Effect.CancelAttempt(pending.attempt().get(), runner));
-    step.log(EventCode.CALLER_LEFT, "request", request);
+    end(pending, new Ending.Completed(status), step);
+  }
+
+  private void leaveUnresolved(PendingRequest pending, ResultCode code, String reason, Step step) {
+    if (pending.onlyOnce()) {
+      gate.leaveUnresolved(pending, Execution.MAY_HAVE_RUN, reason);
+    }
+    end(pending, new Ending.Refused(Refusal.outcomeUnknown(code, reason)), step);
+  }
+
+  // Log and peers
+
+  /** Notes where a read of the log began; a gap leaves the used keys incomplete. */
+  public void acceptRead(Event.LogRead read) {
+    if (read.firstOffset() > nextOffset) {
+      ledger.markIncomplete();
+    }
+    nextOffset = Math.max(nextOffset, read.nextOffset());
+  }
+
+  /** Takes a record of the log. */
+  public void acceptRecord(RecordBody body, RequestContext context) {
+    for (PendingRequest pending : gate.acceptRecord(body, requests::containsKey)) {
+      settle(pending, context);
+    }
+  }
+
+  /** Takes what is known of an append. */
+  public void acceptAppend(RecordId record, AppendOutcome outcome, Instant now) {
+    gate.acceptAppend(record, outcome, now);
+  }
+
+  /** Takes changes of keys that another node wants appended. */
+  public void acceptIntents(List<IntentChange> changes) {
+    gate.acceptOffer(changes);
+  }
+
+  /** Returns the state of the used keys, for a snapshot. */
+  public IntentSnapshot intentSnapshot() {
+    return ledger.snapshot();
+  }
+
+  /** Takes the state of the used keys from a snapshot. */
+  public void restoreIntents(IntentSnapshot snapshot, RequestContext context) {
+    gate.restore(snapshot, requests::containsKey);
+    gate.held().forEach(pending -> settle(pending, context));
   }
 
+  // Progress
+
   /** Dispatches what can run and refuses what is past its deadline. */
-  public void advance(
-      Step step, Configuration configuration, RunnerTable runners, Predicate<ReplicaId> routable) {
+  public void advance(RequestContext context) {
+    Step step = context.step();
+    for (PendingRequest held : gate.held()) {
+      advanceHeld(held, context);
+    }
     List<PendingRequest> waiting =
         requests.values().stream()
-            .filter(PendingRequest::isWaiting)
+            .filter(pending -> pending.phase() == PendingRequest.Phase.QUEUED)
             .sorted(
                 Comparator.comparing(PendingRequest::urgency)
                     .thenComparing(PendingRequest::deadline))
@@ -136,8 +237,39 @@
         continue;
       }
       router
-          .choose(pending.request(), configuration, runners, routable)
-          .ifPresent(route -> dispatch(pending, route, runners, step));
+          .choose(pending.request(), context.configuration(), context.runners(), context.routable())
+          .ifPresent(route -> dispatch(pending, route, context.runners(), step));
+    }
+    gate.advance(context);
+  }
+
+  private void advanceHeld(PendingRequest held, RequestContext context) {
+    if (!context.step().now().isBefore(held.deadline())) {
+      Refusal refusal = gate.refusalAtDeadline(held);
+      gate.giveUp(held);
+      end(held, new Ending.Refused(refusal), context.step());
+      return;
+    }
+    settle(held, context);
+  }
+
+  private void settle(PendingRequest pending, RequestContext context) {
+    switch (gate.decide(pending, context, requests::containsKey)) {
+      case IntentVerdict.Wait wait -> {}
+      case IntentVerdict.Run run -> {
+        gate.remove(pending);
+        pending.queue();
+      }
+      case IntentVerdict.Answer answer -> {
+        gate.remove(pending);
+        RequestId id = pending.request().id();
+        context.step().emit(new Effect.AnswerChunk(id, 0, answer.answer()));
+        end(pending, new Ending.Completed(answer.status()), context.step());
+      }
+      case IntentVerdict.Refuse refuse -> {
+        gate.giveUp(pending);
+        end(pending, new Ending.Refused(refuse.refusal()), context.step());
+      }
     }
   }
 
@@ -184,37 +316,58 @@
     return requests.isEmpty();
   }
 
+  /** Returns whether nothing is left to be done before the node may stop. */
+  public boolean isFinished(boolean logDown) {
+    return requests.isEmpty() && (logDown || gate.isRecorded());
+  }
+
   /** Returns the earliest deadline of a waiting request. */
   public Optional<Instant> nextWakeUp() {
-    return requests.values().stream()
-        .filter(PendingRequest::isWaiting)
-        .map(PendingRequest::deadline)
-        .min(Comparator.naturalOrder());
+    Optional<Instant> deadline =
+        requests.values().stream()
+            .filter(pending -> pending.phase() != PendingRequest.Phase.DISPATCHED)
+            .map(PendingRequest::deadline)
+            .min(Comparator.naturalOrder());
+    return Deadlines.earliest(deadline, gate.nextWakeUp());
   }
 
   // Helpers
 
+  private static boolean needsIntent(
+      InboundRequest request, KindSpec kind, Configuration configuration) {
+    if (kind.repeatable()) {
+      return false;
+    }
+    return !(request.target() instanceof Target.ServiceTarget target
+        && configuration.services().get(target.service()).deduplicates());
+  }
+
   private static Optional<Refusal> check(InboundRequest request, Configuration configuration) {
     KindSpec kind = configuration.kinds().get(request.kind());
     if (kind == null) {
       return Optional.of(
           Refusal.notRun(ResultCode.KIND_UNKNOWN, "no kind of request named " + request.kind()));
     }
-    if (!kind.repeatable()) {
+    if (!kind.repeatable() && request.key().isEmpty()) {
       return Optional.of(
-          Refusal.notRun(ResultCode.LOG_UNAVAILABLE, "non-repeatable requests are not served yet"));
+          Refusal.notRun(
+              ResultCode.IDEMPOTENCY_KEY_MISSING, "send an Idempotency-Key with " + kind.id()));
     }
     return switch (request.target()) {
       case Target.ModelTarget target -> checkModel(request, target, configuration);
-      case Target.ServiceTarget target ->
-          configuration.services().containsKey(target.service())
-              ? Optional.empty()
-              : Optional.of(
-                  Refusal.notRun(
-                      ResultCode.SERVICE_UNKNOWN, "no service named " + target.service()));
+      case Target.ServiceTarget target -> checkService(target, configuration);
     };
   }
 
+  private static Optional<Refusal> checkService(
+      Target.ServiceTarget target, Configuration configuration) {
+    ServiceSpec service = configuration.services().get(target.service());
+    return service != null
+        ? Optional.empty()
+        : Optional.of(
+            Refusal.notRun(ResultCode.SERVICE_UNKNOWN, "no service named " + target.service()));
+  }
+
   private static Optional<Refusal> checkModel(
       InboundRequest request, Target.ModelTarget target, Configuration configuration) {
     ModelSpec model = configuration.models().get(target.model());
@@ -231,12 +384,17 @@
             ResultCode.DEADLINE_PASSED,
             "no runner could take the request before its deadline",
             RETRY_AFTER);
+    if (pending.onlyOnce()) {
+      gate.giveUp(pending);
+    }
     end(pending, new Ending.Refused(refusal), step);
   }
 
   private void end(PendingRequest pending, Ending ending, Step step) {
     requests.remove(pending.request().id());
-    step.emit(new Effect.EndRequest(pending.request().id(), ending));
+    if (!pending.callerLeft()) {
+      step.emit(new Effect.EndRequest(pending.request().id(), ending));
+    }
   }
 
   private PendingRequest find(AttemptId attempt) {
@@ -245,12 +403,13 @@
   }
 
   private static Demand demandOf(PendingRequest pending, Target.ModelTarget target, Instant now) {
+    boolean waits = pending.phase() != PendingRequest.Phase.DISPATCHED;
     return new Demand(
         target.model(),
         target.adapter(),
         pending.urgency(),
-        pending.isWaiting() ? 1 : 0,
-        pending.isWaiting() ? 0 : 1,
+        waits ? 1 : 0,
+        waits ? 0 : 1,
         0,
         Duration.between(now, pending.deadline()));
   }
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -56,6 +56,10 @@
   IDEMPOTENCY_KEY_EXPIRED(1303, 409, "the idempotency key is older than the log keeps"),
   /** The request was handed to a backend server and its outcome is not known. */
   OUTCOME_UNKNOWN(1304, 502, "the request was handed over and its outcome is not known"),
+  /** Not all used idempotency keys are known to the node. */
+  KEYS_INCOMPLETE(1310, 503, "not all used idempotency keys are known to the node"),
+  /** The request ran and its answer is not kept. */
+  ANSWER_NOT_KEPT(1311, 409, "the request ran and its answer is not kept"),
   /** The backend server failed. */
   BACKEND_FAILED(1401, 502, "the backend server failed"),
   /** The backend server refused the request. */
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -7,18 +7,22 @@
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.config.Urgency;
 import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.id.CustomerId;
 import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.IdempotencyKey;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.ModelId;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.id.RecordId;
 import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.RequestId;
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.log.LogRecord;
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.peer.Demand;
 import dev.wisteriarail.core.peer.PeerMessage;
+import dev.wisteriarail.core.result.Execution;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -41,6 +45,7 @@
             "v1",
             RunnerId.of("r1"),
             1L << 40),
+        new RecordBody.IntentBatch(intents()),
         new RecordBody.ConfigurationChanged(
             Revision.NONE,
             new Section(
@@ -56,8 +61,21 @@
             "reason"));
   }
 
+  private static List<RecordBody.IntentChange> intents() {
+    CustomerId customer = CustomerId.of("c1");
+    IdempotencyKey key = IdempotencyKey.of("k");
+    RequestId request = RequestId.of("n1.7.1");
+    return List.of(
+        new RecordBody.IntentRecorded(
+            customer, key, "hash", request, NodeId.of("n1"), Incarnation.of(7)),
+        new RecordBody.IntentFinished(customer, key, request, 201, "sent"),
+        new RecordBody.IntentUnresolved(customer, key, request, Execution.MAY_HAVE_RUN, "cut"),
+        new RecordBody.IntentReleased(customer, key, request));
+  }
+
   static Stream<PeerMessage> messages() {
     return Stream.of(
+        new PeerMessage.IntentsOffered(intents()),
         new PeerMessage.Heartbeat(Revision.of(4), FencingNumber.of(9), true),
         new PeerMessage.Goodbye(),
         new PeerMessage.DemandReported(
