Keep equal idempotency keys of two customers apart at backend servers

Cause: the key went to plain services as the caller sent it, so a deduplicating service would give one customer the other's answer. Change: the key is sent behind the customer's name. Conclusion: keys are per customer on the whole way.

--- a/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
+++ b/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
@@ -154,7 +154,12 @@
     dispatch
         .request()
         .key()
-        .ifPresent(key -> request.headers(headers -> headers.put("Idempotency-Key", key.value())));
+        .ifPresent(
+            key ->
+                request.headers(
+                    headers ->
+                        headers.put(
+                            "Idempotency-Key", dispatch.request().customer() + "/" + key.value())));
     ContentResponse response = request.send();
     if (response.getStatus() == STATUS_UNAVAILABLE) {
       return new AttemptOutcome.Rejected(response.getContentAsString());
