Choose idle replicas by arrival history, loads by urgency and cost

Cause: the only planner was a fixed idle time-out without weight-store limits. Node settings: placement.policy. Conclusion: the baselines share load order and placement, so that only residency differs.

--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/placement/ColdStartCost.java
@@ -0,0 +1,50 @@
+package dev.wisteriarail.core.placement;
+
+import dev.wisteriarail.core.config.CheckpointPlace;
+import dev.wisteriarail.core.config.CheckpointTier;
+import dev.wisteriarail.core.config.DeploymentSpec;
+import dev.wisteriarail.core.config.ModelSpec;
+import java.time.Duration;
+import java.util.Comparator;
+
+/**
+ * What a deployment would pay in idle accelerator time to spare a caller a cold start.
+ *
+ * <p>The worth grows faster than the load time, since the tail counts: one slow cold start weighs
+ * more than several quick ones of the same sum.
+ */
+final class ColdStartCost {
+
+  /** Load time of the reference cold start. */
+  private static final double REFERENCE_LOAD_SECONDS = 10;
+
+  /** Idle accelerator time that the reference cold start is worth at equal weights. */
+  private static final double REFERENCE_HOLD_SECONDS = 600;
+
+  /** Power of the load time in a cold start's worth. */
+  private static final double TAIL_EXPONENT = 2;
+
+  private static final double LEAST_WEIGHT = 0.01;
+
+  private ColdStartCost() {}
+
+  /** Returns the worth of a cold start, in idle accelerator seconds. */
+  static double worth(ModelSpec model, DeploymentSpec deployment) {
+    double weight = Math.clamp(deployment.coldStartWeight(), LEAST_WEIGHT, 1 - LEAST_WEIGHT);
+    double load = nearestLoad(model).toMillis() / 1_000.0;
+    return REFERENCE_HOLD_SECONDS
+        * Math.pow(load / REFERENCE_LOAD_SECONDS, TAIL_EXPONENT)
+        * weight
+        / (1 - weight);
+  }
+
+  /** Returns the load time from the nearest tier that any runner has. */
+  static Duration nearestLoad(ModelSpec model) {
+    CheckpointTier nearest =
+        model.checkpoints().stream()
+            .map(CheckpointPlace::tier)
+            .min(Comparator.naturalOrder())
+            .orElse(CheckpointTier.REMOTE);
+    return model.loadTimes().of(nearest);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/placement/GapHistogram.java
@@ -0,0 +1,89 @@
+package dev.wisteriarail.core.placement;
+
+/**
+ * A histogram of the gaps between arrivals, with widths that grow with the gap and weights that
+ * fade with each new gap.
+ *
+ * <p>Not thread-safe. Gaps are in seconds.
+ */
+final class GapHistogram {
+
+  /** Number of buckets: from one second to about three days, four an octave. */
+  static final int BUCKETS = 72;
+
+  private static final double PER_OCTAVE = 4;
+  private static final double[] UPPER_SECONDS = upperBounds();
+
+  private final double[] weights = new double[BUCKETS];
+  private final double fading;
+  private double total;
+
+  private GapHistogram(double fading) {
+    this.fading = fading;
+  }
+
+  /**
+   * Returns an empty histogram.
+   *
+   * @param fading factor on all older weights at each new gap
+   */
+  static GapHistogram create(double fading) {
+    return new GapHistogram(fading);
+  }
+
+  /** Returns a histogram with its weight spread evenly over the logarithm of the gap. */
+  static GapHistogram spreadEvenly(double fading, double weight) {
+    GapHistogram histogram = new GapHistogram(fading);
+    for (int i = 0; i < BUCKETS; i++) {
+      histogram.weights[i] = weight / BUCKETS;
+    }
+    histogram.total = weight;
+    return histogram;
+  }
+
+  /** Adds a gap. */
+  void add(double gapSeconds, double weight) {
+    for (int i = 0; i < BUCKETS; i++) {
+      weights[i] *= fading;
+    }
+    total = total * fading + weight;
+    weights[bucketOf(gapSeconds)] += weight;
+  }
+
+  /** Returns the sum of the weights. */
+  double total() {
+    return total;
+  }
+
+  /** Returns the weight of one bucket. */
+  double weight(int bucket) {
+    return weights[bucket];
+  }
+
+  /** Returns the upper bound of a bucket, in seconds. */
+  static double upperSeconds(int bucket) {
+    return UPPER_SECONDS[bucket];
+  }
+
+  /** Returns the lower bound of a bucket, in seconds. */
+  static double lowerSeconds(int bucket) {
+    return bucket == 0 ? 0 : UPPER_SECONDS[bucket - 1];
+  }
+
+  /** Returns the bucket of a gap. */
+  static int bucketOf(double gapSeconds) {
+    if (gapSeconds < 1) {
+      return 0;
+    }
+    int bucket = (int) (PER_OCTAVE * Math.log(gapSeconds) / Math.log(2)) + 1;
+    return Math.min(bucket, BUCKETS - 1);
+  }
+
+  private static double[] upperBounds() {
+    double[] bounds = new double[BUCKETS];
+    for (int i = 0; i < BUCKETS; i++) {
+      bounds[i] = Math.pow(2, i / PER_OCTAVE);
+    }
+    return bounds;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/placement/Round.java
@@ -0,0 +1,134 @@
+package dev.wisteriarail.core.placement;
+
+import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.peer.Demand;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * One round of placement: the view, indexed, and what the round has proposed so far.
+ *
+ * <p>Not thread-safe.
+ */
+final class Round {
+
+  private final Configuration configuration;
+  private final Instant now;
+  private final Map<ModelId, Demand> demands = new LinkedHashMap<>();
+  private final Map<ModelId, List<PlacedReplica>> byModel = new LinkedHashMap<>();
+  private final Map<RunnerId, List<PlacedReplica>> byRunner = new HashMap<>();
+  private final Map<RunnerId, Long> free;
+  private final Map<RunnerId, Long> freeing = new HashMap<>();
+  private final Set<ReplicaId> leaving = new HashSet<>();
+  private final List<PlacementAction> actions = new ArrayList<>();
+
+  private Round(PlacementView view, Instant now) {
+    this.now = now;
+    configuration = view.configuration();
+    free = new LinkedHashMap<>(view.freeBytes());
+    view.demands().forEach(demand -> demands.put(demand.model(), demand));
+    for (PlacedReplica replica : view.replicas()) {
+      byModel.computeIfAbsent(replica.model(), id -> new ArrayList<>()).add(replica);
+      byRunner.computeIfAbsent(replica.runner(), id -> new ArrayList<>()).add(replica);
+      if (replica.phase() == PlacedPhase.UNLOADING) {
+        freeing.merge(replica.runner(), replica.bytes(), Long::sum);
+      }
+    }
+  }
+
+  static Round of(PlacementView view, Instant now) {
+    return new Round(view, now);
+  }
+
+  // Updates
+
+  /** Proposes a load and takes its memory. */
+  void load(ModelId model, RunnerId runner, long bytes, String reason) {
+    free.merge(runner, -bytes, Long::sum);
+    actions.add(new PlacementAction.Load(model, runner, reason));
+  }
+
+  /** Proposes an unload; its memory is not free yet. */
+  void unload(PlacedReplica replica, String reason) {
+    if (leaving.add(replica.replica())) {
+      freeing.merge(replica.runner(), replica.bytes(), Long::sum);
+      actions.add(new PlacementAction.Unload(replica.replica(), reason));
+    }
+  }
+
+  /** Sets memory of a runner aside, free or about to be, for a load of a later round. */
+  void promise(RunnerId runner, long bytes) {
+    long fromFree = Math.min(bytes, Math.max(0, freeBytes(runner)));
+    free.merge(runner, -fromFree, Long::sum);
+    freeing.merge(runner, fromFree - bytes, Long::sum);
+  }
+
+  // Accessors
+
+  Configuration configuration() {
+    return configuration;
+  }
+
+  Instant now() {
+    return now;
+  }
+
+  List<PlacementAction> actions() {
+    return actions;
+  }
+
+  /** Returns the runners that may get new work, with their free bytes. */
+  Map<RunnerId, Long> runners() {
+    return free;
+  }
+
+  Iterable<Demand> demands() {
+    return demands.values();
+  }
+
+  Demand demand(ModelId model) {
+    return demands.get(model);
+  }
+
+  List<PlacedReplica> replicas(ModelId model) {
+    return byModel.getOrDefault(model, List.of());
+  }
+
+  Iterable<List<PlacedReplica>> replicasByModel() {
+    return byModel.values();
+  }
+
+  List<PlacedReplica> replicasOn(RunnerId runner) {
+    return byRunner.getOrDefault(runner, List.of());
+  }
+
+  long freeBytes(RunnerId runner) {
+    return free.getOrDefault(runner, 0L);
+  }
+
+  long freeingBytes(RunnerId runner) {
+    return Math.max(0, freeing.getOrDefault(runner, 0L));
+  }
+
+  /** Returns whether a replica is kept: neither being unloaded nor proposed for it. */
+  boolean isKept(PlacedReplica replica) {
+    return replica.phase() != PlacedPhase.UNLOADING && !leaving.contains(replica.replica());
+  }
+
+  /** Returns whether a replica is ready and neither it nor its model has work. */
+  boolean isIdle(PlacedReplica replica) {
+    return replica.phase() == PlacedPhase.READY
+        && replica.activeRequests() == 0
+        && !demands.containsKey(replica.model())
+        && isKept(replica);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/placement/RunnerChoice.java
@@ -0,0 +1,144 @@
+package dev.wisteriarail.core.placement;
+
+import dev.wisteriarail.core.config.CheckpointPlace;
+import dev.wisteriarail.core.config.CheckpointTier;
+import dev.wisteriarail.core.config.ModelSpec;
+import dev.wisteriarail.core.id.FailureDomain;
+import dev.wisteriarail.core.id.RunnerId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Chooses the runner on which a model would be ready at the least cost: the load time of its tier
+ * there, the wait for memory, and the cold starts that evicting others may cost.
+ *
+ * <p>Stateless.
+ */
+final class RunnerChoice {
+
+  /** Time until the memory of a replica that is unloaded is free again. */
+  private static final double FREEING_SECONDS = 0.5;
+
+  /** Cost of a second replica in a failure domain that has one. */
+  private static final double SAME_DOMAIN_SECONDS = 2;
+
+  /**
+   * A runner for a load.
+   *
+   * @param runner the runner
+   * @param tier the tier that it loads from
+   * @param victims replicas to unload first
+   * @param waits whether the load has to wait for memory
+   * @param costSeconds the cost in seconds
+   * @param freeBytes free bytes on the runner, to break ties
+   */
+  record Candidate(
+      RunnerId runner,
+      CheckpointTier tier,
+      List<PlacedReplica> victims,
+      boolean waits,
+      double costSeconds,
+      long freeBytes) {}
+
+  private RunnerChoice() {}
+
+  /** Returns the best runner, or nothing where no runner can make room. */
+  static Optional<Candidate> choose(ModelSpec model, Round round, Residency residency) {
+    Map<RunnerId, CheckpointTier> tiers = tiers(model);
+    Set<FailureDomain> domains = domains(model, round);
+    Candidate best = null;
+    for (RunnerId runner : round.runners().keySet()) {
+      CheckpointTier tier = tiers.getOrDefault(runner, CheckpointTier.REMOTE);
+      double cost = model.loadTimes().of(tier).toMillis() / 1_000.0;
+      if (domains.contains(round.configuration().runners().get(runner).failureDomain())) {
+        cost += SAME_DOMAIN_SECONDS;
+      }
+      if (best != null && cost > best.costSeconds()) {
+        continue;
+      }
+      Candidate candidate = candidate(model, runner, tier, cost, round, residency);
+      if (candidate != null && (best == null || isBetter(candidate, best))) {
+        best = candidate;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private static Candidate candidate(
+      ModelSpec model,
+      RunnerId runner,
+      CheckpointTier tier,
+      double cost,
+      Round round,
+      Residency residency) {
+    long free = round.freeBytes(runner);
+    if (free >= model.memoryBytes()) {
+      return new Candidate(runner, tier, List.of(), false, cost, free);
+    }
+    long missing = model.memoryBytes() - free - round.freeingBytes(runner);
+    double waiting = cost + FREEING_SECONDS;
+    if (missing <= 0) {
+      return new Candidate(runner, tier, List.of(), true, waiting, free);
+    }
+    List<PlacedReplica> victims = new ArrayList<>();
+    double eviction = 0;
+    for (PlacedReplica idle : byCostPerByte(runner, round, residency)) {
+      if (missing <= 0) {
+        break;
+      }
+      victims.add(idle);
+      missing -= idle.bytes();
+      eviction += evictionSeconds(idle, round, residency);
+    }
+    return missing <= 0
+        ? new Candidate(runner, tier, victims, true, waiting + eviction, free)
+        : null;
+  }
+
+  // Helpers
+
+  private static boolean isBetter(Candidate candidate, Candidate best) {
+    int byCost = Double.compare(candidate.costSeconds(), best.costSeconds());
+    return byCost < 0 || (byCost == 0 && candidate.freeBytes() > best.freeBytes());
+  }
+
+  private static List<PlacedReplica> byCostPerByte(
+      RunnerId runner, Round round, Residency residency) {
+    return round.replicasOn(runner).stream()
+        .filter(round::isIdle)
+        .sorted(
+            Comparator.comparingDouble(
+                    (PlacedReplica idle) -> evictionSeconds(idle, round, residency) / idle.bytes())
+                .thenComparing(PlacedReplica::replica))
+        .toList();
+  }
+
+  private static double evictionSeconds(PlacedReplica idle, Round round, Residency residency) {
+    ModelSpec model = round.configuration().models().get(idle.model());
+    return model == null ? 0 : residency.evictionSeconds(idle, model, round);
+  }
+
+  private static Map<RunnerId, CheckpointTier> tiers(ModelSpec model) {
+    Map<RunnerId, CheckpointTier> tiers = new HashMap<>();
+    for (CheckpointPlace place : model.checkpoints()) {
+      tiers.merge(place.runner(), place.tier(), (one, two) -> one.compareTo(two) <= 0 ? one : two);
+    }
+    return tiers;
+  }
+
+  private static Set<FailureDomain> domains(ModelSpec model, Round round) {
+    Set<FailureDomain> domains = new HashSet<>();
+    for (PlacedReplica replica : round.replicas(model.id())) {
+      if (round.configuration().runners().containsKey(replica.runner())) {
+        domains.add(round.configuration().runners().get(replica.runner()).failureDomain());
+      }
+    }
+    return domains;
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -102,6 +102,20 @@
   REVISION_CONFLICT(
       3102, 409, "the section changed since the revision that the change was based on"),
 
+  // Placement and replay.
+  /** No placement policy has this name. */
+  PLACEMENT_POLICY_UNKNOWN(3210, 400, "no placement policy has this name"),
+  /** A line of a trace is malformed. */
+  TRACE_LINE_INVALID(3211, 400, "a line of a trace is malformed"),
+  /** A line of a trace names something that the deployment does not have. */
+  TRACE_NAME_UNKNOWN(3212, 400, "a trace names something that the deployment does not have"),
+  /** The lines of a trace are not in order of time. */
+  TRACE_OUT_OF_ORDER(3213, 400, "the lines of a trace are not in order of time"),
+  /** A line of a file of faults is malformed. */
+  FAULT_LINE_INVALID(3214, 400, "a line of a file of faults is malformed"),
+  /** A plot or table cannot be written. */
+  REPORT_UNWRITABLE(3215, 400, "a plot or table cannot be written"),
+
   // Internal.
   /** An internal error. */
   INTERNAL(9001, 500, "an internal error");
--- a/src/main/java/dev/wisteriarail/node/Node.java
+++ b/src/main/java/dev/wisteriarail/node/Node.java
@@ -5,7 +5,6 @@
 import dev.wisteriarail.core.NodeSettings;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.membership.VmEntry;
-import dev.wisteriarail.core.placement.FixedTimeoutPlanner;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.engine.HttpEngineClient;
@@ -27,7 +26,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -42,8 +40,6 @@
  */
 public final class Node {
 
-  private static final Duration IDLE_PLANNER_TIMEOUT = Duration.ofMinutes(5);
-
   private final NodeFile file;
   private final NodeRuntime runtime;
   private final CallerServer callers;
@@ -99,8 +95,7 @@
                 file.node(), settings.incarnation(), SocketFactory.getDefault()),
             exchanges,
             events);
-    NodeCore core =
-        NodeCore.create(settings, FixedTimeoutPlanner.withTimeout(IDLE_PLANNER_TIMEOUT));
+    NodeCore core = NodeCore.create(settings, file.placement().planner());
     runtime.set(NodeRuntime.create(settings, core, adapters, clock));
     NodeView view =
         new NodeView(
--- a/src/main/java/dev/wisteriarail/settings/NodeFile.java
+++ b/src/main/java/dev/wisteriarail/settings/NodeFile.java
@@ -4,6 +4,8 @@
 import dev.wisteriarail.core.id.CellId;
 import dev.wisteriarail.core.id.FailureDomain;
 import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.placement.PlacementPolicy;
+import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.http.HttpLimits;
 import java.nio.file.Path;
@@ -22,6 +24,7 @@
  * @param vmListAddress base address of the platform's VM list
  * @param timings its intervals
  * @param limits bounds on callers' calls
+ * @param placement the policy for idle models
  * @param drainLimit longest time that a graceful stop waits for requests in flight
  */
 public record NodeFile(
@@ -35,6 +38,7 @@
     String vmListAddress,
     Timings timings,
     HttpLimits limits,
+    PlacementPolicy placement,
     Duration drainLimit) {
 
   private static final int MAX_PORT = 65_535;
@@ -70,6 +74,7 @@
             toml.text("vm_list.address"),
             timings(toml),
             limits(toml),
+            placement(toml),
             toml.millis("node.drain_limit_ms", DEFAULT_DRAIN_LIMIT));
     toml.check();
     return file;
@@ -81,6 +86,18 @@
         (int) toml.integer(table + ".port", 0, MAX_PORT, defaultPort));
   }
 
+  private static PlacementPolicy placement(TomlDocument toml) throws SettingsException {
+    Duration idle = toml.millis("placement.idle_timeout_ms", PlacementPolicy.DEFAULT_IDLE_TIMEOUT);
+    String name = toml.text("placement.policy", "default");
+    return PlacementPolicy.named(name, idle)
+        .orElseThrow(
+            () ->
+                new SettingsException(
+                    ResultCode.PLACEMENT_POLICY_UNKNOWN,
+                    "placement.policy",
+                    "no policy named " + name + "; take default, fixed-timeout or lru"));
+  }
+
   private static Timings timings(TomlDocument toml) {
     Timings defaults = Timings.DEFAULT;
     return new Timings(
