Demo: one repair dispatch sent at two nodes under one key

Cause: the at-most-once promise was not shown on the whole path. Change: a demo scene; the stand-in counts all runs.

--- a/src/main/java/dev/wisteriarail/demo/Demo.java
+++ b/src/main/java/dev/wisteriarail/demo/Demo.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.HdrHistogram.Histogram;
+import org.eclipse.jetty.client.ContentResponse;
 
 /**
  * Runs a fleet of nodes and stand-ins in one process and checks what it does.
@@ -53,6 +54,7 @@
   private boolean runAll() throws InterruptedException {
     check("all nodes ready", DemoFleet.await(this::allReady, LIMIT));
     burst("m001", "burst");
+    sendTwice();
     changeConfiguration();
     killController();
     out.println(allRight ? "demo: all outcomes right" : "demo: an outcome was wrong");
@@ -95,6 +97,39 @@
     check("the model was loaded once, as decided", loaded == 1 && decided == 1);
   }
 
+  private void sendTwice() {
+    List<CompletableFuture<Optional<ContentResponse>>> calls = new ArrayList<>();
+    try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+      for (Node node : fleet.nodes().subList(0, 2)) {
+        calls.add(CompletableFuture.supplyAsync(() -> dispatchRepair(node), callers));
+      }
+    }
+    List<String> answers =
+        calls.stream()
+            .flatMap(call -> call.join().stream())
+            .map(answer -> answer.getStatus() + " " + answer.getContentAsString())
+            .toList();
+    int runs = fleet.standins().services().totalRuns();
+    out.printf(
+        "dispatch: one repair-dispatch sent at two nodes under one key; ran %d times; answers %s%n",
+        runs, answers);
+    check("the dispatch ran once", runs == 1);
+    check("both callers got the one answer", answers.size() == 2 && allEqual(answers));
+  }
+
+  private Optional<ContentResponse> dispatchRepair(Node node) {
+    return caller.post(
+        node,
+        "/services/dispatch/crew",
+        "repair-dispatch",
+        Optional.of("phone-17"),
+        "{\"phone\":17}");
+  }
+
+  private static boolean allEqual(List<String> texts) {
+    return texts.stream().distinct().count() == 1;
+  }
+
   private void changeConfiguration() throws InterruptedException {
     Revision before = fleet.nodes().getFirst().runtime().configuration().revision();
     long start = System.nanoTime();
--- a/src/main/java/dev/wisteriarail/standin/ServiceStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/ServiceStandin.java
@@ -69,6 +69,11 @@
     return runsByKey.getOrDefault(key, 0);
   }
 
+  /** Returns how often requests with any key ran. */
+  public int totalRuns() {
+    return runsByKey.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
   /** Returns the server, for its address and faults. */
   public StandinServer server() {
     return server;
