--- /dev/null
+++ b/src/main/java/dev/wisteriarail/answers/AnswersReader.java
@@ -0,0 +1,187 @@
+package dev.wisteriarail.answers;
+
+import dev.wisteriarail.core.config.CheckpointPlace;
+import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.config.ModelSpec;
+import dev.wisteriarail.core.config.Section;
+import dev.wisteriarail.core.config.SectionProblem;
+import dev.wisteriarail.core.config.SectionValidator;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.settings.Problem;
+import dev.wisteriarail.settings.TomlDocument;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * Reads teams' answers from TOML files: one file a section.
+ *
+ * <p>Every problem is gathered: what is no TOML, what has a wrong type, what is unknown, and what
+ * clashes between sections. docs/CONFIGURATION.md lists the keys. Not thread-safe.
+ */
+public final class AnswersReader {
+
+  private static final String ANSWERS_FOLDER = "answers";
+  private static final String SUFFIX = ".toml";
+
+  private final Map<String, TomlDocument> documents = new TreeMap<>();
+  private final Map<String, String> files = new TreeMap<>();
+  private final Map<String, Section> sections = new TreeMap<>();
+  private final List<AnswerProblem> problems = new ArrayList<>();
+
+  private AnswersReader() {}
+
+  // Entry points
+
+  /**
+   * Reads files and folders.
+   *
+   * @param paths files, or folders whose {@code .toml} files are read; in a folder that has a
+   *     folder {@code answers}, only that one's
+   * @throws SettingsException if a file or folder cannot be read
+   */
+  public static AnswerSet read(List<Path> paths) throws SettingsException {
+    AnswersReader reader = new AnswersReader();
+    for (Path path : paths) {
+      for (Path file : filesOf(path)) {
+        reader.readFile(file);
+      }
+    }
+    return reader.finish();
+  }
+
+  /**
+   * Reads the configuration of a deployment's folder.
+   *
+   * @throws SettingsException with every problem that the answers have
+   */
+  public static Configuration readConfiguration(Path folder) throws SettingsException {
+    return read(List.of(folder)).configuration();
+  }
+
+  // Files
+
+  private static List<Path> filesOf(Path path) throws SettingsException {
+    if (!Files.isDirectory(path)) {
+      return List.of(path);
+    }
+    Path inner = path.resolve(ANSWERS_FOLDER);
+    try (Stream<Path> entries = Files.list(Files.isDirectory(inner) ? inner : path)) {
+      return entries.filter(file -> file.toString().endsWith(SUFFIX)).sorted().toList();
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.FILE_UNREADABLE, path.toString(), "cannot be listed", failure);
+    }
+  }
+
+  private void readFile(Path path) throws SettingsException {
+    String file = path.toString();
+    TomlDocument toml;
+    try {
+      toml = TomlDocument.read(path);
+    } catch (SettingsException malformed) {
+      if (malformed.code() == ResultCode.FILE_UNREADABLE) {
+        throw malformed;
+      }
+      String remedy = "correct the TOML";
+      problems.add(
+          new AnswerProblem(
+              ResultCode.ANSWERS_SYNTAX, file, 0, "", malformed.getMessage(), remedy));
+      return;
+    }
+    Section section = SectionForm.read(toml, nameOf(path));
+    toml.rejectUnknownKeys();
+    toml.problems().forEach(this::addProblem);
+    keep(section, file, toml);
+  }
+
+  private void keep(Section section, String file, TomlDocument toml) {
+    String earlier = files.putIfAbsent(section.name(), file);
+    if (earlier != null) {
+      problems.add(
+          new AnswerProblem(
+              ResultCode.IDENTIFIER_DUPLICATE,
+              file,
+              toml.line("section"),
+              "section",
+              "section " + section.name() + " stands in " + earlier + " as well",
+              "give each file its own section"));
+      return;
+    }
+    documents.put(section.name(), toml);
+    sections.put(section.name(), section);
+  }
+
+  private static String nameOf(Path path) {
+    String name = String.valueOf(path.getFileName());
+    return name.endsWith(SUFFIX) ? name.substring(0, name.length() - SUFFIX.length()) : name;
+  }
+
+  // Checks
+
+  private AnswerSet finish() {
+    if (problems.isEmpty()) {
+      SectionValidator.check(sections.values()).forEach(this::addProblem);
+      warnOfCheckpoints();
+    }
+    problems.sort(Comparator.comparing(AnswerProblem::file).thenComparingInt(AnswerProblem::line));
+    return new AnswerSet(List.copyOf(sections.values()), problems);
+  }
+
+  private void warnOfCheckpoints() {
+    Configuration merged = Configuration.merge(Revision.NONE, sections.values());
+    for (Section section : sections.values()) {
+      for (int i = 0; i < section.models().size(); i++) {
+        warnOfCheckpoints(section, section.models().get(i), "model." + i, merged);
+      }
+    }
+  }
+
+  private void warnOfCheckpoints(
+      Section section, ModelSpec model, String path, Configuration merged) {
+    for (CheckpointPlace place : model.checkpoints()) {
+      if (!merged.runners().containsKey(place.runner())) {
+        String key = path + ".checkpoints_" + SectionForm.keyOf(place.tier());
+        addProblem(
+            new SectionProblem(
+                ResultCode.ANSWER_DOUBTFUL,
+                section.name(),
+                key,
+                "runner " + place.runner() + " is described by no section",
+                "remove it, unless the runner is to come"));
+      }
+    }
+  }
+
+  private void addProblem(Problem problem) {
+    boolean unknown = problem.message().equals("the key is unknown");
+    ResultCode code = unknown ? ResultCode.ANSWER_KEY_UNKNOWN : ResultCode.ANSWER_VALUE_INVALID;
+    problems.add(
+        new AnswerProblem(
+            code,
+            problem.file(),
+            problem.line(),
+            problem.key(),
+            problem.message(),
+            problem.remedy()));
+  }
+
+  private void addProblem(SectionProblem problem) {
+    problems.add(
+        new AnswerProblem(
+            problem.code(),
+            files.get(problem.section()),
+            documents.get(problem.section()).line(problem.path()),
+            problem.path(),
+            problem.message(),
+            problem.remedy()));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/answers/package-info.java
@@ -0,0 +1,2 @@
+/** Teams' answers: TOML files turned into sections of the configuration, checked and published. */
+package dev.wisteriarail.answers;
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/config/SectionValidator.java
@@ -0,0 +1,183 @@
+package dev.wisteriarail.core.config;
+
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.result.ResultCode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+/**
+ * Decides whether sections make a valid configuration.
+ *
+ * <p>A pure function of its arguments: every reader of the log comes to the same verdict, also one
+ * that runs on another machine or reads later. Thread-safe.
+ */
+public final class SectionValidator {
+
+  private final Collection<Section> sections;
+  private final Configuration merged;
+  private final List<SectionProblem> problems = new ArrayList<>();
+
+  private SectionValidator(Collection<Section> sections) {
+    this.sections = sections;
+    merged = Configuration.merge(Revision.NONE, sections);
+  }
+
+  /**
+   * Returns every problem of a set of sections taken together.
+   *
+   * @param sections the sections in order of their names
+   */
+  public static List<SectionProblem> check(Collection<Section> sections) {
+    SectionValidator validator = new SectionValidator(sections);
+    sections.forEach(section -> validator.problems.addAll(SectionBounds.check(section)));
+    validator.checkUnique();
+    sections.forEach(validator::checkReferences);
+    return List.copyOf(validator.problems);
+  }
+
+  /**
+   * Returns every problem that a set of sections has once one of them is replaced.
+   *
+   * @param inForce the sections in force by name, valid together
+   * @param proposed the section that replaces the one of its name
+   */
+  public static List<SectionProblem> check(Map<String, Section> inForce, Section proposed) {
+    Map<String, Section> next = new TreeMap<>(inForce);
+    next.put(proposed.name(), proposed);
+    return check(next.values());
+  }
+
+  // Identifiers
+
+  private void checkUnique() {
+    unique("model", Section::models, ModelSpec::id);
+    unique("adapter", Section::adapters, AdapterSpec::id);
+    unique("customer", Section::customers, CustomerSpec::id);
+    unique("kind", Section::kinds, KindSpec::id);
+    unique("service", Section::services, ServiceSpec::id);
+    unique("runner", Section::runners, RunnerSpec::id);
+    uniqueDeployment();
+    uniqueTokens();
+  }
+
+  private <T> void unique(
+      String table, Function<Section, List<T>> entries, Function<T, Object> id) {
+    Map<String, String> owners = new TreeMap<>();
+    for (Section section : sections) {
+      List<T> list = entries.apply(section);
+      for (int i = 0; i < list.size(); i++) {
+        String name = id.apply(list.get(i)).toString();
+        claim(owners, name, section, table + "." + i + ".id", table + " " + name);
+      }
+    }
+  }
+
+  private void uniqueTokens() {
+    Map<String, String> owners = new TreeMap<>();
+    for (Section section : sections) {
+      for (int i = 0; i < section.customers().size(); i++) {
+        String path = "customer." + i + ".token_sha256";
+        for (String hash : section.customers().get(i).tokenHashes()) {
+          claim(owners, hash, section, path, "the token hash");
+        }
+      }
+    }
+  }
+
+  private void claim(
+      Map<String, String> owners, String name, Section section, String path, String what) {
+    String owner = owners.putIfAbsent(name, section.name());
+    if (owner != null) {
+      add(
+          ResultCode.IDENTIFIER_DUPLICATE,
+          section,
+          path,
+          what + " is taken by section " + owner,
+          "choose another one, or remove it from one of the two");
+    }
+  }
+
+  private void uniqueDeployment() {
+    String owner = null;
+    for (Section section : sections) {
+      if (section.deployment().isPresent() && owner != null) {
+        add(
+            ResultCode.DEPLOYMENT_DUPLICATE,
+            section,
+            "deployment",
+            "section " + owner + " answers for the deployment",
+            "remove the table from one of the two");
+      }
+      owner = section.deployment().isPresent() ? section.name() : owner;
+    }
+  }
+
+  // References
+
+  private void checkReferences(Section section) {
+    for (int i = 0; i < section.models().size(); i++) {
+      ModelSpec model = section.models().get(i);
+      if (!merged.customers().containsKey(model.customer())) {
+        addUnknown(section, "model." + i + ".customer", model.customer());
+      }
+    }
+    for (int i = 0; i < section.adapters().size(); i++) {
+      checkAdapter(section, section.adapters().get(i), "adapter." + i);
+    }
+    for (int i = 0; i < section.kinds().size(); i++) {
+      KindSpec kind = section.kinds().get(i);
+      referAll(section, "kind." + i + ".models", kind.models(), merged.models()::containsKey);
+      referAll(section, "kind." + i + ".services", kind.services(), merged.services()::containsKey);
+    }
+    for (int i = 0; i < section.services().size(); i++) {
+      ServiceSpec service = section.services().get(i);
+      referAll(
+          section, "service." + i + ".runners", service.runners(), merged.runners()::containsKey);
+    }
+  }
+
+  private void checkAdapter(Section section, AdapterSpec adapter, String path) {
+    if (!merged.customers().containsKey(adapter.customer())) {
+      addUnknown(section, path + ".customer", adapter.customer());
+    }
+    ModelSpec model = merged.models().get(adapter.model());
+    if (model == null) {
+      addUnknown(section, path + ".model", adapter.model());
+    } else if (!model.customer().equals(adapter.customer())) {
+      add(
+          ResultCode.REFERENCE_UNKNOWN,
+          section,
+          path + ".model",
+          "model " + model.id() + " belongs to customer " + model.customer(),
+          "name a model of customer " + adapter.customer());
+    }
+  }
+
+  private <T> void referAll(Section section, String path, List<T> named, Predicate<T> known) {
+    for (int i = 0; i < named.size(); i++) {
+      if (!known.test(named.get(i))) {
+        addUnknown(section, path + "." + i, named.get(i));
+      }
+    }
+  }
+
+  // Helpers
+
+  private void addUnknown(Section section, String path, Object name) {
+    add(
+        ResultCode.REFERENCE_UNKNOWN,
+        section,
+        path,
+        name + " is described by no section",
+        "correct the name, or publish the section that describes it first");
+  }
+
+  private void add(ResultCode code, Section section, String path, String message, String remedy) {
+    problems.add(new SectionProblem(code, section.name(), path, message, remedy));
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -101,6 +101,28 @@
   /** The section changed since the revision that the change was based on. */
   REVISION_CONFLICT(
       3102, 409, "the section changed since the revision that the change was based on"),
+  /** The answers are not valid TOML. */
+  ANSWERS_SYNTAX(3110, 400, "the answers are not valid TOML"),
+  /** An answer is missing or has a wrong value. */
+  ANSWER_VALUE_INVALID(3111, 400, "an answer is missing or has a wrong value"),
+  /** An answer's key is not known. */
+  ANSWER_KEY_UNKNOWN(3112, 400, "an answer's key is not known"),
+  /** An identifier is used twice. */
+  IDENTIFIER_DUPLICATE(3113, 409, "an identifier is used twice"),
+  /** An answer refers to something that no section describes. */
+  REFERENCE_UNKNOWN(3114, 400, "an answer refers to something that no section describes"),
+  /** A number is out of its bounds. */
+  ANSWER_OUT_OF_BOUNDS(3115, 400, "a number is out of its bounds"),
+  /** Two sections answer for the whole deployment. */
+  DEPLOYMENT_DUPLICATE(3116, 409, "two sections answer for the whole deployment"),
+  /** An identifier has characters that are not allowed. */
+  IDENTIFIER_INVALID(3117, 400, "an identifier has characters that are not allowed"),
+  /** An answer is allowed but probably not meant. */
+  ANSWER_DOUBTFUL(3118, 200, "an answer is allowed but probably not meant"),
+  /** Whether the change was published is not known. */
+  PUBLISH_UNKNOWN(3120, 503, "whether the change was published is not known"),
+  /** The log does not hold the revision that was asked for. */
+  REVISION_UNKNOWN(3121, 404, "the log does not hold the revision that was asked for"),
 
   // Internal.
   /** An internal error. */
--- a/src/main/java/dev/wisteriarail/settings/TomlDocument.java
+++ b/src/main/java/dev/wisteriarail/settings/TomlDocument.java
@@ -125,6 +125,28 @@
     return Duration.ofMillis(integer(path, 1, most, whenAbsent.toMillis()));
   }
 
+  /** Returns a list of texts; an empty one where the key is absent. */
+  public List<String> texts(String path) {
+    JsonNode node = find(path);
+    if (node.isMissingNode()) {
+      return List.of();
+    }
+    if (!node.isArray()) {
+      addProblem(path, "a list of texts is required", "write " + leaf(path) + " = [\"...\"]");
+      return List.of();
+    }
+    List<String> texts = new ArrayList<>();
+    for (int i = 0; i < node.size(); i++) {
+      texts.add(text(path + "." + i));
+    }
+    return texts;
+  }
+
+  /** Returns whether a key or table stands in the document. */
+  public boolean contains(String path) {
+    return !find(path).isMissingNode();
+  }
+
   /** Returns the number of tables in an array of tables; entries are read as path.0, path.1. */
   public int size(String path) {
     JsonNode node = find(path);
@@ -150,6 +172,11 @@
     rejectUnknown(root, "");
   }
 
+  /** Returns the line of a key, counted from 1; 0 if it stands on none. */
+  public int line(String path) {
+    return lineOf(path);
+  }
+
   /** Returns the problems found so far. */
   public List<Problem> problems() {
     return List.copyOf(problems);
