--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -18,7 +18,12 @@
 
   private static final String PROGRAM = "wisteriarail";
   private static final List<Command> COMMANDS =
-      List.of(new ServeCommand(), new StandinCommand(), new DemoCommand(), new AnswersCommand());
+      List.of(
+          new ServeCommand(),
+          new StandinCommand(),
+          new DemoCommand(),
+          new LoadCommand(),
+          new AnswersCommand());
 
   private Main() {}
 
--- a/src/main/java/dev/wisteriarail/codec/Codecs.java
+++ b/src/main/java/dev/wisteriarail/codec/Codecs.java
@@ -13,6 +13,7 @@
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.peer.PeerMessage;
 import dev.wisteriarail.core.request.Target;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.util.List;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
@@ -26,7 +27,12 @@
 
   private static final List<Class<?>> SEALED_TYPES =
       List.of(
-          RecordBody.class, PeerMessage.class, EngineOrder.class, OrderOutcome.class, Target.class);
+          RecordBody.class,
+          LedgerSnapshot.class,
+          PeerMessage.class,
+          EngineOrder.class,
+          OrderOutcome.class,
+          Target.class);
 
   private static final ObjectMapper JSON = configure(new JsonMapper());
   private static final ObjectMapper MESSAGE_PACK = configure(new MessagePackMapper());
--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -4,6 +4,7 @@
 import dev.wisteriarail.core.cell.CellLedger;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.ConfigurationLedger;
+import dev.wisteriarail.core.config.ConfigurationVerdict;
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.id.Revision;
@@ -21,6 +22,8 @@
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
+import dev.wisteriarail.core.state.LogState;
+import dev.wisteriarail.core.state.SnapshotWriter;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -45,6 +48,8 @@
   private final Membership membership;
   private final CellLedger ledger;
   private final CellController controller;
+  private final LogState logState;
+  private final SnapshotWriter snapshots;
   private final RequestTable requests;
   private Optional<Instant> nextDemandReport = Optional.empty();
   private boolean outageLogged;
@@ -56,6 +61,8 @@
     membership = Membership.create(settings);
     ledger = CellLedger.create(settings.cell());
     controller = CellController.create(settings, ledger, planner);
+    logState = LogState.create(settings.cell(), List.of(configurations, ledger));
+    snapshots = SnapshotWriter.create(settings);
     requests = RequestTable.create(settings, Router.create());
   }
 
@@ -95,8 +102,10 @@
           controller.acceptOrder(answered.order(), answered.runner(), answered.outcome(), step);
       case Event.LogRead read -> acceptLog(read, step);
       case Event.LogReadFailed failed -> acceptLogFailure(failed, step);
-      case Event.AppendAnswered answered ->
-          controller.acceptAppend(answered.record(), answered.outcome());
+      case Event.AppendAnswered answered -> {
+        controller.acceptAppend(answered.record(), answered.outcome());
+        snapshots.acceptAppend(answered.record(), answered.outcome(), step);
+      }
       case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
       case Event.PeerReceived received -> acceptPeer(received, step);
       case Event.TimerFired fired -> {}
@@ -125,9 +134,9 @@
       outageLogged = false;
       step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
     }
-    for (LogRecord logged : read.records()) {
+    for (LogRecord logged : logState.accept(read, step)) {
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
-        acceptChange(change, step);
+        acceptChange(change, logged, step);
       } else {
         controller.acceptRecord(logged, step);
       }
@@ -142,14 +151,29 @@
     }
   }
 
-  private void acceptChange(RecordBody.ConfigurationChanged change, Step step) {
-    boolean accepted = configurations.apply(change);
-    step.log(
-        accepted ? EventCode.CONFIGURATION_ACCEPTED : EventCode.CONFIGURATION_REJECTED,
-        "section",
-        change.section().name(),
-        "revision",
-        configurations.current().revision());
+  private void acceptChange(RecordBody.ConfigurationChanged change, LogRecord logged, Step step) {
+    String section = change.section().name();
+    switch (configurations.apply(change, logged.offset())) {
+      case ConfigurationVerdict.Accepted accepted ->
+          step.log(
+              EventCode.CONFIGURATION_ACCEPTED,
+              "section",
+              section,
+              "revision",
+              accepted.revision());
+      case ConfigurationVerdict.Rejected rejected ->
+          step.log(
+              EventCode.CONFIGURATION_REJECTED,
+              "section",
+              section,
+              "record",
+              logged.id(),
+              "code",
+              rejected.code().label(),
+              "reason",
+              rejected.reason());
+      case ConfigurationVerdict.Covered covered -> {}
+    }
   }
 
   private void acceptPeer(Event.PeerReceived received, Step step) {
@@ -173,9 +197,10 @@
     Configuration configuration = configurations.current();
     requests.advance(step, configuration, runners, controller::isRoutable);
     reportDemand(step);
-    if (logHealth.wasRead()) {
+    if (logHealth.wasRead() && logState.isCurrent()) {
       controller.advance(step, configuration, membership, runners);
     }
+    snapshots.advance(logState, controller.isController() && !logHealth.isDown(step.now()), step);
     membership.advance(
         step, new PeerMessage.Heartbeat(configuration.revision(), ledger.fence(), draining));
     finishDrain(step);
@@ -220,7 +245,7 @@
   public Optional<Instant> nextWakeUp() {
     Optional<Instant> own = Deadlines.earliest(nextDemandReport, requests.nextWakeUp());
     Optional<Instant> others = Deadlines.earliest(controller.nextWakeUp(), membership.nextWakeUp());
-    return Deadlines.earliest(own, others);
+    return Deadlines.earliest(Deadlines.earliest(own, others), snapshots.nextWakeUp());
   }
 
   /** Returns the configuration in force on this node. */
--- a/src/main/java/dev/wisteriarail/core/cell/CellLedger.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellLedger.java
@@ -5,8 +5,11 @@
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.log.LogRecord;
 import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.state.Ledger;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -17,7 +20,7 @@
  * <p>Life cycle: one per node and cell, fed in log order. Not thread-safe; owned by the node's
  * core.
  */
-public final class CellLedger {
+public final class CellLedger implements Ledger {
 
   private final CellId cell;
   private final Map<ReplicaId, Reservation> reservations = new TreeMap<>();
@@ -80,6 +83,25 @@
     return recordCell.equals(cell) && claim.isPresent() && fence.equals(fence());
   }
 
+  // Snapshots
+
+  @Override
+  public List<LedgerSnapshot> snapshot() {
+    return List.of(new LedgerSnapshot.CellPart(cell, claim, List.copyOf(reservations.values())));
+  }
+
+  @Override
+  public void restore(List<LedgerSnapshot> parts, long through) {
+    reservations.clear();
+    claim = Optional.empty();
+    for (LedgerSnapshot part : parts) {
+      if (part instanceof LedgerSnapshot.CellPart state && state.cell().equals(cell)) {
+        claim = state.claim();
+        state.reservations().forEach(held -> reservations.put(held.replica(), held));
+      }
+    }
+  }
+
   // Accessors
 
   /** Returns the claim in force. */
--- a/src/main/java/dev/wisteriarail/core/log/RecordBody.java
+++ b/src/main/java/dev/wisteriarail/core/log/RecordBody.java
@@ -12,6 +12,8 @@
 import dev.wisteriarail.core.id.RequestId;
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.state.LedgerSnapshot;
+import java.util.List;
 
 /** The content of a log record. */
 public sealed interface RecordBody {
@@ -119,4 +121,27 @@
    */
   record ConfigurationChanged(Revision basedOn, Section section, String author, String reason)
       implements RecordBody {}
+
+  // Snapshots
+
+  /**
+   * A chunk of a snapshot of all ledgers. It changes no ledger; readers that lack records start
+   * from it.
+   *
+   * @param cell the cell whose ledger the snapshot holds
+   * @param name tells the snapshots apart
+   * @param through offset of the last record that the snapshot covers
+   * @param index number of chunks before this one
+   * @param count number of chunks
+   * @param parts the chunk's parts
+   */
+  record SnapshotChunk(
+      CellId cell, String name, long through, int index, int count, List<LedgerSnapshot> parts)
+      implements RecordBody {
+
+    /** Copies the list. */
+    public SnapshotChunk {
+      parts = List.copyOf(parts);
+    }
+  }
 }
