Fold the log without gaps or repeats; get revisions from peers

Cause: a late reader skipped dropped records unnoticed, a repeated record counted twice, and a node that could not read the log kept an old configuration.

--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -23,6 +23,7 @@
 import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
 import dev.wisteriarail.core.state.LogState;
+import dev.wisteriarail.core.state.PeerCatchUp;
 import dev.wisteriarail.core.state.SnapshotWriter;
 import java.time.Duration;
 import java.time.Instant;
@@ -50,6 +51,7 @@
   private final CellController controller;
   private final LogState logState;
   private final SnapshotWriter snapshots;
+  private final PeerCatchUp catchUp;
   private final RequestTable requests;
   private Optional<Instant> nextDemandReport = Optional.empty();
   private boolean outageLogged;
@@ -63,6 +65,7 @@
     controller = CellController.create(settings, ledger, planner);
     logState = LogState.create(settings.cell(), List.of(configurations, ledger));
     snapshots = SnapshotWriter.create(settings);
+    catchUp = PeerCatchUp.create(configurations, logState, logHealth);
     requests = RequestTable.create(settings, Router.create());
   }
 
@@ -181,7 +184,11 @@
       return;
     }
     switch (received.message()) {
-      case PeerMessage.Heartbeat heartbeat -> {}
+      case PeerMessage.Heartbeat heartbeat ->
+          catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
+      case PeerMessage.StateRequested requested ->
+          catchUp.acceptRequest(received.from(), requested.have(), step);
+      case PeerMessage.StateOffered offered -> catchUp.acceptOffer(received.from(), offered, step);
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
       case PeerMessage.Goodbye goodbye -> {
@@ -194,6 +201,7 @@
   // Progress
 
   private void advance(Step step) {
+    catchUp.advance(step);
     Configuration configuration = configurations.current();
     requests.advance(step, configuration, runners, controller::isRoutable);
     reportDemand(step);
@@ -245,7 +253,8 @@
   public Optional<Instant> nextWakeUp() {
     Optional<Instant> own = Deadlines.earliest(nextDemandReport, requests.nextWakeUp());
     Optional<Instant> others = Deadlines.earliest(controller.nextWakeUp(), membership.nextWakeUp());
-    return Deadlines.earliest(Deadlines.earliest(own, others), snapshots.nextWakeUp());
+    Optional<Instant> state = Deadlines.earliest(snapshots.nextWakeUp(), catchUp.nextWakeUp());
+    return Deadlines.earliest(Deadlines.earliest(own, others), state);
   }
 
   /** Returns the configuration in force on this node. */
--- a/src/main/java/dev/wisteriarail/core/config/ConfigurationLedger.java
+++ b/src/main/java/dev/wisteriarail/core/config/ConfigurationLedger.java
@@ -9,6 +9,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -70,7 +71,7 @@
   @Override
   public List<LedgerSnapshot> snapshot() {
     List<LedgerSnapshot> parts = new ArrayList<>();
-    parts.add(new LedgerSnapshot.ConfigurationPart(current.revision()));
+    parts.add(new LedgerSnapshot.ConfigurationPart(current.revision(), through));
     sections.forEach(
         (name, section) ->
             parts.add(new LedgerSnapshot.SectionPart(section, sectionRevisions.get(name))));
@@ -80,8 +81,9 @@
   /** Restores a snapshot unless it is older than what is in force. */
   @Override
   public void restore(List<LedgerSnapshot> parts, long snapshotThrough) {
-    Revision revision = revisionOf(parts);
-    if (revision.compareTo(current.revision()) < 0) {
+    Optional<LedgerSnapshot.ConfigurationPart> head = headOf(parts);
+    Revision revision = head.map(LedgerSnapshot.ConfigurationPart::revision).orElse(Revision.NONE);
+    if (head.isEmpty() || revision.compareTo(current.revision()) < 0) {
       return;
     }
     sections.clear();
@@ -92,16 +94,15 @@
         sectionRevisions.put(held.section().name(), held.revision());
       }
     }
-    through = Math.max(through, snapshotThrough);
+    through = Math.max(through, head.get().through());
     current = Configuration.merge(revision, sections.values());
   }
 
-  private static Revision revisionOf(List<LedgerSnapshot> parts) {
+  private static Optional<LedgerSnapshot.ConfigurationPart> headOf(List<LedgerSnapshot> parts) {
     return parts.stream()
         .filter(LedgerSnapshot.ConfigurationPart.class::isInstance)
-        .map(part -> ((LedgerSnapshot.ConfigurationPart) part).revision())
-        .findFirst()
-        .orElse(Revision.NONE);
+        .map(LedgerSnapshot.ConfigurationPart.class::cast)
+        .findFirst();
   }
 
   // Accessors
--- a/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.util.List;
 
 /** A message between two nodes. The transport adds the sender and its incarnation. */
@@ -30,6 +31,31 @@
     }
   }
 
+  /**
+   * Asks a peer that is ahead for its state.
+   *
+   * @param have the revision that is in force on the sender
+   */
+  record StateRequested(Revision have) implements PeerMessage {}
+
+  /**
+   * Offers a chunk of the sender's state.
+   *
+   * @param name tells the states of one sender apart
+   * @param through offset of the last log record that the state covers
+   * @param index number of chunks before this one
+   * @param count number of chunks
+   * @param parts the chunk's parts
+   */
+  record StateOffered(String name, long through, int index, int count, List<LedgerSnapshot> parts)
+      implements PeerMessage {
+
+    /** Copies the list. */
+    public StateOffered {
+      parts = List.copyOf(parts);
+    }
+  }
+
   /** Says that the sender has stopped: it sends no order and no dispatch any more. */
   record Goodbye() implements PeerMessage {}
 }
--- a/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
+++ b/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
@@ -15,8 +15,9 @@
    * The configuration's revision.
    *
    * @param revision the revision in force
+   * @param through offset up to which changes are decided; it may be past the other ledgers
    */
-  record ConfigurationPart(Revision revision) implements LedgerSnapshot {}
+  record ConfigurationPart(Revision revision, long through) implements LedgerSnapshot {}
 
   /**
    * One accepted section.
--- a/src/main/java/dev/wisteriarail/core/state/LogState.java
+++ b/src/main/java/dev/wisteriarail/core/state/LogState.java
@@ -23,7 +23,7 @@
 public final class LogState {
 
   /** Records that wait for a snapshot at most, while there is a gap. */
-  private static final int MAX_WAITING = 20_000;
+  private static final int MAX_WAITING = 3 * (int) SnapshotWriter.RECORDS;
 
   private final CellId cell;
   private final List<Ledger> ledgers;
@@ -33,6 +33,8 @@
   private Optional<LogSnapshot> newest = Optional.empty();
   private long nextOffset;
   private long firstOffset;
+  private long readNext;
+  private long waitingFrom;
   private boolean gap;
 
   /**
@@ -67,10 +69,7 @@
    */
   public List<LogRecord> accept(Event.LogRead read, Step step) {
     firstOffset = Math.max(firstOffset, read.firstOffset());
-    if (!gap && firstOffset > nextOffset) {
-      gap = true;
-      step.log(EventCode.LOG_GAP, "expected", nextOffset, "first", firstOffset);
-    }
+    noteGap(read.firstOffset(), step);
     List<LogRecord> due = new ArrayList<>();
     for (LogRecord logged : read.records()) {
       if (gap) {
@@ -79,9 +78,21 @@
         fold(logged, due);
       }
     }
+    readNext = Math.max(readNext, read.nextOffset());
     return due;
   }
 
+  private void noteGap(long first, Step step) {
+    if (!gap && first > nextOffset) {
+      gap = true;
+      waitingFrom = first;
+      step.log(EventCode.LOG_GAP, "expected", nextOffset, "first", first);
+    } else if (gap && first > readNext) {
+      waiting.clear();
+      waitingFrom = first;
+    }
+  }
+
   /**
    * Starts from a peer's snapshot. Does nothing on a node that has folded records.
    *
@@ -113,11 +124,11 @@
     }
     waiting.addLast(logged);
     if (waiting.size() > MAX_WAITING) {
-      firstOffset = Math.max(firstOffset, waiting.removeFirst().offset() + 1);
+      waitingFrom = waiting.removeFirst().offset() + 1;
     }
     noteSnapshot(logged)
         .filter(snapshot -> snapshot.through() >= nextOffset - 1)
-        .filter(snapshot -> snapshot.through() + 1 >= firstOffset)
+        .filter(snapshot -> snapshot.through() + 1 >= waitingFrom)
         .ifPresent(snapshot -> closeGap(snapshot, due, step));
   }
 
--- a/src/main/java/dev/wisteriarail/core/state/SnapshotWriter.java
+++ b/src/main/java/dev/wisteriarail/core/state/SnapshotWriter.java
@@ -26,10 +26,13 @@
 public final class SnapshotWriter {
 
   /** Records after which a new snapshot is due. */
-  static final long RECORDS = 1_000;
+  static final long RECORDS = 20_000;
+
+  /** Records after which the first snapshot of a log is due. */
+  static final long FIRST_RECORDS = 100;
 
   /** Age at which a new snapshot is due, so that retention by time finds a younger one. */
-  static final Duration AGE = Duration.ofMinutes(10);
+  static final Duration AGE = Duration.ofMinutes(30);
 
   private static final Duration RETRY = Duration.ofSeconds(2);
   private static final Duration GIVE_UP = Duration.ofSeconds(10);
@@ -106,7 +109,8 @@
     }
     long through = state.newestSnapshot().map(LogState.LogSnapshot::through).orElse(-1L);
     long first = state.firstOffset();
-    boolean many = state.nextOffset() - 1 - through >= RECORDS;
+    long wanted = state.newestSnapshot().isPresent() ? RECORDS : FIRST_RECORDS;
+    boolean many = state.nextOffset() - 1 - through >= wanted;
     boolean inOlderHalf = first > 0 && through < first + (state.nextOffset() - first) / 2;
     boolean old = state.nextOffset() > 0 && isPast(newestSeen, AGE, now);
     return many || inOlderHalf || old;
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.wisteriarail.core.cell.Claim;
+import dev.wisteriarail.core.cell.Reservation;
 import dev.wisteriarail.core.config.DeploymentSpec;
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.config.Urgency;
@@ -19,6 +21,7 @@
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.peer.Demand;
 import dev.wisteriarail.core.peer.PeerMessage;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -41,6 +44,7 @@
             "v1",
             RunnerId.of("r1"),
             1L << 40),
+        new RecordBody.SnapshotChunk(CellId.of("main"), "n1.7.s1", 9, 0, 1, parts()),
         new RecordBody.ConfigurationChanged(
             Revision.NONE,
             new Section(
@@ -56,10 +60,29 @@
             "reason"));
   }
 
+  private static List<LedgerSnapshot> parts() {
+    Reservation held =
+        new Reservation(
+            ReplicaId.of("m1.3.1"),
+            ModelId.of("m1"),
+            "v1",
+            RunnerId.of("r1"),
+            1L << 40,
+            FencingNumber.of(3),
+            true);
+    Claim claim = new Claim(FencingNumber.of(3), NodeId.of("n1"), Incarnation.of(7));
+    return List.of(
+        new LedgerSnapshot.RecentIdsPart("AAAAAAAAAAE="),
+        new LedgerSnapshot.ConfigurationPart(Revision.of(2), 8),
+        new LedgerSnapshot.CellPart(CellId.of("main"), Optional.of(claim), List.of(held)));
+  }
+
   static Stream<PeerMessage> messages() {
     return Stream.of(
         new PeerMessage.Heartbeat(Revision.of(4), FencingNumber.of(9), true),
         new PeerMessage.Goodbye(),
+        new PeerMessage.StateRequested(Revision.of(3)),
+        new PeerMessage.StateOffered("4.9", 9, 0, 1, parts()),
         new PeerMessage.DemandReported(
             List.of(
                 new Demand(
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/state/CoreFleet.java
@@ -0,0 +1,129 @@
+package dev.wisteriarail.core.state;
+
+import dev.wisteriarail.core.Effect;
+import dev.wisteriarail.core.Event;
+import dev.wisteriarail.core.NodeCore;
+import dev.wisteriarail.core.NodeSettings;
+import dev.wisteriarail.core.Timings;
+import dev.wisteriarail.core.id.FailureDomain;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.log.AppendOutcome;
+import dev.wisteriarail.core.membership.VmEntry;
+import dev.wisteriarail.core.placement.FixedTimeoutPlanner;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Node cores with a log in memory and a network that the test lets messages through. */
+final class CoreFleet {
+
+  record Message(NodeId from, Incarnation incarnation, Effect.SendPeer send) {}
+
+  final LogScript log = new LogScript();
+  final List<Message> network = new ArrayList<>();
+  final Set<NodeId> blind = new TreeSet<>();
+  private final Map<NodeId, NodeCore> cores = new TreeMap<>();
+  private final Map<NodeId, Incarnation> incarnations = new TreeMap<>();
+  private final Map<NodeId, Long> readFrom = new TreeMap<>();
+  Instant now = Instant.EPOCH;
+
+  CoreFleet(int nodes) {
+    for (int i = 1; i <= nodes; i++) {
+      incarnations.put(NodeId.of("n" + i), Incarnation.of(0));
+    }
+    List.copyOf(incarnations.keySet()).forEach(this::restart);
+  }
+
+  // Actions
+
+  /** Replaces a node by a new run that knows nothing. */
+  void restart(NodeId node) {
+    Incarnation next = Incarnation.of(incarnations.get(node).value() + 1);
+    incarnations.put(node, next);
+    readFrom.put(node, 0L);
+    NodeSettings settings =
+        new NodeSettings(node, next, FailureDomain.of("fd1"), LogScript.CELL, 1, Timings.DEFAULT);
+    cores.put(node, NodeCore.create(settings, FixedTimeoutPlanner.withTimeout(Duration.ZERO)));
+    List<VmEntry> entries =
+        incarnations.keySet().stream()
+            .map(id -> new VmEntry(id, "127.0.0.1", 1, FailureDomain.of("fd1"), false))
+            .toList();
+    feed(node, new Event.VmListRead(entries));
+  }
+
+  /** Lets a node read the log, or fail to. */
+  void read(NodeId node, int most) {
+    if (blind.contains(node)) {
+      feed(node, new Event.LogReadFailed("blind"));
+      return;
+    }
+    Event.LogRead read = log.read(readFrom.get(node), most);
+    readFrom.put(node, read.nextOffset());
+    feed(node, read);
+  }
+
+  /** Delivers a message; the network keeps no copy. */
+  void deliver(int index) {
+    hand(network.remove(index));
+  }
+
+  /** Delivers a message that may come again. */
+  void deliverCopy(int index) {
+    hand(network.get(index));
+  }
+
+  private void hand(Message message) {
+    feed(
+        message.send().to(),
+        new Event.PeerReceived(message.from(), message.incarnation(), message.send().message()));
+  }
+
+  /** Lets every node read and talk for a while, with nothing lost. */
+  void run(Duration time) {
+    Instant end = now.plus(time);
+    while (now.isBefore(end)) {
+      now = now.plusMillis(100);
+      nodes().forEach(node -> read(node, 50));
+      while (!network.isEmpty()) {
+        deliver(0);
+      }
+      nodes().forEach(node -> feed(node, new Event.TimerFired()));
+    }
+  }
+
+  void feed(NodeId node, Event event) {
+    for (Effect effect : cores.get(node).handle(event, now)) {
+      if (effect instanceof Effect.SendPeer send) {
+        network.add(new Message(node, incarnations.get(node), send));
+      } else if (effect instanceof Effect.Append append) {
+        append(node, append);
+      }
+    }
+  }
+
+  private void append(NodeId node, Effect.Append append) {
+    if (blind.contains(node)) {
+      feed(node, new Event.AppendAnswered(append.record(), new AppendOutcome.Unknown("blind")));
+      return;
+    }
+    log.append(append.record().value(), append.body());
+    AppendOutcome done = new AppendOutcome.Appended(log.size() - 1);
+    feed(node, new Event.AppendAnswered(append.record(), done));
+  }
+
+  // Accessors
+
+  List<NodeId> nodes() {
+    return List.copyOf(cores.keySet());
+  }
+
+  NodeCore core(NodeId node) {
+    return cores.get(node);
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/state/LogScript.java
@@ -0,0 +1,115 @@
+package dev.wisteriarail.core.state;
+
+import dev.wisteriarail.core.Event;
+import dev.wisteriarail.core.Step;
+import dev.wisteriarail.core.cell.CellLedger;
+import dev.wisteriarail.core.config.ConfigurationLedger;
+import dev.wisteriarail.core.config.CustomerSpec;
+import dev.wisteriarail.core.config.Section;
+import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.id.RecordId;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.LogRecord;
+import dev.wisteriarail.core.log.RecordBody;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** A log in memory with retention, and readers that fold it. */
+final class LogScript {
+
+  static final CellId CELL = CellId.of("main");
+
+  private final List<LogRecord> records = new ArrayList<>();
+  private int first;
+
+  void append(String id, RecordBody body) {
+    records.add(new LogRecord(records.size(), RecordId.of(id), "test", body));
+  }
+
+  void repeat(int index) {
+    LogRecord earlier = records.get(index % records.size());
+    append(earlier.id().value(), earlier.body());
+  }
+
+  void write(String name, Snapshot snapshot) {
+    List<List<LedgerSnapshot>> chunks = snapshot.chunks();
+    for (int i = 0; i < chunks.size(); i++) {
+      append(
+          name + "." + i,
+          new RecordBody.SnapshotChunk(
+              CELL, name, snapshot.through(), i, chunks.size(), chunks.get(i)));
+    }
+  }
+
+  void dropTo(int offset) {
+    first = Math.max(first, Math.min(offset, records.size()));
+  }
+
+  int size() {
+    return records.size();
+  }
+
+  /** Reads as the log service does: from an offset on, at most so many records. */
+  Event.LogRead read(long from, int most) {
+    int start = (int) Math.max(from, first);
+    int end = Math.min(records.size(), start + most);
+    List<LogRecord> found = start < end ? records.subList(start, end) : List.of();
+    return new Event.LogRead(found, found.isEmpty() ? from : end, first);
+  }
+
+  /** Reads all records before an offset as if none had been dropped. */
+  Event.LogRead readUndropped(long to) {
+    return new Event.LogRead(records.subList(0, (int) to), to, 0);
+  }
+
+  static RecordBody change(long basedOn, String section, int weight) {
+    CustomerSpec customer =
+        new CustomerSpec(CustomerId.of("c-" + section), List.of(), weight, 1, 1, 1, 1);
+    return new RecordBody.ConfigurationChanged(
+        Revision.of(basedOn),
+        new Section(
+            section,
+            Optional.empty(),
+            List.of(),
+            List.of(),
+            List.of(customer),
+            List.of(),
+            List.of(),
+            List.of()),
+        "author",
+        "reason");
+  }
+
+  /** One node's ledgers. */
+  static final class Reader {
+
+    final ConfigurationLedger configurations = ConfigurationLedger.create();
+    final CellLedger cell = CellLedger.create(CELL);
+    final LogState state = LogState.create(CELL, List.of(configurations, cell));
+    private long from;
+
+    void accept(Event.LogRead read) {
+      from = Math.max(from, read.nextOffset());
+      for (LogRecord logged : state.accept(read, Step.at(Instant.EPOCH))) {
+        if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
+          configurations.apply(change, logged.offset());
+        } else {
+          cell.apply(logged);
+        }
+      }
+    }
+
+    void readAll(LogScript log) {
+      while (from < log.size()) {
+        accept(log.read(from, 7));
+      }
+    }
+
+    long from() {
+      return from;
+    }
+  }
+}
