--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -19,11 +19,11 @@
   private static final String PROGRAM = "wisteriarail";
   private static final List<Command> COMMANDS =
       List.of(
-          new ServeCommand(),
-          new StandinCommand(),
+          new AnswersCommand(),
           new DemoCommand(),
           new LoadCommand(),
-          new AnswersCommand());
+          new ServeCommand(),
+          new StandinCommand());
 
   private Main() {}
 
--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.cell.CellController;
 import dev.wisteriarail.core.cell.CellLedger;
+import dev.wisteriarail.core.cell.Claim;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.ConfigurationLedger;
 import dev.wisteriarail.core.config.ConfigurationVerdict;
@@ -18,6 +19,7 @@
 import dev.wisteriarail.core.request.Ending;
 import dev.wisteriarail.core.request.InboundRequest;
 import dev.wisteriarail.core.request.Refusal;
+import dev.wisteriarail.core.request.RequestContext;
 import dev.wisteriarail.core.request.RequestTable;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.routing.Router;
@@ -108,6 +110,7 @@
       case Event.AppendAnswered answered -> {
         controller.acceptAppend(answered.record(), answered.outcome());
         snapshots.acceptAppend(answered.record(), answered.outcome(), step);
+        requests.acceptAppend(answered.record(), answered.outcome(), step.now());
       }
       case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
       case Event.PeerReceived received -> acceptPeer(received, step);
@@ -127,7 +130,7 @@
       step.emit(new Effect.EndRequest(request.id(), new Ending.Refused(refusal)));
       return;
     }
-    requests.accept(request, configurations.current(), step);
+    requests.accept(request, context(step));
     nextDemandReport = Optional.of(step.now());
   }
 
@@ -137,7 +140,9 @@
       outageLogged = false;
       step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
     }
+    requests.acceptRead(read);
     for (LogRecord logged : logState.accept(read, step)) {
+      requests.acceptRecord(logged.body(), context(step));
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, logged, step);
       } else {
@@ -191,6 +196,7 @@
       case PeerMessage.StateOffered offered -> catchUp.acceptOffer(received.from(), offered, step);
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
+      case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
       case PeerMessage.Goodbye goodbye -> {
         membership.markClosed(received.from());
         step.log(EventCode.PEER_CLOSED, "peer", received.from());
@@ -203,7 +209,7 @@
   private void advance(Step step) {
     catchUp.advance(step);
     Configuration configuration = configurations.current();
-    requests.advance(step, configuration, runners, controller::isRoutable);
+    requests.advance(context(step));
     reportDemand(step);
     if (logHealth.wasRead() && logState.isCurrent()) {
       controller.advance(step, configuration, membership, runners);
@@ -237,7 +243,8 @@
   }
 
   private void finishDrain(Step step) {
-    if (!draining || drainAnnounced || !requests.isEmpty()) {
+    boolean finished = requests.isFinished(logHealth.isDown(step.now()));
+    if (!draining || drainAnnounced || !finished) {
       return;
     }
     drainAnnounced = true;
@@ -247,6 +254,18 @@
     step.emit(new Effect.DrainCompleted());
   }
 
+  private RequestContext context(Step step) {
+    return new RequestContext(
+        step,
+        configurations.current(),
+        runners,
+        controller::isRoutable,
+        !logHealth.wasRead() || logHealth.isDown(step.now()),
+        ledger.claim().map(Claim::holder).filter(node -> membership.isLive(node, step.now())),
+        membership.peers().size() + 1,
+        membership::isClosed);
+  }
+
   // Accessors
 
   /** Returns when the core wants a {@link Event.TimerFired} if nothing happens before. */
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -20,6 +20,10 @@
   NOT_FOUND(1004, 404, "no such path"),
   /** The path does not take this method. */
   METHOD_NOT_ALLOWED(1005, 405, "the path does not take this method"),
+  /** The request header exceeds the size limit. */
+  HEADERS_TOO_LARGE(1006, 431, "the request header exceeds the size limit"),
+  /** The node holds as many open requests as it may. */
+  NODE_FULL(1007, 503, "the node holds as many open requests as it may"),
   /** The bearer token is missing or unknown. */
   UNAUTHENTICATED(1101, 401, "the bearer token is missing or unknown"),
   /** The model does not exist or belongs to another customer. */
@@ -56,6 +60,10 @@
   IDEMPOTENCY_KEY_EXPIRED(1303, 409, "the idempotency key is older than the log keeps"),
   /** The request was handed to a backend server and its outcome is not known. */
   OUTCOME_UNKNOWN(1304, 502, "the request was handed over and its outcome is not known"),
+  /** Not all used idempotency keys are known to the node. */
+  KEYS_INCOMPLETE(1310, 503, "not all used idempotency keys are known to the node"),
+  /** The request ran and its answer is not kept. */
+  ANSWER_NOT_KEPT(1311, 409, "the request ran and its answer is not kept"),
   /** The backend server failed. */
   BACKEND_FAILED(1401, 502, "the backend server failed"),
   /** The backend server refused the request. */
@@ -124,6 +132,20 @@
   /** The log does not hold the revision that was asked for. */
   REVISION_UNKNOWN(3121, 404, "the log does not hold the revision that was asked for"),
 
+  // Placement and replay.
+  /** No placement policy has this name. */
+  PLACEMENT_POLICY_UNKNOWN(3210, 400, "no placement policy has this name"),
+  /** A line of a trace is malformed. */
+  TRACE_LINE_INVALID(3211, 400, "a line of a trace is malformed"),
+  /** A line of a trace names something that the deployment does not have. */
+  TRACE_NAME_UNKNOWN(3212, 400, "a trace names something that the deployment does not have"),
+  /** The lines of a trace are not in order of time. */
+  TRACE_OUT_OF_ORDER(3213, 400, "the lines of a trace are not in order of time"),
+  /** A line of a file of faults is malformed. */
+  FAULT_LINE_INVALID(3214, 400, "a line of a file of faults is malformed"),
+  /** A plot or table cannot be written. */
+  REPORT_UNWRITABLE(3215, 400, "a plot or table cannot be written"),
+
   // Internal.
   /** An internal error. */
   INTERNAL(9001, 500, "an internal error");
