--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.cell.Claim;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.ConfigurationLedger;
+import dev.wisteriarail.core.config.ConfigurationVerdict;
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.id.Revision;
@@ -23,6 +24,9 @@
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
+import dev.wisteriarail.core.state.LogState;
+import dev.wisteriarail.core.state.PeerCatchUp;
+import dev.wisteriarail.core.state.SnapshotWriter;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -47,6 +51,9 @@
   private final Membership membership;
   private final CellLedger ledger;
   private final CellController controller;
+  private final LogState logState;
+  private final SnapshotWriter snapshots;
+  private final PeerCatchUp catchUp;
   private final RequestTable requests;
   private Optional<Instant> nextDemandReport = Optional.empty();
   private boolean outageLogged;
@@ -58,6 +65,9 @@
     membership = Membership.create(settings);
     ledger = CellLedger.create(settings.cell());
     controller = CellController.create(settings, ledger, planner);
+    logState = LogState.create(settings.cell(), List.of(configurations, ledger));
+    snapshots = SnapshotWriter.create(settings);
+    catchUp = PeerCatchUp.create(configurations, logState, logHealth);
     requests = RequestTable.create(settings, Router.create());
   }
 
@@ -99,6 +109,7 @@
       case Event.LogReadFailed failed -> acceptLogFailure(failed, step);
       case Event.AppendAnswered answered -> {
         controller.acceptAppend(answered.record(), answered.outcome());
+        snapshots.acceptAppend(answered.record(), answered.outcome(), step);
         requests.acceptAppend(answered.record(), answered.outcome(), step.now());
       }
       case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
@@ -130,10 +141,10 @@
       step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
     }
     requests.acceptRead(read);
-    for (LogRecord logged : read.records()) {
+    for (LogRecord logged : logState.accept(read, step)) {
       requests.acceptRecord(logged.body(), context(step));
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
-        acceptChange(change, step);
+        acceptChange(change, logged, step);
       } else {
         controller.acceptRecord(logged, step);
       }
@@ -148,14 +159,29 @@
     }
   }
 
-  private void acceptChange(RecordBody.ConfigurationChanged change, Step step) {
-    boolean accepted = configurations.apply(change);
-    step.log(
-        accepted ? EventCode.CONFIGURATION_ACCEPTED : EventCode.CONFIGURATION_REJECTED,
-        "section",
-        change.section().name(),
-        "revision",
-        configurations.current().revision());
+  private void acceptChange(RecordBody.ConfigurationChanged change, LogRecord logged, Step step) {
+    String section = change.section().name();
+    switch (configurations.apply(change, logged.offset())) {
+      case ConfigurationVerdict.Accepted accepted ->
+          step.log(
+              EventCode.CONFIGURATION_ACCEPTED,
+              "section",
+              section,
+              "revision",
+              accepted.revision());
+      case ConfigurationVerdict.Rejected rejected ->
+          step.log(
+              EventCode.CONFIGURATION_REJECTED,
+              "section",
+              section,
+              "record",
+              logged.id(),
+              "code",
+              rejected.code().label(),
+              "reason",
+              rejected.reason());
+      case ConfigurationVerdict.Covered covered -> {}
+    }
   }
 
   private void acceptPeer(Event.PeerReceived received, Step step) {
@@ -163,7 +189,11 @@
       return;
     }
     switch (received.message()) {
-      case PeerMessage.Heartbeat heartbeat -> {}
+      case PeerMessage.Heartbeat heartbeat ->
+          catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
+      case PeerMessage.StateRequested requested ->
+          catchUp.acceptRequest(received.from(), requested.have(), step);
+      case PeerMessage.StateOffered offered -> catchUp.acceptOffer(received.from(), offered, step);
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
       case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
@@ -177,12 +207,14 @@
   // Progress
 
   private void advance(Step step) {
+    catchUp.advance(step);
     Configuration configuration = configurations.current();
     requests.advance(context(step));
     reportDemand(step);
-    if (logHealth.wasRead()) {
+    if (logHealth.wasRead() && logState.isCurrent()) {
       controller.advance(step, configuration, membership, runners);
     }
+    snapshots.advance(logState, controller.isController() && !logHealth.isDown(step.now()), step);
     membership.advance(
         step, new PeerMessage.Heartbeat(configuration.revision(), ledger.fence(), draining));
     finishDrain(step);
@@ -240,7 +272,8 @@
   public Optional<Instant> nextWakeUp() {
     Optional<Instant> own = Deadlines.earliest(nextDemandReport, requests.nextWakeUp());
     Optional<Instant> others = Deadlines.earliest(controller.nextWakeUp(), membership.nextWakeUp());
-    return Deadlines.earliest(own, others);
+    Optional<Instant> state = Deadlines.earliest(snapshots.nextWakeUp(), catchUp.nextWakeUp());
+    return Deadlines.earliest(Deadlines.earliest(own, others), state);
   }
 
   /** Returns the configuration in force on this node. */
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
@@ -0,0 +1,80 @@
+package dev.wisteriarail.core.state;
+
+import dev.wisteriarail.core.cell.Claim;
+import dev.wisteriarail.core.cell.Reservation;
+import dev.wisteriarail.core.config.Section;
+import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.id.Revision;
+import java.util.List;
+import java.util.Optional;
+
+/** A part of a ledger's snapshot. Each ledger has its own records here. */
+public sealed interface LedgerSnapshot {
+
+  /**
+   * The configuration's revision.
+   *
+   * @param revision the revision in force
+   * @param through offset up to which changes are decided; it may be past the other ledgers
+   */
+  record ConfigurationPart(Revision revision, long through) implements LedgerSnapshot {}
+
+  /**
+   * One accepted section.
+   *
+   * @param section the section
+   * @param revision the revision at which it last changed
+   */
+  record SectionPart(Section section, Revision revision) implements LedgerSnapshot {
+
+    @Override
+    public int entries() {
+      return 1
+          + section.models().size()
+          + section.adapters().size()
+          + section.customers().size()
+          + section.kinds().size()
+          + section.services().size()
+          + section.runners().size();
+    }
+  }
+
+  /**
+   * The state of a cell.
+   *
+   * @param cell the cell
+   * @param claim the claim in force
+   * @param reservations all reservations
+   */
+  record CellPart(CellId cell, Optional<Claim> claim, List<Reservation> reservations)
+      implements LedgerSnapshot {
+
+    /** Copies the list. */
+    public CellPart {
+      reservations = List.copyOf(reservations);
+    }
+
+    @Override
+    public int entries() {
+      return 1 + reservations.size();
+    }
+  }
+
+  /**
+   * Identifiers of the newest records, for telling repeats.
+   *
+   * @param hashes 64-bit hashes of the identifiers, oldest first, 8 bytes each, as Base64
+   */
+  record RecentIdsPart(String hashes) implements LedgerSnapshot {
+
+    @Override
+    public int entries() {
+      return 1 + hashes.length() / Snapshot.CHARACTERS_AN_ENTRY;
+    }
+  }
+
+  /** Returns a measure of its size: the number of entries of some 300 bytes that it holds. */
+  default int entries() {
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/state/RecentIds.java
@@ -0,0 +1,102 @@
+package dev.wisteriarail.core.state;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import dev.wisteriarail.core.id.RecordId;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayDeque;
+import java.util.Base64;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The identifiers of the newest records, for telling repeats.
+ *
+ * <p>The window is counted in distinct records, never in time, so that every reader forgets the
+ * same identifiers at the same offset. At 300 appends a second it spans 27 s; a writer gives up an
+ * append after 10 s and then takes a new identifier. Identifiers are kept as 64 bits of SHA-256.
+ *
+ * <p>Not thread-safe.
+ */
+final class RecentIds implements Ledger {
+
+  /** Distinct records that are remembered. */
+  static final int WINDOW = 8_192;
+
+  private static final int BYTES_A_HASH = Long.BYTES;
+
+  private final Deque<Long> order = new ArrayDeque<>();
+  private final Set<Long> known = new HashSet<>();
+  private final MessageDigest digest = sha256();
+
+  /** Remembers an identifier; returns whether it is new. */
+  boolean add(RecordId id) {
+    return add(hash(id));
+  }
+
+  private boolean add(long hash) {
+    if (!known.add(hash)) {
+      return false;
+    }
+    order.addLast(hash);
+    if (order.size() > WINDOW) {
+      known.remove(order.removeFirst());
+    }
+    return true;
+  }
+
+  @Override
+  public List<LedgerSnapshot> snapshot() {
+    byte[] bytes = new byte[order.size() * BYTES_A_HASH];
+    int at = 0;
+    for (long hash : order) {
+      for (int shift = Long.SIZE - Byte.SIZE; shift >= 0; shift -= Byte.SIZE) {
+        bytes[at] = (byte) (hash >>> shift);
+        at++;
+      }
+    }
+    return List.of(new LedgerSnapshot.RecentIdsPart(Base64.getEncoder().encodeToString(bytes)));
+  }
+
+  @Override
+  public void restore(List<LedgerSnapshot> parts, long through) {
+    order.clear();
+    known.clear();
+    for (LedgerSnapshot part : parts) {
+      if (part instanceof LedgerSnapshot.RecentIdsPart recent) {
+        restore(Base64.getDecoder().decode(recent.hashes()));
+      }
+    }
+  }
+
+  private void restore(byte[] bytes) {
+    for (int at = 0; at + BYTES_A_HASH <= bytes.length; at += BYTES_A_HASH) {
+      add(toLong(bytes, at));
+    }
+  }
+
+  // Helpers
+
+  private long hash(RecordId id) {
+    return toLong(digest.digest(id.value().getBytes(UTF_8)), 0);
+  }
+
+  private static long toLong(byte[] bytes, int from) {
+    long value = 0;
+    for (int i = 0; i < BYTES_A_HASH; i++) {
+      value = value << Byte.SIZE | Byte.toUnsignedLong(bytes[from + i]);
+    }
+    return value;
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException missing) {
+      throw new IllegalStateException(missing);
+    }
+  }
+}
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.wisteriarail.core.cell.Claim;
+import dev.wisteriarail.core.cell.Reservation;
 import dev.wisteriarail.core.config.DeploymentSpec;
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.config.Urgency;
@@ -23,6 +25,7 @@
 import dev.wisteriarail.core.peer.Demand;
 import dev.wisteriarail.core.peer.PeerMessage;
 import dev.wisteriarail.core.result.Execution;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -45,6 +48,7 @@
             "v1",
             RunnerId.of("r1"),
             1L << 40),
+        new RecordBody.SnapshotChunk(CellId.of("main"), "n1.7.s1", 9, 0, 1, parts()),
         new RecordBody.IntentBatch(intents()),
         new RecordBody.ConfigurationChanged(
             Revision.NONE,
@@ -61,6 +65,23 @@
             "reason"));
   }
 
+  private static List<LedgerSnapshot> parts() {
+    Reservation held =
+        new Reservation(
+            ReplicaId.of("m1.3.1"),
+            ModelId.of("m1"),
+            "v1",
+            RunnerId.of("r1"),
+            1L << 40,
+            FencingNumber.of(3),
+            true);
+    Claim claim = new Claim(FencingNumber.of(3), NodeId.of("n1"), Incarnation.of(7));
+    return List.of(
+        new LedgerSnapshot.RecentIdsPart("AAAAAAAAAAE="),
+        new LedgerSnapshot.ConfigurationPart(Revision.of(2), 8),
+        new LedgerSnapshot.CellPart(CellId.of("main"), Optional.of(claim), List.of(held)));
+  }
+
   private static List<RecordBody.IntentChange> intents() {
     CustomerId customer = CustomerId.of("c1");
     IdempotencyKey key = IdempotencyKey.of("k");
@@ -78,6 +99,8 @@
         new PeerMessage.IntentsOffered(intents()),
         new PeerMessage.Heartbeat(Revision.of(4), FencingNumber.of(9), true),
         new PeerMessage.Goodbye(),
+        new PeerMessage.StateRequested(Revision.of(3)),
+        new PeerMessage.StateOffered("4.9", 9, 0, 1, parts()),
         new PeerMessage.DemandReported(
             List.of(
                 new Demand(
