--- a/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
+++ b/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -171,8 +172,10 @@
   }
 
   private void execute(Runnable task) {
-    if (open.get()) {
+    try {
       workers.execute(task);
+    } catch (RejectedExecutionException closed) {
+      // The runtime was closed between the step and this effect.
     }
   }
 
