--- /dev/null
+++ b/src/main/java/dev/wisteriarail/cli/FuzzCommand.java
@@ -0,0 +1,78 @@
+package dev.wisteriarail.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import dev.wisteriarail.codec.Codecs;
+import dev.wisteriarail.core.result.WisteriarailException;
+import dev.wisteriarail.fuzz.Campaign;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/** Fuzzes a fleet of cores against the oracle, in virtual time. */
+final class FuzzCommand implements Command {
+
+  private static final long DEFAULT_SEED = 1;
+  private static final int DEFAULT_RUNS = 10;
+  private static final int DEFAULT_STEPS = 300;
+
+  @Override
+  public String name() {
+    return "fuzz";
+  }
+
+  @Override
+  public String summary() {
+    return "fuzzes a fleet of cores against an oracle; the same seed gives the same run";
+  }
+
+  @Override
+  public String example() {
+    return "wisteriarail fuzz --seed 1 --runs 10 --steps 300 --json";
+  }
+
+  @Override
+  public void declareOptions(OptionParser parser) {
+    parser
+        .accepts("seed", "seed of the first run; each further run adds one")
+        .withRequiredArg()
+        .ofType(Long.class)
+        .defaultsTo(DEFAULT_SEED);
+    parser
+        .accepts("runs", "number of runs")
+        .withRequiredArg()
+        .ofType(Integer.class)
+        .defaultsTo(DEFAULT_RUNS);
+    parser
+        .accepts("steps", "requests and faults in each run")
+        .withRequiredArg()
+        .ofType(Integer.class)
+        .defaultsTo(DEFAULT_STEPS);
+    parser.accepts("shrink", "look for the shortest plan that breaks the same promise");
+    parser.accepts("history", "print the history of each run that breaks a promise");
+    parser.accepts("json", "print one JSON object");
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, PrintStream out) throws WisteriarailException {
+    Campaign campaign =
+        Campaign.run(
+            (Long) options.valueOf("seed"),
+            (Integer) options.valueOf("runs"),
+            (Integer) options.valueOf("steps"),
+            options.has("shrink"));
+    out.println(options.has("json") ? json(campaign.summary()) : campaign.summary().describe());
+    if (options.has("history")) {
+      campaign.histories().forEach(out::println);
+    }
+    return campaign.summary().violations().isEmpty() ? ExitCode.SUCCESS : ExitCode.FAILED;
+  }
+
+  private static String json(Campaign.Summary summary) {
+    try {
+      return Codecs.json().writeValueAsString(summary);
+    } catch (JsonProcessingException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+  }
+}
--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -18,7 +18,7 @@
 
   private static final String PROGRAM = "wisteriarail";
   private static final List<Command> COMMANDS =
-      List.of(new ServeCommand(), new StandinCommand(), new DemoCommand());
+      List.of(new ServeCommand(), new StandinCommand(), new DemoCommand(), new FuzzCommand());
 
   private Main() {}
 
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/Callers.java
@@ -0,0 +1,158 @@
+package dev.wisteriarail.fuzz;
+
+import dev.wisteriarail.core.Effect;
+import dev.wisteriarail.core.Event;
+import dev.wisteriarail.core.config.KindSpec;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.request.Ending;
+import dev.wisteriarail.core.request.InboundRequest;
+import dev.wisteriarail.fuzz.oracle.Observation;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/** The callers: they send through the balancer, wait, lose patience, and send again. */
+final class Callers {
+
+  private static final int MOST_SENDINGS = 4;
+
+  /** Time after the deadline after which a caller gives up a silent connection. */
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+  private record Open(NodeId node, Action.Send send, int sending) {}
+
+  private final World world;
+  private final Fleet fleet;
+  private final Chance chance;
+  private final Map<RequestId, Open> open = new TreeMap<>();
+  private final Map<String, Integer> outcomes = new TreeMap<>();
+  private int sequence;
+
+  Callers(World world, Fleet fleet) {
+    this.world = world;
+    this.fleet = fleet;
+    chance = world.chance("callers");
+  }
+
+  // Requests
+
+  /** Sends a request to the node that the balancer gives. */
+  RequestId send(Action.Send send) {
+    return send(send, 1);
+  }
+
+  private RequestId send(Action.Send send, int sending) {
+    sequence++;
+    RequestId request = RequestId.of("q" + sequence);
+    Optional<SimulatedNode> node = balance(send.node() + sending - 1);
+    if (node.isEmpty()) {
+      sendAgain(send, sending, 1_000);
+      return request;
+    }
+    Content content = new Content(send.tag(), send.pieces(), send.poison());
+    KindSpec kind = kind(send);
+    NodeId to = node.get().id();
+    open.put(request, new Open(to, send, sending));
+    world.note(request + " " + send.kind() + " " + send.tag() + " key " + send.key() + " to " + to);
+    world.observe(
+        new Observation.RequestSent(
+            request,
+            to,
+            send.customer(),
+            send.key(),
+            kind.repeatable(),
+            kind.deadline(),
+            content.answer()));
+    node.get()
+        .submit(
+            new Event.RequestArrived(
+                new InboundRequest(
+                    request,
+                    send.customer(),
+                    send.kind(),
+                    send.target(),
+                    send.key(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    content.body())));
+    Duration patience = send.leavesAfter().orElse(kind.deadline().plus(PATIENCE));
+    world.after(patience, () -> leave(request));
+    return request;
+  }
+
+  private void leave(RequestId request) {
+    Open waiting = open.remove(request);
+    if (waiting != null) {
+      world.count(FaultKind.CALLER_LEFT);
+      world.observe(new Observation.ConnectionClosed(request, true));
+      fleet.node(waiting.node()).submit(new Event.CallerLeft(request));
+    }
+  }
+
+  // Answers
+
+  /** Takes a piece of an answer. */
+  void answer(NodeId node, Effect.AnswerChunk chunk) {
+    world.observe(new Observation.PieceReceived(chunk.request(), chunk.text()));
+  }
+
+  /** Takes the end of a request. */
+  void end(NodeId node, Effect.EndRequest end) {
+    String outcome =
+        switch (end.ending()) {
+          case Ending.Completed completed -> "completed";
+          case Ending.Refused refused -> refused.refusal().code().name();
+        };
+    outcomes.merge(outcome, 1, Integer::sum);
+    world.note(end.request() + " ended by " + node + ": " + outcome);
+    world.observe(new Observation.RequestEnded(end.request(), end.ending()));
+    Open ended = open.remove(end.request());
+    if (ended != null && end.ending() instanceof Ending.Refused) {
+      sendAgain(ended.send(), ended.sending(), 3_000);
+    }
+  }
+
+  /** Closes the connections to a node whose process has ended. */
+  void cutOff(NodeId node) {
+    for (RequestId request : List.copyOf(open.keySet())) {
+      Open waiting = open.get(request);
+      if (waiting.node().equals(node)) {
+        open.remove(request);
+        world.observe(new Observation.ConnectionClosed(request, false));
+        sendAgain(waiting.send(), waiting.sending(), 2_000);
+      }
+    }
+  }
+
+  private void sendAgain(Action.Send send, int sending, int mostMillis) {
+    if (sending < MOST_SENDINGS && world.isFaulty()) {
+      world.count(FaultKind.CALLER_RETRIED);
+      world.after(chance.millis(50, mostMillis), () -> send(send, sending + 1));
+    }
+  }
+
+  // Helpers
+
+  private Optional<SimulatedNode> balance(int wanted) {
+    List<SimulatedNode> alive = fleet.nodes().stream().filter(SimulatedNode::isAlive).toList();
+    List<SimulatedNode> ready = alive.stream().filter(node -> node.core().isReady()).toList();
+    List<SimulatedNode> choices = ready.isEmpty() || chance.happens(0.05) ? alive : ready;
+    return choices.isEmpty() ? Optional.empty() : Optional.of(choices.get(wanted % choices.size()));
+  }
+
+  private static KindSpec kind(Action.Send send) {
+    return Stream.of(Deployment.URGENT, Deployment.BATCH, Deployment.DISPATCH)
+        .filter(kind -> kind.id().equals(send.kind()))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Returns the counted outcomes by name. */
+  Map<String, Integer> outcomes() {
+    return outcomes;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/Content.java
@@ -0,0 +1,48 @@
+package dev.wisteriarail.fuzz;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The content of a caller's request, which names its right answer.
+ *
+ * @param tag distinguishes the content
+ * @param pieces pieces of the answer
+ * @param poison whether it crashes the backend server that runs it
+ */
+record Content(String tag, int pieces, boolean poison) {
+
+  private static final Pattern FORM =
+      Pattern.compile("\\{\"prompt\":\"([^\"]+)\",\"max_tokens\":(\\d+),\"poison\":(\\w+)}");
+
+  /** Reads the content from a request's body. */
+  static Content parse(String body) {
+    Matcher matcher = FORM.matcher(body);
+    if (!matcher.matches()) {
+      throw new IllegalArgumentException("not a body of this harness: " + body);
+    }
+    return new Content(
+        matcher.group(1),
+        Integer.parseInt(matcher.group(2)),
+        Boolean.parseBoolean(matcher.group(3)));
+  }
+
+  /** Returns the content as a request's body. */
+  String body() {
+    return "{\"prompt\":\"" + tag + "\",\"max_tokens\":" + pieces + ",\"poison\":" + poison + "}";
+  }
+
+  /** Returns one piece of the right answer. */
+  String piece(long position) {
+    return tag + ":" + position + " ";
+  }
+
+  /** Returns the whole right answer. */
+  String answer() {
+    StringBuilder all = new StringBuilder();
+    for (int i = 0; i < pieces; i++) {
+      all.append(piece(i));
+    }
+    return all.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/EngineMemory.java
@@ -0,0 +1,195 @@
+package dev.wisteriarail.fuzz;
+
+import dev.wisteriarail.core.config.RunnerSpec;
+import dev.wisteriarail.core.engine.EngineOrder;
+import dev.wisteriarail.core.engine.OrderOutcome;
+import dev.wisteriarail.core.engine.ReplicaPhase;
+import dev.wisteriarail.core.engine.ReplicaStatus;
+import dev.wisteriarail.core.id.AdapterId;
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.fuzz.oracle.Observation;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.ToIntFunction;
+
+/**
+ * The replicas of a fake engine. It carries out any order that its fencing rule lets pass, also one
+ * that overcommits its memory: the oracle sees that.
+ */
+final class EngineMemory {
+
+  private static final class Loaded {
+    private final ModelId model;
+    private final String version;
+    private final long bytes;
+    private final Set<AdapterId> adapters = new TreeSet<>();
+    private ReplicaPhase phase = ReplicaPhase.LOADING;
+
+    private Loaded(ModelId model, String version, long bytes) {
+      this.model = model;
+      this.version = version;
+      this.bytes = bytes;
+    }
+  }
+
+  private final World world;
+  private final Chance chance;
+  private final RunnerSpec spec;
+  private final WeightStore store;
+  private final Map<ReplicaId, Loaded> replicas = new TreeMap<>();
+  private FencingNumber highestFence = FencingNumber.NONE;
+  private int life;
+
+  EngineMemory(World world, RunnerSpec spec, WeightStore store) {
+    this.world = world;
+    this.spec = spec;
+    this.store = store;
+    chance = world.chance("memory-" + spec.id());
+    world.observe(new Observation.RunnerSeen(spec.id(), spec.memoryBytes()));
+  }
+
+  // Orders
+
+  /** Carries out an order unless its fencing number is too old for this engine. */
+  OrderOutcome carryOut(FencingNumber fence, EngineOrder order, ToIntFunction<ReplicaId> active) {
+    if (spec.checksFencing() && fence.compareTo(highestFence) < 0) {
+      return new OrderOutcome.Fenced(highestFence);
+    }
+    highestFence = fence.compareTo(highestFence) > 0 ? fence : highestFence;
+    return switch (order) {
+      case EngineOrder.LoadReplica load -> load(load);
+      case EngineOrder.UnloadReplica unload -> unload(unload.replica(), active);
+      case EngineOrder.LoadAdapter load -> loadAdapter(load);
+      case EngineOrder.UnloadAdapter unload -> unloadAdapter(unload);
+      case EngineOrder.RaiseFence raise -> new OrderOutcome.Done();
+    };
+  }
+
+  private OrderOutcome load(EngineOrder.LoadReplica load) {
+    if (replicas.containsKey(load.replica())) {
+      return new OrderOutcome.Done();
+    }
+    hold(load.replica(), new Loaded(load.model(), load.version(), load.bytes()));
+    Duration time = store.loadTime(chance.millis(300, 1_500));
+    boolean fails = world.strikes(chance, FaultKind.LOAD_FAILED, 0.02);
+    int startedIn = life;
+    world.after(
+        time,
+        () -> {
+          if (startedIn == life) {
+            finishLoad(load.replica(), fails);
+          }
+        });
+    return new OrderOutcome.Done();
+  }
+
+  private void finishLoad(ReplicaId replica, boolean fails) {
+    Loaded loaded = replicas.get(replica);
+    if (loaded == null || loaded.phase != ReplicaPhase.LOADING) {
+      return;
+    }
+    if (fails) {
+      free(replica);
+    } else {
+      loaded.phase = ReplicaPhase.READY;
+      world.trace(spec.id() + " has loaded " + replica);
+    }
+  }
+
+  private OrderOutcome unload(ReplicaId replica, ToIntFunction<ReplicaId> active) {
+    Loaded loaded = replicas.get(replica);
+    if (loaded != null) {
+      loaded.phase = ReplicaPhase.UNLOADING;
+      freeIfIdle(replica, active);
+    }
+    return new OrderOutcome.Done();
+  }
+
+  private OrderOutcome loadAdapter(EngineOrder.LoadAdapter load) {
+    Loaded loaded = replicas.get(load.replica());
+    if (loaded == null) {
+      return new OrderOutcome.Failed("no such replica");
+    }
+    loaded.adapters.add(load.adapter());
+    return new OrderOutcome.Done();
+  }
+
+  private OrderOutcome unloadAdapter(EngineOrder.UnloadAdapter unload) {
+    Loaded loaded = replicas.get(unload.replica());
+    if (loaded != null) {
+      loaded.adapters.remove(unload.adapter());
+    }
+    return new OrderOutcome.Done();
+  }
+
+  /** Frees a replica that was told to unload, once nothing runs on it. */
+  void freeIfIdle(ReplicaId replica, ToIntFunction<ReplicaId> active) {
+    Loaded loaded = replicas.get(replica);
+    boolean idle = active.applyAsInt(replica) == 0;
+    if (loaded != null && loaded.phase == ReplicaPhase.UNLOADING && idle) {
+      free(replica);
+    }
+  }
+
+  // Life cycle
+
+  /** Loses all replicas, or keeps the ready ones for the process that follows. */
+  void crash(boolean keepsReady) {
+    life++;
+    for (ReplicaId replica : List.copyOf(replicas.keySet())) {
+      if (!keepsReady || replicas.get(replica).phase != ReplicaPhase.READY) {
+        free(replica);
+      }
+    }
+  }
+
+  // Accessors
+
+  boolean isReady(ReplicaId replica) {
+    Loaded loaded = replicas.get(replica);
+    return loaded != null && loaded.phase == ReplicaPhase.READY;
+  }
+
+  FencingNumber highestFence() {
+    return highestFence;
+  }
+
+  long usedBytes() {
+    return replicas.values().stream().mapToLong(loaded -> loaded.bytes).sum();
+  }
+
+  List<ReplicaStatus> statuses(ToIntFunction<ReplicaId> active) {
+    List<ReplicaStatus> statuses = new ArrayList<>();
+    replicas.forEach(
+        (replica, loaded) ->
+            statuses.add(
+                new ReplicaStatus(
+                    replica,
+                    loaded.model,
+                    loaded.version,
+                    loaded.phase,
+                    loaded.bytes,
+                    active.applyAsInt(replica),
+                    List.copyOf(loaded.adapters))));
+    return statuses;
+  }
+
+  // Helpers
+
+  private void hold(ReplicaId replica, Loaded loaded) {
+    replicas.put(replica, loaded);
+    world.observe(new Observation.ReplicaHeld(spec.id(), replica, loaded.model, loaded.bytes));
+  }
+
+  private void free(ReplicaId replica) {
+    replicas.remove(replica);
+    world.observe(new Observation.ReplicaFreed(spec.id(), replica));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/FakeRunner.java
@@ -0,0 +1,321 @@
+package dev.wisteriarail.fuzz;
+
+import dev.wisteriarail.core.Effect;
+import dev.wisteriarail.core.Event;
+import dev.wisteriarail.core.config.RunnerRole;
+import dev.wisteriarail.core.config.RunnerSpec;
+import dev.wisteriarail.core.engine.EngineReport;
+import dev.wisteriarail.core.engine.OrderOutcome;
+import dev.wisteriarail.core.id.AttemptId;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.request.AttemptOutcome;
+import dev.wisteriarail.fuzz.oracle.Observation;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** A backend server: a model engine, or a server of plain services. */
+final class FakeRunner {
+
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(5);
+
+  /** Longest time that an order whose answer was given up may still take to arrive. */
+  private static final double LATE_ORDER_MILLIS = 5_000;
+
+  /**
+   * The connection of one attempt.
+   *
+   * @param reachable whether the node and the runner reach each other
+   * @param events takes the node's events
+   */
+  record Connection(BooleanSupplier reachable, Consumer<Event> events) {}
+
+  private static final class Running {
+    private final Effect.Dispatch dispatch;
+    private final Connection connection;
+    private final Content content;
+    private long position;
+    private boolean cut;
+    private Instant lastEvent = Instant.MIN;
+
+    private Running(Effect.Dispatch dispatch, Connection connection, Content content) {
+      this.dispatch = dispatch;
+      this.connection = connection;
+      this.content = content;
+      position = dispatch.resumeFrom();
+    }
+  }
+
+  private final World world;
+  private final Chance chance;
+  private final RunnerSpec spec;
+  private final EngineMemory memory;
+  private final KeyMemory keys;
+  private final Map<AttemptId, Running> running = new TreeMap<>();
+  private long incarnation = 1;
+  private boolean up = true;
+  private boolean leaving;
+  private Duration reportLag = Duration.ZERO;
+
+  FakeRunner(World world, RunnerSpec spec, WeightStore store, KeyMemory keys) {
+    this.world = world;
+    this.spec = spec;
+    this.keys = keys;
+    memory = new EngineMemory(world, spec, store);
+    chance = world.chance("runner-" + spec.id());
+  }
+
+  // Attempts
+
+  /** Takes a request, as far as the network lets it. */
+  void dispatch(Effect.Dispatch dispatch, Instant formed, Connection connection) {
+    if (!connection.reachable().getAsBoolean()) {
+      world.after(
+          CALL_TIMEOUT,
+          () -> end(dispatch.attempt(), connection, new AttemptOutcome.NotHandedOver("no route")));
+    } else if (world.strikes(chance, FaultKind.DISPATCH_LOST, 0.01)) {
+      world.after(
+          IDLE_TIMEOUT,
+          () -> end(dispatch.attempt(), connection, new AttemptOutcome.Broken("no answer", false)));
+    } else {
+      world.after(chance.millis(0.5, 2), () -> arrive(dispatch, formed, connection));
+    }
+  }
+
+  private void arrive(Effect.Dispatch dispatch, Instant formed, Connection connection) {
+    if (!up) {
+      end(dispatch.attempt(), connection, new AttemptOutcome.NotHandedOver("refused"));
+      return;
+    }
+    if (dispatch.replica().isPresent() && !memory.isReady(dispatch.replica().get())) {
+      end(dispatch.attempt(), connection, new AttemptOutcome.Rejected("no such replica"));
+      return;
+    }
+    Running attempt = new Running(dispatch, connection, Content.parse(dispatch.request().body()));
+    running.put(dispatch.attempt(), attempt);
+    boolean runs = keys.isFirst(dispatch.request());
+    world.note(spec.id() + (runs ? " runs " : " remembers ") + dispatch.request().id());
+    world.observe(new Observation.RunStarted(dispatch.request().id(), spec.id(), formed, runs));
+    if (attempt.content.poison() && world.isFaulty()) {
+      world.after(chance.millis(5, 40), this::crashByPoison);
+    }
+    world.after(chance.millis(5, 40), () -> goOn(attempt));
+  }
+
+  private void goOn(Running attempt) {
+    if (running.get(attempt.dispatch.attempt()) != attempt) {
+      return;
+    }
+    if (attempt.position < attempt.content.pieces()) {
+      String text = attempt.content.piece(attempt.position);
+      tell(
+          attempt, new Event.AttemptProgressed(attempt.dispatch.attempt(), attempt.position, text));
+      attempt.position++;
+      world.after(chance.millis(10, 60), () -> goOn(attempt));
+      return;
+    }
+    remove(attempt);
+    tell(
+        attempt,
+        new Event.AttemptEnded(attempt.dispatch.attempt(), new AttemptOutcome.Completed(200)));
+  }
+
+  private void tell(Running attempt, Event event) {
+    if (attempt.cut) {
+      return;
+    }
+    boolean cut =
+        !attempt.connection.reachable().getAsBoolean()
+            || world.strikes(chance, FaultKind.ANSWER_CUT, 0.004);
+    if (cut) {
+      attempt.cut = true;
+      world.after(
+          IDLE_TIMEOUT,
+          () ->
+              end(
+                  attempt.dispatch.attempt(),
+                  attempt.connection,
+                  new AttemptOutcome.Broken("connection lost", false)));
+      return;
+    }
+    Instant arrival = world.now().plus(chance.millis(0.5, 3));
+    Instant inOrder = arrival.isAfter(attempt.lastEvent) ? arrival : attempt.lastEvent;
+    attempt.lastEvent = inOrder;
+    world.at(inOrder, () -> attempt.connection.events().accept(event));
+  }
+
+  /** Stops an attempt. */
+  void cancel(AttemptId attempt) {
+    Running found = running.get(attempt);
+    if (found != null) {
+      remove(found);
+      tell(found, new Event.AttemptEnded(attempt, new AttemptOutcome.Broken("cancelled", false)));
+    }
+  }
+
+  private void remove(Running attempt) {
+    running.remove(attempt.dispatch.attempt());
+    attempt.dispatch.replica().ifPresent(replica -> memory.freeIfIdle(replica, this::active));
+  }
+
+  private void end(AttemptId attempt, Connection connection, AttemptOutcome outcome) {
+    connection.events().accept(new Event.AttemptEnded(attempt, outcome));
+  }
+
+  // Orders
+
+  /** Takes an order, as far as the network lets it. */
+  void order(Effect.OrderEngine order, BooleanSupplier reachable, Consumer<OrderOutcome> answer) {
+    if (!reachable.getAsBoolean()) {
+      world.after(CALL_TIMEOUT, () -> answer.accept(new OrderOutcome.Failed("no route")));
+    } else if (world.strikes(chance, FaultKind.ORDER_LOST, 0.01)) {
+      answerUnknown(answer);
+    } else if (world.strikes(chance, FaultKind.ORDER_LATE, 0.02)) {
+      answerUnknown(answer);
+      world.after(chance.millis(100, LATE_ORDER_MILLIS), () -> carryOut(order, outcome -> {}));
+    } else if (world.strikes(chance, FaultKind.ORDER_ANSWER_LOST, 0.02)) {
+      answerUnknown(answer);
+      world.after(chance.millis(0.5, 3), () -> carryOut(order, outcome -> {}));
+    } else {
+      world.after(chance.millis(0.5, 3), () -> carryOut(order, answer));
+    }
+  }
+
+  private void answerUnknown(Consumer<OrderOutcome> answer) {
+    world.after(CALL_TIMEOUT, () -> answer.accept(new OrderOutcome.Unknown("timed out")));
+  }
+
+  private void carryOut(Effect.OrderEngine order, Consumer<OrderOutcome> answer) {
+    OrderOutcome outcome =
+        up
+            ? memory.carryOut(order.fence(), order.body(), this::active)
+            : new OrderOutcome.Failed("connection refused");
+    world.note(spec.id() + " order " + order.body() + " fence " + order.fence() + " -> " + outcome);
+    world.after(chance.millis(0.5, 2), () -> answer.accept(outcome));
+  }
+
+  // Reports
+
+  /** Returns what a report asked for now says, or nothing if the runner does not answer. */
+  Optional<EngineReport> report() {
+    if (!up) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new EngineReport(
+            spec.id(),
+            Incarnation.of(incarnation),
+            memory.highestFence(),
+            leaving,
+            running.size(),
+            0,
+            memory.usedBytes(),
+            memory.statuses(this::active)));
+  }
+
+  /** Returns the time that a report takes to reach a node. */
+  Duration reportDelay() {
+    Duration usual = chance.millis(0.5, 60);
+    return reportLag.isZero() ? usual : chance.millis(1, (double) reportLag.toMillis());
+  }
+
+  void lagReports(Duration lag, Duration length) {
+    reportLag = lag;
+    world.after(length, () -> reportLag = Duration.ZERO);
+  }
+
+  // Life cycle
+
+  /** Crashes the process; the next one starts after the given time. */
+  void crash(boolean stray, Duration absence) {
+    if (!up) {
+      return;
+    }
+    up = false;
+    List<Running> lost = new ArrayList<>(running.values());
+    running.clear();
+    memory.crash(stray);
+    for (Running attempt : lost) {
+      tell(
+          attempt,
+          new Event.AttemptEnded(
+              attempt.dispatch.attempt(), new AttemptOutcome.Broken("connection reset", true)));
+    }
+    world.note(spec.id() + " crashed");
+    world.after(absence, this::restart);
+  }
+
+  private void crashByPoison() {
+    if (up) {
+      world.count(FaultKind.POISON_CRASH);
+      crash(false, chance.millis(500, 3_000));
+    }
+  }
+
+  /** Says that it leaves; after the notice it is gone, and a new process comes later. */
+  void leave(Duration notice, Duration absence) {
+    if (leaving || !up) {
+      return;
+    }
+    leaving = true;
+    long startedIn = incarnation;
+    world.note(spec.id() + " is leaving");
+    world.observe(new Observation.RunnerLeaving(spec.id()));
+    world.after(
+        notice,
+        () -> {
+          if (startedIn == incarnation) {
+            crash(false, absence);
+          }
+        });
+  }
+
+  /** Starts the next process now where none runs. */
+  void restart() {
+    if (up) {
+      return;
+    }
+    up = true;
+    incarnation++;
+    if (leaving) {
+      leaving = false;
+      world.observe(new Observation.RunnerBack(spec.id()));
+    }
+    world.note(spec.id() + " restarted as " + incarnation);
+  }
+
+  void heal() {
+    restart();
+    reportLag = Duration.ZERO;
+  }
+
+  // Accessors
+
+  RunnerSpec spec() {
+    return spec;
+  }
+
+  boolean isModelEngine() {
+    return spec.role() == RunnerRole.MODEL;
+  }
+
+  RunnerId id() {
+    return spec.id();
+  }
+
+  private int active(ReplicaId replica) {
+    return (int)
+        running.values().stream()
+            .filter(attempt -> attempt.dispatch.replica().equals(Optional.of(replica)))
+            .count();
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/FuzzRun.java
@@ -0,0 +1,108 @@
+package dev.wisteriarail.fuzz;
+
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.request.Target;
+import dev.wisteriarail.fuzz.oracle.Observation;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/** Carries out one plan: faults first, then recovery, then probes of what is served. */
+public final class FuzzRun {
+
+  private static final Duration TICK = Duration.ofMillis(250);
+
+  /** Virtual time given to the fleet to recover after the last fault. */
+  private static final Duration RECOVERY = Duration.ofSeconds(45);
+
+  /** Virtual time given to the probes. */
+  private static final Duration PROBES = Duration.ofSeconds(40);
+
+  private final Plan plan;
+  private final World world;
+  private final Fleet fleet;
+
+  private FuzzRun(Plan plan, Defect defect) {
+    this.plan = plan;
+    world = World.create(plan.seed());
+    fleet = Fleet.create(world, plan.nodes(), defect);
+  }
+
+  /** Returns the plan of a seed with the given number of actions. */
+  public static Plan plan(long seed, int steps) {
+    return PlanGenerator.generate(seed, steps);
+  }
+
+  /** Returns the plan of a seed in which callers send and nothing fails. */
+  public static Plan quietPlan(long seed, int steps) {
+    return PlanGenerator.generateQuiet(seed, steps);
+  }
+
+  /** Carries out a plan. */
+  public static RunResult execute(Plan plan, Defect defect) {
+    return new FuzzRun(plan, defect).execute();
+  }
+
+  private RunResult execute() {
+    if (!plan.chance()) {
+      world.endFaults();
+    }
+    final Instant start = world.now();
+    final Instant healed = start.plus(plan.length());
+    fleet.start();
+    for (Plan.Planned planned : plan.actions()) {
+      world.at(start.plus(planned.at()), () -> fleet.perform(planned.action()));
+    }
+    world.after(TICK, this::tick);
+    world.runUntil(healed);
+    fleet.heal();
+    Instant recovered = healed.plus(RECOVERY);
+    world.runUntil(recovered);
+    world.observe(new Observation.RecoveryOver());
+    probe();
+    world.runUntil(recovered.plus(PROBES));
+    fleet.showStatus();
+    world.observe(new Observation.RunEnded());
+    return new RunResult(
+        plan,
+        world.history().finish(),
+        world.history().size(),
+        world.faults(),
+        fleet.callers().outcomes(),
+        world.oracle().violations(),
+        world.history().notable());
+  }
+
+  private void tick() {
+    world.observe(new Observation.Tick());
+    fleet.showStatus();
+    world.after(TICK, this::tick);
+  }
+
+  /** Sends one request for each model, at nodes in turn. */
+  private void probe() {
+    int sequence = 0;
+    for (int team = 0; team < Deployment.TEAMS; team++) {
+      for (int model = 0; model < Deployment.MODELS_PER_TEAM; model++) {
+        sequence++;
+        Action.Send send =
+            new Action.Send(
+                "probe" + sequence,
+                sequence,
+                Deployment.customer(team),
+                Deployment.URGENT.id(),
+                new Target.ModelTarget(Deployment.model(team, model), Optional.empty()),
+                Optional.empty(),
+                3,
+                false,
+                Optional.empty());
+        world.after(Duration.ofSeconds(sequence * 2L), () -> sendProbe(send));
+      }
+    }
+  }
+
+  private void sendProbe(Action.Send send) {
+    RequestId request = fleet.callers().send(send);
+    world.observe(new Observation.ProbeSent(request));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/Plan.java
@@ -0,0 +1,34 @@
+package dev.wisteriarail.fuzz;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * What a run does, known before it starts.
+ *
+ * @param seed seed of the run's own choices, such as delays
+ * @param nodes number of nodes
+ * @param chance whether messages, appends, orders and answers fail at random
+ * @param length time until the last fault is mended
+ * @param actions what happens, in order of time
+ */
+public record Plan(long seed, int nodes, boolean chance, Duration length, List<Planned> actions) {
+
+  /** Copies the list. */
+  public Plan {
+    actions = List.copyOf(actions);
+  }
+
+  /**
+   * An action and its time.
+   *
+   * @param at time from the start of the run
+   * @param action the action
+   */
+  public record Planned(Duration at, Action action) {}
+
+  /** Returns the same plan with other actions. */
+  public Plan withActions(List<Planned> newActions) {
+    return new Plan(seed, nodes, chance, length, newActions);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/PlanGenerator.java
@@ -0,0 +1,188 @@
+package dev.wisteriarail.fuzz;
+
+import dev.wisteriarail.core.config.KindSpec;
+import dev.wisteriarail.core.id.IdempotencyKey;
+import dev.wisteriarail.core.request.Target;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Draws plans: requests, bursts and faults, any of them at any moment. */
+final class PlanGenerator {
+
+  private static final int LEAST_NODES = 3;
+  private static final int MOST_NODES = 9;
+  private static final Duration WARM_UP = Duration.ofSeconds(2);
+  private static final double STEP_MILLIS = 120;
+  private static final double FAULT_SHARE = 0.22;
+  private static final int MOST_IN_BURST = 12;
+
+  private final Chance chance;
+  private final double faultShare;
+  private final List<Plan.Planned> actions = new ArrayList<>();
+  private int sequence;
+
+  private PlanGenerator(Chance chance, double faultShare) {
+    this.chance = chance;
+    this.faultShare = faultShare;
+  }
+
+  /**
+   * Returns the plan of a seed.
+   *
+   * @param steps number of actions
+   */
+  static Plan generate(long seed, int steps) {
+    return new PlanGenerator(Chance.of(seed, "plan"), FAULT_SHARE).draw(seed, steps);
+  }
+
+  /** Returns a plan in which callers send and nothing fails. */
+  static Plan generateQuiet(long seed, int steps) {
+    return new PlanGenerator(Chance.of(seed, "plan"), 0).draw(seed, steps);
+  }
+
+  private Plan draw(long seed, int steps) {
+    int nodes = LEAST_NODES + chance.below(MOST_NODES - LEAST_NODES + 1);
+    Duration at = WARM_UP;
+    while (actions.size() < steps) {
+      at = at.plus(chance.millis(0, 2 * STEP_MILLIS));
+      if (chance.happens(faultShare)) {
+        add(at, drawFault());
+      } else {
+        drawRequests(at);
+      }
+    }
+    actions.sort(Comparator.comparing(Plan.Planned::at));
+    return new Plan(seed, nodes, faultShare > 0, at.plus(Duration.ofSeconds(1)), actions);
+  }
+
+  // Requests
+
+  private void drawRequests(Duration at) {
+    int team = chance.below(Deployment.TEAMS);
+    double choice = chance.below(100);
+    if (choice < 12) {
+      int model = chance.below(Deployment.MODELS_PER_TEAM);
+      int burst = 2 + chance.below(MOST_IN_BURST);
+      for (int i = 0; i < burst; i++) {
+        add(at.plus(chance.millis(0, 30)), modelRequest(team, model, Deployment.URGENT));
+      }
+    } else if (choice < 65) {
+      int model = chance.below(Deployment.MODELS_PER_TEAM);
+      boolean urgent = chance.happens(0.7);
+      add(at, modelRequest(team, model, urgent ? Deployment.URGENT : Deployment.BATCH));
+    } else if (choice < 75) {
+      add(at, serviceRequest(team, Deployment.URGENT, false));
+    } else {
+      drawDispatch(at, team);
+    }
+  }
+
+  /** Draws a non-repeatable request, sometimes sent twice at nearly the same time. */
+  private void drawDispatch(Duration at, int team) {
+    Action.Send send = serviceRequest(team, Deployment.DISPATCH, chance.happens(0.4));
+    add(at, send);
+    if (chance.happens(0.3)) {
+      Action.Send again =
+          new Action.Send(
+              send.tag(),
+              send.node() + 1,
+              send.customer(),
+              send.kind(),
+              send.target(),
+              send.key(),
+              send.pieces(),
+              false,
+              Optional.empty());
+      add(at.plus(chance.millis(0, 2_000)), again);
+    }
+  }
+
+  private Action.Send modelRequest(int team, int model, KindSpec kind) {
+    Target target = new Target.ModelTarget(Deployment.model(team, model), Optional.empty());
+    boolean poison = faultShare > 0 && chance.happens(0.01);
+    return send(team, kind, target, Optional.empty(), poison);
+  }
+
+  private Action.Send serviceRequest(int team, KindSpec kind, boolean deduplicates) {
+    Target target =
+        new Target.ServiceTarget(
+            deduplicates ? Deployment.DEDUPLICATING_SERVICE : Deployment.PLAIN_SERVICE,
+            "POST",
+            "/");
+    Optional<IdempotencyKey> key =
+        kind.repeatable() ? Optional.empty() : Optional.of(IdempotencyKey.of("k" + (sequence + 1)));
+    return send(team, kind, target, key, false);
+  }
+
+  private Action.Send send(
+      int team, KindSpec kind, Target target, Optional<IdempotencyKey> key, boolean poison) {
+    sequence++;
+    Optional<Duration> leaves =
+        chance.happens(0.04) ? Optional.of(chance.millis(5, 4_000)) : Optional.empty();
+    int pieces = target instanceof Target.ServiceTarget ? 1 : 1 + chance.below(8);
+    return new Action.Send(
+        "t" + sequence,
+        chance.below(MOST_NODES),
+        Deployment.customer(team),
+        kind.id(),
+        target,
+        key,
+        pieces,
+        poison,
+        leaves);
+  }
+
+  // Faults
+
+  private Action drawFault() {
+    int node = chance.below(MOST_NODES);
+    int other = node + 1 + chance.below(MOST_NODES - 1);
+    int runner = chance.below(Deployment.runners().size());
+    return switch (chance.below(20)) {
+      case 0, 1, 2 -> new Action.PauseNode(node, chance.millis(100, 4_000));
+      case 3, 4 -> new Action.PauseNode(node, chance.millis(2_000, 40_000));
+      case 5, 6 -> new Action.KillNode(node, chance.millis(10, 8_000));
+      case 7 ->
+          chance.happens(0.3)
+              ? new Action.KillAllNodes(chance.millis(50, 3_000))
+              : new Action.KillNode(node, chance.millis(10, 300));
+      case 8 -> new Action.DrainNode(node, chance.millis(200, 3_000));
+      case 9 -> new Action.CutLink(node, other, chance.happens(0.5), chance.millis(200, 10_000));
+      case 10 -> new Action.IsolateNode(node, chance.millis(500, 10_000));
+      case 11 -> new Action.CutRunner(node, runner, chance.millis(200, 6_000));
+      case 12, 13 -> new Action.CrashRunner(runner, chance.happens(0.4), chance.millis(50, 5_000));
+      case 14 ->
+          new Action.LeaveRunner(runner, chance.millis(6_000, 15_000), chance.millis(500, 5_000));
+      case 15 ->
+          new Action.LagReports(runner, chance.millis(200, 2_000), chance.millis(500, 8_000));
+      case 16 -> drawLogFault(node);
+      case 17 ->
+          new Action.HideNode(
+              node,
+              chance.happens(0.5) ? Optional.of(other) : Optional.empty(),
+              chance.millis(500, 5_000));
+      case 18 -> new Action.SlowStore(2 + chance.below(8), chance.millis(1_000, 10_000));
+      default ->
+          new Action.ChangeSection(
+              chance.below(Deployment.TEAMS), 1 + chance.below(6), chance.happens(0.4));
+    };
+  }
+
+  private Action drawLogFault(int node) {
+    return switch (chance.below(4)) {
+      case 0 -> new Action.StopLog(chance.millis(500, 15_000));
+      case 1 ->
+          new Action.StopLogForSide(
+              chance.below(2), chance.happens(0.6), chance.millis(500, 10_000));
+      case 2 -> new Action.DropRecords(20 + chance.below(100));
+      default -> new Action.LagLog(node, chance.millis(50, 1_500), chance.millis(500, 10_000));
+    };
+  }
+
+  private void add(Duration at, Action action) {
+    actions.add(new Plan.Planned(at, action));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/Shrinker.java
@@ -0,0 +1,65 @@
+package dev.wisteriarail.fuzz;
+
+import dev.wisteriarail.fuzz.oracle.Violation;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Shortens the plan of a run that breaks a promise, as long as it still breaks the same one. */
+public final class Shrinker {
+
+  private static final int MOST_RUNS = 150;
+
+  private final Defect defect;
+  private final String check;
+  private RunResult best;
+  private int runs;
+
+  private Shrinker(RunResult found, Defect defect) {
+    this.defect = defect;
+    best = found;
+    check = found.violations().getFirst().check();
+  }
+
+  /** Returns the run of the shortest plan found. */
+  public static RunResult shrink(RunResult found, Defect defect) {
+    Shrinker shrinker = new Shrinker(found, defect);
+    shrinker.dropChunks();
+    return shrinker.best;
+  }
+
+  private void dropChunks() {
+    int size = Math.max(1, best.plan().actions().size() / 2);
+    while (runs < MOST_RUNS) {
+      boolean shortened = dropChunksOf(size);
+      if (!shortened && size == 1) {
+        return;
+      }
+      size = shortened ? size : size / 2;
+    }
+  }
+
+  private boolean dropChunksOf(int size) {
+    boolean shortened = false;
+    int from = 0;
+    while (from < best.plan().actions().size() && runs < MOST_RUNS) {
+      List<Plan.Planned> kept = new ArrayList<>(best.plan().actions());
+      kept.subList(from, Math.min(from + size, kept.size())).clear();
+      if (breaksSamePromise(best.plan().withActions(kept))) {
+        shortened = true;
+      } else {
+        from += size;
+      }
+    }
+    return shortened;
+  }
+
+  private boolean breaksSamePromise(Plan plan) {
+    runs++;
+    RunResult result = FuzzRun.execute(plan, defect);
+    boolean same = result.violations().stream().map(Violation::check).anyMatch(check::equals);
+    if (same) {
+      best = result;
+    }
+    return same;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/World.java
@@ -0,0 +1,104 @@
+package dev.wisteriarail.fuzz;
+
+import dev.wisteriarail.fuzz.oracle.Observation;
+import dev.wisteriarail.fuzz.oracle.Oracle;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.Map;
+
+/** What all parts of one run share: time, history, oracle and fault counts. Not thread-safe. */
+final class World {
+
+  private final long seed;
+  private final VirtualScheduler scheduler = new VirtualScheduler();
+  private final History history = History.create();
+  private final Oracle oracle = Oracle.create();
+  private final Map<FaultKind, Integer> faults = new EnumMap<>(FaultKind.class);
+  private boolean faulty = true;
+
+  private World(long seed) {
+    this.seed = seed;
+  }
+
+  /** Returns the world of a run that has not started. */
+  static World create(long seed) {
+    return new World(seed);
+  }
+
+  // Time
+
+  Instant now() {
+    return scheduler.now();
+  }
+
+  void after(Duration delay, Runnable action) {
+    scheduler.after(delay, action);
+  }
+
+  void at(Instant time, Runnable action) {
+    scheduler.at(time, action);
+  }
+
+  void runUntil(Instant end) {
+    scheduler.runUntil(end);
+  }
+
+  // Faults
+
+  /** Returns whether a random fault of a kind happens now, and counts it. */
+  boolean strikes(Chance chance, FaultKind kind, double probability) {
+    boolean happens = chance.happens(probability) && faulty;
+    if (happens) {
+      count(kind);
+    }
+    return happens;
+  }
+
+  void count(FaultKind kind) {
+    faults.merge(kind, 1, Integer::sum);
+  }
+
+  /** Ends all random faults. */
+  void endFaults() {
+    faulty = false;
+  }
+
+  boolean isFaulty() {
+    return faulty;
+  }
+
+  // What is seen
+
+  void observe(Observation observation) {
+    history.add(now(), observation.toString());
+    oracle.observe(now(), observation);
+  }
+
+  void note(String line) {
+    history.addNotable(now(), line);
+  }
+
+  void trace(String line) {
+    history.add(now(), line);
+  }
+
+  // Accessors
+
+  Chance chance(String part) {
+    return Chance.of(seed, part);
+  }
+
+  History history() {
+    return history;
+  }
+
+  Oracle oracle() {
+    return oracle;
+  }
+
+  Map<FaultKind, Integer> faults() {
+    return Collections.unmodifiableMap(faults);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/AcceptedChanges.java
@@ -0,0 +1,44 @@
+package dev.wisteriarail.fuzz.oracle;
+
+import dev.wisteriarail.core.id.RecordId;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.LogRecord;
+import dev.wisteriarail.core.log.RecordBody;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Which published changes have to be accepted, by the rule that operators are told: a change is
+ * accepted if it names the revision at which its section last changed.
+ */
+public final class AcceptedChanges {
+
+  private final Map<String, Long> sections = new TreeMap<>();
+  private final Set<RecordId> seen = new TreeSet<>();
+  private long newest;
+
+  /** Returns the revision that a new change of a section has to name. */
+  public Revision basis(String section) {
+    return Revision.of(sections.getOrDefault(section, 0L));
+  }
+
+  /** Returns the newest accepted revision. */
+  public long newest() {
+    return newest;
+  }
+
+  /** Takes a record in the order of the log. */
+  public void accept(LogRecord logged) {
+    if (!seen.add(logged.id())
+        || !(logged.body() instanceof RecordBody.ConfigurationChanged change)) {
+      return;
+    }
+    String section = change.section().name();
+    if (change.basedOn().value() == sections.getOrDefault(section, 0L)) {
+      newest++;
+      sections.put(section, newest);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/AnswerCheck.java
@@ -0,0 +1,44 @@
+package dev.wisteriarail.fuzz.oracle;
+
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.request.Ending;
+import java.time.Instant;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Each caller gets the whole answer to its own request, its pieces in order. */
+final class AnswerCheck implements Check {
+
+  private static final int STATUS_SUCCESS_LIMIT = 300;
+
+  private final Map<RequestId, String> expected = new TreeMap<>();
+  private final Map<RequestId, String> received = new TreeMap<>();
+
+  @Override
+  public String name() {
+    return "whole-answer";
+  }
+
+  @Override
+  public void observe(Instant at, Observation observation, Complaints complaints) {
+    switch (observation) {
+      case Observation.RequestSent sent -> expected.put(sent.request(), sent.answer());
+      case Observation.PieceReceived piece -> {
+        String soFar = received.merge(piece.request(), piece.text(), String::concat);
+        if (!expected.getOrDefault(piece.request(), "").startsWith(soFar)) {
+          complaints.add(piece.request() + " got " + piece.text() + " making " + soFar);
+        }
+      }
+      case Observation.RequestEnded ended -> {
+        String all = received.getOrDefault(ended.request(), "");
+        boolean complete = all.equals(expected.get(ended.request()));
+        if (ended.ending() instanceof Ending.Completed completed
+            && completed.status() < STATUS_SUCCESS_LIMIT
+            && !complete) {
+          complaints.add(ended.request() + " completed with the partial answer '" + all + "'");
+        }
+      }
+      default -> {}
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/AtMostOnceCheck.java
@@ -0,0 +1,43 @@
+package dev.wisteriarail.fuzz.oracle;
+
+import dev.wisteriarail.core.id.RequestId;
+import java.time.Instant;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A request that may not be repeated runs at most once, over all sendings with its key. */
+final class AtMostOnceCheck implements Check {
+
+  private final Map<RequestId, Observation.RequestSent> sent = new TreeMap<>();
+  private final Map<String, RequestId> ran = new TreeMap<>();
+
+  @Override
+  public String name() {
+    return "at-most-once";
+  }
+
+  @Override
+  public void observe(Instant at, Observation observation, Complaints complaints) {
+    switch (observation) {
+      case Observation.RequestSent request -> sent.put(request.request(), request);
+      case Observation.RunStarted run -> {
+        Observation.RequestSent request = sent.get(run.request());
+        if (request != null && !request.repeatable() && run.runs()) {
+          acceptRun(request, run, complaints);
+        }
+      }
+      default -> {}
+    }
+  }
+
+  private void acceptRun(
+      Observation.RequestSent request, Observation.RunStarted run, Complaints complaints) {
+    String work =
+        request.customer() + "/" + request.key().map(Object::toString).orElse("request " + request);
+    RequestId first = ran.putIfAbsent(work, run.request());
+    if (first != null) {
+      complaints.add(
+          work + " ran as " + first + " and again as " + run.request() + " on " + run.runner());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/DrainCheck.java
@@ -0,0 +1,107 @@
+package dev.wisteriarail.fuzz.oracle;
+
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.request.Ending;
+import dev.wisteriarail.core.result.ResultCode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** A graceful shutdown cuts no request in flight, and comes to its end. */
+final class DrainCheck implements Check {
+
+  /** Time from the request to drain until the node is done, if it was neither paused nor killed. */
+  private static final Duration LIMIT = Duration.ofSeconds(60);
+
+  private static final class Drain {
+    private final Instant since;
+    private final Set<RequestId> owed;
+    private boolean reported;
+
+    private Drain(Instant since, Set<RequestId> owed) {
+      this.since = since;
+      this.owed = owed;
+    }
+  }
+
+  private final Map<RequestId, NodeId> open = new TreeMap<>();
+  private final Set<RequestId> started = new TreeSet<>();
+  private final Map<NodeId, Drain> drains = new TreeMap<>();
+
+  @Override
+  public String name() {
+    return "drain";
+  }
+
+  @Override
+  public void observe(Instant at, Observation observation, Complaints complaints) {
+    switch (observation) {
+      case Observation.RequestSent sent -> open.put(sent.request(), sent.node());
+      case Observation.RunStarted run -> started.add(run.request());
+      case Observation.RequestEnded ended -> acceptEnd(ended, complaints);
+      case Observation.ConnectionClosed cut -> close(cut.request());
+      case Observation.DrainAsked asked ->
+          drains.putIfAbsent(asked.node(), new Drain(at, openOn(asked.node())));
+      case Observation.DrainDone done -> acceptDone(done.node(), complaints);
+      case Observation.NodeStopped stopped -> drains.remove(stopped.node());
+      case Observation.NodePaused paused -> drains.remove(paused.node());
+      case Observation.Tick tick -> findOverdue(at, complaints);
+      default -> {}
+    }
+  }
+
+  private void acceptEnd(Observation.RequestEnded ended, Complaints complaints) {
+    NodeId node = open.get(ended.request());
+    Drain drain = node == null ? null : drains.get(node);
+    boolean forDrain =
+        ended.ending() instanceof Ending.Refused refused
+            && refused.refusal().code() == ResultCode.DRAINING;
+    if (forDrain && drain != null && isInFlight(drain, ended.request())) {
+      complaints.add(ended.request() + " was running when " + node + " refused it to drain");
+    }
+    close(ended.request());
+  }
+
+  private boolean isInFlight(Drain drain, RequestId request) {
+    return drain.owed.contains(request) && started.contains(request);
+  }
+
+  private void acceptDone(NodeId node, Complaints complaints) {
+    Drain drain = drains.remove(node);
+    if (drain != null && !drain.owed.isEmpty()) {
+      complaints.add(node + " ended its drain with open requests " + drain.owed);
+    }
+  }
+
+  private void findOverdue(Instant at, Complaints complaints) {
+    drains.forEach(
+        (node, drain) -> {
+          if (!drain.reported && at.isAfter(drain.since.plus(LIMIT))) {
+            drain.reported = true;
+            complaints.add(node + " drains since " + drain.since + ", open " + drain.owed);
+          }
+        });
+  }
+
+  private void close(RequestId request) {
+    open.remove(request);
+    drains.values().forEach(drain -> drain.owed.remove(request));
+  }
+
+  private Set<RequestId> openOn(NodeId node) {
+    List<RequestId> found = new ArrayList<>();
+    open.forEach(
+        (request, at) -> {
+          if (at.equals(node)) {
+            found.add(request);
+          }
+        });
+    return new TreeSet<>(found);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/LeavingCheck.java
@@ -0,0 +1,36 @@
+package dev.wisteriarail.fuzz.oracle;
+
+import dev.wisteriarail.core.id.RunnerId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A backend server that is leaving gets no new work after a few seconds. */
+final class LeavingCheck implements Check {
+
+  /** Time from a runner's word that it leaves until no node decides to hand it work. */
+  private static final Duration LIMIT = Duration.ofSeconds(5);
+
+  private final Map<RunnerId, Instant> leavingSince = new TreeMap<>();
+
+  @Override
+  public String name() {
+    return "leaving";
+  }
+
+  @Override
+  public void observe(Instant at, Observation observation, Complaints complaints) {
+    switch (observation) {
+      case Observation.RunnerLeaving leaving -> leavingSince.put(leaving.runner(), at);
+      case Observation.RunnerBack back -> leavingSince.remove(back.runner());
+      case Observation.RunStarted run -> {
+        Instant since = leavingSince.get(run.runner());
+        if (since != null && run.formed().isAfter(since.plus(LIMIT))) {
+          complaints.add(run.request() + " runs on " + run.runner() + ", leaving since " + since);
+        }
+      }
+      default -> {}
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/NotRunCheck.java
@@ -0,0 +1,51 @@
+package dev.wisteriarail.fuzz.oracle;
+
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.request.Ending;
+import dev.wisteriarail.core.result.Execution;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** A refusal that says "not run" is true: the request did not run before, and never will. */
+final class NotRunCheck implements Check {
+
+  private final Set<RequestId> started = new TreeSet<>();
+  private final Map<RequestId, String> refused = new TreeMap<>();
+
+  @Override
+  public String name() {
+    return "not-run";
+  }
+
+  @Override
+  public void observe(Instant at, Observation observation, Complaints complaints) {
+    switch (observation) {
+      case Observation.RunStarted run -> {
+        started.add(run.request());
+        if (refused.containsKey(run.request())) {
+          complaints.add(
+              run.request()
+                  + " runs on "
+                  + run.runner()
+                  + " after it was refused as not run: "
+                  + refused.get(run.request()));
+        }
+      }
+      case Observation.RequestEnded ended -> acceptEnd(ended, complaints);
+      default -> {}
+    }
+  }
+
+  private void acceptEnd(Observation.RequestEnded ended, Complaints complaints) {
+    if (ended.ending() instanceof Ending.Refused refusal
+        && refusal.refusal().execution() == Execution.NOT_RUN) {
+      refused.put(ended.request(), refusal.refusal().code().name());
+      if (started.contains(ended.request())) {
+        complaints.add(ended.request() + " ran before it was refused as not run: " + refusal);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/Observation.java
@@ -0,0 +1,133 @@
+package dev.wisteriarail.fuzz.oracle;
+
+import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.id.IdempotencyKey;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.LogRecord;
+import dev.wisteriarail.core.request.Ending;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/** Something that a caller, a backend server, the log or an operator saw. */
+public sealed interface Observation {
+
+  // Callers
+
+  /**
+   * A caller's request reached a node.
+   *
+   * @param request the request
+   * @param node the node
+   * @param customer the customer
+   * @param key the idempotency key
+   * @param repeatable whether its kind may run twice
+   * @param deadline time from arrival until its answer has to have started
+   * @param answer the whole right answer
+   */
+  record RequestSent(
+      RequestId request,
+      NodeId node,
+      CustomerId customer,
+      Optional<IdempotencyKey> key,
+      boolean repeatable,
+      Duration deadline,
+      String answer)
+      implements Observation {}
+
+  /** A caller got a piece of an answer. */
+  record PieceReceived(RequestId request, String text) implements Observation {}
+
+  /** A caller was told that its request ended. */
+  record RequestEnded(RequestId request, Ending ending) implements Observation {}
+
+  /** A caller's connection was cut, by the death of the node or by the caller itself. */
+  record ConnectionClosed(RequestId request, boolean byCaller) implements Observation {}
+
+  // Backend servers
+
+  /**
+   * A backend server got a request.
+   *
+   * @param formed when the node decided to hand it over
+   * @param runs whether the backend server runs it; false if it answered from its memory of keys
+   */
+  record RunStarted(RequestId request, RunnerId runner, Instant formed, boolean runs)
+      implements Observation {}
+
+  /** A runner joined with its memory in bytes. */
+  record RunnerSeen(RunnerId runner, long memoryBytes) implements Observation {}
+
+  /** A replica took memory of a runner. */
+  record ReplicaHeld(RunnerId runner, ReplicaId replica, ModelId model, long bytes)
+      implements Observation {}
+
+  /** A replica's memory is free again. */
+  record ReplicaFreed(RunnerId runner, ReplicaId replica) implements Observation {}
+
+  /** A runner says that it is leaving. */
+  record RunnerLeaving(RunnerId runner) implements Observation {}
+
+  /** A runner that was leaving came back. */
+  record RunnerBack(RunnerId runner) implements Observation {}
+
+  // Log
+
+  /** A record was appended. */
+  record RecordAppended(LogRecord logged) implements Observation {}
+
+  /** A node's access to the log changed. */
+  record LogAccess(NodeId node, boolean available) implements Observation {}
+
+  // Nodes, as their operators see them
+
+  /** A node's process started. */
+  record NodeStarted(NodeId node) implements Observation {}
+
+  /** A node's process ended. */
+  record NodeStopped(NodeId node) implements Observation {}
+
+  /** A node's process stopped running until the given time. */
+  record NodePaused(NodeId node, Instant until) implements Observation {}
+
+  /** A node was told to drain. */
+  record DrainAsked(NodeId node) implements Observation {}
+
+  /** A node said that its drain is complete. */
+  record DrainDone(NodeId node) implements Observation {}
+
+  /**
+   * What a node's status page shows.
+   *
+   * @param revision the configuration's revision
+   * @param content digest of the configuration's content
+   * @param ready whether it takes callers
+   * @param controller whether it controls its cell
+   */
+  record NodeStatus(NodeId node, long revision, String content, boolean ready, boolean controller)
+      implements Observation {}
+
+  /** A node's core threw. */
+  record CoreFault(NodeId node, String fault) implements Observation {}
+
+  // Run
+
+  /** Time went on; checks look for what is overdue. */
+  record Tick() implements Observation {}
+
+  /** The last fault has been mended. */
+  record FaultsEnded() implements Observation {}
+
+  /** The time that the fleet has to recover is over. */
+  record RecoveryOver() implements Observation {}
+
+  /** A request was sent to a fleet that has everything it needs. */
+  record ProbeSent(RequestId request) implements Observation {}
+
+  /** The run is over. */
+  record RunEnded() implements Observation {}
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/ReplicaCheck.java
@@ -0,0 +1,97 @@
+package dev.wisteriarail.fuzz.oracle;
+
+import dev.wisteriarail.core.config.ModelSpec;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.RecordBody;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * No more replicas of a model are loaded than were decided.
+ *
+ * <p>A replica stands on one runner, and a model never has more replicas than the greatest limit
+ * published for it in the last seconds.
+ */
+final class ReplicaCheck implements Check {
+
+  /** Time within which a published limit is in force everywhere. */
+  private static final Duration IN_FORCE = Duration.ofSeconds(10);
+
+  private record Limit(Instant at, int most) {}
+
+  private record Place(RunnerId runner, ModelId model) {}
+
+  private final Map<ModelId, Deque<Limit>> limits = new TreeMap<>();
+  private final Map<ReplicaId, Place> held = new TreeMap<>();
+
+  @Override
+  public String name() {
+    return "replicas";
+  }
+
+  @Override
+  public void observe(Instant at, Observation observation, Complaints complaints) {
+    switch (observation) {
+      case Observation.RecordAppended appended -> {
+        if (appended.logged().body() instanceof RecordBody.ConfigurationChanged change) {
+          change.section().models().forEach(model -> addLimit(at, model));
+        }
+      }
+      case Observation.ReplicaHeld taken -> acceptHeld(at, taken, complaints);
+      case Observation.ReplicaFreed freed -> {
+        Place place = held.get(freed.replica());
+        if (place != null && place.runner().equals(freed.runner())) {
+          held.remove(freed.replica());
+        }
+      }
+      default -> {}
+    }
+  }
+
+  private void addLimit(Instant at, ModelSpec model) {
+    Deque<Limit> known = limits.computeIfAbsent(model.id(), id -> new ArrayDeque<>());
+    known.addLast(new Limit(at, model.maxReplicas()));
+  }
+
+  private void acceptHeld(Instant at, Observation.ReplicaHeld taken, Complaints complaints) {
+    Place before = held.put(taken.replica(), new Place(taken.runner(), taken.model()));
+    if (before != null && !before.runner().equals(taken.runner())) {
+      complaints.add(taken.replica() + " is on " + before.runner() + " and on " + taken.runner());
+    }
+    long count = held.values().stream().filter(p -> p.model().equals(taken.model())).count();
+    int most = greatestLimit(at, taken.model());
+    if (count > most) {
+      complaints.add(
+          "model "
+              + taken.model()
+              + " has "
+              + count
+              + " replicas, at most "
+              + most
+              + ": "
+              + held.entrySet().stream()
+                  .filter(entry -> entry.getValue().model().equals(taken.model()))
+                  .map(entry -> entry.getKey() + "@" + entry.getValue().runner())
+                  .toList());
+    }
+  }
+
+  private int greatestLimit(Instant at, ModelId model) {
+    Deque<Limit> known = limits.getOrDefault(model, new ArrayDeque<>());
+    while (known.size() > 1 && isReplacedLongAgo(known, at)) {
+      known.removeFirst();
+    }
+    return known.stream().mapToInt(Limit::most).max().orElse(0);
+  }
+
+  private static boolean isReplacedLongAgo(Deque<Limit> known, Instant at) {
+    Instant replaced = known.stream().skip(1).findFirst().orElseThrow().at();
+    return replaced.plus(IN_FORCE).isBefore(at);
+  }
+}
