--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -18,7 +18,13 @@
 
   private static final String PROGRAM = "wisteriarail";
   private static final List<Command> COMMANDS =
-      List.of(new ServeCommand(), new StandinCommand(), new DemoCommand(), new FuzzCommand());
+      List.of(
+          new AnswersCommand(),
+          new DemoCommand(),
+          new FuzzCommand(),
+          new LoadCommand(),
+          new ServeCommand(),
+          new StandinCommand());
 
   private Main() {}
 
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -20,6 +20,10 @@
   NOT_FOUND(1004, 404, "no such path"),
   /** The path does not take this method. */
   METHOD_NOT_ALLOWED(1005, 405, "the path does not take this method"),
+  /** The request header exceeds the size limit. */
+  HEADERS_TOO_LARGE(1006, 431, "the request header exceeds the size limit"),
+  /** The node holds as many open requests as it may. */
+  NODE_FULL(1007, 503, "the node holds as many open requests as it may"),
   /** The bearer token is missing or unknown. */
   UNAUTHENTICATED(1101, 401, "the bearer token is missing or unknown"),
   /** The model does not exist or belongs to another customer. */
@@ -56,6 +60,10 @@
   IDEMPOTENCY_KEY_EXPIRED(1303, 409, "the idempotency key is older than the log keeps"),
   /** The request was handed to a backend server and its outcome is not known. */
   OUTCOME_UNKNOWN(1304, 502, "the request was handed over and its outcome is not known"),
+  /** Not all used idempotency keys are known to the node. */
+  KEYS_INCOMPLETE(1310, 503, "not all used idempotency keys are known to the node"),
+  /** The request ran and its answer is not kept. */
+  ANSWER_NOT_KEPT(1311, 409, "the request ran and its answer is not kept"),
   /** The backend server failed. */
   BACKEND_FAILED(1401, 502, "the backend server failed"),
   /** The backend server refused the request. */
@@ -101,6 +109,42 @@
   /** The section changed since the revision that the change was based on. */
   REVISION_CONFLICT(
       3102, 409, "the section changed since the revision that the change was based on"),
+  /** The answers are not valid TOML. */
+  ANSWERS_SYNTAX(3110, 400, "the answers are not valid TOML"),
+  /** An answer is missing or has a wrong value. */
+  ANSWER_VALUE_INVALID(3111, 400, "an answer is missing or has a wrong value"),
+  /** An answer's key is not known. */
+  ANSWER_KEY_UNKNOWN(3112, 400, "an answer's key is not known"),
+  /** An identifier is used twice. */
+  IDENTIFIER_DUPLICATE(3113, 409, "an identifier is used twice"),
+  /** An answer refers to something that no section describes. */
+  REFERENCE_UNKNOWN(3114, 400, "an answer refers to something that no section describes"),
+  /** A number is out of its bounds. */
+  ANSWER_OUT_OF_BOUNDS(3115, 400, "a number is out of its bounds"),
+  /** Two sections answer for the whole deployment. */
+  DEPLOYMENT_DUPLICATE(3116, 409, "two sections answer for the whole deployment"),
+  /** An identifier has characters that are not allowed. */
+  IDENTIFIER_INVALID(3117, 400, "an identifier has characters that are not allowed"),
+  /** An answer is allowed but probably not meant. */
+  ANSWER_DOUBTFUL(3118, 200, "an answer is allowed but probably not meant"),
+  /** Whether the change was published is not known. */
+  PUBLISH_UNKNOWN(3120, 503, "whether the change was published is not known"),
+  /** The log does not hold the revision that was asked for. */
+  REVISION_UNKNOWN(3121, 404, "the log does not hold the revision that was asked for"),
+
+  // Placement and replay.
+  /** No placement policy has this name. */
+  PLACEMENT_POLICY_UNKNOWN(3210, 400, "no placement policy has this name"),
+  /** A line of a trace is malformed. */
+  TRACE_LINE_INVALID(3211, 400, "a line of a trace is malformed"),
+  /** A line of a trace names something that the deployment does not have. */
+  TRACE_NAME_UNKNOWN(3212, 400, "a trace names something that the deployment does not have"),
+  /** The lines of a trace are not in order of time. */
+  TRACE_OUT_OF_ORDER(3213, 400, "the lines of a trace are not in order of time"),
+  /** A line of a file of faults is malformed. */
+  FAULT_LINE_INVALID(3214, 400, "a line of a file of faults is malformed"),
+  /** A plot or table cannot be written. */
+  REPORT_UNWRITABLE(3215, 400, "a plot or table cannot be written"),
 
   // Internal.
   /** An internal error. */
