--- a/src/main/java/dev/wisteriarail/fuzz/Fleet.java
+++ b/src/main/java/dev/wisteriarail/fuzz/Fleet.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.placement.PlacementPolicy;
 import dev.wisteriarail.fuzz.oracle.AcceptedChanges;
 import dev.wisteriarail.fuzz.oracle.Observation;
 import java.time.Duration;
@@ -20,6 +21,9 @@
 /** The nodes of a run and all the fakes around them. */
 final class Fleet {
 
+  /** Idle time that makes unloading frequent in a short run. */
+  private static final Duration SHORT_IDLE_TIMEOUT = Duration.ofSeconds(6);
+
   private final World world;
   private final Defect defect;
   private final Chance chance;
@@ -47,8 +51,12 @@
   /** Returns a fleet whose nodes have not started. */
   static Fleet create(World world, int nodes, Defect defect) {
     Fleet fleet = new Fleet(world, defect);
+    PlacementPolicy policy =
+        fleet.chance.happens(0.5)
+            ? PlacementPolicy.arrivalDriven()
+            : PlacementPolicy.fixedTimeout(SHORT_IDLE_TIMEOUT);
     for (int i = 0; i < nodes; i++) {
-      fleet.nodes.add(new SimulatedNode(world, fleet, i));
+      fleet.nodes.add(new SimulatedNode(world, fleet, i, policy));
     }
     KeyMemory keys = new KeyMemory();
     Deployment.runners()
--- a/src/test/java/dev/wisteriarail/fuzz/DefectTest.java
+++ b/src/test/java/dev/wisteriarail/fuzz/DefectTest.java
@@ -30,6 +30,7 @@
     "whole-answer, LOSES_A_PIECE",
     "whole-answer, REPEATS_A_PIECE",
     "not-run, SAYS_NOT_RUN_AFTER_DISPATCH",
+    "at-most-once, DISPATCHES_TWICE",
     "leaving, IGNORES_LEAVING",
     "drain, DRAINS_AT_ONCE",
     "drain, NEVER_DRAINS",
