Make the deliberate defect of the configuration check one that peers cannot heal

Cause: with peers passing accepted revisions on, a core that skips changes in the log still gets them, so the defect was no longer a defect. Change: the defective core also ignores peers' offers. The check is unchanged. Conclusion: the configuration check still sees a node that misses changes.

--- a/src/test/java/dev/wisteriarail/fuzz/Defects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/Defects.java
@@ -9,7 +9,9 @@
 import dev.wisteriarail.core.id.OrderId;
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.LogRecord;
 import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.peer.PeerMessage;
 import dev.wisteriarail.core.request.Ending;
 import dev.wisteriarail.core.request.Refusal;
 import dev.wisteriarail.core.request.Target;
@@ -98,17 +100,25 @@
   MISSES_CHANGES {
     @Override
     public Event alter(NodeId node, Event event) {
-      return event instanceof Event.LogRead read && node.equals(NodeId.of("n1"))
-          ? new Event.LogRead(
-              read.records().stream()
-                  .filter(
-                      logged ->
-                          !(logged.body() instanceof RecordBody.ConfigurationChanged change)
-                              || change.basedOn().value() == 0)
-                  .toList(),
-              read.nextOffset(),
-              read.firstOffset())
-          : event;
+      if (!node.equals(NodeId.of("n1"))) {
+        return event;
+      }
+      return switch (event) {
+        case Event.LogRead read ->
+            new Event.LogRead(
+                read.records().stream().filter(logged -> !isLaterChange(logged)).toList(),
+                read.nextOffset(),
+                read.firstOffset());
+        case Event.PeerReceived received
+            when received.message() instanceof PeerMessage.StateOffered ->
+            new Event.TimerFired();
+        default -> event;
+      };
+    }
+
+    private static boolean isLaterChange(LogRecord logged) {
+      return logged.body() instanceof RecordBody.ConfigurationChanged change
+          && change.basedOn().value() != 0;
     }
   },
   REFUSES_EVERYTHING {
