--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -68,7 +68,7 @@
     logState = LogState.create(settings.cell(), List.of(configurations, ledger));
     snapshots = SnapshotWriter.create(settings);
     catchUp = PeerCatchUp.create(configurations, logState, logHealth);
-    requests = RequestTable.create(settings, Router.create());
+    requests = RequestTable.create(settings, Router.create(settings.failureDomain()));
   }
 
   /** Returns the core of a node that has read nothing yet. */
@@ -96,11 +96,12 @@
     switch (event) {
       case Event.RequestArrived arrived -> acceptRequest(arrived.request(), step);
       case Event.CallerLeft left -> requests.acceptCallerLeft(left.request(), runners, step);
-      case Event.AttemptProgressed progress -> requests.acceptProgress(progress, step);
-      case Event.AttemptEnded ended -> requests.acceptEnd(ended, runners, step);
+      case Event.AttemptProgressed progress -> requests.acceptProgress(progress, context(step));
+      case Event.AttemptEnded ended -> requests.acceptEnd(ended, context(step));
       case Event.EngineReported reported -> {
         runners.acceptReport(reported.report());
         controller.acceptReport(reported.report(), step);
+        requests.acceptReport(reported.report(), step);
       }
       case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
       case Event.OrderAnswered answered ->
@@ -237,9 +238,9 @@
                           claim.holder(), new PeerMessage.DemandReported(demands))));
     }
     nextDemandReport =
-        requests.isEmpty()
-            ? Optional.empty()
-            : Optional.of(step.now().plus(settings.timings().demandReport()));
+        requests.hasDemand()
+            ? Optional.of(step.now().plus(settings.timings().demandReport()))
+            : Optional.empty();
   }
 
   private void finishDrain(Step step) {
--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -26,6 +26,11 @@
   /** A caller left before the end of the answer. */
   CALLER_LEFT(204, "caller left"),
 
+  /** A request's content crashed several backend servers and is refused. */
+  POISON_FOUND(210, "poison request found"),
+  /** A failed attempt is tried again. */
+  REQUEST_RETRIED(211, "request retried"),
+
   // Control of cells
   /** The node became the controller of its cell. */
   CONTROL_GAINED(300, "control gained"),
--- a/src/main/java/dev/wisteriarail/core/log/RecordBody.java
+++ b/src/main/java/dev/wisteriarail/core/log/RecordBody.java
@@ -165,6 +165,37 @@
     }
   }
 
+  // Requests that crash backend servers
+
+  /**
+   * States that a backend server was lost while it ran a request.
+   *
+   * @param fingerprint hash of the request's customer, target and content
+   * @param runner the backend server
+   * @param incarnation the run of it that was lost
+   */
+  record CrashSuspected(String fingerprint, RunnerId runner, Incarnation incarnation)
+      implements RecordBody {}
+
+  /**
+   * Takes back a {@link CrashSuspected}: that run of the backend server was not lost.
+   *
+   * @param fingerprint hash of the request's customer, target and content
+   * @param runner the backend server
+   * @param incarnation the run of it
+   */
+  record CrashRetracted(String fingerprint, RunnerId runner, Incarnation incarnation)
+      implements RecordBody {}
+
+  /**
+   * Clears a request's content of all crashes, after it completed or by an operator.
+   *
+   * @param fingerprint hash of the request's customer, target and content
+   * @param author the node or operator
+   * @param reason an English sentence
+   */
+  record SuspicionCleared(String fingerprint, String author, String reason) implements RecordBody {}
+
   // Configuration
 
   /**
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/Admission.java
@@ -0,0 +1,140 @@
+package dev.wisteriarail.core.request;
+
+import dev.wisteriarail.core.config.AdapterSpec;
+import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.config.CustomerSpec;
+import dev.wisteriarail.core.config.KindSpec;
+import dev.wisteriarail.core.config.ModelSpec;
+import dev.wisteriarail.core.config.Urgency;
+import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.result.ResultCode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Checks a request against the configuration and its customer's limits before it is taken.
+ *
+ * <p>Life cycle: one per node. Not thread-safe; owned by the request table.
+ */
+final class Admission {
+
+  private static final Duration QUEUE_RETRY = Duration.ofSeconds(1);
+
+  private final Map<CustomerId, TokenBucket> rates = new TreeMap<>();
+
+  private Admission() {}
+
+  /** Returns an admission that has let nobody in yet. */
+  static Admission create() {
+    return new Admission();
+  }
+
+  /**
+   * Returns why a request is refused, or nothing if it may come in.
+   *
+   * @param waiting requests of the same customer that wait on this node
+   */
+  Optional<Refusal> check(
+      InboundRequest request, Configuration configuration, int waiting, Instant now) {
+    return checkKind(request, configuration)
+        .or(() -> checkTarget(request, configuration))
+        .or(() -> checkLimits(request, configuration, waiting, now));
+  }
+
+  // Overrides
+
+  /** Returns the class of a request: a caller may lower its kind's class, and never raise it. */
+  static Urgency urgency(InboundRequest request, KindSpec kind) {
+    return request
+        .urgency()
+        .filter(wanted -> wanted.compareTo(kind.urgency()) > 0)
+        .orElse(kind.urgency());
+  }
+
+  /** Returns the time that a request may wait: at most that of the most patient kind. */
+  static Duration deadline(InboundRequest request, KindSpec kind, Configuration configuration) {
+    Duration wanted = request.deadline().orElse(kind.deadline());
+    Duration longest =
+        configuration.kinds().values().stream()
+            .map(KindSpec::deadline)
+            .max(Duration::compareTo)
+            .orElse(wanted);
+    return wanted.compareTo(longest) < 0 ? wanted : longest;
+  }
+
+  // Checks
+
+  private static Optional<Refusal> checkKind(InboundRequest request, Configuration configuration) {
+    KindSpec kind = configuration.kinds().get(request.kind());
+    if (kind == null) {
+      return refuse(ResultCode.KIND_UNKNOWN, "no kind of request named " + request.kind());
+    }
+    if (!kind.repeatable() && request.key().isEmpty()) {
+      return refuse(
+          ResultCode.IDEMPOTENCY_KEY_MISSING, "send an Idempotency-Key with " + kind.id());
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<Refusal> checkTarget(
+      InboundRequest request, Configuration configuration) {
+    return switch (request.target()) {
+      case Target.ModelTarget target -> checkModel(request, target, configuration);
+      case Target.ServiceTarget target ->
+          configuration.services().containsKey(target.service())
+              ? Optional.empty()
+              : refuse(ResultCode.SERVICE_UNKNOWN, "no service named " + target.service());
+    };
+  }
+
+  private static Optional<Refusal> checkModel(
+      InboundRequest request, Target.ModelTarget target, Configuration configuration) {
+    ModelSpec model = configuration.models().get(target.model());
+    if (model == null || !model.customer().equals(request.customer())) {
+      return refuse(ResultCode.MODEL_UNKNOWN, "no model named " + target.model());
+    }
+    if (target.adapter().isEmpty()) {
+      return Optional.empty();
+    }
+    AdapterSpec adapter = configuration.adapters().get(target.adapter().get());
+    boolean usable =
+        adapter != null
+            && adapter.customer().equals(request.customer())
+            && adapter.model().equals(target.model());
+    return usable
+        ? Optional.empty()
+        : refuse(
+            ResultCode.ADAPTER_UNKNOWN,
+            "no adapter named " + target.adapter().get() + " of model " + target.model());
+  }
+
+  private Optional<Refusal> checkLimits(
+      InboundRequest request, Configuration configuration, int waiting, Instant now) {
+    CustomerSpec customer = configuration.customers().get(request.customer());
+    if (customer == null) {
+      return Optional.empty();
+    }
+    if (waiting >= customer.queueLimit()) {
+      return Optional.of(
+          Refusal.notRun(
+              ResultCode.QUEUE_FULL, waiting + " requests wait on this node", QUEUE_RETRY));
+    }
+    TokenBucket rate =
+        rates.computeIfAbsent(customer.id(), id -> TokenBucket.full(now, customer.burst()));
+    if (rate.take(now, customer.requestsPerSecond(), customer.burst())) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        Refusal.notRun(
+            ResultCode.RATE_LIMITED,
+            "the limit is " + customer.requestsPerSecond() + " requests a second on each node",
+            rate.untilNext(customer.requestsPerSecond())));
+  }
+
+  private static Optional<Refusal> refuse(ResultCode code, String detail) {
+    return Optional.of(Refusal.notRun(code, detail));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/DemandTally.java
@@ -0,0 +1,101 @@
+package dev.wisteriarail.core.request;
+
+import dev.wisteriarail.core.config.Urgency;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.peer.Demand;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Counts what the callers of a node want of each model, for the controller.
+ *
+ * <p>Life cycle: one per node. Not thread-safe; owned by the request table.
+ */
+final class DemandTally {
+
+  private static final Duration NO_DEADLINE = Duration.ofDays(1);
+
+  /** Callers that were told to come back once a model is loaded. */
+  private record Expected(Urgency urgency, Instant until) {}
+
+  private final Map<ModelId, Integer> arrivals = new TreeMap<>();
+  private final Map<ModelId, Expected> expected = new TreeMap<>();
+
+  /** Counts a request that arrived. */
+  void recordArrival(Target target) {
+    if (target instanceof Target.ModelTarget wanted) {
+      arrivals.merge(wanted.model(), 1, Integer::sum);
+    }
+  }
+
+  /** Notes that a caller was told to come back at a time, when its idle model can be ready. */
+  void expect(Target target, Urgency urgency, Instant until) {
+    if (target instanceof Target.ModelTarget wanted) {
+      arrivals.merge(wanted.model(), 1, Integer::sum);
+      expected.put(wanted.model(), new Expected(urgency, until));
+    }
+  }
+
+  /** Returns whether callers are expected back. */
+  boolean isExpecting() {
+    return !expected.isEmpty();
+  }
+
+  /**
+   * Returns the wants, and forgets the counted arrivals.
+   *
+   * @param waiting waiting requests in groups of one target and class
+   * @param inFlight attempts that run, by target
+   */
+  List<Demand> take(
+      Iterable<? extends Collection<PendingRequest>> waiting,
+      Map<TargetKey, Integer> inFlight,
+      Instant now) {
+    Map<ModelId, Demand> wanted = new TreeMap<>();
+    for (Collection<PendingRequest> group : waiting) {
+      addGroup(group, wanted, now);
+    }
+    inFlight.forEach((target, count) -> addRunning(target, count, wanted));
+    expected.values().removeIf(callers -> !now.isBefore(callers.until()));
+    expected.forEach((model, callers) -> addExpected(model, callers, wanted, now));
+    arrivals.forEach(
+        (model, count) ->
+            wanted.computeIfPresent(model, (id, demand) -> demand.withArrivals(count)));
+    arrivals.clear();
+    return List.copyOf(wanted.values());
+  }
+
+  private static void addGroup(
+      Collection<PendingRequest> group, Map<ModelId, Demand> wanted, Instant now) {
+    PendingRequest head = group.iterator().next();
+    if (head.request().target() instanceof Target.ModelTarget target) {
+      Duration remaining = Duration.between(now, head.deadline());
+      add(
+          new Demand(
+              target.model(), target.adapter(), head.urgency(), group.size(), 0, 0, remaining),
+          wanted);
+    }
+  }
+
+  private static void addRunning(TargetKey target, int count, Map<ModelId, Demand> wanted) {
+    if (!target.service() && count > 0) {
+      ModelId model = ModelId.of(target.name());
+      add(new Demand(model, Optional.empty(), Urgency.BATCH, 0, count, 0, NO_DEADLINE), wanted);
+    }
+  }
+
+  private static void addExpected(
+      ModelId model, Expected callers, Map<ModelId, Demand> wanted, Instant now) {
+    Duration remaining = Duration.between(now, callers.until());
+    add(new Demand(model, Optional.empty(), callers.urgency(), 1, 0, 0, remaining), wanted);
+  }
+
+  private static void add(Demand demand, Map<ModelId, Demand> wanted) {
+    wanted.merge(demand.model(), demand, Demand::plus);
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/request/IntentGate.java
+++ b/src/main/java/dev/wisteriarail/core/request/IntentGate.java
@@ -181,11 +181,16 @@
             reason));
   }
 
-  /** Gives up a request that was never handed over, and frees its key where it holds it. */
-  void giveUp(PendingRequest pending) {
+  /** Lets an ended request go, and frees its key where it holds it and was never handed over. */
+  void close(PendingRequest pending) {
     remove(pending);
     recorder.forget(intentOf(pending));
-    if (ledger.find(pending.intentKey()).filter(state -> holds(pending, state)).isPresent()) {
+    boolean holdsOpenKey =
+        ledger
+            .find(pending.intentKey())
+            .filter(state -> state.isOpen() && holds(pending, state))
+            .isPresent();
+    if (holdsOpenKey && !pending.handedOver()) {
       recorder.offer(releaseOf(intentOf(pending)));
     }
   }
--- a/src/main/java/dev/wisteriarail/core/request/PendingRequest.java
+++ b/src/main/java/dev/wisteriarail/core/request/PendingRequest.java
@@ -2,47 +2,74 @@
 
 import dev.wisteriarail.core.config.Urgency;
 import dev.wisteriarail.core.id.AttemptId;
+import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.routing.Route;
+import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /** A request between its arrival and its ending. Mutable; owned by the request table. */
 final class PendingRequest {
 
+  /** Time without a piece after which an answer that has started counts as cut. */
+  static final Duration STALL_LIMIT = Duration.ofSeconds(30);
+
   /** Where a request stands. */
   enum Phase {
     /** Its key is not settled: the intent is being recorded, or another request holds the key. */
     HELD,
     /** Waits for a runner. */
     QUEUED,
+    /** Waits for the time of its next attempt. */
+    DELAYED,
     /** Was handed to a runner. */
     DISPATCHED
   }
 
+  /** A runner that failed the request: avoided for a time, and as long as it is the same run. */
+  private record Avoidance(Instant until, Incarnation during) {}
+
+  private final long sequence;
   private final InboundRequest request;
+  private final TargetKey target;
   private final Urgency urgency;
   private final Instant arrival;
   private final Instant deadline;
   private final boolean onlyOnce;
   private final StringBuilder answer = new StringBuilder();
+  private final Map<RunnerId, Avoidance> avoided = new TreeMap<>();
   private Phase phase = Phase.QUEUED;
   private Optional<String> contentHash = Optional.empty();
+  private Optional<String> fingerprint = Optional.empty();
   private Optional<AttemptId> attempt = Optional.empty();
-  private Optional<RunnerId> runner = Optional.empty();
+  private Optional<Route> route = Optional.empty();
+  private Instant startedAt = Instant.EPOCH;
+  private Instant due;
+  private boolean handedOver;
   private boolean callerLeft;
+  private double charged;
+  private int failures;
+  private int resumes;
   private long delivered;
 
   PendingRequest(
+      long sequence,
       InboundRequest request,
       Urgency urgency,
       Instant arrival,
       Instant deadline,
       boolean onlyOnce) {
+    this.sequence = sequence;
     this.request = request;
     this.urgency = urgency;
     this.arrival = arrival;
     this.deadline = deadline;
     this.onlyOnce = onlyOnce;
+    target = TargetKey.of(request.target());
+    due = deadline;
   }
 
   // Updates
@@ -53,14 +80,45 @@
 
   void queue() {
     phase = Phase.QUEUED;
-    attempt = Optional.empty();
-    runner = Optional.empty();
+    due = deadline;
+  }
+
+  /** Waits until a time for its next attempt, or until its deadline if that is earlier. */
+  void delayUntil(Instant time) {
+    phase = Phase.DELAYED;
+    due = time.isBefore(deadline) ? time : deadline;
   }
 
-  void start(AttemptId newAttempt, RunnerId newRunner) {
+  void start(AttemptId newAttempt, Route newRoute, Instant now) {
     phase = Phase.DISPATCHED;
     attempt = Optional.of(newAttempt);
-    runner = Optional.of(newRunner);
+    route = Optional.of(newRoute);
+    startedAt = now;
+    due = delivered == 0 && now.isBefore(deadline) ? deadline : now.plus(STALL_LIMIT);
+  }
+
+  /** Notes that the attempt ended without an answer. */
+  void fail(AttemptOutcome outcome, Instant avoidUntil, Incarnation during) {
+    failures++;
+    if (!(outcome instanceof AttemptOutcome.NotHandedOver)) {
+      handedOver = true;
+    }
+    avoided.put(runner().orElseThrow(), new Avoidance(avoidUntil, during));
+    attempt = Optional.empty();
+  }
+
+  /** Notes the virtual time that its customer was charged for the present attempt. */
+  void charge(double virtualTime) {
+    charged = virtualTime;
+  }
+
+  void countResume() {
+    resumes++;
+  }
+
+  /** Sets when the attempt is given up unless it gets on. */
+  void extend(Instant now) {
+    due = now.plus(STALL_LIMIT);
   }
 
   /**
@@ -79,6 +137,14 @@
 
   // Accessors
 
+  long sequence() {
+    return sequence;
+  }
+
+  TargetKey target() {
+    return target;
+  }
+
   InboundRequest request() {
     return request;
   }
@@ -94,6 +160,14 @@
     return contentHash.get();
   }
 
+  /** Returns the hash by which a content that crashes backend servers is known again. */
+  String fingerprint() {
+    if (fingerprint.isEmpty()) {
+      fingerprint = Optional.of(Fingerprints.ofCustomersContent(request));
+    }
+    return fingerprint.get();
+  }
+
   Urgency urgency() {
     return urgency;
   }
@@ -119,8 +193,48 @@
     return attempt;
   }
 
+  /** Returns the runner of the last attempt. */
   Optional<RunnerId> runner() {
-    return runner;
+    return route.map(Route::runner);
+  }
+
+  Optional<Route> route() {
+    return route;
+  }
+
+  Instant startedAt() {
+    return startedAt;
+  }
+
+  /** Returns when something has to be done about the request if nothing happens before. */
+  Instant due() {
+    return due;
+  }
+
+  /** Returns whether a byte of it may have reached a backend server. */
+  boolean handedOver() {
+    return handedOver || phase == Phase.DISPATCHED;
+  }
+
+  /** Returns whether it failed on a runner that may still be in the same failure. */
+  boolean avoids(RunnerId runner, Incarnation present, Instant now) {
+    Avoidance avoidance = avoided.get(runner);
+    return avoidance != null
+        && present.compareTo(avoidance.during()) <= 0
+        && now.isBefore(avoidance.until());
+  }
+
+  double charged() {
+    return charged;
+  }
+
+  /** Returns the number of failed attempts. */
+  int failures() {
+    return failures;
+  }
+
+  int resumes() {
+    return resumes;
   }
 
   long delivered() {
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/PoisonLedger.java
@@ -0,0 +1,113 @@
+package dev.wisteriarail.core.request;
+
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.RecordBody;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Which requests were running when backend servers crashed, counted by the requests' content.
+ *
+ * <p>A content that was there at {@link #CRASH_LIMIT} crashes is poison until {@link
+ * #POISON_EXPIRY} after the last one. One that was there at fewer is a suspect until it completes,
+ * or until {@link #SUSPICION_EXPIRY} after the last one.
+ *
+ * <p>Life cycle: one per node, fed from the log and with what the node saw itself. Not thread-safe;
+ * owned by the node's core.
+ */
+final class PoisonLedger {
+
+  /** Crashes of backend servers, over the whole fleet, after which a content is refused. */
+  static final int CRASH_LIMIT = 2;
+
+  /** Time for which a content is refused after its last crash. */
+  static final Duration POISON_EXPIRY = Duration.ofHours(1);
+
+  /** Time for which a content is suspected after its last crash. */
+  static final Duration SUSPICION_EXPIRY = Duration.ofMinutes(10);
+
+  /** One crash: a run of a backend server ends only once. */
+  private record Crash(RunnerId runner, Incarnation incarnation) implements Comparable<Crash> {
+    @Override
+    public int compareTo(Crash other) {
+      int order = runner.compareTo(other.runner);
+      return order != 0 ? order : incarnation.compareTo(other.incarnation);
+    }
+  }
+
+  /** The crashes at which a content was there. */
+  private static final class Suspicion {
+    private final Set<Crash> crashes = new TreeSet<>();
+    private Instant last = Instant.EPOCH;
+
+    boolean isPoison() {
+      return crashes.size() >= CRASH_LIMIT;
+    }
+
+    boolean isOver(Instant now) {
+      return !now.isBefore(last.plus(isPoison() ? POISON_EXPIRY : SUSPICION_EXPIRY));
+    }
+  }
+
+  private final Map<String, Suspicion> suspicions = new TreeMap<>();
+
+  /**
+   * Applies a record.
+   *
+   * @return whether a content has become poison by it
+   */
+  boolean apply(RecordBody body, Instant now) {
+    switch (body) {
+      case RecordBody.CrashSuspected suspected -> {
+        return add(suspected, now);
+      }
+      case RecordBody.CrashRetracted retracted -> {
+        Suspicion suspicion = suspicions.get(retracted.fingerprint());
+        if (suspicion != null) {
+          suspicion.crashes.remove(new Crash(retracted.runner(), retracted.incarnation()));
+          dropIfEmpty(retracted.fingerprint(), suspicion);
+        }
+      }
+      case RecordBody.SuspicionCleared cleared -> suspicions.remove(cleared.fingerprint());
+      default -> {}
+    }
+    return false;
+  }
+
+  private boolean add(RecordBody.CrashSuspected suspected, Instant now) {
+    suspicions.values().removeIf(suspicion -> suspicion.isOver(now));
+    Suspicion suspicion =
+        suspicions.computeIfAbsent(suspected.fingerprint(), print -> new Suspicion());
+    boolean before = suspicion.isPoison();
+    if (suspicion.crashes.add(new Crash(suspected.runner(), suspected.incarnation()))) {
+      suspicion.last = now;
+    }
+    return !before && suspicion.isPoison();
+  }
+
+  private void dropIfEmpty(String fingerprint, Suspicion suspicion) {
+    if (suspicion.crashes.isEmpty()) {
+      suspicions.remove(fingerprint);
+    }
+  }
+
+  // Accessors
+
+  boolean isEmpty() {
+    return suspicions.isEmpty();
+  }
+
+  boolean isPoison(String fingerprint, Instant now) {
+    Suspicion suspicion = suspicions.get(fingerprint);
+    return suspicion != null && suspicion.isPoison() && !suspicion.isOver(now);
+  }
+
+  boolean isSuspect(String fingerprint) {
+    return suspicions.containsKey(fingerprint);
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/request/Refusal.java
+++ b/src/main/java/dev/wisteriarail/core/request/Refusal.java
@@ -26,6 +26,11 @@
     return new Refusal(code, Execution.NOT_RUN, detail, Optional.empty());
   }
 
+  /** Returns a refusal of a repeatable request that was handed over; it may be sent again. */
+  public static Refusal mayHaveRun(ResultCode code, String detail, Duration retryAfter) {
+    return new Refusal(code, Execution.MAY_HAVE_RUN, detail, Optional.of(retryAfter));
+  }
+
   /** Returns the ending of a request that was handed over without a known outcome. */
   public static Refusal outcomeUnknown(ResultCode code, String detail) {
     return new Refusal(code, Execution.MAY_HAVE_RUN, detail, Optional.empty());
--- a/src/main/java/dev/wisteriarail/core/request/RequestTable.java
+++ b/src/main/java/dev/wisteriarail/core/request/RequestTable.java
@@ -7,32 +7,29 @@
 import dev.wisteriarail.core.Step;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.KindSpec;
-import dev.wisteriarail.core.config.ModelSpec;
-import dev.wisteriarail.core.config.ServiceSpec;
+import dev.wisteriarail.core.engine.EngineReport;
 import dev.wisteriarail.core.event.EventCode;
-import dev.wisteriarail.core.id.AttemptId;
-import dev.wisteriarail.core.id.ModelId;
 import dev.wisteriarail.core.id.RecordId;
 import dev.wisteriarail.core.id.RequestId;
-import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.log.AppendOutcome;
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.log.RecordBody.IntentChange;
 import dev.wisteriarail.core.peer.Demand;
+import dev.wisteriarail.core.request.PendingRequest.Phase;
 import dev.wisteriarail.core.result.Execution;
 import dev.wisteriarail.core.result.ResultCode;
-import dev.wisteriarail.core.routing.Route;
 import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * The requests of a node's callers, from arrival to their one ending.
@@ -42,21 +39,35 @@
 public final class RequestTable {
 
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+  private static final Duration REVIEW_INTERVAL = Duration.ofMillis(100);
+  private static final Duration AVOID_AFTER_REFUSAL = Duration.ofMillis(200);
+  private static final Duration AVOID_AFTER_BREAK = Duration.ofHours(1);
+  private static final Comparator<PendingRequest> BY_DUE =
+      Comparator.comparing(PendingRequest::due).thenComparingLong(PendingRequest::sequence);
 
-  private final NodeSettings settings;
-  private final Router router;
   private final IntentLedger ledger = IntentLedger.create(IntentLimits.DEFAULT);
   private final IntentGate gate;
+  private final Admission admission = Admission.create();
+  private final WaitingQueue queue = WaitingQueue.create();
+  private final StartEstimator estimator = StartEstimator.create();
+  private final DemandTally demand = new DemandTally();
+  private final RetryPolicy retries;
+  private final PoisonGuard poison;
+  private final AttemptBook attempts;
+  private final Dispatcher dispatcher;
   private final Map<RequestId, PendingRequest> requests = new LinkedHashMap<>();
-  private final Map<AttemptId, RequestId> attempts = new HashMap<>();
-  private final Map<ModelId, Integer> arrivals = new TreeMap<>();
-  private long attemptSequence;
+  private final TreeSet<PendingRequest> byDue = new TreeSet<>(BY_DUE);
+  private final TreeSet<PendingRequest> delayed = new TreeSet<>(WaitingQueue.BY_DEADLINE);
+  private Instant nextReview = Instant.EPOCH;
+  private long sequence;
   private long nextOffset;
 
   private RequestTable(NodeSettings settings, Router router) {
-    this.settings = settings;
-    this.router = router;
     gate = IntentGate.create(settings, IntentLimits.DEFAULT, ledger);
+    retries = RetryPolicy.create(settings);
+    poison = PoisonGuard.create(settings);
+    attempts = AttemptBook.create(settings);
+    dispatcher = new Dispatcher(queue, attempts, estimator, retries, router, poison);
   }
 
   /** Returns the table of a node without requests. */
@@ -70,115 +81,174 @@
   public void accept(InboundRequest request, RequestContext context) {
     Step step = context.step();
     Configuration configuration = context.configuration();
-    Optional<Refusal> refusal = check(request, configuration);
+    Optional<Refusal> refusal =
+        admission
+            .check(request, configuration, queue.size(request.customer()), step.now())
+            .or(() -> poison.check(request, false, step.now()));
     if (refusal.isPresent()) {
       step.emit(new Effect.EndRequest(request.id(), new Ending.Refused(refusal.get())));
       return;
     }
-    KindSpec kind = configuration.kinds().get(request.kind());
-    Duration limit = request.deadline().orElse(kind.deadline());
-    PendingRequest pending =
-        new PendingRequest(
-            request,
-            request.urgency().orElse(kind.urgency()),
-            step.now(),
-            step.now().plus(limit),
-            needsIntent(request, kind, configuration));
-    requests.put(request.id(), pending);
-    if (request.target() instanceof Target.ModelTarget target) {
-      arrivals.merge(target.model(), 1, Integer::sum);
+    PendingRequest pending = open(request, configuration, step.now());
+    demand.recordArrival(request.target());
+    if (refuseIfTooLate(pending, context)) {
+      return;
     }
     if (pending.onlyOnce()) {
       pending.hold();
       gate.add(pending);
       settle(pending, context);
+    } else {
+      queue.add(pending);
     }
   }
 
+  private PendingRequest open(InboundRequest request, Configuration configuration, Instant now) {
+    KindSpec kind = configuration.kinds().get(request.kind());
+    sequence++;
+    PendingRequest pending =
+        new PendingRequest(
+            sequence,
+            request,
+            Admission.urgency(request, kind),
+            now,
+            now.plus(Admission.deadline(request, kind, configuration)),
+            !kind.repeatable() && !deduplicates(request, configuration));
+    requests.put(request.id(), pending);
+    byDue.add(pending);
+    return pending;
+  }
+
   /**
    * Takes that a caller has left. Its request is dropped, but for a non-repeatable one that was
    * handed over: that runs on, so that a repeat finds its answer.
    */
   public void acceptCallerLeft(RequestId request, RunnerTable runners, Step step) {
     PendingRequest pending = requests.get(request);
-    if (pending == null) {
+    if (pending == null || pending.callerLeft()) {
       return;
     }
     step.log(EventCode.CALLER_LEFT, "request", request);
-    boolean dispatched = pending.phase() == PendingRequest.Phase.DISPATCHED;
-    if (dispatched && pending.onlyOnce()) {
-      pending.leaveCaller();
+    pending.leaveCaller();
+    if (pending.phase() == Phase.DISPATCHED && pending.onlyOnce()) {
       return;
     }
-    requests.remove(request);
-    if (pending.onlyOnce()) {
-      gate.giveUp(pending);
-    }
-    if (dispatched) {
-      RunnerId runner = pending.runner().orElseThrow();
-      attempts.remove(pending.attempt().orElseThrow());
-      runners.removeAttempt(runner);
-      step.emit(new Effect.CancelAttempt(pending.attempt().get(), runner));
+    if (pending.phase() == Phase.DISPATCHED) {
+      poison.recordEnd(pending);
+      attempts.cancel(pending, runners, step);
     }
+    close(pending);
   }
 
   // Attempts
 
-  /** Passes a piece of an answer on. A piece of a superseded attempt is dropped. */
-  public void acceptProgress(Event.AttemptProgressed progress, Step step) {
-    PendingRequest pending = find(progress.attempt());
-    if (pending == null || progress.position() != pending.delivered()) {
+  /**
+   * Passes a piece of an answer on. A piece that was passed on before, or one of a superseded
+   * attempt, is dropped; after a missing piece the answer is fetched again from there.
+   */
+  public void acceptProgress(Event.AttemptProgressed progress, RequestContext context) {
+    Optional<PendingRequest> found = attempts.find(progress.attempt());
+    if (found.isEmpty() || progress.position() < found.get().delivered()) {
+      return;
+    }
+    PendingRequest pending = found.get();
+    if (progress.position() > pending.delivered()) {
+      attempts.cancel(pending, context.runners(), context.step());
+      fail(pending, new AttemptOutcome.Broken("a piece of the answer is missing", false), context);
       return;
     }
     pending.addPiece(progress.text());
+    Instant now = context.step().now();
+    if (pending.due().isBefore(now.plus(PendingRequest.STALL_LIMIT.dividedBy(2)))) {
+      byDue.remove(pending);
+      pending.extend(now);
+      byDue.add(pending);
+    }
     if (!pending.callerLeft()) {
-      step.emit(
-          new Effect.AnswerChunk(pending.request().id(), progress.position(), progress.text()));
+      context
+          .step()
+          .emit(
+              new Effect.AnswerChunk(pending.request().id(), progress.position(), progress.text()));
     }
   }
 
   /** Takes the end of an attempt. */
-  public void acceptEnd(Event.AttemptEnded ended, RunnerTable runners, Step step) {
-    PendingRequest pending = find(ended.attempt());
-    attempts.remove(ended.attempt());
-    if (pending == null) {
+  public void acceptEnd(Event.AttemptEnded ended, RequestContext context) {
+    Optional<PendingRequest> found = attempts.finish(ended.attempt(), context.runners());
+    if (found.isEmpty()) {
       return;
     }
-    runners.removeAttempt(pending.runner().orElseThrow());
-    switch (ended.outcome()) {
-      case AttemptOutcome.Completed completed -> complete(pending, completed.status(), step);
-      case AttemptOutcome.NotHandedOver notHandedOver -> pending.queue();
-      case AttemptOutcome.Rejected rejected -> {
-        if (pending.onlyOnce()) {
-          leaveUnresolved(pending, ResultCode.OUTCOME_UNKNOWN, rejected.reason(), step);
-        } else {
-          pending.queue();
-        }
-      }
-      case AttemptOutcome.Broken broken ->
-          leaveUnresolved(
-              pending,
-              pending.onlyOnce() ? ResultCode.OUTCOME_UNKNOWN : ResultCode.ANSWER_INCOMPLETE,
-              broken.reason(),
-              step);
+    PendingRequest pending = found.get();
+    if (ended.outcome() instanceof AttemptOutcome.Completed completed) {
+      complete(pending, completed.status(), context);
+    } else {
+      fail(pending, ended.outcome(), context);
     }
   }
 
-  private void complete(PendingRequest pending, int status, Step step) {
+  private void complete(PendingRequest pending, int status, RequestContext context) {
+    Step step = context.step();
+    Duration held = Duration.between(pending.startedAt(), step.now());
+    estimator.record(pending.target(), held);
+    int weight = StartEstimator.weight(pending.request().customer(), context.configuration());
+    queue.correct(pending, held.toNanos() / 1e9, weight);
+    poison.recordEnd(pending);
+    poison.recordSuccess(pending, step);
     if (pending.onlyOnce()) {
       gate.finish(pending, status);
     }
     end(pending, new Ending.Completed(status), step);
   }
 
-  private void leaveUnresolved(PendingRequest pending, ResultCode code, String reason, Step step) {
-    if (pending.onlyOnce()) {
-      gate.leaveUnresolved(pending, Execution.MAY_HAVE_RUN, reason);
+  private void fail(PendingRequest pending, AttemptOutcome outcome, RequestContext context) {
+    Step step = context.step();
+    poison.recordEnd(pending);
+    boolean broken = outcome instanceof AttemptOutcome.Broken;
+    Instant avoidUntil = step.now().plus(broken ? AVOID_AFTER_BREAK : AVOID_AFTER_REFUSAL);
+    byDue.remove(pending);
+    pending.fail(
+        outcome, avoidUntil, context.runners().incarnation(pending.runner().orElseThrow()));
+    byDue.add(pending);
+    if (outcome instanceof AttemptOutcome.Broken lost && lost.backendLost()) {
+      boolean poisoned = poison.recordCrash(pending, context.runners(), step);
+      if (poisoned) {
+        refusePoison(context);
+      }
+      Optional<Refusal> refusal = poison.check(pending.request(), pending.handedOver(), step.now());
+      if (refusal.isPresent()) {
+        giveUp(pending, refusal.get(), step);
+        return;
+      }
+    }
+    follow(pending, retries.decide(pending, outcome), outcome, context);
+  }
+
+  private void follow(
+      PendingRequest pending,
+      RetryPolicy.Decision decision,
+      AttemptOutcome outcome,
+      RequestContext context) {
+    Step step = context.step();
+    switch (decision) {
+      case RetryPolicy.Decision.GiveUp giveUp -> giveUp(pending, giveUp.refusal(), step);
+      case RetryPolicy.Decision.Resume resume -> {
+        pending.countResume();
+        byDue.remove(pending);
+        attempts.start(pending, pending.route().orElseThrow(), context.runners(), step);
+        byDue.add(pending);
+        poison.recordStart(pending);
+      }
+      case RetryPolicy.Decision.Retry retry -> {
+        byDue.remove(pending);
+        pending.delayUntil(step.now().plus(retry.delay()));
+        byDue.add(pending);
+        delayed.add(pending);
+        step.log(EventCode.REQUEST_RETRIED, "request", pending.request().id(), "reason", outcome);
+      }
     }
-    end(pending, new Ending.Refused(Refusal.outcomeUnknown(code, reason)), step);
   }
 
-  // Log and peers
+  // Log, runners and peers
 
   /** Notes where a read of the log began; a gap leaves the used keys incomplete. */
   public void acceptRead(Event.LogRead read) {
@@ -190,9 +260,13 @@
 
   /** Takes a record of the log. */
   public void acceptRecord(RecordBody body, RequestContext context) {
+    dispatcher.retryBlocked();
     for (PendingRequest pending : gate.acceptRecord(body, requests::containsKey)) {
       settle(pending, context);
     }
+    if (poison.acceptRecord(body, context.step())) {
+      refusePoison(context);
+    }
   }
 
   /** Takes what is known of an append. */
@@ -200,6 +274,11 @@
     gate.acceptAppend(record, outcome, now);
   }
 
+  /** Takes a report of a runner. */
+  public void acceptReport(EngineReport report, Step step) {
+    poison.acceptReport(report, step);
+  }
+
   /** Takes changes of keys that another node wants appended. */
   public void acceptIntents(List<IntentChange> changes) {
     gate.acceptOffer(changes);
@@ -218,39 +297,79 @@
 
   // Progress
 
-  /** Dispatches what can run and refuses what is past its deadline. */
+  /** Dispatches what can run and refuses what cannot start in time. */
   public void advance(RequestContext context) {
-    Step step = context.step();
+    Instant now = context.step().now();
     for (PendingRequest held : gate.held()) {
-      advanceHeld(held, context);
-    }
-    List<PendingRequest> waiting =
-        requests.values().stream()
-            .filter(pending -> pending.phase() == PendingRequest.Phase.QUEUED)
-            .sorted(
-                Comparator.comparing(PendingRequest::urgency)
-                    .thenComparing(PendingRequest::deadline))
-            .toList();
-    for (PendingRequest pending : waiting) {
-      if (!step.now().isBefore(pending.deadline())) {
-        refuseLate(pending, step);
-        continue;
-      }
-      router
-          .choose(pending.request(), context.configuration(), context.runners(), context.routable())
-          .ifPresent(route -> dispatch(pending, route, context.runners(), step));
+      settle(held, context);
+    }
+    while (!byDue.isEmpty() && !now.isBefore(byDue.first().due())) {
+      handleDue(byDue.first(), context);
+    }
+    if (!queue.isEmpty() && !now.isBefore(nextReview)) {
+      nextReview = now.plus(REVIEW_INTERVAL);
+      dispatcher.retryBlocked();
+      review(context);
     }
+    dispatcher.dispatch(context);
     gate.advance(context);
+    poison.advance(context.step(), context.logDown());
   }
 
-  private void advanceHeld(PendingRequest held, RequestContext context) {
-    if (!context.step().now().isBefore(held.deadline())) {
-      Refusal refusal = gate.refusalAtDeadline(held);
-      gate.giveUp(held);
-      end(held, new Ending.Refused(refusal), context.step());
+  private void handleDue(PendingRequest pending, RequestContext context) {
+    Step step = context.step();
+    boolean late = !step.now().isBefore(pending.deadline());
+    switch (pending.phase()) {
+      case HELD -> giveUp(pending, gate.refusalAtDeadline(pending), step);
+      case QUEUED -> giveUp(pending, lateRefusal(pending), step);
+      case DELAYED -> {
+        if (late) {
+          giveUp(pending, lateRefusal(pending), step);
+        } else {
+          requeue(pending);
+        }
+      }
+      default -> handleSilence(pending, context);
+    }
+  }
+
+  private void requeue(PendingRequest pending) {
+    delayed.remove(pending);
+    byDue.remove(pending);
+    pending.queue();
+    byDue.add(pending);
+    queue.add(pending);
+  }
+
+  /** Ends what did not start to answer by its deadline, or got stuck in its answer. */
+  private void handleSilence(PendingRequest pending, RequestContext context) {
+    Step step = context.step();
+    boolean waitsForStart = pending.delivered() == 0 && !pending.callerLeft();
+    if (pending.onlyOnce() && waitsForStart) {
+      detach(pending, step);
       return;
     }
-    settle(held, context);
+    attempts.cancel(pending, context.runners(), step);
+    if (waitsForStart) {
+      poison.recordEnd(pending);
+      giveUp(pending, lateRefusal(pending), step);
+    } else {
+      fail(pending, new AttemptOutcome.Broken("the answer got stuck", false), context);
+    }
+  }
+
+  /** Ends the call of a non-repeatable request that runs on, so that a repeat finds its answer. */
+  private void detach(PendingRequest pending, Step step) {
+    Refusal refusal =
+        Refusal.mayHaveRun(
+            ResultCode.OUTCOME_UNKNOWN,
+            "no answer before the deadline; it may still run",
+            RETRY_AFTER);
+    step.emit(new Effect.EndRequest(pending.request().id(), new Ending.Refused(refusal)));
+    pending.leaveCaller();
+    byDue.remove(pending);
+    pending.extend(step.now());
+    byDue.add(pending);
   }
 
   private void settle(PendingRequest pending, RequestContext context) {
@@ -259,158 +378,140 @@
       case IntentVerdict.Run run -> {
         gate.remove(pending);
         pending.queue();
+        queue.add(pending);
       }
       case IntentVerdict.Answer answer -> {
-        gate.remove(pending);
         RequestId id = pending.request().id();
         context.step().emit(new Effect.AnswerChunk(id, 0, answer.answer()));
         end(pending, new Ending.Completed(answer.status()), context.step());
       }
-      case IntentVerdict.Refuse refuse -> {
-        gate.giveUp(pending);
-        end(pending, new Ending.Refused(refuse.refusal()), context.step());
-      }
+      case IntentVerdict.Refuse refuse -> giveUp(pending, refuse.refusal(), context.step());
     }
   }
 
-  private void dispatch(PendingRequest pending, Route route, RunnerTable runners, Step step) {
-    attemptSequence++;
-    AttemptId attempt =
-        AttemptId.of(settings.node() + "." + settings.incarnation() + ".a" + attemptSequence);
-    pending.start(attempt, route.runner());
-    attempts.put(attempt, pending.request().id());
-    runners.addAttempt(route.runner());
-    step.emit(
-        new Effect.Dispatch(
-            attempt, route.runner(), route.replica(), pending.request(), pending.delivered()));
-    step.log(
-        EventCode.REQUEST_DISPATCHED,
-        "request",
-        pending.request().id(),
-        "attempt",
-        attempt,
-        "runner",
-        route.runner());
-  }
-
-  // Accessors
+  // Refusals
 
-  /** Returns what the callers of this node want, and forgets the counted arrivals. */
-  public List<Demand> takeDemand(Instant now) {
-    Map<ModelId, Demand> wanted = new TreeMap<>();
-    for (PendingRequest pending : requests.values()) {
-      if (pending.request().target() instanceof Target.ModelTarget target) {
-        Demand one = demandOf(pending, target, now);
-        wanted.merge(target.model(), one, Demand::plus);
+  private void review(RequestContext context) {
+    for (Collection<PendingRequest> group : queue.groups()) {
+      for (PendingRequest pending : List.copyOf(group)) {
+        if (!refuseIfColdTooLong(pending, context)) {
+          break;
+        }
       }
     }
-    arrivals.forEach(
-        (model, count) ->
-            wanted.computeIfPresent(model, (id, demand) -> demand.withArrivals(count)));
-    arrivals.clear();
-    return List.copyOf(wanted.values());
   }
 
-  /** Returns whether any request is open. */
-  public boolean isEmpty() {
-    return requests.isEmpty();
-  }
-
-  /** Returns whether nothing is left to be done before the node may stop. */
-  public boolean isFinished(boolean logDown) {
-    return requests.isEmpty() && (logDown || gate.isRecorded());
-  }
-
-  /** Returns the earliest deadline of a waiting request. */
-  public Optional<Instant> nextWakeUp() {
-    Optional<Instant> deadline =
-        requests.values().stream()
-            .filter(pending -> pending.phase() != PendingRequest.Phase.DISPATCHED)
-            .map(PendingRequest::deadline)
-            .min(Comparator.naturalOrder());
-    return Deadlines.earliest(deadline, gate.nextWakeUp());
+  private boolean refuseIfTooLate(PendingRequest pending, RequestContext context) {
+    Step step = context.step();
+    if (StartEstimator.fitsNowhere(pending.request().target(), context.configuration())) {
+      giveUp(
+          pending,
+          Refusal.notRun(ResultCode.NO_CAPACITY, "no runner is large enough for the model"),
+          step);
+      return true;
+    }
+    Duration wait = estimator.queueing(pending, queue, context);
+    if (step.now().plus(wait).isAfter(pending.deadline())) {
+      giveUp(pending, unreachable(pending, "the queue takes", wait), step);
+      return true;
+    }
+    return refuseIfColdTooLong(pending, context);
   }
 
-  // Helpers
-
-  private static boolean needsIntent(
-      InboundRequest request, KindSpec kind, Configuration configuration) {
-    if (kind.repeatable()) {
+  private boolean refuseIfColdTooLong(PendingRequest pending, RequestContext context) {
+    Instant now = context.step().now();
+    Target target = pending.request().target();
+    Duration load = estimator.coldStart(target, context.configuration(), context.runners());
+    if (!now.plus(load).isAfter(pending.deadline())) {
       return false;
     }
-    return !(request.target() instanceof Target.ServiceTarget target
-        && configuration.services().get(target.service()).deduplicates());
+    demand.expect(target, pending.urgency(), now.plus(load).plus(RETRY_AFTER));
+    giveUp(pending, unreachable(pending, "loading the model takes", load), context.step());
+    return true;
   }
 
-  private static Optional<Refusal> check(InboundRequest request, Configuration configuration) {
-    KindSpec kind = configuration.kinds().get(request.kind());
-    if (kind == null) {
-      return Optional.of(
-          Refusal.notRun(ResultCode.KIND_UNKNOWN, "no kind of request named " + request.kind()));
-    }
-    if (!kind.repeatable() && request.key().isEmpty()) {
-      return Optional.of(
-          Refusal.notRun(
-              ResultCode.IDEMPOTENCY_KEY_MISSING, "send an Idempotency-Key with " + kind.id()));
-    }
-    return switch (request.target()) {
-      case Target.ModelTarget target -> checkModel(request, target, configuration);
-      case Target.ServiceTarget target -> checkService(target, configuration);
-    };
+  private static Refusal unreachable(PendingRequest pending, String what, Duration time) {
+    Duration comeBack = time.compareTo(RETRY_AFTER) < 0 ? RETRY_AFTER : time;
+    String detail = what + " at least " + time.toMillis() + " ms";
+    return pending.handedOver()
+        ? Refusal.mayHaveRun(ResultCode.DEADLINE_UNREACHABLE, detail, comeBack)
+        : Refusal.notRun(ResultCode.DEADLINE_UNREACHABLE, detail, comeBack);
   }
 
-  private static Optional<Refusal> checkService(
-      Target.ServiceTarget target, Configuration configuration) {
-    ServiceSpec service = configuration.services().get(target.service());
-    return service != null
-        ? Optional.empty()
-        : Optional.of(
-            Refusal.notRun(ResultCode.SERVICE_UNKNOWN, "no service named " + target.service()));
+  private static Refusal lateRefusal(PendingRequest pending) {
+    String detail = "no runner could answer the request before its deadline";
+    return pending.handedOver()
+        ? Refusal.mayHaveRun(ResultCode.DEADLINE_PASSED, detail, RETRY_AFTER)
+        : Refusal.notRun(ResultCode.DEADLINE_PASSED, detail, RETRY_AFTER);
   }
 
-  private static Optional<Refusal> checkModel(
-      InboundRequest request, Target.ModelTarget target, Configuration configuration) {
-    ModelSpec model = configuration.models().get(target.model());
-    if (model == null || !model.customer().equals(request.customer())) {
-      return Optional.of(
-          Refusal.notRun(ResultCode.MODEL_UNKNOWN, "no model named " + target.model()));
+  private void refusePoison(RequestContext context) {
+    for (PendingRequest pending : List.copyOf(requests.values())) {
+      if (pending.phase() != Phase.DISPATCHED) {
+        poison
+            .check(pending.request(), pending.handedOver(), context.step().now())
+            .ifPresent(refusal -> giveUp(pending, refusal, context.step()));
+      }
     }
-    return Optional.empty();
   }
 
-  private void refuseLate(PendingRequest pending, Step step) {
-    Refusal refusal =
-        Refusal.notRun(
-            ResultCode.DEADLINE_PASSED,
-            "no runner could take the request before its deadline",
-            RETRY_AFTER);
-    if (pending.onlyOnce()) {
-      gate.giveUp(pending);
+  /** Ends a request without an answer, and lets the log know if it must not run again. */
+  private void giveUp(PendingRequest pending, Refusal refusal, Step step) {
+    if (pending.onlyOnce() && refusal.execution() != Execution.NOT_RUN && pending.handedOver()) {
+      gate.leaveUnresolved(pending, refusal.execution(), refusal.detail());
     }
     end(pending, new Ending.Refused(refusal), step);
   }
 
   private void end(PendingRequest pending, Ending ending, Step step) {
-    requests.remove(pending.request().id());
-    if (!pending.callerLeft()) {
+    if (requests.containsKey(pending.request().id()) && !pending.callerLeft()) {
       step.emit(new Effect.EndRequest(pending.request().id(), ending));
     }
+    close(pending);
+  }
+
+  private void close(PendingRequest pending) {
+    requests.remove(pending.request().id());
+    byDue.remove(pending);
+    delayed.remove(pending);
+    queue.remove(pending);
+    if (pending.onlyOnce()) {
+      gate.close(pending);
+    }
+  }
+
+  // Accessors
+
+  /** Returns what the callers of this node want, and forgets the counted arrivals. */
+  public List<Demand> takeDemand(Instant now) {
+    List<Collection<PendingRequest>> waiting = new ArrayList<>(queue.groups());
+    gate.held().forEach(pending -> waiting.add(List.of(pending)));
+    delayed.forEach(pending -> waiting.add(List.of(pending)));
+    return demand.take(waiting, attempts.inFlightByTarget(), now);
   }
 
-  private PendingRequest find(AttemptId attempt) {
-    RequestId request = attempts.get(attempt);
-    return request == null ? null : requests.get(request);
+  /** Returns whether the controller has to be told of a want. */
+  public boolean hasDemand() {
+    return !requests.isEmpty() || demand.isExpecting();
   }
 
-  private static Demand demandOf(PendingRequest pending, Target.ModelTarget target, Instant now) {
-    boolean waits = pending.phase() != PendingRequest.Phase.DISPATCHED;
-    return new Demand(
-        target.model(),
-        target.adapter(),
-        pending.urgency(),
-        waits ? 1 : 0,
-        waits ? 0 : 1,
-        0,
-        Duration.between(now, pending.deadline()));
+  /** Returns whether nothing is left to be done before the node may stop. */
+  public boolean isFinished(boolean logDown) {
+    return requests.isEmpty() && (logDown || gate.isRecorded());
+  }
+
+  /** Returns when something has to be done without an event. */
+  public Optional<Instant> nextWakeUp() {
+    Optional<Instant> due = byDue.isEmpty() ? Optional.empty() : Optional.of(byDue.first().due());
+    Optional<Instant> reviewAt = queue.isEmpty() ? Optional.empty() : Optional.of(nextReview);
+    Optional<Instant> records = Deadlines.earliest(gate.nextWakeUp(), poison.nextWakeUp());
+    return Deadlines.earliest(Deadlines.earliest(due, reviewAt), records);
+  }
+
+  // Helpers
+
+  private static boolean deduplicates(InboundRequest request, Configuration configuration) {
+    return request.target() instanceof Target.ServiceTarget target
+        && configuration.services().get(target.service()).deduplicates();
   }
 }
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/RetryPolicy.java
@@ -0,0 +1,134 @@
+package dev.wisteriarail.core.request;
+
+import dev.wisteriarail.core.NodeSettings;
+import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.result.ResultCode;
+import java.time.Duration;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * Decides what becomes of a request whose attempt failed.
+ *
+ * <p>Only a repeatable request is sent again after a backend server got it, and only before the
+ * caller got a piece of its answer, or with resume on the same engine. Such retries come out of a
+ * budget that grows with the customer's first attempts, so that failures can't multiply the load. A
+ * request of which no byte was handed over is sent again until its deadline.
+ *
+ * <p>Life cycle: one per node. Not thread-safe; owned by the request table.
+ */
+final class RetryPolicy {
+
+  private static final int MAX_RETRIES = 3;
+  private static final int MAX_RESUMES = 2;
+  private static final double BUDGET_PER_REQUEST = 0.1;
+  private static final double BUDGET_BOUND = 10;
+  private static final Duration FIRST_DELAY = Duration.ofMillis(25);
+  private static final int MAX_DOUBLINGS = 5;
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  /** What to do after a failed attempt. */
+  sealed interface Decision {
+
+    /**
+     * Sends the request again after a delay.
+     *
+     * @param delay the delay
+     */
+    record Retry(Duration delay) implements Decision {}
+
+    /** Goes on with the answer on the same engine. */
+    record Resume() implements Decision {}
+
+    /**
+     * Gives the request up.
+     *
+     * @param refusal why
+     */
+    record GiveUp(Refusal refusal) implements Decision {}
+  }
+
+  private final SplittableRandom random;
+  private final Map<CustomerId, Double> budgets = new TreeMap<>();
+
+  private RetryPolicy(long seed) {
+    random = new SplittableRandom(seed);
+  }
+
+  /** Returns a policy with full budgets, whose jitter depends on the node's seed and name. */
+  static RetryPolicy create(NodeSettings settings) {
+    return new RetryPolicy(settings.seed() * 31 + settings.node().value().hashCode());
+  }
+
+  /** Notes the first attempt of a request. */
+  void recordFirstAttempt(CustomerId customer) {
+    double budget = budgets.getOrDefault(customer, BUDGET_BOUND);
+    budgets.put(customer, Math.min(BUDGET_BOUND, budget + BUDGET_PER_REQUEST));
+  }
+
+  /** Decides after a failed attempt. */
+  Decision decide(PendingRequest pending, AttemptOutcome outcome) {
+    return switch (outcome) {
+      case AttemptOutcome.Completed completed ->
+          throw new IllegalArgumentException("the attempt did not fail");
+      case AttemptOutcome.NotHandedOver unsent -> new Decision.Retry(delay(pending.failures()));
+      case AttemptOutcome.Rejected rejected -> afterRejection(pending, rejected);
+      case AttemptOutcome.Broken broken -> afterBreak(pending, broken);
+    };
+  }
+
+  private Decision afterRejection(PendingRequest pending, AttemptOutcome.Rejected rejected) {
+    if (pending.onlyOnce()) {
+      return unknown(ResultCode.OUTCOME_UNKNOWN, rejected.reason());
+    }
+    return mayRetry(pending)
+        ? new Decision.Retry(delay(pending.failures()))
+        : comeBack(ResultCode.BACKEND_REFUSED, rejected.reason());
+  }
+
+  private Decision afterBreak(PendingRequest pending, AttemptOutcome.Broken broken) {
+    if (pending.onlyOnce()) {
+      return unknown(ResultCode.OUTCOME_UNKNOWN, broken.reason());
+    }
+    if (pending.delivered() == 0) {
+      return mayRetry(pending)
+          ? new Decision.Retry(delay(pending.failures()))
+          : comeBack(ResultCode.BACKEND_FAILED, broken.reason());
+    }
+    boolean resumable =
+        !broken.backendLost()
+            && pending.resumes() < MAX_RESUMES
+            && pending.request().target() instanceof Target.ModelTarget;
+    return resumable && takeBudget(pending.request().customer())
+        ? new Decision.Resume()
+        : unknown(ResultCode.ANSWER_INCOMPLETE, broken.reason());
+  }
+
+  private boolean mayRetry(PendingRequest pending) {
+    return pending.failures() <= MAX_RETRIES && takeBudget(pending.request().customer());
+  }
+
+  private boolean takeBudget(CustomerId customer) {
+    double budget = budgets.getOrDefault(customer, BUDGET_BOUND);
+    if (budget < 1) {
+      return false;
+    }
+    budgets.put(customer, budget - 1);
+    return true;
+  }
+
+  private Duration delay(int failures) {
+    long doublings = Math.clamp(failures - 1, 0, MAX_DOUBLINGS);
+    double jitter = 0.5 + random.nextDouble();
+    return Duration.ofNanos((long) (FIRST_DELAY.toNanos() * (1L << doublings) * jitter));
+  }
+
+  private static Decision unknown(ResultCode code, String reason) {
+    return new Decision.GiveUp(Refusal.outcomeUnknown(code, reason));
+  }
+
+  private static Decision comeBack(ResultCode code, String reason) {
+    return new Decision.GiveUp(Refusal.mayHaveRun(code, reason, RETRY_AFTER));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/request/WaitingQueue.java
@@ -0,0 +1,220 @@
+package dev.wisteriarail.core.request;
+
+import dev.wisteriarail.core.config.Urgency;
+import dev.wisteriarail.core.id.CustomerId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Requests that wait for a runner: a more urgent class first, customers of a class by weighted fair
+ * share, a customer's requests by deadline.
+ *
+ * <p>A class that was passed over by more urgent ones for a number of dispatches gets the next one,
+ * so that none starves. A customer's share counts from when it has work: what it did not use before
+ * is not saved up.
+ *
+ * <p>Life cycle: one per node. Not thread-safe; owned by the request table.
+ */
+final class WaitingQueue {
+
+  /** Orders requests by deadline, then by arrival. */
+  static final Comparator<PendingRequest> BY_DEADLINE =
+      Comparator.comparing(PendingRequest::deadline).thenComparingLong(PendingRequest::sequence);
+
+  /** Requests of a target that are tried, so that one that avoids its runners blocks no other. */
+  private static final int HEADS = 4;
+
+  /** Slot time in seconds that any attempt costs at least. */
+  private static final double LEAST_COST = 0.001;
+
+  private static final int DISPATCHES_BEFORE_NORMAL = 8;
+  private static final int DISPATCHES_BEFORE_BATCH = 16;
+
+  /** The waiting requests of one customer in one class. */
+  private static final class CustomerQueue {
+    private final Map<TargetKey, TreeSet<PendingRequest>> byTarget = new TreeMap<>();
+    private double virtualTime;
+    private int size;
+  }
+
+  private final Map<Urgency, Map<CustomerId, CustomerQueue>> classes = new EnumMap<>(Urgency.class);
+  private final Map<Urgency, Double> virtualTimes = new EnumMap<>(Urgency.class);
+  private final Map<Urgency, Integer> passedOver = new EnumMap<>(Urgency.class);
+  private final Map<CustomerId, Integer> sizes = new TreeMap<>();
+
+  private WaitingQueue() {
+    for (Urgency urgency : Urgency.values()) {
+      classes.put(urgency, new TreeMap<>());
+      virtualTimes.put(urgency, 0.0);
+      passedOver.put(urgency, 0);
+    }
+  }
+
+  /** Returns an empty queue. */
+  static WaitingQueue create() {
+    return new WaitingQueue();
+  }
+
+  // Updates
+
+  void add(PendingRequest pending) {
+    CustomerQueue queue =
+        classes
+            .get(pending.urgency())
+            .computeIfAbsent(pending.request().customer(), customer -> new CustomerQueue());
+    if (queue.size == 0) {
+      queue.virtualTime = Math.max(queue.virtualTime, virtualTimes.get(pending.urgency()));
+    }
+    queue.size++;
+    queue
+        .byTarget
+        .computeIfAbsent(pending.target(), target -> new TreeSet<>(BY_DEADLINE))
+        .add(pending);
+    sizes.merge(pending.request().customer(), 1, Integer::sum);
+  }
+
+  void remove(PendingRequest pending) {
+    CustomerQueue queue = classes.get(pending.urgency()).get(pending.request().customer());
+    TreeSet<PendingRequest> sharing = queue == null ? null : queue.byTarget.get(pending.target());
+    if (sharing == null || !sharing.remove(pending)) {
+      return;
+    }
+    queue.size--;
+    if (sharing.isEmpty()) {
+      queue.byTarget.remove(pending.target());
+    }
+    sizes.merge(pending.request().customer(), -1, Integer::sum);
+  }
+
+  /**
+   * Removes a request that is dispatched and charges its customer.
+   *
+   * @param cost the slot time that it is expected to take, in seconds
+   * @param weight the customer's weight
+   */
+  void take(PendingRequest pending, double cost, int weight) {
+    CustomerQueue queue = classes.get(pending.urgency()).get(pending.request().customer());
+    remove(pending);
+    virtualTimes.put(pending.urgency(), queue.virtualTime);
+    double charge = Math.max(LEAST_COST, cost) / Math.max(1, weight);
+    queue.virtualTime += charge;
+    pending.charge(charge);
+    for (Urgency lower : Urgency.values()) {
+      if (lower.compareTo(pending.urgency()) > 0 && !isEmpty(lower)) {
+        passedOver.merge(lower, 1, Integer::sum);
+      }
+    }
+    passedOver.put(pending.urgency(), 0);
+  }
+
+  /** Corrects what a customer was charged for an attempt by the slot time that it took. */
+  void correct(PendingRequest pending, double cost, int weight) {
+    CustomerQueue queue = classes.get(pending.urgency()).get(pending.request().customer());
+    if (queue != null) {
+      queue.virtualTime += Math.max(LEAST_COST, cost) / Math.max(1, weight) - pending.charged();
+    }
+  }
+
+  // Choice
+
+  /** Returns the next request in fair order that passes the test. */
+  Optional<PendingRequest> next(Predicate<PendingRequest> canRun) {
+    for (Urgency urgency : classOrder()) {
+      Optional<PendingRequest> found = nextOf(urgency, canRun);
+      if (found.isPresent()) {
+        return found;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<PendingRequest> nextOf(Urgency urgency, Predicate<PendingRequest> canRun) {
+    List<CustomerQueue> order =
+        classes.get(urgency).values().stream()
+            .filter(queue -> queue.size > 0)
+            .sorted(Comparator.comparingDouble(queue -> queue.virtualTime))
+            .toList();
+    for (CustomerQueue queue : order) {
+      Optional<PendingRequest> found =
+          queue.byTarget.values().stream()
+              .flatMap(sharing -> sharing.stream().limit(HEADS))
+              .sorted(BY_DEADLINE)
+              .filter(canRun)
+              .findFirst();
+      if (found.isPresent()) {
+        return found;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private List<Urgency> classOrder() {
+    List<Urgency> order = new ArrayList<>(List.of(Urgency.values()));
+    if (passedOver.get(Urgency.NORMAL) >= DISPATCHES_BEFORE_NORMAL) {
+      moveFirst(order, Urgency.NORMAL);
+    }
+    if (passedOver.get(Urgency.BATCH) >= DISPATCHES_BEFORE_BATCH) {
+      moveFirst(order, Urgency.BATCH);
+    }
+    return order;
+  }
+
+  private static void moveFirst(List<Urgency> order, Urgency urgency) {
+    order.remove(urgency);
+    order.addFirst(urgency);
+  }
+
+  // Accessors
+
+  /** Returns the number of requests of a customer that wait. */
+  int size(CustomerId customer) {
+    return sizes.getOrDefault(customer, 0);
+  }
+
+  /** Returns the number of a customer's requests that wait for a target, up to a class. */
+  int ahead(CustomerId customer, TargetKey target, Urgency urgency) {
+    int ahead = 0;
+    for (Urgency higher : Urgency.values()) {
+      CustomerQueue queue = classes.get(higher).get(customer);
+      if (higher.compareTo(urgency) <= 0 && queue != null) {
+        TreeSet<PendingRequest> sharing = queue.byTarget.get(target);
+        ahead += sharing == null ? 0 : sharing.size();
+      }
+    }
+    return ahead;
+  }
+
+  /** Returns the summed weights of the customers that have requests waiting. */
+  double waitingWeight(ToDoubleFunction<CustomerId> weight) {
+    return sizes.entrySet().stream()
+        .filter(entry -> entry.getValue() > 0)
+        .mapToDouble(entry -> weight.applyAsDouble(entry.getKey()))
+        .sum();
+  }
+
+  /** Returns the waiting requests, one collection for each class, customer and target. */
+  List<Collection<PendingRequest>> groups() {
+    List<Collection<PendingRequest>> groups = new ArrayList<>();
+    for (Map<CustomerId, CustomerQueue> customers : classes.values()) {
+      customers.values().forEach(queue -> groups.addAll(queue.byTarget.values()));
+    }
+    return groups;
+  }
+
+  boolean isEmpty() {
+    return classes.keySet().stream().allMatch(this::isEmpty);
+  }
+
+  private boolean isEmpty(Urgency urgency) {
+    return classes.get(urgency).values().stream().allMatch(queue -> queue.size == 0);
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/routing/RunnerTable.java
+++ b/src/main/java/dev/wisteriarail/core/routing/RunnerTable.java
@@ -3,7 +3,10 @@
 import dev.wisteriarail.core.engine.EngineReport;
 import dev.wisteriarail.core.engine.ReplicaPhase;
 import dev.wisteriarail.core.engine.ReplicaStatus;
+import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.RunnerId;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,8 +24,14 @@
 public final class RunnerTable {
 
   private final Map<RunnerId, EngineReport> reports = new TreeMap<>();
+  private final Map<ModelId, Map<ReplicaId, ReadyReplica>> byModel = new TreeMap<>();
+  private final Map<RunnerId, Incarnation> leaving = new TreeMap<>();
   private final Set<RunnerId> unreachable = new TreeSet<>();
-  private final Map<RunnerId, Integer> ownAttempts = new TreeMap<>();
+  private final Map<RunnerId, Map<CustomerId, Integer>> ownAttempts = new TreeMap<>();
+  private final Map<RunnerId, Integer> ownTotals = new TreeMap<>();
+  private final Map<RunnerId, Integer> ownAtReport = new TreeMap<>();
+  private final Map<RunnerId, Integer> othersAtReport = new TreeMap<>();
+  private long version;
 
   private RunnerTable() {}
 
@@ -39,8 +48,61 @@
     if (known != null && known.incarnation().compareTo(report.incarnation()) > 0) {
       return;
     }
+    if (report.leaving()) {
+      markLeaving(report.runner(), report.incarnation());
+    }
     unreachable.remove(report.runner());
     reports.put(report.runner(), report);
+    if (known == null || !known.replicas().equals(report.replicas())) {
+      reindex(known, report);
+    }
+    correctLoad(report);
+    version++;
+  }
+
+  private void reindex(EngineReport known, EngineReport report) {
+    if (known != null) {
+      known.replicas().forEach(this::unindex);
+    }
+    for (ReplicaStatus status : report.replicas()) {
+      byModel
+          .computeIfAbsent(status.model(), model -> new TreeMap<>())
+          .put(status.replica(), new ReadyReplica(report.runner(), status));
+    }
+  }
+
+  private void unindex(ReplicaStatus status) {
+    Map<ReplicaId, ReadyReplica> replicas = byModel.get(status.model());
+    if (replicas != null) {
+      replicas.remove(status.replica());
+    }
+  }
+
+  /**
+   * Splits a reported load into the node's own part and that of others. The report is as old as the
+   * one before it was new, so the own part is what the node had running then.
+   */
+  private void correctLoad(EngineReport report) {
+    int own = ownAttempts(report.runner());
+    int ownThen = ownAtReport.getOrDefault(report.runner(), own);
+    int reported = report.activeRequests() + report.queuedRequests();
+    othersAtReport.put(report.runner(), Math.max(0, reported - ownThen));
+    ownAtReport.put(report.runner(), own);
+  }
+
+  /**
+   * Notes that a runner takes no new work any more. Only a later run of it takes work again, so an
+   * older word cannot bring it back.
+   *
+   * @return whether this was news
+   */
+  public boolean markLeaving(RunnerId runner, Incarnation incarnation) {
+    Incarnation known = leaving.getOrDefault(runner, Incarnation.NONE);
+    if (incarnation.compareTo(known) <= 0) {
+      return false;
+    }
+    leaving.put(runner, incarnation);
+    return true;
   }
 
   /** Notes that a runner does not answer. */
@@ -49,13 +111,16 @@
   }
 
   /** Counts an attempt that was handed to a runner. */
-  public void addAttempt(RunnerId runner) {
-    ownAttempts.merge(runner, 1, Integer::sum);
+  public void addAttempt(RunnerId runner, CustomerId customer) {
+    ownAttempts.computeIfAbsent(runner, id -> new TreeMap<>()).merge(customer, 1, Integer::sum);
+    ownTotals.merge(runner, 1, Integer::sum);
   }
 
   /** Uncounts an attempt that ended. */
-  public void removeAttempt(RunnerId runner) {
-    ownAttempts.merge(runner, -1, Integer::sum);
+  public void removeAttempt(RunnerId runner, CustomerId customer) {
+    ownAttempts.computeIfAbsent(runner, id -> new TreeMap<>()).merge(customer, -1, Integer::sum);
+    ownTotals.merge(runner, -1, Integer::sum);
+    version++;
   }
 
   // Accessors
@@ -65,30 +130,57 @@
     return Optional.ofNullable(reports.get(runner));
   }
 
+  /** Returns the run of a runner that reported last. */
+  public Incarnation incarnation(RunnerId runner) {
+    return report(runner).map(EngineReport::incarnation).orElse(Incarnation.NONE);
+  }
+
+  /** Returns a number that grows whenever a runner may have got room. */
+  public long version() {
+    return version;
+  }
+
   /** Returns whether a runner may get new work. */
   public boolean isUsable(RunnerId runner) {
     EngineReport report = reports.get(runner);
-    return report != null && !report.leaving() && !unreachable.contains(runner);
+    return report != null && !unreachable.contains(runner) && !isLeaving(report);
+  }
+
+  private boolean isLeaving(EngineReport report) {
+    Incarnation last = leaving.getOrDefault(report.runner(), Incarnation.NONE);
+    return report.incarnation().compareTo(last) <= 0 && !last.equals(Incarnation.NONE);
   }
 
   /** Returns the node's own attempts on a runner. */
   public int ownAttempts(RunnerId runner) {
-    return ownAttempts.getOrDefault(runner, 0);
+    return ownTotals.getOrDefault(runner, 0);
+  }
+
+  /** Returns the node's own attempts of one customer on a runner. */
+  public int ownAttempts(RunnerId runner, CustomerId customer) {
+    return ownAttempts.getOrDefault(runner, Map.of()).getOrDefault(customer, 0);
+  }
+
+  /** Returns the requests on a runner: others' as last reported, and the node's own now. */
+  public int load(RunnerId runner) {
+    return othersAtReport.getOrDefault(runner, 0) + ownAttempts(runner);
   }
 
   /** Returns the replicas of a model that take requests, on usable runners. */
   public List<ReadyReplica> readyReplicas(ModelId model) {
     List<ReadyReplica> ready = new ArrayList<>();
-    for (EngineReport report : reports.values()) {
-      if (!isUsable(report.runner())) {
-        continue;
-      }
-      for (ReplicaStatus status : report.replicas()) {
-        if (status.model().equals(model) && status.phase() == ReplicaPhase.READY) {
-          ready.add(new ReadyReplica(report.runner(), status));
-        }
+    for (ReadyReplica replica : byModel.getOrDefault(model, Map.of()).values()) {
+      if (replica.status().phase() == ReplicaPhase.READY && isUsable(replica.runner())) {
+        ready.add(replica);
       }
     }
     return ready;
   }
+
+  /** Returns whether a model is ready or being loaded on a usable runner. */
+  public boolean isLoadingOrReady(ModelId model) {
+    return byModel.getOrDefault(model, Map.of()).values().stream()
+        .filter(replica -> replica.status().phase() != ReplicaPhase.UNLOADING)
+        .anyMatch(replica -> isUsable(replica.runner()));
+  }
 }
