--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -65,10 +65,11 @@
     membership = Membership.create(settings);
     ledger = CellLedger.create(settings.cell());
     controller = CellController.create(settings, ledger, planner);
-    logState = LogState.create(settings.cell(), List.of(configurations, ledger));
+    requests = RequestTable.create(settings, Router.create());
+    logState =
+        LogState.create(settings.cell(), List.of(configurations, ledger, requests.usedKeys()));
     snapshots = SnapshotWriter.create(settings);
     catchUp = PeerCatchUp.create(configurations, logState, logHealth);
-    requests = RequestTable.create(settings, Router.create());
   }
 
   /** Returns the core of a node that has read nothing yet. */
@@ -112,7 +113,7 @@
         snapshots.acceptAppend(answered.record(), answered.outcome(), step);
         requests.acceptAppend(answered.record(), answered.outcome(), step.now());
       }
-      case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
+      case Event.VmListRead read -> membership.acceptList(read.nodes(), step);
       case Event.PeerReceived received -> acceptPeer(received, step);
       case Event.TimerFired fired -> {}
       case Event.DrainRequested drain -> {
@@ -140,8 +141,11 @@
       outageLogged = false;
       step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
     }
-    requests.acceptRead(read);
-    for (LogRecord logged : logState.accept(read, step)) {
+    List<LogRecord> due = logState.accept(read, step);
+    if (!logState.isCurrent()) {
+      requests.markIncomplete();
+    }
+    for (LogRecord logged : due) {
       requests.acceptRecord(logged.body(), context(step));
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, logged, step);
@@ -189,11 +193,15 @@
       return;
     }
     switch (received.message()) {
-      case PeerMessage.Heartbeat heartbeat ->
-          catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
+      case PeerMessage.Heartbeat heartbeat -> {
+        membership.acceptHeartbeat(received.from(), heartbeat);
+        catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
+      }
       case PeerMessage.StateRequested requested ->
           catchUp.acceptRequest(received.from(), requested.have(), step);
       case PeerMessage.StateOffered offered -> catchUp.acceptOffer(received.from(), offered, step);
+      case PeerMessage.Probe probe -> membership.acceptProbe(received.from());
+      case PeerMessage.Suspected suspected -> membership.acceptSuspicions(suspected, step);
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
       case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -71,7 +71,15 @@
   /** A peer said that it has stopped. */
   PEER_CLOSED(512, "peer closed"),
   /** A connection from a peer was refused. */
-  PEER_REFUSED(513, "peer refused");
+  PEER_REFUSED(513, "peer refused"),
+  /** A node came onto the VM list. */
+  PEER_LISTED(520, "peer listed"),
+  /** A node is gone from the VM list. */
+  PEER_UNLISTED(521, "peer unlisted"),
+  /** The platform is about to take a node away. */
+  PEER_LEAVING(522, "peer leaving"),
+  /** A suspected peer was heard again. */
+  PEER_RECOVERED(523, "peer recovered");
 
   private final int number;
   private final String title;
--- a/src/main/java/dev/wisteriarail/core/membership/Membership.java
+++ b/src/main/java/dev/wisteriarail/core/membership/Membership.java
@@ -7,10 +7,14 @@
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.PeerMessage;
+import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -18,19 +22,39 @@
 /**
  * Which nodes exist and which of them live, from the VM list and from heartbeats.
  *
+ * <p>In a small fleet every node sends heartbeats to every other. In a large one a node sends them
+ * to its next nodes in a ring and to a random one; whoever misses a node that it watches probes it,
+ * and then tells all others. A suspected node that hears of it answers to all. Traffic a node does
+ * not grow with the fleet, and a death is still noticed after the same silence.
+ *
  * <p>Life cycle: one per node. Not thread-safe; owned by the node's core.
  */
 public final class Membership {
 
+  /** Peers up to which every node sends heartbeats to every other. */
+  static final int MESH_LIMIT = 12;
+
+  private static final int WATCHERS = 2;
+  private static final Duration FORGET_AFTER = Duration.ofHours(1);
+
   private final NodeSettings settings;
+  private final Random random;
   private final Map<NodeId, VmEntry> listed = new TreeMap<>();
   private final Map<NodeId, Instant> lastHeard = new TreeMap<>();
+  private final Map<NodeId, Instant> watchedSince = new TreeMap<>();
   private final Map<NodeId, Incarnation> incarnations = new TreeMap<>();
   private final Set<NodeId> closed = new TreeSet<>();
+  private final Set<NodeId> draining = new TreeSet<>();
+  private final Set<NodeId> leaving = new TreeSet<>();
+  private final Set<NodeId> suspected = new TreeSet<>();
+  private final Set<NodeId> greet = new TreeSet<>();
+  private final Set<NodeId> inform = new TreeSet<>();
+  private Ring ring = Ring.of(List.of());
   private Optional<Instant> nextHeartbeat = Optional.empty();
 
   private Membership(NodeSettings settings) {
     this.settings = settings;
+    random = new Random(settings.seed() ^ settings.node().value().hashCode());
   }
 
   /** Returns the membership of a node that knows nobody yet. */
@@ -38,17 +62,60 @@
     return new Membership(settings);
   }
 
-  // Updates
+  // VM list
 
-  /** Takes a reading of the VM list. */
-  public void acceptList(List<VmEntry> nodes, Instant now) {
+  /** Takes a reading of the VM list; an empty one after a full one is taken for a fault. */
+  public void acceptList(List<VmEntry> nodes, Step step) {
+    if (nodes.isEmpty() && !listed.isEmpty()) {
+      return;
+    }
+    Map<NodeId, VmEntry> before = new TreeMap<>(listed);
     listed.clear();
-    for (VmEntry entry : nodes) {
-      listed.put(entry.node(), entry);
-      lastHeard.putIfAbsent(entry.node(), now);
+    nodes.forEach(entry -> listed.put(entry.node(), entry));
+    listed.values().forEach(entry -> noteListed(entry, before.containsKey(entry.node()), step));
+    for (NodeId node : before.keySet()) {
+      if (!listed.containsKey(node)) {
+        step.log(EventCode.PEER_UNLISTED, "peer", node);
+      }
     }
+    if (!before.keySet().equals(listed.keySet())) {
+      Set<NodeId> all = new TreeSet<>(listed.keySet());
+      all.add(settings.node());
+      ring = Ring.of(all);
+    }
+    forgetLongGone(step.now());
   }
 
+  private void noteListed(VmEntry entry, boolean known, Step step) {
+    NodeId node = entry.node();
+    if (node.equals(settings.node())) {
+      return;
+    }
+    lastHeard.putIfAbsent(node, step.now());
+    if (!known) {
+      greet.add(node);
+      step.log(EventCode.PEER_LISTED, "peer", node);
+    }
+    if (entry.leaving() && leaving.add(node)) {
+      step.log(EventCode.PEER_LEAVING, "peer", node);
+    }
+  }
+
+  private void forgetLongGone(Instant now) {
+    List<NodeId> gone =
+        lastHeard.keySet().stream()
+            .filter(node -> !listed.containsKey(node))
+            .filter(node -> lastHeard.get(node).plus(FORGET_AFTER).isBefore(now))
+            .toList();
+    for (NodeId node : gone) {
+      lastHeard.remove(node);
+      incarnations.remove(node);
+      List.of(closed, draining, leaving, suspected).forEach(set -> set.remove(node));
+    }
+  }
+
+  // Messages
+
   /**
    * Notes a message from a peer.
    *
@@ -61,27 +128,147 @@
     }
     if (incarnation.compareTo(known) > 0) {
       incarnations.put(from, incarnation);
-      closed.remove(from);
+      List.of(closed, draining, leaving).forEach(set -> set.remove(from));
+      inform.add(from);
       step.log(EventCode.PEER_SEEN, "peer", from, "incarnation", incarnation);
     }
     lastHeard.put(from, step.now());
+    if (suspected.remove(from)) {
+      step.log(EventCode.PEER_RECOVERED, "peer", from);
+    }
     return true;
   }
 
+  /** Takes what a peer's heartbeat says of the peer. */
+  public void acceptHeartbeat(NodeId from, PeerMessage.Heartbeat heartbeat) {
+    if (heartbeat.draining()) {
+      draining.add(from);
+    }
+  }
+
+  /** Answers a probe with the next step's heartbeats. */
+  public void acceptProbe(NodeId from) {
+    greet.add(from);
+  }
+
+  /** Takes a peer's word that others are silent; answers to all if this node is one of them. */
+  public void acceptSuspicions(PeerMessage.Suspected suspicions, Step step) {
+    for (PeerMessage.SuspectedRun run : suspicions.runs()) {
+      if (run.node().equals(settings.node())) {
+        greet.addAll(peers());
+      } else if (isNews(run, step.now())) {
+        suspect(run.node(), step);
+      }
+    }
+  }
+
+  private boolean isNews(PeerMessage.SuspectedRun run, Instant now) {
+    Incarnation known = incarnations.getOrDefault(run.node(), Incarnation.NONE);
+    boolean neverHeard = known.equals(Incarnation.NONE);
+    return run.incarnation().compareTo(known) >= 0 && (neverHeard || isSilent(run.node(), now));
+  }
+
   /** Notes that a peer said that it has stopped. */
   public void markClosed(NodeId node) {
     closed.add(node);
   }
 
-  /** Sends heartbeats where they are due. */
+  // Progress
+
+  /** Sends heartbeats where they are due and suspects watched peers that are silent. */
   public void advance(Step step, PeerMessage.Heartbeat heartbeat) {
-    if (nextHeartbeat.isPresent() && step.now().isBefore(nextHeartbeat.get())) {
-      return;
+    Set<NodeId> targets = new LinkedHashSet<>();
+    if (nextHeartbeat.isEmpty() || !step.now().isBefore(nextHeartbeat.get())) {
+      nextHeartbeat = Optional.of(step.now().plus(settings.timings().heartbeat()));
+      checkWatched(step);
+      probeSuspect(step);
+      targets.addAll(regularTargets());
     }
-    nextHeartbeat = Optional.of(step.now().plus(settings.timings().heartbeat()));
-    for (NodeId peer : peers()) {
-      step.emit(new Effect.SendPeer(peer, heartbeat));
+    greet.stream().filter(listed::containsKey).forEach(targets::add);
+    greet.clear();
+    targets.forEach(peer -> step.emit(new Effect.SendPeer(peer, heartbeat)));
+    informNewcomers(step);
+  }
+
+  private List<NodeId> regularTargets() {
+    List<NodeId> peers = peers();
+    if (peers.size() <= MESH_LIMIT) {
+      return peers;
     }
+    List<NodeId> targets = new ArrayList<>(ring.after(settings.node(), WATCHERS, this::isUp));
+    targets.add(peers.get(random.nextInt(peers.size())));
+    return targets;
+  }
+
+  private void checkWatched(Step step) {
+    List<NodeId> watched = watched();
+    watchedSince.keySet().retainAll(watched);
+    watched.forEach(node -> watchedSince.putIfAbsent(node, step.now()));
+    List<NodeId> newlySilent = new ArrayList<>();
+    for (NodeId node : watched) {
+      Duration silence = silenceOfWatched(node, step.now());
+      if (silence.compareTo(settings.timings().suspectAfter()) >= 0) {
+        newlySilent.add(node);
+      } else if (silence.multipliedBy(2).compareTo(settings.timings().suspectAfter()) >= 0) {
+        step.emit(new Effect.SendPeer(node, new PeerMessage.Probe()));
+      }
+    }
+    newlySilent.forEach(node -> suspect(node, step));
+    if (!newlySilent.isEmpty() && isLarge()) {
+      PeerMessage.Suspected message = suspicions(newlySilent);
+      peers().forEach(peer -> step.emit(new Effect.SendPeer(peer, message)));
+    }
+  }
+
+  /** Gives one suspected peer the chance to answer, also where its answer to all was lost. */
+  private void probeSuspect(Step step) {
+    List<NodeId> known = listedSuspects();
+    if (!known.isEmpty()) {
+      NodeId node = known.get(random.nextInt(known.size()));
+      step.emit(new Effect.SendPeer(node, new PeerMessage.Probe()));
+    }
+  }
+
+  private List<NodeId> listedSuspects() {
+    return suspected.stream().filter(listed::containsKey).toList();
+  }
+
+  private List<NodeId> watched() {
+    return isLarge()
+        ? ring.before(settings.node(), WATCHERS, this::isUp)
+        : peers().stream().filter(this::isUp).toList();
+  }
+
+  private Duration silenceOfWatched(NodeId node, Instant now) {
+    Instant heard = lastHeard.getOrDefault(node, now);
+    Instant since = watchedSince.getOrDefault(node, now);
+    return Duration.between(heard.isAfter(since) ? heard : since, now);
+  }
+
+  private void suspect(NodeId node, Step step) {
+    if (suspected.add(node)) {
+      step.log(EventCode.PEER_SUSPECTED, "peer", node);
+    }
+  }
+
+  /** Tells a peer that was seen for the first time whom this node suspects. */
+  private void informNewcomers(Step step) {
+    List<NodeId> known = listedSuspects();
+    if (isLarge() && !known.isEmpty()) {
+      PeerMessage.Suspected message = suspicions(known);
+      inform.forEach(peer -> step.emit(new Effect.SendPeer(peer, message)));
+    }
+    inform.clear();
+  }
+
+  private PeerMessage.Suspected suspicions(List<NodeId> nodes) {
+    return new PeerMessage.Suspected(
+        nodes.stream()
+            .map(
+                node ->
+                    new PeerMessage.SuspectedRun(
+                        node, incarnations.getOrDefault(node, Incarnation.NONE)))
+            .toList());
   }
 
   // Accessors
@@ -96,10 +283,14 @@
     if (node.equals(settings.node())) {
       return true;
     }
-    Instant heard = lastHeard.get(node);
-    return heard != null
-        && !closed.contains(node)
-        && now.isBefore(heard.plus(settings.timings().suspectAfter()));
+    return lastHeard.containsKey(node) && isUp(node) && (isLarge() || !isSilent(node, now));
+  }
+
+  /** Returns whether a node is about to go: it said so, or the VM list did. */
+  public boolean isLeaving(NodeId node) {
+    VmEntry entry = listed.get(node);
+    boolean listedAsLeaving = entry != null && entry.leaving();
+    return listedAsLeaving || leaving.contains(node) || draining.contains(node);
   }
 
   /** Returns whether one run of a node is known to have ended for good. */
@@ -111,17 +302,37 @@
     return incarnation.compareTo(known) < 0 || (incarnation.equals(known) && closed.contains(node));
   }
 
-  /** Returns this node's rank among the live ones, 0 for the first by name. */
+  /** Returns this node's rank among the live ones that stay, 0 for the first by name. */
   public int rank(Instant now) {
+    boolean selfLeaves = isLeaving(settings.node());
     return (int)
         peers().stream()
-            .filter(peer -> peer.compareTo(settings.node()) < 0)
+            .filter(peer -> selfLeaves || peer.compareTo(settings.node()) < 0)
+            .filter(peer -> !isLeaving(peer))
             .filter(peer -> isLive(peer, now))
             .count();
   }
 
+  /** Returns the newest incarnation that a peer was heard under. */
+  public Optional<Incarnation> incarnation(NodeId node) {
+    return Optional.ofNullable(incarnations.get(node));
+  }
+
   /** Returns when the next heartbeat is due. */
   public Optional<Instant> nextWakeUp() {
     return nextHeartbeat;
   }
+
+  private boolean isLarge() {
+    return listed.size() > MESH_LIMIT + 1;
+  }
+
+  private boolean isUp(NodeId node) {
+    return !closed.contains(node) && !suspected.contains(node);
+  }
+
+  private boolean isSilent(NodeId node, Instant now) {
+    Instant heard = lastHeard.get(node);
+    return heard == null || !now.isBefore(heard.plus(settings.timings().suspectAfter()));
+  }
 }
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/membership/Ring.java
@@ -0,0 +1,61 @@
+package dev.wisteriarail.core.membership;
+
+import dev.wisteriarail.core.id.NodeId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * The nodes in a circle, in an order that mixes failure domains and is the same on every node.
+ *
+ * <p>Immutable.
+ */
+final class Ring {
+
+  private final List<NodeId> nodes;
+
+  private Ring(List<NodeId> nodes) {
+    this.nodes = nodes;
+  }
+
+  static Ring of(Collection<NodeId> nodes) {
+    List<NodeId> sorted = new ArrayList<>(nodes);
+    sorted.sort(Comparator.comparingLong(Ring::position).thenComparing(node -> node));
+    return new Ring(List.copyOf(sorted));
+  }
+
+  /** Returns the next nodes after one that a test accepts. */
+  List<NodeId> after(NodeId node, int count, Predicate<NodeId> accepts) {
+    return walk(node, 1, count, accepts);
+  }
+
+  /** Returns the next nodes before one that a test accepts. */
+  List<NodeId> before(NodeId node, int count, Predicate<NodeId> accepts) {
+    return walk(node, nodes.size() - 1, count, accepts);
+  }
+
+  private List<NodeId> walk(NodeId node, int step, int count, Predicate<NodeId> accepts) {
+    List<NodeId> found = new ArrayList<>();
+    int start = nodes.indexOf(node);
+    if (start < 0) {
+      return found;
+    }
+    for (int i = 1; i < nodes.size() && found.size() < count; i++) {
+      NodeId candidate = nodes.get((int) ((start + (long) i * step) % nodes.size()));
+      if (accepts.test(candidate)) {
+        found.add(candidate);
+      }
+    }
+    return found;
+  }
+
+  /** Spreads names that differ in a digit only; the finalizer of SplitMix64. */
+  private static long position(NodeId node) {
+    long mixed = node.value().hashCode();
+    mixed = (mixed ^ mixed >>> 30) * 0xbf58476d1ce4e5b9L;
+    mixed = (mixed ^ mixed >>> 27) * 0x94d049bb133111ebL;
+    return mixed ^ mixed >>> 31;
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
@@ -1,6 +1,8 @@
 package dev.wisteriarail.core.peer;
 
 import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.state.LedgerSnapshot;
@@ -32,6 +34,30 @@
     }
   }
 
+  /** Asks for a heartbeat at once. */
+  record Probe() implements PeerMessage {}
+
+  /**
+   * Says which runs of nodes the sender has not heard for too long.
+   *
+   * @param runs the runs
+   */
+  record Suspected(List<SuspectedRun> runs) implements PeerMessage {
+
+    /** Copies the list. */
+    public Suspected {
+      runs = List.copyOf(runs);
+    }
+  }
+
+  /**
+   * One run of a node.
+   *
+   * @param node the node
+   * @param incarnation its newest incarnation that the sender knows
+   */
+  record SuspectedRun(NodeId node, Incarnation incarnation) {}
+
   /**
    * Asks a peer that is ahead for its state.
    *
--- a/src/main/java/dev/wisteriarail/core/request/RequestTable.java
+++ b/src/main/java/dev/wisteriarail/core/request/RequestTable.java
@@ -24,6 +24,7 @@
 import dev.wisteriarail.core.routing.Route;
 import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
+import dev.wisteriarail.core.state.Ledger;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -51,7 +52,7 @@
   private final Map<AttemptId, RequestId> attempts = new HashMap<>();
   private final Map<ModelId, Integer> arrivals = new TreeMap<>();
   private long attemptSequence;
-  private long nextOffset;
+  private boolean restored;
 
   private RequestTable(NodeSettings settings, Router router) {
     this.settings = settings;
@@ -180,12 +181,9 @@
 
   // Log and peers
 
-  /** Notes where a read of the log began; a gap leaves the used keys incomplete. */
-  public void acceptRead(Event.LogRead read) {
-    if (read.firstOffset() > nextOffset) {
-      ledger.markIncomplete();
-    }
-    nextOffset = Math.max(nextOffset, read.nextOffset());
+  /** Notes that records were dropped before they were read; new keys are refused meanwhile. */
+  public void markIncomplete() {
+    ledger.markIncomplete();
   }
 
   /** Takes a record of the log. */
@@ -205,21 +203,24 @@
     gate.acceptOffer(changes);
   }
 
-  /** Returns the state of the used keys, for a snapshot. */
-  public IntentSnapshot intentSnapshot() {
-    return ledger.snapshot();
+  /** Returns the state of the used keys as a part of what is folded from the log. */
+  public Ledger usedKeys() {
+    return new IntentSnapshots(ledger::snapshot, this::restoreIntents);
   }
 
-  /** Takes the state of the used keys from a snapshot. */
-  public void restoreIntents(IntentSnapshot snapshot, RequestContext context) {
+  private void restoreIntents(IntentSnapshot snapshot) {
     gate.restore(snapshot, requests::containsKey);
-    gate.held().forEach(pending -> settle(pending, context));
+    restored = true;
   }
 
   // Progress
 
   /** Dispatches what can run and refuses what is past its deadline. */
   public void advance(RequestContext context) {
+    if (restored) {
+      restored = false;
+      gate.held().forEach(pending -> settle(pending, context));
+    }
     Step step = context.step();
     for (PendingRequest held : gate.held()) {
       advanceHeld(held, context);
--- a/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
+++ b/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.id.CellId;
 import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.RecordBody;
 import java.util.List;
 import java.util.Optional;
 
@@ -60,6 +61,27 @@
     }
   }
 
+  /**
+   * Some of the used idempotency keys.
+   *
+   * @param changes the changes that lead to their state, in order
+   * @param expired digests of keys that are too old to be kept, oldest first
+   */
+  record IntentPart(List<RecordBody.IntentChange> changes, List<Long> expired)
+      implements LedgerSnapshot {
+
+    /** Copies the lists. */
+    public IntentPart {
+      changes = List.copyOf(changes);
+      expired = List.copyOf(expired);
+    }
+
+    @Override
+    public int entries() {
+      return 1 + changes.size() + expired.size() / Snapshot.NUMBERS_AN_ENTRY;
+    }
+  }
+
   /**
    * Identifiers of the newest records, for telling repeats.
    *
--- a/src/main/java/dev/wisteriarail/core/state/Snapshot.java
+++ b/src/main/java/dev/wisteriarail/core/state/Snapshot.java
@@ -14,6 +14,9 @@
   /** Size of one entry as text, in characters; {@link LedgerSnapshot#entries()} counts by it. */
   static final int CHARACTERS_AN_ENTRY = 300;
 
+  /** Numbers of 64 bits that one entry holds as text. */
+  static final int NUMBERS_AN_ENTRY = 15;
+
   /** Entries that one record or message holds at most, unless a single part has more. */
   private static final int ENTRIES_A_CHUNK = 200;
 
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -79,6 +79,7 @@
     return List.of(
         new LedgerSnapshot.RecentIdsPart("AAAAAAAAAAE="),
         new LedgerSnapshot.ConfigurationPart(Revision.of(2), 8),
+        new LedgerSnapshot.IntentPart(intents(), List.of(-5L)),
         new LedgerSnapshot.CellPart(CellId.of("main"), Optional.of(claim), List.of(held)));
   }
 
@@ -99,6 +100,9 @@
         new PeerMessage.IntentsOffered(intents()),
         new PeerMessage.Heartbeat(Revision.of(4), FencingNumber.of(9), true),
         new PeerMessage.Goodbye(),
+        new PeerMessage.Probe(),
+        new PeerMessage.Suspected(
+            List.of(new PeerMessage.SuspectedRun(NodeId.of("n2"), Incarnation.of(3)))),
         new PeerMessage.StateRequested(Revision.of(3)),
         new PeerMessage.StateOffered("4.9", 9, 0, 1, parts()),
         new PeerMessage.DemandReported(
