--- a/src/main/java/dev/wisteriarail/answers/AnswersReader.java
+++ b/src/main/java/dev/wisteriarail/answers/AnswersReader.java
@@ -35,9 +35,12 @@
   private final Map<String, TomlDocument> documents = new TreeMap<>();
   private final Map<String, String> files = new TreeMap<>();
   private final Map<String, Section> sections = new TreeMap<>();
+  private final Map<String, Section> inForce;
   private final List<AnswerProblem> problems = new ArrayList<>();
 
-  private AnswersReader() {}
+  private AnswersReader(Map<String, Section> inForce) {
+    this.inForce = inForce;
+  }
 
   // Entry points
 
@@ -49,7 +52,19 @@
    * @throws SettingsException if a file or folder cannot be read
    */
   public static AnswerSet read(List<Path> paths) throws SettingsException {
-    AnswersReader reader = new AnswersReader();
+    return read(paths, Map.of());
+  }
+
+  /**
+   * Reads files and folders, and checks them together with the sections in force.
+   *
+   * @param paths as above
+   * @param inForce the sections in force by name; those that are read replace theirs
+   * @throws SettingsException if a file or folder cannot be read
+   */
+  public static AnswerSet read(List<Path> paths, Map<String, Section> inForce)
+      throws SettingsException {
+    AnswersReader reader = new AnswersReader(inForce);
     for (Path path : paths) {
       for (Path file : filesOf(path)) {
         reader.readFile(file);
@@ -129,15 +144,16 @@
 
   private AnswerSet finish() {
     if (problems.isEmpty()) {
-      SectionValidator.check(sections.values()).forEach(this::addProblem);
-      warnOfCheckpoints();
+      Map<String, Section> together = new TreeMap<>(inForce);
+      together.putAll(sections);
+      SectionValidator.check(together.values()).forEach(this::addProblem);
+      warnOfCheckpoints(Configuration.merge(Revision.NONE, together.values()));
     }
     problems.sort(Comparator.comparing(AnswerProblem::file).thenComparingInt(AnswerProblem::line));
     return new AnswerSet(List.copyOf(sections.values()), problems);
   }
 
-  private void warnOfCheckpoints() {
-    Configuration merged = Configuration.merge(Revision.NONE, sections.values());
+  private void warnOfCheckpoints(Configuration merged) {
     for (Section section : sections.values()) {
       for (int i = 0; i < section.models().size(); i++) {
         warnOfCheckpoints(section, section.models().get(i), "model." + i, merged);
@@ -178,10 +194,15 @@
     problems.add(
         new AnswerProblem(
             problem.code(),
-            files.get(problem.section()),
-            documents.get(problem.section()).line(problem.path()),
+            files.getOrDefault(problem.section(), "section " + problem.section() + " in force"),
+            lineOf(problem),
             problem.path(),
             problem.message(),
             problem.remedy()));
   }
+
+  private int lineOf(SectionProblem problem) {
+    TomlDocument document = documents.get(problem.section());
+    return document == null ? 0 : document.line(problem.path());
+  }
 }
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/answers/LogReader.java
@@ -0,0 +1,161 @@
+package dev.wisteriarail.answers;
+
+import dev.wisteriarail.core.Event;
+import dev.wisteriarail.core.Step;
+import dev.wisteriarail.core.cell.CellLedger;
+import dev.wisteriarail.core.config.ConfigurationLedger;
+import dev.wisteriarail.core.config.ConfigurationVerdict;
+import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.id.RecordId;
+import dev.wisteriarail.core.log.LogRecord;
+import dev.wisteriarail.core.log.RecordBody.ConfigurationChanged;
+import dev.wisteriarail.core.result.PlatformException;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.state.LogState;
+import dev.wisteriarail.spi.LogBatch;
+import dev.wisteriarail.spi.LogService;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Reads the log as a node does, for tools: the same ledgers, the same verdicts.
+ *
+ * <p>Keeps every change of configuration that it read with its verdict. Not thread-safe.
+ */
+public final class LogReader {
+
+  /**
+   * A change of configuration and what became of it.
+   *
+   * @param offset its position in the log
+   * @param id its record
+   * @param change the change
+   * @param verdict what became of it
+   */
+  public record Change(
+      long offset, RecordId id, ConfigurationChanged change, ConfigurationVerdict verdict) {
+
+    /** Returns whether the change is in force or was until a later one. */
+    public boolean isAccepted() {
+      return verdict instanceof ConfigurationVerdict.Accepted;
+    }
+  }
+
+  /** Is told of each record before the ledgers take it. */
+  @FunctionalInterface
+  public interface Listener {
+
+    /** Takes a record; the reader's ledgers hold the state before it. */
+    void accept(LogRecord logged);
+  }
+
+  private final LogService log;
+  private final Listener listener;
+  private final ConfigurationLedger configurations = ConfigurationLedger.create();
+  private final CellLedger cell;
+  private final LogState state;
+  private final List<Change> changes = new ArrayList<>();
+  private long from;
+
+  private LogReader(LogService log, CellId cellId, Listener listener) {
+    this.log = log;
+    this.listener = listener;
+    cell = CellLedger.create(cellId);
+    state = LogState.create(cellId, List.of(configurations, cell));
+  }
+
+  /** Returns a reader that has read nothing. */
+  public static LogReader create(LogService log, CellId cell) {
+    return new LogReader(log, cell, logged -> {});
+  }
+
+  /** Returns a reader that tells of each record before its ledgers take it. */
+  public static LogReader create(LogService log, CellId cell, Listener listener) {
+    return new LogReader(log, cell, listener);
+  }
+
+  // Reading
+
+  /**
+   * Reads to the end of the log.
+   *
+   * @throws PlatformException if the log cannot be read, or lacks records that no snapshot covers
+   */
+  public void readToEnd() throws PlatformException {
+    while (readOnce(Duration.ZERO)) {
+      // Goes on until nothing is left.
+    }
+    if (!state.isCurrent()) {
+      throw new PlatformException(
+          ResultCode.LOG_RECORDS_DROPPED,
+          "offset " + state.firstOffset(),
+          "no snapshot covers what the log dropped; wait for the controller to write one");
+    }
+  }
+
+  /**
+   * Reads until a change stands in the log.
+   *
+   * @param limit reads that may bring nothing new, each of some 500 ms
+   * @return the change with its verdict; empty if it did not turn up
+   * @throws PlatformException if the log cannot be read
+   */
+  public Optional<Change> await(RecordId id, int limit) throws PlatformException {
+    int idle = 0;
+    while (find(id).isEmpty() && idle < limit) {
+      idle += readOnce(Duration.ofMillis(500)) ? 0 : 1;
+    }
+    return find(id);
+  }
+
+  private boolean readOnce(Duration wait) throws PlatformException {
+    LogBatch batch = log.read(from, wait);
+    Event.LogRead read =
+        new Event.LogRead(batch.records(), batch.nextOffset(), batch.firstOffset());
+    for (LogRecord logged : state.accept(read, Step.at(Instant.EPOCH))) {
+      fold(logged);
+    }
+    boolean moved = batch.nextOffset() > from;
+    from = Math.max(from, batch.nextOffset());
+    return moved;
+  }
+
+  private void fold(LogRecord logged) {
+    listener.accept(logged);
+    if (logged.body() instanceof ConfigurationChanged change) {
+      ConfigurationVerdict verdict = configurations.apply(change, logged.offset());
+      changes.add(new Change(logged.offset(), logged.id(), change, verdict));
+    } else {
+      cell.apply(logged);
+    }
+  }
+
+  private Optional<Change> find(RecordId id) {
+    return changes.stream().filter(change -> change.id().equals(id)).findFirst();
+  }
+
+  // Accessors
+
+  /** Returns the changes that were read, accepted or not, in order. */
+  public List<Change> changes() {
+    return List.copyOf(changes);
+  }
+
+  /** Returns the configuration's ledger. */
+  public ConfigurationLedger configurations() {
+    return configurations;
+  }
+
+  /** Returns the cell's ledger. */
+  public CellLedger cell() {
+    return cell;
+  }
+
+  /** Returns what is folded, for its offsets. */
+  public LogState state() {
+    return state;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/answers/Publisher.java
@@ -0,0 +1,146 @@
+package dev.wisteriarail.answers;
+
+import dev.wisteriarail.core.config.ConfigurationVerdict;
+import dev.wisteriarail.core.config.Section;
+import dev.wisteriarail.core.config.SectionProblem;
+import dev.wisteriarail.core.config.SectionValidator;
+import dev.wisteriarail.core.id.RecordId;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.AppendOutcome;
+import dev.wisteriarail.core.log.RecordBody.ConfigurationChanged;
+import dev.wisteriarail.core.result.PlatformException;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.spi.LogService;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Publishes sections on the log and reads back what became of them.
+ *
+ * <p>A section is refused without an append if it changed since the revision that the operator
+ * looked at. An append whose answer was lost is looked for in the log and never sent twice. Not
+ * thread-safe.
+ */
+public final class Publisher {
+
+  /** Reads without news after which a change whose answer was lost counts as unknown. */
+  private static final int IDLE_READS = 20;
+
+  private final LogService log;
+  private final LogReader reader;
+  private final String author;
+  private final String reason;
+  private final Supplier<String> recordSuffix;
+
+  private Publisher(
+      LogService log,
+      LogReader reader,
+      String author,
+      String reason,
+      Supplier<String> recordSuffix) {
+    this.log = log;
+    this.reader = reader;
+    this.author = author;
+    this.reason = reason;
+    this.recordSuffix = recordSuffix;
+  }
+
+  /**
+   * Returns a publisher.
+   *
+   * @param reader a reader that has read to the end of the log
+   * @param author who publishes
+   * @param reason why
+   * @param recordSuffix makes the identifiers of records unique
+   */
+  public static Publisher create(
+      LogService log,
+      LogReader reader,
+      String author,
+      String reason,
+      Supplier<String> recordSuffix) {
+    return new Publisher(log, reader, author, reason, recordSuffix);
+  }
+
+  /**
+   * Publishes the sections that differ from those in force, each as soon as it is valid.
+   *
+   * @param base the revision that the operator looked at
+   * @throws PlatformException if the log fails, or if it is not known whether a change stands in it
+   */
+  public List<PublishOutcome> publish(List<Section> sections, Revision base)
+      throws PlatformException {
+    List<PublishOutcome> outcomes = new ArrayList<>();
+    List<Section> waiting = new ArrayList<>(changed(sections));
+    while (!waiting.isEmpty()) {
+      Optional<Section> next = waiting.stream().filter(this::isValidNow).findFirst();
+      if (next.isEmpty()) {
+        waiting.forEach(section -> outcomes.add(refuseInvalid(section)));
+        return outcomes;
+      }
+      waiting.remove(next.get());
+      outcomes.add(publishOne(next.get(), base));
+    }
+    return outcomes;
+  }
+
+  /** Returns the sections that differ from those in force. */
+  public List<Section> changed(List<Section> sections) {
+    return sections.stream()
+        .filter(section -> !section.equals(inForce().get(section.name())))
+        .toList();
+  }
+
+  private PublishOutcome publishOne(Section section, Revision base) throws PlatformException {
+    Revision current = reader.configurations().sectionRevision(section.name());
+    if (current.compareTo(base) > 0) {
+      return new PublishOutcome.Refused(
+          section.name(),
+          ResultCode.REVISION_CONFLICT,
+          "it changed at revision " + current + ", after revision " + base);
+    }
+    RecordId id = RecordId.of("answers." + section.name() + "." + recordSuffix.get());
+    AppendOutcome appended =
+        log.append(id, author, new ConfigurationChanged(current, section, author, reason));
+    if (appended instanceof AppendOutcome.NotAppended failed) {
+      throw new PlatformException(
+          ResultCode.LOG_APPEND_FAILED, "section " + section.name(), failed.reason());
+    }
+    return outcome(section, id);
+  }
+
+  private PublishOutcome outcome(Section section, RecordId id) throws PlatformException {
+    Optional<LogReader.Change> found = reader.await(id, IDLE_READS);
+    if (found.isEmpty()) {
+      throw new PlatformException(
+          ResultCode.PUBLISH_UNKNOWN,
+          "section " + section.name(),
+          "record " + id + " has not turned up in the log; see answers history");
+    }
+    return switch (found.get().verdict()) {
+      case ConfigurationVerdict.Accepted accepted ->
+          new PublishOutcome.Published(section.name(), accepted.revision());
+      case ConfigurationVerdict.Rejected rejected ->
+          new PublishOutcome.Refused(section.name(), rejected.code(), rejected.reason());
+      case ConfigurationVerdict.Covered covered ->
+          new PublishOutcome.Refused(
+              section.name(), ResultCode.PUBLISH_UNKNOWN, "a snapshot covers it");
+    };
+  }
+
+  private boolean isValidNow(Section section) {
+    return SectionValidator.check(inForce(), section).isEmpty();
+  }
+
+  private PublishOutcome refuseInvalid(Section section) {
+    SectionProblem problem = SectionValidator.check(inForce(), section).getFirst();
+    return new PublishOutcome.Refused(section.name(), problem.code(), problem.describe());
+  }
+
+  private Map<String, Section> inForce() {
+    return reader.configurations().sections();
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/audit/AuditTrail.java
@@ -0,0 +1,300 @@
+package dev.wisteriarail.audit;
+
+import dev.wisteriarail.answers.LogReader;
+import dev.wisteriarail.core.cell.CellLedger;
+import dev.wisteriarail.core.cell.Reservation;
+import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.config.ModelSpec;
+import dev.wisteriarail.core.config.RunnerSpec;
+import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.LogRecord;
+import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.result.PlatformException;
+import dev.wisteriarail.spi.LogService;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Reads the log from its oldest record on and tells what each record did.
+ *
+ * <p>The log itself is the trail: a record is told together with the state that it met, which is
+ * the same for every reader, so that a decision shows the figures it was made on. The trail reaches
+ * back as far as the log keeps records. Not thread-safe.
+ */
+public final class AuditTrail {
+
+  private static final long MEBIBYTE = 1L << 20;
+
+  private final LogReader reader;
+  private final List<AuditEntry> entries = new ArrayList<>();
+
+  private AuditTrail(LogService log, CellId cell) {
+    reader = LogReader.create(log, cell, this::tell);
+  }
+
+  /**
+   * Reads the whole log.
+   *
+   * @throws PlatformException if the log cannot be read
+   */
+  public static AuditTrail read(LogService log, CellId cell) throws PlatformException {
+    AuditTrail trail = new AuditTrail(log, cell);
+    trail.reader.readToEnd();
+    return trail;
+  }
+
+  // Sentences
+
+  private void tell(LogRecord logged) {
+    sentence(logged).ifPresent(text -> entries.add(new AuditEntry(logged, text)));
+  }
+
+  private Optional<String> sentence(LogRecord logged) {
+    return switch (logged.body()) {
+      case RecordBody.ConfigurationChanged change -> Optional.of(change(change));
+      case RecordBody.ClaimRecorded claim -> Optional.of(claim(claim, logged.offset()));
+      case RecordBody.LoadDecided load -> Optional.of(load(load));
+      case RecordBody.UnloadDecided unload -> Optional.of(unload(unload));
+      case RecordBody.ReplicaClosed closed -> Optional.of(closed(closed));
+      case RecordBody.SnapshotChunk chunk -> Optional.empty();
+      default -> Optional.of(logged.writer() + " recorded " + logged.body());
+    };
+  }
+
+  private String change(RecordBody.ConfigurationChanged change) {
+    String section = change.section().name();
+    String place = "section " + section + ", based on revision " + change.basedOn();
+    String at = "it stood at revision " + reader.configurations().sectionRevision(section);
+    return change.author() + " published " + place + " (" + at + "): " + change.reason();
+  }
+
+  private String claim(RecordBody.ClaimRecorded claim, long offset) {
+    String who =
+        claim.holder() + " (incarnation " + claim.incarnation() + ") claimed cell " + claim.cell();
+    boolean valid = claim.previous().equals(ledger().fence());
+    String before =
+        ledger()
+            .claim()
+            .map(held -> held.holder() + " held it under fencing number " + held.fence())
+            .orElse("nobody held it");
+    return valid
+        ? who + "; " + before + "; the fencing number is now " + offset
+        : who + " in vain: it named fencing number " + claim.previous() + ", but " + before;
+  }
+
+  private String load(RecordBody.LoadDecided load) {
+    String what =
+        "load "
+            + load.model()
+            + " "
+            + load.version()
+            + " as "
+            + load.replica()
+            + " on "
+            + load.runner();
+    return decision(what, load.fence().equals(ledger().fence()))
+        + ": it reserves "
+        + mebibytes(load.bytes())
+        + "; "
+        + memory(load.runner())
+        + "; "
+        + replicas(load.model());
+  }
+
+  private String unload(RecordBody.UnloadDecided unload) {
+    String held =
+        ledger()
+            .reservation(unload.replica())
+            .map(AuditTrail::describe)
+            .orElse("no such replica was reserved");
+    return decision("unload " + unload.replica(), unload.fence().equals(ledger().fence()))
+        + ": "
+        + held;
+  }
+
+  private String closed(RecordBody.ReplicaClosed closed) {
+    String freed =
+        ledger()
+            .reservation(closed.replica())
+            .map(held -> "frees " + mebibytes(held.bytes()) + " on " + held.runner())
+            .orElse("frees nothing");
+    return decision("close " + closed.replica(), closed.fence().equals(ledger().fence()))
+        + ", which "
+        + freed
+        + ": "
+        + closed.reason();
+  }
+
+  private String decision(String what, boolean valid) {
+    String holder = ledger().claim().map(claim -> claim.holder().value()).orElse("nobody");
+    return valid
+        ? holder + " decided to " + what
+        : "a void decision to "
+            + what
+            + " (its fencing number is not "
+            + ledger().fence()
+            + ", that of "
+            + holder
+            + ")";
+  }
+
+  private String memory(RunnerId id) {
+    long reserved = reserved(id);
+    RunnerSpec runner = configuration().runners().get(id);
+    return runner == null
+        ? "runner " + id + " is not configured"
+        : mebibytes(reserved)
+            + " of "
+            + mebibytes(runner.memoryBytes())
+            + " on "
+            + id
+            + " were reserved before";
+  }
+
+  private String replicas(ModelId id) {
+    long before = ledger().reservations().stream().filter(held -> held.model().equals(id)).count();
+    ModelSpec model = configuration().models().get(id);
+    return model == null
+        ? "the model is not configured"
+        : before + " of at most " + model.maxReplicas() + " replicas were decided before";
+  }
+
+  // Explanations
+
+  /** Explains a model: what it may use, what it uses, and every record on it. */
+  public List<String> explainModel(ModelId id) {
+    List<String> lines = new ArrayList<>();
+    ModelSpec model = configuration().models().get(id);
+    if (model == null) {
+      lines.add("Model " + id + " is in no section in force.");
+    } else {
+      lines.add(
+          "Model "
+              + id
+              + " "
+              + model.version()
+              + " belongs to customer "
+              + model.customer()
+              + ", takes "
+              + mebibytes(model.memoryBytes())
+              + " and may have "
+              + model.maxReplicas()
+              + " replicas.");
+    }
+    List<Reservation> held =
+        ledger().reservations().stream().filter(one -> one.model().equals(id)).toList();
+    lines.add(held.size() + " replicas are decided now.");
+    held.forEach(one -> lines.add("  " + describe(one)));
+    addEntries(lines, id.value());
+    return lines;
+  }
+
+  /** Explains a runner: its memory, what is reserved on it, and every record on it. */
+  public List<String> explainRunner(RunnerId id) {
+    List<String> lines = new ArrayList<>();
+    RunnerSpec runner = configuration().runners().get(id);
+    if (runner == null) {
+      lines.add("Runner " + id + " is in no section in force.");
+    } else {
+      String fencing = runner.checksFencing() ? "checks" : "does not check";
+      lines.add(
+          "Runner "
+              + id
+              + " in "
+              + runner.failureDomain()
+              + " "
+              + fencing
+              + " fencing numbers; "
+              + mebibytes(reserved(id))
+              + " of "
+              + mebibytes(runner.memoryBytes())
+              + " are reserved.");
+    }
+    ledger().reservations().stream()
+        .filter(held -> held.runner().equals(id))
+        .forEach(held -> lines.add("  " + describe(held)));
+    addEntries(lines, id.value());
+    return lines;
+  }
+
+  /** Explains a decision, given by its replica, its record or its offset. */
+  public List<String> explainDecision(String name) {
+    List<String> lines = new ArrayList<>();
+    entries.stream()
+        .filter(entry -> isNamed(entry, name))
+        .forEach(entry -> lines.add(entry.describe()));
+    if (lines.isEmpty()) {
+      lines.add("The log keeps no record named " + name + "; older ones were dropped.");
+    }
+    return lines;
+  }
+
+  /** Explains a request as far as the log goes: only non-repeatable ones stand in it. */
+  public List<String> explainRequest(String id) {
+    List<String> lines = new ArrayList<>();
+    addEntries(lines, id);
+    if (lines.isEmpty()) {
+      lines.add(
+          "The log keeps nothing of request "
+              + id
+              + ": only requests that may not be repeated"
+              + " are recorded. The event log of the node that took it has the rest (--events).");
+    }
+    return lines;
+  }
+
+  private static boolean isNamed(AuditEntry entry, String name) {
+    return name.equals(Long.toString(entry.logged().offset())) || entry.mentions(name);
+  }
+
+  private void addEntries(List<String> lines, String name) {
+    entries.stream()
+        .filter(entry -> entry.mentions(name))
+        .forEach(entry -> lines.add(entry.describe()));
+  }
+
+  // Helpers
+
+  private long reserved(RunnerId id) {
+    return ledger().reservations().stream()
+        .filter(held -> held.runner().equals(id))
+        .mapToLong(Reservation::bytes)
+        .sum();
+  }
+
+  private static String describe(Reservation held) {
+    return "replica "
+        + held.replica()
+        + " of "
+        + held.model()
+        + " "
+        + held.version()
+        + " holds "
+        + mebibytes(held.bytes())
+        + " on "
+        + held.runner()
+        + (held.unloading() ? " and is to be unloaded" : "");
+  }
+
+  private static String mebibytes(long bytes) {
+    return bytes / MEBIBYTE + " MiB";
+  }
+
+  // Accessors
+
+  /** Returns the entries in order. */
+  public List<AuditEntry> entries() {
+    return List.copyOf(entries);
+  }
+
+  private CellLedger ledger() {
+    return reader.cell();
+  }
+
+  private Configuration configuration() {
+    return reader.configurations().current();
+  }
+}
--- a/src/main/java/dev/wisteriarail/cli/AnswersCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/AnswersCommand.java
@@ -3,16 +3,29 @@
 import dev.wisteriarail.answers.AnswerProblem;
 import dev.wisteriarail.answers.AnswerSet;
 import dev.wisteriarail.answers.AnswersReader;
+import dev.wisteriarail.answers.ConfigurationDiff;
+import dev.wisteriarail.answers.LogReader;
+import dev.wisteriarail.answers.PublishOutcome;
+import dev.wisteriarail.answers.Publisher;
+import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.config.ConfigurationVerdict;
+import dev.wisteriarail.core.config.Section;
+import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.result.PlatformException;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.core.result.WisteriarailException;
+import dev.wisteriarail.spi.LogService;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
-/** Checks and publishes teams' answers. */
+/** Checks, compares, publishes and reverts teams' answers. */
 final class AnswersCommand implements Command {
 
   @Override
@@ -22,17 +35,24 @@
 
   @Override
   public String summary() {
-    return "check: checks teams' answers";
+    return "check | diff | publish | history | revert: teams' answers";
   }
 
   @Override
   public String example() {
-    return "wisteriarail answers check examples/cwmtawe";
+    return "wisteriarail answers publish --log http://127.0.0.1:9000 --base 17 --author ann"
+        + " --reason \"larger queue\" examples/cwmtawe";
   }
 
   @Override
   public void declareOptions(OptionParser parser) {
     parser.nonOptions("action, then files or folders of answers");
+    PlatformLog.declareOptions(parser);
+    parser.accepts("base", "revision that diff showed").withRequiredArg().ofType(Long.class);
+    parser.accepts("author", "who publishes").withRequiredArg();
+    parser.accepts("reason", "why").withRequiredArg();
+    parser.accepts("section", "section to revert").withRequiredArg();
+    parser.accepts("to", "revision to revert it to").withRequiredArg().ofType(Long.class);
   }
 
   @Override
@@ -40,19 +60,23 @@
       throws WisteriarailException, InterruptedException {
     List<String> words = options.nonOptionArguments().stream().map(String::valueOf).toList();
     if (words.isEmpty()) {
-      throw usage("name an action: check");
+      throw usage("name an action: check, diff, publish, history or revert");
     }
     List<Path> paths = words.stream().skip(1).map(Path::of).toList();
     return switch (words.getFirst()) {
       case "check" -> check(paths, out);
-      default -> throw usage("no action " + words.getFirst() + "; there is: check");
+      case "diff" -> PlatformLog.use(options, log -> diff(log, options, paths, out));
+      case "publish" -> PlatformLog.use(options, log -> publish(log, options, paths, out));
+      case "history" -> PlatformLog.use(options, log -> history(log, options, out));
+      case "revert" -> PlatformLog.use(options, log -> revert(log, options, out));
+      default -> throw usage("no action " + words.getFirst());
     };
   }
 
+  // Actions
+
   private static ExitCode check(List<Path> paths, PrintStream out) throws SettingsException {
-    if (paths.isEmpty()) {
-      throw usage("name files or folders to check");
-    }
+    requirePaths(paths);
     AnswerSet answers = AnswersReader.read(paths);
     answers.problems().stream().map(AnswerProblem::describe).forEach(out::println);
     long warnings = answers.problems().stream().filter(AnswerProblem::isWarning).count();
@@ -62,6 +86,155 @@
     return answers.isValid() ? ExitCode.SUCCESS : ExitCode.INVALID_INPUT;
   }
 
+  private static ExitCode diff(LogService log, OptionSet options, List<Path> paths, PrintStream out)
+      throws SettingsException, PlatformException {
+    LogReader reader = readLog(log, options);
+    Map<String, Section> next = new TreeMap<>(reader.configurations().sections());
+    AnswerSet answers = read(paths, reader);
+    answers.problems().stream().map(AnswerProblem::describe).forEach(out::println);
+    answers.sections().forEach(section -> next.put(section.name(), section));
+    Configuration current = reader.configurations().current();
+    Configuration after = Configuration.merge(current.revision(), next.values());
+    List<String> lines = ConfigurationDiff.lines(current, after, reader.cell().reservations());
+    lines.forEach(out::println);
+    out.printf(
+        "based on revision %s: publish with --base %s%n", current.revision(), current.revision());
+    return answers.isValid() ? ExitCode.SUCCESS : ExitCode.INVALID_INPUT;
+  }
+
+  private static ExitCode publish(
+      LogService log, OptionSet options, List<Path> paths, PrintStream out)
+      throws SettingsException, PlatformException {
+    LogReader reader = readLog(log, options);
+    AnswerSet answers = read(paths, reader);
+    if (!answers.isValid()) {
+      answers.problems().stream().map(AnswerProblem::describe).forEach(out::println);
+      return ExitCode.INVALID_INPUT;
+    }
+    return publish(log, reader, options, answers.sections(), out);
+  }
+
+  private static ExitCode publish(
+      LogService log, LogReader reader, OptionSet options, List<Section> sections, PrintStream out)
+      throws SettingsException, PlatformException {
+    Revision base = Revision.of(required(options, "base"));
+    Publisher publisher =
+        Publisher.create(
+            log,
+            reader,
+            text(options, "author"),
+            text(options, "reason"),
+            () -> UUID.randomUUID().toString());
+    if (publisher.changed(sections).isEmpty()) {
+      out.println("nothing differs from revision " + reader.configurations().current().revision());
+      return ExitCode.SUCCESS;
+    }
+    List<PublishOutcome> outcomes = publisher.publish(sections, base);
+    outcomes.forEach(outcome -> out.println(describe(outcome)));
+    boolean all = outcomes.stream().allMatch(PublishOutcome.Published.class::isInstance);
+    return all ? ExitCode.SUCCESS : ExitCode.FAILED;
+  }
+
+  private static ExitCode history(LogService log, OptionSet options, PrintStream out)
+      throws PlatformException {
+    LogReader reader = readLog(log, options);
+    reader.changes().forEach(change -> out.println(describe(change)));
+    out.println("in force: revision " + reader.configurations().current().revision());
+    return ExitCode.SUCCESS;
+  }
+
+  private static ExitCode revert(LogService log, OptionSet options, PrintStream out)
+      throws SettingsException, PlatformException {
+    LogReader reader = readLog(log, options);
+    String name = text(options, "section");
+    long to = required(options, "to");
+    Section earlier =
+        reader.changes().stream()
+            .filter(LogReader.Change::isAccepted)
+            .filter(change -> change.change().section().name().equals(name))
+            .filter(change -> revision(change).value() <= to)
+            .reduce((first, second) -> second)
+            .map(change -> change.change().section())
+            .orElseThrow(() -> unknownRevision(name, to));
+    return publish(log, reader, options, List.of(earlier), out);
+  }
+
+  // Helpers
+
+  private static AnswerSet read(List<Path> paths, LogReader reader) throws SettingsException {
+    requirePaths(paths);
+    return AnswersReader.read(paths, reader.configurations().sections());
+  }
+
+  private static void requirePaths(List<Path> paths) throws SettingsException {
+    if (paths.isEmpty()) {
+      throw usage("name files or folders of answers");
+    }
+  }
+
+  private static LogReader readLog(LogService log, OptionSet options) throws PlatformException {
+    LogReader reader = LogReader.create(log, PlatformLog.cell(options));
+    reader.readToEnd();
+    return reader;
+  }
+
+  private static Revision revision(LogReader.Change change) {
+    return ((ConfigurationVerdict.Accepted) change.verdict()).revision();
+  }
+
+  private static String describe(PublishOutcome outcome) {
+    return switch (outcome) {
+      case PublishOutcome.Published done ->
+          "section " + done.section() + " is in force as revision " + done.revision();
+      case PublishOutcome.Refused refused ->
+          "section "
+              + refused.section()
+              + " was refused: "
+              + refused.code().label()
+              + " "
+              + refused.reason();
+    };
+  }
+
+  private static String describe(LogReader.Change change) {
+    String fate =
+        switch (change.verdict()) {
+          case ConfigurationVerdict.Accepted accepted -> "revision " + accepted.revision();
+          case ConfigurationVerdict.Rejected rejected ->
+              "rejected " + rejected.code().label() + " (" + rejected.reason() + ")";
+          case ConfigurationVerdict.Covered covered -> "covered by a snapshot";
+        };
+    return "offset "
+        + change.offset()
+        + ": section "
+        + change.change().section().name()
+        + ", "
+        + fate
+        + ", by "
+        + change.change().author()
+        + ": "
+        + change.change().reason();
+  }
+
+  private static String text(OptionSet options, String name) throws SettingsException {
+    if (!options.has(name)) {
+      throw usage("--" + name + " is required");
+    }
+    return String.valueOf(options.valueOf(name));
+  }
+
+  private static long required(OptionSet options, String name) throws SettingsException {
+    text(options, name);
+    return (Long) options.valueOf(name);
+  }
+
+  private static SettingsException unknownRevision(String section, long revision) {
+    return new SettingsException(
+        ResultCode.REVISION_UNKNOWN,
+        "section " + section,
+        "the log holds no change of it up to revision " + revision + "; see answers history");
+  }
+
   private static SettingsException usage(String message) {
     return new SettingsException(ResultCode.USAGE, "answers", message);
   }
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/cli/ExplainCommand.java
@@ -0,0 +1,85 @@
+package dev.wisteriarail.cli;
+
+import dev.wisteriarail.audit.AuditTrail;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.core.result.WisteriarailException;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/** Tells why a request, model, runner or decision is as it is. */
+final class ExplainCommand implements Command {
+
+  @Override
+  public String name() {
+    return "explain";
+  }
+
+  @Override
+  public String summary() {
+    return "request | model | runner | decision NAME: tells why, with the figures";
+  }
+
+  @Override
+  public String example() {
+    return "wisteriarail explain --log http://127.0.0.1:9000 model m001";
+  }
+
+  @Override
+  public void declareOptions(OptionParser parser) {
+    PlatformLog.declareOptions(parser);
+    parser.accepts("events", "a node's event log, for requests").withRequiredArg();
+    parser.nonOptions("what, and its name");
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, PrintStream out) throws WisteriarailException {
+    List<String> words = options.nonOptionArguments().stream().map(String::valueOf).toList();
+    if (words.size() != 2) {
+      throw usage("name what to explain: request, model, runner or decision, and which");
+    }
+    return PlatformLog.use(
+        options,
+        log -> {
+          AuditTrail trail = AuditTrail.read(log, PlatformLog.cell(options));
+          explain(trail, words.get(0), words.get(1)).forEach(out::println);
+          if (options.has("events")) {
+            printEvents(Path.of((String) options.valueOf("events")), words.get(1), out);
+          }
+          return ExitCode.SUCCESS;
+        });
+  }
+
+  private static List<String> explain(AuditTrail trail, String what, String name)
+      throws SettingsException {
+    return switch (what) {
+      case "request" -> trail.explainRequest(name);
+      case "model" -> trail.explainModel(ModelId.of(name));
+      case "runner" -> trail.explainRunner(RunnerId.of(name));
+      case "decision" -> trail.explainDecision(name);
+      default -> throw usage("cannot explain a " + what);
+    };
+  }
+
+  private static void printEvents(Path file, String name, PrintStream out)
+      throws SettingsException {
+    try (Stream<String> lines = Files.lines(file)) {
+      lines.filter(line -> line.contains(name)).forEach(out::println);
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.FILE_UNREADABLE, file.toString(), "cannot be read", failure);
+    }
+  }
+
+  private static SettingsException usage(String message) {
+    return new SettingsException(ResultCode.USAGE, "explain", message);
+  }
+}
--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -20,8 +20,10 @@
   private static final List<Command> COMMANDS =
       List.of(
           new AnswersCommand(),
+          new AuditCommand(),
           new DemoCommand(),
           new FuzzCommand(),
+          new ExplainCommand(),
           new LoadCommand(),
           new ServeCommand(),
           new StandinCommand());
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/cli/PlatformLog.java
@@ -0,0 +1,47 @@
+package dev.wisteriarail.cli;
+
+import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.core.result.WisteriarailException;
+import dev.wisteriarail.platform.HttpClients;
+import dev.wisteriarail.platform.HttpLogService;
+import dev.wisteriarail.spi.LogService;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.eclipse.jetty.client.HttpClient;
+
+/** The platform's log as subcommands reach it. */
+final class PlatformLog {
+
+  /** What a subcommand does with the log. */
+  @FunctionalInterface
+  interface Use {
+
+    /** Works with the log. */
+    ExitCode run(LogService log) throws WisteriarailException;
+  }
+
+  private PlatformLog() {}
+
+  static void declareOptions(OptionParser parser) {
+    parser.accepts("log", "base address of the platform's log").withRequiredArg();
+    parser.accepts("cell", "cell whose snapshots are read").withRequiredArg().defaultsTo("main");
+  }
+
+  static CellId cell(OptionSet options) {
+    return CellId.of((String) options.valueOf("cell"));
+  }
+
+  static ExitCode use(OptionSet options, Use use) throws WisteriarailException {
+    if (!options.has("log")) {
+      throw new SettingsException(ResultCode.USAGE, "", "--log is required");
+    }
+    HttpClient http = HttpClients.start();
+    try {
+      return use.run(HttpLogService.create(http, (String) options.valueOf("log")));
+    } finally {
+      HttpClients.stop(http);
+    }
+  }
+}
--- a/src/main/java/dev/wisteriarail/node/Node.java
+++ b/src/main/java/dev/wisteriarail/node/Node.java
@@ -12,6 +12,7 @@
 import dev.wisteriarail.http.ExchangeTable;
 import dev.wisteriarail.http.NodeMetrics;
 import dev.wisteriarail.http.NodeView;
+import dev.wisteriarail.peer.PeerTls;
 import dev.wisteriarail.peer.TcpPeerServer;
 import dev.wisteriarail.peer.TcpPeerTransport;
 import dev.wisteriarail.platform.HttpClients;
@@ -29,7 +30,6 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
-import javax.net.SocketFactory;
 import org.eclipse.jetty.client.HttpClient;
 
 /**
@@ -79,6 +79,7 @@
             file.cell(),
             file.seed(),
             file.timings());
+    Optional<PeerTls> tls = loadTls(file, clock);
     EventLog events = EventLog.forNode(file.node());
     HttpClient http = HttpClients.start();
     ServerSocket peerSocket = bind(file.peer());
@@ -91,8 +92,7 @@
                 http, id -> Optional.ofNullable(runtime.get().configuration().runners().get(id))),
             HttpLogService.create(http, file.logAddress()),
             HttpVmList.create(http, file.vmListAddress()),
-            TcpPeerTransport.create(
-                file.node(), settings.incarnation(), SocketFactory.getDefault()),
+            TcpPeerTransport.create(file.node(), settings.incarnation(), tls, events),
             exchanges,
             events);
     NodeCore core = NodeCore.create(settings, file.placement().planner());
@@ -105,7 +105,7 @@
             () -> runtime.get().isReady(),
             submit,
             clock);
-    TcpPeerServer peers = TcpPeerServer.start(peerSocket, submit, events);
+    TcpPeerServer peers = TcpPeerServer.start(peerSocket, tls, submit, events);
     CallerServer callers =
         CallerServer.start(
             file.http().host(),
@@ -133,6 +133,13 @@
     HttpClients.stop(http);
   }
 
+  private static Optional<PeerTls> loadTls(NodeFile file, MonotonicClock clock)
+      throws SettingsException {
+    return file.peerTls().isPresent()
+        ? Optional.of(PeerTls.load(file.peerTls().get(), clock))
+        : Optional.empty();
+  }
+
   private static ServerSocket bind(Endpoint endpoint) throws SettingsException {
     try {
       ServerSocket socket = new ServerSocket();
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/peer/PeerTls.java
@@ -0,0 +1,196 @@
+package dev.wisteriarail.peer;
+
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.result.PeerException;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.result.SettingsException;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.cert.Certificate;
+import java.security.cert.CertificateParsingException;
+import java.security.cert.X509Certificate;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+import javax.naming.InvalidNameException;
+import javax.naming.ldap.LdapName;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLPeerUnverifiedException;
+import javax.net.ssl.SSLSession;
+import javax.net.ssl.SSLSocket;
+
+/**
+ * Mutual TLS between nodes, with keys and certificates from PEM files.
+ *
+ * <p>The files are looked at again every few seconds. Once they changed and make a working pair,
+ * new connections use them and {@link #generation} grows, upon which the connections in use are
+ * replaced; files that do not fit leave the earlier ones in force. Thread-safe.
+ */
+public final class PeerTls {
+
+  private static final Duration CHECK_INTERVAL = Duration.ofSeconds(5);
+  private static final int HANDSHAKE_TIMEOUT_MILLIS = 3_000;
+  private static final int DNS_NAME = 2;
+
+  /** What is in force, made from one state of the files. */
+  private record State(SSLContext context, List<byte[]> contents, long generation) {}
+
+  private final TlsFiles files;
+  private final InstantSource clock;
+  private volatile State state;
+  private Instant nextCheck;
+
+  private PeerTls(TlsFiles files, InstantSource clock, State state) {
+    this.files = files;
+    this.clock = clock;
+    this.state = state;
+    nextCheck = clock.instant().plus(CHECK_INTERVAL);
+  }
+
+  /**
+   * Reads the files.
+   *
+   * @throws SettingsException if a file cannot be read or the files do not fit
+   */
+  public static PeerTls load(TlsFiles files, InstantSource clock) throws SettingsException {
+    try {
+      List<byte[]> contents = read(files);
+      return new PeerTls(files, clock, new State(PemFiles.context(contents), contents, 1));
+    } catch (IOException | GeneralSecurityException unusable) {
+      throw new SettingsException(
+          ResultCode.SETTINGS_INVALID, "peer.tls", "cannot be used: " + unusable, unusable);
+    }
+  }
+
+  // Connections
+
+  /**
+   * Turns an accepted connection into a TLS one and checks that the peer has a certificate.
+   *
+   * @throws PeerException if the peer is not trusted
+   */
+  public SSLSocket accept(Socket plain) throws PeerException {
+    return handshake(plain, false);
+  }
+
+  /**
+   * Turns a connection that was opened into a TLS one.
+   *
+   * @throws PeerException if the peer is not trusted, or is another node
+   */
+  public SSLSocket connect(Socket plain, NodeId expected) throws PeerException {
+    SSLSocket secure = handshake(plain, true);
+    checkName(secure, expected);
+    return secure;
+  }
+
+  private SSLSocket handshake(Socket plain, boolean client) throws PeerException {
+    try {
+      refresh();
+      String host = plain.getInetAddress().getHostAddress();
+      SSLSocket secure =
+          (SSLSocket)
+              state.context().getSocketFactory().createSocket(plain, host, plain.getPort(), true);
+      secure.setUseClientMode(client);
+      secure.setNeedClientAuth(true);
+      int timeout = plain.getSoTimeout();
+      secure.setSoTimeout(HANDSHAKE_TIMEOUT_MILLIS);
+      secure.startHandshake();
+      secure.setSoTimeout(timeout);
+      return secure;
+    } catch (IOException refused) {
+      throw new PeerException(
+          ResultCode.PEER_UNTRUSTED, "handshake", String.valueOf(refused.getMessage()), refused);
+    }
+  }
+
+  /**
+   * Checks that a connection's certificate names a node.
+   *
+   * @throws PeerException if it names another one
+   */
+  public void checkName(SSLSocket secure, NodeId claimed) throws PeerException {
+    List<String> names = names(secure.getSession());
+    boolean shared = files.sharedName().filter(names::contains).isPresent();
+    if (!shared && !names.contains(claimed.value())) {
+      throw new PeerException(
+          ResultCode.PEER_UNTRUSTED,
+          "node " + claimed,
+          "its certificate is for " + String.join(", ", names));
+    }
+  }
+
+  private static List<String> names(SSLSession session) throws PeerException {
+    try {
+      Certificate[] chain = session.getPeerCertificates();
+      X509Certificate own = (X509Certificate) chain[0];
+      Collection<List<?>> alternatives = own.getSubjectAlternativeNames();
+      if (alternatives == null) {
+        return commonNames(own);
+      }
+      return alternatives.stream()
+          .filter(name -> name.getFirst().equals(DNS_NAME))
+          .map(name -> String.valueOf(name.get(1)))
+          .toList();
+    } catch (SSLPeerUnverifiedException
+        | CertificateParsingException
+        | InvalidNameException unreadable) {
+      throw new PeerException(
+          ResultCode.PEER_UNTRUSTED, "certificate", unreadable.toString(), unreadable);
+    }
+  }
+
+  private static List<String> commonNames(X509Certificate certificate) throws InvalidNameException {
+    return new LdapName(certificate.getSubjectX500Principal().getName())
+        .getRdns().stream()
+            .filter(part -> part.getType().equalsIgnoreCase("CN"))
+            .map(part -> String.valueOf(part.getValue()))
+            .toList();
+  }
+
+  // Rotation
+
+  /** Returns a number that grows when other files come into force. */
+  public long generation() {
+    refresh();
+    return state.generation();
+  }
+
+  private synchronized void refresh() {
+    Instant now = clock.instant();
+    if (now.isBefore(nextCheck)) {
+      return;
+    }
+    nextCheck = now.plus(CHECK_INTERVAL);
+    try {
+      List<byte[]> contents = read(files);
+      if (!isSame(contents, state.contents())) {
+        state = new State(PemFiles.context(contents), contents, state.generation() + 1);
+      }
+    } catch (IOException | GeneralSecurityException unusable) {
+      // Half-written or broken files leave the earlier ones in force until the next look.
+    }
+  }
+
+  private static List<byte[]> read(TlsFiles files) throws IOException {
+    return List.of(
+        Files.readAllBytes(Path.of(files.key())),
+        Files.readAllBytes(Path.of(files.certificate())),
+        Files.readAllBytes(Path.of(files.trust())));
+  }
+
+  private static boolean isSame(List<byte[]> first, List<byte[]> second) {
+    for (int i = 0; i < first.size(); i++) {
+      if (!Arrays.equals(first.get(i), second.get(i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerServer.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerServer.java
@@ -11,9 +11,11 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import javax.net.ssl.SSLSocket;
 
 /**
  * Accepts connections of peers and passes their messages on.
@@ -23,12 +25,15 @@
 public final class TcpPeerServer implements AutoCloseable {
 
   private final ServerSocket server;
+  private final Optional<PeerTls> tls;
   private final Consumer<Event> events;
   private final EventLog log;
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
-  private TcpPeerServer(ServerSocket server, Consumer<Event> events, EventLog log) {
+  private TcpPeerServer(
+      ServerSocket server, Optional<PeerTls> tls, Consumer<Event> events, EventLog log) {
     this.server = server;
+    this.tls = tls;
     this.events = events;
     this.log = log;
   }
@@ -37,11 +42,13 @@
    * Starts to accept connections.
    *
    * @param server a bound server socket
+   * @param tls checks and encrypts the connections; empty to do neither
    * @param events takes {@link Event.PeerReceived}
    * @param log the node's event log
    */
-  public static TcpPeerServer start(ServerSocket server, Consumer<Event> events, EventLog log) {
-    TcpPeerServer peers = new TcpPeerServer(server, events, log);
+  public static TcpPeerServer start(
+      ServerSocket server, Optional<PeerTls> tls, Consumer<Event> events, EventLog log) {
+    TcpPeerServer peers = new TcpPeerServer(server, tls, events, log);
     Thread.ofVirtual().name("peer-accept").start(peers::acceptAll);
     return peers;
   }
@@ -60,11 +67,16 @@
     }
   }
 
-  private void readAll(Socket socket) {
-    try (socket) {
+  private void readAll(Socket plain) {
+    try (plain;
+        Socket socket = tls.isPresent() ? tls.get().accept(plain) : plain) {
+      long generation = generation();
       DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
-      while (!server.isClosed()) {
+      while (!server.isClosed() && generation == generation()) {
         PeerFrame frame = FrameCodec.read(in);
+        if (socket instanceof SSLSocket secure) {
+          tls.get().checkName(secure, frame.from());
+        }
         events.accept(new Event.PeerReceived(frame.from(), frame.incarnation(), frame.message()));
       }
     } catch (PeerException refused) {
@@ -72,16 +84,22 @@
           NodeEvent.of(
               EventCode.PEER_REFUSED,
               "address",
-              socket.getRemoteSocketAddress(),
+              plain.getRemoteSocketAddress(),
+              "code",
+              refused.code().label(),
               "reason",
               refused.describe()));
     } catch (IOException gone) {
       // The peer closed the connection; it opens a new one when it has something to say.
     } finally {
-      connections.remove(socket);
+      connections.remove(plain);
     }
   }
 
+  private long generation() {
+    return tls.map(PeerTls::generation).orElse(0L);
+  }
+
   @Override
   public void close() {
     closeQuietly(server);
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -1,9 +1,13 @@
 package dev.wisteriarail.peer;
 
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.event.NodeEvent;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.membership.VmEntry;
 import dev.wisteriarail.core.peer.PeerMessage;
+import dev.wisteriarail.core.result.PeerException;
+import dev.wisteriarail.runtime.EventLog;
 import dev.wisteriarail.spi.PeerTransport;
 import java.io.BufferedOutputStream;
 import java.io.DataOutputStream;
@@ -12,10 +16,10 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
-import javax.net.SocketFactory;
 
 /**
  * Sends frames to peers, one connection and one bounded queue a peer.
@@ -31,19 +35,27 @@
 
   private final NodeId self;
   private final Incarnation incarnation;
-  private final SocketFactory sockets;
+  private final Optional<PeerTls> tls;
+  private final EventLog log;
   private final Map<NodeId, Link> links = new ConcurrentHashMap<>();
 
-  private TcpPeerTransport(NodeId self, Incarnation incarnation, SocketFactory sockets) {
+  private TcpPeerTransport(
+      NodeId self, Incarnation incarnation, Optional<PeerTls> tls, EventLog log) {
     this.self = self;
     this.incarnation = incarnation;
-    this.sockets = sockets;
+    this.tls = tls;
+    this.log = log;
   }
 
-  /** Returns a transport without connections. */
+  /**
+   * Returns a transport without connections.
+   *
+   * @param tls checks and encrypts the connections; empty to do neither
+   * @param log the node's event log
+   */
   public static TcpPeerTransport create(
-      NodeId self, Incarnation incarnation, SocketFactory sockets) {
-    return new TcpPeerTransport(self, incarnation, sockets);
+      NodeId self, Incarnation incarnation, Optional<PeerTls> tls, EventLog log) {
+    return new TcpPeerTransport(self, incarnation, tls, log);
   }
 
   @Override
@@ -59,7 +71,7 @@
     if (known != null) {
       known.stop();
     }
-    return Link.start(peer, sockets);
+    return Link.start(peer, tls, log);
   }
 
   @Override
@@ -71,19 +83,21 @@
   private static final class Link {
 
     private final VmEntry peer;
-    private final SocketFactory sockets;
+    private final Optional<PeerTls> tls;
+    private final EventLog log;
     private final BlockingQueue<PeerFrame> queue = new ArrayBlockingQueue<>(QUEUE_LIMIT);
     private final Thread thread;
     private volatile boolean finishing;
 
-    private Link(VmEntry peer, SocketFactory sockets) {
+    private Link(VmEntry peer, Optional<PeerTls> tls, EventLog log) {
       this.peer = peer;
-      this.sockets = sockets;
+      this.tls = tls;
+      this.log = log;
       thread = Thread.ofVirtual().name("peer-" + peer.node()).unstarted(this::run);
     }
 
-    static Link start(VmEntry peer, SocketFactory sockets) {
-      Link link = new Link(peer, sockets);
+    static Link start(VmEntry peer, Optional<PeerTls> tls, EventLog log) {
+      Link link = new Link(peer, tls, log);
       link.thread.start();
       return link;
     }
@@ -126,17 +140,37 @@
     }
 
     private void connectAndWrite() throws InterruptedException {
-      try (Socket socket = sockets.createSocket()) {
-        socket.connect(new InetSocketAddress(peer.host(), peer.port()), CONNECT_TIMEOUT_MILLIS);
-        socket.setTcpNoDelay(true);
-        DataOutputStream out =
-            new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
-        while (!finishing || !queue.isEmpty()) {
-          FrameCodec.write(out, queue.take());
-        }
+      try (Socket plain = new Socket()) {
+        plain.connect(new InetSocketAddress(peer.host(), peer.port()), CONNECT_TIMEOUT_MILLIS);
+        plain.setTcpNoDelay(true);
+        writeAll(tls.isPresent() ? tls.get().connect(plain, peer.node()) : plain);
+      } catch (PeerException refused) {
+        log.write(
+            NodeEvent.of(
+                EventCode.PEER_REFUSED,
+                "peer",
+                peer.node(),
+                "code",
+                refused.code().label(),
+                "reason",
+                refused.describe()));
       } catch (IOException unreachable) {
         // Heartbeats tell the core; the link tries again after a delay.
       }
     }
+
+    private void writeAll(Socket socket) throws IOException, InterruptedException {
+      long generation = generation();
+      try (DataOutputStream out =
+          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()))) {
+        while ((!finishing || !queue.isEmpty()) && generation == generation()) {
+          FrameCodec.write(out, queue.take());
+        }
+      }
+    }
+
+    private long generation() {
+      return tls.map(PeerTls::generation).orElse(0L);
+    }
   }
 }
--- a/src/main/java/dev/wisteriarail/settings/NodeFile.java
+++ b/src/main/java/dev/wisteriarail/settings/NodeFile.java
@@ -8,8 +8,10 @@
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.http.HttpLimits;
+import dev.wisteriarail.peer.TlsFiles;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * The settings of one node. docs/SETTINGS.md describes each key.
@@ -24,6 +26,8 @@
  * @param vmListAddress base address of the platform's VM list
  * @param timings its intervals
  * @param limits bounds on callers' calls
+ * @param peerTls keys and certificates for peers; empty for connections without TLS
+ * @param operatorTokenHash SHA-256 of the operators' bearer token; empty to serve them nothing
  * @param placement the policy for idle models
  * @param drainLimit longest time that a graceful stop waits for requests in flight
  */
@@ -38,6 +42,8 @@
     String vmListAddress,
     Timings timings,
     HttpLimits limits,
+    Optional<TlsFiles> peerTls,
+    Optional<String> operatorTokenHash,
     PlacementPolicy placement,
     Duration drainLimit) {
 
@@ -74,6 +80,8 @@
             toml.text("vm_list.address"),
             timings(toml),
             limits(toml),
+            peerTls(toml),
+            optional(toml, "http.operator_token_sha256"),
             placement(toml),
             toml.millis("node.drain_limit_ms", DEFAULT_DRAIN_LIMIT));
     toml.check();
@@ -108,6 +116,22 @@
         toml.millis("timings.append_retry_ms", defaults.appendRetry()));
   }
 
+  private static Optional<TlsFiles> peerTls(TomlDocument toml) {
+    if (!toml.contains("peer.tls")) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new TlsFiles(
+            toml.text("peer.tls.key"),
+            toml.text("peer.tls.certificate"),
+            toml.text("peer.tls.trust"),
+            optional(toml, "peer.tls.shared_name")));
+  }
+
+  private static Optional<String> optional(TomlDocument toml, String key) {
+    return toml.contains(key) ? Optional.of(toml.text(key)) : Optional.empty();
+  }
+
   private static HttpLimits limits(TomlDocument toml) {
     HttpLimits defaults = HttpLimits.DEFAULT;
     return new HttpLimits(
--- a/src/test/java/dev/wisteriarail/fuzz/Defects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/Defects.java
@@ -10,6 +10,7 @@
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.peer.PeerMessage;
 import dev.wisteriarail.core.request.Ending;
 import dev.wisteriarail.core.request.Refusal;
 import dev.wisteriarail.core.request.Target;
@@ -98,6 +99,10 @@
   MISSES_CHANGES {
     @Override
     public Event alter(NodeId node, Event event) {
+      if (event instanceof Event.PeerReceived received
+          && received.message() instanceof PeerMessage.StateOffered) {
+        return new Event.TimerFired();
+      }
       return event instanceof Event.LogRead read && node.equals(NodeId.of("n1"))
           ? new Event.LogRead(
               read.records().stream()
