--- a/src/main/java/dev/wisteriarail/core/request/RequestTable.java
+++ b/src/main/java/dev/wisteriarail/core/request/RequestTable.java
@@ -20,6 +20,7 @@
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
+import dev.wisteriarail.core.state.Ledger;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -60,7 +61,6 @@
   private final TreeSet<PendingRequest> delayed = new TreeSet<>(WaitingQueue.BY_DEADLINE);
   private Instant nextReview = Instant.EPOCH;
   private long sequence;
-  private long nextOffset;
 
   private RequestTable(NodeSettings settings, Router router) {
     gate = IntentGate.create(settings, IntentLimits.DEFAULT, ledger);
@@ -250,12 +250,9 @@
 
   // Log, runners and peers
 
-  /** Notes where a read of the log began; a gap leaves the used keys incomplete. */
-  public void acceptRead(Event.LogRead read) {
-    if (read.firstOffset() > nextOffset) {
-      ledger.markIncomplete();
-    }
-    nextOffset = Math.max(nextOffset, read.nextOffset());
+  /** Notes that records were dropped before they were read; new keys are refused meanwhile. */
+  public void markIncomplete() {
+    ledger.markIncomplete();
   }
 
   /** Takes a record of the log. */
@@ -284,15 +281,13 @@
     gate.acceptOffer(changes);
   }
 
-  /** Returns the state of the used keys, for a snapshot. */
-  public IntentSnapshot intentSnapshot() {
-    return ledger.snapshot();
+  /** Returns the state of the used keys as a part of what is folded from the log. */
+  public Ledger usedKeys() {
+    return new IntentSnapshots(ledger::snapshot, this::restoreIntents);
   }
 
-  /** Takes the state of the used keys from a snapshot. */
-  public void restoreIntents(IntentSnapshot snapshot, RequestContext context) {
+  private void restoreIntents(IntentSnapshot snapshot) {
     gate.restore(snapshot, requests::containsKey);
-    gate.held().forEach(pending -> settle(pending, context));
   }
 
   // Progress
