Let stand-in engines crash, leave, lag in their reports, load adapters and count

Cause: the stand-in engine ignored the report lag that it was told to show, refused adapters and could not crash.

--- a/src/main/java/dev/wisteriarail/demo/Demo.java
+++ b/src/main/java/dev/wisteriarail/demo/Demo.java
@@ -4,7 +4,6 @@
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.node.Node;
-import dev.wisteriarail.standin.EngineStandin;
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -167,7 +166,7 @@
   }
 
   private int loads() {
-    return fleet.standins().engines().stream().mapToInt(EngineStandin::loads).sum();
+    return fleet.standins().engines().stream().mapToInt(engine -> engine.counters().loads()).sum();
   }
 
   private long decisions() {
--- a/src/main/java/dev/wisteriarail/demo/StandinFleet.java
+++ b/src/main/java/dev/wisteriarail/demo/StandinFleet.java
@@ -73,6 +73,7 @@
               i % 2 == 1,
               plan.loadMillis(),
               plan.tokenMillis(),
+              Optional.empty(),
               Optional.of(weightStore.server().address()));
       engines.add(EngineStandin.start(ANY_PORT, seed + i, setup, http));
     }
--- a/src/main/java/dev/wisteriarail/standin/EngineSetup.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineSetup.java
@@ -12,6 +12,7 @@
  * @param checksFencing whether it refuses an order with an old fencing number
  * @param loadMillis time that a load takes, in milliseconds
  * @param tokenMillis time between two pieces of an answer, in milliseconds
+ * @param crashOn a text; a request whose body has it crashes the engine
  * @param weightStore base address of the weight store; empty to load without one
  */
 public record EngineSetup(
@@ -21,11 +22,19 @@
     boolean checksFencing,
     long loadMillis,
     long tokenMillis,
+    Optional<String> crashOn,
     Optional<String> weightStore) {
 
   /** Returns the same setup with the address of a weight store. */
   public EngineSetup withWeightStore(String address) {
     return new EngineSetup(
-        runner, memoryBytes, slots, checksFencing, loadMillis, tokenMillis, Optional.of(address));
+        runner,
+        memoryBytes,
+        slots,
+        checksFencing,
+        loadMillis,
+        tokenMillis,
+        crashOn,
+        Optional.of(address));
   }
 }
--- a/src/main/java/dev/wisteriarail/standin/EngineStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineStandin.java
@@ -4,12 +4,9 @@
 import dev.wisteriarail.codec.Codecs;
 import dev.wisteriarail.core.engine.EngineOrder;
 import dev.wisteriarail.core.engine.EngineReport;
-import dev.wisteriarail.core.engine.ReplicaPhase;
-import dev.wisteriarail.core.engine.ReplicaStatus;
 import dev.wisteriarail.core.id.AttemptId;
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.Incarnation;
-import dev.wisteriarail.core.id.ModelId;
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.engine.EngineAttempt;
@@ -17,52 +14,40 @@
 import dev.wisteriarail.engine.EnginePiece;
 import dev.wisteriarail.settings.Endpoint;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.HttpClient;
 
 /**
- * A stand-in for a model engine: orders, attempts and reports.
+ * A stand-in for a model engine: orders, attempts and reports over HTTP.
  *
- * <p>An answer repeats the request's own body, so that a caller can check that it got its own.
- * Thread-safe.
+ * <p>{@code GET /report}, {@code POST /orders}, {@code POST /attempts/{id}}, {@code POST
+ * /attempts/{id}/cancel}; for tests {@code GET /counters}, {@code POST /crash} and {@code POST
+ * /leave}. An answer repeats the request's own prompt, so that a caller can check that it got its
+ * own. Thread-safe.
  */
 public final class EngineStandin implements AutoCloseable {
 
   private static final int DEFAULT_PIECES = 8;
   private static final int MAX_PIECES = 4_096;
-
-  /** A replica in the engine's memory. */
-  private record Loaded(ModelId model, String version, long bytes, ReplicaPhase phase) {
-
-    Loaded withPhase(ReplicaPhase newPhase) {
-      return new Loaded(model, version, bytes, newPhase);
-    }
-  }
+  private static final long ADAPTER_MILLIS = 8;
 
   private final EngineSetup setup;
   private final HttpClient http;
   private final StandinServer server;
-  private final Incarnation incarnation = Incarnation.of(System.nanoTime());
-  private final Map<ReplicaId, Loaded> replicas = new TreeMap<>();
-  private final Map<ReplicaId, Integer> active = new TreeMap<>();
-  private final Set<AttemptId> cancelled = new HashSet<>();
-  private FencingNumber highestFence = FencingNumber.NONE;
-  private long highWaterBytes;
-  private int loads;
-  private boolean leaving;
+  private final EngineState state;
+  private final LaggingReports reports = new LaggingReports();
+  private final Set<AttemptId> cancelled = ConcurrentHashMap.newKeySet();
 
   private EngineStandin(Endpoint endpoint, long seed, EngineSetup setup, HttpClient http)
       throws SettingsException {
     this.setup = setup;
     this.http = http;
+    state = new EngineState(setup);
     server = StandinServer.start(endpoint, seed, this::serve);
   }
 
@@ -79,14 +64,29 @@
 
   private void serve(Call call) throws IOException, InterruptedException {
     List<String> parts = call.parts();
-    if (call.path().equals("/report")) {
-      call.replyJson(report());
-    } else if (call.path().equals("/orders")) {
-      order(call);
-    } else if (parts.size() == 2 && parts.getFirst().equals("attempts")) {
+    switch (call.path()) {
+      case "/report" ->
+          call.replyJson(reports.show(state.report(), server.faults().reportLagMillis()));
+      case "/orders" -> order(call);
+      case "/counters" -> call.replyJson(state.counters());
+      case "/crash" -> {
+        state.crash();
+        call.reply(200, "crashed\n");
+      }
+      case "/leave" -> {
+        state.setLeaving(true);
+        call.reply(200, "leaving\n");
+      }
+      default -> serveAttempt(parts, call);
+    }
+  }
+
+  private void serveAttempt(List<String> parts, Call call)
+      throws IOException, InterruptedException {
+    if (parts.size() == 2 && parts.getFirst().equals("attempts")) {
       run(AttemptId.of(parts.get(1)), call);
     } else if (parts.size() == 3 && parts.get(2).equals("cancel")) {
-      cancel(AttemptId.of(parts.get(1)));
+      cancelled.add(AttemptId.of(parts.get(1)));
       call.reply(200, "ok\n");
     } else {
       call.reply(404, "no such path\n");
@@ -95,9 +95,9 @@
 
   // Orders
 
-  private void order(Call call) throws IOException {
+  private void order(Call call) throws IOException, InterruptedException {
     EngineOrderCall order = call.body(EngineOrderCall.class);
-    Optional<FencingNumber> higher = checkFence(order.fence());
+    Optional<FencingNumber> higher = state.checkFence(order.fence());
     if (higher.isPresent()) {
       call.reply(409, higher.get().toString());
       return;
@@ -113,95 +113,77 @@
     }
   }
 
-  private synchronized Optional<FencingNumber> checkFence(FencingNumber fence) {
-    if (setup.checksFencing() && fence.compareTo(highestFence) < 0) {
-      return Optional.of(highestFence);
-    }
-    if (fence.compareTo(highestFence) > 0) {
-      highestFence = fence;
+  private Optional<String> apply(EngineOrder order) throws InterruptedException {
+    switch (order) {
+      case EngineOrder.LoadReplica load -> {
+        return load(load);
+      }
+      case EngineOrder.UnloadReplica unload -> state.unload(unload.replica());
+      case EngineOrder.LoadAdapter load -> {
+        Thread.sleep(ADAPTER_MILLIS);
+        return state.addAdapter(load);
+      }
+      case EngineOrder.UnloadAdapter unload ->
+          state.removeAdapter(unload.replica(), unload.adapter());
+      case EngineOrder.RaiseFence raise -> {}
     }
     return Optional.empty();
   }
 
-  private Optional<String> apply(EngineOrder order) {
-    return switch (order) {
-      case EngineOrder.LoadReplica load -> load(load);
-      case EngineOrder.UnloadReplica unload -> unload(unload.replica());
-      case EngineOrder.LoadAdapter adapter -> Optional.of("adapters are not served yet");
-      case EngineOrder.UnloadAdapter adapter -> Optional.of("adapters are not served yet");
-      case EngineOrder.RaiseFence raise -> Optional.empty();
-    };
-  }
-
-  private synchronized Optional<String> load(EngineOrder.LoadReplica load) {
-    if (replicas.containsKey(load.replica())) {
+  private Optional<String> load(EngineOrder.LoadReplica load) {
+    if (state.holds(load.replica())) {
       return Optional.empty();
     }
-    if (usedBytes() + load.bytes() > setup.memoryBytes()) {
-      return Optional.of("out of memory: " + usedBytes() + " bytes in use");
+    Optional<String> failure = state.reserve(load);
+    if (failure.isEmpty()) {
+      Incarnation loadedIn = state.incarnation();
+      Thread.ofVirtual().start(() -> finishLoad(load.replica(), loadedIn));
     }
-    replicas.put(
-        load.replica(),
-        new Loaded(load.model(), load.version(), load.bytes(), ReplicaPhase.LOADING));
-    highWaterBytes = Math.max(highWaterBytes, usedBytes());
-    loads++;
-    Thread.ofVirtual().start(() -> finishLoad(load.replica()));
-    return Optional.empty();
+    return failure;
   }
 
-  private void finishLoad(ReplicaId replica) {
+  private void finishLoad(ReplicaId replica, Incarnation loadedIn) {
     try {
       if (setup.weightStore().isPresent()) {
         http.POST(setup.weightStore().get() + "/fetch?ms=" + setup.loadMillis()).send();
       } else {
         Thread.sleep(setup.loadMillis());
       }
-      setPhase(replica, ReplicaPhase.READY);
+      state.markReady(replica, loadedIn);
     } catch (TimeoutException | ExecutionException failure) {
-      remove(replica);
+      state.remove(replica);
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     }
   }
 
-  private synchronized Optional<String> unload(ReplicaId replica) {
-    setPhase(replica, ReplicaPhase.UNLOADING);
-    if (active.getOrDefault(replica, 0) == 0) {
-      remove(replica);
-    }
-    return Optional.empty();
-  }
-
-  private synchronized void setPhase(ReplicaId replica, ReplicaPhase phase) {
-    replicas.computeIfPresent(replica, (id, loaded) -> loaded.withPhase(phase));
-  }
-
-  private synchronized void remove(ReplicaId replica) {
-    replicas.remove(replica);
-  }
-
   // Attempts
 
   private void run(AttemptId attempt, Call call) throws IOException, InterruptedException {
     EngineAttempt body = call.body(EngineAttempt.class);
-    if (!enter(body.replica())) {
-      call.reply(503, "the replica does not take requests");
+    Optional<String> refusal = state.enter(body.replica(), body.adapter());
+    if (refusal.isPresent()) {
+      call.reply(503, refusal.get());
       return;
     }
+    Incarnation startedIn = state.incarnation();
     try {
-      answer(attempt, body, call);
+      if (setup.crashOn().filter(body.body()::contains).isPresent()) {
+        state.crash();
+      }
+      answer(attempt, body, startedIn, call);
     } finally {
-      leave(body.replica());
+      state.leave(body.replica(), startedIn);
     }
   }
 
-  private void answer(AttemptId attempt, EngineAttempt body, Call call)
+  private void answer(AttemptId attempt, EngineAttempt body, Incarnation startedIn, Call call)
       throws IOException, InterruptedException {
     JsonNode request = Codecs.json().readTree(body.body());
     int pieces = Math.clamp(request.path("max_tokens").asInt(DEFAULT_PIECES), 1, MAX_PIECES);
     String echo = request.path("prompt").asText(request.path("messages").toString());
     for (long position = body.resumeFrom(); position < pieces; position++) {
-      if (isCancelled(attempt)) {
+      if (cancelled.remove(attempt) || !state.incarnation().equals(startedIn)) {
         return;
       }
       Thread.sleep(setup.tokenMillis());
@@ -211,72 +193,16 @@
     call.writeLine(new EnginePiece(pieces, "", true), true);
   }
 
-  private synchronized boolean enter(ReplicaId replica) {
-    Loaded loaded = replicas.get(replica);
-    if (loaded == null || loaded.phase() != ReplicaPhase.READY) {
-      return false;
-    }
-    active.merge(replica, 1, Integer::sum);
-    return true;
-  }
-
-  private synchronized void leave(ReplicaId replica) {
-    int left = active.merge(replica, -1, Integer::sum);
-    Loaded loaded = replicas.get(replica);
-    if (left == 0 && loaded != null && loaded.phase() == ReplicaPhase.UNLOADING) {
-      remove(replica);
-    }
-  }
-
-  private synchronized void cancel(AttemptId attempt) {
-    cancelled.add(attempt);
-  }
-
-  private synchronized boolean isCancelled(AttemptId attempt) {
-    return cancelled.remove(attempt);
-  }
-
   // Accessors
 
-  /** Returns the engine's state as it reports it. */
-  public synchronized EngineReport report() {
-    List<ReplicaStatus> statuses = new ArrayList<>();
-    replicas.forEach(
-        (replica, loaded) ->
-            statuses.add(
-                new ReplicaStatus(
-                    replica,
-                    loaded.model(),
-                    loaded.version(),
-                    loaded.phase(),
-                    loaded.bytes(),
-                    active.getOrDefault(replica, 0),
-                    List.of())));
-    int running = active.values().stream().mapToInt(Integer::intValue).sum();
-    return new EngineReport(
-        setup.runner(),
-        incarnation,
-        highestFence,
-        leaving,
-        Math.min(running, setup.slots()),
-        Math.max(0, running - setup.slots()),
-        usedBytes(),
-        statuses);
-  }
-
-  /** Returns the number of loads that the engine has started. */
-  public synchronized int loads() {
-    return loads;
-  }
-
-  /** Returns the most accelerator memory that was in use at a time, in bytes. */
-  public synchronized long highWaterBytes() {
-    return highWaterBytes;
+  /** Returns the engine's state as it is now. */
+  public EngineReport report() {
+    return state.report();
   }
 
-  /** Makes the engine report that it is leaving, or not. */
-  public synchronized void setLeaving(boolean isLeaving) {
-    leaving = isLeaving;
+  /** Returns what the engine counted. */
+  public EngineCounters counters() {
+    return state.counters();
   }
 
   /** Returns the server, for its address and faults. */
@@ -288,8 +214,4 @@
   public void close() {
     server.close();
   }
-
-  private long usedBytes() {
-    return replicas.values().stream().mapToLong(Loaded::bytes).sum();
-  }
 }
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/standin/EngineState.java
@@ -0,0 +1,229 @@
+package dev.wisteriarail.standin;
+
+import dev.wisteriarail.core.engine.EngineOrder;
+import dev.wisteriarail.core.engine.EngineReport;
+import dev.wisteriarail.core.engine.ReplicaPhase;
+import dev.wisteriarail.core.engine.ReplicaStatus;
+import dev.wisteriarail.core.id.AdapterId;
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.ReplicaId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * What an engine stand-in holds: replicas, adapters, running requests and the fencing number.
+ *
+ * <p>A crash loses all of it and starts a new incarnation. Thread-safe.
+ */
+final class EngineState {
+
+  /** A replica in the engine's memory. */
+  private record Loaded(
+      ModelId model,
+      String version,
+      long bytes,
+      ReplicaPhase phase,
+      Map<AdapterId, Long> adapters) {
+
+    Loaded withPhase(ReplicaPhase newPhase) {
+      return new Loaded(model, version, bytes, newPhase, adapters);
+    }
+
+    Loaded withAdapters(Map<AdapterId, Long> newAdapters) {
+      return new Loaded(model, version, bytes, phase, newAdapters);
+    }
+
+    long totalBytes() {
+      return bytes + adapters.values().stream().mapToLong(Long::longValue).sum();
+    }
+  }
+
+  private final EngineSetup setup;
+  private final Map<ReplicaId, Loaded> replicas = new TreeMap<>();
+  private final Map<ReplicaId, Integer> active = new TreeMap<>();
+  private FencingNumber highestFence = FencingNumber.NONE;
+  private Incarnation incarnation = Incarnation.of(System.nanoTime());
+  private long highWaterBytes;
+  private long reports;
+  private int loads;
+  private int crashes;
+  private boolean leaving;
+
+  EngineState(EngineSetup setup) {
+    this.setup = setup;
+  }
+
+  // Orders
+
+  /** Returns the higher fencing number that the engine has seen, if it refuses the given one. */
+  synchronized Optional<FencingNumber> checkFence(FencingNumber fence) {
+    if (setup.checksFencing() && fence.compareTo(highestFence) < 0) {
+      return Optional.of(highestFence);
+    }
+    if (fence.compareTo(highestFence) > 0) {
+      highestFence = fence;
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Takes a replica into memory.
+   *
+   * @return why it cannot, or nothing
+   */
+  synchronized Optional<String> reserve(EngineOrder.LoadReplica load) {
+    if (usedBytes() + load.bytes() > setup.memoryBytes()) {
+      return Optional.of("out of memory: " + usedBytes() + " bytes in use");
+    }
+    replicas.put(
+        load.replica(),
+        new Loaded(load.model(), load.version(), load.bytes(), ReplicaPhase.LOADING, Map.of()));
+    highWaterBytes = Math.max(highWaterBytes, usedBytes());
+    loads++;
+    return Optional.empty();
+  }
+
+  /** Marks a replica that finished loading in the given incarnation. */
+  synchronized void markReady(ReplicaId replica, Incarnation loadedIn) {
+    if (loadedIn.equals(incarnation)) {
+      replicas.computeIfPresent(
+          replica,
+          (id, loaded) ->
+              loaded.phase() == ReplicaPhase.LOADING
+                  ? loaded.withPhase(ReplicaPhase.READY)
+                  : loaded);
+    }
+  }
+
+  /** Stops a replica from taking requests and frees it once it runs none. */
+  synchronized void unload(ReplicaId replica) {
+    replicas.computeIfPresent(replica, (id, loaded) -> loaded.withPhase(ReplicaPhase.UNLOADING));
+    if (active.getOrDefault(replica, 0) == 0) {
+      remove(replica);
+    }
+  }
+
+  /** Adds an adapter to a replica; returns why it cannot, or nothing. */
+  synchronized Optional<String> addAdapter(EngineOrder.LoadAdapter load) {
+    Loaded loaded = replicas.get(load.replica());
+    if (loaded == null) {
+      return Optional.of("no replica " + load.replica());
+    }
+    if (usedBytes() + load.bytes() > setup.memoryBytes()) {
+      return Optional.of("out of memory: " + usedBytes() + " bytes in use");
+    }
+    Map<AdapterId, Long> adapters = new TreeMap<>(loaded.adapters());
+    adapters.put(load.adapter(), load.bytes());
+    replicas.put(load.replica(), loaded.withAdapters(adapters));
+    highWaterBytes = Math.max(highWaterBytes, usedBytes());
+    return Optional.empty();
+  }
+
+  /** Removes an adapter from a replica. */
+  synchronized void removeAdapter(ReplicaId replica, AdapterId adapter) {
+    replicas.computeIfPresent(
+        replica,
+        (id, loaded) -> {
+          Map<AdapterId, Long> adapters = new TreeMap<>(loaded.adapters());
+          adapters.remove(adapter);
+          return loaded.withAdapters(adapters);
+        });
+  }
+
+  synchronized void remove(ReplicaId replica) {
+    replicas.remove(replica);
+  }
+
+  // Attempts
+
+  /** Starts a request on a replica; returns why it cannot, or nothing. */
+  synchronized Optional<String> enter(ReplicaId replica, Optional<AdapterId> adapter) {
+    Loaded loaded = replicas.get(replica);
+    if (loaded == null || loaded.phase() != ReplicaPhase.READY) {
+      return Optional.of("the replica does not take requests");
+    }
+    if (adapter.isPresent() && !loaded.adapters().containsKey(adapter.get())) {
+      return Optional.of("the adapter is not loaded");
+    }
+    active.merge(replica, 1, Integer::sum);
+    return Optional.empty();
+  }
+
+  /** Ends a request that was started in the given incarnation. */
+  synchronized void leave(ReplicaId replica, Incarnation startedIn) {
+    if (!startedIn.equals(incarnation)) {
+      return;
+    }
+    int left = active.merge(replica, -1, Integer::sum);
+    Loaded loaded = replicas.get(replica);
+    if (left == 0 && loaded != null && loaded.phase() == ReplicaPhase.UNLOADING) {
+      remove(replica);
+    }
+  }
+
+  // Faults
+
+  /** Loses everything, as when the engine process crashes and comes back. */
+  synchronized void crash() {
+    replicas.clear();
+    active.clear();
+    highestFence = FencingNumber.NONE;
+    incarnation = Incarnation.of(incarnation.value() + 1);
+    reports = 0;
+    crashes++;
+  }
+
+  synchronized void setLeaving(boolean isLeaving) {
+    leaving = isLeaving;
+  }
+
+  // Accessors
+
+  synchronized boolean holds(ReplicaId replica) {
+    return replicas.containsKey(replica);
+  }
+
+  synchronized Incarnation incarnation() {
+    return incarnation;
+  }
+
+  synchronized EngineCounters counters() {
+    return new EngineCounters(loads, crashes, highWaterBytes, setup.memoryBytes());
+  }
+
+  synchronized EngineReport report() {
+    List<ReplicaStatus> statuses = new ArrayList<>();
+    replicas.forEach((replica, loaded) -> statuses.add(statusOf(replica, loaded)));
+    int running = active.values().stream().mapToInt(Integer::intValue).sum();
+    reports++;
+    return new EngineReport(
+        setup.runner(),
+        incarnation,
+        highestFence,
+        leaving,
+        Math.min(running, setup.slots()),
+        Math.max(0, running - setup.slots()),
+        usedBytes(),
+        statuses);
+  }
+
+  private ReplicaStatus statusOf(ReplicaId replica, Loaded loaded) {
+    return new ReplicaStatus(
+        replica,
+        loaded.model(),
+        loaded.version(),
+        loaded.phase(),
+        loaded.totalBytes(),
+        active.getOrDefault(replica, 0),
+        List.copyOf(loaded.adapters().keySet()));
+  }
+
+  private long usedBytes() {
+    return replicas.values().stream().mapToLong(Loaded::totalBytes).sum();
+  }
+}
--- a/src/main/java/dev/wisteriarail/standin/ServiceStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/ServiceStandin.java
@@ -49,6 +49,10 @@
           new EngineReport(runner, incarnation, FencingNumber.NONE, false, 0, 0, 0, List.of()));
       return;
     }
+    if (call.path().equals("/counters")) {
+      call.replyJson(runsByKey);
+      return;
+    }
     if (!call.path().startsWith("/services/")) {
       call.reply(404, "no such path\n");
       return;
--- a/src/main/java/dev/wisteriarail/standin/StandinFile.java
+++ b/src/main/java/dev/wisteriarail/standin/StandinFile.java
@@ -130,6 +130,7 @@
               toml.flag(path + ".checks_fencing", true),
               toml.integer(path + ".load_ms", 0, 3_600_000, 1_000),
               toml.integer(path + ".token_ms", 0, 60_000, 20),
+              Optional.of(toml.text(path + ".crash_on", "")).filter(text -> !text.isEmpty()),
               Optional.empty());
       engines.add(new EngineEntry(endpoint(toml, path), setup));
     }
