--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -26,7 +26,8 @@
           new ExplainCommand(),
           new LoadCommand(),
           new ServeCommand(),
-          new StandinCommand());
+          new StandinCommand(),
+          new StatusCommand());
 
   private Main() {}
 
--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -298,4 +298,27 @@
   public boolean isController() {
     return controller.isController();
   }
+
+  /** Returns what this node knows of itself and of the fleet. */
+  public NodeStatus status(Instant now) {
+    Configuration configuration = configurations.current();
+    return new NodeStatus(
+        settings.node(),
+        settings.incarnation(),
+        settings.failureDomain(),
+        settings.cell(),
+        isReady(),
+        draining,
+        requests.isEmpty(),
+        configuration.revision(),
+        configuration.models().size(),
+        logHealth.isDown(now),
+        logState.isCurrent(),
+        logState.nextOffset(),
+        logState.newestSnapshot().map(LogState.LogSnapshot::through),
+        ledger.claim().map(Claim::holder),
+        ledger.fence(),
+        membership.view(now),
+        List.copyOf(ledger.reservations()));
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/membership/Membership.java
+++ b/src/main/java/dev/wisteriarail/core/membership/Membership.java
@@ -318,6 +318,13 @@
     return Optional.ofNullable(incarnations.get(node));
   }
 
+  /** Returns what is known of each listed peer. */
+  public List<PeerView> view(Instant now) {
+    return peers().stream()
+        .map(peer -> new PeerView(peer, incarnation(peer), isLive(peer, now), isLeaving(peer)))
+        .toList();
+  }
+
   /** Returns when the next heartbeat is due. */
   public Optional<Instant> nextWakeUp() {
     return nextHeartbeat;
--- a/src/main/java/dev/wisteriarail/core/routing/Router.java
+++ b/src/main/java/dev/wisteriarail/core/routing/Router.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.core.routing;
 
 import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.config.ModelSpec;
 import dev.wisteriarail.core.config.RunnerSpec;
 import dev.wisteriarail.core.config.ServiceSpec;
 import dev.wisteriarail.core.id.ReplicaId;
@@ -45,6 +46,7 @@
       Predicate<ReplicaId> routable) {
     return runners.readyReplicas(target.model()).stream()
         .filter(ready -> routable.test(ready.status().replica()))
+        .filter(ready -> isVersionInForce(ready, configuration))
         .filter(ready -> hasSlot(ready.runner(), configuration, runners))
         .min(Comparator.comparingInt(ready -> load(ready.runner(), runners)))
         .map(ready -> new Route(ready.runner(), Optional.of(ready.status().replica())));
@@ -65,6 +67,12 @@
 
   // Helpers
 
+  /** Waiting requests are served by the version in force; those in flight finish on theirs. */
+  private static boolean isVersionInForce(ReadyReplica ready, Configuration configuration) {
+    ModelSpec model = configuration.models().get(ready.status().model());
+    return model != null && model.version().equals(ready.status().version());
+  }
+
   private static boolean hasSlot(
       RunnerId runner, Configuration configuration, RunnerTable runners) {
     RunnerSpec spec = configuration.runners().get(runner);
--- a/src/main/java/dev/wisteriarail/http/CallerHandler.java
+++ b/src/main/java/dev/wisteriarail/http/CallerHandler.java
@@ -88,6 +88,11 @@
       case "/v1/models" -> listModels(request, response);
       case "/health/live" -> writeText(response, HttpStatus.OK_200, "live\n");
       case "/health/ready" -> writeReadiness(response);
+      case "/status" ->
+          writeText(
+              response,
+              HttpStatus.OK_200,
+              node.status().render(request.getHeaders().get(HttpHeader.AUTHORIZATION)));
       case "/metrics" -> writeText(response, HttpStatus.OK_200, metrics.scrape());
       default -> {
         if (!path.startsWith(SERVICES_PREFIX)) {
--- a/src/main/java/dev/wisteriarail/http/NodeView.java
+++ b/src/main/java/dev/wisteriarail/http/NodeView.java
@@ -18,6 +18,7 @@
  * @param ready tells whether the balancer may send callers
  * @param events takes events for the core
  * @param clock the node's clock
+ * @param status serves operators
  */
 public record NodeView(
     NodeId node,
@@ -25,4 +26,17 @@
     Supplier<Configuration> configuration,
     BooleanSupplier ready,
     Consumer<Event> events,
-    InstantSource clock) {}
+    InstantSource clock,
+    StatusPage status) {
+
+  /** Describes a node whose status page is off. */
+  public NodeView(
+      NodeId node,
+      Incarnation incarnation,
+      Supplier<Configuration> configuration,
+      BooleanSupplier ready,
+      Consumer<Event> events,
+      InstantSource clock) {
+    this(node, incarnation, configuration, ready, events, clock, StatusPage.OFF);
+  }
+}
--- a/src/main/java/dev/wisteriarail/node/Node.java
+++ b/src/main/java/dev/wisteriarail/node/Node.java
@@ -12,6 +12,7 @@
 import dev.wisteriarail.http.ExchangeTable;
 import dev.wisteriarail.http.NodeMetrics;
 import dev.wisteriarail.http.NodeView;
+import dev.wisteriarail.http.StatusPage;
 import dev.wisteriarail.peer.PeerTls;
 import dev.wisteriarail.peer.TcpPeerServer;
 import dev.wisteriarail.peer.TcpPeerTransport;
@@ -104,7 +105,8 @@
             () -> runtime.get().configuration(),
             () -> runtime.get().isReady(),
             submit,
-            clock);
+            clock,
+            StatusPage.create(file.operatorTokenHash(), () -> runtime.get().status()));
     TcpPeerServer peers = TcpPeerServer.start(peerSocket, tls, submit, events);
     CallerServer callers =
         CallerServer.start(
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -32,6 +32,7 @@
   private static final int QUEUE_LIMIT = 256;
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
   private static final Duration RECONNECT_DELAY = Duration.ofMillis(200);
+  private static final Duration REFUSED_DELAY = Duration.ofSeconds(5);
 
   private final NodeId self;
   private final Incarnation incarnation;
@@ -127,11 +128,11 @@
     private void run() {
       try {
         while (true) {
-          connectAndWrite();
+          Duration delay = connectAndWrite();
           if (finishing) {
             return;
           }
-          Thread.sleep(RECONNECT_DELAY);
+          Thread.sleep(delay);
           queue.clear();
         }
       } catch (InterruptedException stopped) {
@@ -139,7 +140,8 @@
       }
     }
 
-    private void connectAndWrite() throws InterruptedException {
+    /** Writes until the connection ends; returns the time to wait before the next one. */
+    private Duration connectAndWrite() throws InterruptedException {
       try (Socket plain = new Socket()) {
         plain.connect(new InetSocketAddress(peer.host(), peer.port()), CONNECT_TIMEOUT_MILLIS);
         plain.setTcpNoDelay(true);
@@ -154,9 +156,11 @@
                 refused.code().label(),
                 "reason",
                 refused.describe()));
+        return REFUSED_DELAY;
       } catch (IOException unreachable) {
         // Heartbeats tell the core; the link tries again after a delay.
       }
+      return RECONNECT_DELAY;
     }
 
     private void writeAll(Socket socket) throws IOException, InterruptedException {
--- a/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
+++ b/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
@@ -4,6 +4,7 @@
 import dev.wisteriarail.core.Event;
 import dev.wisteriarail.core.NodeCore;
 import dev.wisteriarail.core.NodeSettings;
+import dev.wisteriarail.core.NodeStatus;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.engine.OrderOutcome;
 import dev.wisteriarail.core.event.EventCode;
@@ -20,6 +21,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
@@ -54,6 +56,7 @@
   private final CountDownLatch drained = new CountDownLatch(1);
   private final Map<NodeId, VmEntry> addresses = new ConcurrentHashMap<>();
   private final Set<RunnerId> polled = ConcurrentHashMap.newKeySet();
+  private final StatusDesk statusDesk = new StatusDesk();
   private final AtomicBoolean open = new AtomicBoolean(true);
   private volatile Configuration configuration = Configuration.EMPTY;
   private volatile boolean ready;
@@ -128,6 +131,7 @@
   }
 
   private void publishState() {
+    statusDesk.answer(() -> core.status(clock.instant()));
     configuration = core.configuration();
     controller = core.isController();
     if (core.isReady() && !ready) {
@@ -278,6 +282,11 @@
     return controller;
   }
 
+  /** Returns what the node knows of itself and of the fleet; empty if the core does not answer. */
+  public Optional<NodeStatus> status() throws InterruptedException {
+    return statusDesk.ask(() -> submit(new Event.TimerFired()));
+  }
+
   /** Returns the node's own settings. */
   public NodeSettings settings() {
     return settings;
