--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -65,9 +65,11 @@
     membership = Membership.create(settings);
     ledger = CellLedger.create(settings.cell());
     controller = CellController.create(settings, ledger, planner);
-    requests = RequestTable.create(settings, Router.create());
+    requests = RequestTable.create(settings, Router.create(settings.failureDomain()));
     logState =
-        LogState.create(settings.cell(), List.of(configurations, ledger, requests.usedKeys()));
+        LogState.create(
+            settings.cell(),
+            List.of(configurations, ledger, requests.usedKeys(), requests.crashes()));
     snapshots = SnapshotWriter.create(settings);
     catchUp = PeerCatchUp.create(configurations, logState, logHealth);
   }
@@ -97,11 +99,12 @@
     switch (event) {
       case Event.RequestArrived arrived -> acceptRequest(arrived.request(), step);
       case Event.CallerLeft left -> requests.acceptCallerLeft(left.request(), runners, step);
-      case Event.AttemptProgressed progress -> requests.acceptProgress(progress, step);
-      case Event.AttemptEnded ended -> requests.acceptEnd(ended, runners, step);
+      case Event.AttemptProgressed progress -> requests.acceptProgress(progress, context(step));
+      case Event.AttemptEnded ended -> requests.acceptEnd(ended, context(step));
       case Event.EngineReported reported -> {
         runners.acceptReport(reported.report());
         controller.acceptReport(reported.report(), step);
+        requests.acceptReport(reported.report(), step);
       }
       case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
       case Event.OrderAnswered answered ->
@@ -245,9 +248,9 @@
                           claim.holder(), new PeerMessage.DemandReported(demands))));
     }
     nextDemandReport =
-        requests.isEmpty()
-            ? Optional.empty()
-            : Optional.of(step.now().plus(settings.timings().demandReport()));
+        requests.hasDemand()
+            ? Optional.of(step.now().plus(settings.timings().demandReport()))
+            : Optional.empty();
   }
 
   private void finishDrain(Step step) {
@@ -309,7 +312,7 @@
         settings.cell(),
         isReady(),
         draining,
-        requests.isEmpty(),
+        requests.isFinished(logHealth.isDown(now)),
         configuration.revision(),
         configuration.models().size(),
         logHealth.isDown(now),
--- a/src/main/java/dev/wisteriarail/core/NodeStatus.java
+++ b/src/main/java/dev/wisteriarail/core/NodeStatus.java
@@ -20,7 +20,7 @@
  * @param cell the cell that it may control
  * @param ready whether the balancer may send callers
  * @param draining whether it is shutting down
- * @param idle whether it holds no request
+ * @param idle whether it holds no request and owes the log nothing
  * @param revision the configuration in force
  * @param models number of models in it
  * @param logDown whether the log cannot be read
--- a/src/test/java/dev/wisteriarail/core/routing/RouterVersionTest.java
+++ b/src/test/java/dev/wisteriarail/core/routing/RouterVersionTest.java
@@ -8,10 +8,12 @@
 import dev.wisteriarail.core.config.LoadTimes;
 import dev.wisteriarail.core.config.ModelSpec;
 import dev.wisteriarail.core.config.Section;
+import dev.wisteriarail.core.config.Urgency;
 import dev.wisteriarail.core.engine.EngineReport;
 import dev.wisteriarail.core.engine.ReplicaPhase;
 import dev.wisteriarail.core.engine.ReplicaStatus;
 import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.id.FailureDomain;
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.KindId;
@@ -44,9 +46,13 @@
     RunnerTable runners = RunnerTable.create();
     runners.acceptReport(report());
     Optional<Route> route =
-        Router.create().choose(request(), configuration(inForce), runners, replica -> true);
-    assertThat(route.flatMap(Route::replica).map(ReplicaId::value).orElse(""))
-        .isEqualTo(expected);
+        Router.create(FailureDomain.of("fd1"))
+            .choose(
+                new RouteRequest(request(), Urgency.NORMAL, runner -> true),
+                configuration(inForce),
+                runners,
+                replica -> true);
+    assertThat(route.flatMap(Route::replica).map(ReplicaId::value).orElse("")).isEqualTo(expected);
   }
 
   private static EngineReport report() {
@@ -62,8 +68,7 @@
   }
 
   private static ReplicaStatus replica(String id, String version) {
-    return new ReplicaStatus(
-        ReplicaId.of(id), MODEL, version, ReplicaPhase.READY, 1, 0, List.of());
+    return new ReplicaStatus(ReplicaId.of(id), MODEL, version, ReplicaPhase.READY, 1, 0, List.of());
   }
 
   private static InboundRequest request() {
--- a/src/test/java/dev/wisteriarail/core/state/ConfigurationBench.java
+++ b/src/test/java/dev/wisteriarail/core/state/ConfigurationBench.java
@@ -90,7 +90,7 @@
     long best = Long.MAX_VALUE;
     int chunks = 0;
     for (int run = 0; run < RUNS; run++) {
-      long start = System.nanoTime();
+      final long start = System.nanoTime();
       Snapshot snapshot = state.snapshot();
       bytes = 0;
       chunks = 0;
--- a/src/test/java/dev/wisteriarail/http/StatusPageTest.java
+++ b/src/test/java/dev/wisteriarail/http/StatusPageTest.java
@@ -37,8 +37,7 @@
           FixedTimeoutPlanner.withTimeout(Duration.ofMinutes(1)));
   private final StatusPage page =
       StatusPage.create(
-          Optional.of(Authenticator.hash(TOKEN)),
-          () -> Optional.of(core.status(Instant.EPOCH)));
+          Optional.of(Authenticator.hash(TOKEN)), () -> Optional.of(core.status(Instant.EPOCH)));
 
   @Test
   void operatorSeesTheNode() throws Exception {
