--- a/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
+++ b/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
@@ -159,6 +159,16 @@
     return !isOwn && apply(body, step);
   }
 
+  /** Returns the crashes that are held against contents. */
+  List<RecordBody.CrashSuspected> crashes() {
+    return ledger.crashes();
+  }
+
+  /** Takes crashes from a snapshot. */
+  void restore(List<RecordBody.CrashSuspected> crashes, Instant now) {
+    crashes.forEach(crash -> ledger.apply(crash, now));
+  }
+
   private boolean share(RecordBody body, Step step) {
     append(body, step);
     return apply(body, step);
--- a/src/main/java/dev/wisteriarail/core/request/PoisonLedger.java
+++ b/src/main/java/dev/wisteriarail/core/request/PoisonLedger.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.log.RecordBody;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -98,6 +99,19 @@
 
   // Accessors
 
+  /** Returns the crashes that are held against contents, in order of their fingerprints. */
+  List<RecordBody.CrashSuspected> crashes() {
+    return suspicions.entrySet().stream()
+        .flatMap(
+            entry ->
+                entry.getValue().crashes.stream()
+                    .map(
+                        crash ->
+                            new RecordBody.CrashSuspected(
+                                entry.getKey(), crash.runner(), crash.incarnation())))
+        .toList();
+  }
+
   boolean isEmpty() {
     return suspicions.isEmpty();
   }
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -80,6 +80,8 @@
         new LedgerSnapshot.RecentIdsPart("AAAAAAAAAAE="),
         new LedgerSnapshot.ConfigurationPart(Revision.of(2), 8),
         new LedgerSnapshot.IntentPart(intents(), List.of(-5L)),
+        new LedgerSnapshot.CrashPart(
+            List.of(new RecordBody.CrashSuspected("print", RunnerId.of("r1"), Incarnation.of(2)))),
         new LedgerSnapshot.CellPart(CellId.of("main"), Optional.of(claim), List.of(held)));
   }
 
