--- a/src/main/java/dev/wisteriarail/core/Event.java
+++ b/src/main/java/dev/wisteriarail/core/Event.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core;
 
+import dev.wisteriarail.core.engine.CacheReport;
 import dev.wisteriarail.core.engine.EngineReport;
 import dev.wisteriarail.core.engine.OrderOutcome;
 import dev.wisteriarail.core.id.AttemptId;
@@ -62,6 +63,13 @@
    */
   record EngineReported(EngineReport report) implements Event {}
 
+  /**
+   * An engine published changes of its prompt cache.
+   *
+   * @param report the changes
+   */
+  record CacheReported(CacheReport report) implements Event {}
+
   /**
    * A runner could not be asked for a report.
    *
--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -22,7 +22,6 @@
 import dev.wisteriarail.core.request.RequestContext;
 import dev.wisteriarail.core.request.RequestTable;
 import dev.wisteriarail.core.result.ResultCode;
-import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
 import dev.wisteriarail.core.state.LogState;
 import dev.wisteriarail.core.state.PeerCatchUp;
@@ -68,7 +67,7 @@
     logState = LogState.create(settings.cell(), List.of(configurations, ledger));
     snapshots = SnapshotWriter.create(settings);
     catchUp = PeerCatchUp.create(configurations, logState, logHealth);
-    requests = RequestTable.create(settings, Router.create(settings.failureDomain()));
+    requests = RequestTable.create(settings);
   }
 
   /** Returns the core of a node that has read nothing yet. */
@@ -87,6 +86,7 @@
    */
   public List<Effect> handle(Event event, Instant now) {
     Step step = Step.at(now);
+    runners.advance(now);
     accept(event, step);
     advance(step);
     return step.effects();
@@ -103,6 +103,7 @@
         controller.acceptReport(reported.report(), step);
         requests.acceptReport(reported.report(), step);
       }
+      case Event.CacheReported cached -> runners.acceptCacheReport(cached.report());
       case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
       case Event.OrderAnswered answered ->
           controller.acceptOrder(answered.order(), answered.runner(), answered.outcome(), step);
--- a/src/main/java/dev/wisteriarail/core/request/AttemptBook.java
+++ b/src/main/java/dev/wisteriarail/core/request/AttemptBook.java
@@ -46,6 +46,9 @@
     byCustomer.merge(customer, 1, Integer::sum);
     byTarget.merge(pending.target(), 1, Integer::sum);
     runners.addAttempt(route.runner(), customer);
+    if (route.replica().isPresent()) {
+      runners.expectPrompt(route.runner(), pending.request());
+    }
     step.emit(
         new Effect.Dispatch(
             attempt, route.runner(), route.replica(), pending.request(), pending.delivered()));
--- a/src/main/java/dev/wisteriarail/core/request/IntentRecorder.java
+++ b/src/main/java/dev/wisteriarail/core/request/IntentRecorder.java
@@ -36,7 +36,7 @@
   private static final Duration BATCH_WINDOW = Duration.ofMillis(20);
   private static final Duration BATCH_WINDOW_PER_NODE = Duration.ofNanos(100_000);
   private static final Duration LONGEST_RETRY = Duration.ofSeconds(8);
-  private static final int MAX_BATCH = 200;
+  private static final int MAX_BATCH = 500;
   private static final int FAILURES_FOR_OUTAGE = 2;
   private static final Duration OUTAGE_PROBE = Duration.ofSeconds(1);
 
--- a/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
+++ b/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
@@ -26,8 +26,8 @@
  *
  * <p>Each request that runs on a backend server when it crashes becomes a suspect, here at once and
  * on the other nodes through the log. A suspect runs only where no other suspect of this node runs,
- * so that the next crash tells it apart from the innocent ones, which are cleared when they
- * complete. A crash that turns out to be none is retracted.
+ * and only once at a time, so that the next crash tells it apart from the innocent ones, which are
+ * cleared when they complete. A crash that turns out to be none is retracted.
  *
  * <p>Life cycle: one per node. Not thread-safe; owned by the request table.
  */
@@ -84,7 +84,13 @@
 
   /** Returns whether a request may run on a runner beside those that run there. */
   boolean mayRun(PendingRequest pending, RunnerId runner) {
-    return !isSuspect(pending) || suspectsRunning.getOrDefault(runner, 0) == 0;
+    return !isSuspect(pending)
+        || (suspectsRunning.getOrDefault(runner, 0) == 0 && !runs(pending.fingerprint()));
+  }
+
+  private boolean runs(String fingerprint) {
+    return runningSuspects.keySet().stream()
+        .anyMatch(running -> running.fingerprint().equals(fingerprint));
   }
 
   /** Notes that a request was handed to a runner. */
--- a/src/main/java/dev/wisteriarail/core/request/RequestTable.java
+++ b/src/main/java/dev/wisteriarail/core/request/RequestTable.java
@@ -62,17 +62,18 @@
   private long sequence;
   private long nextOffset;
 
-  private RequestTable(NodeSettings settings, Router router) {
+  private RequestTable(NodeSettings settings) {
     gate = IntentGate.create(settings, IntentLimits.DEFAULT, ledger);
     retries = RetryPolicy.create(settings);
     poison = PoisonGuard.create(settings);
     attempts = AttemptBook.create(settings);
+    Router router = Router.create(settings.failureDomain(), RetryPolicy.seedOf(settings));
     dispatcher = new Dispatcher(queue, attempts, estimator, retries, router, poison);
   }
 
   /** Returns the table of a node without requests. */
-  public static RequestTable create(NodeSettings settings, Router router) {
-    return new RequestTable(settings, router);
+  public static RequestTable create(NodeSettings settings) {
+    return new RequestTable(settings);
   }
 
   // Callers
@@ -210,6 +211,7 @@
         outcome, avoidUntil, context.runners().incarnation(pending.runner().orElseThrow()));
     byDue.add(pending);
     if (outcome instanceof AttemptOutcome.Broken lost && lost.backendLost()) {
+      context.runners().markUnreachable(pending.runner().orElseThrow());
       boolean poisoned = poison.recordCrash(pending, context.runners(), step);
       if (poisoned) {
         refusePoison(context);
--- a/src/main/java/dev/wisteriarail/core/request/RetryPolicy.java
+++ b/src/main/java/dev/wisteriarail/core/request/RetryPolicy.java
@@ -58,7 +58,12 @@
 
   /** Returns a policy with full budgets, whose jitter depends on the node's seed and name. */
   static RetryPolicy create(NodeSettings settings) {
-    return new RetryPolicy(settings.seed() * 31 + settings.node().value().hashCode());
+    return new RetryPolicy(seedOf(settings));
+  }
+
+  /** Returns a seed that differs from node to node. */
+  static long seedOf(NodeSettings settings) {
+    return settings.seed() * 31 + settings.node().value().hashCode();
   }
 
   /** Notes the first attempt of a request. */
--- a/src/main/java/dev/wisteriarail/core/routing/Router.java
+++ b/src/main/java/dev/wisteriarail/core/routing/Router.java
@@ -12,36 +12,54 @@
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.request.Target;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
  * Chooses the runner for a request among those that can run it now.
  *
- * <p>A runner has room while the node's own attempts leave a slot free and the load, as far as it
- * is known, does not exceed the slots by more than half. On a runner that several customers share,
- * none may take the last quarter of the slots, and no batch request may.
+ * <p>A runner has room while the node's own attempts leave a slot free and the load, as far as it is
+ * known, does not exceed the slots by more than half. On a runner that several customers share, none
+ * may take the last quarter of the slots, and no batch request may.
  *
- * <p>Among those with room it takes the one with the lowest cost: the share of busy slots, and
- * surcharges for a missing adapter and for another failure domain. Stateless and thread-safe.
+ * <p>Among those with room it takes the one with the lowest cost: the share of busy slots, surcharges
+ * for a missing adapter and for another failure domain, less a discount for the part of the prompt
+ * that is believed to be in the engine's cache while a slot is free. The node's own attempts count
+ * whole and those of others in part: their number is late, and nodes that all trusted it would all
+ * take the same runner. Of equal ones it takes any.
+ *
+ * <p>Life cycle: one per node, with its own seeded generator. Not thread-safe.
  */
 public final class Router {
 
   private static final double ADAPTER_MISSING = 0.25;
+  private static final double PROMPT_CACHED = 0.3;
   private static final double OTHER_DOMAIN = 0.05;
+  private static final double OTHERS_WEIGHT = 0.2;
   private static final int RESERVED_SHARE = 4;
 
   private final FailureDomain domain;
+  private final SplittableRandom random;
 
-  private Router(FailureDomain domain) {
+  private Router(FailureDomain domain, long seed) {
     this.domain = domain;
+    random = new SplittableRandom(seed);
   }
 
-  /** Returns the router of a node in a failure domain. */
-  public static Router create(FailureDomain domain) {
-    return new Router(domain);
+  /**
+   * Returns the router of a node.
+   *
+   * @param domain the node's failure domain
+   * @param seed seed of its random choices, another one on each node
+   */
+  public static Router create(FailureDomain domain, long seed) {
+    return new Router(domain, seed);
   }
 
   /** Returns where to run a request now, or nothing where no runner has room for it. */
@@ -63,11 +81,17 @@
       Configuration configuration,
       RunnerTable runners,
       Predicate<ReplicaId> routable) {
-    return runners.readyReplicas(target.model()).stream()
-        .filter(ready -> routable.test(ready.status().replica()))
-        .filter(ready -> wanted.allowed().test(ready.runner()))
-        .filter(ready -> hasRoom(ready.runner(), wanted, configuration, runners))
-        .min(Comparator.comparingDouble(ready -> cost(ready, target, configuration, runners)))
+    List<Long> prompt = PromptPrefix.of(wanted.request());
+    List<ReadyReplica> candidates =
+        runners.readyReplicas(target.model()).stream()
+            .filter(ready -> routable.test(ready.status().replica()))
+            .filter(ready -> wanted.allowed().test(ready.runner()))
+            .filter(ready -> hasRoom(ready.runner(), wanted, configuration, runners))
+            .toList();
+    return shuffle(candidates).stream()
+        .min(
+            Comparator.comparingDouble(
+                ready -> cost(ready, target, prompt, configuration, runners)))
         .map(ready -> new Route(ready.runner(), Optional.of(ready.status().replica())));
   }
 
@@ -78,19 +102,32 @@
       RunnerTable runners) {
     ServiceSpec service = configuration.services().get(target.service());
     Stream<RunnerId> servers = service == null ? Stream.empty() : service.runners().stream();
-    return servers
-        .filter(runners::isUsable)
-        .filter(wanted.allowed())
-        .filter(runner -> hasRoom(runner, wanted, configuration, runners))
+    List<RunnerId> candidates =
+        servers
+            .filter(runners::isUsable)
+            .filter(wanted.allowed())
+            .filter(runner -> hasRoom(runner, wanted, configuration, runners))
+            .toList();
+    return shuffle(candidates).stream()
         .min(Comparator.comparingDouble(runner -> loadCost(runner, configuration, runners)))
         .map(runner -> new Route(runner, Optional.empty()));
   }
 
+  /** Returns the candidates from a random one on, so that no runner is the first of equals. */
+  private <T> List<T> shuffle(List<T> candidates) {
+    List<T> rotated = new ArrayList<>(candidates);
+    if (rotated.size() > 1) {
+      Collections.rotate(rotated, random.nextInt(rotated.size()));
+    }
+    return rotated;
+  }
+
   // Costs
 
   private double cost(
       ReadyReplica ready,
       Target.ModelTarget target,
+      List<Long> prompt,
       Configuration configuration,
       RunnerTable runners) {
     boolean adapterMissing =
@@ -98,16 +135,21 @@
             .adapter()
             .filter(adapter -> !ready.status().adapters().contains(adapter))
             .isPresent();
-    return loadCost(ready.runner(), configuration, runners)
-        + (adapterMissing ? ADAPTER_MISSING : 0);
+    double busy = loadCost(ready.runner(), configuration, runners);
+    double cached = busy < 1 ? runners.cached(ready.runner(), prompt) : 0;
+    return busy + (adapterMissing ? ADAPTER_MISSING : 0) - PROMPT_CACHED * cached;
   }
 
   private double loadCost(RunnerId runner, Configuration configuration, RunnerTable runners) {
     RunnerSpec spec = configuration.runners().get(runner);
-    double busy = (double) runners.load(runner) / Math.max(1, spec.slots());
+    double busy = load(runner, runners) / Math.max(1, spec.slots());
     return busy + (spec.failureDomain().equals(domain) ? 0 : OTHER_DOMAIN);
   }
 
+  private static double load(RunnerId runner, RunnerTable runners) {
+    return runners.ownAttempts(runner) + OTHERS_WEIGHT * runners.othersAttempts(runner);
+  }
+
   // Room
 
   private static boolean hasRoom(
@@ -119,7 +161,7 @@
     int slots = spec.slots();
     int reserved = slots > 1 ? Math.max(1, slots / RESERVED_SHARE) : 0;
     int own = runners.ownAttempts(runner);
-    if (own >= slots || runners.load(runner) >= slots + Math.max(1, slots / 2)) {
+    if (own >= slots || load(runner, runners) >= slots + Math.max(1, slots / 2)) {
       return false;
     }
     if (wanted.urgency() == Urgency.BATCH && own >= slots - reserved) {
--- a/src/main/java/dev/wisteriarail/core/routing/RunnerTable.java
+++ b/src/main/java/dev/wisteriarail/core/routing/RunnerTable.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.routing;
 
+import dev.wisteriarail.core.engine.CacheReport;
 import dev.wisteriarail.core.engine.EngineReport;
 import dev.wisteriarail.core.engine.ReplicaPhase;
 import dev.wisteriarail.core.engine.ReplicaStatus;
@@ -8,6 +9,9 @@
 import dev.wisteriarail.core.id.ModelId;
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.request.InboundRequest;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +27,10 @@
  */
 public final class RunnerTable {
 
+  /** Age from which a report no longer shows that a runner takes work. */
+  static final Duration REPORT_EXPIRY = Duration.ofSeconds(5);
+
+  private final Map<RunnerId, Instant> reportedAt = new TreeMap<>();
   private final Map<RunnerId, EngineReport> reports = new TreeMap<>();
   private final Map<ModelId, Map<ReplicaId, ReadyReplica>> byModel = new TreeMap<>();
   private final Map<RunnerId, Incarnation> leaving = new TreeMap<>();
@@ -31,6 +39,8 @@
   private final Map<RunnerId, Integer> ownTotals = new TreeMap<>();
   private final Map<RunnerId, Integer> ownAtReport = new TreeMap<>();
   private final Map<RunnerId, Integer> othersAtReport = new TreeMap<>();
+  private final PrefixIndex prefixes = new PrefixIndex();
+  private Instant time = Instant.EPOCH;
   private long version;
 
   private RunnerTable() {}
@@ -42,6 +52,11 @@
 
   // Updates
 
+  /** Sets the time on the node's clock; reports age by it, also over a pause of the node. */
+  public void advance(Instant now) {
+    time = now;
+  }
+
   /** Takes a report; one of an older incarnation is ignored. */
   public void acceptReport(EngineReport report) {
     EngineReport known = reports.get(report.runner());
@@ -53,6 +68,7 @@
     }
     unreachable.remove(report.runner());
     reports.put(report.runner(), report);
+    reportedAt.put(report.runner(), time);
     if (known == null || !known.replicas().equals(report.replicas())) {
       reindex(known, report);
     }
@@ -105,6 +121,16 @@
     return true;
   }
 
+  /** Takes what an engine published about its prompt cache. */
+  public void acceptCacheReport(CacheReport report) {
+    prefixes.accept(report);
+  }
+
+  /** Notes the prompt of a request that was sent to a runner. */
+  public void expectPrompt(RunnerId runner, InboundRequest request) {
+    prefixes.expect(runner, PromptPrefix.of(request));
+  }
+
   /** Notes that a runner does not answer. */
   public void markUnreachable(RunnerId runner) {
     unreachable.add(runner);
@@ -143,7 +169,10 @@
   /** Returns whether a runner may get new work. */
   public boolean isUsable(RunnerId runner) {
     EngineReport report = reports.get(runner);
-    return report != null && !unreachable.contains(runner) && !isLeaving(report);
+    return report != null
+        && !unreachable.contains(runner)
+        && !isLeaving(report)
+        && time.isBefore(reportedAt.get(runner).plus(REPORT_EXPIRY));
   }
 
   private boolean isLeaving(EngineReport report) {
@@ -161,9 +190,14 @@
     return ownAttempts.getOrDefault(runner, Map.of()).getOrDefault(customer, 0);
   }
 
-  /** Returns the requests on a runner: others' as last reported, and the node's own now. */
-  public int load(RunnerId runner) {
-    return othersAtReport.getOrDefault(runner, 0) + ownAttempts(runner);
+  /** Returns the requests of other nodes on a runner, as far as its last report tells. */
+  public int othersAttempts(RunnerId runner) {
+    return othersAtReport.getOrDefault(runner, 0);
+  }
+
+  /** Returns the part of a prompt that a runner is believed to have in its cache, from 0 to 1. */
+  double cached(RunnerId runner, List<Long> prompt) {
+    return prefixes.match(runner, prompt);
   }
 
   /** Returns the replicas of a model that take requests, on usable runners. */
--- a/src/test/java/dev/wisteriarail/core/request/RequestFleet.java
+++ b/src/test/java/dev/wisteriarail/core/request/RequestFleet.java
@@ -53,12 +53,14 @@
   boolean logDown;
   Instant now = Instant.parse("2026-01-01T00:00:00Z");
 
+  private List<Event> reports = List.of();
   private final Map<NodeId, Long> offsets = new TreeMap<>();
   private final Map<NodeId, List<Event>> inbox = new TreeMap<>();
   private final List<Runnable> late = new ArrayList<>();
 
   static RequestFleet start(int nodes, Section section, List<Event> reports) {
     RequestFleet fleet = new RequestFleet();
+    fleet.reports = reports;
     fleet.append(
         RecordId.of("configuration"),
         new RecordBody.ConfigurationChanged(Revision.NONE, section, "test", "start"));
@@ -133,6 +135,7 @@
       now = next.isBefore(end) ? next : end;
       for (NodeId id : cores.keySet()) {
         if (!paused.contains(id)) {
+          inbox.get(id).addAll(reports);
           inbox.get(id).add(logDown ? new Event.LogReadFailed("down") : new Event.TimerFired());
         }
       }
--- a/src/test/java/dev/wisteriarail/core/request/TableFixture.java
+++ b/src/test/java/dev/wisteriarail/core/request/TableFixture.java
@@ -35,7 +35,6 @@
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.id.ServiceId;
 import dev.wisteriarail.core.log.RecordBody;
-import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
 import java.time.Duration;
 import java.time.Instant;
@@ -86,7 +85,7 @@
             CellId.of("main"),
             1,
             Timings.DEFAULT);
-    return RequestTable.create(settings, Router.create(settings.failureDomain()));
+    return RequestTable.create(settings);
   }
 
   private static Section section(List<CustomerSpec> customers, int slots) {
