Control of a cell: reservations that outlive lost answers, late orders and takeovers

Cause: the controller freed a reservation as soon as an engine's report lacked the replica, ordered from the record alone, and claimed by rank only. A late order, a lagging report or a paused predecessor could overcommit a runner. Change: CellController is split into claims, decisions, pending records, orders, sightings, gates and reconciliation. A new controller raises its fencing number at each runner and incarnation before it uses it; a runner out of reach counts as full. A reservation is freed only when a report that is certainly newer lacks its replica and no order can bring it back: own orders answered or past their transit, predecessors fenced or closed (Closures). LoadSettled keeps that set small. Appends of unknown outcome are sent again under their identifier. Replicas that nobody decided count and are unloaded. A draining controller releases its claim. Claims between nodes that disagree on the holder's life follow at doubling times. NodeCoreTest: its start() now answers the order that raises the fencing number, which precedes any load, and the test looks at load orders; the checks are the same otherwise.

--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -2,6 +2,8 @@
 
 import dev.wisteriarail.core.cell.CellController;
 import dev.wisteriarail.core.cell.CellLedger;
+import dev.wisteriarail.core.cell.Closures;
+import dev.wisteriarail.core.cell.Surroundings;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.ConfigurationLedger;
 import dev.wisteriarail.core.event.EventCode;
@@ -43,6 +45,7 @@
   private final RunnerTable runners = RunnerTable.create();
   private final LogHealth logHealth = LogHealth.create(LOG_OUTAGE_AFTER);
   private final Membership membership;
+  private final Closures closures;
   private final CellLedger ledger;
   private final CellController controller;
   private final RequestTable requests;
@@ -55,7 +58,8 @@
     this.settings = settings;
     membership = Membership.create(settings);
     ledger = CellLedger.create(settings.cell());
-    controller = CellController.create(settings, ledger, planner);
+    closures = Closures.create(settings.timings().cells());
+    controller = CellController.create(settings, ledger, closures, planner);
     requests = RequestTable.create(settings, Router.create());
   }
 
@@ -92,16 +96,20 @@
       }
       case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
       case Event.OrderAnswered answered ->
-          controller.acceptOrder(answered.order(), answered.runner(), answered.outcome(), step);
+          controller.acceptOrder(answered.order(), answered.outcome(), step);
       case Event.LogRead read -> acceptLog(read, step);
       case Event.LogReadFailed failed -> acceptLogFailure(failed, step);
       case Event.AppendAnswered answered ->
-          controller.acceptAppend(answered.record(), answered.outcome());
-      case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
+          controller.acceptAppend(answered.record(), answered.outcome(), step.now());
+      case Event.VmListRead read -> {
+        membership.acceptList(read.nodes(), step.now());
+        closures.acceptList(read.nodes(), step.now());
+      }
       case Event.PeerReceived received -> acceptPeer(received, step);
       case Event.TimerFired fired -> {}
       case Event.DrainRequested drain -> {
         draining = true;
+        controller.drain(step.now());
         step.log(EventCode.NODE_DRAINING, "node", settings.node());
       }
     }
@@ -129,7 +137,7 @@
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, step);
       } else {
-        controller.acceptRecord(logged, step);
+        controller.acceptRecord(logged, surroundings(), step);
       }
     }
   }
@@ -153,6 +161,7 @@
   }
 
   private void acceptPeer(Event.PeerReceived received, Step step) {
+    closures.acceptMessage(received.from(), received.incarnation(), step.now());
     if (!membership.acceptMessage(received.from(), received.incarnation(), step)) {
       return;
     }
@@ -162,6 +171,7 @@
           controller.acceptDemand(received.from(), reported.demands(), step.now());
       case PeerMessage.Goodbye goodbye -> {
         membership.markClosed(received.from());
+        closures.markStopped(received.from(), received.incarnation(), step.now());
         step.log(EventCode.PEER_CLOSED, "peer", received.from());
       }
     }
@@ -174,7 +184,7 @@
     requests.advance(step, configuration, runners, controller::isRoutable);
     reportDemand(step);
     if (logHealth.wasRead()) {
-      controller.advance(step, configuration, membership, runners);
+      controller.advance(step, surroundings());
     }
     membership.advance(
         step, new PeerMessage.Heartbeat(configuration.revision(), ledger.fence(), draining));
@@ -204,7 +214,8 @@
   }
 
   private void finishDrain(Step step) {
-    if (!draining || drainAnnounced || !requests.isEmpty()) {
+    boolean idle = requests.isEmpty() && controller.isDrained(step.now());
+    if (!draining || drainAnnounced || !idle) {
       return;
     }
     drainAnnounced = true;
@@ -214,6 +225,10 @@
     step.emit(new Effect.DrainCompleted());
   }
 
+  private Surroundings surroundings() {
+    return new Surroundings(configurations.current(), membership, runners, logHealth);
+  }
+
   // Accessors
 
   /** Returns when the core wants a {@link Event.TimerFired} if nothing happens before. */
--- a/src/main/java/dev/wisteriarail/core/Timings.java
+++ b/src/main/java/dev/wisteriarail/core/Timings.java
@@ -10,13 +10,25 @@
  * @param demandReport least time between two demand reports to the controller
  * @param plan time between two rounds of placement on the controller
  * @param appendRetry time after which an append with unknown outcome is sent again
+ * @param cells bounds of the control of a cell
  */
 public record Timings(
     Duration heartbeat,
     Duration suspectAfter,
     Duration demandReport,
     Duration plan,
-    Duration appendRetry) {
+    Duration appendRetry,
+    CellBounds cells) {
+
+  /** Returns timings with the default bounds for cells. */
+  public Timings(
+      Duration heartbeat,
+      Duration suspectAfter,
+      Duration demandReport,
+      Duration plan,
+      Duration appendRetry) {
+    this(heartbeat, suspectAfter, demandReport, plan, appendRetry, CellBounds.DEFAULT);
+  }
 
   /** The intervals of a node whose settings name none. */
   public static final Timings DEFAULT =
--- a/src/main/java/dev/wisteriarail/core/cell/CellController.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellController.java
@@ -3,8 +3,6 @@
 import dev.wisteriarail.core.Effect;
 import dev.wisteriarail.core.NodeSettings;
 import dev.wisteriarail.core.Step;
-import dev.wisteriarail.core.config.Configuration;
-import dev.wisteriarail.core.config.ModelSpec;
 import dev.wisteriarail.core.config.RunnerRole;
 import dev.wisteriarail.core.config.RunnerSpec;
 import dev.wisteriarail.core.engine.EngineOrder;
@@ -13,35 +11,27 @@
 import dev.wisteriarail.core.engine.ReplicaPhase;
 import dev.wisteriarail.core.engine.ReplicaStatus;
 import dev.wisteriarail.core.event.EventCode;
-import dev.wisteriarail.core.id.ModelId;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.id.OrderId;
 import dev.wisteriarail.core.id.RecordId;
 import dev.wisteriarail.core.id.ReplicaId;
-import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.log.AppendOutcome;
 import dev.wisteriarail.core.log.LogRecord;
 import dev.wisteriarail.core.log.RecordBody;
-import dev.wisteriarail.core.membership.Membership;
 import dev.wisteriarail.core.peer.Demand;
-import dev.wisteriarail.core.placement.PlacedPhase;
-import dev.wisteriarail.core.placement.PlacedReplica;
-import dev.wisteriarail.core.placement.PlacementAction;
 import dev.wisteriarail.core.placement.PlacementPlanner;
-import dev.wisteriarail.core.placement.PlacementView;
-import dev.wisteriarail.core.routing.RunnerTable;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
  * Controls one cell where this node's claim is in force: decides, records, reads back, then acts.
  *
+ * <p>Puts the parts of the control together: {@link ClaimKeeper} claims, {@link Decisions} decides,
+ * {@link PendingRecords} appends, {@link Reconciler} orders.
+ *
  * <p>Life cycle: one per node; idle while another node holds the claim. Not thread-safe; owned by
  * the node's core.
  */
@@ -49,249 +39,241 @@
 
   private final NodeSettings settings;
   private final CellLedger ledger;
+  private final Closures closures;
   private final PlacementPlanner planner;
   private final DemandBoard demands = new DemandBoard();
-  private final Map<RecordId, RecordBody> pending = new TreeMap<>();
-  private final Map<OrderId, ReplicaId> orders = new TreeMap<>();
-  private final Map<ReplicaId, Instant> lastUsed = new TreeMap<>();
+  private final PendingRecords pending;
+  private final OrderBook orders;
+  private final Sightings sightings;
+  private final RunnerGates gates;
+  private final Predecessors predecessors;
+  private final ClaimKeeper claims;
+  private final Reconciler reconciler;
+  private final Decisions decisions;
+  private final PauseGuard pauses;
   private final Set<ReplicaId> ready = new TreeSet<>();
   private Optional<Instant> nextPlan = Optional.empty();
-  private long sequence;
+  private Optional<Instant> nextClaim = Optional.empty();
+  private Instant gainedAt = Instant.MIN;
+  private Optional<Instant> drainingSince = Optional.empty();
 
-  private CellController(NodeSettings settings, CellLedger ledger, PlacementPlanner planner) {
+  private CellController(
+      NodeSettings settings, CellLedger ledger, Closures closures, PlacementPlanner planner) {
     this.settings = settings;
     this.ledger = ledger;
+    this.closures = closures;
     this.planner = planner;
+    pending = PendingRecords.create(settings);
+    orders = OrderBook.create(settings);
+    sightings = Sightings.create(settings.timings().cells().reportLag());
+    gates = RunnerGates.create(settings.timings().cells(), sightings);
+    predecessors = Predecessors.create(settings, ledger, closures, gates);
+    claims = ClaimKeeper.create(settings, ledger, closures, pending);
+    reconciler = new Reconciler(settings, ledger, pending, orders, sightings, gates, predecessors);
+    MemoryAccount memory = new MemoryAccount(ledger, pending, sightings, gates);
+    decisions = new Decisions(settings, ledger, pending, sightings, memory, demands, planner);
+    pauses = PauseGuard.create(settings.timings().suspectAfter());
   }
 
   /** Returns the controller of a node that holds no claim yet. */
   public static CellController create(
-      NodeSettings settings, CellLedger ledger, PlacementPlanner planner) {
-    return new CellController(settings, ledger, planner);
+      NodeSettings settings, CellLedger ledger, Closures closures, PlacementPlanner planner) {
+    return new CellController(settings, ledger, closures, planner);
   }
 
   // Updates
 
   /** Takes what a node's callers want. */
   public void acceptDemand(NodeId node, List<Demand> wanted, Instant now) {
-    demands.accept(node, wanted);
+    if (demands.accept(node, wanted)) {
+      nextPlan = Optional.of(now);
+    }
     for (Demand demand : wanted) {
       if (demand.arrivals() > 0) {
         planner.recordArrivals(demand.model(), demand.arrivals(), now);
       }
     }
-    nextPlan = Optional.of(now);
   }
 
-  /** Takes a record that was read back from the log and acts on it. */
-  public void acceptRecord(LogRecord logged, Step step) {
-    pending.remove(logged.id());
-    boolean controlledBefore = isController();
+  /** Takes a record that was read back from the log. */
+  public void acceptRecord(LogRecord logged, Surroundings around, Step step) {
+    pending.acceptReadBack(logged.id());
+    Optional<Claim> before = ledger.claim();
+    boolean controlled = isController();
     boolean valid = ledger.apply(logged);
-    if (!controlledBefore && isController()) {
-      step.log(EventCode.CONTROL_GAINED, "cell", settings.cell(), "fence", ledger.fence());
-      ledger.reservations().forEach(held -> orderAgain(held, step));
+    if (!valid) {
+      return;
+    }
+    if (logged.body() instanceof RecordBody.ClaimRecorded) {
+      acceptClaim(before, around, step);
+    }
+    if (controlled != isController()) {
+      acceptControl(step);
+    }
+    if (logged.body() instanceof RecordBody.ReplicaClosed closed) {
+      sightings.retain(id -> !id.equals(closed.replica()));
+      ready.remove(closed.replica());
+    }
+    if (isController()) {
+      nextPlan = Optional.of(step.now());
+      decisions.acceptRecord(logged.body(), step);
+    }
+  }
+
+  private void acceptClaim(Optional<Claim> before, Surroundings around, Step step) {
+    pending.clear();
+    ledger.claim().ifPresent(claim -> closures.noteNode(claim.holder(), step.now()));
+    boolean contested =
+        before
+            .filter(old -> !old.holder().equals(ledger.claim().orElseThrow().holder()))
+            .filter(old -> !closures.isClosed(old.holder(), old.incarnation(), step.now()))
+            .filter(old -> around.membership().isLive(old.holder(), step.now()))
+            .isPresent();
+    if (contested) {
+      claims.acceptContest(step.now());
     }
-    if (controlledBefore && !isController()) {
-      step.log(EventCode.CONTROL_LOST, "cell", settings.cell(), "fence", ledger.fence());
-      pending.clear();
+    if (isController()) {
+      gates.reset();
+      gainedAt = step.now();
+      predecessors.acceptControl(step.now());
+      decisions.reset();
+      nextPlan = Optional.of(step.now());
     }
-    if (valid && isController()) {
-      act(logged.body(), step);
+  }
+
+  private void acceptControl(Step step) {
+    if (isController()) {
+      step.log(EventCode.CONTROL_GAINED, "cell", settings.cell(), "fence", ledger.fence());
+      return;
     }
+    EventCode code =
+        ledger.claim().isPresent() ? EventCode.CONTROL_LOST : EventCode.CONTROL_RELEASED;
+    step.log(code, "cell", settings.cell(), "fence", ledger.fence());
+    pending.clear();
   }
 
   /** Takes what is known of an append. */
-  public void acceptAppend(RecordId record, AppendOutcome outcome) {
-    if (outcome instanceof AppendOutcome.NotAppended) {
-      pending.remove(record);
+  public void acceptAppend(RecordId record, AppendOutcome outcome, Instant now) {
+    boolean claiming = pending.any(RecordBody.ClaimRecorded.class::isInstance);
+    pending.acceptAnswer(record, outcome);
+    if (claiming && !pending.any(RecordBody.ClaimRecorded.class::isInstance)) {
+      claims.acceptRefusal(now);
     }
   }
 
   /** Takes what is known of an engine order. */
-  public void acceptOrder(OrderId order, RunnerId runner, OrderOutcome outcome, Step step) {
-    ReplicaId replica = orders.remove(order);
-    if (replica == null) {
+  public void acceptOrder(OrderId order, OrderOutcome outcome, Step step) {
+    Optional<OrderBook.Sent> found = orders.accept(order, outcome, step.now());
+    if (found.isEmpty()) {
       return;
     }
+    OrderBook.Sent sent = found.get();
+    nextPlan = Optional.of(step.now());
+    step.emit(new Effect.RequestReport(sent.runner()));
+    if (sent.body() instanceof EngineOrder.RaiseFence) {
+      gates.acceptRaised(sent.runner(), outcome, step);
+    }
+    logFailure(sent, outcome, step);
+    if (sent.isLoad() && outcome instanceof OrderOutcome.Failed) {
+      gates.acceptRefusal(sent.runner(), step);
+    }
+  }
+
+  private static void logFailure(OrderBook.Sent sent, OrderOutcome outcome, Step step) {
+    Object subject = sent.replica().isPresent() ? sent.replica().get() : sent.runner();
     switch (outcome) {
-      case OrderOutcome.Done done -> step.emit(new Effect.RequestReport(runner));
+      case OrderOutcome.Done done -> {}
       case OrderOutcome.Fenced fenced ->
-          step.log(EventCode.ORDER_FENCED, "replica", replica, "highest", fenced.highest());
-      case OrderOutcome.Failed failed -> {
-        step.log(EventCode.ORDER_FAILED, "replica", replica, "reason", failed.reason());
-        close(replica, failed.reason(), step);
-      }
-      case OrderOutcome.Unknown unknown -> {
-        step.log(EventCode.ORDER_FAILED, "replica", replica, "reason", unknown.reason());
-        ledger.reservation(replica).ifPresent(held -> orderAgain(held, step));
-      }
+          step.log(EventCode.ORDER_FENCED, "replica", subject, "highest", fenced.highest());
+      case OrderOutcome.Failed failed ->
+          step.log(EventCode.ORDER_FAILED, "replica", subject, "reason", failed.reason());
+      case OrderOutcome.Unknown unknown ->
+          step.log(EventCode.ORDER_FAILED, "replica", subject, "reason", unknown.reason());
     }
   }
 
   /** Takes an engine's report. */
   public void acceptReport(EngineReport report, Step step) {
+    Sightings.News news = sightings.accept(report, step.now());
+    if (news == Sightings.News.STALE) {
+      return;
+    }
+    if (news == Sightings.News.CHANGED) {
+      nextPlan = Optional.of(step.now());
+    }
+    decisions.acceptReport(report, step.now());
     for (ReplicaStatus status : report.replicas()) {
-      if (status.activeRequests() > 0) {
-        lastUsed.put(status.replica(), step.now());
-      }
       if (status.phase() == ReplicaPhase.READY && ready.add(status.replica()) && isController()) {
         step.log(EventCode.REPLICA_READY, "replica", status.replica(), "runner", report.runner());
       }
     }
-    if (isController()) {
-      closeUnloaded(report, step);
-    }
   }
 
-  /** Claims the cell or plans, where either is due. */
-  public void advance(
-      Step step, Configuration configuration, Membership membership, RunnerTable runners) {
-    if (!isController()) {
-      claimIfFree(step, membership);
-      return;
-    }
-    if (nextPlan.isPresent() && step.now().isBefore(nextPlan.get())) {
-      return;
-    }
-    nextPlan = Optional.of(step.now().plus(settings.timings().plan()));
-    demands.retain(node -> membership.isLive(node, step.now()));
-    PlacementView view = view(configuration, runners, step.now());
-    for (PlacementAction action : planner.plan(view, step.now())) {
-      record(action, view, step);
-    }
+  /** Gives control up as soon as no order is under way. */
+  public void drain(Instant now) {
+    drainingSince = drainingSince.or(() -> Optional.of(now));
   }
 
-  // Claims
-
-  private void claimIfFree(Step step, Membership membership) {
-    boolean claiming =
-        pending.values().stream().anyMatch(RecordBody.ClaimRecorded.class::isInstance);
-    boolean held =
-        ledger.claim().filter(claim -> isHeld(claim, membership, step.now())).isPresent();
-    if (claiming || held || membership.rank(step.now()) > 0) {
+  /** Claims the cell, orders or plans, where any is due. */
+  public void advance(Step step, Surroundings around) {
+    pauses.advance(step.now());
+    nextClaim = Optional.empty();
+    closures.acceptMessage(settings.node(), settings.incarnation(), step.now());
+    if (pauses.isBlind(around.log(), step.now())) {
+      nextPlan = Optional.of(step.now().plus(settings.timings().plan()));
       return;
     }
-    append(
-        new RecordBody.ClaimRecorded(
-            settings.cell(), settings.node(), settings.incarnation(), ledger.fence()),
-        step);
-  }
-
-  private boolean isHeld(Claim claim, Membership membership, Instant now) {
-    boolean ownEarlierRun =
-        claim.holder().equals(settings.node())
-            && !claim.incarnation().equals(settings.incarnation());
-    return !ownEarlierRun && membership.isLive(claim.holder(), now);
-  }
-
-  // Decisions
-
-  private void record(PlacementAction action, PlacementView view, Step step) {
-    switch (action) {
-      case PlacementAction.Load load -> recordLoad(load, view, step);
-      case PlacementAction.Unload unload -> recordUnload(unload.replica(), step);
+    pending.retry(step);
+    if (!isController()) {
+      claim(step, around);
+    } else if (drainingSince.isPresent()) {
+      release(step);
+    } else {
+      control(step, around);
     }
   }
 
-  private void recordLoad(PlacementAction.Load load, PlacementView view, Step step) {
-    ModelSpec model = view.configuration().models().get(load.model());
-    boolean fits =
-        model != null
-            && view.freeBytes().getOrDefault(load.runner(), 0L) >= model.memoryBytes()
-            && countReplicas(load.model()) < model.maxReplicas();
-    if (!fits) {
-      return;
+  private void claim(Step step, Surroundings around) {
+    if (drainingSince.isEmpty() && !around.log().isDown(step.now())) {
+      claims.advance(step, around.membership(), List.of());
+      nextClaim = claims.nextWakeUp(around.membership(), step.now());
     }
-    ReplicaId replica = ReplicaId.of(load.model() + "." + ledger.fence() + "." + nextSequence());
-    append(
-        new RecordBody.LoadDecided(
-            settings.cell(),
-            ledger.fence(),
-            replica,
-            load.model(),
-            model.version(),
-            load.runner(),
-            model.memoryBytes()),
-        step);
   }
 
-  private void recordUnload(ReplicaId replica, Step step) {
-    boolean decided =
-        ledger.reservation(replica).filter(held -> !held.unloading()).isEmpty()
-            || pending.values().stream()
-                .anyMatch(
-                    body ->
-                        body instanceof RecordBody.UnloadDecided unload
-                            && unload.replica().equals(replica));
-    if (!decided) {
-      append(new RecordBody.UnloadDecided(settings.cell(), ledger.fence(), replica), step);
+  private void release(Step step) {
+    for (OrderBook.Sent late : orders.expire(step.now())) {
+      logFailure(late, new OrderOutcome.Unknown("no answer"), step);
     }
-  }
-
-  private void close(ReplicaId replica, String reason, Step step) {
-    append(new RecordBody.ReplicaClosed(settings.cell(), ledger.fence(), replica, reason), step);
-  }
-
-  private void closeUnloaded(EngineReport report, Step step) {
-    Set<ReplicaId> present = new TreeSet<>();
-    report.replicas().forEach(status -> present.add(status.replica()));
-    for (Reservation held : List.copyOf(ledger.reservations())) {
-      boolean gone =
-          held.runner().equals(report.runner())
-              && held.unloading()
-              && !present.contains(held.replica())
-              && !orders.containsValue(held.replica());
-      if (gone && pending.values().stream().noneMatch(body -> closes(body, held.replica()))) {
-        close(held.replica(), "unloading was seen", step);
-      }
+    boolean releasing = pending.any(RecordBody.ClaimReleased.class::isInstance);
+    if (!releasing && pending.isEmpty() && !orders.isUncertain(step.now())) {
+      pending.append(new RecordBody.ClaimReleased(settings.cell(), ledger.fence()), step);
     }
   }
 
-  // Actions
-
-  private void act(RecordBody body, Step step) {
-    switch (body) {
-      case RecordBody.LoadDecided load -> {
-        step.log(
-            EventCode.LOAD_DECIDED,
-            "replica",
-            load.replica(),
-            "runner",
-            load.runner(),
-            "fence",
-            load.fence());
-        lastUsed.put(load.replica(), step.now());
-        ledger.reservation(load.replica()).ifPresent(held -> orderAgain(held, step));
-      }
-      case RecordBody.UnloadDecided unload -> {
-        step.log(EventCode.UNLOAD_DECIDED, "replica", unload.replica());
-        ledger.reservation(unload.replica()).ifPresent(held -> orderAgain(held, step));
-      }
-      case RecordBody.ReplicaClosed closed ->
-          step.log(
-              EventCode.REPLICA_CLOSED, "replica", closed.replica(), "reason", closed.reason());
-      default -> {}
+  private void control(Step step, Surroundings around) {
+    for (OrderBook.Sent late : orders.expire(step.now())) {
+      logFailure(late, new OrderOutcome.Unknown("no answer"), step);
+    }
+    if (nextPlan.isPresent() && step.now().isBefore(nextPlan.get())) {
+      return;
+    }
+    nextPlan = Optional.of(step.now().plus(settings.timings().plan()));
+    reconciler.advance(around.configuration(), step);
+    demands.retain(node -> around.membership().isLive(node, step.now()));
+    if (isPrepared(around, step.now())) {
+      decisions.advance(step, around);
     }
   }
 
-  private void orderAgain(Reservation held, Step step) {
-    EngineOrder body =
-        held.unloading()
-            ? new EngineOrder.UnloadReplica(held.replica())
-            : new EngineOrder.LoadReplica(
-                held.replica(), held.model(), held.version(), held.bytes());
-    OrderId order =
-        OrderId.of(settings.node() + "." + settings.incarnation() + ".o" + nextSequence());
-    orders.put(order, held.replica());
-    step.emit(new Effect.OrderEngine(order, held.runner(), ledger.fence(), body));
-  }
-
-  private void append(RecordBody body, Step step) {
-    RecordId record =
-        RecordId.of(settings.node() + "." + settings.incarnation() + ".r" + nextSequence());
-    pending.put(record, body);
-    step.emit(new Effect.Append(record, body));
+  /** Returns whether each runner has taken the fencing number, or had time enough to do so. */
+  private boolean isPrepared(Surroundings around, Instant now) {
+    boolean waited = !now.isBefore(gainedAt.plus(settings.timings().cells().fenceWait()));
+    return waited
+        || around.configuration().runners().values().stream()
+            .filter(runner -> runner.role() == RunnerRole.MODEL)
+            .map(RunnerSpec::id)
+            .filter(around.runners()::isUsable)
+            .allMatch(gates::wasTried);
   }
 
   // Accessors
@@ -300,8 +282,7 @@
   public boolean isController() {
     return ledger
         .claim()
-        .filter(claim -> claim.holder().equals(settings.node()))
-        .filter(claim -> claim.incarnation().equals(settings.incarnation()))
+        .filter(claim -> claim.isHeldBy(settings.node(), settings.incarnation()))
         .isPresent();
   }
 
@@ -310,79 +291,19 @@
     return ledger.reservation(replica).filter(held -> !held.unloading()).isPresent();
   }
 
-  /** Returns when the controller has to act without another event. */
-  public Optional<Instant> nextWakeUp() {
-    return isController() ? nextPlan : Optional.empty();
+  /** Returns whether a draining node has nothing left to hand over, or has waited long enough. */
+  public boolean isDrained(Instant now) {
+    return !isController()
+        || drainingSince
+            .filter(since -> !now.isBefore(since.plus(settings.timings().cells().drainLimit())))
+            .isPresent();
   }
 
-  // Helpers
-
-  private PlacementView view(Configuration configuration, RunnerTable runners, Instant now) {
-    List<PlacedReplica> placed = new ArrayList<>();
-    Map<RunnerId, Long> free = new TreeMap<>();
-    for (RunnerSpec runner : configuration.runners().values()) {
-      if (runner.role() == RunnerRole.MODEL && runners.isUsable(runner.id())) {
-        free.put(runner.id(), runner.memoryBytes());
-      }
-    }
-    for (Reservation held : ledger.reservations()) {
-      free.computeIfPresent(held.runner(), (id, bytes) -> bytes - held.bytes());
-      placed.add(place(held, runners, now));
-    }
-    for (RecordBody body : pending.values()) {
-      if (body instanceof RecordBody.LoadDecided load) {
-        free.computeIfPresent(load.runner(), (id, bytes) -> bytes - load.bytes());
-        placed.add(
-            new PlacedReplica(
-                load.replica(),
-                load.model(),
-                load.version(),
-                load.runner(),
-                load.bytes(),
-                PlacedPhase.LOADING,
-                0,
-                now));
-      }
+  /** Returns when the controller has to act without another event. */
+  public Optional<Instant> nextWakeUp() {
+    if (drainingSince.isPresent()) {
+      return Optional.empty();
     }
-    return new PlacementView(configuration, demands.merged(), placed, free);
-  }
-
-  private PlacedReplica place(Reservation held, RunnerTable runners, Instant now) {
-    Optional<ReplicaStatus> status =
-        runners.report(held.runner()).stream()
-            .flatMap(report -> report.replicas().stream())
-            .filter(reported -> reported.replica().equals(held.replica()))
-            .findFirst();
-    boolean isReady = status.filter(reported -> reported.phase() == ReplicaPhase.READY).isPresent();
-    PlacedPhase whileKept = isReady ? PlacedPhase.READY : PlacedPhase.LOADING;
-    return new PlacedReplica(
-        held.replica(),
-        held.model(),
-        held.version(),
-        held.runner(),
-        held.bytes(),
-        held.unloading() ? PlacedPhase.UNLOADING : whileKept,
-        status.map(ReplicaStatus::activeRequests).orElse(0),
-        lastUsed.computeIfAbsent(held.replica(), id -> now));
-  }
-
-  private long countReplicas(ModelId model) {
-    long decided =
-        ledger.reservations().stream().filter(held -> held.model().equals(model)).count();
-    long waiting =
-        pending.values().stream()
-            .filter(
-                body -> body instanceof RecordBody.LoadDecided load && load.model().equals(model))
-            .count();
-    return decided + waiting;
-  }
-
-  private static boolean closes(RecordBody body, ReplicaId replica) {
-    return body instanceof RecordBody.ReplicaClosed closed && closed.replica().equals(replica);
-  }
-
-  private long nextSequence() {
-    sequence++;
-    return sequence;
+    return isController() ? nextPlan : nextClaim;
   }
 }
--- a/src/main/java/dev/wisteriarail/core/cell/CellLedger.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellLedger.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.log.RecordBody;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -19,9 +20,15 @@
  */
 public final class CellLedger {
 
+  /** Number of records after which a repeat of a closed replica's decision is not expected. */
+  private static final long REPEAT_WINDOW = 100_000;
+
   private final CellId cell;
   private final Map<ReplicaId, Reservation> reservations = new TreeMap<>();
+  private final Map<FencingNumber, Claim> past = new TreeMap<>();
+  private final Map<ReplicaId, Long> closed = new TreeMap<>();
   private Optional<Claim> claim = Optional.empty();
+  private FencingNumber fence = FencingNumber.NONE;
 
   private CellLedger(CellId cell) {
     this.cell = cell;
@@ -42,24 +49,39 @@
   public boolean apply(LogRecord logged) {
     return switch (logged.body()) {
       case RecordBody.ClaimRecorded body -> applyClaim(body, logged.offset());
+      case RecordBody.ClaimReleased body -> isCurrent(body.cell(), body.fence()) && release();
       case RecordBody.LoadDecided body -> isCurrent(body.cell(), body.fence()) && applyLoad(body);
       case RecordBody.UnloadDecided body ->
           isCurrent(body.cell(), body.fence()) && applyUnload(body.replica());
+      case RecordBody.LoadSettled body ->
+          isCurrent(body.cell(), body.fence()) && applySettled(body.replica());
       case RecordBody.ReplicaClosed body ->
-          isCurrent(body.cell(), body.fence()) && reservations.remove(body.replica()) != null;
+          isCurrent(body.cell(), body.fence()) && applyClosed(body.replica(), logged.offset());
       default -> false;
     };
   }
 
   private boolean applyClaim(RecordBody.ClaimRecorded body, long offset) {
-    if (!body.cell().equals(cell) || !body.previous().equals(fence())) {
+    if (!body.cell().equals(cell) || !body.previous().equals(fence)) {
       return false;
     }
-    claim = Optional.of(new Claim(FencingNumber.of(offset), body.holder(), body.incarnation()));
+    claim.ifPresent(replaced -> past.put(replaced.fence(), replaced));
+    fence = FencingNumber.of(offset);
+    claim = Optional.of(new Claim(fence, body.holder(), body.incarnation(), body.line()));
+    closed.values().removeIf(at -> at < offset - REPEAT_WINDOW);
+    forgetPast();
+    return true;
+  }
+
+  private boolean release() {
+    claim = Optional.empty();
     return true;
   }
 
   private boolean applyLoad(RecordBody.LoadDecided body) {
+    if (closed.containsKey(body.replica())) {
+      return false;
+    }
     Reservation reservation =
         new Reservation(
             body.replica(),
@@ -68,6 +90,7 @@
             body.runner(),
             body.bytes(),
             body.fence(),
+            false,
             false);
     return reservations.putIfAbsent(body.replica(), reservation) == null;
   }
@@ -76,20 +99,52 @@
     return reservations.computeIfPresent(replica, (id, held) -> held.withUnloading()) != null;
   }
 
-  private boolean isCurrent(CellId recordCell, FencingNumber fence) {
-    return recordCell.equals(cell) && claim.isPresent() && fence.equals(fence());
+  private boolean applySettled(ReplicaId replica) {
+    boolean known =
+        reservations.computeIfPresent(replica, (id, held) -> held.withSettled()) != null;
+    forgetPast();
+    return known;
+  }
+
+  private boolean applyClosed(ReplicaId replica, long offset) {
+    boolean known = reservations.remove(replica) != null;
+    if (known) {
+      closed.put(replica, offset);
+    }
+    forgetPast();
+    return known;
+  }
+
+  /** Forgets claims from before the oldest decision that they may still send an order for. */
+  private void forgetPast() {
+    FencingNumber oldest =
+        reservations.values().stream()
+            .filter(held -> !held.settled())
+            .map(Reservation::fence)
+            .min(FencingNumber::compareTo)
+            .orElse(fence);
+    past.keySet().removeIf(old -> old.compareTo(oldest) < 0);
+  }
+
+  private boolean isCurrent(CellId recordCell, FencingNumber recordFence) {
+    return recordCell.equals(cell) && claim.isPresent() && recordFence.equals(fence);
   }
 
   // Accessors
 
-  /** Returns the claim in force. */
+  /** Returns the claim in force; empty before the first one and after a release. */
   public Optional<Claim> claim() {
     return claim;
   }
 
-  /** Returns the fencing number in force. */
+  /** Returns the fencing number of the last claim, released or not. */
   public FencingNumber fence() {
-    return claim.map(Claim::fence).orElse(FencingNumber.NONE);
+    return fence;
+  }
+
+  /** Returns the replaced claims whose holders may have sent orders from a fencing number on. */
+  public List<Claim> pastSince(FencingNumber from) {
+    return past.values().stream().filter(old -> old.fence().compareTo(from) >= 0).toList();
   }
 
   /** Returns all reservations in order of their replicas. */
--- a/src/main/java/dev/wisteriarail/core/cell/Claim.java
+++ b/src/main/java/dev/wisteriarail/core/cell/Claim.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
+import java.util.List;
 
 /**
  * The control of a cell by one node.
@@ -10,5 +11,23 @@
  * @param fence the claim's fencing number
  * @param holder the controller
  * @param incarnation the controller's incarnation
+ * @param line the nodes that are told of decisions made while the log is down
  */
-public record Claim(FencingNumber fence, NodeId holder, Incarnation incarnation) {}
+public record Claim(
+    FencingNumber fence, NodeId holder, Incarnation incarnation, List<Successor> line) {
+
+  /** Copies the list. */
+  public Claim {
+    line = List.copyOf(line);
+  }
+
+  /** Returns whether the claim is held by the given run of a node. */
+  public boolean isHeldBy(NodeId node, Incarnation run) {
+    return holder.equals(node) && incarnation.equals(run);
+  }
+
+  /** Returns the same claim with another line of succession. */
+  public Claim withLine(List<Successor> newLine) {
+    return new Claim(fence, holder, incarnation, newLine);
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/cell/DemandBoard.java
+++ b/src/main/java/dev/wisteriarail/core/cell/DemandBoard.java
@@ -17,9 +17,21 @@
 
   private final Map<NodeId, List<Demand>> byNode = new TreeMap<>();
 
-  /** Replaces what one node wants. */
-  void accept(NodeId node, List<Demand> demands) {
+  /**
+   * Replaces what one node wants.
+   *
+   * @return whether requests for some model wait there that did not before
+   */
+  boolean accept(NodeId node, List<Demand> demands) {
+    List<Demand> before = byNode.getOrDefault(node, List.of());
     byNode.put(node, demands);
+    return demands.stream()
+        .filter(demand -> demand.waiting() > 0)
+        .anyMatch(demand -> before.stream().noneMatch(old -> isSame(old, demand)));
+  }
+
+  private static boolean isSame(Demand old, Demand demand) {
+    return old.model().equals(demand.model()) && old.waiting() > 0;
   }
 
   /** Forgets nodes that fail the test. */
--- a/src/main/java/dev/wisteriarail/core/cell/Reservation.java
+++ b/src/main/java/dev/wisteriarail/core/cell/Reservation.java
@@ -15,6 +15,7 @@
  * @param bytes the memory, in bytes
  * @param fence fencing number of the controller that decided it
  * @param unloading whether its unloading was decided too
+ * @param settled whether no order to load it is under way any more
  */
 public record Reservation(
     ReplicaId replica,
@@ -23,10 +24,16 @@
     RunnerId runner,
     long bytes,
     FencingNumber fence,
-    boolean unloading) {
+    boolean unloading,
+    boolean settled) {
 
   /** Returns the same reservation with its unloading decided. */
   public Reservation withUnloading() {
-    return new Reservation(replica, model, version, runner, bytes, fence, true);
+    return new Reservation(replica, model, version, runner, bytes, fence, true, settled);
+  }
+
+  /** Returns the same reservation without any order to load it under way. */
+  public Reservation withSettled() {
+    return new Reservation(replica, model, version, runner, bytes, fence, unloading, true);
   }
 }
--- a/src/main/java/dev/wisteriarail/core/engine/EngineReport.java
+++ b/src/main/java/dev/wisteriarail/core/engine/EngineReport.java
@@ -16,6 +16,8 @@
  * @param queuedRequests requests that wait in it
  * @param memoryUsedBytes accelerator memory in use, in bytes
  * @param replicas its replicas
+ * @param sequence number of the report within the incarnation, in the order of the states that the
+ *     reports show; 0 where the engine gives none
  */
 public record EngineReport(
     RunnerId runner,
@@ -25,10 +27,33 @@
     int activeRequests,
     int queuedRequests,
     long memoryUsedBytes,
-    List<ReplicaStatus> replicas) {
+    List<ReplicaStatus> replicas,
+    long sequence) {
 
   /** Copies the list. */
   public EngineReport {
     replicas = List.copyOf(replicas);
   }
+
+  /** Returns a report of an engine that does not number its reports. */
+  public EngineReport(
+      RunnerId runner,
+      Incarnation incarnation,
+      FencingNumber highestFence,
+      boolean leaving,
+      int activeRequests,
+      int queuedRequests,
+      long memoryUsedBytes,
+      List<ReplicaStatus> replicas) {
+    this(
+        runner,
+        incarnation,
+        highestFence,
+        leaving,
+        activeRequests,
+        queuedRequests,
+        memoryUsedBytes,
+        replicas,
+        0);
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -43,6 +43,14 @@
   ORDER_FENCED(320, "order fenced"),
   /** An engine order failed or its outcome is not known. */
   ORDER_FAILED(321, "order failed"),
+  /** An engine has seen the controller's fencing number. */
+  FENCE_RAISED(330, "fence raised"),
+  /** An engine holds a replica that nobody decided; it is unloaded. */
+  REPLICA_UNDECIDED(331, "replica undecided"),
+  /** The node gave up its claim. */
+  CONTROL_RELEASED(332, "control released"),
+  /** A runner refused a load and gets none for a while. */
+  RUNNER_BACKED_OFF(333, "runner backed off"),
 
   // Configuration
   /** A change of configuration came into force. */
--- a/src/main/java/dev/wisteriarail/core/log/RecordBody.java
+++ b/src/main/java/dev/wisteriarail/core/log/RecordBody.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.log;
 
+import dev.wisteriarail.core.cell.Successor;
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.id.CellId;
 import dev.wisteriarail.core.id.CustomerId;
@@ -12,6 +13,7 @@
 import dev.wisteriarail.core.id.RequestId;
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.id.RunnerId;
+import java.util.List;
 
 /** The content of a log record. */
 public sealed interface RecordBody {
@@ -26,9 +28,46 @@
    * @param holder the claiming node
    * @param incarnation the holder's incarnation
    * @param previous the fencing number that the claim replaces
+   * @param line the nodes that are told of decisions made while the log is down
    */
-  record ClaimRecorded(CellId cell, NodeId holder, Incarnation incarnation, FencingNumber previous)
-      implements RecordBody {}
+  record ClaimRecorded(
+      CellId cell,
+      NodeId holder,
+      Incarnation incarnation,
+      FencingNumber previous,
+      List<Successor> line)
+      implements RecordBody {
+
+    /** Copies the list. */
+    public ClaimRecorded {
+      line = List.copyOf(line);
+    }
+
+    /** Returns a claim that names no successors. */
+    public ClaimRecorded(
+        CellId cell, NodeId holder, Incarnation incarnation, FencingNumber previous) {
+      this(cell, holder, incarnation, previous, List.of());
+    }
+  }
+
+  /**
+   * Gives up a claim: its holder sends no order under it any more. Void if its fencing number is
+   * not the cell's.
+   *
+   * @param cell the cell
+   * @param fence the fencing number of the claim
+   */
+  record ClaimReleased(CellId cell, FencingNumber fence) implements RecordBody {}
+
+  /**
+   * States that no order to load a replica is under way any more. Void if its fencing number is not
+   * the cell's.
+   *
+   * @param cell the cell
+   * @param fence the controller's fencing number
+   * @param replica the replica
+   */
+  record LoadSettled(CellId cell, FencingNumber fence, ReplicaId replica) implements RecordBody {}
 
   /**
    * Decides to load a replica. Void if its fencing number is not the cell's.
--- a/src/main/java/dev/wisteriarail/standin/EngineStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineStandin.java
@@ -57,6 +57,7 @@
   private FencingNumber highestFence = FencingNumber.NONE;
   private long highWaterBytes;
   private int loads;
+  private long reports;
   private boolean leaving;
 
   private EngineStandin(Endpoint endpoint, long seed, EngineSetup setup, HttpClient http)
@@ -252,6 +253,7 @@
                     loaded.bytes(),
                     active.getOrDefault(replica, 0),
                     List.of())));
+    reports++;
     int running = active.values().stream().mapToInt(Integer::intValue).sum();
     return new EngineReport(
         setup.runner(),
@@ -261,7 +263,8 @@
         Math.min(running, setup.slots()),
         Math.max(0, running - setup.slots()),
         usedBytes(),
-        statuses);
+        statuses,
+        reports);
   }
 
   /** Returns the number of loads that the engine has started. */
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.wisteriarail.core.cell.Successor;
 import dev.wisteriarail.core.config.DeploymentSpec;
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.config.Urgency;
@@ -33,6 +34,14 @@
     return Stream.of(
         new RecordBody.ClaimRecorded(
             CellId.of("main"), NodeId.of("n1"), Incarnation.of(7), FencingNumber.NONE),
+        new RecordBody.ClaimRecorded(
+            CellId.of("main"),
+            NodeId.of("n1"),
+            Incarnation.of(7),
+            FencingNumber.of(2),
+            List.of(new Successor(NodeId.of("n2"), Incarnation.of(8)))),
+        new RecordBody.ClaimReleased(CellId.of("main"), FencingNumber.of(3)),
+        new RecordBody.LoadSettled(CellId.of("main"), FencingNumber.of(3), ReplicaId.of("m1.3.1")),
         new RecordBody.LoadDecided(
             CellId.of("main"),
             FencingNumber.of(3),
--- a/src/test/java/dev/wisteriarail/core/NodeCoreTest.java
+++ b/src/test/java/dev/wisteriarail/core/NodeCoreTest.java
@@ -10,7 +10,9 @@
 import dev.wisteriarail.core.config.RunnerSpec;
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.config.Urgency;
+import dev.wisteriarail.core.engine.EngineOrder;
 import dev.wisteriarail.core.engine.EngineReport;
+import dev.wisteriarail.core.engine.OrderOutcome;
 import dev.wisteriarail.core.engine.ReplicaPhase;
 import dev.wisteriarail.core.engine.ReplicaStatus;
 import dev.wisteriarail.core.id.CellId;
@@ -68,11 +70,11 @@
     start();
     send("q1");
     RecordBody.LoadDecided decision = appended(RecordBody.LoadDecided.class);
-    assertThat(effectsOf(Effect.OrderEngine.class)).isEmpty();
+    assertThat(loadOrders()).isEmpty();
 
     readBack(decision);
-    assertThat(effectsOf(Effect.OrderEngine.class)).hasSize(1);
-    assertThat(effectsOf(Effect.OrderEngine.class).getFirst().fence()).isEqualTo(decision.fence());
+    assertThat(loadOrders()).hasSize(1);
+    assertThat(loadOrders().getFirst().fence()).isEqualTo(decision.fence());
 
     report(decision, ReplicaPhase.READY);
     Effect.Dispatch dispatch = effectsOf(Effect.Dispatch.class).getFirst();
@@ -101,7 +103,7 @@
         new RecordBody.ClaimRecorded(
             CellId.of("main"), NodeId.of("n2"), Incarnation.of(1), decision.fence()));
     readBack(decision);
-    assertThat(effectsOf(Effect.OrderEngine.class)).isEmpty();
+    assertThat(loadOrders()).isEmpty();
   }
 
   @Test
@@ -120,6 +122,15 @@
     readBack(new RecordBody.ConfigurationChanged(Revision.NONE, section(), "test", "start"));
     readBack(appended(RecordBody.ClaimRecorded.class));
     feed(new Event.EngineReported(emptyReport()));
+    Effect.OrderEngine raised = effectsOf(Effect.OrderEngine.class).getFirst();
+    assertThat(raised.body()).isInstanceOf(EngineOrder.RaiseFence.class);
+    feed(new Event.OrderAnswered(raised.order(), RUNNER, new OrderOutcome.Done()));
+  }
+
+  private List<Effect.OrderEngine> loadOrders() {
+    return effectsOf(Effect.OrderEngine.class).stream()
+        .filter(order -> order.body() instanceof EngineOrder.LoadReplica)
+        .toList();
   }
 
   private void send(String id) {
