--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.cell.CellController;
 import dev.wisteriarail.core.cell.CellLedger;
+import dev.wisteriarail.core.cell.Claim;
 import dev.wisteriarail.core.cell.Closures;
 import dev.wisteriarail.core.cell.Surroundings;
 import dev.wisteriarail.core.config.Configuration;
@@ -19,6 +20,7 @@
 import dev.wisteriarail.core.request.Ending;
 import dev.wisteriarail.core.request.InboundRequest;
 import dev.wisteriarail.core.request.Refusal;
+import dev.wisteriarail.core.request.RequestContext;
 import dev.wisteriarail.core.request.RequestTable;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.routing.Router;
@@ -99,8 +101,10 @@
           controller.acceptOrder(answered.order(), answered.outcome(), step);
       case Event.LogRead read -> acceptLog(read, step);
       case Event.LogReadFailed failed -> acceptLogFailure(failed, step);
-      case Event.AppendAnswered answered ->
-          controller.acceptAppend(answered.record(), answered.outcome(), step.now());
+      case Event.AppendAnswered answered -> {
+        controller.acceptAppend(answered.record(), answered.outcome(), step.now());
+        requests.acceptAppend(answered.record(), answered.outcome(), step.now());
+      }
       case Event.VmListRead read -> {
         membership.acceptList(read.nodes(), step.now());
         closures.acceptList(read.nodes(), step.now());
@@ -123,7 +127,7 @@
       step.emit(new Effect.EndRequest(request.id(), new Ending.Refused(refusal)));
       return;
     }
-    requests.accept(request, configurations.current(), step);
+    requests.accept(request, context(step));
     nextDemandReport = Optional.of(step.now());
   }
 
@@ -133,7 +137,9 @@
       outageLogged = false;
       step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
     }
+    requests.acceptRead(read);
     for (LogRecord logged : read.records()) {
+      requests.acceptRecord(logged.body(), context(step));
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, step);
       } else {
@@ -169,6 +175,7 @@
       case PeerMessage.Heartbeat heartbeat -> {}
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
+      case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
       case PeerMessage.Goodbye goodbye -> {
         membership.markClosed(received.from());
         closures.markStopped(received.from(), received.incarnation(), step.now());
@@ -180,14 +187,14 @@
   // Progress
 
   private void advance(Step step) {
-    Configuration configuration = configurations.current();
-    requests.advance(step, configuration, runners, controller::isRoutable);
+    requests.advance(context(step));
     reportDemand(step);
     if (logHealth.wasRead()) {
       controller.advance(step, surroundings());
     }
     membership.advance(
-        step, new PeerMessage.Heartbeat(configuration.revision(), ledger.fence(), draining));
+        step,
+        new PeerMessage.Heartbeat(configurations.current().revision(), ledger.fence(), draining));
     finishDrain(step);
   }
 
@@ -214,8 +221,9 @@
   }
 
   private void finishDrain(Step step) {
-    boolean idle = requests.isEmpty() && controller.isDrained(step.now());
-    if (!draining || drainAnnounced || !idle) {
+    boolean finished =
+        requests.isFinished(logHealth.isDown(step.now())) && controller.isDrained(step.now());
+    if (!draining || drainAnnounced || !finished) {
       return;
     }
     drainAnnounced = true;
@@ -229,6 +237,18 @@
     return new Surroundings(configurations.current(), membership, runners, logHealth);
   }
 
+  private RequestContext context(Step step) {
+    return new RequestContext(
+        step,
+        configurations.current(),
+        runners,
+        controller::isRoutable,
+        !logHealth.wasRead() || logHealth.isDown(step.now()),
+        ledger.claim().map(Claim::holder).filter(node -> membership.isLive(node, step.now())),
+        membership.peers().size() + 1,
+        (node, incarnation) -> closures.isClosed(node, incarnation, step.now()));
+  }
+
   // Accessors
 
   /** Returns when the core wants a {@link Event.TimerFired} if nothing happens before. */
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -20,6 +20,10 @@
   NOT_FOUND(1004, 404, "no such path"),
   /** The path does not take this method. */
   METHOD_NOT_ALLOWED(1005, 405, "the path does not take this method"),
+  /** The request header exceeds the size limit. */
+  HEADERS_TOO_LARGE(1006, 431, "the request header exceeds the size limit"),
+  /** The node holds as many open requests as it may. */
+  NODE_FULL(1007, 503, "the node holds as many open requests as it may"),
   /** The bearer token is missing or unknown. */
   UNAUTHENTICATED(1101, 401, "the bearer token is missing or unknown"),
   /** The model does not exist or belongs to another customer. */
@@ -56,6 +60,10 @@
   IDEMPOTENCY_KEY_EXPIRED(1303, 409, "the idempotency key is older than the log keeps"),
   /** The request was handed to a backend server and its outcome is not known. */
   OUTCOME_UNKNOWN(1304, 502, "the request was handed over and its outcome is not known"),
+  /** Not all used idempotency keys are known to the node. */
+  KEYS_INCOMPLETE(1310, 503, "not all used idempotency keys are known to the node"),
+  /** The request ran and its answer is not kept. */
+  ANSWER_NOT_KEPT(1311, 409, "the request ran and its answer is not kept"),
   /** The backend server failed. */
   BACKEND_FAILED(1401, 502, "the backend server failed"),
   /** The backend server refused the request. */
