Cold starts in a log outage: decisions told to a named line of succession

Cause: while the log was down or slow, no model could be loaded, and nothing told a successor what its predecessor did. A told successor counts and adopts those decisions (LoadAdopted, PredecessorAbsorbed); any other claimant treats the old controller as one that may have decided anything: runners that ignore fencing numbers count as full until it is closed, the others once they were fenced and listed. A replaced holder that lives says when it is done (ClaimEnded). Records of an outage are appended in order afterwards.

--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -172,7 +172,12 @@
       return;
     }
     switch (received.message()) {
-      case PeerMessage.Heartbeat heartbeat -> {}
+      case PeerMessage.Heartbeat heartbeat -> controller.acceptPeerFence(heartbeat.fence());
+      case PeerMessage.OutageRecords told ->
+          controller.acceptOutageRecords(received.from(), received.incarnation(), told, step);
+      case PeerMessage.OutageRecordsKept kept ->
+          controller.acceptOutageRecordsKept(
+              received.from(), received.incarnation(), kept, step.now());
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
       case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
--- a/src/main/java/dev/wisteriarail/core/cell/CellController.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellController.java
@@ -11,6 +11,8 @@
 import dev.wisteriarail.core.engine.ReplicaPhase;
 import dev.wisteriarail.core.engine.ReplicaStatus;
 import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.id.OrderId;
 import dev.wisteriarail.core.id.RecordId;
@@ -19,6 +21,7 @@
 import dev.wisteriarail.core.log.LogRecord;
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.peer.Demand;
+import dev.wisteriarail.core.peer.PeerMessage;
 import dev.wisteriarail.core.placement.PlacementPlanner;
 import java.time.Instant;
 import java.util.List;
@@ -50,11 +53,14 @@
   private final ClaimKeeper claims;
   private final Reconciler reconciler;
   private final Decisions decisions;
+  private final Succession succession;
+  private final OutageRelay relay;
   private final PauseGuard pauses;
   private final Set<ReplicaId> ready = new TreeSet<>();
   private Optional<Instant> nextPlan = Optional.empty();
   private Optional<Instant> nextClaim = Optional.empty();
   private Instant gainedAt = Instant.MIN;
+  private FencingNumber highestFence = FencingNumber.NONE;
   private Optional<Instant> drainingSince = Optional.empty();
 
   private CellController(
@@ -70,8 +76,11 @@
     predecessors = Predecessors.create(settings, ledger, closures, gates);
     claims = ClaimKeeper.create(settings, ledger, closures, pending);
     reconciler = new Reconciler(settings, ledger, pending, orders, sightings, gates, predecessors);
-    MemoryAccount memory = new MemoryAccount(ledger, pending, sightings, gates);
-    decisions = new Decisions(settings, ledger, pending, sightings, memory, demands, planner);
+    succession = new Succession(settings, ledger, closures, pending, sightings, gates);
+    relay = new OutageRelay(ledger, closures, pending);
+    MemoryAccount memory = new MemoryAccount(ledger, pending, sightings, gates, succession);
+    decisions =
+        new Decisions(settings, ledger, pending, sightings, memory, demands, planner, succession);
     pauses = PauseGuard.create(settings.timings().suspectAfter());
   }
 
@@ -122,6 +131,7 @@
 
   private void acceptClaim(Optional<Claim> before, Surroundings around, Step step) {
     pending.clear();
+    relay.reset();
     ledger.claim().ifPresent(claim -> closures.noteNode(claim.holder(), step.now()));
     boolean contested =
         before
@@ -136,6 +146,7 @@
       gates.reset();
       gainedAt = step.now();
       predecessors.acceptControl(step.now());
+      succession.acceptControl(step.now());
       decisions.reset();
       nextPlan = Optional.of(step.now());
     }
@@ -209,6 +220,24 @@
     }
   }
 
+  /** Takes the highest fencing number of the cell that a peer has read. */
+  public void acceptPeerFence(FencingNumber fence) {
+    highestFence = fence.compareTo(highestFence) > 0 ? fence : highestFence;
+  }
+
+  /** Takes decisions that the controller could not read back from the log. */
+  public void acceptOutageRecords(
+      NodeId from, Incarnation incarnation, PeerMessage.OutageRecords message, Step step) {
+    relay.acceptRecords(from, incarnation, message, step);
+  }
+
+  /** Takes a peer's word that it keeps decisions that it was told. */
+  public void acceptOutageRecordsKept(
+      NodeId from, Incarnation incarnation, PeerMessage.OutageRecordsKept message, Instant now) {
+    relay.acceptKept(from, incarnation, message);
+    nextPlan = Optional.of(now);
+  }
+
   /** Gives control up as soon as no order is under way. */
   public void drain(Instant now) {
     drainingSince = drainingSince.or(() -> Optional.of(now));
@@ -226,6 +255,8 @@
     pending.retry(step);
     if (!isController()) {
       claim(step, around);
+    } else if (isSuperseded()) {
+      nextPlan = Optional.of(step.now().plus(settings.timings().plan()));
     } else if (drainingSince.isPresent()) {
       release(step);
     } else {
@@ -234,8 +265,10 @@
   }
 
   private void claim(Step step, Surroundings around) {
+    succession.endEarlier(orders, step);
     if (drainingSince.isEmpty() && !around.log().isDown(step.now())) {
-      claims.advance(step, around.membership(), List.of());
+      List<Successor> line = succession.line(around.membership(), step.now());
+      claims.advance(step, around.membership(), line);
       nextClaim = claims.nextWakeUp(around.membership(), step.now());
     }
   }
@@ -254,15 +287,18 @@
     for (OrderBook.Sent late : orders.expire(step.now())) {
       logFailure(late, new OrderOutcome.Unknown("no answer"), step);
     }
+    relay.advance(step, around);
     if (nextPlan.isPresent() && step.now().isBefore(nextPlan.get())) {
       return;
     }
     nextPlan = Optional.of(step.now().plus(settings.timings().plan()));
+    succession.advance(step, around);
     reconciler.advance(around.configuration(), step);
     demands.retain(node -> around.membership().isLive(node, step.now()));
     if (isPrepared(around, step.now())) {
       decisions.advance(step, around);
     }
+    relay.advance(step, around);
   }
 
   /** Returns whether each runner has taken the fencing number, or had time enough to do so. */
@@ -276,6 +312,11 @@
             .allMatch(gates::wasTried);
   }
 
+  /** Returns whether a peer has read a claim after this node's. */
+  private boolean isSuperseded() {
+    return highestFence.compareTo(ledger.fence()) > 0;
+  }
+
   // Accessors
 
   /** Returns whether this run of this node holds the claim in force. */
--- a/src/main/java/dev/wisteriarail/core/cell/Closures.java
+++ b/src/main/java/dev/wisteriarail/core/cell/Closures.java
@@ -106,6 +106,11 @@
         .or(() -> bySilence.filter(at -> !now.isBefore(at)));
   }
 
+  /** Returns the newest run of a node that was heard. */
+  public Optional<Incarnation> newestRun(NodeId node) {
+    return Optional.ofNullable(newest.get(node)).map(Seen::incarnation);
+  }
+
   /** Returns whether a run is closed. */
   public boolean isClosed(NodeId node, Incarnation incarnation, Instant now) {
     return closedSince(node, incarnation, now).isPresent();
--- a/src/main/java/dev/wisteriarail/core/cell/Decisions.java
+++ b/src/main/java/dev/wisteriarail/core/cell/Decisions.java
@@ -41,6 +41,7 @@
   private final MemoryAccount memory;
   private final DemandBoard demands;
   private final PlacementPlanner planner;
+  private final Succession succession;
   private final Map<ReplicaId, Instant> lastUsed = new TreeMap<>();
   private final Map<RunnerId, Instant> lostSince = new TreeMap<>();
   private long sequence;
@@ -52,7 +53,8 @@
       Sightings sightings,
       MemoryAccount memory,
       DemandBoard demands,
-      PlacementPlanner planner) {
+      PlacementPlanner planner,
+      Succession succession) {
     this.settings = settings;
     this.ledger = ledger;
     this.pending = pending;
@@ -60,6 +62,7 @@
     this.memory = memory;
     this.demands = demands;
     this.planner = planner;
+    this.succession = succession;
   }
 
   // Updates
@@ -104,6 +107,9 @@
 
   /** Decides what is due. */
   void advance(Step step, Surroundings around) {
+    if (around.log().isDown(step.now())) {
+      pending.withdraw(this::isUnwanted);
+    }
     for (Reservation held : ledger.reservations()) {
       if (!held.unloading() && isForsaken(held, around, step.now())) {
         recordUnload(held.replica(), step);
@@ -118,6 +124,13 @@
     }
   }
 
+  /** Returns whether a body decides a load that nobody waits for any longer. */
+  private boolean isUnwanted(RecordBody body) {
+    return body instanceof RecordBody.LoadDecided load
+        && demands.merged().stream()
+            .noneMatch(wanted -> wanted.model().equals(load.model()) && wanted.waiting() > 0);
+  }
+
   /** Returns whether a replica can't be of use where it is. */
   private boolean isForsaken(Reservation held, Surroundings around, Instant now) {
     RunnerSpec runner = around.configuration().runners().get(held.runner());
@@ -144,7 +157,9 @@
     boolean fits =
         model != null
             && free.getOrDefault(load.runner(), 0L) >= model.memoryBytes()
-            && countReplicas(model, around.runners()) < model.maxReplicas();
+            && countReplicas(model, around.runners())
+                    + countHidden(around.configuration(), step.now())
+                < model.maxReplicas();
     if (!fits) {
       return;
     }
@@ -178,10 +193,8 @@
     for (Reservation held : ledger.reservations()) {
       placed.add(place(held, now));
     }
-    for (RecordBody body : pending.bodies()) {
-      if (body instanceof RecordBody.LoadDecided load) {
-        placed.add(place(load, now));
-      }
+    for (RecordBody.LoadDecided load : pending.loads()) {
+      placed.add(place(load, now));
     }
     Configuration configuration = around.configuration();
     return new PlacementView(
@@ -227,13 +240,20 @@
             .filter(held -> held.version().equals(model.version()))
             .filter(held -> !held.unloading() || runners.isUsable(held.runner()))
             .count();
-    long appended =
-        pending.bodies().stream()
-            .filter(body -> body instanceof RecordBody.LoadDecided load && loads(load, model))
-            .count();
+    long appended = pending.loads().stream().filter(load -> loads(load, model)).count();
     return decided + appended;
   }
 
+  /** Counts a replica that an earlier controller may have placed without this node's knowledge. */
+  private long countHidden(Configuration configuration, Instant now) {
+    boolean hidden =
+        succession.isBlind()
+            && configuration.runners().values().stream()
+                .filter(runner -> runner.role() == RunnerRole.MODEL)
+                .anyMatch(runner -> !succession.isSafe(runner, now));
+    return hidden ? 1 : 0;
+  }
+
   private static boolean loads(RecordBody.LoadDecided load, ModelSpec model) {
     return load.model().equals(model.id()) && load.version().equals(model.version());
   }
--- a/src/main/java/dev/wisteriarail/core/cell/MemoryAccount.java
+++ b/src/main/java/dev/wisteriarail/core/cell/MemoryAccount.java
@@ -32,12 +32,19 @@
   private final PendingRecords pending;
   private final Sightings sightings;
   private final RunnerGates gates;
+  private final Succession succession;
 
-  MemoryAccount(CellLedger ledger, PendingRecords pending, Sightings sightings, RunnerGates gates) {
+  MemoryAccount(
+      CellLedger ledger,
+      PendingRecords pending,
+      Sightings sightings,
+      RunnerGates gates,
+      Succession succession) {
     this.ledger = ledger;
     this.pending = pending;
     this.sightings = sightings;
     this.gates = gates;
+    this.succession = succession;
   }
 
   /** Returns the free memory of each runner that may get new loads. */
@@ -47,7 +54,8 @@
       boolean usable =
           runner.role() == RunnerRole.MODEL
               && runners.isUsable(runner.id())
-              && gates.isOpen(runner.id(), now);
+              && gates.isOpen(runner.id(), now)
+              && succession.isSafe(runner, now);
       if (usable) {
         free.put(runner.id(), runner.memoryBytes() - taken(runner.id()));
       }
@@ -77,9 +85,7 @@
   }
 
   private long appended(RunnerId runner) {
-    return pending.bodies().stream()
-        .filter(RecordBody.LoadDecided.class::isInstance)
-        .map(RecordBody.LoadDecided.class::cast)
+    return pending.loads().stream()
         .filter(load -> load.runner().equals(runner))
         .mapToLong(RecordBody.LoadDecided::bytes)
         .sum();
--- a/src/main/java/dev/wisteriarail/core/cell/PendingRecords.java
+++ b/src/main/java/dev/wisteriarail/core/cell/PendingRecords.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.log.RecordBody;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,21 +28,35 @@
 
   /** A pending record. Mutable. */
   private static final class Pending {
+    private final long number;
     private final RecordBody body;
+    private final Instant since;
     private Instant sentAt;
     private boolean answered;
     private boolean appended;
     private boolean possible;
+    private boolean shared;
+    private boolean inForce;
 
-    private Pending(RecordBody body, Instant sentAt) {
+    private Pending(long number, RecordBody body, Instant sentAt) {
+      this.number = number;
       this.body = body;
+      since = sentAt;
       this.sentAt = sentAt;
     }
+
+    private boolean isDecision() {
+      return body instanceof RecordBody.LoadDecided
+          || body instanceof RecordBody.UnloadDecided
+          || body instanceof RecordBody.LoadSettled
+          || body instanceof RecordBody.ReplicaClosed;
+    }
   }
 
   private final NodeSettings settings;
   private final Map<RecordId, Pending> pending = new LinkedHashMap<>();
   private long sequence;
+  private boolean news;
 
   private PendingRecords(NodeSettings settings) {
     this.settings = settings;
@@ -56,8 +71,38 @@
   void append(RecordBody body, Step step) {
     sequence++;
     RecordId record = RecordId.of(settings.node() + "." + settings.incarnation() + ".r" + sequence);
-    pending.put(record, new Pending(body, step.now()));
-    step.emit(new Effect.Append(record, body));
+    Pending added = new Pending(sequence, body, step.now());
+    boolean waits = pending.values().stream().anyMatch(one -> one.shared && !one.appended);
+    pending.put(record, added);
+    if (waits) {
+      added.answered = true;
+    } else {
+      step.emit(new Effect.Append(record, body));
+    }
+  }
+
+  /**
+   * Marks the decisions that the log has not given back in time, with all before them.
+   *
+   * @return all marked decisions in order
+   */
+  List<OutageRecord> share(Instant now, boolean logDown) {
+    Duration limit = settings.timings().cells().outageAfter();
+    boolean late =
+        logDown
+            || hasShared()
+            || pending.values().stream()
+                .anyMatch(one -> one.isDecision() && !now.isBefore(one.since.plus(limit)));
+    List<OutageRecord> shared = new ArrayList<>();
+    pending.forEach(
+        (record, one) -> {
+          if (late && one.isDecision()) {
+            news |= !one.shared;
+            one.shared = true;
+            shared.add(new OutageRecord(one.number, record, one.body));
+          }
+        });
+    return shared;
   }
 
   void acceptReadBack(RecordId record) {
@@ -84,26 +129,60 @@
     }
   }
 
-  /** Appends again what is due. */
+  /**
+   * Marks a decision as being in force before it is read back.
+   *
+   * @return whether it was not marked before
+   */
+  boolean enforce(RecordId record) {
+    Pending one = pending.get(record);
+    boolean first = one != null && !one.inForce;
+    if (first) {
+      one.inForce = true;
+    }
+    return first;
+  }
+
+  /**
+   * Appends again what is due. While there are marked decisions, one after the other, since the log
+   * has to hold them in their order.
+   */
   void retry(Step step) {
+    boolean inOrder = hasShared();
+    for (Map.Entry<RecordId, Pending> entry : pending.entrySet()) {
+      Pending one = entry.getValue();
+      if (one.appended) {
+        continue;
+      }
+      if (isDue(one, step.now())) {
+        one.possible |= !one.answered;
+        one.answered = false;
+        one.sentAt = step.now();
+        step.emit(new Effect.Append(entry.getKey(), one.body));
+      }
+      if (inOrder) {
+        return;
+      }
+    }
+  }
+
+  private boolean isDue(Pending one, Instant now) {
     Duration interval = settings.timings().appendRetry();
-    pending.forEach(
-        (record, one) -> {
-          Duration wait = one.answered ? interval : interval.multipliedBy(UNANSWERED_RETRIES);
-          if (!one.appended && !step.now().isBefore(one.sentAt.plus(wait))) {
-            one.possible |= !one.answered;
-            one.answered = false;
-            one.sentAt = step.now();
-            step.emit(new Effect.Append(record, one.body));
-          }
-        });
+    Duration wait = one.answered ? interval : interval.multipliedBy(UNANSWERED_RETRIES);
+    return !now.isBefore(one.sentAt.plus(wait));
   }
 
   /** Withdraws records that match and certainly do not stand in the log. */
   void withdraw(Predicate<RecordBody> unwanted) {
     pending
         .values()
-        .removeIf(one -> one.answered && !one.appended && !one.possible && unwanted.test(one.body));
+        .removeIf(
+            one ->
+                one.answered
+                    && !one.appended
+                    && !one.possible
+                    && !one.shared
+                    && unwanted.test(one.body));
   }
 
   /** Forgets all records; a newer claim made them void. */
@@ -111,11 +190,6 @@
     pending.clear();
   }
 
-  /** Forgets claims; another one won. */
-  void clearClaims() {
-    pending.values().removeIf(one -> one.body instanceof RecordBody.ClaimRecorded);
-  }
-
   // Accessors
 
   /** Returns the pending records in order. */
@@ -123,10 +197,29 @@
     return pending.values().stream().map(one -> one.body).toList();
   }
 
+  /** Returns the decided loads that are not in force yet. */
+  List<RecordBody.LoadDecided> loads() {
+    return pending.values().stream()
+        .filter(one -> !one.inForce && one.body instanceof RecordBody.LoadDecided)
+        .map(one -> (RecordBody.LoadDecided) one.body)
+        .toList();
+  }
+
   boolean any(Predicate<RecordBody> wanted) {
     return pending.values().stream().anyMatch(one -> wanted.test(one.body));
   }
 
+  /** Returns whether decisions were marked since the last call. */
+  boolean hasNews() {
+    boolean was = news;
+    news = false;
+    return was;
+  }
+
+  boolean hasShared() {
+    return pending.values().stream().anyMatch(one -> one.shared);
+  }
+
   boolean isEmpty() {
     return pending.isEmpty();
   }
--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -51,6 +51,12 @@
   CONTROL_RELEASED(332, "control released"),
   /** A runner refused a load and gets none for a while. */
   RUNNER_BACKED_OFF(333, "runner backed off"),
+  /** A decision is in force that the log has not given back; the line of succession keeps it. */
+  OUTAGE_DECISION(334, "outage decision"),
+  /** What an earlier controller may have decided without the log is in the log by now. */
+  PREDECESSOR_ABSORBED(335, "predecessor absorbed"),
+  /** The controller names other nodes for its line of succession. */
+  SUCCESSION_NAMED(336, "succession named"),
 
   // Configuration
   /** A change of configuration came into force. */
--- a/src/main/java/dev/wisteriarail/core/log/RecordBody.java
+++ b/src/main/java/dev/wisteriarail/core/log/RecordBody.java
@@ -60,6 +60,69 @@
    */
   record ClaimReleased(CellId cell, FencingNumber fence) implements RecordBody {}
 
+  /**
+   * Says that the holder of a replaced claim is done with it: none of its orders is under way, and
+   * none of its decisions is missing from the log. Valid only of that very run.
+   *
+   * @param cell the cell
+   * @param ended the fencing number of the replaced claim
+   * @param holder the run that held it
+   */
+  record ClaimEnded(CellId cell, FencingNumber ended, Successor holder) implements RecordBody {}
+
+  /**
+   * Names another line of succession for the claim in force. Void if its fencing number is not the
+   * cell's, or if its number is not above the last one's.
+   *
+   * @param cell the cell
+   * @param fence the fencing number of the claim
+   * @param number number of the change under that claim, from 1 on
+   * @param line the nodes that are told of decisions made while the log is down
+   */
+  record SuccessionNamed(CellId cell, FencingNumber fence, long number, List<Successor> line)
+      implements RecordBody {
+
+    /** Copies the list. */
+    public SuccessionNamed {
+      line = List.copyOf(line);
+    }
+  }
+
+  /**
+   * Takes over a replica that an earlier controller decided without the log. Void if its fencing
+   * number is not the cell's.
+   *
+   * @param cell the cell
+   * @param fence the fencing number of the claim
+   * @param origin the fencing number of the controller that decided it
+   * @param replica the replica
+   * @param model its model
+   * @param version the model's version
+   * @param runner its runner
+   * @param bytes accelerator memory reserved for it, in bytes
+   */
+  record LoadAdopted(
+      CellId cell,
+      FencingNumber fence,
+      FencingNumber origin,
+      ReplicaId replica,
+      ModelId model,
+      String version,
+      RunnerId runner,
+      long bytes)
+      implements RecordBody {}
+
+  /**
+   * States that all decisions that an earlier controller may have made without the log are in the
+   * log or without effect. Void if its fencing number is not the cell's.
+   *
+   * @param cell the cell
+   * @param fence the fencing number of the claim
+   * @param predecessor the fencing number of the earlier claim
+   */
+  record PredecessorAbsorbed(CellId cell, FencingNumber fence, FencingNumber predecessor)
+      implements RecordBody {}
+
   /**
    * States that no order to load a replica is under way any more. Void if its fencing number is not
    * the cell's.
--- a/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.peer;
 
+import dev.wisteriarail.core.cell.OutageRecord;
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.log.RecordBody;
@@ -45,6 +46,34 @@
     }
   }
 
+  /**
+   * Tells decisions that the controller could not read back from the log.
+   *
+   * @param fence the fencing number of its claim
+   * @param records the decisions in their order
+   */
+  record OutageRecords(FencingNumber fence, List<OutageRecord> records) implements PeerMessage {
+
+    /** Copies the list. */
+    public OutageRecords {
+      records = List.copyOf(records);
+    }
+  }
+
+  /**
+   * Says that the sender keeps decisions that it was told, and counts them should it take over.
+   *
+   * @param fence the fencing number of the claim under which they were made
+   * @param numbers the numbers of the decisions
+   */
+  record OutageRecordsKept(FencingNumber fence, List<Long> numbers) implements PeerMessage {
+
+    /** Copies the list. */
+    public OutageRecordsKept {
+      numbers = List.copyOf(numbers);
+    }
+  }
+
   /** Says that the sender has stopped: it sends no order and no dispatch any more. */
   record Goodbye() implements PeerMessage {}
 }
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.wisteriarail.core.cell.OutageRecord;
 import dev.wisteriarail.core.cell.Successor;
 import dev.wisteriarail.core.config.DeploymentSpec;
 import dev.wisteriarail.core.config.Section;
@@ -45,6 +46,26 @@
             FencingNumber.of(2),
             List.of(new Successor(NodeId.of("n2"), Incarnation.of(8)))),
         new RecordBody.ClaimReleased(CellId.of("main"), FencingNumber.of(3)),
+        new RecordBody.ClaimEnded(
+            CellId.of("main"),
+            FencingNumber.of(3),
+            new Successor(NodeId.of("n2"), Incarnation.of(8))),
+        new RecordBody.SuccessionNamed(
+            CellId.of("main"),
+            FencingNumber.of(3),
+            1,
+            List.of(new Successor(NodeId.of("n2"), Incarnation.of(8)))),
+        new RecordBody.PredecessorAbsorbed(
+            CellId.of("main"), FencingNumber.of(3), FencingNumber.of(2)),
+        new RecordBody.LoadAdopted(
+            CellId.of("main"),
+            FencingNumber.of(3),
+            FencingNumber.of(2),
+            ReplicaId.of("m1.2.1"),
+            ModelId.of("m1"),
+            "v1",
+            RunnerId.of("r1"),
+            1L << 40),
         new RecordBody.LoadSettled(CellId.of("main"), FencingNumber.of(3), ReplicaId.of("m1.3.1")),
         new RecordBody.LoadDecided(
             CellId.of("main"),
@@ -87,6 +108,15 @@
         new PeerMessage.IntentsOffered(intents()),
         new PeerMessage.Heartbeat(Revision.of(4), FencingNumber.of(9), true),
         new PeerMessage.Goodbye(),
+        new PeerMessage.OutageRecords(
+            FencingNumber.of(3),
+            List.of(
+                new OutageRecord(
+                    1,
+                    RecordId.of("n1.7.r1"),
+                    new RecordBody.UnloadDecided(
+                        CellId.of("main"), FencingNumber.of(3), ReplicaId.of("m1.3.1"))))),
+        new PeerMessage.OutageRecordsKept(FencingNumber.of(3), List.of(1L)),
         new PeerMessage.DemandReported(
             List.of(
                 new Demand(
