--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -3,6 +3,8 @@
 import dev.wisteriarail.core.cell.CellController;
 import dev.wisteriarail.core.cell.CellLedger;
 import dev.wisteriarail.core.cell.Claim;
+import dev.wisteriarail.core.cell.Closures;
+import dev.wisteriarail.core.cell.Surroundings;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.ConfigurationLedger;
 import dev.wisteriarail.core.config.ConfigurationVerdict;
@@ -49,6 +51,7 @@
   private final RunnerTable runners = RunnerTable.create();
   private final LogHealth logHealth = LogHealth.create(LOG_OUTAGE_AFTER);
   private final Membership membership;
+  private final Closures closures;
   private final CellLedger ledger;
   private final CellController controller;
   private final LogState logState;
@@ -64,7 +67,8 @@
     this.settings = settings;
     membership = Membership.create(settings);
     ledger = CellLedger.create(settings.cell());
-    controller = CellController.create(settings, ledger, planner);
+    closures = Closures.create(settings.timings().cells());
+    controller = CellController.create(settings, ledger, closures, planner);
     logState = LogState.create(settings.cell(), List.of(configurations, ledger));
     snapshots = SnapshotWriter.create(settings);
     catchUp = PeerCatchUp.create(configurations, logState, logHealth);
@@ -104,19 +108,23 @@
       }
       case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
       case Event.OrderAnswered answered ->
-          controller.acceptOrder(answered.order(), answered.runner(), answered.outcome(), step);
+          controller.acceptOrder(answered.order(), answered.outcome(), step);
       case Event.LogRead read -> acceptLog(read, step);
       case Event.LogReadFailed failed -> acceptLogFailure(failed, step);
       case Event.AppendAnswered answered -> {
-        controller.acceptAppend(answered.record(), answered.outcome());
+        controller.acceptAppend(answered.record(), answered.outcome(), step.now());
         snapshots.acceptAppend(answered.record(), answered.outcome(), step);
         requests.acceptAppend(answered.record(), answered.outcome(), step.now());
       }
-      case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
+      case Event.VmListRead read -> {
+        membership.acceptList(read.nodes(), step.now());
+        closures.acceptList(read.nodes(), step.now());
+      }
       case Event.PeerReceived received -> acceptPeer(received, step);
       case Event.TimerFired fired -> {}
       case Event.DrainRequested drain -> {
         draining = true;
+        controller.drain(step.now());
         step.log(EventCode.NODE_DRAINING, "node", settings.node());
       }
     }
@@ -146,7 +154,7 @@
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, logged, step);
       } else {
-        controller.acceptRecord(logged, step);
+        controller.acceptRecord(logged, surroundings(), step);
       }
     }
   }
@@ -185,6 +193,7 @@
   }
 
   private void acceptPeer(Event.PeerReceived received, Step step) {
+    closures.acceptMessage(received.from(), received.incarnation(), step.now());
     if (!membership.acceptMessage(received.from(), received.incarnation(), step)) {
       return;
     }
@@ -199,6 +208,7 @@
       case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
       case PeerMessage.Goodbye goodbye -> {
         membership.markClosed(received.from());
+        closures.markStopped(received.from(), received.incarnation(), step.now());
         step.log(EventCode.PEER_CLOSED, "peer", received.from());
       }
     }
@@ -208,15 +218,15 @@
 
   private void advance(Step step) {
     catchUp.advance(step);
-    Configuration configuration = configurations.current();
     requests.advance(context(step));
     reportDemand(step);
     if (logHealth.wasRead() && logState.isCurrent()) {
-      controller.advance(step, configuration, membership, runners);
+      controller.advance(step, surroundings());
     }
     snapshots.advance(logState, controller.isController() && !logHealth.isDown(step.now()), step);
     membership.advance(
-        step, new PeerMessage.Heartbeat(configuration.revision(), ledger.fence(), draining));
+        step,
+        new PeerMessage.Heartbeat(configurations.current().revision(), ledger.fence(), draining));
     finishDrain(step);
   }
 
@@ -243,7 +253,8 @@
   }
 
   private void finishDrain(Step step) {
-    boolean finished = requests.isFinished(logHealth.isDown(step.now()));
+    boolean finished =
+        requests.isFinished(logHealth.isDown(step.now())) && controller.isDrained(step.now());
     if (!draining || drainAnnounced || !finished) {
       return;
     }
@@ -254,6 +265,10 @@
     step.emit(new Effect.DrainCompleted());
   }
 
+  private Surroundings surroundings() {
+    return new Surroundings(configurations.current(), membership, runners, logHealth);
+  }
+
   private RequestContext context(Step step) {
     return new RequestContext(
         step,
@@ -263,7 +278,7 @@
         !logHealth.wasRead() || logHealth.isDown(step.now()),
         ledger.claim().map(Claim::holder).filter(node -> membership.isLive(node, step.now())),
         membership.peers().size() + 1,
-        membership::isClosed);
+        (node, incarnation) -> closures.isClosed(node, incarnation, step.now()));
   }
 
   // Accessors
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import dev.wisteriarail.core.cell.Claim;
 import dev.wisteriarail.core.cell.Reservation;
+import dev.wisteriarail.core.cell.Successor;
 import dev.wisteriarail.core.config.DeploymentSpec;
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.config.Urgency;
@@ -40,6 +41,14 @@
     return Stream.of(
         new RecordBody.ClaimRecorded(
             CellId.of("main"), NodeId.of("n1"), Incarnation.of(7), FencingNumber.NONE),
+        new RecordBody.ClaimRecorded(
+            CellId.of("main"),
+            NodeId.of("n1"),
+            Incarnation.of(7),
+            FencingNumber.of(2),
+            List.of(new Successor(NodeId.of("n2"), Incarnation.of(8)))),
+        new RecordBody.ClaimReleased(CellId.of("main"), FencingNumber.of(3)),
+        new RecordBody.LoadSettled(CellId.of("main"), FencingNumber.of(3), ReplicaId.of("m1.3.1")),
         new RecordBody.LoadDecided(
             CellId.of("main"),
             FencingNumber.of(3),
@@ -74,12 +83,19 @@
             RunnerId.of("r1"),
             1L << 40,
             FencingNumber.of(3),
-            true);
-    Claim claim = new Claim(FencingNumber.of(3), NodeId.of("n1"), Incarnation.of(7));
+            true,
+            false);
+    Claim claim = new Claim(FencingNumber.of(3), NodeId.of("n1"), Incarnation.of(7), List.of());
     return List.of(
         new LedgerSnapshot.RecentIdsPart("AAAAAAAAAAE="),
         new LedgerSnapshot.ConfigurationPart(Revision.of(2), 8),
-        new LedgerSnapshot.CellPart(CellId.of("main"), Optional.of(claim), List.of(held)));
+        new LedgerSnapshot.CellPart(
+            CellId.of("main"),
+            FencingNumber.of(3),
+            Optional.of(claim),
+            List.of(claim),
+            List.of(held),
+            List.of(new LedgerSnapshot.ClosedReplica(ReplicaId.of("m0.1.1"), 2))));
   }
 
   private static List<RecordBody.IntentChange> intents() {
