--- a/src/main/java/dev/wisteriarail/core/cell/CellController.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellController.java
@@ -119,6 +119,9 @@
     if (controlled != isController()) {
       acceptControl(step);
     }
+    if (logged.body() instanceof RecordBody.ClaimEnded) {
+      predecessors.acceptChange(step.now());
+    }
     if (logged.body() instanceof RecordBody.ReplicaClosed closed) {
       sightings.retain(id -> !id.equals(closed.replica()));
       ready.remove(closed.replica());
@@ -145,7 +148,7 @@
     if (isController()) {
       gates.reset();
       gainedAt = step.now();
-      predecessors.acceptControl(step.now());
+      predecessors.acceptChange(step.now());
       succession.acceptControl(step.now());
       decisions.reset();
       nextPlan = Optional.of(step.now());
--- a/src/main/java/dev/wisteriarail/core/cell/CellLedger.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellLedger.java
@@ -7,6 +7,8 @@
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.log.LogRecord;
 import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.state.Ledger;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -25,7 +27,7 @@
  * <p>Life cycle: one per node and cell, fed in log order. Not thread-safe; owned by the node's
  * core.
  */
-public final class CellLedger {
+public final class CellLedger implements Ledger {
 
   /** Number of records after which a repeat of a closed replica's decision is not expected. */
   private static final long REPEAT_WINDOW = 100_000;
@@ -276,40 +278,51 @@
 
   // Snapshots
 
-  /** Returns the recorded state. */
-  public CellSnapshot snapshot() {
-    List<CellSnapshot.ClosedReplica> gone = new ArrayList<>();
-    closed.forEach((replica, at) -> gone.add(new CellSnapshot.ClosedReplica(replica, at)));
-    return new CellSnapshot(
-        cell,
-        claim,
-        fence,
-        lineNumber,
-        List.copyOf(recorded.values()),
-        List.copyOf(past.values()),
-        List.copyOf(unabsorbed.values()),
-        gone);
-  }
-
-  /** Replaces the recorded state by that of a snapshot, unless it is of an earlier claim. */
-  public void restore(CellSnapshot snapshot) {
-    if (!snapshot.cell().equals(cell) || snapshot.fence().compareTo(fence) < 0) {
-      return;
-    }
-    claim = snapshot.claim();
-    fence = snapshot.fence();
-    lineNumber = snapshot.lineNumber();
+  @Override
+  public List<LedgerSnapshot> snapshot() {
+    List<LedgerSnapshot.ClosedReplica> gone =
+        closed.entrySet().stream()
+            .map(entry -> new LedgerSnapshot.ClosedReplica(entry.getKey(), entry.getValue()))
+            .toList();
+    return List.of(
+        new LedgerSnapshot.CellPart(
+            cell,
+            fence,
+            claim,
+            lineNumber,
+            List.copyOf(past.values()),
+            List.copyOf(unabsorbed.keySet()),
+            List.copyOf(recorded.values()),
+            gone));
+  }
+
+  @Override
+  public void restore(List<LedgerSnapshot> parts, long through) {
     recorded.clear();
-    snapshot.reservations().forEach(held -> recorded.put(held.replica(), held));
     past.clear();
-    snapshot.past().forEach(old -> past.put(old.fence(), old));
     unabsorbed.clear();
-    snapshot.unabsorbed().forEach(old -> unabsorbed.put(old.fence(), old));
     closed.clear();
-    snapshot.closed().forEach(gone -> closed.put(gone.replica(), gone.offset()));
+    claim = Optional.empty();
+    fence = FencingNumber.NONE;
+    lineNumber = 0;
+    for (LedgerSnapshot part : parts) {
+      if (part instanceof LedgerSnapshot.CellPart state && state.cell().equals(cell)) {
+        restore(state);
+      }
+    }
     recount();
   }
 
+  private void restore(LedgerSnapshot.CellPart state) {
+    fence = state.fence();
+    claim = state.claim();
+    lineNumber = state.lineNumber();
+    state.past().forEach(old -> past.put(old.fence(), old));
+    state.unabsorbed().forEach(old -> unabsorbed.put(old, past.get(old)));
+    state.reservations().forEach(held -> recorded.put(held.replica(), held));
+    state.closed().forEach(gone -> closed.put(gone.replica(), gone.offset()));
+  }
+
   // Accessors
 
   /** Returns the claim in force; empty before the first one and after a release. */
--- a/src/main/java/dev/wisteriarail/core/cell/ClaimKeeper.java
+++ b/src/main/java/dev/wisteriarail/core/cell/ClaimKeeper.java
@@ -25,6 +25,9 @@
   private static final int MAX_DOUBLINGS = 5;
   private static final Duration CALM = Duration.ofMinutes(5);
 
+  /** Time by which a node that was not named lets the named ones claim first. */
+  private static final Duration COURTESY = Duration.ofSeconds(2);
+
   private final NodeSettings settings;
   private final CellLedger ledger;
   private final Closures closures;
@@ -89,7 +92,18 @@
     Duration stagger = settings.timings().cells().claimStagger().multipliedBy(membership.rank(now));
     Instant since = vacantSince.orElse(now);
     boolean waits = waitUntil.isAfter(since) && !isHolderClosed(now);
-    return (waits ? waitUntil : since).plus(stagger);
+    Duration courtesy = hasNamedSuccessor(membership, now) ? stagger.plus(COURTESY) : stagger;
+    return (waits ? waitUntil : since).plus(courtesy);
+  }
+
+  /** Returns whether a live node other than this one was named to succeed the holder. */
+  private boolean hasNamedSuccessor(Membership membership, Instant now) {
+    List<Successor> line = ledger.claim().map(Claim::line).orElse(List.of());
+    boolean named = line.contains(new Successor(settings.node(), settings.incarnation()));
+    return !named
+        && line.stream()
+            .filter(member -> !closures.isClosed(member.node(), member.incarnation(), now))
+            .anyMatch(member -> membership.isLive(member.node(), now));
   }
 
   private boolean isHeld(Membership membership, Instant now) {
--- a/src/main/java/dev/wisteriarail/core/cell/Decisions.java
+++ b/src/main/java/dev/wisteriarail/core/cell/Decisions.java
@@ -10,6 +10,7 @@
 import dev.wisteriarail.core.engine.ReplicaPhase;
 import dev.wisteriarail.core.engine.ReplicaStatus;
 import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.id.ModelId;
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.log.RecordBody;
@@ -157,7 +158,7 @@
     boolean fits =
         model != null
             && free.getOrDefault(load.runner(), 0L) >= model.memoryBytes()
-            && countReplicas(model, around.runners())
+            && countReplicas(model.id(), step.now())
                     + countHidden(around.configuration(), step.now())
                 < model.maxReplicas();
     if (!fits) {
@@ -190,9 +191,9 @@
 
   private PlacementView view(Surroundings around, Instant now) {
     List<PlacedReplica> placed = new ArrayList<>();
-    for (Reservation held : ledger.reservations()) {
-      placed.add(place(held, now));
-    }
+    ledger.reservations().stream()
+        .filter(held -> isCounted(held, now))
+        .forEach(held -> placed.add(place(held, now)));
     for (RecordBody.LoadDecided load : pending.loads()) {
       placed.add(place(load, now));
     }
@@ -229,18 +230,14 @@
         now);
   }
 
-  /**
-   * Counts the decided replicas of a model's version in force. One whose unloading was decided
-   * counts until it is seen, unless its runner is out of use.
-   */
-  private long countReplicas(ModelSpec model, RunnerTable runners) {
+  /** Counts a model's decided replicas; each counts until it is gone. */
+  private long countReplicas(ModelId model, Instant now) {
     long decided =
         ledger.reservations().stream()
-            .filter(held -> held.model().equals(model.id()))
-            .filter(held -> held.version().equals(model.version()))
-            .filter(held -> !held.unloading() || runners.isUsable(held.runner()))
+            .filter(held -> held.model().equals(model))
+            .filter(held -> isCounted(held, now))
             .count();
-    long appended = pending.loads().stream().filter(load -> loads(load, model)).count();
+    long appended = pending.loads().stream().filter(load -> load.model().equals(model)).count();
     return decided + appended;
   }
 
@@ -254,8 +251,10 @@
     return hidden ? 1 : 0;
   }
 
-  private static boolean loads(RecordBody.LoadDecided load, ModelSpec model) {
-    return load.model().equals(model.id()) && load.version().equals(model.version());
+  /** Returns whether a replica counts: its runner is not out of reach for the longest bound. */
+  private boolean isCounted(Reservation held, Instant now) {
+    Instant since = lostSince.getOrDefault(held.runner(), now);
+    return !held.unloading() || now.isBefore(since.plus(settings.timings().cells().closure()));
   }
 
   private static boolean unloads(RecordBody body, ReplicaId replica) {
--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -64,6 +64,15 @@
   /** A change of configuration was rejected. */
   CONFIGURATION_REJECTED(401, "configuration rejected"),
 
+  /** The log dropped records that this node had not read. */
+  LOG_GAP(410, "log gap"),
+  /** A snapshot closed the gap. */
+  LOG_GAP_CLOSED(411, "log gap closed"),
+  /** The node began to write a snapshot to the log. */
+  SNAPSHOT_STARTED(412, "snapshot started"),
+  /** A peer's snapshot was taken over. */
+  SNAPSHOT_TAKEN(413, "snapshot taken from a peer"),
+
   // Platform and peers
   /** The log service cannot be read. */
   LOG_UNREACHABLE(500, "log unreachable"),
--- a/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.util.List;
 
 /** A message between two nodes. The transport adds the sender and its incarnation. */
@@ -32,6 +33,31 @@
     }
   }
 
+  /**
+   * Asks a peer that is ahead for its state.
+   *
+   * @param have the revision that is in force on the sender
+   */
+  record StateRequested(Revision have) implements PeerMessage {}
+
+  /**
+   * Offers a chunk of the sender's state.
+   *
+   * @param name tells the states of one sender apart
+   * @param through offset of the last log record that the state covers
+   * @param index number of chunks before this one
+   * @param count number of chunks
+   * @param parts the chunk's parts
+   */
+  record StateOffered(String name, long through, int index, int count, List<LedgerSnapshot> parts)
+      implements PeerMessage {
+
+    /** Copies the list. */
+    public StateOffered {
+      parts = List.copyOf(parts);
+    }
+  }
+
   /**
    * Asks the controller to append changes of idempotency keys together with those of other nodes.
    * It is not answered: the sender reads the changes back from the log, or appends them itself.
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.wisteriarail.core.cell.Claim;
 import dev.wisteriarail.core.cell.OutageRecord;
+import dev.wisteriarail.core.cell.Reservation;
 import dev.wisteriarail.core.cell.Successor;
 import dev.wisteriarail.core.config.DeploymentSpec;
 import dev.wisteriarail.core.config.Section;
@@ -25,6 +27,7 @@
 import dev.wisteriarail.core.peer.Demand;
 import dev.wisteriarail.core.peer.PeerMessage;
 import dev.wisteriarail.core.result.Execution;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -75,6 +78,7 @@
             "v1",
             RunnerId.of("r1"),
             1L << 40),
+        new RecordBody.SnapshotChunk(CellId.of("main"), "n1.7.s1", 9, 0, 1, parts()),
         new RecordBody.IntentBatch(intents()),
         new RecordBody.ConfigurationChanged(
             Revision.NONE,
@@ -91,6 +95,32 @@
             "reason"));
   }
 
+  private static List<LedgerSnapshot> parts() {
+    Reservation held =
+        new Reservation(
+            ReplicaId.of("m1.3.1"),
+            ModelId.of("m1"),
+            "v1",
+            RunnerId.of("r1"),
+            1L << 40,
+            FencingNumber.of(3),
+            true,
+            false);
+    Claim claim = new Claim(FencingNumber.of(3), NodeId.of("n1"), Incarnation.of(7), List.of());
+    return List.of(
+        new LedgerSnapshot.RecentIdsPart("AAAAAAAAAAE="),
+        new LedgerSnapshot.ConfigurationPart(Revision.of(2), 8),
+        new LedgerSnapshot.CellPart(
+            CellId.of("main"),
+            FencingNumber.of(3),
+            Optional.of(claim),
+            4,
+            List.of(claim),
+            List.of(FencingNumber.of(3)),
+            List.of(held),
+            List.of(new LedgerSnapshot.ClosedReplica(ReplicaId.of("m0.1.1"), 2))));
+  }
+
   private static List<RecordBody.IntentChange> intents() {
     CustomerId customer = CustomerId.of("c1");
     IdempotencyKey key = IdempotencyKey.of("k");
@@ -117,6 +147,8 @@
                     new RecordBody.UnloadDecided(
                         CellId.of("main"), FencingNumber.of(3), ReplicaId.of("m1.3.1"))))),
         new PeerMessage.OutageRecordsKept(FencingNumber.of(3), List.of(1L)),
+        new PeerMessage.StateRequested(Revision.of(3)),
+        new PeerMessage.StateOffered("4.9", 9, 0, 1, parts()),
         new PeerMessage.DemandReported(
             List.of(
                 new Demand(
