--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -69,10 +69,11 @@
     ledger = CellLedger.create(settings.cell());
     closures = Closures.create(settings.timings().cells());
     controller = CellController.create(settings, ledger, closures, planner);
-    logState = LogState.create(settings.cell(), List.of(configurations, ledger));
+    requests = RequestTable.create(settings, Router.create(settings.failureDomain()));
+    logState =
+        LogState.create(settings.cell(), List.of(configurations, ledger, requests.usedKeys()));
     snapshots = SnapshotWriter.create(settings);
     catchUp = PeerCatchUp.create(configurations, logState, logHealth);
-    requests = RequestTable.create(settings, Router.create());
   }
 
   /** Returns the core of a node that has read nothing yet. */
@@ -100,11 +101,12 @@
     switch (event) {
       case Event.RequestArrived arrived -> acceptRequest(arrived.request(), step);
       case Event.CallerLeft left -> requests.acceptCallerLeft(left.request(), runners, step);
-      case Event.AttemptProgressed progress -> requests.acceptProgress(progress, step);
-      case Event.AttemptEnded ended -> requests.acceptEnd(ended, runners, step);
+      case Event.AttemptProgressed progress -> requests.acceptProgress(progress, context(step));
+      case Event.AttemptEnded ended -> requests.acceptEnd(ended, context(step));
       case Event.EngineReported reported -> {
         runners.acceptReport(reported.report());
         controller.acceptReport(reported.report(), step);
+        requests.acceptReport(reported.report(), step);
       }
       case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
       case Event.OrderAnswered answered ->
@@ -117,7 +119,7 @@
         requests.acceptAppend(answered.record(), answered.outcome(), step.now());
       }
       case Event.VmListRead read -> {
-        membership.acceptList(read.nodes(), step.now());
+        membership.acceptList(read.nodes(), step);
         closures.acceptList(read.nodes(), step.now());
       }
       case Event.PeerReceived received -> acceptPeer(received, step);
@@ -148,8 +150,11 @@
       outageLogged = false;
       step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
     }
-    requests.acceptRead(read);
-    for (LogRecord logged : logState.accept(read, step)) {
+    List<LogRecord> due = logState.accept(read, step);
+    if (!logState.isCurrent()) {
+      requests.markIncomplete();
+    }
+    for (LogRecord logged : due) {
       requests.acceptRecord(logged.body(), context(step));
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, logged, step);
@@ -199,6 +204,7 @@
     }
     switch (received.message()) {
       case PeerMessage.Heartbeat heartbeat -> {
+        membership.acceptHeartbeat(received.from(), heartbeat);
         controller.acceptPeerFence(heartbeat.fence());
         catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
       }
@@ -210,6 +216,8 @@
       case PeerMessage.StateRequested requested ->
           catchUp.acceptRequest(received.from(), requested.have(), step);
       case PeerMessage.StateOffered offered -> catchUp.acceptOffer(received.from(), offered, step);
+      case PeerMessage.Probe probe -> membership.acceptProbe(received.from());
+      case PeerMessage.Suspected suspected -> membership.acceptSuspicions(suspected, step);
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
       case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
@@ -254,9 +262,9 @@
                           claim.holder(), new PeerMessage.DemandReported(demands))));
     }
     nextDemandReport =
-        requests.isEmpty()
-            ? Optional.empty()
-            : Optional.of(step.now().plus(settings.timings().demandReport()));
+        requests.hasDemand()
+            ? Optional.of(step.now().plus(settings.timings().demandReport()))
+            : Optional.empty();
   }
 
   private void finishDrain(Step step) {
