--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -3,6 +3,8 @@
 import dev.wisteriarail.core.cell.CellController;
 import dev.wisteriarail.core.cell.CellLedger;
 import dev.wisteriarail.core.cell.Claim;
+import dev.wisteriarail.core.cell.Closures;
+import dev.wisteriarail.core.cell.Surroundings;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.ConfigurationLedger;
 import dev.wisteriarail.core.config.ConfigurationVerdict;
@@ -48,6 +50,7 @@
   private final RunnerTable runners = RunnerTable.create();
   private final LogHealth logHealth = LogHealth.create(LOG_OUTAGE_AFTER);
   private final Membership membership;
+  private final Closures closures;
   private final CellLedger ledger;
   private final CellController controller;
   private final LogState logState;
@@ -63,7 +66,8 @@
     this.settings = settings;
     membership = Membership.create(settings);
     ledger = CellLedger.create(settings.cell());
-    controller = CellController.create(settings, ledger, planner);
+    closures = Closures.create(settings.timings().cells());
+    controller = CellController.create(settings, ledger, closures, planner);
     requests = RequestTable.create(settings);
     logState =
         LogState.create(
@@ -109,19 +113,23 @@
       case Event.CacheReported cached -> runners.acceptCacheReport(cached.report());
       case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
       case Event.OrderAnswered answered ->
-          controller.acceptOrder(answered.order(), answered.runner(), answered.outcome(), step);
+          controller.acceptOrder(answered.order(), answered.outcome(), step);
       case Event.LogRead read -> acceptLog(read, step);
       case Event.LogReadFailed failed -> acceptLogFailure(failed, step);
       case Event.AppendAnswered answered -> {
-        controller.acceptAppend(answered.record(), answered.outcome());
+        controller.acceptAppend(answered.record(), answered.outcome(), step.now());
         snapshots.acceptAppend(answered.record(), answered.outcome(), step);
         requests.acceptAppend(answered.record(), answered.outcome(), step.now());
       }
-      case Event.VmListRead read -> membership.acceptList(read.nodes(), step);
+      case Event.VmListRead read -> {
+        membership.acceptList(read.nodes(), step);
+        closures.acceptList(read.nodes(), step.now());
+      }
       case Event.PeerReceived received -> acceptPeer(received, step);
       case Event.TimerFired fired -> {}
       case Event.DrainRequested drain -> {
         draining = true;
+        controller.drain(step.now());
         step.log(EventCode.NODE_DRAINING, "node", settings.node());
       }
     }
@@ -154,7 +162,7 @@
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, logged, step);
       } else {
-        controller.acceptRecord(logged, step);
+        controller.acceptRecord(logged, surroundings(), step);
       }
     }
   }
@@ -193,14 +201,21 @@
   }
 
   private void acceptPeer(Event.PeerReceived received, Step step) {
+    closures.acceptMessage(received.from(), received.incarnation(), step.now());
     if (!membership.acceptMessage(received.from(), received.incarnation(), step)) {
       return;
     }
     switch (received.message()) {
       case PeerMessage.Heartbeat heartbeat -> {
         membership.acceptHeartbeat(received.from(), heartbeat);
+        controller.acceptPeerFence(heartbeat.fence());
         catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
       }
+      case PeerMessage.OutageRecords told ->
+          controller.acceptOutageRecords(received.from(), received.incarnation(), told, step);
+      case PeerMessage.OutageRecordsKept kept ->
+          controller.acceptOutageRecordsKept(
+              received.from(), received.incarnation(), kept, step.now());
       case PeerMessage.StateRequested requested ->
           catchUp.acceptRequest(received.from(), requested.have(), step);
       case PeerMessage.StateOffered offered -> catchUp.acceptOffer(received.from(), offered, step);
@@ -211,6 +226,7 @@
       case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
       case PeerMessage.Goodbye goodbye -> {
         membership.markClosed(received.from());
+        closures.markStopped(received.from(), received.incarnation(), step.now());
         step.log(EventCode.PEER_CLOSED, "peer", received.from());
       }
     }
@@ -220,15 +236,15 @@
 
   private void advance(Step step) {
     catchUp.advance(step);
-    Configuration configuration = configurations.current();
     requests.advance(context(step));
     reportDemand(step);
     if (logHealth.wasRead() && logState.isCurrent()) {
-      controller.advance(step, configuration, membership, runners);
+      controller.advance(step, surroundings());
     }
     snapshots.advance(logState, controller.isController() && !logHealth.isDown(step.now()), step);
     membership.advance(
-        step, new PeerMessage.Heartbeat(configuration.revision(), ledger.fence(), draining));
+        step,
+        new PeerMessage.Heartbeat(configurations.current().revision(), ledger.fence(), draining));
     finishDrain(step);
   }
 
@@ -255,7 +271,8 @@
   }
 
   private void finishDrain(Step step) {
-    boolean finished = requests.isFinished(logHealth.isDown(step.now()));
+    boolean finished =
+        requests.isFinished(logHealth.isDown(step.now())) && controller.isDrained(step.now());
     if (!draining || drainAnnounced || !finished) {
       return;
     }
@@ -266,6 +283,10 @@
     step.emit(new Effect.DrainCompleted());
   }
 
+  private Surroundings surroundings() {
+    return new Surroundings(configurations.current(), membership, runners, logHealth);
+  }
+
   private RequestContext context(Step step) {
     return new RequestContext(
         step,
@@ -275,7 +296,7 @@
         !logHealth.wasRead() || logHealth.isDown(step.now()),
         ledger.claim().map(Claim::holder).filter(node -> membership.isLive(node, step.now())),
         membership.peers().size() + 1,
-        membership::isClosed);
+        (node, incarnation) -> closures.isClosed(node, incarnation, step.now()));
   }
 
   // Accessors
--- a/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
+++ b/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
@@ -4,6 +4,8 @@
 import dev.wisteriarail.core.cell.Reservation;
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.Revision;
 import dev.wisteriarail.core.log.RecordBody;
 import java.util.List;
@@ -44,23 +46,47 @@
    * The state of a cell.
    *
    * @param cell the cell
+   * @param fence the last fencing number, of a claim in force or released
    * @param claim the claim in force
+   * @param lineNumber number of the last change of the line of succession under that claim
+   * @param past replaced claims whose holders may still have orders under way
+   * @param unabsorbed replaced claims whose holders may have decided without the log
    * @param reservations all reservations
+   * @param closed closed replicas whose decisions may still repeat
    */
-  record CellPart(CellId cell, Optional<Claim> claim, List<Reservation> reservations)
+  record CellPart(
+      CellId cell,
+      FencingNumber fence,
+      Optional<Claim> claim,
+      long lineNumber,
+      List<Claim> past,
+      List<FencingNumber> unabsorbed,
+      List<Reservation> reservations,
+      List<ClosedReplica> closed)
       implements LedgerSnapshot {
 
-    /** Copies the list. */
+    /** Copies the lists. */
     public CellPart {
+      past = List.copyOf(past);
+      unabsorbed = List.copyOf(unabsorbed);
       reservations = List.copyOf(reservations);
+      closed = List.copyOf(closed);
     }
 
     @Override
     public int entries() {
-      return 1 + reservations.size();
+      return 1 + past.size() + unabsorbed.size() + reservations.size() + closed.size();
     }
   }
 
+  /**
+   * A replica whose reservation was freed.
+   *
+   * @param replica the replica
+   * @param offset the offset of the record that freed it
+   */
+  record ClosedReplica(ReplicaId replica, long offset) {}
+
   /**
    * Some of the used idempotency keys.
    *
--- a/src/main/java/dev/wisteriarail/standin/EngineState.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineState.java
@@ -49,6 +49,7 @@
   private FencingNumber highestFence = FencingNumber.NONE;
   private Incarnation incarnation = Incarnation.of(System.nanoTime());
   private long highWaterBytes;
+  private long reports;
   private int loads;
   private int crashes;
   private boolean leaving;
@@ -173,6 +174,7 @@
     active.clear();
     highestFence = FencingNumber.NONE;
     incarnation = Incarnation.of(incarnation.value() + 1);
+    reports = 0;
     crashes++;
   }
 
@@ -197,6 +199,7 @@
   synchronized EngineReport report() {
     List<ReplicaStatus> statuses = new ArrayList<>();
     replicas.forEach((replica, loaded) -> statuses.add(statusOf(replica, loaded)));
+    reports++;
     int running = active.values().stream().mapToInt(Integer::intValue).sum();
     return new EngineReport(
         setup.runner(),
@@ -206,7 +209,8 @@
         Math.min(running, setup.slots()),
         Math.max(0, running - setup.slots()),
         usedBytes(),
-        statuses);
+        statuses,
+        reports);
   }
 
   private ReplicaStatus statusOf(ReplicaId replica, Loaded loaded) {
--- a/src/test/java/dev/wisteriarail/answers/PublisherTest.java
+++ b/src/test/java/dev/wisteriarail/answers/PublisherTest.java
@@ -119,6 +119,7 @@
             RunnerId.of("r1"),
             1L << 34,
             FencingNumber.of(3),
+            false,
             false);
     List<String> lines = ConfigurationDiff.lines(before, after, List.of(held));
     assertThat(lines)
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/cell/CellLedgerProperties.java
@@ -0,0 +1,146 @@
+package dev.wisteriarail.core.cell;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.id.CellId;
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.ModelId;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.id.RecordId;
+import dev.wisteriarail.core.id.ReplicaId;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.LogRecord;
+import dev.wisteriarail.core.log.RecordBody;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+/** What holds of a cell's ledger whatever records it reads. */
+class CellLedgerProperties {
+
+  private static final CellId CELL = CellId.of("main");
+
+  /** One record to make; numbers choose among what exists. */
+  record Draw(int kind, int fence, int replica, int node) {}
+
+  @Provide
+  Arbitrary<List<Draw>> draws() {
+    return Combinators.combine(
+            Arbitraries.integers().between(0, 8),
+            Arbitraries.integers().between(0, 2),
+            Arbitraries.integers().between(0, 5),
+            Arbitraries.integers().between(1, 3))
+        .as(Draw::new)
+        .list()
+        .ofMaxSize(60);
+  }
+
+  @Property(tries = 300)
+  void ledgerRestoredFromSnapshotBehavesLikeTheOneThatReadAll(
+      @ForAll("draws") List<Draw> draws, @ForAll("cut") int cut) {
+    CellLedger whole = CellLedger.create(CELL);
+    CellLedger restored = CellLedger.create(CELL);
+    restored.apply(new LogRecord(0, RecordId.of("x"), "n9", claim(FencingNumber.NONE, 9)));
+    for (int i = 0; i < draws.size(); i++) {
+      if (i == Math.min(cut, draws.size() - 1)) {
+        restored.restore(whole.snapshot(), i);
+      }
+      LogRecord logged = record(i, draws.get(i), whole);
+      boolean valid = whole.apply(logged);
+      if (i >= cut) {
+        assertThat(restored.apply(logged)).isEqualTo(valid);
+        assertThat(restored.snapshot()).isEqualTo(whole.snapshot());
+        assertThat(restored.reservations())
+            .containsExactlyElementsIn(whole.reservations())
+            .inOrder();
+      }
+    }
+  }
+
+  @Provide
+  Arbitrary<Integer> cut() {
+    return Arbitraries.integers().between(0, 59);
+  }
+
+  @Property(tries = 300)
+  void decisionsUnderReplacedOrReleasedClaimsChangeNothing(@ForAll("draws") List<Draw> draws) {
+    CellLedger ledger = CellLedger.create(CELL);
+    for (int i = 0; i < draws.size(); i++) {
+      LogRecord logged = record(i, draws.get(i), ledger);
+      List<Reservation> before = List.copyOf(ledger.reservations());
+      boolean current = ledger.claim().isPresent() && fenceOf(logged.body()).equals(ledger.fence());
+      ledger.apply(logged);
+      if (!current) {
+        assertThat(ledger.reservations()).containsExactlyElementsIn(before);
+      }
+    }
+  }
+
+  @Property(tries = 300)
+  void replicaThatWasClosedIsNeverReservedAgain(@ForAll("draws") List<Draw> draws) {
+    CellLedger ledger = CellLedger.create(CELL);
+    List<ReplicaId> closed = new ArrayList<>();
+    for (int i = 0; i < draws.size(); i++) {
+      LogRecord logged = record(i, draws.get(i), ledger);
+      boolean valid = ledger.apply(logged);
+      if (valid && logged.body() instanceof RecordBody.ReplicaClosed gone) {
+        closed.add(gone.replica());
+      }
+      for (ReplicaId replica : closed) {
+        assertThat(ledger.reservation(replica)).isEqualTo(Optional.empty());
+      }
+    }
+  }
+
+  // Helpers
+
+  private static LogRecord record(int offset, Draw draw, CellLedger ledger) {
+    FencingNumber fence = draw.fence() == 0 ? FencingNumber.of(draw.node()) : ledger.fence();
+    ReplicaId replica = ReplicaId.of("m." + draw.replica());
+    RecordBody body =
+        switch (draw.kind()) {
+          case 0 -> claim(fence, draw.node());
+          case 1 -> new RecordBody.ClaimReleased(CELL, fence);
+          case 2, 3 -> load(fence, replica);
+          case 4 -> new RecordBody.UnloadDecided(CELL, fence, replica);
+          case 5 -> new RecordBody.LoadSettled(CELL, fence, replica);
+          case 6 -> new RecordBody.ReplicaClosed(CELL, fence, replica, "test");
+          case 7 ->
+              new RecordBody.SuccessionNamed(
+                  CELL,
+                  fence,
+                  draw.replica(),
+                  List.of(new Successor(NodeId.of("n" + draw.node()), Incarnation.of(1))));
+          default ->
+              new RecordBody.PredecessorAbsorbed(CELL, fence, FencingNumber.of(draw.replica()));
+        };
+    return new LogRecord(offset, RecordId.of("r" + offset), "n1", body);
+  }
+
+  private static RecordBody.ClaimRecorded claim(FencingNumber previous, int node) {
+    return new RecordBody.ClaimRecorded(
+        CELL, NodeId.of("n" + node), Incarnation.of(1), previous, List.of());
+  }
+
+  private static RecordBody.LoadDecided load(FencingNumber fence, ReplicaId replica) {
+    return new RecordBody.LoadDecided(
+        CELL, fence, replica, ModelId.of("m"), "v1", RunnerId.of("r1"), 1);
+  }
+
+  private static FencingNumber fenceOf(RecordBody body) {
+    return switch (body) {
+      case RecordBody.LoadDecided load -> load.fence();
+      case RecordBody.UnloadDecided unload -> unload.fence();
+      case RecordBody.LoadSettled settled -> settled.fence();
+      case RecordBody.ReplicaClosed gone -> gone.fence();
+      default -> FencingNumber.NONE;
+    };
+  }
+}
