--- a/src/main/java/dev/wisteriarail/fuzz/FuzzRun.java
+++ b/src/main/java/dev/wisteriarail/fuzz/FuzzRun.java
@@ -12,6 +12,9 @@
 
   private static final Duration TICK = Duration.ofMillis(250);
 
+  /** Virtual time after which a run looks whether it may stop. */
+  private static final Duration SLICE = Duration.ofMillis(500);
+
   /** Virtual time given to the fleet to recover after the last fault. */
   private static final Duration RECOVERY = Duration.ofSeconds(45);
 
@@ -19,10 +22,12 @@
   private static final Duration PROBES = Duration.ofSeconds(40);
 
   private final Plan plan;
+  private final Optional<String> stopAt;
   private final World world;
   private final Fleet fleet;
 
-  private FuzzRun(Plan plan, Defect defect) {
+  private FuzzRun(Plan plan, Defect defect, Optional<String> stopAt) {
+    this.stopAt = stopAt;
     this.plan = plan;
     world = World.create(plan.seed());
     fleet = Fleet.create(world, plan.nodes(), defect);
@@ -40,7 +45,12 @@
 
   /** Carries out a plan. */
   public static RunResult execute(Plan plan, Defect defect) {
-    return new FuzzRun(plan, defect).execute();
+    return new FuzzRun(plan, defect, Optional.empty()).execute();
+  }
+
+  /** Carries out a plan until a check is broken, or to its end. */
+  static RunResult executeUntil(String check, Plan plan, Defect defect) {
+    return new FuzzRun(plan, defect, Optional.of(check)).execute();
   }
 
   private RunResult execute() {
@@ -54,15 +64,10 @@
       world.at(start.plus(planned.at()), () -> fleet.perform(planned.action()));
     }
     world.after(TICK, this::tick);
-    world.runUntil(healed);
-    fleet.heal();
-    Instant recovered = healed.plus(RECOVERY);
-    world.runUntil(recovered);
-    world.observe(new Observation.RecoveryOver());
-    probe();
-    world.runUntil(recovered.plus(PROBES));
-    fleet.showStatus();
-    world.observe(new Observation.RunEnded());
+    runUntil(healed);
+    if (!isBroken()) {
+      recover(healed);
+    }
     return new RunResult(
         plan,
         world.history().finish(),
@@ -73,6 +78,30 @@
         world.history().notable());
   }
 
+  private void recover(Instant healed) {
+    fleet.heal();
+    Instant recovered = healed.plus(RECOVERY);
+    runUntil(recovered);
+    world.observe(new Observation.RecoveryOver());
+    probe();
+    runUntil(recovered.plus(PROBES));
+    fleet.showStatus();
+    world.observe(new Observation.RunEnded());
+  }
+
+  private void runUntil(Instant end) {
+    while (world.now().isBefore(end) && !isBroken()) {
+      Instant next = world.now().plus(SLICE);
+      world.runUntil(next.isBefore(end) ? next : end);
+    }
+  }
+
+  private boolean isBroken() {
+    return stopAt.isPresent()
+        && world.oracle().violations().stream()
+            .anyMatch(violation -> violation.check().equals(stopAt.get()));
+  }
+
   private void tick() {
     world.observe(new Observation.Tick());
     fleet.showStatus();
--- a/src/main/java/dev/wisteriarail/fuzz/Shrinker.java
+++ b/src/main/java/dev/wisteriarail/fuzz/Shrinker.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.fuzz;
 
 import dev.wisteriarail.fuzz.oracle.Violation;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -23,10 +24,19 @@
   /** Returns the run of the shortest plan found. */
   public static RunResult shrink(RunResult found, Defect defect) {
     Shrinker shrinker = new Shrinker(found, defect);
+    shrinker.dropAfterViolation(found.violations().getFirst());
     shrinker.dropChunks();
     return shrinker.best;
   }
 
+  private void dropAfterViolation(Violation violation) {
+    List<Plan.Planned> before =
+        best.plan().actions().stream()
+            .filter(planned -> !Instant.EPOCH.plus(planned.at()).isAfter(violation.at()))
+            .toList();
+    breaksSamePromise(best.plan().withActions(before));
+  }
+
   private void dropChunks() {
     int size = Math.max(1, best.plan().actions().size() / 2);
     while (runs < MOST_RUNS) {
@@ -55,7 +65,7 @@
 
   private boolean breaksSamePromise(Plan plan) {
     runs++;
-    RunResult result = FuzzRun.execute(plan, defect);
+    RunResult result = FuzzRun.executeUntil(check, plan, defect);
     boolean same = result.violations().stream().map(Violation::check).anyMatch(check::equals);
     if (same) {
       best = result;
