--- /dev/null
+++ b/src/main/java/dev/wisteriarail/capacity/BenchEngine.java
@@ -0,0 +1,71 @@
+package dev.wisteriarail.capacity;
+
+import dev.wisteriarail.core.config.RunnerSpec;
+import dev.wisteriarail.core.engine.EngineOrder;
+import dev.wisteriarail.core.engine.EngineReport;
+import dev.wisteriarail.core.engine.ReplicaPhase;
+import dev.wisteriarail.core.engine.ReplicaStatus;
+import dev.wisteriarail.core.id.FencingNumber;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.ReplicaId;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** An engine that never fails: loads at once after a fixed time, answers what it is sent. */
+final class BenchEngine {
+
+  private final RunnerSpec spec;
+  private final Map<ReplicaId, ReplicaStatus> replicas = new TreeMap<>();
+  private FencingNumber highestFence = FencingNumber.NONE;
+  private int active;
+
+  BenchEngine(RunnerSpec spec) {
+    this.spec = spec;
+  }
+
+  /** Carries out an order; a replica takes requests from its next report on. */
+  void order(FencingNumber fence, EngineOrder order) {
+    highestFence = fence.compareTo(highestFence) > 0 ? fence : highestFence;
+    switch (order) {
+      case EngineOrder.LoadReplica load ->
+          replicas.put(
+              load.replica(),
+              new ReplicaStatus(
+                  load.replica(),
+                  load.model(),
+                  load.version(),
+                  ReplicaPhase.READY,
+                  load.bytes(),
+                  0,
+                  List.of()));
+      case EngineOrder.UnloadReplica unload -> replicas.remove(unload.replica());
+      default -> {}
+    }
+  }
+
+  void begin() {
+    active++;
+  }
+
+  void end() {
+    active--;
+  }
+
+  EngineReport report() {
+    long used = replicas.values().stream().mapToLong(ReplicaStatus::bytes).sum();
+    return new EngineReport(
+        spec.id(),
+        Incarnation.of(1),
+        highestFence,
+        false,
+        active,
+        0,
+        used,
+        List.copyOf(replicas.values()));
+  }
+
+  RunnerSpec spec() {
+    return spec;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/capacity/CapacityReport.java
@@ -0,0 +1,121 @@
+package dev.wisteriarail.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Samples along each dimension of size, the slopes that they give, and what the slopes come to at
+ * the target. Immutable.
+ *
+ * @param samples samples by the dimension that grows in them
+ * @param slopes by measure, then by dimension: growth for one more
+ * @param atTarget by measure: the base sample plus slope times distance, summed over dimensions
+ */
+public record CapacityReport(
+    Map<String, List<Sample>> samples,
+    Map<String, Map<String, Double>> slopes,
+    Map<String, Double> atTarget) {
+
+  private static final Size BASE = new Size(9, 20, 100, 45, 60);
+  private static final Size TARGET = new Size(330, 600, 1_400, 4_300, 30);
+
+  /** Measures all samples; takes about a minute. */
+  public static CapacityReport measure() {
+    CapacityRun.measure(BASE);
+    Map<String, List<Sample>> samples = new TreeMap<>();
+    samples.put("nodes", new ArrayList<>());
+    for (int nodes : List.of(3, 9, 20, 40, 60)) {
+      Size size = new Size(nodes, BASE.runners(), BASE.models(), 5.0 * nodes, 60);
+      samples.get("nodes").add(CapacityRun.measure(size));
+    }
+    samples.put("runners", new ArrayList<>());
+    for (int runners : List.of(10, 20, 40, 80)) {
+      Size size = new Size(BASE.nodes(), runners, BASE.models(), 45, 60);
+      samples.get("runners").add(CapacityRun.measure(size));
+    }
+    samples.put("models", new ArrayList<>());
+    for (int models : List.of(50, 100, 200, 400)) {
+      Size size = new Size(BASE.nodes(), BASE.runners(), models, 45, 60);
+      samples.get("models").add(CapacityRun.measure(size));
+    }
+    samples.put("requestsPerSecondPerNode", new ArrayList<>());
+    for (int rate : List.of(0, 5, 10, 20)) {
+      Size size = new Size(BASE.nodes(), BASE.runners(), BASE.models(), rate * 9.0, 60);
+      samples.get("requestsPerSecondPerNode").add(CapacityRun.measure(size));
+    }
+    samples.put("changesPerHour", new ArrayList<>());
+    for (int changes : List.of(0, 720, 3_600)) {
+      Size size = new Size(BASE.nodes(), BASE.runners(), BASE.models(), 45, changes);
+      samples.get("changesPerHour").add(CapacityRun.measure(size));
+    }
+    return of(samples);
+  }
+
+  private static CapacityReport of(Map<String, List<Sample>> samples) {
+    Sample base = samples.get("nodes").get(1);
+    Map<String, Map<String, Double>> slopes = new TreeMap<>();
+    Map<String, Double> atTarget = new TreeMap<>();
+    measures()
+        .forEach(
+            (measure, value) -> {
+              Map<String, Double> ofMeasure = new TreeMap<>();
+              double total = value.applyAsDouble(base);
+              for (Map.Entry<String, List<Sample>> entry : samples.entrySet()) {
+                String dimension = entry.getKey();
+                double slope = slope(entry.getValue(), dimension, value);
+                ofMeasure.put(dimension, slope);
+                total += slope * (extent(TARGET, dimension) - extent(base.size(), dimension));
+              }
+              slopes.put(measure, ofMeasure);
+              atTarget.put(measure, total);
+            });
+    return new CapacityReport(samples, slopes, atTarget);
+  }
+
+  // Helpers
+
+  private static Map<String, ToDoubleFunction<Sample>> measures() {
+    Map<String, ToDoubleFunction<Sample>> measures = new TreeMap<>();
+    measures.put("peerMessagesPerSecond", Sample::peerMessagesPerSecond);
+    measures.put("peerBytesPerSecond", Sample::peerBytesPerSecond);
+    measures.put("controllerPeerBytesPerSecond", Sample::controllerPeerBytesPerSecond);
+    measures.put("reportBytesPerSecond", Sample::reportBytesPerSecond);
+    measures.put("logReadBytesPerSecond", Sample::logReadBytesPerSecond);
+    measures.put("busiestCoreShare", Sample::busiestCoreShare);
+    measures.put("heapBytesPerNode", Sample::heapBytesPerNode);
+    for (Role role : Role.values()) {
+      measures.put("coreShare " + role, sample -> sample.coreShareByRole().getOrDefault(role, 0.0));
+    }
+    return measures;
+  }
+
+  /** Returns the slope of the line through the samples with the least squared distance. */
+  private static double slope(
+      List<Sample> samples, String dimension, ToDoubleFunction<Sample> value) {
+    double meanX =
+        samples.stream().mapToDouble(s -> extent(s.size(), dimension)).average().orElse(0);
+    double meanY = samples.stream().mapToDouble(value).average().orElse(0);
+    double above = 0;
+    double below = 0;
+    for (Sample sample : samples) {
+      double distance = extent(sample.size(), dimension) - meanX;
+      above += distance * (value.applyAsDouble(sample) - meanY);
+      below += distance * distance;
+    }
+    return above / below;
+  }
+
+  private static double extent(Size size, String dimension) {
+    return switch (dimension) {
+      case "nodes" -> size.nodes();
+      case "runners" -> size.runners();
+      case "models" -> size.models();
+      case "requestsPerSecondPerNode" -> size.requestsPerSecond() / size.nodes();
+      case "changesPerHour" -> size.changesPerHour();
+      default -> throw new IllegalArgumentException(dimension);
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/capacity/Meter.java
@@ -0,0 +1,67 @@
+package dev.wisteriarail.capacity;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.wisteriarail.codec.Codecs;
+import java.io.UncheckedIOException;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts messages, bytes and processor time of a fleet. Not thread-safe. */
+final class Meter {
+
+  /** Bytes of the length before each frame between nodes. */
+  static final int FRAME_HEADER_BYTES = 4;
+
+  private final Map<String, Long> counts = new TreeMap<>();
+  private final Map<String, Long> bytes = new TreeMap<>();
+  private final Map<Role, Long> nanos = new EnumMap<>(Role.class);
+  private boolean running;
+
+  /** Starts counting; what came before was warm-up. */
+  void start() {
+    running = true;
+  }
+
+  /** Counts one message that travels in MessagePack. */
+  void addPacked(String kind, Object content) {
+    add(kind, content, Codecs.messagePack(), FRAME_HEADER_BYTES);
+  }
+
+  /** Counts one message that travels in JSON. */
+  void addJson(String kind, Object content) {
+    add(kind, content, Codecs.json(), 0);
+  }
+
+  private void add(String kind, Object content, ObjectMapper mapper, int header) {
+    if (!running) {
+      return;
+    }
+    counts.merge(kind, 1L, Long::sum);
+    try {
+      bytes.merge(kind, (long) mapper.writeValueAsBytes(content).length + header, Long::sum);
+    } catch (JsonProcessingException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+  }
+
+  /** Counts processor time. */
+  void addNanos(Role role, long spent) {
+    if (running) {
+      nanos.merge(role, spent, Long::sum);
+    }
+  }
+
+  Map<String, Long> counts() {
+    return counts;
+  }
+
+  Map<String, Long> bytes() {
+    return bytes;
+  }
+
+  Map<Role, Long> nanos() {
+    return nanos;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/capacity/Role.java
@@ -0,0 +1,39 @@
+package dev.wisteriarail.capacity;
+
+import dev.wisteriarail.core.Event;
+import dev.wisteriarail.core.peer.PeerMessage;
+
+/** What a node's processor time is spent on, told by the event that it handles. */
+public enum Role {
+  /** Requests, answers and their attempts. */
+  ROUTER,
+  /** Reports of runners. */
+  RUNNER_REPORTS,
+  /** Records read from the log, and answers of appends. */
+  LOG_READER,
+  /** Heartbeats and other messages of peers, and the VM list. */
+  MEMBERSHIP,
+  /** Demand of other nodes, order answers and timers: decisions where the node controls. */
+  CONTROLLER;
+
+  /** Returns the role that an event belongs to. */
+  static Role of(Event event) {
+    return switch (event) {
+      case Event.RequestArrived e -> ROUTER;
+      case Event.CallerLeft e -> ROUTER;
+      case Event.AttemptProgressed e -> ROUTER;
+      case Event.AttemptEnded e -> ROUTER;
+      case Event.EngineReported e -> RUNNER_REPORTS;
+      case Event.EngineUnreachable e -> RUNNER_REPORTS;
+      case Event.LogRead e -> LOG_READER;
+      case Event.LogReadFailed e -> LOG_READER;
+      case Event.AppendAnswered e -> LOG_READER;
+      case Event.VmListRead e -> MEMBERSHIP;
+      case Event.PeerReceived received ->
+          received.message() instanceof PeerMessage.DemandReported ? CONTROLLER : MEMBERSHIP;
+      case Event.OrderAnswered e -> CONTROLLER;
+      case Event.TimerFired e -> CONTROLLER;
+      case Event.DrainRequested e -> CONTROLLER;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what control costs a node, as slopes over nodes, runners, models and requests. */
+package dev.wisteriarail.capacity;
--- a/src/main/java/dev/wisteriarail/fuzz/FuzzRun.java
+++ b/src/main/java/dev/wisteriarail/fuzz/FuzzRun.java
@@ -83,8 +83,14 @@
     Instant recovered = healed.plus(RECOVERY);
     runUntil(recovered);
     world.observe(new Observation.RecoveryOver());
+    if (isBroken()) {
+      return;
+    }
     probe();
     runUntil(recovered.plus(PROBES));
+    if (isBroken()) {
+      return;
+    }
     fleet.showStatus();
     world.observe(new Observation.RunEnded());
   }
