--- a/src/main/java/dev/wisteriarail/fuzz/EngineMemory.java
+++ b/src/main/java/dev/wisteriarail/fuzz/EngineMemory.java
@@ -140,9 +140,13 @@
 
   // Life cycle
 
-  /** Loses all replicas, or keeps the ready ones for the process that follows. */
+  /**
+   * Forgets the fencing number, and loses all replicas, or keeps the ready ones for the process
+   * that follows.
+   */
   void crash(boolean keepsReady) {
     life++;
+    highestFence = FencingNumber.NONE;
     for (ReplicaId replica : List.copyOf(replicas.keySet())) {
       if (!keepsReady || replicas.get(replica).phase != ReplicaPhase.READY) {
         free(replica);
--- a/src/main/java/dev/wisteriarail/fuzz/SimulatedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/SimulatedNode.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
  * One address at which runs of a node follow each other, with the readers and timers that the
@@ -36,6 +37,16 @@
   private static final Duration VM_LIST_INTERVAL = Duration.ofSeconds(1);
   private static final Duration MAX_WAIT = Duration.ofSeconds(1);
 
+  private static final Duration SHORTEST_WAIT = Duration.ofNanos(1_000);
+
+  /** Least wait of a core that keeps itself busy, so that its run comes to an end. */
+  private static final Duration THROTTLED_WAIT = Duration.ofMillis(20);
+
+  private static final Duration COUNTED = Duration.ofSeconds(1);
+
+  /** Events of one node in a second that no load of a run explains. */
+  private static final int MOST_STEPS = 4_000;
+
   private final World world;
   private final Fleet fleet;
   private final Chance chance;
@@ -53,6 +64,8 @@
   private Instant lastLogEvent = Instant.MIN;
   private Set<RunnerId> polled = new TreeSet<>();
   private long timer;
+  private Instant countedFrom = Instant.EPOCH;
+  private int steps;
 
   SimulatedNode(World world, Fleet fleet, int number, PlacementPolicy policy) {
     this.world = world;
@@ -148,13 +161,14 @@
 
   private void step(Event event) {
     Instant formed = world.now();
+    countStep(event);
     world.trace(id + " <- " + summary(event));
     List<Effect> effects;
     try {
       effects = core.handle(fleet.defect().alter(id, event), formed.plus(clockOffset));
     } catch (RuntimeException fault) {
-      world.note(id + " fault " + fault + " at " + List.of(fault.getStackTrace()).getFirst());
-      world.observe(new Observation.CoreFault(id, fault.toString()));
+      world.note(id + " fault " + fault + " at " + ownFrames(fault));
+      world.observe(new Observation.CoreFault(id, fault + " at " + ownFrames(fault)));
       return;
     }
     for (Effect effect : effects) {
@@ -166,6 +180,27 @@
     armTimer();
   }
 
+  /** Reports a core that keeps itself busy: it would take a whole processor in a deployment. */
+  private void countStep(Event event) {
+    if (!world.now().isBefore(countedFrom.plus(COUNTED))) {
+      countedFrom = world.now();
+      steps = 0;
+    }
+    steps++;
+    if (steps == MOST_STEPS) {
+      world.observe(
+          new Observation.CoreFault(id, "busy loop in " + COUNTED + ", last " + summary(event)));
+    }
+  }
+
+  private static List<String> ownFrames(RuntimeException fault) {
+    return Stream.of(fault.getStackTrace())
+        .filter(frame -> frame.getClassName().startsWith("dev.wisteriarail.core"))
+        .limit(3)
+        .map(frame -> frame.getFileName() + ":" + frame.getLineNumber())
+        .toList();
+  }
+
   private void armTimer() {
     timer++;
     long armed = timer;
@@ -174,7 +209,7 @@
             .map(wakeUp -> Duration.between(world.now().plus(clockOffset), wakeUp))
             .filter(left -> left.compareTo(MAX_WAIT) < 0)
             .orElse(MAX_WAIT);
-    Duration least = Duration.ofNanos(1_000);
+    Duration least = steps < MOST_STEPS ? SHORTEST_WAIT : THROTTLED_WAIT;
     schedule(
         wait.compareTo(least) < 0 ? least : wait,
         () -> {
