--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -20,9 +20,11 @@
   private static final List<Command> COMMANDS =
       List.of(
           new AnswersCommand(),
+          new AuditCommand(),
           new CapacityCommand(),
           new DemoCommand(),
           new FuzzCommand(),
+          new ExplainCommand(),
           new LoadCommand(),
           new ServeCommand(),
           new StandinCommand());
--- a/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
+++ b/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.RecordBody;
 import java.util.List;
 import java.util.Optional;
 
@@ -81,6 +82,27 @@
    */
   record ClosedReplica(ReplicaId replica, long offset) {}
 
+  /**
+   * Some of the used idempotency keys.
+   *
+   * @param changes the changes that lead to their state, in order
+   * @param expired digests of keys that are too old to be kept, oldest first
+   */
+  record IntentPart(List<RecordBody.IntentChange> changes, List<Long> expired)
+      implements LedgerSnapshot {
+
+    /** Copies the lists. */
+    public IntentPart {
+      changes = List.copyOf(changes);
+      expired = List.copyOf(expired);
+    }
+
+    @Override
+    public int entries() {
+      return 1 + changes.size() + expired.size() / Snapshot.NUMBERS_AN_ENTRY;
+    }
+  }
+
   /**
    * Identifiers of the newest records, for telling repeats.
    *
--- a/src/main/java/dev/wisteriarail/fuzz/FuzzRun.java
+++ b/src/main/java/dev/wisteriarail/fuzz/FuzzRun.java
@@ -45,15 +45,15 @@
 
   /** Carries out a plan. */
   public static RunResult execute(Plan plan, Defect defect) {
-    return new FuzzRun(plan, defect, Optional.empty()).execute();
+    return new FuzzRun(plan, defect, Optional.empty()).carryOut();
   }
 
   /** Carries out a plan until a check is broken, or to its end. */
   static RunResult executeUntil(String check, Plan plan, Defect defect) {
-    return new FuzzRun(plan, defect, Optional.of(check)).execute();
+    return new FuzzRun(plan, defect, Optional.of(check)).carryOut();
   }
 
-  private RunResult execute() {
+  private RunResult carryOut() {
     if (!plan.chance()) {
       world.endFaults();
     }
--- a/src/main/java/dev/wisteriarail/fuzz/SimulatedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/SimulatedNode.java
@@ -4,7 +4,6 @@
 import dev.wisteriarail.core.Event;
 import dev.wisteriarail.core.NodeCore;
 import dev.wisteriarail.core.NodeSettings;
-import dev.wisteriarail.core.Timings;
 import dev.wisteriarail.core.id.CellId;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
@@ -100,7 +99,7 @@
                 Deployment.failureDomain(number),
                 CELL,
                 chance.below(Integer.MAX_VALUE),
-                Timings.DEFAULT),
+                FuzzTimings.timings()),
             policy.planner());
     world.note(id + " starts as " + life);
     world.observe(new Observation.NodeStarted(id));
