--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -71,7 +71,9 @@
     controller = CellController.create(settings, ledger, closures, planner);
     requests = RequestTable.create(settings, Router.create(settings.failureDomain()));
     logState =
-        LogState.create(settings.cell(), List.of(configurations, ledger, requests.usedKeys()));
+        LogState.create(
+            settings.cell(),
+            List.of(configurations, ledger, requests.usedKeys(), requests.crashes()));
     snapshots = SnapshotWriter.create(settings);
     catchUp = PeerCatchUp.create(configurations, logState, logHealth);
   }
@@ -314,4 +316,27 @@
   public boolean isController() {
     return controller.isController();
   }
+
+  /** Returns what this node knows of itself and of the fleet. */
+  public NodeStatus status(Instant now) {
+    Configuration configuration = configurations.current();
+    return new NodeStatus(
+        settings.node(),
+        settings.incarnation(),
+        settings.failureDomain(),
+        settings.cell(),
+        isReady(),
+        draining,
+        requests.isFinished(logHealth.isDown(now)),
+        configuration.revision(),
+        configuration.models().size(),
+        logHealth.isDown(now),
+        logState.isCurrent(),
+        logState.nextOffset(),
+        logState.newestSnapshot().map(LogState.LogSnapshot::through),
+        ledger.claim().map(Claim::holder),
+        ledger.fence(),
+        membership.view(now),
+        List.copyOf(ledger.reservations()));
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/request/RequestTable.java
+++ b/src/main/java/dev/wisteriarail/core/request/RequestTable.java
@@ -61,6 +61,7 @@
   private final TreeSet<PendingRequest> delayed = new TreeSet<>(WaitingQueue.BY_DEADLINE);
   private Instant nextReview = Instant.EPOCH;
   private long sequence;
+  private final List<RecordBody.CrashSuspected> restoredCrashes = new ArrayList<>();
 
   private RequestTable(NodeSettings settings, Router router) {
     gate = IntentGate.create(settings, IntentLimits.DEFAULT, ledger);
@@ -283,11 +284,13 @@
 
   /** Returns the state of the used keys as a part of what is folded from the log. */
   public Ledger usedKeys() {
-    return new IntentSnapshots(ledger::snapshot, this::restoreIntents);
+    return new IntentSnapshots(
+        ledger::snapshot, snapshot -> gate.restore(snapshot, requests::containsKey));
   }
 
-  private void restoreIntents(IntentSnapshot snapshot) {
-    gate.restore(snapshot, requests::containsKey);
+  /** Returns the crashes of backend servers as a part of what is folded from the log. */
+  public Ledger crashes() {
+    return new CrashSnapshots(poison::crashes, restoredCrashes::addAll);
   }
 
   // Progress
@@ -295,6 +298,8 @@
   /** Dispatches what can run and refuses what cannot start in time. */
   public void advance(RequestContext context) {
     Instant now = context.step().now();
+    poison.restore(restoredCrashes, now);
+    restoredCrashes.clear();
     for (PendingRequest held : gate.held()) {
       settle(held, context);
     }
--- a/src/main/java/dev/wisteriarail/core/routing/Router.java
+++ b/src/main/java/dev/wisteriarail/core/routing/Router.java
@@ -65,6 +65,7 @@
       Predicate<ReplicaId> routable) {
     return runners.readyReplicas(target.model()).stream()
         .filter(ready -> routable.test(ready.status().replica()))
+        .filter(ready -> isVersionInForce(ready, configuration))
         .filter(ready -> wanted.allowed().test(ready.runner()))
         .filter(ready -> hasRoom(ready.runner(), wanted, configuration, runners))
         .min(Comparator.comparingDouble(ready -> cost(ready, target, configuration, runners)))
@@ -88,6 +89,12 @@
 
   // Costs
 
+  /** Waiting requests are served by the version in force; those in flight finish on theirs. */
+  private static boolean isVersionInForce(ReadyReplica ready, Configuration configuration) {
+    ModelSpec model = configuration.models().get(ready.status().model());
+    return model != null && model.version().equals(ready.status().version());
+  }
+
   private double cost(
       ReadyReplica ready,
       Target.ModelTarget target,
