--- a/src/main/java/dev/wisteriarail/capacity/Role.java
+++ b/src/main/java/dev/wisteriarail/capacity/Role.java
@@ -24,6 +24,7 @@
       case Event.AttemptProgressed e -> ROUTER;
       case Event.AttemptEnded e -> ROUTER;
       case Event.EngineReported e -> RUNNER_REPORTS;
+      case Event.CacheReported e -> RUNNER_REPORTS;
       case Event.EngineUnreachable e -> RUNNER_REPORTS;
       case Event.LogRead e -> LOG_READER;
       case Event.LogReadFailed e -> LOG_READER;
