--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -21,6 +21,7 @@
       List.of(
           new AnswersCommand(),
           new AuditCommand(),
+          new CapacityCommand(),
           new DemoCommand(),
           new FuzzCommand(),
           new ExplainCommand(),
--- a/src/main/java/dev/wisteriarail/fuzz/FakeRunner.java
+++ b/src/main/java/dev/wisteriarail/fuzz/FakeRunner.java
@@ -62,6 +62,7 @@
   private final KeyMemory keys;
   private final Map<AttemptId, Running> running = new TreeMap<>();
   private long incarnation = 1;
+  private long reports;
   private boolean up = true;
   private boolean leaving;
   private Duration reportLag = Duration.ZERO;
@@ -210,6 +211,7 @@
     if (!up) {
       return Optional.empty();
     }
+    reports++;
     return Optional.of(
         new EngineReport(
             spec.id(),
@@ -219,7 +221,8 @@
             running.size(),
             0,
             memory.usedBytes(),
-            memory.statuses(this::active)));
+            memory.statuses(this::active),
+            numbersReports() ? reports : 0));
   }
 
   /** Returns the time that a report takes to reach a node. */
@@ -286,6 +289,7 @@
     }
     up = true;
     incarnation++;
+    reports = 0;
     if (leaving) {
       leaving = false;
       world.observe(new Observation.RunnerBack(spec.id()));
@@ -312,6 +316,11 @@
     return spec.id();
   }
 
+  /** An engine that does not check fencing numbers does not number its reports either. */
+  private boolean numbersReports() {
+    return spec.checksFencing();
+  }
+
   private int active(ReplicaId replica) {
     return (int)
         running.values().stream()
--- a/src/main/java/dev/wisteriarail/standin/EngineState.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineState.java
@@ -201,6 +201,7 @@
     replicas.forEach((replica, loaded) -> statuses.add(statusOf(replica, loaded)));
     reports++;
     int running = active.values().stream().mapToInt(Integer::intValue).sum();
+    reports++;
     return new EngineReport(
         setup.runner(),
         incarnation,
