--- a/src/main/java/dev/wisteriarail/cli/PlatformLog.java
+++ b/src/main/java/dev/wisteriarail/cli/PlatformLog.java
@@ -7,6 +7,8 @@
 import dev.wisteriarail.platform.HttpClients;
 import dev.wisteriarail.platform.HttpLogService;
 import dev.wisteriarail.spi.LogService;
+import java.net.URI;
+import java.net.URISyntaxException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.eclipse.jetty.client.HttpClient;
@@ -33,13 +35,25 @@
     return CellId.of((String) options.valueOf("cell"));
   }
 
+  private static boolean isAddress(String text) {
+    try {
+      URI address = new URI(text);
+      boolean isHttp = "http".equals(address.getScheme()) || "https".equals(address.getScheme());
+      return isHttp && address.getHost() != null;
+    } catch (URISyntaxException malformed) {
+      return false;
+    }
+  }
+
   static ExitCode use(OptionSet options, Use use) throws WisteriarailException {
-    if (!options.has("log")) {
-      throw new SettingsException(ResultCode.USAGE, "", "--log is required");
+    String address = String.valueOf(options.valueOf("log"));
+    if (!isAddress(address)) {
+      throw new SettingsException(
+          ResultCode.USAGE, "--log", "is required, in the form http://127.0.0.1:9000");
     }
     HttpClient http = HttpClients.start();
     try {
-      return use.run(HttpLogService.create(http, (String) options.valueOf("log")));
+      return use.run(HttpLogService.create(http, address));
     } finally {
       HttpClients.stop(http);
     }
--- a/src/test/java/dev/wisteriarail/cli/AnswersCommandTest.java
+++ b/src/test/java/dev/wisteriarail/cli/AnswersCommandTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The operators' commands against the stand-in log, over HTTP. */
 class AnswersCommandTest {
@@ -73,16 +75,28 @@
 
   @Test
   void logThatCannotBeReachedIsTold() throws Exception {
+    final String address = log.server().address();
     log.close();
-    assertThat(run("answers", "history")).isEqualTo(ExitCode.UNAVAILABLE);
+    assertThat(runAt(address, "answers", "history")).isEqualTo(ExitCode.UNAVAILABLE);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"nonsense", "127.0.0.1:9000", "http://", "http://127.0.0.1:-2", "ht tp"})
+  void addressThatIsNoneIsTold(String address) throws Exception {
+    assertThat(runAt(address, "answers", "history")).isEqualTo(ExitCode.USAGE);
+    assertThat(printed()).contains("--log");
   }
 
   // Helpers
 
   private ExitCode run(String... words) throws InterruptedException {
+    return runAt(log.server().address(), words);
+  }
+
+  private ExitCode runAt(String address, String... words) throws InterruptedException {
     printed.reset();
     List<String> line = new ArrayList<>(List.of(words));
-    line.addAll(List.of("--log", log.server().address()));
+    line.addAll(List.of("--log", address));
     if (words[0].equals("answers")) {
       line.addAll(List.of("--author", "ann", "--reason", "test"));
     }
