--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/request/SnapshotPartsTest.java
@@ -0,0 +1,66 @@
+package dev.wisteriarail.core.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.id.CustomerId;
+import dev.wisteriarail.core.id.IdempotencyKey;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.id.RequestId;
+import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.log.RecordBody.CrashSuspected;
+import dev.wisteriarail.core.log.RecordBody.IntentChange;
+import dev.wisteriarail.core.state.LedgerSnapshot;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SnapshotPartsTest {
+
+  private static final String CONTENT = "print";
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 100, 101, 250})
+  void usedKeysAreTheSameAfterSnapshotInParts(int keys) {
+    IntentLedger ledger = IntentLedger.create(IntentLimits.DEFAULT);
+    for (int i = 0; i < keys; i++) {
+      ledger.apply(new RecordBody.IntentBatch(List.of(recorded(i))));
+    }
+    IntentLedger copy = IntentLedger.create(IntentLimits.DEFAULT);
+    copy.markIncomplete();
+    List<LedgerSnapshot> parts = new IntentSnapshots(ledger::snapshot, unused -> {}).snapshot();
+    new IntentSnapshots(copy::snapshot, copy::restore).restore(parts, 0);
+    assertThat(copy.snapshot()).isEqualTo(ledger.snapshot());
+    assertThat(copy.snapshot().changes()).hasSize(keys);
+    assertThat(copy.isComplete()).isTrue();
+  }
+
+  @Test
+  void poisonousContentStaysPoisonousAfterSnapshot() {
+    PoisonLedger ledger = new PoisonLedger();
+    for (int i = 0; i < PoisonLedger.CRASH_LIMIT; i++) {
+      ledger.apply(
+          new CrashSuspected(CONTENT, RunnerId.of("r" + i), Incarnation.of(1)), Instant.EPOCH);
+    }
+    List<CrashSuspected> taken = new ArrayList<>();
+    List<LedgerSnapshot> parts = new CrashSnapshots(ledger::crashes, unused -> {}).snapshot();
+    new CrashSnapshots(List::of, taken::addAll).restore(parts, 0);
+    PoisonLedger copy = new PoisonLedger();
+    taken.forEach(crash -> copy.apply(crash, Instant.EPOCH));
+    assertThat(copy.isPoison(CONTENT, Instant.EPOCH)).isTrue();
+  }
+
+  private static IntentChange recorded(int number) {
+    return new RecordBody.IntentRecorded(
+        CustomerId.of("c1"),
+        IdempotencyKey.of("k" + number),
+        "hash",
+        RequestId.of("q" + number),
+        NodeId.of("n1"),
+        Incarnation.of(1));
+  }
+}
