--- a/src/main/java/dev/wisteriarail/standin/EngineState.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineState.java
@@ -49,7 +49,6 @@
   private FencingNumber highestFence = FencingNumber.NONE;
   private Incarnation incarnation = Incarnation.of(System.nanoTime());
   private long highWaterBytes;
-  private long reports;
   private int loads;
   private int crashes;
   private boolean leaving;
@@ -174,7 +173,6 @@
     active.clear();
     highestFence = FencingNumber.NONE;
     incarnation = Incarnation.of(incarnation.value() + 1);
-    reports = 0;
     crashes++;
   }
 
@@ -200,7 +198,6 @@
     List<ReplicaStatus> statuses = new ArrayList<>();
     replicas.forEach((replica, loaded) -> statuses.add(statusOf(replica, loaded)));
     int running = active.values().stream().mapToInt(Integer::intValue).sum();
-    reports++;
     return new EngineReport(
         setup.runner(),
         incarnation,
