--- a/src/test/java/dev/wisteriarail/core/request/SnapshotPartsTest.java
+++ b/src/test/java/dev/wisteriarail/core/request/SnapshotPartsTest.java
@@ -32,7 +32,7 @@
     }
     IntentLedger copy = IntentLedger.create(IntentLimits.DEFAULT);
     copy.markIncomplete();
-    List<LedgerSnapshot> parts = new IntentSnapshots(ledger::snapshot, unused -> {}).snapshot();
+    List<LedgerSnapshot> parts = new IntentSnapshots(ledger::snapshot, _ -> {}).snapshot();
     new IntentSnapshots(copy::snapshot, copy::restore).restore(parts, 0);
     assertThat(copy.snapshot()).isEqualTo(ledger.snapshot());
     assertThat(copy.snapshot().changes()).hasSize(keys);
@@ -47,7 +47,7 @@
           new CrashSuspected(CONTENT, RunnerId.of("r" + i), Incarnation.of(1)), Instant.EPOCH);
     }
     List<CrashSuspected> taken = new ArrayList<>();
-    List<LedgerSnapshot> parts = new CrashSnapshots(ledger::crashes, unused -> {}).snapshot();
+    List<LedgerSnapshot> parts = new CrashSnapshots(ledger::crashes, _ -> {}).snapshot();
     new CrashSnapshots(List::of, taken::addAll).restore(parts, 0);
     PoisonLedger copy = new PoisonLedger();
     taken.forEach(crash -> copy.apply(crash, Instant.EPOCH));
