--- a/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
+++ b/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
@@ -56,6 +56,11 @@
     return new PoisonGuard(settings);
   }
 
+  /** Returns the crashes that are kept, for snapshots. */
+  PoisonLedger ledger() {
+    return ledger;
+  }
+
   // Requests
 
   /** Returns the refusal of a request whose content is poison. */
@@ -188,6 +193,7 @@
 
   /** Appends again what was not read back. */
   void advance(Step step, boolean logDown) {
+    ledger.advance(step.now());
     if (logDown || unconfirmed.isEmpty()) {
       return;
     }
--- a/src/main/java/dev/wisteriarail/core/request/PoisonLedger.java
+++ b/src/main/java/dev/wisteriarail/core/request/PoisonLedger.java
@@ -3,8 +3,12 @@
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.log.RecordBody;
+import dev.wisteriarail.core.state.Ledger;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -20,7 +24,7 @@
  * <p>Life cycle: one per node, fed from the log and with what the node saw itself. Not thread-safe;
  * owned by the node's core.
  */
-final class PoisonLedger {
+final class PoisonLedger implements Ledger {
 
   /** Crashes of backend servers, over the whole fleet, after which a content is refused. */
   static final int CRASH_LIMIT = 2;
@@ -54,7 +58,15 @@
     }
   }
 
+  private static final int CRASHES_A_PART = 100;
+
   private final Map<String, Suspicion> suspicions = new TreeMap<>();
+  private Instant time = Instant.EPOCH;
+
+  /** Sets the time on the node's clock. */
+  void advance(Instant now) {
+    time = now;
+  }
 
   /**
    * Applies a record.
@@ -62,6 +74,7 @@
    * @return whether a content has become poison by it
    */
   boolean apply(RecordBody body, Instant now) {
+    time = now;
     switch (body) {
       case RecordBody.CrashSuspected suspected -> {
         return add(suspected, now);
@@ -96,6 +109,37 @@
     }
   }
 
+  // Snapshots
+
+  @Override
+  public List<LedgerSnapshot> snapshot() {
+    List<RecordBody.CrashSuspected> crashes = new ArrayList<>();
+    suspicions.forEach(
+        (fingerprint, suspicion) ->
+            suspicion.crashes.forEach(
+                crash ->
+                    crashes.add(
+                        new RecordBody.CrashSuspected(
+                            fingerprint, crash.runner(), crash.incarnation()))));
+    List<LedgerSnapshot> parts = new ArrayList<>();
+    for (int from = 0; from < crashes.size(); from += CRASHES_A_PART) {
+      int to = Math.min(crashes.size(), from + CRASHES_A_PART);
+      parts.add(new LedgerSnapshot.SuspicionPart(crashes.subList(from, to)));
+    }
+    return parts;
+  }
+
+  /** Restored crashes expire as if they had just happened: their time is not kept. */
+  @Override
+  public void restore(List<LedgerSnapshot> parts, long through) {
+    suspicions.clear();
+    for (LedgerSnapshot part : parts) {
+      if (part instanceof LedgerSnapshot.SuspicionPart suspicion) {
+        suspicion.crashes().forEach(crash -> add(crash, time));
+      }
+    }
+  }
+
   // Accessors
 
   boolean isEmpty() {
--- a/src/main/java/dev/wisteriarail/core/routing/Router.java
+++ b/src/main/java/dev/wisteriarail/core/routing/Router.java
@@ -24,15 +24,15 @@
 /**
  * Chooses the runner for a request among those that can run it now.
  *
- * <p>A runner has room while the node's own attempts leave a slot free and the load, as far as it is
- * known, does not exceed the slots by more than half. On a runner that several customers share, none
- * may take the last quarter of the slots, and no batch request may.
+ * <p>A runner has room while the node's own attempts leave a slot free and the load, as far as it
+ * is known, does not exceed the slots by more than half. On a runner that several customers share,
+ * none may take the last quarter of the slots, and no batch request may.
  *
- * <p>Among those with room it takes the one with the lowest cost: the share of busy slots, surcharges
- * for a missing adapter and for another failure domain, less a discount for the part of the prompt
- * that is believed to be in the engine's cache while a slot is free. The node's own attempts count
- * whole and those of others in part: their number is late, and nodes that all trusted it would all
- * take the same runner. Of equal ones it takes any.
+ * <p>Among those with room it takes the one with the lowest cost: the share of busy slots,
+ * surcharges for a missing adapter and for another failure domain, less a discount for the part of
+ * the prompt that is believed to be in the engine's cache while a slot is free. The node's own
+ * attempts count whole and those of others in part: their number is late, and nodes that all
+ * trusted it would all take the same runner. Of equal ones it takes any.
  *
  * <p>Life cycle: one per node, with its own seeded generator. Not thread-safe.
  */
--- a/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
+++ b/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.config.Section;
 import dev.wisteriarail.core.id.CellId;
 import dev.wisteriarail.core.id.Revision;
+import dev.wisteriarail.core.log.RecordBody;
 import java.util.List;
 import java.util.Optional;
 
@@ -60,6 +61,45 @@
     }
   }
 
+  /**
+   * Some of the used idempotency keys.
+   *
+   * @param changes the changes that lead to their state, in order
+   * @param expired digests of keys that are too old to be kept, oldest first
+   */
+  record IntentPart(List<RecordBody.IntentChange> changes, List<Long> expired)
+      implements LedgerSnapshot {
+
+    /** Copies the lists. */
+    public IntentPart {
+      changes = List.copyOf(changes);
+      expired = List.copyOf(expired);
+    }
+
+    @Override
+    public int entries() {
+      return 1 + changes.size() + expired.size() / Snapshot.NUMBERS_AN_ENTRY;
+    }
+  }
+
+  /**
+   * Some of the crashes for which contents of requests are suspected or refused.
+   *
+   * @param crashes the crashes
+   */
+  record SuspicionPart(List<RecordBody.CrashSuspected> crashes) implements LedgerSnapshot {
+
+    /** Copies the list. */
+    public SuspicionPart {
+      crashes = List.copyOf(crashes);
+    }
+
+    @Override
+    public int entries() {
+      return 1 + crashes.size();
+    }
+  }
+
   /**
    * Identifiers of the newest records, for telling repeats.
    *
--- a/src/test/java/dev/wisteriarail/core/request/PoisonTest.java
+++ b/src/test/java/dev/wisteriarail/core/request/PoisonTest.java
@@ -105,6 +105,17 @@
     assertThat(fixture.dispatched()).contains("q3");
   }
 
+  @Test
+  void refusalSurvivesSnapshot() {
+    crashTwice();
+    PoisonLedger restored = new PoisonLedger();
+    restored.advance(fixture.now);
+    restored.restore(fixture.table.suspicions().snapshot(), 9);
+    String fingerprint =
+        Fingerprints.ofCustomersContent(TableFixture.service("x", "c1", "urgent", "{}"));
+    assertThat(restored.isPoison(fingerprint, fixture.now)).isTrue();
+  }
+
   // Helpers
 
   private void crashTwice() {
