--- a/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
+++ b/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
@@ -56,11 +56,6 @@
     return new PoisonGuard(settings);
   }
 
-  /** Returns the crashes that are kept, for snapshots. */
-  PoisonLedger ledger() {
-    return ledger;
-  }
-
   // Requests
 
   /** Returns the refusal of a request whose content is poison. */
@@ -170,6 +165,16 @@
     return !isOwn && apply(body, step);
   }
 
+  /** Returns the crashes that are held against contents. */
+  List<RecordBody.CrashSuspected> crashes() {
+    return ledger.crashes();
+  }
+
+  /** Takes crashes from a snapshot. */
+  void restore(List<RecordBody.CrashSuspected> crashes, Instant now) {
+    crashes.forEach(crash -> ledger.apply(crash, now));
+  }
+
   private boolean share(RecordBody body, Step step) {
     append(body, step);
     return apply(body, step);
@@ -193,7 +198,6 @@
 
   /** Appends again what was not read back. */
   void advance(Step step, boolean logDown) {
-    ledger.advance(step.now());
     if (logDown || unconfirmed.isEmpty()) {
       return;
     }
--- a/src/main/java/dev/wisteriarail/core/routing/Router.java
+++ b/src/main/java/dev/wisteriarail/core/routing/Router.java
@@ -85,6 +85,7 @@
     List<ReadyReplica> candidates =
         runners.readyReplicas(target.model()).stream()
             .filter(ready -> routable.test(ready.status().replica()))
+            .filter(ready -> isVersionInForce(ready, configuration))
             .filter(ready -> wanted.allowed().test(ready.runner()))
             .filter(ready -> hasRoom(ready.runner(), wanted, configuration, runners))
             .toList();
@@ -124,6 +125,12 @@
 
   // Costs
 
+  /** Waiting requests are served by the version in force; those in flight finish on theirs. */
+  private static boolean isVersionInForce(ReadyReplica ready, Configuration configuration) {
+    ModelSpec model = configuration.models().get(ready.status().model());
+    return model != null && model.version().equals(ready.status().version());
+  }
+
   private double cost(
       ReadyReplica ready,
       Target.ModelTarget target,
--- a/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
+++ b/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
@@ -83,14 +83,14 @@
   }
 
   /**
-   * Some of the crashes for which contents of requests are suspected or refused.
+   * Crashes of backend servers that are held against the contents they ran.
    *
    * @param crashes the crashes
    */
-  record SuspicionPart(List<RecordBody.CrashSuspected> crashes) implements LedgerSnapshot {
+  record CrashPart(List<RecordBody.CrashSuspected> crashes) implements LedgerSnapshot {
 
     /** Copies the list. */
-    public SuspicionPart {
+    public CrashPart {
       crashes = List.copyOf(crashes);
     }
 
--- a/src/test/java/dev/wisteriarail/core/request/PoisonTest.java
+++ b/src/test/java/dev/wisteriarail/core/request/PoisonTest.java
@@ -108,12 +108,11 @@
   @Test
   void refusalSurvivesSnapshot() {
     crashTwice();
-    PoisonLedger restored = new PoisonLedger();
-    restored.advance(fixture.now);
-    restored.restore(fixture.table.suspicions().snapshot(), 9);
-    String fingerprint =
-        Fingerprints.ofCustomersContent(TableFixture.service("x", "c1", "urgent", "{}"));
-    assertThat(restored.isPoison(fingerprint, fixture.now)).isTrue();
+    TableFixture other = TableFixture.create();
+    other.table.crashes().restore(fixture.table.crashes().snapshot(), 9);
+    other.step(context -> {});
+    other.send("q2", "c1", "urgent");
+    assertThat(other.refusal("q2").orElseThrow().code()).isEqualTo(ResultCode.POISON_REQUEST);
   }
 
   // Helpers
