--- a/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
+++ b/src/main/java/dev/wisteriarail/core/request/PoisonGuard.java
@@ -45,6 +45,7 @@
   private final Map<PendingRequest, RunnerId> runningSuspects = new LinkedHashMap<>();
   private final List<Unproven> unproven = new ArrayList<>();
   private final Map<RecordBody, Instant> unconfirmed = new LinkedHashMap<>();
+  private boolean logDown;
   private long sequence;
 
   private PoisonGuard(NodeSettings settings) {
@@ -197,7 +198,8 @@
   }
 
   /** Appends again what was not read back. */
-  void advance(Step step, boolean logDown) {
+  void advance(Step step, boolean logIsDown) {
+    logDown = logIsDown;
     if (logDown || unconfirmed.isEmpty()) {
       return;
     }
@@ -211,6 +213,9 @@
 
   /** Returns when something is to be appended again. */
   Optional<Instant> nextWakeUp() {
+    if (logDown) {
+      return Optional.empty();
+    }
     Optional<Instant> earliest = Optional.empty();
     for (Instant retry : unconfirmed.values()) {
       earliest = Deadlines.earliest(earliest, Optional.of(retry));
--- a/src/main/java/dev/wisteriarail/core/request/RetryPolicy.java
+++ b/src/main/java/dev/wisteriarail/core/request/RetryPolicy.java
@@ -74,6 +74,10 @@
 
   /** Decides after a failed attempt. */
   Decision decide(PendingRequest pending, AttemptOutcome outcome) {
+    if (pending.delivered() > 0 && !pending.onlyOnce()) {
+      boolean lost = outcome instanceof AttemptOutcome.Broken broken && broken.backendLost();
+      return afterFirstPiece(pending, lost);
+    }
     return switch (outcome) {
       case AttemptOutcome.Completed completed ->
           throw new IllegalArgumentException("the attempt did not fail");
@@ -96,18 +100,20 @@
     if (pending.onlyOnce()) {
       return unknown(ResultCode.OUTCOME_UNKNOWN, broken.reason());
     }
-    if (pending.delivered() == 0) {
-      return mayRetry(pending)
-          ? new Decision.Retry(delay(pending.failures()))
-          : comeBack(ResultCode.BACKEND_FAILED, broken.reason());
-    }
+    return mayRetry(pending)
+        ? new Decision.Retry(delay(pending.failures()))
+        : comeBack(ResultCode.BACKEND_FAILED, broken.reason());
+  }
+
+  /** Goes on only on the same engine: another one would give another answer. */
+  private Decision afterFirstPiece(PendingRequest pending, boolean lost) {
     boolean resumable =
-        !broken.backendLost()
+        !lost
             && pending.resumes() < MAX_RESUMES
             && pending.request().target() instanceof Target.ModelTarget;
     return resumable && takeBudget(pending.request().customer())
         ? new Decision.Resume()
-        : unknown(ResultCode.ANSWER_INCOMPLETE, broken.reason());
+        : unknown(ResultCode.ANSWER_INCOMPLETE, "the answer was cut and cannot be resumed");
   }
 
   private boolean mayRetry(PendingRequest pending) {
--- a/src/test/java/dev/wisteriarail/core/request/AttemptTest.java
+++ b/src/test/java/dev/wisteriarail/core/request/AttemptTest.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Streams, retries and their bounds. */
 class AttemptTest {
@@ -109,6 +111,27 @@
     assertThat(fixture.all(Effect.EndRequest.class)).isEmpty();
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void streamThatCannotBeResumedIsCutAndNeverGoesOnElsewhere(boolean handedOver) {
+    fixture.report("r2", 1, TableFixture.ready("c1", "replica2"));
+    AttemptId first = startStream();
+    fixture.progress(first, 0, "a");
+    for (int i = 0; i < 3; i++) {
+      AttemptId attempt = fixture.lastDispatch().attempt();
+      fixture.end(
+          attempt,
+          handedOver
+              ? new AttemptOutcome.Rejected("busy")
+              : new AttemptOutcome.NotHandedOver("refused"));
+    }
+    fixture.pass(TableFixture.DEADLINE.multipliedBy(4));
+    assertThat(fixture.dispatches().stream().map(Effect.Dispatch::replica).distinct().toList())
+        .hasSize(1);
+    assertRefused("q1", ResultCode.ANSWER_INCOMPLETE, Execution.MAY_HAVE_RUN);
+    assertThat(fixture.table.nextWakeUp()).isEqualTo(Optional.empty());
+  }
+
   @Test
   void streamOfLostEngineIsVisiblyIncomplete() {
     AttemptId first = startStream();
--- a/src/test/java/dev/wisteriarail/core/request/PoisonTest.java
+++ b/src/test/java/dev/wisteriarail/core/request/PoisonTest.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.result.ResultCode;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -115,6 +116,19 @@
     assertThat(other.refusal("q2").orElseThrow().code()).isEqualTo(ResultCode.POISON_REQUEST);
   }
 
+  @Test
+  void unrecordedCrashDoesNotWakeTheNodeWhileTheLogIsDown() {
+    fixture.send("q1", "c1", "urgent");
+    crashAndRestart();
+    fixture.logDown = true;
+    fixture.pass(SHORT);
+    fixture.now = fixture.now.plusSeconds(5);
+    fixture.step(context -> {});
+    Instant now = fixture.now;
+    assertThat(fixture.table.nextWakeUp().filter(due -> !due.isAfter(now)))
+        .isEqualTo(Optional.empty());
+  }
+
   // Helpers
 
   private void crashTwice() {
--- a/src/test/java/dev/wisteriarail/core/request/TableFixture.java
+++ b/src/test/java/dev/wisteriarail/core/request/TableFixture.java
@@ -53,6 +53,7 @@
   final RunnerTable runners = RunnerTable.create();
   final List<Effect> effects = new ArrayList<>();
   Configuration configuration;
+  boolean logDown;
   RequestTable table = newTable();
   Instant now = Instant.parse("2026-01-01T00:00:00Z");
 
@@ -201,7 +202,7 @@
             configuration,
             runners,
             replica -> true,
-            false,
+            logDown,
             Optional.empty(),
             1,
             (node, incarnation) -> false);
