--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -24,7 +24,6 @@
 import dev.wisteriarail.core.request.RequestContext;
 import dev.wisteriarail.core.request.RequestTable;
 import dev.wisteriarail.core.result.ResultCode;
-import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
 import dev.wisteriarail.core.state.LogState;
 import dev.wisteriarail.core.state.PeerCatchUp;
@@ -69,9 +68,11 @@
     ledger = CellLedger.create(settings.cell());
     closures = Closures.create(settings.timings().cells());
     controller = CellController.create(settings, ledger, closures, planner);
-    requests = RequestTable.create(settings, Router.create(settings.failureDomain()));
+    requests = RequestTable.create(settings);
     logState =
-        LogState.create(settings.cell(), List.of(configurations, ledger, requests.usedKeys()));
+        LogState.create(
+            settings.cell(),
+            List.of(configurations, ledger, requests.usedKeys(), requests.crashes()));
     snapshots = SnapshotWriter.create(settings);
     catchUp = PeerCatchUp.create(configurations, logState, logHealth);
   }
@@ -92,6 +93,7 @@
    */
   public List<Effect> handle(Event event, Instant now) {
     Step step = Step.at(now);
+    runners.advance(now);
     accept(event, step);
     advance(step);
     return step.effects();
@@ -108,6 +110,7 @@
         controller.acceptReport(reported.report(), step);
         requests.acceptReport(reported.report(), step);
       }
+      case Event.CacheReported cached -> runners.acceptCacheReport(cached.report());
       case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
       case Event.OrderAnswered answered ->
           controller.acceptOrder(answered.order(), answered.outcome(), step);
@@ -320,4 +323,27 @@
   public boolean isController() {
     return controller.isController();
   }
+
+  /** Returns what this node knows of itself and of the fleet. */
+  public NodeStatus status(Instant now) {
+    Configuration configuration = configurations.current();
+    return new NodeStatus(
+        settings.node(),
+        settings.incarnation(),
+        settings.failureDomain(),
+        settings.cell(),
+        isReady(),
+        draining,
+        requests.isFinished(logHealth.isDown(now)),
+        configuration.revision(),
+        configuration.models().size(),
+        logHealth.isDown(now),
+        logState.isCurrent(),
+        logState.nextOffset(),
+        logState.newestSnapshot().map(LogState.LogSnapshot::through),
+        ledger.claim().map(Claim::holder),
+        ledger.fence(),
+        membership.view(now),
+        List.copyOf(ledger.reservations()));
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/request/RequestTable.java
+++ b/src/main/java/dev/wisteriarail/core/request/RequestTable.java
@@ -61,18 +61,20 @@
   private final TreeSet<PendingRequest> delayed = new TreeSet<>(WaitingQueue.BY_DEADLINE);
   private Instant nextReview = Instant.EPOCH;
   private long sequence;
+  private final List<RecordBody.CrashSuspected> restoredCrashes = new ArrayList<>();
 
-  private RequestTable(NodeSettings settings, Router router) {
+  private RequestTable(NodeSettings settings) {
     gate = IntentGate.create(settings, IntentLimits.DEFAULT, ledger);
     retries = RetryPolicy.create(settings);
     poison = PoisonGuard.create(settings);
     attempts = AttemptBook.create(settings);
+    Router router = Router.create(settings.failureDomain(), RetryPolicy.seedOf(settings));
     dispatcher = new Dispatcher(queue, attempts, estimator, retries, router, poison);
   }
 
   /** Returns the table of a node without requests. */
-  public static RequestTable create(NodeSettings settings, Router router) {
-    return new RequestTable(settings, router);
+  public static RequestTable create(NodeSettings settings) {
+    return new RequestTable(settings);
   }
 
   // Callers
@@ -210,6 +212,7 @@
         outcome, avoidUntil, context.runners().incarnation(pending.runner().orElseThrow()));
     byDue.add(pending);
     if (outcome instanceof AttemptOutcome.Broken lost && lost.backendLost()) {
+      context.runners().markUnreachable(pending.runner().orElseThrow());
       boolean poisoned = poison.recordCrash(pending, context.runners(), step);
       if (poisoned) {
         refusePoison(context);
@@ -283,11 +286,13 @@
 
   /** Returns the state of the used keys as a part of what is folded from the log. */
   public Ledger usedKeys() {
-    return new IntentSnapshots(ledger::snapshot, this::restoreIntents);
+    return new IntentSnapshots(
+        ledger::snapshot, snapshot -> gate.restore(snapshot, requests::containsKey));
   }
 
-  private void restoreIntents(IntentSnapshot snapshot) {
-    gate.restore(snapshot, requests::containsKey);
+  /** Returns the crashes of backend servers as a part of what is folded from the log. */
+  public Ledger crashes() {
+    return new CrashSnapshots(poison::crashes, restoredCrashes::addAll);
   }
 
   // Progress
@@ -295,6 +300,8 @@
   /** Dispatches what can run and refuses what cannot start in time. */
   public void advance(RequestContext context) {
     Instant now = context.step().now();
+    poison.restore(restoredCrashes, now);
+    restoredCrashes.clear();
     for (PendingRequest held : gate.held()) {
       settle(held, context);
     }
--- a/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
+++ b/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
@@ -108,6 +108,24 @@
     }
   }
 
+  /**
+   * Crashes of backend servers that are held against the contents they ran.
+   *
+   * @param crashes the crashes
+   */
+  record CrashPart(List<RecordBody.CrashSuspected> crashes) implements LedgerSnapshot {
+
+    /** Copies the list. */
+    public CrashPart {
+      crashes = List.copyOf(crashes);
+    }
+
+    @Override
+    public int entries() {
+      return 1 + crashes.size();
+    }
+  }
+
   /**
    * Identifiers of the newest records, for telling repeats.
    *
--- a/src/main/java/dev/wisteriarail/standin/EngineState.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineState.java
@@ -49,9 +49,9 @@
   private FencingNumber highestFence = FencingNumber.NONE;
   private Incarnation incarnation = Incarnation.of(System.nanoTime());
   private long highWaterBytes;
-  private long reports;
   private int loads;
   private int crashes;
+  private long reports;
   private boolean leaving;
 
   EngineState(EngineSetup setup) {
@@ -172,9 +172,9 @@
   synchronized void crash() {
     replicas.clear();
     active.clear();
+    reports = 0;
     highestFence = FencingNumber.NONE;
     incarnation = Incarnation.of(incarnation.value() + 1);
-    reports = 0;
     crashes++;
   }
 
--- a/src/test/java/dev/wisteriarail/codec/CodecsTest.java
+++ b/src/test/java/dev/wisteriarail/codec/CodecsTest.java
@@ -119,6 +119,8 @@
             List.of(FencingNumber.of(3)),
             List.of(held),
             List.of(new LedgerSnapshot.ClosedReplica(ReplicaId.of("m0.1.1"), 2))),
+        new LedgerSnapshot.CrashPart(
+            List.of(new RecordBody.CrashSuspected("print", RunnerId.of("r1"), Incarnation.of(2)))),
         new LedgerSnapshot.IntentPart(intents(), List.of(-5L)));
   }
 
