--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -208,8 +208,14 @@
     switch (received.message()) {
       case PeerMessage.Heartbeat heartbeat -> {
         membership.acceptHeartbeat(received.from(), heartbeat);
+        controller.acceptPeerFence(heartbeat.fence());
         catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
       }
+      case PeerMessage.OutageRecords told ->
+          controller.acceptOutageRecords(received.from(), received.incarnation(), told, step);
+      case PeerMessage.OutageRecordsKept kept ->
+          controller.acceptOutageRecordsKept(
+              received.from(), received.incarnation(), kept, step.now());
       case PeerMessage.StateRequested requested ->
           catchUp.acceptRequest(received.from(), requested.have(), step);
       case PeerMessage.StateOffered offered -> catchUp.acceptOffer(received.from(), offered, step);
--- a/src/main/java/dev/wisteriarail/core/cell/Decisions.java
+++ b/src/main/java/dev/wisteriarail/core/cell/Decisions.java
@@ -10,6 +10,7 @@
 import dev.wisteriarail.core.engine.ReplicaPhase;
 import dev.wisteriarail.core.engine.ReplicaStatus;
 import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.id.ModelId;
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.log.RecordBody;
@@ -41,6 +42,7 @@
   private final MemoryAccount memory;
   private final DemandBoard demands;
   private final PlacementPlanner planner;
+  private final Succession succession;
   private final Map<ReplicaId, Instant> lastUsed = new TreeMap<>();
   private final Map<RunnerId, Instant> lostSince = new TreeMap<>();
   private long sequence;
@@ -52,7 +54,8 @@
       Sightings sightings,
       MemoryAccount memory,
       DemandBoard demands,
-      PlacementPlanner planner) {
+      PlacementPlanner planner,
+      Succession succession) {
     this.settings = settings;
     this.ledger = ledger;
     this.pending = pending;
@@ -60,6 +63,7 @@
     this.memory = memory;
     this.demands = demands;
     this.planner = planner;
+    this.succession = succession;
   }
 
   // Updates
@@ -104,6 +108,9 @@
 
   /** Decides what is due. */
   void advance(Step step, Surroundings around) {
+    if (around.log().isDown(step.now())) {
+      pending.withdraw(this::isUnwanted);
+    }
     for (Reservation held : ledger.reservations()) {
       if (!held.unloading() && isForsaken(held, around, step.now())) {
         recordUnload(held.replica(), step);
@@ -118,6 +125,13 @@
     }
   }
 
+  /** Returns whether a body decides a load that nobody waits for any longer. */
+  private boolean isUnwanted(RecordBody body) {
+    return body instanceof RecordBody.LoadDecided load
+        && demands.merged().stream()
+            .noneMatch(wanted -> wanted.model().equals(load.model()) && wanted.waiting() > 0);
+  }
+
   /** Returns whether a replica can't be of use where it is. */
   private boolean isForsaken(Reservation held, Surroundings around, Instant now) {
     RunnerSpec runner = around.configuration().runners().get(held.runner());
@@ -144,7 +158,9 @@
     boolean fits =
         model != null
             && free.getOrDefault(load.runner(), 0L) >= model.memoryBytes()
-            && countReplicas(model, around.runners()) < model.maxReplicas();
+            && countReplicas(model.id(), step.now())
+                    + countHidden(around.configuration(), step.now())
+                < model.maxReplicas();
     if (!fits) {
       return;
     }
@@ -175,13 +191,11 @@
 
   private PlacementView view(Surroundings around, Instant now) {
     List<PlacedReplica> placed = new ArrayList<>();
-    for (Reservation held : ledger.reservations()) {
-      placed.add(place(held, now));
-    }
-    for (RecordBody body : pending.bodies()) {
-      if (body instanceof RecordBody.LoadDecided load) {
-        placed.add(place(load, now));
-      }
+    ledger.reservations().stream()
+        .filter(held -> isCounted(held, now))
+        .forEach(held -> placed.add(place(held, now)));
+    for (RecordBody.LoadDecided load : pending.loads()) {
+      placed.add(place(load, now));
     }
     Configuration configuration = around.configuration();
     return new PlacementView(
@@ -216,26 +230,31 @@
         now);
   }
 
-  /**
-   * Counts the decided replicas of a model's version in force. One whose unloading was decided
-   * counts until it is seen, unless its runner is out of use.
-   */
-  private long countReplicas(ModelSpec model, RunnerTable runners) {
+  /** Counts a model's decided replicas; each counts until it is gone. */
+  private long countReplicas(ModelId model, Instant now) {
     long decided =
         ledger.reservations().stream()
-            .filter(held -> held.model().equals(model.id()))
-            .filter(held -> held.version().equals(model.version()))
-            .filter(held -> !held.unloading() || runners.isUsable(held.runner()))
-            .count();
-    long appended =
-        pending.bodies().stream()
-            .filter(body -> body instanceof RecordBody.LoadDecided load && loads(load, model))
+            .filter(held -> held.model().equals(model))
+            .filter(held -> isCounted(held, now))
             .count();
+    long appended = pending.loads().stream().filter(load -> load.model().equals(model)).count();
     return decided + appended;
   }
 
-  private static boolean loads(RecordBody.LoadDecided load, ModelSpec model) {
-    return load.model().equals(model.id()) && load.version().equals(model.version());
+  /** Counts a replica that an earlier controller may have placed without this node's knowledge. */
+  private long countHidden(Configuration configuration, Instant now) {
+    boolean hidden =
+        succession.isBlind()
+            && configuration.runners().values().stream()
+                .filter(runner -> runner.role() == RunnerRole.MODEL)
+                .anyMatch(runner -> !succession.isSafe(runner, now));
+    return hidden ? 1 : 0;
+  }
+
+  /** Returns whether a replica counts: its runner is not out of reach for the longest bound. */
+  private boolean isCounted(Reservation held, Instant now) {
+    Instant since = lostSince.getOrDefault(held.runner(), now);
+    return !held.unloading() || now.isBefore(since.plus(settings.timings().cells().closure()));
   }
 
   private static boolean unloads(RecordBody body, ReplicaId replica) {
--- a/src/main/java/dev/wisteriarail/core/cell/Predecessors.java
+++ b/src/main/java/dev/wisteriarail/core/cell/Predecessors.java
@@ -15,7 +15,7 @@
  * At any other engine they end once every controller that could have sent one is closed and the
  * longest transit of an order has passed. A paused controller is not closed.
  *
- * <p>Stateless but for the time of the claim. Owned by the node's core.
+ * <p>Stateless but for the time of the last change. Owned by the node's core.
  */
 final class Predecessors {
 
@@ -23,7 +23,7 @@
   private final CellLedger ledger;
   private final Closures closures;
   private final RunnerGates gates;
-  private Instant gainedAt = Instant.MIN;
+  private Instant changedAt = Instant.MIN;
 
   private Predecessors(
       NodeSettings settings, CellLedger ledger, Closures closures, RunnerGates gates) {
@@ -38,9 +38,9 @@
     return new Predecessors(settings, ledger, closures, gates);
   }
 
-  /** Notes when this node gained control. */
-  void acceptControl(Instant now) {
-    gainedAt = now;
+  /** Notes that this node gained control, or that an earlier controller said that it is done. */
+  void acceptChange(Instant now) {
+    changedAt = now;
   }
 
   /**
@@ -56,7 +56,7 @@
             .filter(old -> !old.isHeldBy(settings.node(), settings.incarnation()))
             .toList();
     if (held.settled() || senders.isEmpty()) {
-      return Optional.of(gainedAt);
+      return Optional.of(changedAt);
     }
     RunnerSpec runner = configuration.runners().get(held.runner());
     if (runner != null && runner.checksFencing() && gates.isRaised(held.runner())) {
@@ -67,7 +67,7 @@
 
   private Optional<Instant> closedSince(List<Claim> senders, Instant now) {
     Duration transit = settings.timings().cells().orderTransit();
-    Instant last = gainedAt;
+    Instant last = changedAt;
     for (Claim sender : senders) {
       Optional<Instant> end =
           closures
--- a/src/main/java/dev/wisteriarail/core/request/Admission.java
+++ b/src/main/java/dev/wisteriarail/core/request/Admission.java
@@ -65,6 +65,14 @@
     return wanted.compareTo(longest) < 0 ? wanted : longest;
   }
 
+  /** Returns whether a request may run only once and its service does not see to that itself. */
+  static boolean needsIntent(InboundRequest request, KindSpec kind, Configuration configuration) {
+    boolean deduplicated =
+        request.target() instanceof Target.ServiceTarget target
+            && configuration.services().get(target.service()).deduplicates();
+    return !kind.repeatable() && !deduplicated;
+  }
+
   // Checks
 
   private static Optional<Refusal> checkKind(InboundRequest request, Configuration configuration) {
--- a/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
+++ b/src/main/java/dev/wisteriarail/core/state/LedgerSnapshot.java
@@ -48,7 +48,9 @@
    * @param cell the cell
    * @param fence the last fencing number, of a claim in force or released
    * @param claim the claim in force
+   * @param lineNumber number of the last change of the line of succession under that claim
    * @param past replaced claims whose holders may still have orders under way
+   * @param unabsorbed replaced claims whose holders may have decided without the log
    * @param reservations all reservations
    * @param closed closed replicas whose decisions may still repeat
    */
@@ -56,7 +58,9 @@
       CellId cell,
       FencingNumber fence,
       Optional<Claim> claim,
+      long lineNumber,
       List<Claim> past,
+      List<FencingNumber> unabsorbed,
       List<Reservation> reservations,
       List<ClosedReplica> closed)
       implements LedgerSnapshot {
@@ -64,13 +68,14 @@
     /** Copies the lists. */
     public CellPart {
       past = List.copyOf(past);
+      unabsorbed = List.copyOf(unabsorbed);
       reservations = List.copyOf(reservations);
       closed = List.copyOf(closed);
     }
 
     @Override
     public int entries() {
-      return 1 + past.size() + reservations.size() + closed.size();
+      return 1 + past.size() + unabsorbed.size() + reservations.size() + closed.size();
     }
   }
 
--- a/src/main/java/dev/wisteriarail/standin/EngineState.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineState.java
@@ -174,6 +174,7 @@
     active.clear();
     highestFence = FencingNumber.NONE;
     incarnation = Incarnation.of(incarnation.value() + 1);
+    reports = 0;
     crashes++;
   }
 
@@ -198,6 +199,7 @@
   synchronized EngineReport report() {
     List<ReplicaStatus> statuses = new ArrayList<>();
     replicas.forEach((replica, loaded) -> statuses.add(statusOf(replica, loaded)));
+    reports++;
     int running = active.values().stream().mapToInt(Integer::intValue).sum();
     reports++;
     return new EngineReport(
