--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -22,8 +22,10 @@
           new AnswersCommand(),
           new DemoCommand(),
           new LoadCommand(),
+          new ReplayCommand(),
           new ServeCommand(),
-          new StandinCommand());
+          new StandinCommand(),
+          new TraceCommand());
 
   private Main() {}
 
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/cli/ReplayCommand.java
@@ -0,0 +1,89 @@
+package dev.wisteriarail.cli;
+
+import dev.wisteriarail.answers.AnswerSet;
+import dev.wisteriarail.answers.AnswersReader;
+import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.placement.PlacementPolicy;
+import dev.wisteriarail.core.result.WisteriarailException;
+import dev.wisteriarail.replay.PolicyNames;
+import dev.wisteriarail.replay.Replay;
+import dev.wisteriarail.replay.ReplayOptions;
+import dev.wisteriarail.replay.ReplayResult;
+import dev.wisteriarail.replay.TraceReader;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/** Replays a trace in virtual time. */
+final class ReplayCommand implements Command {
+
+  @Override
+  public String name() {
+    return "replay";
+  }
+
+  @Override
+  public String summary() {
+    return "replays a recorded trace in virtual time through the code that nodes run";
+  }
+
+  @Override
+  public String example() {
+    return "wisteriarail replay --deployment examples/cwmtawe --trace day.jsonl"
+        + " --policy default --json";
+  }
+
+  @Override
+  public void declareOptions(OptionParser parser) {
+    parser.accepts("deployment", "folder with the answers").withRequiredArg().required();
+    parser.accepts("trace", "file with one request a line").withRequiredArg().required();
+    parser
+        .accepts("policy", "default, fixed-timeout, lru or clairvoyant")
+        .withRequiredArg()
+        .defaultsTo("default");
+    parser.accepts("faults", "file with one fault a line").withRequiredArg();
+    parser
+        .accepts("idle-timeout-s", "idle time of fixed-timeout, in seconds")
+        .withRequiredArg()
+        .ofType(Long.class)
+        .defaultsTo(PlacementPolicy.DEFAULT_IDLE_TIMEOUT.toSeconds());
+    parser
+        .accepts("cold-start-weight", "override of the deployment's weight, 0 to 1")
+        .withRequiredArg()
+        .ofType(Double.class);
+    parser
+        .accepts("nodes", "number of nodes")
+        .withRequiredArg()
+        .ofType(Integer.class)
+        .defaultsTo(3);
+    parser.accepts("json", "print one JSON object on one line");
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, PrintStream out) throws WisteriarailException {
+    AnswerSet answers =
+        AnswersReader.read(List.of(Path.of((String) options.valueOf("deployment"))));
+    Configuration configuration = answers.configuration();
+    String policy = (String) options.valueOf("policy");
+    Duration idle = Duration.ofSeconds((Long) options.valueOf("idle-timeout-s"));
+    ReplayOptions replay =
+        ReplayOptions.of(policy, PolicyNames.find(policy, idle))
+            .withNodes((Integer) options.valueOf("nodes"));
+    if (options.has("faults")) {
+      Path faults = Path.of((String) options.valueOf("faults"));
+      replay = replay.withFaults(TraceReader.readFaults(faults, configuration));
+    }
+    if (options.has("cold-start-weight")) {
+      replay = replay.withColdStartWeight((Double) options.valueOf("cold-start-weight"));
+    }
+    Path trace = Path.of((String) options.valueOf("trace"));
+    ReplayResult result =
+        Replay.run(answers.sections(), TraceReader.readTrace(trace, configuration), replay)
+            .result();
+    out.println(options.has("json") ? result.toJson() : result.toText());
+    return ExitCode.SUCCESS;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/replay/JsonLines.java
@@ -0,0 +1,80 @@
+package dev.wisteriarail.replay;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import dev.wisteriarail.codec.Codecs;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.result.SettingsException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads and writes files with one JSON object a line, names in snake case. Thread-safe. */
+final class JsonLines {
+
+  private static final ObjectMapper MAPPER =
+      Codecs.json()
+          .copy()
+          .setPropertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+          .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+
+  private JsonLines() {}
+
+  /** Returns the mapper of these files. */
+  static ObjectMapper mapper() {
+    return MAPPER;
+  }
+
+  /**
+   * Reads a file.
+   *
+   * @param invalid the code of a malformed line
+   * @throws SettingsException with the file, the line and what is wrong
+   */
+  static <T> List<T> read(Path file, Class<T> type, ResultCode invalid) throws SettingsException {
+    List<T> entries = new ArrayList<>();
+    List<String> lines = lines(file);
+    for (int i = 0; i < lines.size(); i++) {
+      try {
+        entries.add(MAPPER.readValue(lines.get(i), type));
+      } catch (JsonProcessingException malformed) {
+        throw new SettingsException(
+            invalid, at(file, i), "malformed: " + malformed.getOriginalMessage());
+      }
+    }
+    return entries;
+  }
+
+  /** Writes a file. */
+  static void write(Path file, List<?> entries) throws SettingsException {
+    StringBuilder text = new StringBuilder();
+    try {
+      for (Object entry : entries) {
+        text.append(MAPPER.writeValueAsString(entry)).append('\n');
+      }
+      Files.writeString(file, text);
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.REPORT_UNWRITABLE, file.toString(), "cannot be written", failure);
+    }
+  }
+
+  /** Returns the location of a line, counted from 0. */
+  static String at(Path file, int line) {
+    return file + ": line " + (line + 1);
+  }
+
+  private static List<String> lines(Path file) throws SettingsException {
+    try {
+      return Files.readAllLines(file);
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.FILE_UNREADABLE, file.toString(), "cannot be read", failure);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/replay/Percentiles.java
@@ -0,0 +1,23 @@
+package dev.wisteriarail.replay;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * Percentiles of a time.
+ *
+ * @param p50 the median, in milliseconds
+ * @param p95 the 95th percentile, in milliseconds
+ * @param p99 the 99th percentile, in milliseconds
+ * @param max the greatest value, in milliseconds
+ */
+public record Percentiles(long p50, long p95, long p99, long max) {
+
+  /** Returns the percentiles of a histogram of milliseconds; zeros where it is empty. */
+  static Percentiles of(Histogram histogram) {
+    return new Percentiles(
+        histogram.getValueAtPercentile(50),
+        histogram.getValueAtPercentile(95),
+        histogram.getValueAtPercentile(99),
+        histogram.getMaxValue());
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/replay/VirtualTime.java
@@ -0,0 +1,76 @@
+package dev.wisteriarail.replay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.PriorityQueue;
+
+/** A clock that jumps from one scheduled task to the next. Not thread-safe. */
+final class VirtualTime {
+
+  /** A midnight, so that hours of a trace are hours of the day. */
+  private static final Instant START = Instant.EPOCH.plus(Duration.ofDays(20_000));
+
+  private static final long NANOS_A_MICRO = 1_000;
+
+  private record Task(long micros, long order, Runnable action) implements Comparable<Task> {
+
+    @Override
+    public int compareTo(Task other) {
+      int byTime = Long.compare(micros, other.micros);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  private final PriorityQueue<Task> tasks = new PriorityQueue<>();
+  private long micros;
+  private long order;
+
+  /** Starts some time ahead of the trace's start. */
+  static VirtualTime startingAhead(Duration lead) {
+    VirtualTime time = new VirtualTime();
+    time.micros = -lead.toNanos() / NANOS_A_MICRO;
+    return time;
+  }
+
+  // Updates
+
+  /** Schedules a task after a delay. */
+  void after(Duration delay, Runnable action) {
+    at(micros + delay.toNanos() / NANOS_A_MICRO, action);
+  }
+
+  /** Schedules a task at a time in microseconds from the start of the trace. */
+  void at(long atMicros, Runnable action) {
+    order++;
+    tasks.add(new Task(Math.max(micros, atMicros), order, action));
+  }
+
+  /** Runs the next task. */
+  void step() {
+    Task task = tasks.remove();
+    micros = task.micros();
+    task.action().run();
+  }
+
+  // Accessors
+
+  /** Returns the time in microseconds from the start of the trace. */
+  long micros() {
+    return micros;
+  }
+
+  /** Returns the time as the cores see it. */
+  Instant instant() {
+    return START.plusNanos(micros * NANOS_A_MICRO);
+  }
+
+  /** Returns a point in time, in microseconds from the start of the trace, rounded up. */
+  static long microsOf(Instant at) {
+    return Math.ceilDiv(Duration.between(START, at).toNanos(), NANOS_A_MICRO);
+  }
+
+  /** Returns the instant of an arrival. */
+  static Instant instantOf(long atMs) {
+    return START.plusMillis(atMs);
+  }
+}
