--- a/src/main/java/dev/wisteriarail/core/placement/HistoryResidency.java
+++ b/src/main/java/dev/wisteriarail/core/placement/HistoryResidency.java
@@ -133,10 +133,11 @@
 
   /** Returns the chance of a request within a horizon, given the idle time. */
   private double chance(ModelId model, double idle, double horizon) {
+    Optional<GapHistogram> own = ownGaps(model);
     double survivors = 0;
     double within = 0;
     for (int i = GapHistogram.bucketOf(idle); i < GapHistogram.BUCKETS; i++) {
-      double weight = weight(model, i) * shareAfter(i, idle);
+      double weight = weight(own, i) * shareAfter(i, idle);
       survivors += weight;
       if (GapHistogram.upperSeconds(i) <= idle + horizon) {
         within += weight;
@@ -147,10 +148,11 @@
 
   /** Returns the best gain over all horizons, in idle accelerator seconds; 0 where none gains. */
   private double bestGain(ModelSpec model, double idle, double worth, double rate) {
+    Optional<GapHistogram> own = ownGaps(model.id());
     int first = GapHistogram.bucketOf(idle);
     double survivors = 0;
     for (int i = first; i < GapHistogram.BUCKETS; i++) {
-      survivors += weight(model.id(), i) * shareAfter(i, idle);
+      survivors += weight(own, i) * shareAfter(i, idle);
     }
     double left = survivors;
     double spared = 0;
@@ -159,7 +161,7 @@
     for (int i = first; i < GapHistogram.BUCKETS && left > 0; i++) {
       double from = Math.max(idle, GapHistogram.lowerSeconds(i));
       double width = Math.max(0, GapHistogram.upperSeconds(i) - from) / rate;
-      double ending = weight(model.id(), i) * shareAfter(i, idle);
+      double ending = weight(own, i) * shareAfter(i, idle);
       held += width * (left - ending / 2) * model.accelerators();
       spared += ending * worth;
       left -= ending;
@@ -168,10 +170,13 @@
     return survivors > 0 ? best / survivors : 0;
   }
 
-  private double weight(ModelId model, int bucket) {
-    ArrivalHistory history = histories.get(model);
-    double own = history == null ? 0 : history.gaps().weight(bucket);
-    return own + PRIOR_GAPS * pool.weight(bucket) / pool.total();
+  private Optional<GapHistogram> ownGaps(ModelId model) {
+    return Optional.ofNullable(histories.get(model)).map(ArrivalHistory::gaps);
+  }
+
+  private double weight(Optional<GapHistogram> own, int bucket) {
+    double filled = PRIOR_GAPS * pool.weight(bucket) / pool.total();
+    return own.isEmpty() ? filled : own.get().weight(bucket) + filled;
   }
 
   private static double shareAfter(int bucket, double idle) {
--- a/src/main/java/dev/wisteriarail/core/placement/PolicyPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/placement/PolicyPlanner.java
@@ -21,14 +21,14 @@
  */
 final class PolicyPlanner implements PlacementPlanner {
 
-  private static final Duration PRE_WARM_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
   private static final Duration EXTRA_IDLE = Duration.ofSeconds(30);
   private static final double COLD_BACKLOG_SECONDS = 1;
 
   private final Residency residency;
   private final WeightStoreBudget weightStore = new WeightStoreBudget();
   private final ServiceTime serviceTime = new ServiceTime();
-  private Instant nextPreWarm = Instant.MIN;
+  private Instant nextSweep = Instant.MIN;
 
   private PolicyPlanner(Residency residency) {
     this.residency = residency;
@@ -51,8 +51,11 @@
     serviceTime.startRound(round);
     weightStore.startRound(view.configuration().deployment(), remoteLoads(view), now);
     wanted(round).forEach(model -> planLoad(model, "", round));
-    round.replicasByModel().forEach(replicas -> expire(replicas, round));
-    preWarm(round);
+    if (!now.isBefore(nextSweep)) {
+      nextSweep = now.plus(SWEEP_INTERVAL);
+      round.replicasByModel().forEach(replicas -> expire(replicas, round));
+      preWarm(round);
+    }
     return round.actions();
   }
 
@@ -119,10 +122,9 @@
   }
 
   private void preWarm(Round round) {
-    if (!residency.preWarms() || round.now().isBefore(nextPreWarm)) {
+    if (!residency.preWarms()) {
       return;
     }
-    nextPreWarm = round.now().plus(PRE_WARM_INTERVAL);
     for (ModelSpec model : round.configuration().models().values()) {
       boolean absent = round.replicas(model.id()).isEmpty() && round.demand(model.id()) == null;
       if (absent && weightStore.hasSpare()) {
@@ -184,15 +186,18 @@
   private static int remoteLoads(PlacementView view) {
     int running = 0;
     for (PlacedReplica replica : view.replicas()) {
-      ModelSpec model = view.configuration().models().get(replica.model());
-      boolean remote = model == null || model.tierOn(replica.runner()) == CheckpointTier.REMOTE;
-      if (replica.phase() == PlacedPhase.LOADING && remote) {
+      if (replica.phase() == PlacedPhase.LOADING && isRemote(replica, view)) {
         running++;
       }
     }
     return running;
   }
 
+  private static boolean isRemote(PlacedReplica replica, PlacementView view) {
+    ModelSpec model = view.configuration().models().get(replica.model());
+    return model == null || model.tierOn(replica.runner()) == CheckpointTier.REMOTE;
+  }
+
   private static String loadReason(
       ModelSpec model, String foreseen, RunnerChoice.Candidate chosen, Round round) {
     Demand demand = round.demand(model.id());
--- a/src/main/java/dev/wisteriarail/replay/Replay.java
+++ b/src/main/java/dev/wisteriarail/replay/Replay.java
@@ -62,7 +62,7 @@
   private static final long MICROS_A_MILLI = 1_000;
   private static final CellId CELL = CellId.of("main");
 
-  private final VirtualTime time = VirtualTime.startingAhead(LEAD);
+  private final VirtualTime time;
   private final List<Section> sections;
   private final Configuration configuration;
   private final List<TraceLine> trace;
@@ -83,6 +83,8 @@
     this.sections = weigh(sections, options.coldStartWeight());
     this.trace = trace;
     this.options = options;
+    long firstMs = trace.isEmpty() ? 0 : trace.getFirst().atMs();
+    time = VirtualTime.startingAt(firstMs - LEAD.toMillis());
     configuration = Configuration.merge(Revision.of(1), this.sections);
     DeploymentSpec deployment = configuration.deployment();
     weightStore =
@@ -127,8 +129,8 @@
     nodes.forEach(this::startPolling);
     engines.values().forEach(this::startReports);
     options.faults().forEach(this::schedule);
-    long sampleMicros = Math.max(MICROS_A_MILLI, endMicros / TIMELINE_SAMPLES);
-    time.at(0, () -> sample(sampleMicros));
+    long sampleMicros = Math.max(MICROS_A_MILLI, (endMicros - time.micros()) / TIMELINE_SAMPLES);
+    time.after(LEAD, () -> sample(sampleMicros));
     scheduleArrival(0);
   }
 
--- a/src/main/java/dev/wisteriarail/replay/ReplayMeter.java
+++ b/src/main/java/dev/wisteriarail/replay/ReplayMeter.java
@@ -65,6 +65,7 @@
   ReplayMeter(VirtualTime time, long endMicros) {
     this.time = time;
     this.endMicros = endMicros;
+    accountedMicros = time.micros();
   }
 
   /** Sets the engines that are measured. */
@@ -141,11 +142,11 @@
   }
 
   private void account() {
-    long until = Math.clamp(time.micros(), 0, endMicros);
-    double passed = until - accountedMicros;
+    long until = Math.min(time.micros(), endMicros);
+    double passed = Math.max(0, until - accountedMicros);
     idleMicros += passed * idleAccelerators;
     busyMicros += passed * busyAccelerators;
-    accountedMicros = until;
+    accountedMicros = Math.max(accountedMicros, until);
   }
 
   private void count() {
--- a/src/main/java/dev/wisteriarail/replay/VirtualTime.java
+++ b/src/main/java/dev/wisteriarail/replay/VirtualTime.java
@@ -25,10 +25,10 @@
   private long micros;
   private long order;
 
-  /** Starts some time ahead of the trace's start. */
-  static VirtualTime startingAhead(Duration lead) {
+  /** Starts at a time in milliseconds from the start of the trace; may be negative. */
+  static VirtualTime startingAt(long atMs) {
     VirtualTime time = new VirtualTime();
-    time.micros = -lead.toNanos() / NANOS_A_MICRO;
+    time.micros = Duration.ofMillis(atMs).toNanos() / NANOS_A_MICRO;
     return time;
   }
 
