--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -21,6 +21,7 @@
       List.of(
           new AnswersCommand(),
           new DemoCommand(),
+          new FuzzCommand(),
           new LoadCommand(),
           new ReplayCommand(),
           new ServeCommand(),
--- a/src/main/java/dev/wisteriarail/codec/Codecs.java
+++ b/src/main/java/dev/wisteriarail/codec/Codecs.java
@@ -13,6 +13,7 @@
 import dev.wisteriarail.core.log.RecordBody;
 import dev.wisteriarail.core.peer.PeerMessage;
 import dev.wisteriarail.core.request.Target;
+import dev.wisteriarail.core.state.LedgerSnapshot;
 import java.util.List;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
@@ -26,7 +27,12 @@
 
   private static final List<Class<?>> SEALED_TYPES =
       List.of(
-          RecordBody.class, PeerMessage.class, EngineOrder.class, OrderOutcome.class, Target.class);
+          RecordBody.class,
+          LedgerSnapshot.class,
+          PeerMessage.class,
+          EngineOrder.class,
+          OrderOutcome.class,
+          Target.class);
 
   private static final ObjectMapper JSON = configure(new JsonMapper());
   private static final ObjectMapper MESSAGE_PACK = configure(new MessagePackMapper());
@@ -50,11 +56,19 @@
     mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     for (Class<?> sealedType : SEALED_TYPES) {
       mapper.addMixIn(sealedType, TypeProperty.class);
-      for (Class<?> permitted : sealedType.getPermittedSubclasses()) {
+      registerSubtypes(mapper, sealedType);
+    }
+    return mapper;
+  }
+
+  private static void registerSubtypes(ObjectMapper mapper, Class<?> sealedType) {
+    for (Class<?> permitted : sealedType.getPermittedSubclasses()) {
+      if (permitted.isSealed()) {
+        registerSubtypes(mapper, permitted);
+      } else {
         mapper.registerSubtypes(new NamedType(permitted, permitted.getSimpleName()));
       }
     }
-    return mapper;
   }
 
   /** Adds the type property to a sealed interface. */
--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -2,8 +2,10 @@
 
 import dev.wisteriarail.core.cell.CellController;
 import dev.wisteriarail.core.cell.CellLedger;
+import dev.wisteriarail.core.cell.Claim;
 import dev.wisteriarail.core.config.Configuration;
 import dev.wisteriarail.core.config.ConfigurationLedger;
+import dev.wisteriarail.core.config.ConfigurationVerdict;
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.id.Revision;
@@ -17,10 +19,14 @@
 import dev.wisteriarail.core.request.Ending;
 import dev.wisteriarail.core.request.InboundRequest;
 import dev.wisteriarail.core.request.Refusal;
+import dev.wisteriarail.core.request.RequestContext;
 import dev.wisteriarail.core.request.RequestTable;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
+import dev.wisteriarail.core.state.LogState;
+import dev.wisteriarail.core.state.PeerCatchUp;
+import dev.wisteriarail.core.state.SnapshotWriter;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -45,6 +51,9 @@
   private final Membership membership;
   private final CellLedger ledger;
   private final CellController controller;
+  private final LogState logState;
+  private final SnapshotWriter snapshots;
+  private final PeerCatchUp catchUp;
   private final RequestTable requests;
   private Optional<Instant> nextDemandReport = Optional.empty();
   private boolean outageLogged;
@@ -56,6 +65,9 @@
     membership = Membership.create(settings);
     ledger = CellLedger.create(settings.cell());
     controller = CellController.create(settings, ledger, planner);
+    logState = LogState.create(settings.cell(), List.of(configurations, ledger));
+    snapshots = SnapshotWriter.create(settings);
+    catchUp = PeerCatchUp.create(configurations, logState, logHealth);
     requests = RequestTable.create(settings, Router.create());
   }
 
@@ -95,8 +107,11 @@
           controller.acceptOrder(answered.order(), answered.runner(), answered.outcome(), step);
       case Event.LogRead read -> acceptLog(read, step);
       case Event.LogReadFailed failed -> acceptLogFailure(failed, step);
-      case Event.AppendAnswered answered ->
-          controller.acceptAppend(answered.record(), answered.outcome());
+      case Event.AppendAnswered answered -> {
+        controller.acceptAppend(answered.record(), answered.outcome());
+        snapshots.acceptAppend(answered.record(), answered.outcome(), step);
+        requests.acceptAppend(answered.record(), answered.outcome(), step.now());
+      }
       case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
       case Event.PeerReceived received -> acceptPeer(received, step);
       case Event.TimerFired fired -> {}
@@ -115,7 +130,7 @@
       step.emit(new Effect.EndRequest(request.id(), new Ending.Refused(refusal)));
       return;
     }
-    requests.accept(request, configurations.current(), step);
+    requests.accept(request, context(step));
     nextDemandReport = Optional.of(step.now());
   }
 
@@ -125,9 +140,11 @@
       outageLogged = false;
       step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
     }
-    for (LogRecord logged : read.records()) {
+    requests.acceptRead(read);
+    for (LogRecord logged : logState.accept(read, step)) {
+      requests.acceptRecord(logged.body(), context(step));
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
-        acceptChange(change, step);
+        acceptChange(change, logged, step);
       } else {
         controller.acceptRecord(logged, step);
       }
@@ -142,14 +159,29 @@
     }
   }
 
-  private void acceptChange(RecordBody.ConfigurationChanged change, Step step) {
-    boolean accepted = configurations.apply(change);
-    step.log(
-        accepted ? EventCode.CONFIGURATION_ACCEPTED : EventCode.CONFIGURATION_REJECTED,
-        "section",
-        change.section().name(),
-        "revision",
-        configurations.current().revision());
+  private void acceptChange(RecordBody.ConfigurationChanged change, LogRecord logged, Step step) {
+    String section = change.section().name();
+    switch (configurations.apply(change, logged.offset())) {
+      case ConfigurationVerdict.Accepted accepted ->
+          step.log(
+              EventCode.CONFIGURATION_ACCEPTED,
+              "section",
+              section,
+              "revision",
+              accepted.revision());
+      case ConfigurationVerdict.Rejected rejected ->
+          step.log(
+              EventCode.CONFIGURATION_REJECTED,
+              "section",
+              section,
+              "record",
+              logged.id(),
+              "code",
+              rejected.code().label(),
+              "reason",
+              rejected.reason());
+      case ConfigurationVerdict.Covered covered -> {}
+    }
   }
 
   private void acceptPeer(Event.PeerReceived received, Step step) {
@@ -157,9 +189,14 @@
       return;
     }
     switch (received.message()) {
-      case PeerMessage.Heartbeat heartbeat -> {}
+      case PeerMessage.Heartbeat heartbeat ->
+          catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
+      case PeerMessage.StateRequested requested ->
+          catchUp.acceptRequest(received.from(), requested.have(), step);
+      case PeerMessage.StateOffered offered -> catchUp.acceptOffer(received.from(), offered, step);
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
+      case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
       case PeerMessage.Goodbye goodbye -> {
         membership.markClosed(received.from());
         step.log(EventCode.PEER_CLOSED, "peer", received.from());
@@ -170,12 +207,14 @@
   // Progress
 
   private void advance(Step step) {
+    catchUp.advance(step);
     Configuration configuration = configurations.current();
-    requests.advance(step, configuration, runners, controller::isRoutable);
+    requests.advance(context(step));
     reportDemand(step);
-    if (logHealth.wasRead()) {
+    if (logHealth.wasRead() && logState.isCurrent()) {
       controller.advance(step, configuration, membership, runners);
     }
+    snapshots.advance(logState, controller.isController() && !logHealth.isDown(step.now()), step);
     membership.advance(
         step, new PeerMessage.Heartbeat(configuration.revision(), ledger.fence(), draining));
     finishDrain(step);
@@ -204,7 +243,8 @@
   }
 
   private void finishDrain(Step step) {
-    if (!draining || drainAnnounced || !requests.isEmpty()) {
+    boolean finished = requests.isFinished(logHealth.isDown(step.now()));
+    if (!draining || drainAnnounced || !finished) {
       return;
     }
     drainAnnounced = true;
@@ -214,13 +254,26 @@
     step.emit(new Effect.DrainCompleted());
   }
 
+  private RequestContext context(Step step) {
+    return new RequestContext(
+        step,
+        configurations.current(),
+        runners,
+        controller::isRoutable,
+        !logHealth.wasRead() || logHealth.isDown(step.now()),
+        ledger.claim().map(Claim::holder).filter(node -> membership.isLive(node, step.now())),
+        membership.peers().size() + 1,
+        membership::isClosed);
+  }
+
   // Accessors
 
   /** Returns when the core wants a {@link Event.TimerFired} if nothing happens before. */
   public Optional<Instant> nextWakeUp() {
     Optional<Instant> own = Deadlines.earliest(nextDemandReport, requests.nextWakeUp());
     Optional<Instant> others = Deadlines.earliest(controller.nextWakeUp(), membership.nextWakeUp());
-    return Deadlines.earliest(own, others);
+    Optional<Instant> state = Deadlines.earliest(snapshots.nextWakeUp(), catchUp.nextWakeUp());
+    return Deadlines.earliest(Deadlines.earliest(own, others), state);
   }
 
   /** Returns the configuration in force on this node. */
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/state/Snapshot.java
@@ -0,0 +1,42 @@
+package dev.wisteriarail.core.state;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The state of all ledgers after the record at an offset.
+ *
+ * @param through offset of the last record that it covers
+ * @param parts the parts of all ledgers
+ */
+public record Snapshot(long through, List<LedgerSnapshot> parts) {
+
+  /** Size of one entry as text, in characters; {@link LedgerSnapshot#entries()} counts by it. */
+  static final int CHARACTERS_AN_ENTRY = 300;
+
+  /** Entries that one record or message holds at most, unless a single part has more. */
+  private static final int ENTRIES_A_CHUNK = 200;
+
+  /** Copies the list. */
+  public Snapshot {
+    parts = List.copyOf(parts);
+  }
+
+  /** Returns the parts in chunks that fit one record or message each; never empty. */
+  public List<List<LedgerSnapshot>> chunks() {
+    List<List<LedgerSnapshot>> chunks = new ArrayList<>();
+    List<LedgerSnapshot> chunk = new ArrayList<>();
+    int entries = 0;
+    for (LedgerSnapshot part : parts) {
+      if (!chunk.isEmpty() && entries + part.entries() > ENTRIES_A_CHUNK) {
+        chunks.add(List.copyOf(chunk));
+        chunk.clear();
+        entries = 0;
+      }
+      chunk.add(part);
+      entries += part.entries();
+    }
+    chunks.add(List.copyOf(chunk));
+    return chunks;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/state/SnapshotWriter.java
@@ -0,0 +1,152 @@
+package dev.wisteriarail.core.state;
+
+import dev.wisteriarail.core.Effect;
+import dev.wisteriarail.core.NodeSettings;
+import dev.wisteriarail.core.Step;
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.id.RecordId;
+import dev.wisteriarail.core.log.AppendOutcome;
+import dev.wisteriarail.core.log.RecordBody;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Writes snapshots to the log before retention drops the records that they replace.
+ *
+ * <p>A snapshot is due when enough records came after the last one, when the last one stands in the
+ * older half of what the log keeps, or when it is old. Any node's snapshot is right, since the
+ * state is a function of the log; the controller writes it so that only one does.
+ *
+ * <p>Life cycle: one per node. Not thread-safe; owned by the node's core.
+ */
+public final class SnapshotWriter {
+
+  /** Records after which a new snapshot is due. */
+  static final long RECORDS = 20_000;
+
+  /** Records after which the first snapshot of a log is due. */
+  static final long FIRST_RECORDS = 100;
+
+  /** Age at which a new snapshot is due, so that retention by time finds a younger one. */
+  static final Duration AGE = Duration.ofMinutes(30);
+
+  private static final Duration RETRY = Duration.ofSeconds(2);
+  private static final Duration GIVE_UP = Duration.ofSeconds(10);
+
+  private final NodeSettings settings;
+  private final Deque<Effect.Append> queue = new ArrayDeque<>();
+  private Optional<Instant> lastAppend = Optional.empty();
+  private Optional<Instant> started = Optional.empty();
+  private Optional<Instant> newestSeen = Optional.empty();
+  private long newestPosition = -1;
+  private long sequence;
+
+  private SnapshotWriter(NodeSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Returns a writer that has written nothing. */
+  public static SnapshotWriter create(NodeSettings settings) {
+    return new SnapshotWriter(settings);
+  }
+
+  // Updates
+
+  /** Takes what is known of an append; others' appends are passed over. */
+  public void acceptAppend(RecordId record, AppendOutcome outcome, Step step) {
+    if (queue.isEmpty() || !queue.getFirst().record().equals(record)) {
+      return;
+    }
+    switch (outcome) {
+      case AppendOutcome.Appended appended -> {
+        queue.removeFirst();
+        sendNext(step);
+      }
+      case AppendOutcome.NotAppended failed -> {}
+      case AppendOutcome.Unknown unknown -> {}
+    }
+  }
+
+  /**
+   * Starts a snapshot where one is due, or repeats the append that got no answer.
+   *
+   * @param writes whether this node is the one that writes
+   */
+  public void advance(LogState state, boolean writes, Step step) {
+    noteNewest(state, step.now());
+    if (!writes || !state.isCurrent()) {
+      queue.clear();
+      return;
+    }
+    if (queue.isEmpty()) {
+      if (isDue(state, step.now())) {
+        start(state.snapshot(), step);
+      }
+      return;
+    }
+    if (isPast(started, GIVE_UP, step.now())) {
+      queue.clear();
+    } else if (isPast(lastAppend, RETRY, step.now())) {
+      sendNext(step);
+    }
+  }
+
+  private void noteNewest(LogState state, Instant now) {
+    long position = state.newestSnapshot().map(LogState.LogSnapshot::position).orElse(-1L);
+    if (position != newestPosition || newestSeen.isEmpty()) {
+      newestPosition = position;
+      newestSeen = Optional.of(now);
+    }
+  }
+
+  private boolean isDue(LogState state, Instant now) {
+    if (started.isPresent() && !isPast(started, GIVE_UP, now)) {
+      return false;
+    }
+    long through = state.newestSnapshot().map(LogState.LogSnapshot::through).orElse(-1L);
+    long first = state.firstOffset();
+    long wanted = state.newestSnapshot().isPresent() ? RECORDS : FIRST_RECORDS;
+    boolean many = state.nextOffset() - 1 - through >= wanted;
+    boolean inOlderHalf = first > 0 && through < first + (state.nextOffset() - first) / 2;
+    boolean old = state.nextOffset() > 0 && isPast(newestSeen, AGE, now);
+    return many || inOlderHalf || old;
+  }
+
+  private void start(Snapshot snapshot, Step step) {
+    started = Optional.of(step.now());
+    sequence++;
+    String name = settings.node() + "." + settings.incarnation() + ".s" + sequence;
+    List<List<LedgerSnapshot>> chunks = snapshot.chunks();
+    for (int i = 0; i < chunks.size(); i++) {
+      queue.addLast(
+          new Effect.Append(
+              RecordId.of(name + "." + i),
+              new RecordBody.SnapshotChunk(
+                  settings.cell(), name, snapshot.through(), i, chunks.size(), chunks.get(i))));
+    }
+    step.log(EventCode.SNAPSHOT_STARTED, "through", snapshot.through(), "chunks", chunks.size());
+    sendNext(step);
+  }
+
+  private void sendNext(Step step) {
+    if (!queue.isEmpty()) {
+      lastAppend = Optional.of(step.now());
+      step.emit(queue.getFirst());
+    }
+  }
+
+  private static boolean isPast(Optional<Instant> since, Duration time, Instant now) {
+    return since.filter(start -> !now.isBefore(start.plus(time))).isPresent();
+  }
+
+  // Accessors
+
+  /** Returns when the writer has to act without another event. */
+  public Optional<Instant> nextWakeUp() {
+    return queue.isEmpty() ? Optional.empty() : lastAppend.map(last -> last.plus(RETRY));
+  }
+}
