--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -20,6 +20,7 @@
   private static final List<Command> COMMANDS =
       List.of(
           new AnswersCommand(),
+          new CompareCommand(),
           new DemoCommand(),
           new FuzzCommand(),
           new LoadCommand(),
--- a/src/main/java/dev/wisteriarail/cli/ReplayCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/ReplayCommand.java
@@ -10,6 +10,7 @@
 import dev.wisteriarail.replay.ReplayOptions;
 import dev.wisteriarail.replay.ReplayResult;
 import dev.wisteriarail.replay.TraceReader;
+import dev.wisteriarail.report.Plots;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -59,6 +60,7 @@
         .withRequiredArg()
         .ofType(Integer.class)
         .defaultsTo(3);
+    parser.accepts("timeline", "PNG file for the run's timeline").withRequiredArg();
     parser.accepts("json", "print one JSON object on one line");
   }
 
@@ -80,9 +82,14 @@
       replay = replay.withColdStartWeight((Double) options.valueOf("cold-start-weight"));
     }
     Path trace = Path.of((String) options.valueOf("trace"));
-    ReplayResult result =
-        Replay.run(answers.sections(), TraceReader.readTrace(trace, configuration), replay)
-            .result();
+    ReplayResult.WithTimeline run =
+        Replay.run(answers.sections(), TraceReader.readTrace(trace, configuration), replay);
+    ReplayResult result = run.result();
+    if (options.has("timeline")) {
+      String title = result.deployment() + ", " + result.policy();
+      Path file = Path.of((String) options.valueOf("timeline"));
+      Plots.writeTimeline(title, run.samples(), file);
+    }
     out.println(options.has("json") ? result.toJson() : result.toText());
     return ExitCode.SUCCESS;
   }
--- a/src/main/java/dev/wisteriarail/core/cell/CellController.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellController.java
@@ -80,7 +80,13 @@
         planner.recordArrivals(demand.model(), demand.arrivals(), now);
       }
     }
-    nextPlan = Optional.of(now);
+    if (nextPlan.isEmpty() || wanted.stream().anyMatch(this::isUnplaced)) {
+      nextPlan = Optional.of(now);
+    }
+  }
+
+  private boolean isUnplaced(Demand demand) {
+    return demand.waiting() > 0 && countReplicas(demand.model()) == 0;
   }
 
   /** Takes a record that was read back from the log and acts on it. */
--- a/src/main/java/dev/wisteriarail/replay/Replay.java
+++ b/src/main/java/dev/wisteriarail/replay/Replay.java
@@ -214,7 +214,7 @@
     lines.put(id, line);
     KindId kind = KindId.of(line.kind());
     ModelId model = ModelId.of(line.model());
-    meter.arrived(id, model, configuration.kinds().get(kind).deadline().toMillis());
+    meter.arrived(id, line, configuration.kinds().get(kind).deadline().toMillis());
     InboundRequest request =
         new InboundRequest(
             id,
--- a/src/main/java/dev/wisteriarail/replay/ReplayMeter.java
+++ b/src/main/java/dev/wisteriarail/replay/ReplayMeter.java
@@ -26,13 +26,15 @@
   /** One request as its caller sees it. Mutable. */
   private static final class Seen {
 
+    private final TraceLine line;
     private final long arrivedMicros;
     private final boolean cold;
     private final long deadlineMillis;
     private boolean dispatched;
     private boolean firstTokenSeen;
 
-    private Seen(long arrivedMicros, boolean cold, long deadlineMillis) {
+    private Seen(TraceLine line, long arrivedMicros, boolean cold, long deadlineMillis) {
+      this.line = line;
       this.arrivedMicros = arrivedMicros;
       this.cold = cold;
       this.deadlineMillis = deadlineMillis;
@@ -43,6 +45,8 @@
   private final long endMicros;
   private final Map<RequestId, Seen> open = new HashMap<>();
   private final Map<String, Integer> refusedByCode = new TreeMap<>();
+  private final Map<String, Integer> refusedByKind = new TreeMap<>();
+  private final Map<String, Integer> refusedByCustomer = new TreeMap<>();
   private final Histogram coldStart = new Histogram(DIGITS);
   private final Histogram modelWait = new Histogram(DIGITS);
   private final Histogram firstToken = new Histogram(DIGITS);
@@ -75,9 +79,10 @@
 
   // Callers
 
-  void arrived(RequestId request, ModelId model, long deadlineMillis) {
+  void arrived(RequestId request, TraceLine line, long deadlineMillis) {
+    ModelId model = ModelId.of(line.model());
     boolean cold = engines.stream().noneMatch(engine -> engine.hasReady(model));
-    open.put(request, new Seen(time.micros(), cold, deadlineMillis));
+    open.put(request, new Seen(line, time.micros(), cold, deadlineMillis));
     requests++;
     undispatched++;
     coldStarts += cold ? 1 : 0;
@@ -112,8 +117,11 @@
     }
     switch (ending) {
       case Ending.Completed completed -> served++;
-      case Ending.Refused refused ->
-          refusedByCode.merge(refused.refusal().code().name(), 1, Integer::sum);
+      case Ending.Refused refused -> {
+        refusedByCode.merge(refused.refusal().code().name(), 1, Integer::sum);
+        refusedByKind.merge(seen.line.kind(), 1, Integer::sum);
+        refusedByCustomer.merge(seen.line.customer(), 1, Integer::sum);
+      }
     }
   }
 
@@ -205,6 +213,8 @@
             served,
             refused,
             refusedByCode,
+            refusedByKind,
+            refusedByCustomer,
             open.size(),
             coldStarts,
             Percentiles.of(coldStart),
--- a/src/main/java/dev/wisteriarail/replay/ReplayResult.java
+++ b/src/main/java/dev/wisteriarail/replay/ReplayResult.java
@@ -14,6 +14,8 @@
  * @param served requests that were answered to the end
  * @param refused requests that were refused
  * @param refusedByCode refused requests by result code
+ * @param refusedByKind refused requests by kind
+ * @param refusedByCustomer refused requests by customer
  * @param lost requests that got no ending
  * @param coldStarts requests that found no ready replica of their model
  * @param coldStartMs from a cold request's arrival to its dispatch
@@ -33,6 +35,8 @@
     int served,
     int refused,
     Map<String, Integer> refusedByCode,
+    Map<String, Integer> refusedByKind,
+    Map<String, Integer> refusedByCustomer,
     int lost,
     int coldStarts,
     Percentiles coldStartMs,
--- a/src/main/java/dev/wisteriarail/replay/TraceGenerator.java
+++ b/src/main/java/dev/wisteriarail/replay/TraceGenerator.java
@@ -189,8 +189,8 @@
         configuration.models().values().stream()
             .filter(model -> model.customer().equals(customer.id()))
             .toList();
-    long length = Duration.ofMinutes(3).toMillis();
-    for (long at = 0; at < length; at += 25) {
+    long length = Duration.ofMinutes(1).toMillis();
+    for (long at = 0; at < length; at += 50) {
       ModelSpec model = models.get(random.nextInt(models.size()));
       addRequest(model, middle() + at, pickKind());
     }
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/report/Comparison.java
@@ -0,0 +1,111 @@
+package dev.wisteriarail.report;
+
+import dev.wisteriarail.answers.AnswerSet;
+import dev.wisteriarail.core.config.Configuration;
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.replay.GeneratedTrace;
+import dev.wisteriarail.replay.PolicyNames;
+import dev.wisteriarail.replay.Replay;
+import dev.wisteriarail.replay.ReplayOptions;
+import dev.wisteriarail.replay.Scenario;
+import dev.wisteriarail.replay.TraceGenerator;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/**
+ * Replays the same generated traces under each policy and parameter.
+ *
+ * <p>Life cycle: one per comparison. Replays run side by side on a few threads, each on its own.
+ */
+public final class Comparison {
+
+  private static final double[] WEIGHTS = {0.05, 0.2, 0.4, 0.6, 0.8, 0.9, 0.95};
+  private static final long[] TIMEOUT_SECONDS = {10, 30, 60, 120, 300, 600, 1_200, 2_400};
+
+  /** A policy with one value of its parameter. */
+  private record Choice(String family, String parameter, ReplayOptions options) {}
+
+  private final AnswerSet answers;
+  private final Configuration configuration;
+  private final Scenario scenario;
+  private final int firstHour;
+  private final int hours;
+
+  private Comparison(AnswerSet answers, Scenario scenario, int firstHour, int hours)
+      throws SettingsException {
+    this.answers = answers;
+    this.scenario = scenario;
+    this.firstHour = firstHour;
+    this.hours = hours;
+    configuration = answers.configuration();
+  }
+
+  /**
+   * Returns a comparison over generated traces.
+   *
+   * @param firstHour hour of the day at which the traces start
+   * @param hours their length in hours
+   * @throws SettingsException with every problem of the answers
+   */
+  public static Comparison of(AnswerSet answers, Scenario scenario, int firstHour, int hours)
+      throws SettingsException {
+    return new Comparison(answers, scenario, firstHour, hours);
+  }
+
+  /**
+   * Replays one seed's trace under every policy.
+   *
+   * @param threads replays that run side by side
+   */
+  public List<ComparedRow> run(long seed, int threads)
+      throws SettingsException, InterruptedException {
+    GeneratedTrace trace = TraceGenerator.generate(configuration, scenario, seed, firstHour, hours);
+    List<Callable<ComparedRow>> tasks = new ArrayList<>();
+    for (Choice choice : choices()) {
+      tasks.add(() -> replay(choice, trace, seed));
+    }
+    try (ExecutorService workers = Executors.newFixedThreadPool(threads)) {
+      List<ComparedRow> rows = new ArrayList<>();
+      for (Future<ComparedRow> row : workers.invokeAll(tasks)) {
+        rows.add(row.get());
+      }
+      return rows;
+    } catch (ExecutionException failure) {
+      throw new IllegalStateException(failure.getCause());
+    }
+  }
+
+  private ComparedRow replay(Choice choice, GeneratedTrace trace, long seed) {
+    ReplayOptions options = choice.options().withFaults(trace.faults());
+    return new ComparedRow(
+        choice.family(),
+        choice.parameter(),
+        seed,
+        Replay.run(answers.sections(), trace.lines(), options).result());
+  }
+
+  private List<Choice> choices() throws SettingsException {
+    List<Choice> choices = new ArrayList<>();
+    for (double weight : WEIGHTS) {
+      choices.add(
+          new Choice(
+              "default", "weight " + weight, options("default", 0).withColdStartWeight(weight)));
+    }
+    for (long seconds : TIMEOUT_SECONDS) {
+      choices.add(new Choice("fixed-timeout", seconds + " s", options("fixed-timeout", seconds)));
+    }
+    choices.add(new Choice("lru", "", options("lru", 0)));
+    choices.add(new Choice(PolicyNames.CLAIRVOYANT, "", options(PolicyNames.CLAIRVOYANT, 0)));
+    return choices;
+  }
+
+  private static ReplayOptions options(String policy, long idleSeconds) throws SettingsException {
+    return ReplayOptions.of(policy, PolicyNames.find(policy, Duration.ofSeconds(idleSeconds)));
+  }
+}
