--- a/src/main/java/dev/wisteriarail/cli/CompareCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/CompareCommand.java
@@ -14,7 +14,9 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
@@ -57,6 +59,7 @@
         .withRequiredArg()
         .ofType(Integer.class)
         .defaultsTo(4);
+    parser.accepts("policy", "only this policy; may be given several times").withRequiredArg();
     parser.accepts("plot", "PNG file for the trade-off curve").withRequiredArg();
   }
 
@@ -77,8 +80,10 @@
             (Integer) options.valueOf("first-hour"),
             (Integer) options.valueOf("hours"));
     List<ComparedRow> rows = new ArrayList<>();
+    Set<String> policies = new HashSet<>();
+    options.valuesOf("policy").forEach(policy -> policies.add((String) policy));
     for (Object seed : options.valuesOf("seed")) {
-      rows.addAll(comparison.run((Long) seed, (Integer) options.valueOf("threads")));
+      rows.addAll(comparison.run((Long) seed, policies, (Integer) options.valueOf("threads")));
     }
     List<MeanRow> means = MeanRow.of(rows);
     out.print(MarkdownTable.of(means));
--- a/src/main/java/dev/wisteriarail/core/placement/ArrivalHistory.java
+++ b/src/main/java/dev/wisteriarail/core/placement/ArrivalHistory.java
@@ -10,6 +10,7 @@
 
   private static final double FADING = 0.97;
   private static final double SESSION_GAP_SECONDS = 120;
+  private static final double BURST_SECONDS = 10;
   private static final double SMOOTHING = 0.3;
   private static final double REGULAR_DEVIATION = 0.12;
   private static final int REGULAR_SESSIONS = 4;
@@ -22,14 +23,19 @@
   private double deviation;
   private int sessions;
   private long counted;
+  private double sessionSeconds = Double.NaN;
+  private int sessionArrivals;
+  private double burst = 1;
 
   /**
    * Notes an arrival.
    *
+   * @param count number of requests that arrived together
    * @param seconds time in seconds
    * @param activity time in seconds of activity
    */
-  void record(double seconds, double activity) {
+  void record(int count, double seconds, double activity) {
+    countBurst(count, seconds);
     if (Double.isNaN(lastSeconds)) {
       sessionStart = seconds;
     } else {
@@ -43,6 +49,20 @@
     lastActivity = activity;
   }
 
+  /** Counts the requests that a cold start at the beginning of a session would have delayed. */
+  private void countBurst(int count, double seconds) {
+    if (Double.isNaN(lastSeconds) || seconds - lastSeconds >= SESSION_GAP_SECONDS) {
+      if (sessionArrivals > 0) {
+        burst += SMOOTHING * (sessionArrivals - burst);
+      }
+      sessionSeconds = seconds;
+      sessionArrivals = 0;
+    }
+    if (seconds - sessionSeconds <= BURST_SECONDS) {
+      sessionArrivals += count;
+    }
+  }
+
   private void startSession(double seconds) {
     double period = seconds - sessionStart;
     sessionStart = seconds;
@@ -63,6 +83,11 @@
     return gaps;
   }
 
+  /** Returns how many requests come together at the beginning of a session, 1 or more. */
+  double burst() {
+    return Math.max(1, Math.max(burst, sessionArrivals * SMOOTHING));
+  }
+
   /** Returns the number of gaps counted. */
   long counted() {
     return counted;
--- a/src/main/java/dev/wisteriarail/core/placement/ColdStartCost.java
+++ b/src/main/java/dev/wisteriarail/core/placement/ColdStartCost.java
@@ -21,8 +21,11 @@
   /** Idle accelerator time that the reference cold start is worth at equal weights. */
   private static final double REFERENCE_HOLD_SECONDS = 600;
 
-  /** Power of the load time in a cold start's worth. */
-  private static final double TAIL_EXPONENT = 2;
+  /** Share of the worth that grows with the load time itself. */
+  private static final double LINEAR_SHARE = 0.25;
+
+  /** Power of the load time in the rest of a cold start's worth. */
+  private static final double TAIL_EXPONENT = 3;
 
   private static final double LEAST_WEIGHT = 0.01;
 
@@ -32,10 +35,9 @@
   static double worth(ModelSpec model, DeploymentSpec deployment) {
     double weight = Math.clamp(deployment.coldStartWeight(), LEAST_WEIGHT, 1 - LEAST_WEIGHT);
     double load = nearestLoad(model).toMillis() / 1_000.0;
-    return REFERENCE_HOLD_SECONDS
-        * Math.pow(load / REFERENCE_LOAD_SECONDS, TAIL_EXPONENT)
-        * weight
-        / (1 - weight);
+    double relative = load / REFERENCE_LOAD_SECONDS;
+    double tail = LINEAR_SHARE * relative + Math.pow(relative, TAIL_EXPONENT);
+    return REFERENCE_HOLD_SECONDS * tail * weight / (1 - weight);
   }
 
   /** Returns the load time from the nearest tier that any runner has. */
--- a/src/main/java/dev/wisteriarail/core/placement/HistoryResidency.java
+++ b/src/main/java/dev/wisteriarail/core/placement/HistoryResidency.java
@@ -41,7 +41,7 @@
     ArrivalHistory history = histories.computeIfAbsent(model, id -> new ArrivalHistory());
     double before = history.lastActivity();
     long counted = history.counted();
-    history.record(DailyRhythm.seconds(now), rhythm.activity());
+    history.record(count, DailyRhythm.seconds(now), rhythm.activity());
     if (history.counted() > counted) {
       pool.add(rhythm.activity() - before, 1.0 / history.counted());
     }
@@ -59,7 +59,7 @@
     if (isExpected(model, round, 0)) {
       return Optional.empty();
     }
-    double worth = ColdStartCost.worth(model, round.configuration().deployment());
+    double worth = worth(model, round);
     double idle = idleActivity(replica, round);
     double gain = bestGain(model, idle, worth, rhythm.rate(round.now()));
     if (gain > 0) {
@@ -82,7 +82,7 @@
         isExpected(model, round, EVICTION_HORIZON_SECONDS)
             ? REGULAR_CHANCE
             : chance(model.id(), idleActivity(replica, round), horizon);
-    return chance * ColdStartCost.nearestLoad(model).toMillis() / 1_000.0;
+    return chance * burst(model) * ColdStartCost.nearestLoad(model).toMillis() / 1_000.0;
   }
 
   @Override
@@ -93,7 +93,7 @@
       return Optional.empty();
     }
     double held = lead + 2 * history.toleranceSeconds();
-    double worth = ColdStartCost.worth(model, round.configuration().deployment());
+    double worth = worth(model, round);
     if (REGULAR_CHANCE * worth <= held * model.accelerators()) {
       return Optional.empty();
     }
@@ -112,6 +112,15 @@
 
   // Helpers
 
+  private double worth(ModelSpec model, Round round) {
+    return burst(model) * ColdStartCost.worth(model, round.configuration().deployment());
+  }
+
+  private double burst(ModelSpec model) {
+    ArrivalHistory history = histories.get(model.id());
+    return history == null ? 1 : history.burst();
+  }
+
   private boolean isExpected(ModelSpec model, Round round, double leadSeconds) {
     ArrivalHistory history = histories.get(model.id());
     if (history == null || !history.isRegular()) {
--- a/src/main/java/dev/wisteriarail/replay/JsonLines.java
+++ b/src/main/java/dev/wisteriarail/replay/JsonLines.java
@@ -8,10 +8,13 @@
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import java.io.IOException;
+import java.lang.reflect.RecordComponent;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /** Reads and writes files with one JSON object a line, names in snake case. Thread-safe. */
 final class JsonLines {
@@ -44,7 +47,9 @@
         entries.add(MAPPER.readValue(lines.get(i), type));
       } catch (JsonProcessingException malformed) {
         throw new SettingsException(
-            invalid, at(file, i), "malformed: " + malformed.getOriginalMessage());
+            invalid,
+            at(file, i),
+            "malformed: " + malformed.getOriginalMessage() + "; the fields are " + fields(type));
       }
     }
     return entries;
@@ -69,6 +74,15 @@
     return file + ": line " + (line + 1);
   }
 
+  private static String fields(Class<?> type) {
+    PropertyNamingStrategies.NamingBase snake =
+        (PropertyNamingStrategies.NamingBase) PropertyNamingStrategies.SNAKE_CASE;
+    return Arrays.stream(type.getRecordComponents())
+        .map(RecordComponent::getName)
+        .map(snake::translate)
+        .collect(Collectors.joining(", "));
+  }
+
   private static List<String> lines(Path file) throws SettingsException {
     try {
       return Files.readAllLines(file);
--- a/src/main/java/dev/wisteriarail/replay/ReplayMeter.java
+++ b/src/main/java/dev/wisteriarail/replay/ReplayMeter.java
@@ -23,6 +23,9 @@
   private static final double MICROS_AN_HOUR = 3.6e9;
   private static final int DIGITS = 3;
 
+  /** Allowance for the way of a request to its node and back. */
+  private static final long LATE_AFTER_MILLIS = 50;
+
   /** One request as its caller sees it. Mutable. */
   private static final class Seen {
 
@@ -60,6 +63,7 @@
   private int requests;
   private int served;
   private int coldStarts;
+  private int late;
   private int undispatched;
   private int loads;
   private int unloads;
@@ -95,6 +99,7 @@
     }
     seen.dispatched = true;
     undispatched--;
+    countLate(seen);
     recordWait(seen, millisSince(seen));
   }
 
@@ -113,6 +118,7 @@
     }
     if (!seen.dispatched) {
       undispatched--;
+      countLate(seen);
       recordWait(seen, Math.max(millisSince(seen), seen.deadlineMillis));
     }
     switch (ending) {
@@ -125,6 +131,10 @@
     }
   }
 
+  private void countLate(Seen seen) {
+    late += millisSince(seen) > seen.deadlineMillis + LATE_AFTER_MILLIS ? 1 : 0;
+  }
+
   private void recordWait(Seen seen, long millis) {
     modelWait.recordValue(seen.cold ? millis : 0);
     if (seen.cold) {
@@ -216,6 +226,7 @@
             refusedByKind,
             refusedByCustomer,
             open.size(),
+            late,
             coldStarts,
             Percentiles.of(coldStart),
             Percentiles.of(modelWait),
--- a/src/main/java/dev/wisteriarail/replay/ReplayResult.java
+++ b/src/main/java/dev/wisteriarail/replay/ReplayResult.java
@@ -17,6 +17,7 @@
  * @param refusedByKind refused requests by kind
  * @param refusedByCustomer refused requests by customer
  * @param lost requests that got no ending
+ * @param late requests that were neither dispatched nor refused by their deadline
  * @param coldStarts requests that found no ready replica of their model
  * @param coldStartMs from a cold request's arrival to its dispatch
  * @param modelWaitMs the same over all requests of models, 0 for one that found a ready replica
@@ -38,6 +39,7 @@
     Map<String, Integer> refusedByKind,
     Map<String, Integer> refusedByCustomer,
     int lost,
+    int late,
     int coldStarts,
     Percentiles coldStartMs,
     Percentiles modelWaitMs,
--- a/src/main/java/dev/wisteriarail/report/Comparison.java
+++ b/src/main/java/dev/wisteriarail/report/Comparison.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -25,8 +26,8 @@
  */
 public final class Comparison {
 
-  private static final double[] WEIGHTS = {0.05, 0.2, 0.4, 0.6, 0.8, 0.9, 0.95};
-  private static final long[] TIMEOUT_SECONDS = {10, 30, 60, 120, 300, 600, 1_200, 2_400};
+  private static final double[] WEIGHTS = {0.1, 0.3, 0.5, 0.8, 0.9, 0.96};
+  private static final long[] TIMEOUT_SECONDS = {30, 60, 120, 300, 600, 1_200};
 
   /** A policy with one value of its parameter. */
   private record Choice(String family, String parameter, ReplayOptions options) {}
@@ -61,14 +62,17 @@
   /**
    * Replays one seed's trace under every policy.
    *
+   * @param families policies to replay; all where empty
    * @param threads replays that run side by side
    */
-  public List<ComparedRow> run(long seed, int threads)
+  public List<ComparedRow> run(long seed, Set<String> families, int threads)
       throws SettingsException, InterruptedException {
     GeneratedTrace trace = TraceGenerator.generate(configuration, scenario, seed, firstHour, hours);
     List<Callable<ComparedRow>> tasks = new ArrayList<>();
     for (Choice choice : choices()) {
-      tasks.add(() -> replay(choice, trace, seed));
+      if (families.isEmpty() || families.contains(choice.family())) {
+        tasks.add(() -> replay(choice, trace, seed));
+      }
     }
     try (ExecutorService workers = Executors.newFixedThreadPool(threads)) {
       List<ComparedRow> rows = new ArrayList<>();
