--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -20,13 +20,16 @@
   private static final List<Command> COMMANDS =
       List.of(
           new AnswersCommand(),
+          new AuditCommand(),
           new CompareCommand(),
           new DemoCommand(),
+          new ExplainCommand(),
           new FuzzCommand(),
           new LoadCommand(),
           new ReplayCommand(),
           new ServeCommand(),
           new StandinCommand(),
+          new StatusCommand(),
           new TraceCommand());
 
   private Main() {}
--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -65,10 +65,13 @@
     membership = Membership.create(settings);
     ledger = CellLedger.create(settings.cell());
     controller = CellController.create(settings, ledger, planner);
-    logState = LogState.create(settings.cell(), List.of(configurations, ledger));
+    requests = RequestTable.create(settings, Router.create(settings.failureDomain()));
+    logState =
+        LogState.create(
+            settings.cell(),
+            List.of(configurations, ledger, requests.usedKeys(), requests.crashes()));
     snapshots = SnapshotWriter.create(settings);
     catchUp = PeerCatchUp.create(configurations, logState, logHealth);
-    requests = RequestTable.create(settings, Router.create());
   }
 
   /** Returns the core of a node that has read nothing yet. */
@@ -96,11 +99,12 @@
     switch (event) {
       case Event.RequestArrived arrived -> acceptRequest(arrived.request(), step);
       case Event.CallerLeft left -> requests.acceptCallerLeft(left.request(), runners, step);
-      case Event.AttemptProgressed progress -> requests.acceptProgress(progress, step);
-      case Event.AttemptEnded ended -> requests.acceptEnd(ended, runners, step);
+      case Event.AttemptProgressed progress -> requests.acceptProgress(progress, context(step));
+      case Event.AttemptEnded ended -> requests.acceptEnd(ended, context(step));
       case Event.EngineReported reported -> {
         runners.acceptReport(reported.report());
         controller.acceptReport(reported.report(), step);
+        requests.acceptReport(reported.report(), step);
       }
       case Event.EngineUnreachable unreachable -> runners.markUnreachable(unreachable.runner());
       case Event.OrderAnswered answered ->
@@ -112,7 +116,7 @@
         snapshots.acceptAppend(answered.record(), answered.outcome(), step);
         requests.acceptAppend(answered.record(), answered.outcome(), step.now());
       }
-      case Event.VmListRead read -> membership.acceptList(read.nodes(), step.now());
+      case Event.VmListRead read -> membership.acceptList(read.nodes(), step);
       case Event.PeerReceived received -> acceptPeer(received, step);
       case Event.TimerFired fired -> {}
       case Event.DrainRequested drain -> {
@@ -140,8 +144,11 @@
       outageLogged = false;
       step.log(EventCode.LOG_REACHABLE, "offset", read.nextOffset());
     }
-    requests.acceptRead(read);
-    for (LogRecord logged : logState.accept(read, step)) {
+    List<LogRecord> due = logState.accept(read, step);
+    if (!logState.isCurrent()) {
+      requests.markIncomplete();
+    }
+    for (LogRecord logged : due) {
       requests.acceptRecord(logged.body(), context(step));
       if (logged.body() instanceof RecordBody.ConfigurationChanged change) {
         acceptChange(change, logged, step);
@@ -189,11 +196,15 @@
       return;
     }
     switch (received.message()) {
-      case PeerMessage.Heartbeat heartbeat ->
-          catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
+      case PeerMessage.Heartbeat heartbeat -> {
+        membership.acceptHeartbeat(received.from(), heartbeat);
+        catchUp.acceptRevision(received.from(), heartbeat.revision(), step.now());
+      }
       case PeerMessage.StateRequested requested ->
           catchUp.acceptRequest(received.from(), requested.have(), step);
       case PeerMessage.StateOffered offered -> catchUp.acceptOffer(received.from(), offered, step);
+      case PeerMessage.Probe probe -> membership.acceptProbe(received.from());
+      case PeerMessage.Suspected suspected -> membership.acceptSuspicions(suspected, step);
       case PeerMessage.DemandReported reported ->
           controller.acceptDemand(received.from(), reported.demands(), step.now());
       case PeerMessage.IntentsOffered offered -> requests.acceptIntents(offered.changes());
@@ -237,9 +248,9 @@
                           claim.holder(), new PeerMessage.DemandReported(demands))));
     }
     nextDemandReport =
-        requests.isEmpty()
-            ? Optional.empty()
-            : Optional.of(step.now().plus(settings.timings().demandReport()));
+        requests.hasDemand()
+            ? Optional.of(step.now().plus(settings.timings().demandReport()))
+            : Optional.empty();
   }
 
   private void finishDrain(Step step) {
@@ -290,4 +301,27 @@
   public boolean isController() {
     return controller.isController();
   }
+
+  /** Returns what this node knows of itself and of the fleet. */
+  public NodeStatus status(Instant now) {
+    Configuration configuration = configurations.current();
+    return new NodeStatus(
+        settings.node(),
+        settings.incarnation(),
+        settings.failureDomain(),
+        settings.cell(),
+        isReady(),
+        draining,
+        requests.isFinished(logHealth.isDown(now)),
+        configuration.revision(),
+        configuration.models().size(),
+        logHealth.isDown(now),
+        logState.isCurrent(),
+        logState.nextOffset(),
+        logState.newestSnapshot().map(LogState.LogSnapshot::through),
+        ledger.claim().map(Claim::holder),
+        ledger.fence(),
+        membership.view(now),
+        List.copyOf(ledger.reservations()));
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -26,6 +26,11 @@
   /** A caller left before the end of the answer. */
   CALLER_LEFT(204, "caller left"),
 
+  /** A request's content crashed several backend servers and is refused. */
+  POISON_FOUND(210, "poison request found"),
+  /** A failed attempt is tried again. */
+  REQUEST_RETRIED(211, "request retried"),
+
   // Control of cells
   /** The node became the controller of its cell. */
   CONTROL_GAINED(300, "control gained"),
@@ -71,7 +76,15 @@
   /** A peer said that it has stopped. */
   PEER_CLOSED(512, "peer closed"),
   /** A connection from a peer was refused. */
-  PEER_REFUSED(513, "peer refused");
+  PEER_REFUSED(513, "peer refused"),
+  /** A node came onto the VM list. */
+  PEER_LISTED(520, "peer listed"),
+  /** A node is gone from the VM list. */
+  PEER_UNLISTED(521, "peer unlisted"),
+  /** The platform is about to take a node away. */
+  PEER_LEAVING(522, "peer leaving"),
+  /** A suspected peer was heard again. */
+  PEER_RECOVERED(523, "peer recovered");
 
   private final int number;
   private final String title;
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -1,9 +1,13 @@
 package dev.wisteriarail.peer;
 
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.event.NodeEvent;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.membership.VmEntry;
 import dev.wisteriarail.core.peer.PeerMessage;
+import dev.wisteriarail.core.result.PeerException;
+import dev.wisteriarail.runtime.EventLog;
 import dev.wisteriarail.spi.PeerTransport;
 import java.io.BufferedOutputStream;
 import java.io.DataOutputStream;
@@ -12,10 +16,10 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
-import javax.net.SocketFactory;
 
 /**
  * Sends frames to peers, one connection and one bounded queue a peer.
@@ -28,22 +32,31 @@
   private static final int QUEUE_LIMIT = 256;
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
   private static final Duration RECONNECT_DELAY = Duration.ofMillis(200);
+  private static final Duration REFUSED_DELAY = Duration.ofSeconds(5);
 
   private final NodeId self;
   private final Incarnation incarnation;
-  private final SocketFactory sockets;
+  private final Optional<PeerTls> tls;
+  private final EventLog log;
   private final Map<NodeId, Link> links = new ConcurrentHashMap<>();
 
-  private TcpPeerTransport(NodeId self, Incarnation incarnation, SocketFactory sockets) {
+  private TcpPeerTransport(
+      NodeId self, Incarnation incarnation, Optional<PeerTls> tls, EventLog log) {
     this.self = self;
     this.incarnation = incarnation;
-    this.sockets = sockets;
+    this.tls = tls;
+    this.log = log;
   }
 
-  /** Returns a transport without connections. */
+  /**
+   * Returns a transport without connections.
+   *
+   * @param tls checks and encrypts the connections; empty to do neither
+   * @param log the node's event log
+   */
   public static TcpPeerTransport create(
-      NodeId self, Incarnation incarnation, SocketFactory sockets) {
-    return new TcpPeerTransport(self, incarnation, sockets);
+      NodeId self, Incarnation incarnation, Optional<PeerTls> tls, EventLog log) {
+    return new TcpPeerTransport(self, incarnation, tls, log);
   }
 
   @Override
@@ -59,7 +72,7 @@
     if (known != null) {
       known.stop();
     }
-    return Link.start(peer, sockets);
+    return Link.start(peer, tls, log);
   }
 
   @Override
@@ -71,19 +84,21 @@
   private static final class Link {
 
     private final VmEntry peer;
-    private final SocketFactory sockets;
+    private final Optional<PeerTls> tls;
+    private final EventLog log;
     private final BlockingQueue<PeerFrame> queue = new ArrayBlockingQueue<>(QUEUE_LIMIT);
     private final Thread thread;
     private volatile boolean finishing;
 
-    private Link(VmEntry peer, SocketFactory sockets) {
+    private Link(VmEntry peer, Optional<PeerTls> tls, EventLog log) {
       this.peer = peer;
-      this.sockets = sockets;
+      this.tls = tls;
+      this.log = log;
       thread = Thread.ofVirtual().name("peer-" + peer.node()).unstarted(this::run);
     }
 
-    static Link start(VmEntry peer, SocketFactory sockets) {
-      Link link = new Link(peer, sockets);
+    static Link start(VmEntry peer, Optional<PeerTls> tls, EventLog log) {
+      Link link = new Link(peer, tls, log);
       link.thread.start();
       return link;
     }
@@ -113,11 +128,11 @@
     private void run() {
       try {
         while (true) {
-          connectAndWrite();
+          Duration delay = connectAndWrite();
           if (finishing) {
             return;
           }
-          Thread.sleep(RECONNECT_DELAY);
+          Thread.sleep(delay);
           queue.clear();
         }
       } catch (InterruptedException stopped) {
@@ -125,18 +140,41 @@
       }
     }
 
-    private void connectAndWrite() throws InterruptedException {
-      try (Socket socket = sockets.createSocket()) {
-        socket.connect(new InetSocketAddress(peer.host(), peer.port()), CONNECT_TIMEOUT_MILLIS);
-        socket.setTcpNoDelay(true);
-        DataOutputStream out =
-            new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
-        while (!finishing || !queue.isEmpty()) {
-          FrameCodec.write(out, queue.take());
-        }
+    /** Writes until the connection ends; returns the time to wait before the next one. */
+    private Duration connectAndWrite() throws InterruptedException {
+      try (Socket plain = new Socket()) {
+        plain.connect(new InetSocketAddress(peer.host(), peer.port()), CONNECT_TIMEOUT_MILLIS);
+        plain.setTcpNoDelay(true);
+        writeAll(tls.isPresent() ? tls.get().connect(plain, peer.node()) : plain);
+      } catch (PeerException refused) {
+        log.write(
+            NodeEvent.of(
+                EventCode.PEER_REFUSED,
+                "peer",
+                peer.node(),
+                "code",
+                refused.code().label(),
+                "reason",
+                refused.describe()));
+        return REFUSED_DELAY;
       } catch (IOException unreachable) {
         // Heartbeats tell the core; the link tries again after a delay.
       }
+      return RECONNECT_DELAY;
+    }
+
+    private void writeAll(Socket socket) throws IOException, InterruptedException {
+      long generation = generation();
+      try (DataOutputStream out =
+          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()))) {
+        while ((!finishing || !queue.isEmpty()) && generation == generation()) {
+          FrameCodec.write(out, queue.take());
+        }
+      }
+    }
+
+    private long generation() {
+      return tls.map(PeerTls::generation).orElse(0L);
     }
   }
 }
