--- a/src/test/java/dev/wisteriarail/core/routing/RouterVersionTest.java
+++ b/src/test/java/dev/wisteriarail/core/routing/RouterVersionTest.java
@@ -46,7 +46,7 @@
     RunnerTable runners = RunnerTable.create();
     runners.acceptReport(report());
     Optional<Route> route =
-        Router.create(FailureDomain.of("fd1"))
+        Router.create(FailureDomain.of("fd1"), 1)
             .choose(
                 new RouteRequest(request(), Urgency.NORMAL, runner -> true),
                 configuration(inForce),
