--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -22,13 +22,16 @@
           new AnswersCommand(),
           new AuditCommand(),
           new CapacityCommand(),
+          new CompareCommand(),
           new DemoCommand(),
-          new FuzzCommand(),
           new ExplainCommand(),
+          new FuzzCommand(),
           new LoadCommand(),
+          new ReplayCommand(),
           new ServeCommand(),
           new StandinCommand(),
-          new StatusCommand());
+          new StatusCommand(),
+          new TraceCommand());
 
   private Main() {}
 
--- a/src/main/java/dev/wisteriarail/core/placement/HistoryResidency.java
+++ b/src/main/java/dev/wisteriarail/core/placement/HistoryResidency.java
@@ -41,7 +41,7 @@
     ArrivalHistory history = histories.computeIfAbsent(model, id -> new ArrivalHistory());
     double before = history.lastActivity();
     long counted = history.counted();
-    history.record(DailyRhythm.seconds(now), rhythm.activity());
+    history.record(count, DailyRhythm.seconds(now), rhythm.activity());
     if (history.counted() > counted) {
       pool.add(rhythm.activity() - before, 1.0 / history.counted());
     }
@@ -59,7 +59,7 @@
     if (isExpected(model, round, 0)) {
       return Optional.empty();
     }
-    double worth = ColdStartCost.worth(model, round.configuration().deployment());
+    double worth = worth(model, round);
     double idle = idleActivity(replica, round);
     double gain = bestGain(model, idle, worth, rhythm.rate(round.now()));
     if (gain > 0) {
@@ -82,7 +82,7 @@
         isExpected(model, round, EVICTION_HORIZON_SECONDS)
             ? REGULAR_CHANCE
             : chance(model.id(), idleActivity(replica, round), horizon);
-    return chance * ColdStartCost.nearestLoad(model).toMillis() / 1_000.0;
+    return chance * burst(model) * ColdStartCost.nearestLoad(model).toMillis() / 1_000.0;
   }
 
   @Override
@@ -93,7 +93,7 @@
       return Optional.empty();
     }
     double held = lead + 2 * history.toleranceSeconds();
-    double worth = ColdStartCost.worth(model, round.configuration().deployment());
+    double worth = worth(model, round);
     if (REGULAR_CHANCE * worth <= held * model.accelerators()) {
       return Optional.empty();
     }
@@ -112,6 +112,15 @@
 
   // Helpers
 
+  private double worth(ModelSpec model, Round round) {
+    return burst(model) * ColdStartCost.worth(model, round.configuration().deployment());
+  }
+
+  private double burst(ModelSpec model) {
+    ArrivalHistory history = histories.get(model.id());
+    return history == null ? 1 : history.burst();
+  }
+
   private boolean isExpected(ModelSpec model, Round round, double leadSeconds) {
     ArrivalHistory history = histories.get(model.id());
     if (history == null || !history.isRegular()) {
@@ -133,10 +142,11 @@
 
   /** Returns the chance of a request within a horizon, given the idle time. */
   private double chance(ModelId model, double idle, double horizon) {
+    Optional<GapHistogram> own = ownGaps(model);
     double survivors = 0;
     double within = 0;
     for (int i = GapHistogram.bucketOf(idle); i < GapHistogram.BUCKETS; i++) {
-      double weight = weight(model, i) * shareAfter(i, idle);
+      double weight = weight(own, i) * shareAfter(i, idle);
       survivors += weight;
       if (GapHistogram.upperSeconds(i) <= idle + horizon) {
         within += weight;
@@ -147,10 +157,11 @@
 
   /** Returns the best gain over all horizons, in idle accelerator seconds; 0 where none gains. */
   private double bestGain(ModelSpec model, double idle, double worth, double rate) {
+    Optional<GapHistogram> own = ownGaps(model.id());
     int first = GapHistogram.bucketOf(idle);
     double survivors = 0;
     for (int i = first; i < GapHistogram.BUCKETS; i++) {
-      survivors += weight(model.id(), i) * shareAfter(i, idle);
+      survivors += weight(own, i) * shareAfter(i, idle);
     }
     double left = survivors;
     double spared = 0;
@@ -159,7 +170,7 @@
     for (int i = first; i < GapHistogram.BUCKETS && left > 0; i++) {
       double from = Math.max(idle, GapHistogram.lowerSeconds(i));
       double width = Math.max(0, GapHistogram.upperSeconds(i) - from) / rate;
-      double ending = weight(model.id(), i) * shareAfter(i, idle);
+      double ending = weight(own, i) * shareAfter(i, idle);
       held += width * (left - ending / 2) * model.accelerators();
       spared += ending * worth;
       left -= ending;
@@ -168,10 +179,13 @@
     return survivors > 0 ? best / survivors : 0;
   }
 
-  private double weight(ModelId model, int bucket) {
-    ArrivalHistory history = histories.get(model);
-    double own = history == null ? 0 : history.gaps().weight(bucket);
-    return own + PRIOR_GAPS * pool.weight(bucket) / pool.total();
+  private Optional<GapHistogram> ownGaps(ModelId model) {
+    return Optional.ofNullable(histories.get(model)).map(ArrivalHistory::gaps);
+  }
+
+  private double weight(Optional<GapHistogram> own, int bucket) {
+    double filled = PRIOR_GAPS * pool.weight(bucket) / pool.total();
+    return own.isEmpty() ? filled : own.get().weight(bucket) + filled;
   }
 
   private static double shareAfter(int bucket, double idle) {
