--- a/src/main/java/dev/wisteriarail/standin/EngineState.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineState.java
@@ -52,6 +52,7 @@
   private long reports;
   private int loads;
   private int crashes;
+  private long reports;
   private boolean leaving;
 
   EngineState(EngineSetup setup) {
@@ -172,6 +173,7 @@
   synchronized void crash() {
     replicas.clear();
     active.clear();
+    reports = 0;
     highestFence = FencingNumber.NONE;
     incarnation = Incarnation.of(incarnation.value() + 1);
     reports = 0;
