--- a/src/main/java/dev/wisteriarail/standin/EngineState.java
+++ b/src/main/java/dev/wisteriarail/standin/EngineState.java
@@ -52,7 +52,6 @@
   private long reports;
   private int loads;
   private int crashes;
-  private long reports;
   private boolean leaving;
 
   EngineState(EngineSetup setup) {
@@ -176,7 +175,6 @@
     reports = 0;
     highestFence = FencingNumber.NONE;
     incarnation = Incarnation.of(incarnation.value() + 1);
-    reports = 0;
     crashes++;
   }
 
