Judge replicas by accepted limits only; a memory defect that always shows

Change: only changes that the oracle's own rule accepts set limits, as strict as before otherwise. The memory defect orders five times the decided bytes.

--- a/src/main/java/dev/wisteriarail/fuzz/oracle/AcceptedChanges.java
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/AcceptedChanges.java
@@ -29,16 +29,22 @@
     return newest;
   }
 
-  /** Takes a record in the order of the log. */
-  public void accept(LogRecord logged) {
+  /**
+   * Takes a record in the order of the log.
+   *
+   * @return whether it is a change that has to be accepted
+   */
+  public boolean accept(LogRecord logged) {
     if (!seen.add(logged.id())
         || !(logged.body() instanceof RecordBody.ConfigurationChanged change)) {
-      return;
+      return false;
     }
     String section = change.section().name();
-    if (change.basedOn().value() == sections.getOrDefault(section, 0L)) {
-      newest++;
-      sections.put(section, newest);
+    if (change.basedOn().value() != sections.getOrDefault(section, 0L)) {
+      return false;
     }
+    newest++;
+    sections.put(section, newest);
+    return true;
   }
 }
--- a/src/main/java/dev/wisteriarail/fuzz/oracle/ReplicaCheck.java
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/ReplicaCheck.java
@@ -16,7 +16,7 @@
  * No more replicas of a model are loaded than were decided.
  *
  * <p>A replica stands on one runner, and a model never has more replicas than the greatest limit
- * published for it in the last seconds.
+ * accepted for it in the last seconds.
  */
 final class ReplicaCheck implements Check {
 
@@ -27,6 +27,7 @@
 
   private record Place(RunnerId runner, ModelId model) {}
 
+  private final AcceptedChanges changes = new AcceptedChanges();
   private final Map<ModelId, Deque<Limit>> limits = new TreeMap<>();
   private final Map<ReplicaId, Place> held = new TreeMap<>();
 
@@ -39,7 +40,8 @@
   public void observe(Instant at, Observation observation, Complaints complaints) {
     switch (observation) {
       case Observation.RecordAppended appended -> {
-        if (appended.logged().body() instanceof RecordBody.ConfigurationChanged change) {
+        if (changes.accept(appended.logged())
+            && appended.logged().body() instanceof RecordBody.ConfigurationChanged change) {
           change.section().models().forEach(model -> addLimit(at, model));
         }
       }
--- a/src/test/java/dev/wisteriarail/fuzz/DefectTest.java
+++ b/src/test/java/dev/wisteriarail/fuzz/DefectTest.java
@@ -22,7 +22,7 @@
   @ParameterizedTest
   @CsvSource({
     "replicas, ORDERS_A_SECOND_REPLICA",
-    "memory, ORDERS_A_SECOND_REPLICA",
+    "memory, ORDERS_BEYOND_MEMORY",
     "recovery, HOLDS_UNDECIDED_REPLICAS",
     "one-ending-in-time, DROPS_ENDINGS",
     "recovery, DROPS_ENDINGS",
--- a/src/test/java/dev/wisteriarail/fuzz/Defects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/Defects.java
@@ -30,6 +30,20 @@
           : List.of(effect);
     }
   },
+  ORDERS_BEYOND_MEMORY {
+    @Override
+    public List<Effect> alter(NodeId node, Effect effect) {
+      return effect instanceof Effect.OrderEngine order
+              && order.body() instanceof EngineOrder.LoadReplica load
+          ? List.of(
+              effect,
+              secondOrder(
+                  order,
+                  new EngineOrder.LoadReplica(
+                      load.replica(), load.model(), load.version(), 5 * load.bytes())))
+          : List.of(effect);
+    }
+  },
   HOLDS_UNDECIDED_REPLICAS {
     @Override
     public List<Effect> alter(NodeId node, Effect effect) {
