Load each model's adapters with its replica; reserve their memory in the same decision

Cause: nothing ordered an engine to load an adapter, so a request with one could not be served by an engine that loads adapters only by order. Change: AdapterLoader orders what ready replicas lack, at most adapter_transits at a time; the configuration adds the adapters' memory to the model's; a router sends only to a replica that reports the adapter; a reservation that the configuration outgrew is unloaded; replay's engine loads adapters. Tried first: an adapter ordered again as soon as its order was answered. Against an engine that never reports it, that looped without end (TraceOutcomeTest ran 10 minutes); now each adapter waits for the time between two orders.

--- a/src/main/java/dev/wisteriarail/audit/AuditTrail.java
+++ b/src/main/java/dev/wisteriarail/audit/AuditTrail.java
@@ -182,7 +182,7 @@
               + model.customer()
               + ", takes "
               + mebibytes(model.memoryBytes())
-              + " and may have "
+              + " with its adapters and may have "
               + model.maxReplicas()
               + " replicas.");
     }
--- a/src/main/java/dev/wisteriarail/core/cell/CellController.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellController.java
@@ -52,6 +52,7 @@
   private final Predecessors predecessors;
   private final ClaimKeeper claims;
   private final Reconciler reconciler;
+  private final AdapterLoader adapters;
   private final Decisions decisions;
   private final Succession succession;
   private final OutageRelay relay;
@@ -76,6 +77,7 @@
     predecessors = Predecessors.create(settings, ledger, closures, gates);
     claims = ClaimKeeper.create(settings, ledger, closures, pending);
     reconciler = new Reconciler(settings, ledger, pending, orders, sightings, gates, predecessors);
+    adapters = new AdapterLoader(ledger, orders, sightings, gates);
     succession = new Succession(settings, ledger, closures, pending, sightings, gates);
     relay = new OutageRelay(ledger, closures, pending);
     MemoryAccount memory = new MemoryAccount(ledger, pending, sightings, gates, succession);
@@ -297,6 +299,7 @@
     nextPlan = Optional.of(step.now().plus(settings.timings().plan()));
     succession.advance(step, around);
     reconciler.advance(around.configuration(), step);
+    adapters.advance(around.configuration(), step);
     demands.retain(node -> around.membership().isLive(node, step.now()));
     if (isPrepared(around, step.now())) {
       decisions.advance(step, around);
--- a/src/main/java/dev/wisteriarail/core/cell/Decisions.java
+++ b/src/main/java/dev/wisteriarail/core/cell/Decisions.java
@@ -139,8 +139,10 @@
         runner == null
             || runner.role() != RunnerRole.MODEL
             || !around.configuration().models().containsKey(held.model());
+    boolean outgrown =
+        !removed && around.configuration().models().get(held.model()).memoryBytes() > held.bytes();
     boolean leaving = sightings.report(held.runner()).filter(EngineReport::leaving).isPresent();
-    return removed || leaving || isLost(held.runner(), around.runners(), now);
+    return removed || outgrown || leaving || isLost(held.runner(), around.runners(), now);
   }
 
   private boolean isLost(RunnerId runner, RunnerTable runners, Instant now) {
--- a/src/main/java/dev/wisteriarail/core/cell/OrderBook.java
+++ b/src/main/java/dev/wisteriarail/core/cell/OrderBook.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.Step;
 import dev.wisteriarail.core.engine.EngineOrder;
 import dev.wisteriarail.core.engine.OrderOutcome;
+import dev.wisteriarail.core.id.AdapterId;
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.OrderId;
 import dev.wisteriarail.core.id.ReplicaId;
@@ -33,6 +34,10 @@
     boolean isLoad() {
       return body instanceof EngineOrder.LoadReplica;
     }
+
+    boolean isAdapter() {
+      return body instanceof EngineOrder.LoadAdapter;
+    }
   }
 
   /** What became of the orders for one replica. Mutable. */
@@ -44,6 +49,7 @@
     private Instant lastLoadAnswer = Instant.MIN;
     private Instant uncertainUntil = Instant.MIN;
     private Instant nextTry = Instant.MIN;
+    private final Map<AdapterId, Instant> nextAdapterTries = new TreeMap<>();
   }
 
   private final NodeSettings settings;
@@ -77,7 +83,12 @@
     replica.ifPresent(
         id -> {
           Track track = track(id);
-          track.nextTry = step.now().plus(bounds.orderRetry());
+          Instant nextTry = step.now().plus(bounds.orderRetry());
+          if (body instanceof EngineOrder.LoadAdapter load) {
+            track.nextAdapterTries.put(load.adapter(), nextTry);
+          } else {
+            track.nextTry = nextTry;
+          }
           track.loadSent |= sent.isLoad();
         });
     step.emit(new Effect.OrderEngine(order, runner, fence, body));
@@ -162,6 +173,19 @@
     return !hasOutstanding(replica) && !now.isBefore(track(replica).nextTry);
   }
 
+  /**
+   * Returns whether an adapter may be ordered for a replica now, by the time between two orders.
+   */
+  boolean mayTryAdapter(ReplicaId replica, AdapterId adapter, Instant now) {
+    Instant nextTry = track(replica).nextAdapterTries.getOrDefault(adapter, Instant.MIN);
+    return !now.isBefore(nextTry);
+  }
+
+  /** Returns the number of orders to load an adapter that have no answer yet. */
+  long adaptersInTransit() {
+    return outstanding.values().stream().filter(Sent::isAdapter).count();
+  }
+
   /**
    * Returns whether this run has sent an order to load the replica that the engine did not fence.
    */
--- a/src/main/java/dev/wisteriarail/core/config/Configuration.java
+++ b/src/main/java/dev/wisteriarail/core/config/Configuration.java
@@ -21,7 +21,7 @@
  *
  * @param revision number of accepted changes that led to it
  * @param deployment limits of the deployment
- * @param models models by identifier
+ * @param models models by identifier; the memory of each includes that of its adapters
  * @param adapters adapters by identifier
  * @param customers customers by identifier
  * @param kinds kinds of request by identifier
@@ -48,17 +48,29 @@
             .flatMap(section -> section.deployment().stream())
             .findFirst()
             .orElse(DeploymentSpec.UNNAMED);
+    Map<AdapterId, AdapterSpec> adapters = index(sections, Section::adapters, AdapterSpec::id);
     return new Configuration(
         revision,
         deployment,
-        index(sections, Section::models, ModelSpec::id),
-        index(sections, Section::adapters, AdapterSpec::id),
+        addAdapterMemory(index(sections, Section::models, ModelSpec::id), adapters.values()),
+        adapters,
         index(sections, Section::customers, CustomerSpec::id),
         index(sections, Section::kinds, KindSpec::id),
         index(sections, Section::services, ServiceSpec::id),
         index(sections, Section::runners, RunnerSpec::id));
   }
 
+  private static Map<ModelId, ModelSpec> addAdapterMemory(
+      Map<ModelId, ModelSpec> models, Collection<AdapterSpec> adapters) {
+    Map<ModelId, ModelSpec> whole = new TreeMap<>(models);
+    for (AdapterSpec adapter : adapters) {
+      whole.computeIfPresent(
+          adapter.model(),
+          (id, model) -> model.withMemoryBytes(model.memoryBytes() + adapter.memoryBytes()));
+    }
+    return Collections.unmodifiableMap(whole);
+  }
+
   private static <K extends Comparable<K>, V> Map<K, V> index(
       Collection<Section> sections, Function<Section, List<V>> entries, Function<V, K> key) {
     Map<K, V> indexed = new TreeMap<>();
--- a/src/main/java/dev/wisteriarail/core/config/ModelSpec.java
+++ b/src/main/java/dev/wisteriarail/core/config/ModelSpec.java
@@ -33,6 +33,12 @@
     checkpoints = List.copyOf(checkpoints);
   }
 
+  /** Returns the same model with another size in memory. */
+  public ModelSpec withMemoryBytes(long bytes) {
+    return new ModelSpec(
+        id, customer, version, bytes, accelerators, maxReplicas, loadTimes, checkpoints);
+  }
+
   /** Returns the nearest tier that a runner can load the model from. */
   public CheckpointTier tierOn(RunnerId runner) {
     return checkpoints.stream()
--- a/src/main/java/dev/wisteriarail/core/engine/EngineOrder.java
+++ b/src/main/java/dev/wisteriarail/core/engine/EngineOrder.java
@@ -15,7 +15,7 @@
    * @param replica the replica to create; an engine that has it already does nothing
    * @param model its model
    * @param version the model's version
-   * @param bytes accelerator memory decided for it, in bytes
+   * @param bytes accelerator memory decided for it and for its adapters, in bytes
    */
   record LoadReplica(ReplicaId replica, ModelId model, String version, long bytes)
       implements EngineOrder {}
@@ -28,11 +28,11 @@
   record UnloadReplica(ReplicaId replica) implements EngineOrder {}
 
   /**
-   * Loads an adapter on a replica.
+   * Loads an adapter on a replica, within the memory that was decided for the replica.
    *
    * @param replica the replica
    * @param adapter the adapter
-   * @param bytes accelerator memory decided for it, in bytes
+   * @param bytes accelerator memory that it takes, in bytes
    */
   record LoadAdapter(ReplicaId replica, AdapterId adapter, long bytes) implements EngineOrder {}
 
--- a/src/main/java/dev/wisteriarail/core/routing/Router.java
+++ b/src/main/java/dev/wisteriarail/core/routing/Router.java
@@ -28,17 +28,16 @@
  * is known, does not exceed the slots by more than half. On a runner that several customers share,
  * none may take the last quarter of the slots, and no batch request may.
  *
- * <p>Among those with room it takes the one with the lowest cost: the share of busy slots,
- * surcharges for a missing adapter and for another failure domain, less a discount for the part of
- * the prompt that is believed to be in the engine's cache while a slot is free. The node's own
- * attempts count whole and those of others in part: their number is late, and nodes that all
- * trusted it would all take the same runner. Of equal ones it takes any.
+ * <p>Among those with room it takes the one with the lowest cost: the share of busy slots, a
+ * surcharge for another failure domain, less a discount for the part of the prompt that is believed
+ * to be in the engine's cache while a slot is free. The node's own attempts count whole and those
+ * of others in part: their number is late, and nodes that all trusted it would all take the same
+ * runner. Of equal ones it takes any.
  *
  * <p>Life cycle: one per node, with its own seeded generator. Not thread-safe.
  */
 public final class Router {
 
-  private static final double ADAPTER_MISSING = 0.25;
   private static final double PROMPT_CACHED = 0.3;
   private static final double OTHER_DOMAIN = 0.05;
   private static final double OTHERS_WEIGHT = 0.2;
@@ -86,13 +85,12 @@
         runners.readyReplicas(target.model()).stream()
             .filter(ready -> routable.test(ready.status().replica()))
             .filter(ready -> isVersionInForce(ready, configuration))
+            .filter(ready -> hasAdapter(ready, target))
             .filter(ready -> wanted.allowed().test(ready.runner()))
             .filter(ready -> hasRoom(ready.runner(), wanted, configuration, runners))
             .toList();
     return shuffle(candidates).stream()
-        .min(
-            Comparator.comparingDouble(
-                ready -> cost(ready, target, prompt, configuration, runners)))
+        .min(Comparator.comparingDouble(ready -> cost(ready, prompt, configuration, runners)))
         .map(ready -> new Route(ready.runner(), Optional.of(ready.status().replica())));
   }
 
@@ -131,20 +129,16 @@
     return model != null && model.version().equals(ready.status().version());
   }
 
+  /** Adapters are loaded by the controller; an engine refuses a request for one that it lacks. */
+  private static boolean hasAdapter(ReadyReplica ready, Target.ModelTarget target) {
+    return target.adapter().filter(id -> !ready.status().adapters().contains(id)).isEmpty();
+  }
+
   private double cost(
-      ReadyReplica ready,
-      Target.ModelTarget target,
-      List<Long> prompt,
-      Configuration configuration,
-      RunnerTable runners) {
-    boolean adapterMissing =
-        target
-            .adapter()
-            .filter(adapter -> !ready.status().adapters().contains(adapter))
-            .isPresent();
+      ReadyReplica ready, List<Long> prompt, Configuration configuration, RunnerTable runners) {
     double busy = loadCost(ready.runner(), configuration, runners);
     double cached = busy < 1 ? runners.cached(ready.runner(), prompt) : 0;
-    return busy + (adapterMissing ? ADAPTER_MISSING : 0) - PROMPT_CACHED * cached;
+    return busy - PROMPT_CACHED * cached;
   }
 
   private double loadCost(RunnerId runner, Configuration configuration, RunnerTable runners) {
--- a/src/main/java/dev/wisteriarail/replay/ReplayEngine.java
+++ b/src/main/java/dev/wisteriarail/replay/ReplayEngine.java
@@ -10,6 +10,7 @@
 import dev.wisteriarail.core.engine.OrderOutcome;
 import dev.wisteriarail.core.engine.ReplicaPhase;
 import dev.wisteriarail.core.engine.ReplicaStatus;
+import dev.wisteriarail.core.id.AdapterId;
 import dev.wisteriarail.core.id.AttemptId;
 import dev.wisteriarail.core.id.FencingNumber;
 import dev.wisteriarail.core.id.Incarnation;
@@ -23,7 +24,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * A fake of one runner: loads replicas by tier, batches attempts in its slots, reports its state.
@@ -33,6 +36,7 @@
  */
 final class ReplayEngine {
 
+  private static final Duration ADAPTER_LOAD = Duration.ofMillis(8);
   private static final Duration PREFILL_START = Duration.ofMillis(40);
   private static final long PREFILL_MICROS_A_TOKEN = 200;
   private static final long MICROS_A_TOKEN = 20_000;
@@ -58,6 +62,7 @@
     private final String version;
     private final long bytes;
     private ReplicaPhase phase = ReplicaPhase.LOADING;
+    private final Set<AdapterId> adapters = new TreeSet<>();
     private int active;
 
     private Replica(ReplicaId id, ModelSpec model, String version, long bytes) {
@@ -128,7 +133,9 @@
     switch (order.body()) {
       case EngineOrder.LoadReplica load -> load(load, configuration.models().get(load.model()));
       case EngineOrder.UnloadReplica unload -> unload(unload.replica());
-      default -> {}
+      case EngineOrder.LoadAdapter load -> loadAdapter(load);
+      case EngineOrder.UnloadAdapter unload -> unloadAdapter(unload);
+      case EngineOrder.RaiseFence raise -> {}
     }
     listener.changed(this);
     return new OrderOutcome.Done();
@@ -173,6 +180,26 @@
     removeIfDone(replica);
   }
 
+  private void loadAdapter(EngineOrder.LoadAdapter load) {
+    Replica replica = replicas.get(load.replica());
+    if (replica == null) {
+      return;
+    }
+    time.after(
+        ADAPTER_LOAD,
+        () -> {
+          replica.adapters.add(load.adapter());
+          listener.changed(this);
+        });
+  }
+
+  private void unloadAdapter(EngineOrder.UnloadAdapter unload) {
+    Replica replica = replicas.get(unload.replica());
+    if (replica != null) {
+      replica.adapters.remove(unload.adapter());
+    }
+  }
+
   private void removeIfDone(Replica replica) {
     if (replica.phase == ReplicaPhase.UNLOADING && replica.active == 0) {
       meter.change(() -> replicas.remove(replica.id));
@@ -187,6 +214,8 @@
       listener.ended(dispatch.attempt(), new AttemptOutcome.NotHandedOver("no connection"));
     } else if (replica == null || replica.phase != ReplicaPhase.READY) {
       listener.ended(dispatch.attempt(), new AttemptOutcome.Rejected("replica not ready"));
+    } else if (line.adapter() != null && !replica.adapters.contains(AdapterId.of(line.adapter()))) {
+      listener.ended(dispatch.attempt(), new AttemptOutcome.Rejected("adapter not loaded"));
     } else {
       meter.change(() -> replica.active++);
       queued.add(new Attempt(dispatch.attempt(), replica, line));
@@ -280,7 +309,7 @@
               replica.phase,
               replica.bytes,
               replica.active,
-              List.of()));
+              List.copyOf(replica.adapters)));
     }
     return new EngineReport(
         spec.id(),
