--- a/experiments/processes.sh
+++ b/experiments/processes.sh
@@ -57,7 +57,7 @@
 for n in 1 2 3; do
   start "n$n" serve --config "examples/local/n$n.toml"
 done
-"$BINARY" answers publish --log "$LOG" --author experiment --reason start examples/local/answers.toml
+"$BINARY" answers publish --log "$LOG" --base 0 --author experiment --reason start examples/local/answers.toml
 for n in 1 2 3; do
   wait_for "http://127.0.0.1:808$n/health/ready"
 done
--- a/src/main/java/dev/wisteriarail/demo/DemoConfiguration.java
+++ b/src/main/java/dev/wisteriarail/demo/DemoConfiguration.java
@@ -55,7 +55,7 @@
         Optional.of(new DeploymentSpec("demo", 7.0, 4, 32, 0.7)),
         List.of(model("m001"), model("m002"), model("m003")),
         List.of(),
-        List.of(new CustomerSpec(CUSTOMER, List.of(TOKEN_HASH), 1, 1_000, 1_000, 1_000, 1_000)),
+        List.of(new CustomerSpec(CUSTOMER, List.of(TOKEN_HASH), 1, 10_000, 10_000, 1_000, 1_000)),
         List.of(
             new KindSpec(KindId.of("default"), Urgency.NORMAL, Duration.ofSeconds(30), true),
             new KindSpec(KindId.of("fault-summary"), Urgency.URGENT, Duration.ofSeconds(10), true),
--- a/src/main/sh/launcher.sh
+++ b/src/main/sh/launcher.sh
@@ -1,7 +1,11 @@
 #!/bin/sh
 # Starts the jar appended to this script with a JDK 25.
 # WISTERIARAIL_JAVA_OPTS replaces the default JVM flags.
-java_opts=${WISTERIARAIL_JAVA_OPTS--Xss512k -Xmx1g -XX:+UseSerialGC -XX:+UseCompactObjectHeaders -XX:TieredStopAtLevel=4}
+case "$1" in
+  serve) heap="-Xmx160m -Xmn32m" ;;
+  *) heap="-Xmx1g" ;;
+esac
+java_opts=${WISTERIARAIL_JAVA_OPTS-$heap -Xss512k -XX:+UseSerialGC -XX:+UseCompactObjectHeaders}
 for home in "$JAVA_HOME" /usr/lib/jvm/* /opt/java/* /opt/jdk*; do
   if [ -x "$home/bin/java" ] && grep -q '^JAVA_VERSION="25' "$home/release" 2>/dev/null; then
     # shellcheck disable=SC2086
