--- a/src/test/java/dev/wisteriarail/replay/TraceOutcomeTest.java
+++ b/src/test/java/dev/wisteriarail/replay/TraceOutcomeTest.java
@@ -9,7 +9,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -21,6 +20,7 @@
     "cwmtawe,day",
     "cwmtawe,flood",
     "cwmtawe,log-outage",
+    "cwmtawe,runners-lost",
     "lonchera,weekly-peak",
     "lonchera,bursts",
     "lonchera,slow-store"
@@ -29,14 +29,6 @@
     check(deployment, scenario);
   }
 
-  /** Listed in KNOWN-RED.txt. */
-  @Tag("known-red")
-  @ParameterizedTest
-  @CsvSource("cwmtawe,runners-lost")
-  void knownRedTraceMeetsItsStatedOutcome(String deployment, String scenario) throws Exception {
-    check(deployment, scenario);
-  }
-
   private static void check(String deployment, String scenario) throws Exception {
     Path folder = Path.of("examples", deployment);
     Path trace = folder.resolve("traces").resolve(scenario + ".jsonl");
