--- a/src/main/java/dev/wisteriarail/core/membership/Membership.java
+++ b/src/main/java/dev/wisteriarail/core/membership/Membership.java
@@ -293,15 +293,6 @@
     return listedAsLeaving || leaving.contains(node) || draining.contains(node);
   }
 
-  /** Returns whether one run of a node is known to have ended for good. */
-  public boolean isClosed(NodeId node, Incarnation incarnation) {
-    if (node.equals(settings.node())) {
-      return incarnation.compareTo(settings.incarnation()) < 0;
-    }
-    Incarnation known = incarnations.getOrDefault(node, Incarnation.NONE);
-    return incarnation.compareTo(known) < 0 || (incarnation.equals(known) && closed.contains(node));
-  }
-
   /** Returns this node's rank among the live ones that stay, 0 for the first by name. */
   public int rank(Instant now) {
     boolean selfLeaves = isLeaving(settings.node());
