--- /dev/null
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -0,0 +1,301 @@
+package dev.wisteriarail.standin;
+
+import dev.wisteriarail.codec.Codecs;
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.settings.Endpoint;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * A stand-in of one of the users' runners: an engine that takes orders and streams events, or a
+ * plain service.
+ *
+ * <p>Life cycle: {@link #start}, then {@link #close}. Thread-safe.
+ */
+public final class RunnerStandin implements AutoCloseable {
+
+  private static final String NOT_RUN = "X-Wisteriarail-Not-Executed";
+  private static final int EVENTS = 6;
+  private static final long EVENT_PAUSE_MILLIS = 3;
+  private static final long LOAD_MILLIS = 120;
+
+  private final String id;
+  private final String service;
+  private final boolean engine;
+  private final long born;
+  private final Map<String, Set<String>> models = new TreeMap<>();
+  private final Set<String> disk = new TreeSet<>();
+  private final List<String> ran = new ArrayList<>();
+  private StandinServer server;
+  private Behaviour behaviour = Behaviour.SOUND;
+  private boolean draining;
+  private long orders;
+  private long fence;
+  private long busyUntilNanos;
+  private int running;
+
+  private RunnerStandin(String id, String service, boolean engine, long born) {
+    this.id = id;
+    this.service = service;
+    this.engine = engine;
+    this.born = born;
+  }
+
+  /** What a runner does with requests. */
+  public enum Behaviour {
+    /** It serves them. */
+    SOUND,
+    /** It says that it is full. */
+    FULL,
+    /** It runs them and answers with an error. */
+    FAILING,
+    /** It runs them and closes the connection without an answer. */
+    ANSWER_LOST,
+    /** It runs them and cuts its answer in the middle. */
+    CUT,
+    /** It answers as if to another request. */
+    CROSSED,
+    /** It answers without its signature. */
+    UNSIGNED
+  }
+
+  /**
+   * Starts a runner.
+   *
+   * @param id its identifier
+   * @param service the service that it belongs to
+   * @param engine whether it holds models
+   * @param held models that it holds from the start
+   * @param born time of its start, in Unix milliseconds
+   * @throws SettingsException if no port can be bound
+   */
+  public static RunnerStandin start(
+      String id, String service, boolean engine, List<String> held, long born)
+      throws SettingsException {
+    RunnerStandin runner = new RunnerStandin(id, service, engine, born);
+    for (String model : held) {
+      runner.models.put(model, new TreeSet<>());
+      runner.disk.add(model);
+    }
+    runner.server = StandinServer.start(new Endpoint("127.0.0.1", 0), 1, runner::handle);
+    return runner;
+  }
+
+  // Calls
+
+  private void handle(Call call) throws IOException, InterruptedException {
+    String expected = call.header("X-Wisteriarail-Expected-Instance").orElse(id);
+    if (!expected.equals(id)) {
+      call.setHeader("X-Wisteriarail-Instance-Id", id);
+      call.reply(421, "another runner");
+      return;
+    }
+    switch (call.path()) {
+      case "/wisteriarail/report" -> call.replyJson(report());
+      case "/wisteriarail/order" -> order(call);
+      default -> serve(call);
+    }
+  }
+
+  private synchronized Map<String, Object> report() {
+    Map<String, Object> report = new LinkedHashMap<>(description());
+    report.put("busy", isBusy());
+    report.put("sequence", orders);
+    report.put("waiting", 0);
+    report.put("running_count", running);
+    report.put("kv_cache_used", 0);
+    return report;
+  }
+
+  private Map<String, Object> description() {
+    List<Map<String, Object>> held = new ArrayList<>();
+    if (!isBusy()) {
+      models.forEach(
+          (name, adapters) ->
+              held.add(Map.of("name", name, "version", 1, "adapters", List.copyOf(adapters))));
+    }
+    Map<String, Object> description = new LinkedHashMap<>();
+    description.put("models", held);
+    description.put("available", Map.of("in_memory", List.of(), "on_disk", List.copyOf(disk)));
+    description.put("born", born);
+    return description;
+  }
+
+  private boolean isBusy() {
+    return System.nanoTime() < busyUntilNanos;
+  }
+
+  private synchronized void order(Call call) throws IOException {
+    Map<?, ?> order = Codecs.json().readValue(call.body(), Map.class);
+    long token = ((Number) order.get("fencing_token")).longValue();
+    Object expect = order.get("expect");
+    if (token < fence) {
+      call.reply(412, "an older fencing number");
+      return;
+    }
+    fence = token;
+    if (isBusy() || (expect != null && ((Number) expect).longValue() != orders)) {
+      call.reply(409, "another order");
+      return;
+    }
+    orders++;
+    String model = (String) order.get("model");
+    String adapter = (String) order.get("adapter");
+    boolean load = "model_load".equals(order.get("operation"));
+    if (adapter != null) {
+      Set<String> adapters = models.getOrDefault(model, new TreeSet<>());
+      boolean unused = load ? adapters.add(adapter) : adapters.remove(adapter);
+      call.reply(load ? 202 : 200, unused ? "" : "holds");
+      return;
+    }
+    if (load) {
+      models.putIfAbsent(model, new TreeSet<>());
+      disk.add(model);
+      busyUntilNanos = System.nanoTime() + LOAD_MILLIS * 1_000_000;
+    } else {
+      models.remove(model);
+    }
+    call.reply(202, "");
+  }
+
+  private void serve(Call call) throws IOException, InterruptedException {
+    String request = call.header("X-Wisteriarail-Request-Id").orElse("");
+    if (request.isEmpty()) {
+      call.setHeader(NOT_RUN, "1");
+      call.reply(400, "no identifier");
+      return;
+    }
+    Behaviour now = begin(call, request);
+    if (call.answered()) {
+      return;
+    }
+    try {
+      answer(call, request, now);
+    } finally {
+      finish();
+    }
+  }
+
+  private synchronized Behaviour begin(Call call, String request) throws IOException {
+    call.setHeader("X-Wisteriarail-Request-Id", request);
+    if (behaviour == Behaviour.FULL) {
+      call.setHeader(NOT_RUN, "1");
+      call.reply(503, "full");
+    } else if (engine && !holds(call.header("X-Wisteriarail-Model").orElse(""))) {
+      call.setHeader(NOT_RUN, "1");
+      call.reply(421, "not loaded");
+    } else {
+      ran.add(request);
+      running++;
+    }
+    return behaviour;
+  }
+
+  private boolean holds(String named) {
+    int slash = named.indexOf('/');
+    String model = slash < 0 ? named : named.substring(0, slash);
+    return !isBusy()
+        && models.containsKey(model)
+        && (slash < 0 || models.get(model).contains(named.substring(slash + 1)));
+  }
+
+  private synchronized void finish() {
+    running--;
+  }
+
+  private void answer(Call call, String request, Behaviour how)
+      throws IOException, InterruptedException {
+    if (how == Behaviour.ANSWER_LOST) {
+      return;
+    }
+    if (how == Behaviour.CROSSED) {
+      call.setHeader("X-Wisteriarail-Request-Id", "another-" + request);
+    }
+    if (how != Behaviour.UNSIGNED) {
+      call.setHeader("X-Wisteriarail-Response-Signature", id + "." + request);
+    }
+    if (how == Behaviour.FAILING) {
+      call.reply(500, "failed");
+    } else if (engine) {
+      stream(call, request, how);
+    } else {
+      call.setHeader("Content-Length", Integer.toString(request.length() + 5));
+      call.writePart("done ", false);
+      if (how != Behaviour.CUT) {
+        call.writePart(request, true);
+      }
+    }
+  }
+
+  private void stream(Call call, String request, Behaviour how)
+      throws IOException, InterruptedException {
+    call.setHeader("Content-Type", "text/event-stream");
+    int from = Integer.parseInt(call.header("Last-Event-Id").orElse("0")) + 1;
+    for (int event = from; event <= EVENTS; event++) {
+      String text = "id: " + event + "\ndata: " + request + " " + event + "\n\n";
+      if (how == Behaviour.CUT && event == EVENTS / 2) {
+        call.writePart(text.substring(0, text.length() / 2), false);
+        return;
+      }
+      call.writePart(text, event == EVENTS);
+      Thread.sleep(EVENT_PAUSE_MILLIS);
+    }
+  }
+
+  // Control and observation
+
+  /** Changes what it does with requests. */
+  public synchronized void behave(Behaviour newBehaviour) {
+    behaviour = newBehaviour;
+  }
+
+  /** Makes it say that it leaves. */
+  public synchronized void drain() {
+    draining = true;
+  }
+
+  /** Returns the identifiers of the requests that it ran, in order. */
+  public synchronized List<String> ran() {
+    return List.copyOf(ran);
+  }
+
+  /** Returns the models that it holds. */
+  public synchronized Set<String> models() {
+    return Set.copyOf(models.keySet());
+  }
+
+  /** Returns its identifier. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns what it writes into the directory, as JSON. */
+  public synchronized String entry(long beat) {
+    Map<String, Object> entry = new LinkedHashMap<>(description());
+    entry.put("service", service);
+    entry.put("address", server.address().replace("http://", ""));
+    entry.put("zone", "a");
+    entry.put("version", "v1");
+    entry.put("slots", 8);
+    entry.put("state", draining ? "draining" : "ready");
+    entry.put("cold_remaining_ms", 0);
+    entry.put("sequence", beat);
+    try {
+      return Codecs.json().writeValueAsString(entry);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+}
--- a/src/main/java/dev/wisteriarail/standin/StandinFile.java
+++ b/src/main/java/dev/wisteriarail/standin/StandinFile.java
@@ -5,7 +5,7 @@
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.membership.VmEntry;
 import dev.wisteriarail.core.result.SettingsException;
-import dev.wisteriarail.platform.HttpClients;
+import dev.wisteriarail.logservice.HttpClients;
 import dev.wisteriarail.settings.Endpoint;
 import dev.wisteriarail.settings.TomlDocument;
 import java.nio.file.Path;
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
@@ -0,0 +1,143 @@
+package dev.wisteriarail.platform;
+
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.gateway.GatewayNode;
+import dev.wisteriarail.settings.GatewayFile;
+import dev.wisteriarail.settings.TomlDocument;
+import dev.wisteriarail.standin.PlatformStandin;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/** Real gateway nodes before a stand-in of the platform, all on loopback. */
+final class GatewayFleet implements AutoCloseable {
+
+  private static final Duration LIMIT = Duration.ofSeconds(30);
+
+  private final PlatformStandin platform;
+  private final List<GatewayNode> nodes = new ArrayList<>();
+  private final HttpClient http =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private int requests;
+
+  private GatewayFleet(PlatformStandin platform) {
+    this.platform = platform;
+  }
+
+  static GatewayFleet start(int count, int engines, int plain) throws Exception {
+    GatewayFleet fleet = new GatewayFleet(PlatformStandin.start(engines, plain));
+    for (int i = 0; i < count; i++) {
+      fleet.startNode("n" + i);
+    }
+    fleet.await(() -> fleet.allReady());
+    return fleet;
+  }
+
+  private void startNode(String name) throws SettingsException, IOException {
+    String toml =
+        """
+        [node]
+        id = "%s"
+        failure_domain = "a"
+        drain_limit_s = 3
+        [gateway]
+        callers = "127.0.0.1:%d"
+        balancer = "127.0.0.1:%d"
+        peers = "127.0.0.1:%d"
+        [store]
+        address = "%s"
+        [orders]
+        handover_ms = 300
+        """
+            .formatted(name, freePort(), freePort(), freePort(), platform.store().address());
+    nodes.add(
+        GatewayNode.start(
+            GatewayFile.from(TomlDocument.parse(name, toml)),
+            CallerHeaders.create(),
+            RunnerHeaders.create(),
+            PlatformCalls::create));
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private boolean allReady() {
+    return nodes.stream().allMatch(this::isReady);
+  }
+
+  private boolean isReady(GatewayNode node) {
+    var at = node.file().balancer();
+    URI uri = URI.create("http://" + at.host() + ":" + at.port() + "/wisteriarail/readiness");
+    try {
+      return http.send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.discarding())
+              .statusCode()
+          == 200;
+    } catch (IOException notYet) {
+      return false;
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  /** Waits for a condition; fails only if it does not come true in a long time. */
+  void await(BooleanSupplier condition) throws InterruptedException {
+    long until = System.nanoTime() + LIMIT.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > until) {
+        throw new AssertionError("the condition did not come true");
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  /** Sends a request to a node; names the model unless it is empty. */
+  HttpResponse<String> send(int node, String method, String path, String model) throws Exception {
+    return send(node, method, path, model, "r" + requests++, "body");
+  }
+
+  HttpResponse<String> send(
+      int node, String method, String path, String model, String id, String body) throws Exception {
+    var at = nodes.get(node).file().callers();
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://" + at.host() + ":" + at.port() + path))
+            .header("X-Wisteriarail-Request-Id", id)
+            .header("X-Wisteriarail-Deadline-Ms", "5000")
+            .timeout(LIMIT);
+    if (!model.isEmpty()) {
+      request.header("X-Wisteriarail-Model", model);
+    }
+    request.method(
+        method,
+        method.equals("GET")
+            ? HttpRequest.BodyPublishers.noBody()
+            : HttpRequest.BodyPublishers.ofString(body));
+    return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  PlatformStandin platform() {
+    return platform;
+  }
+
+  GatewayNode node(int index) {
+    return nodes.get(index);
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    for (GatewayNode node : nodes) {
+      node.kill();
+    }
+    platform.close();
+  }
+}
