Keep the order lease through a cut store; take loads as done in time

(3) core_cut of the holder stopped orders for about 5 s. (4) A model on an engine's disk was used only after a report, which lags.

Change: connections to runners tell a reset as an error; a claim always waits out its predecessor; where runners check fencing numbers the holder goes on while only the store is cut, and another node relays the store; an idle unload and a load from disk or memory are taken as done when their time has come, and a report corrects it; engines stock models freely before anybody asks. Links between peers are acknowledged and reopened when they fall silent.

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordination.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordination.java
@@ -1,14 +1,12 @@
 package dev.wisteriarail.core.fleet;
 
 import dev.wisteriarail.core.id.NodeId;
-import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 
 /**
- * Decides which node coordinates: reads the store for all, collects what callers want, and gives
- * orders to runners.
+ * Decides which node coordinates, that is, collects what callers want and gives orders to runners,
+ * and which node reads the store for all.
  *
  * <p>It is the node that holds the lease on orders. A node tries for the lease only where no live
  * peer says that it holds one, and where no live peer that reaches the store has a lower name. The
@@ -18,9 +16,6 @@
  */
 public final class Coordination {
 
-  /** A holder that the store has not answered for this long makes way for one that it answers. */
-  public static final Duration UNREACHABLE_LIMIT = Duration.ofMillis(800);
-
   private Coordination() {}
 
   /** Returns the node that coordinates, as far as this node knows. */
@@ -37,45 +32,69 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns the node that reads the store for all: the coordinator, or the first node that the
+   * store answers while it does not answer the coordinator.
+   */
+  public static Optional<NodeId> relay(NodeId self, PeerStatus own, List<PeerTable.Peer> live) {
+    Optional<NodeId> coordinator = coordinator(self, own.fence(), live);
+    boolean reaches =
+        coordinator.filter(self::equals).isPresent()
+            ? own.storeReachable()
+            : live.stream()
+                .filter(peer -> coordinator.filter(peer.node()::equals).isPresent())
+                .anyMatch(peer -> peer.status().storeReachable());
+    if (coordinator.isEmpty() || reaches) {
+      return coordinator;
+    }
+    NodeId first = mayRelay(own) ? self : null;
+    for (PeerTable.Peer peer : live) {
+      boolean earlier = first == null || peer.node().compareTo(first) < 0;
+      if (mayRelay(peer.status()) && earlier) {
+        first = peer.node();
+      }
+    }
+    return Optional.ofNullable(first);
+  }
+
   /**
    * Returns whether a node should try for the lease, or keep it.
    *
+   * <p>A holder that only the store does not answer keeps it where runners check fencing numbers:
+   * its peers still hear it, and no other node claims meanwhile.
+   *
    * @param self the node
    * @param own what it says of itself
    * @param holdsLease whether it holds the lease
    * @param settled whether it has listened long enough since its start
-   * @param unreachableFor how long the store has not answered it
+   * @param expired whether its lease has run out and fencing numbers do not protect its orders
    * @param live its live peers
-   * @param now the time
    */
   public static boolean wantsLease(
       NodeId self,
       PeerStatus own,
       boolean holdsLease,
       boolean settled,
-      Duration unreachableFor,
-      List<PeerTable.Peer> live,
-      Instant now) {
+      boolean expired,
+      List<PeerTable.Peer> live) {
     if (own.draining()) {
       return false;
     }
-    boolean othersReach = live.stream().anyMatch(peer -> mayLead(peer));
     if (holdsLease) {
       boolean overtaken = live.stream().anyMatch(peer -> peer.status().fence() > own.fence());
-      boolean makesWay = unreachableFor.compareTo(UNREACHABLE_LIMIT) > 0 && othersReach;
-      return !overtaken && !makesWay;
+      boolean othersReach = live.stream().anyMatch(peer -> mayRelay(peer.status()));
+      return !overtaken && !(expired && othersReach);
     }
     if (!settled || !own.storeReachable()) {
       return false;
     }
-    boolean led =
-        live.stream().anyMatch(peer -> peer.status().fence() > 0 && peer.status().storeReachable());
+    boolean led = live.stream().anyMatch(peer -> peer.status().fence() > 0);
     boolean lowest =
-        live.stream().noneMatch(peer -> mayLead(peer) && peer.node().compareTo(self) < 0);
+        live.stream().noneMatch(peer -> mayRelay(peer.status()) && peer.node().compareTo(self) < 0);
     return !led && lowest;
   }
 
-  private static boolean mayLead(PeerTable.Peer peer) {
-    return peer.status().storeReachable() && !peer.status().draining();
+  private static boolean mayRelay(PeerStatus status) {
+    return status.storeReachable() && !status.draining();
   }
 }
--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -40,6 +40,9 @@
   /** Time that an adapter takes to load; some milliseconds, and up to the first other order. */
   private static final Duration ADAPTER_LOAD = Duration.ofMillis(12);
 
+  /** Time after which the unloading of a model without requests is taken as done. */
+  private static final Duration IDLE_UNLOAD = Duration.ofMillis(15);
+
   private final Map<String, EngineState> engines = new TreeMap<>();
   private final Map<String, String> serviceOf = new HashMap<>();
   private final Map<String, ModelPlanner> planners = new HashMap<>();
@@ -162,6 +165,11 @@
 
   /** Returns the orders to send now. */
   public List<NumberedOrder> decide(GatewayConfiguration configuration, Instant now) {
+    for (EngineState engine : engines.values()) {
+      if (engine.advance(now)) {
+        engine.revise(++revision);
+      }
+    }
     demand.forgetBefore(now.minus(NODE_SILENCE));
     uses.forgetBefore(now.minus(NODE_SILENCE));
     Map<DemandBook.Key, DemandBook.Want> wants = demand.wants();
@@ -177,7 +185,7 @@
       Plan plan =
           planners.computeIfAbsent(service.name(), name -> ModelPlanner.create()).plan(input);
       for (Plan.Placed placed : plan.orders()) {
-        orders.add(begin(placed, service.engine().get(), now));
+        orders.add(begin(placed, service.engine().get(), loads.get(placed.runner()), now));
       }
       for (Plan.Forecast forecast : plan.forecasts()) {
         planned.add(new ModelForecast(service.name(), forecast.model(), forecast.startsInMillis()));
@@ -198,8 +206,10 @@
     }
   }
 
-  private NumberedOrder begin(Plan.Placed placed, EngineSpec spec, Instant now) {
+  private NumberedOrder begin(Plan.Placed placed, EngineSpec spec, UseBook.Load use, Instant now) {
     EngineState engine = engines.get(placed.runner());
+    engine.markIdleUnload(
+        use == null || use.byModel().getOrDefault(placed.order().model(), 0) == 0);
     long number = nextOrder++;
     final long expected = engine.orders();
     engine.begin(number, placed.order(), expectedTime(placed.order(), spec), now);
@@ -220,7 +230,7 @@
               .findFirst()
               .map(model -> loadTime(model, load.source()))
               .orElse(Duration.ZERO);
-      case FleetOrder.UnloadModel unload -> Duration.ZERO;
+      case FleetOrder.UnloadModel unload -> IDLE_UNLOAD;
       case FleetOrder.LoadAdapter load -> ADAPTER_LOAD;
       case FleetOrder.UnloadAdapter unload -> Duration.ZERO;
     };
--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -35,6 +35,8 @@
   private long orders;
   private boolean ordersSure;
   private boolean busy;
+  private boolean announced;
+  private boolean idleUnload;
   private Optional<OpenOrder> open = Optional.empty();
   private Instant changedAt;
   private Instant reportAskedAt = Instant.MIN;
@@ -135,6 +137,7 @@
   void begin(long number, FleetOrder body, Duration expected, Instant now) {
     open = Optional.of(new OpenOrder(number, body, orders, now, now.plus(expected), false));
     changedAt = now;
+    announced = false;
     if (body instanceof FleetOrder.UnloadModel unload) {
       models.remove(unload.model());
     } else if (body instanceof FleetOrder.UnloadAdapter unload) {
@@ -142,6 +145,37 @@
     }
   }
 
+  /**
+   * Takes an accepted order as done when its time has come, without waiting for a report: the
+   * unloading of a model that nothing runs on, and a load whose time does not depend on others. A
+   * report that says otherwise is believed later.
+   *
+   * @return whether what the engine can serve changed
+   */
+  boolean advance(Instant now) {
+    if (open.isEmpty() || !open.get().accepted() || now.isBefore(open.get().expectedAt())) {
+      return false;
+    }
+    return switch (open.get().body()) {
+      case FleetOrder.LoadModel load when !announced && load.source() != LoadSource.STORE -> {
+        announced = true;
+        models.putIfAbsent(load.model(), new TreeSet<>());
+        yield true;
+      }
+      case FleetOrder.UnloadModel unload when idleUnload -> {
+        open = Optional.empty();
+        busy = false;
+        yield true;
+      }
+      default -> false;
+    };
+  }
+
+  /** Notes whether a request runs on the model that is unloaded. */
+  void markIdleUnload(boolean idle) {
+    idleUnload = idle;
+  }
+
   /** Takes the answer to an order. */
   void finish(long number, FleetOrderOutcome outcome, Instant now) {
     if (open.isEmpty() || open.get().number() != number) {
@@ -249,9 +283,9 @@
     return open;
   }
 
-  /** Returns the model that is being loaded. */
+  /** Returns the load under way of a model that cannot serve yet. */
   Optional<OpenOrder> loading() {
-    return open.filter(order -> order.body() instanceof FleetOrder.LoadModel);
+    return open.filter(order -> !announced && order.body() instanceof FleetOrder.LoadModel);
   }
 
   /** Returns whether an order may be sent to it. */
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -41,6 +41,9 @@
   /** Share of the engines that may be busy with loads from the store that nobody waits for. */
   private static final double STOCKING_SHARE = 0.34;
 
+  /** Arrivals a second of a model below which it counts as not asked for. */
+  private static final double QUIET_RATE = 0.02;
+
   /** Time that clearing a place adds to a load, in milliseconds. */
   private static final long CLEARING_MILLIS = 400;
 
@@ -255,7 +258,7 @@
                       .thenComparing(Function.identity()))
               .toList();
       for (String model : missing) {
-        if (!mayLoadFromStore() || stocking >= engines.size() * STOCKING_SHARE) {
+        if (!mayLoadFromStore() || (!isQuiet() && stocking >= engines.size() * STOCKING_SHARE)) {
           return;
         }
         Optional<PlanInput.Engine> engine = bestEngine(model, true);
@@ -267,6 +270,11 @@
       }
     }
 
+    /** Before anybody asks for a model, engines have nothing better to do than to load. */
+    private boolean isQuiet() {
+      return input.models().values().stream().allMatch(need -> need.perSecond() < QUIET_RATE);
+    }
+
     // Choices
 
     private boolean mayLoadFromStore() {
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -48,7 +48,6 @@
   private Instant renewedAt = Instant.MIN;
   private Instant ordersFrom = Instant.MAX;
   private Optional<String> predecessor = Optional.empty();
-  private boolean predecessorStopped;
   private long fence;
 
   private OrderLease(String self, long incarnation, FleetTimings timings) {
@@ -92,7 +91,11 @@
 
   private Optional<LeaseCall> hold(boolean wanted, Instant now) {
     if (phase == Phase.CLAIMING) {
-      return claim(now);
+      if (wanted) {
+        return claim(now);
+      }
+      phase = Phase.IDLE;
+      return Optional.empty();
     }
     if (!wanted) {
       phase = Phase.IDLE;
@@ -152,7 +155,6 @@
     endSeenAt = now;
     if (end == 0) {
       predecessor = Optional.empty();
-      predecessorStopped = true;
       phase = Phase.CLAIMING;
     } else if (next < end || records.records().isEmpty()) {
       lookFrom = Math.max(end - 1, records.first());
@@ -163,10 +165,8 @@
   }
 
   private void acceptLast(LeaseRecord last) {
-    boolean ownRun = last.holder().equals(self);
-    predecessor = ownRun ? Optional.empty() : Optional.of(last.holder());
-    predecessorStopped = ownRun || last.kind() == LeaseRecord.Kind.RELEASE;
-    phase = predecessorStopped ? Phase.CLAIMING : Phase.WAITING;
+    predecessor = Optional.of(last.holder());
+    phase = last.kind() == LeaseRecord.Kind.RELEASE ? Phase.CLAIMING : Phase.WAITING;
   }
 
   /** Finds out whether a record of this run stands where another was refused. */
@@ -198,13 +198,12 @@
     fence = claimOffset + 1;
     renewedAt = callStartedAt;
     unsure = false;
-    if (predecessor.isEmpty()) {
-      ordersFrom = now;
-    } else if (predecessorStopped) {
-      ordersFrom = now.plus(timings.handover());
-    } else {
-      ordersFrom = now.plus(timings.renew()).plus(REFUSAL_MARGIN).plus(timings.handover());
-    }
+    // A record tells who claimed, not who gave orders: a claim may take effect seconds after its
+    // writer gave it up, so not even a record of this node shortens the wait.
+    ordersFrom =
+        predecessor.isEmpty()
+            ? now
+            : now.plus(timings.renew()).plus(REFUSAL_MARGIN).plus(timings.handover());
   }
 
   // News from elsewhere
@@ -218,7 +217,10 @@
     ordersFrom = Instant.MAX;
   }
 
-  /** Takes the predecessor's own word that it gave its last order at a time and gives none now. */
+  /**
+   * Takes the predecessor's own word that it gave orders under its last claim, the last one at a
+   * time, and gives none now.
+   */
   public void acceptStopped(String node, Instant lastOrderAt, Instant now) {
     if (phase == Phase.HOLDING && predecessor.filter(node::equals).isPresent()) {
       Instant earliest = lastOrderAt.plus(timings.handover()).plus(REFUSAL_MARGIN);
@@ -242,12 +244,16 @@
 
   /** Returns whether an order may go out now. */
   public boolean mayOrder(Instant now) {
-    boolean current = now.isBefore(renewedAt.plus(timings.lease()));
     return phase == Phase.HOLDING
         && !unsure
         && !verifying
         && !now.isBefore(ordersFrom)
-        && (current || timings.fencesEnforced());
+        && isSafe(now);
+  }
+
+  /** Returns whether the lease has not run out, or fencing numbers protect orders after it. */
+  public boolean isSafe(Instant now) {
+    return timings.fencesEnforced() || now.isBefore(renewedAt.plus(timings.lease()));
   }
 
   /** Returns the fencing number; 0 if the lease is not held. */
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -42,6 +42,8 @@
   /** Part of the grace after a stop request that is kept for the end of the process itself. */
   private static final Duration EXIT_RESERVE = Duration.ofMillis(800);
 
+  private static final String SOURCE_STORE = "store";
+
   private final GatewaySettings settings;
   private final FleetTimings timings;
   private final NodeId self;
@@ -68,6 +70,7 @@
   private boolean storeLost;
   private boolean callersClosed;
   private boolean drainCompleted;
+  private boolean relaying;
   private long heldFence;
 
   private GatewayCore(GatewaySettings settings) {
@@ -156,8 +159,8 @@
     store.accept(told.call(), told.answer(), step.now());
     switch (told.answer()) {
       case StoreAnswer.ConfigurationRead read ->
-          read.configuration().ifPresent(newer -> apply(newer, "store", step));
-      case StoreAnswer.DirectoryRead read -> apply(read.change(), "store", step);
+          read.configuration().ifPresent(newer -> apply(newer, SOURCE_STORE, step));
+      case StoreAnswer.DirectoryRead read -> apply(read.change(), SOURCE_STORE, step);
       case StoreAnswer.NodesRead read ->
           read.nodes().forEach(address -> peers.learn(address, step.now()));
       case StoreAnswer.RecordsDropped dropped ->
@@ -190,7 +193,7 @@
         newer.routes().size(),
         "source",
         source);
-    if (lease.isHeld()) {
+    if (relaying && source.equals(SOURCE_STORE)) {
       tellAll(new FleetMessage.ConfigurationTold(newer), step);
     }
   }
@@ -219,7 +222,7 @@
           "source",
           source);
     }
-    boolean relayed = lease.isHeld() && source.equals("store");
+    boolean relayed = relaying && source.equals(SOURCE_STORE);
     if (relayed && !material.isEmpty()) {
       DirectoryChange relay = material.whole() ? directory.whole() : material;
       tellAll(new FleetMessage.DirectoryTold(relay), step);
@@ -278,7 +281,7 @@
       lease.acceptStopped(
           beat.self().node().value(), now.minusMillis(status.lastOrderAgeMillis()), now);
     }
-    if (lease.isHeld()) {
+    if (relaying) {
       helpBehind(beat, step);
     }
   }
@@ -334,15 +337,16 @@
   private void coordinate(List<PeerTable.Peer> live, GatewayStep step) {
     Instant now = step.now();
     boolean settled = !now.isBefore(startedAt.plus(timings.settle()));
+    boolean expired = lease.isHeld() && !lease.isSafe(now);
     boolean wants =
-        Coordination.wantsLease(
-            self, status(now), lease.isHeld(), settled, store.failingFor(now), live, now);
+        Coordination.wantsLease(self, status(now), lease.isHeld(), settled, expired, live);
     lease.advance(wants, now).ifPresent(call -> step.emit(new GatewayEffect.CallLease(call)));
     if (lease.fence() != heldFence) {
       heldFence = lease.fence();
       coordinator.reset();
       if (heldFence > 0) {
         coordinator.startRevisionsAt(heldFence << REVISION_BITS);
+        lastOrderAt = Instant.MIN;
         toldRevision.clear();
         step.log(EventCode.LEASE_GAINED, "fence", heldFence);
       } else {
@@ -368,7 +372,8 @@
   private void readStore(List<PeerTable.Peer> live, GatewayStep step) {
     Instant now = step.now();
     boolean stale = directory.age(now).compareTo(timings.directoryStale()) > 0;
-    boolean watching = lease.isHeld() || stale;
+    relaying = Coordination.relay(self, status(now), live).filter(self::equals).isPresent();
+    boolean watching = relaying || stale;
     for (StoreRead read : store.advance(watching, directory.offset(), live.isEmpty(), now)) {
       step.emit(new GatewayEffect.ReadStore(read));
     }
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
@@ -160,11 +160,6 @@
     return failingSince.equals(Instant.MAX);
   }
 
-  /** Returns how long every call has failed. */
-  Duration failingFor(Instant now) {
-    return failingSince.equals(Instant.MAX) ? Duration.ZERO : Duration.between(failingSince, now);
-  }
-
   /** Returns when the store last answered; {@link Instant#MIN} if it never did. */
   Instant answeredAt() {
     return answeredAt;
--- a/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
@@ -1,10 +1,15 @@
 package dev.wisteriarail.gateway;
 
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import org.apache.logging.log4j.LogManager;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -31,7 +36,7 @@
    */
   public static HttpClient start(
       QueuedThreadPool threads, Scheduler scheduler, long idleMillis, boolean reuse) {
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new ResetAwareConnector();
     connector.setSelectors(1);
     connector.setExecutor(threads);
     connector.setScheduler(scheduler);
@@ -58,6 +63,16 @@
     return http;
   }
 
+  /** Opens connections on which a reset is an error and not the end of an answer. */
+  private static final class ResetAwareConnector extends ClientConnector {
+
+    @Override
+    protected EndPoint newEndPoint(
+        SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+      return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+    }
+  }
+
   /** Starts a part of Jetty that needs nothing from outside. */
   static void startOrFail(LifeCycle part) {
     try {
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerServer.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerServer.java
@@ -9,6 +9,7 @@
 import java.io.Closeable;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Optional;
@@ -24,6 +25,9 @@
  */
 public final class TcpPeerServer implements AutoCloseable {
 
+  /** Written back for each frame; its value means nothing. */
+  private static final int ACKNOWLEDGEMENT = 1;
+
   private final ServerSocket server;
   private final Optional<PeerTls> tls;
   private final Consumer<Event.PeerReceived> events;
@@ -78,8 +82,11 @@
         Socket socket = tls.isPresent() ? tls.get().accept(plain) : plain) {
       long generation = generation();
       DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+      OutputStream out = socket.getOutputStream();
       while (!server.isClosed() && generation == generation()) {
         PeerFrame frame = FrameCodec.read(in);
+        out.write(ACKNOWLEDGEMENT);
+        out.flush();
         if (socket instanceof SSLSocket secure) {
           tls.get().checkName(secure, frame.from());
         }
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -12,14 +12,17 @@
 import java.io.BufferedOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Sends frames to peers, one connection and one bounded queue a peer.
@@ -34,6 +37,12 @@
   private static final Duration RECONNECT_DELAY = Duration.ofMillis(200);
   private static final Duration REFUSED_DELAY = Duration.ofSeconds(5);
 
+  /**
+   * Time for a peer to acknowledge a frame. A connection may fall silent for good without an error;
+   * it is given up after a few heartbeats.
+   */
+  private static final int ACKNOWLEDGE_TIMEOUT_MILLIS = 700;
+
   private final NodeId self;
   private final Incarnation incarnation;
   private final Optional<PeerTls> tls;
@@ -88,6 +97,7 @@
     private final EventLog log;
     private final BlockingQueue<PeerFrame> queue = new ArrayBlockingQueue<>(QUEUE_LIMIT);
     private final Thread thread;
+    private final AtomicLong unacknowledged = new AtomicLong();
     private volatile boolean finishing;
 
     private Link(VmEntry peer, Optional<PeerTls> tls, EventLog log) {
@@ -165,11 +175,43 @@
 
     private void writeAll(Socket socket) throws IOException, InterruptedException {
       long generation = generation();
+      unacknowledged.set(0);
+      Thread.ofVirtual().name("peer-acknowledge").start(() -> readAcknowledgements(socket));
       try (DataOutputStream out =
           new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()))) {
         while ((!finishing || !queue.isEmpty()) && generation == generation()) {
-          FrameCodec.write(out, queue.take());
+          PeerFrame frame = queue.take();
+          unacknowledged.incrementAndGet();
+          FrameCodec.write(out, frame);
+        }
+      }
+    }
+
+    /** Closes the connection once the peer leaves a frame unacknowledged, which ends the writer. */
+    private void readAcknowledgements(Socket socket) {
+      try (socket) {
+        socket.setSoTimeout(ACKNOWLEDGE_TIMEOUT_MILLIS);
+        InputStream in = socket.getInputStream();
+        boolean alive = true;
+        while (alive) {
+          alive = readAcknowledgement(in);
+        }
+      } catch (IOException closed) {
+        // The writer finds the connection closed, and opens another one.
+      }
+    }
+
+    /** Returns whether the peer still answers. */
+    private boolean readAcknowledgement(InputStream in) throws IOException {
+      long before = unacknowledged.get();
+      try {
+        if (in.read() < 0) {
+          return false;
         }
+        unacknowledged.decrementAndGet();
+        return true;
+      } catch (SocketTimeoutException silent) {
+        return before == 0;
       }
     }
 
