Unload and load without waiting for reports; notice rising demand in a second

A model whose demand rises stayed on one engine with up to 32 requests until the 4 s half-life noticed it.

Change: an unloading counts as done after 60 ms, a refusal within 1.2 s of one is tried again 40 ms later with the promise kept; a second, fast count of arrivals notices a rise after three arrivals; models with adapters get three copies on disks; engines that leave questions unanswered are not planned with.

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -41,7 +41,7 @@
   private static final Duration ADAPTER_LOAD = Duration.ofMillis(12);
 
   /** Time after which the unloading of a model without requests is taken as done. */
-  private static final Duration IDLE_UNLOAD = Duration.ofMillis(15);
+  private static final Duration IDLE_UNLOAD = Duration.ofMillis(60);
 
   private final Map<String, EngineState> engines = new TreeMap<>();
   private final Map<String, String> serviceOf = new HashMap<>();
@@ -252,7 +252,7 @@
       Instant now) {
     List<PlanInput.Engine> known = new ArrayList<>();
     for (EngineState engine : engines.values()) {
-      if (service.equals(serviceOf.get(engine.runner()))) {
+      if (service.equals(serviceOf.get(engine.runner())) && !engine.isSilent(now)) {
         known.add(planned(engine, loads.get(engine.runner()), now));
       }
     }
@@ -282,7 +282,7 @@
     return new PlanInput.Engine(
         engine.runner(),
         engine.domain(),
-        engine.isFree(),
+        engine.isFree(now),
         models,
         loading.map(order -> order.body().model()).orElse(""),
         loading
@@ -372,6 +372,7 @@
       Duration pause = engine.wantsReport(now) ? REPORT_PAUSE : REPORT_IDLE_PAUSE;
       if (last.equals(Instant.MIN) || !now.isBefore(last.plus(pause))) {
         askedAt.put(engine.runner(), now);
+        engine.ask(now);
         questions.add(engine.runner());
       }
     }
--- a/src/main/java/dev/wisteriarail/core/fleet/DemandBook.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/DemandBook.java
@@ -20,6 +20,12 @@
   /** Time in which the weight of an arrival falls by half: a few seconds, as demand moves. */
   private static final Duration HALF_LIFE = Duration.ofSeconds(4);
 
+  /** The same for noticing a rise: about the time in which a load from disk can answer it. */
+  private static final Duration FAST_HALF_LIFE = Duration.ofMillis(700);
+
+  /** Recent arrivals from which a rise is believed; fewer may be chance. */
+  private static final double RISE_ARRIVALS = 3;
+
   private final Map<String, NodeReport> reports = new TreeMap<>();
   private final Map<Key, Rate> rates = new HashMap<>();
 
@@ -113,26 +119,34 @@
   private record NodeReport(
       long incarnation, List<ModelDemand> demands, Map<Key, Long> counts, Instant at) {}
 
-  /** A count of arrivals that fades. */
+  /** Counts of arrivals that fade, one slowly and one fast. */
   private static final class Rate {
 
-    private double weight;
+    private double slow;
+    private double fast;
     private Instant at = Instant.MIN;
 
     void add(long arrivals, Instant now) {
-      weight = faded(now) + arrivals;
+      slow = faded(slow, HALF_LIFE, now) + arrivals;
+      fast = faded(fast, FAST_HALF_LIFE, now) + arrivals;
       at = now;
     }
 
     double perSecond(Instant now) {
-      return faded(now) * Math.log(2) * 1000 / HALF_LIFE.toMillis();
+      double recent = faded(fast, FAST_HALF_LIFE, now);
+      double risen = recent >= RISE_ARRIVALS ? perSecond(recent, FAST_HALF_LIFE) : 0;
+      return Math.max(risen, perSecond(faded(slow, HALF_LIFE, now), HALF_LIFE));
+    }
+
+    private static double perSecond(double weight, Duration halfLife) {
+      return weight * Math.log(2) * 1000 / halfLife.toMillis();
     }
 
-    private double faded(Instant now) {
+    private double faded(double weight, Duration halfLife, Instant now) {
       if (weight == 0) {
         return 0;
       }
-      double halfLives = (double) Duration.between(at, now).toMillis() / HALF_LIFE.toMillis();
+      double halfLives = (double) Duration.between(at, now).toMillis() / halfLife.toMillis();
       return weight * Math.pow(2, -halfLives);
     }
   }
--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -25,6 +25,15 @@
   /** Reports are some hundred milliseconds old; after this long they include what was done. */
   static final Duration REPORT_LAG = Duration.ofMillis(450);
 
+  /** Time in which an engine drops a model on which nothing runs, at most. */
+  private static final Duration UNLOAD_LIMIT = Duration.ofMillis(1_200);
+
+  /** Pause before an order that came too early after an unloading is sent again. */
+  private static final Duration UNLOAD_RETRY = Duration.ofMillis(40);
+
+  /** An engine that has not answered a question for this long is not planned with. */
+  private static final Duration SILENCE = Duration.ofMillis(1_200);
+
   private final String runner;
   private final long bornMillis;
   private final String domain;
@@ -39,7 +48,9 @@
   private boolean idleUnload;
   private Optional<OpenOrder> open = Optional.empty();
   private Instant changedAt;
-  private Instant reportAskedAt = Instant.MIN;
+  private Instant unloadedAt = Instant.MIN;
+  private Instant notBefore = Instant.MIN;
+  private Instant unansweredSince = Instant.MAX;
   private long revision;
 
   private EngineState(RunnerEntry entry, Instant now) {
@@ -74,7 +85,7 @@
     if (report.bornMillis() != 0 && bornMillis != 0 && report.bornMillis() != bornMillis) {
       return false;
     }
-    reportAskedAt = askedAt;
+    unansweredSince = Instant.MAX;
     boolean settled = askedAt.isAfter(changedAt.plus(REPORT_LAG));
     if (open.isPresent()) {
       return settle(open.get(), report, settled, now);
@@ -186,6 +197,7 @@
     switch (outcome) {
       case ACCEPTED -> {
         orders++;
+        unloadedAt = order.body() instanceof FleetOrder.UnloadModel ? now : Instant.MIN;
         if (isLong(order.body())) {
           open = Optional.of(order.withAccepted());
           busy = true;
@@ -204,6 +216,16 @@
         }
       }
       case UNKNOWN -> ordersSure = false;
+      case CONFLICT -> {
+        open = Optional.empty();
+        undo(order.body());
+        if (now.isBefore(unloadedAt.plus(UNLOAD_LIMIT))) {
+          // The unloading before it was taken as done too early.
+          notBefore = now.plus(UNLOAD_RETRY);
+        } else {
+          ordersSure = false;
+        }
+      }
       default -> {
         open = Optional.empty();
         ordersSure = false;
@@ -289,8 +311,8 @@
   }
 
   /** Returns whether an order may be sent to it. */
-  boolean isFree() {
-    return open.isEmpty() && ordersSure && !busy;
+  boolean isFree(Instant now) {
+    return open.isEmpty() && ordersSure && !busy && !now.isBefore(notBefore);
   }
 
   /** Returns whether a new report is needed to know more. */
@@ -302,8 +324,16 @@
     return !ordersSure || busy;
   }
 
-  Instant reportAskedAt() {
-    return reportAskedAt;
+  /** Notes that the engine is asked for a report. */
+  void ask(Instant now) {
+    if (unansweredSince.equals(Instant.MAX)) {
+      unansweredSince = now;
+    }
+  }
+
+  /** Returns whether the engine has left questions unanswered for long. */
+  boolean isSilent(Instant now) {
+    return !unansweredSince.equals(Instant.MAX) && now.isAfter(unansweredSince.plus(SILENCE));
   }
 
   Instant adapterUsedAt(String model, String adapter) {
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -30,17 +30,20 @@
 public final class ModelPlanner {
 
   /** Requests of one model that an engine serves before another replica is wanted. */
-  private static final double RUNNING_PER_REPLICA = 10;
+  private static final double RUNNING_PER_REPLICA = 8;
 
   /** Arrivals a second from which a model keeps two replicas, against the loss of one. */
   private static final double SPARE_REPLICA_RATE = 1.0;
 
   /** Arrivals a second that one replica takes: about half of what its prompts cost to read. */
-  private static final double RATE_PER_REPLICA = 9;
+  private static final double RATE_PER_REPLICA = 6;
 
   /** Share of the engines that may be busy with loads from the store that nobody waits for. */
   private static final double STOCKING_SHARE = 0.34;
 
+  /** Engines that should have a model with adapters on their disks: its usual replicas. */
+  private static final int COPIES_WITH_ADAPTERS = 3;
+
   /** Arrivals a second of a model below which it counts as not asked for. */
   private static final double QUIET_RATE = 0.02;
 
@@ -239,11 +242,8 @@
               });
     }
 
-    /** Keeps the weight store busy with models that no engine has on its disk. */
+    /** Keeps the weight store busy with models that too few engines have on their disks. */
     void stock() {
-      if (!mayLoadFromStore()) {
-        return;
-      }
       long stocking =
           engines.values().stream()
               .filter(engine -> !engine.loading().isEmpty())
@@ -251,25 +251,36 @@
               .count();
       List<String> missing =
           hosted.keySet().stream()
-              .filter(model -> !isCached(model) && replicas(model) == 0)
+              .filter(model -> copies(model) < wantedCopies(model))
               .filter(model -> !startsIn.containsKey(model))
               .sorted(
                   Comparator.comparingDouble((String model) -> -input.need(model).perSecond())
+                      .thenComparing(model -> copies(model) > 0 || wantedCopies(model) == 1)
                       .thenComparing(Function.identity()))
               .toList();
       for (String model : missing) {
-        if (!mayLoadFromStore() || (!isQuiet() && stocking >= engines.size() * STOCKING_SHARE)) {
-          return;
-        }
-        Optional<PlanInput.Engine> engine = bestEngine(model, true);
+        Optional<PlanInput.Engine> engine =
+            mayStock(stocking) ? bestEngine(model, true) : Optional.empty();
         if (engine.isEmpty()) {
           return;
         }
-        place(engine.get(), model, "on no disk yet");
+        place(engine.get(), model, "on too few disks");
         stocking++;
       }
     }
 
+    /** A model with adapters serves many teams and may get many requests within seconds. */
+    private int wantedCopies(String model) {
+      return hosted.get(model).adapters() > 0 ? Math.min(COPIES_WITH_ADAPTERS, engines.size()) : 1;
+    }
+
+    private int copies(String model) {
+      return (int)
+          engines.values().stream()
+              .filter(engine -> isCachedOn(engine, model) || engine.models().containsKey(model))
+              .count();
+    }
+
     /** Before anybody asks for a model, engines have nothing better to do than to load. */
     private boolean isQuiet() {
       return input.models().values().stream().allMatch(need -> need.perSecond() < QUIET_RATE);
@@ -281,6 +292,14 @@
       return input.storeLoadAllowed() && storeLoads < input.storeLoadLimit();
     }
 
+    /** Once models are asked for, one load at a time is kept for those that requests wait for. */
+    private boolean mayStock(long stocking) {
+      int kept = isQuiet() || input.storeLoadLimit() == 1 ? 0 : 1;
+      return input.storeLoadAllowed()
+          && storeLoads < input.storeLoadLimit() - kept
+          && (isQuiet() || stocking < engines.size() * STOCKING_SHARE);
+    }
+
     /** Returns the engine on which a model costs least; the weight store is used if asked for. */
     private Optional<PlanInput.Engine> bestEngine(String model, boolean fromStore) {
       PlanInput.Engine best = null;
@@ -400,7 +419,6 @@
       startsIn.merge(
           model, loadMillis(engine, model) + CLEARING_MILLIS * victims.get().size(), Math::min);
       if (victims.get().isEmpty()) {
-        clearedFor.remove(engine.runner());
         orders.add(
             new Plan.Placed(engine.runner(), new FleetOrder.LoadModel(model, source), reason));
         return;
