Bounded logs on a thread of their own, metrics, stalls, crashing requests

Cause: log lines were written on the core's thread, so a stalled output stopped every request, and nothing bounded them; the metrics address of the settings was not served; a runner that fell silent held a resumable stream until the caller left; a request that crashes runners was handed on without end.

Change: LogVolume bounds lines by event and second, leaves out those of served requests first and tells how many; the writer has its own thread and queue. Micrometer counters by event and histograms by end on gateway.metrics. StallRule gives up a silent runner where the request may run again and the runner is not nearly full; CrashLedger refuses a request after three lost connections, told among peers. Events and the permission to write are now checked under one lock, so an attempt that was given up cannot advance the stream.

--- a/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
+++ b/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
@@ -6,6 +6,9 @@
   /** The first bytes of a complete head and body were passed on to the caller. */
   record Started() implements AttemptResult {}
 
+  /** More of the answer was passed on; told at most a few times a second. */
+  record Progressed() implements AttemptResult {}
+
   /**
    * The whole answer was passed on to the caller.
    *
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -4,11 +4,13 @@
 import dev.wisteriarail.core.fleet.ModelDemand;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.AttemptResult;
+import dev.wisteriarail.core.forward.CrashLedger;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RetryBudget;
 import dev.wisteriarail.core.forward.RunnerBoard;
 import dev.wisteriarail.core.forward.RunnerChoice;
 import dev.wisteriarail.core.forward.SessionTrail;
+import dev.wisteriarail.core.forward.StallRule;
 import dev.wisteriarail.core.forward.WaitRule;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.EngineSpec;
@@ -46,11 +48,15 @@
   /** Time to come back after a refusal that only needs another node or a moment. */
   private static final Duration SHORT_RETURN = Duration.ofMillis(500);
 
+  /** Time to come back after a refusal of a request that crashes runners. */
+  private static final Duration CRASH_RETURN = Duration.ofSeconds(30);
+
   /** Least time left with which a request is handed to a runner. */
   private static final Duration LEAST_TIME = Duration.ofMillis(15);
 
   private final GatewaySettings settings;
   private final RunnerBoard board;
+  private final CrashLedger crashes = CrashLedger.create();
   private final SessionTrail sessions = SessionTrail.create();
   private final DemandTally tally = DemandTally.create();
   private final Map<Long, PendingForward> pending = new LinkedHashMap<>();
@@ -92,6 +98,11 @@
           new GatewayEffect.Refuse(request.exchange(), ResultCode.NOT_FOUND, Optional.empty()));
       return;
     }
+    if (crashes.isRefused(request.fingerprint(), step.now())) {
+      step.log(EventCode.POISON_FOUND, "request", request.id(), "path", request.path());
+      refuse(request, ResultCode.CRASHING_REQUEST, Optional.of(CRASH_RETURN), step);
+      return;
+    }
     String service = chooseService(route.get(), request);
     PendingForward forward = PendingForward.of(request, route.get(), service, step.now());
     pending.put(request.exchange(), forward);
@@ -144,7 +155,7 @@
       if (forward.state() == PendingForward.State.WAITING) {
         waiting.add(forward);
       } else {
-        checkTime(forward, step);
+        checkTime(forward, configuration.get(), step);
       }
     }
     waiting.sort(
@@ -251,8 +262,7 @@
             forward.timeLeft(step.now()),
             forward.route().rank(),
             forward.route().streaming(),
-            forward.route().repeatable(),
-            forward.lastEvent()));
+            forward.route().repeatable()));
   }
 
   // Time
@@ -298,8 +308,10 @@
     endWaiting(forward, SHORT_RETURN, step);
   }
 
-  private void checkTime(PendingForward forward, GatewayStep step) {
+  private void checkTime(
+      PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
     if (step.now().isBefore(forward.deadline())) {
+      checkStall(forward, configuration, step);
       return;
     }
     release(forward, step);
@@ -311,22 +323,69 @@
     }
   }
 
+  /** Gives up a runner that answers nothing, if another one may go on. */
+  private void checkStall(
+      PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
+    RunnerEntry runner = forward.runner().orElseThrow();
+    int slots =
+        configuration.engineOf(forward.service()).map(EngineSpec::slots).orElse(runner.slots());
+    boolean stalled =
+        StallRule.isStalled(
+            forward.route(),
+            forward.answerBegun(),
+            Duration.between(forward.progressAt(), step.now()),
+            board.allRunning(runner),
+            slots);
+    if (!stalled || !forward.mayStall()) {
+      return;
+    }
+    forward.markMayHaveRun();
+    if (mayRetry(forward, false) && hasOtherRunner(forward, step.now())) {
+      release(forward, step);
+      noteFailure(runner, "silent", false, step);
+      retry(forward, "silent", Duration.ZERO, step);
+    } else {
+      forward.markStallKept();
+    }
+  }
+
   // Results
 
-  void acceptResult(GatewayEvent.AttemptTold told, GatewayStep step) {
+  /**
+   * Takes what became of an attempt.
+   *
+   * @return the fingerprint of the request if its runner may have crashed on it
+   */
+  Optional<Long> acceptResult(GatewayEvent.AttemptTold told, GatewayStep step) {
     PendingForward forward = pending.get(told.exchange());
     if (forward == null
         || forward.attempts() != told.attempt()
         || forward.state() == PendingForward.State.WAITING) {
-      return;
+      return Optional.empty();
+    }
+    boolean crashed = told.result() instanceof AttemptResult.Broken broken && broken.lost();
+    acceptResult(forward, told.result(), step);
+    if (!crashed) {
+      return Optional.empty();
     }
+    acceptCrash(forward.request().fingerprint(), step.now());
+    return Optional.of(forward.request().fingerprint());
+  }
+
+  /** Notes that a runner may have crashed on a request, here or at a peer. */
+  void acceptCrash(long fingerprint, Instant now) {
+    crashes.note(fingerprint, now);
+  }
+
+  private void acceptResult(PendingForward forward, AttemptResult result, GatewayStep step) {
     RunnerEntry runner = forward.runner().orElseThrow();
-    switch (told.result()) {
+    switch (result) {
       case AttemptResult.Started started -> {
         board.health(runner.id()).succeed();
         forward.markMayHaveRun();
-        forward.markStarted();
+        forward.markStarted(step.now());
       }
+      case AttemptResult.Progressed progressed -> forward.markProgress(step.now());
       case AttemptResult.Finished finished -> {
         leave(forward, runner);
         board.health(runner.id()).succeed();
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -109,7 +109,10 @@
         hastenDemand(now);
       }
       case GatewayEvent.CallerLeft left -> forwarder.acceptLeft(left.exchange(), step);
-      case GatewayEvent.AttemptTold told -> forwarder.acceptResult(told, step);
+      case GatewayEvent.AttemptTold told ->
+          forwarder
+              .acceptResult(told, step)
+              .ifPresent(fingerprint -> tellAll(new FleetMessage.CrashTold(fingerprint), step));
       case GatewayEvent.StoreTold told -> acceptStore(told, step);
       case GatewayEvent.LeaseTold told -> {
         store.noteCall(!(told.answer() instanceof LeaseAnswer.Failed), now);
@@ -262,6 +265,7 @@
           board.accept(fleet.views(), fleet.forecasts(), step.now());
       case FleetMessage.ConfigurationTold configured ->
           apply(configured.configuration(), told.from().value(), step);
+      case FleetMessage.CrashTold crash -> forwarder.acceptCrash(crash.fingerprint(), step.now());
       case FleetMessage.DirectoryTold directed ->
           apply(directed.change(), told.from().value(), step);
     }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
@@ -53,7 +53,6 @@
    * @param rank urgency of the route; 0 is the most urgent
    * @param streaming whether the answer is a series of events
    * @param repeatable whether the request may run again
-   * @param lastEvent the last event that the caller got, if an answer is continued
    */
   record SendAttempt(
       long exchange,
@@ -62,8 +61,7 @@
       Duration timeLeft,
       int rank,
       boolean streaming,
-      boolean repeatable,
-      Optional<String> lastEvent)
+      boolean repeatable)
       implements GatewayEffect {}
 
   /**
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -40,9 +40,10 @@
   private Optional<String> lastEvent = Optional.empty();
   private boolean answerBegun;
   private Instant notBefore = Instant.MIN;
-  private Instant sentAt = Instant.MIN;
+  private Instant progressAt = Instant.MIN;
   private Instant waitingSince;
   private boolean waitLogged;
+  private boolean stallKept;
 
   private PendingForward(
       ForwardRequest request, RouteSpec route, String service, Instant arrivedAt) {
@@ -66,13 +67,19 @@
   int send(RunnerEntry to, Instant now) {
     state = answerBegun ? State.ANSWERING : State.SENT;
     runner = Optional.of(to);
-    sentAt = now;
+    progressAt = now;
+    stallKept = false;
     return ++attempts;
   }
 
-  void markStarted() {
+  void markStarted(Instant now) {
     answerBegun = true;
     state = State.ANSWERING;
+    progressAt = now;
+  }
+
+  void markProgress(Instant now) {
+    progressAt = now;
   }
 
   /** Notes that the runner may have run it. */
@@ -81,6 +88,16 @@
     runner.ifPresent(entry -> runnersThatMayHaveRun.add(entry.id()));
   }
 
+  /** Notes that no other runner could go on with it when its runner fell silent. */
+  void markStallKept() {
+    stallKept = true;
+  }
+
+  /** Returns whether a silent runner may still be given up. */
+  boolean mayStall() {
+    return !stallKept;
+  }
+
   /** Notes that the runner did not run it. */
   void markRejected() {
     rejections++;
@@ -181,8 +198,9 @@
     return notBefore;
   }
 
-  Instant sentAt() {
-    return sentAt;
+  /** Returns when it was sent, or when the last byte of its answer came. */
+  Instant progressAt() {
+    return progressAt;
   }
 
   Duration timeLeft(Instant now) {
--- a/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
@@ -76,4 +76,11 @@
    * @param change the change
    */
   record DirectoryTold(DirectoryChange change) implements FleetMessage {}
+
+  /**
+   * Tells that a runner's connection ended while it had a request.
+   *
+   * @param fingerprint identifies what the request asks
+   */
+  record CrashTold(long fingerprint) implements FleetMessage {}
 }
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -26,6 +26,9 @@
   /** Longest answer that is held until it is whole, in bytes. */
   private static final int MAX_WHOLE_BYTES = 8 * 1024 * 1024;
 
+  /** Pause between two words to the core that an answer goes on. */
+  private static final long PROGRESS_NANOS = 200_000_000;
+
   private final CallerExchange exchange;
   private final GatewayEffect.SendAttempt attempt;
   private final RunnerProtocol protocol;
@@ -35,6 +38,7 @@
   private volatile Request request;
   private RunnerProtocol.AnswerHead head;
   private boolean started;
+  private long toldAt;
 
   AttemptRelay(
       CallerExchange exchange,
@@ -57,13 +61,13 @@
   void cancel() {
     Request sent = request;
     if (sent != null) {
-      CompletableFuture<Boolean> _ = sent.abort(new IOException("the attempt is given up"));
+      CompletableFuture<Boolean> _ = sent.abort(new OwnAbortException("the attempt is given up"));
     }
   }
 
   /** Closes the connection; {@link #onComplete} follows, whether or not it was open still. */
   private static void abort(Response response, String reason) {
-    CompletableFuture<Boolean> _ = response.abort(new IOException(reason));
+    CompletableFuture<Boolean> _ = response.abort(new OwnAbortException(reason));
   }
 
   private boolean relaysEvents() {
@@ -90,26 +94,24 @@
       }
       return;
     }
-    byte[] events = exchange.events().accept(bytes);
-    if (exchange.events().hasGap()) {
-      abort(response, "events are missing");
-    } else if (events.length == 0) {
-      demander.run();
-    } else {
-      relay(response, events, demander);
+    Callback done = Callback.from(demander, failure -> abort(response, "the caller left"));
+    switch (exchange.relay(attempt.attempt(), head.status(), head.headers(), bytes, done)) {
+      case WRITTEN -> tellProgress();
+      case NOTHING -> demander.run();
+      case GAP -> abort(response, "events are missing");
+      case REFUSED -> abort(response, "the attempt is given up");
     }
   }
 
-  private void relay(Response response, byte[] events, Runnable demander) {
-    boolean first = !started;
-    started = true;
-    Callback done = Callback.from(demander, failure -> abort(response, "the caller left"));
-    boolean written =
-        exchange.write(attempt.attempt(), head.status(), head.headers(), events, done);
-    if (!written) {
-      abort(response, "the attempt is given up");
-    } else if (first) {
+  private void tellProgress() {
+    long now = System.nanoTime();
+    if (!started) {
+      started = true;
       told.accept(new AttemptResult.Started());
+      toldAt = now;
+    } else if (now - toldAt > PROGRESS_NANOS) {
+      told.accept(new AttemptResult.Progressed());
+      toldAt = now;
     }
   }
 
@@ -118,8 +120,8 @@
     if (result.isFailed()) {
       fail(result.getFailure());
     } else if (relaysEvents()) {
-      if (exchange.events().hasPartial()) {
-        fail(new IOException("the stream ends inside an event"));
+      if (exchange.hasPartialEvent()) {
+        fail(new OwnAbortException("the stream ends inside an event"));
       } else {
         exchange.finish(attempt.attempt(), head.status(), head.headers());
         told.accept(new AttemptResult.Finished(head.status()));
@@ -128,7 +130,7 @@
       exchange.answer(head.status(), head.headers(), whole.toByteArray());
       told.accept(new AttemptResult.Finished(head.status()));
     } else if (head.isSuccess()) {
-      fail(new IOException("a success without a signature"));
+      fail(new OwnAbortException("a success without a signature"));
     } else {
       told.accept(new AttemptResult.Answered(head.status(), head.notRun(), head.signed()));
     }
@@ -142,11 +144,24 @@
     }
     told.accept(
         new AttemptResult.Broken(
-            reason, exchange.isHeadSent(), exchange.events().lastEvent(), true));
+            reason,
+            exchange.isHeadSent(),
+            exchange.lastEvent(),
+            !(failure instanceof OwnAbortException)));
   }
 
   /** Passes on the failure that the runner answered. */
   boolean passAnswer() {
     return head != null && exchange.answer(head.status(), head.headers(), whole.toByteArray());
   }
+
+  /** The attempt was ended here, and not by its runner. */
+  private static final class OwnAbortException extends IOException {
+
+    private static final long serialVersionUID = 1L;
+
+    OwnAbortException(String reason) {
+      super(reason);
+    }
+  }
 }
--- a/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
@@ -53,21 +53,40 @@
   }
 
   /**
-   * Passes on a part of a streamed answer; the head goes out with the first one.
+   * Passes on the whole events of a part of a streamed answer; the head goes out with the first.
    *
-   * @return false if this attempt may not write any more
+   * @param done told when the caller took them; not told if there were none
    */
-  synchronized boolean write(
+  synchronized Relayed relay(
       int from, int status, HttpFields headers, byte[] bytes, Callback done) {
     if (from != attempt || ended) {
-      return false;
+      return Relayed.REFUSED;
+    }
+    byte[] whole = events.accept(bytes);
+    if (events.hasGap()) {
+      return Relayed.GAP;
+    }
+    if (whole.length == 0) {
+      return Relayed.NOTHING;
     }
     if (!headSent) {
       headSent = true;
       putHead(status, headers);
     }
-    response.write(false, ByteBuffer.wrap(bytes), done);
-    return true;
+    response.write(false, ByteBuffer.wrap(whole), done);
+    return Relayed.WRITTEN;
+  }
+
+  /** What became of a part of a streamed answer. */
+  enum Relayed {
+    /** Its whole events are on the way. */
+    WRITTEN,
+    /** It held no whole event that the caller lacks. */
+    NOTHING,
+    /** An event before it is missing. */
+    GAP,
+    /** The attempt may not write any more. */
+    REFUSED
   }
 
   /** Ends a streamed answer; sends the head first if nothing was passed on. */
@@ -132,9 +151,14 @@
     return body;
   }
 
-  /** Returns the events of the answer, over all its attempts; used by the attempt that writes. */
-  EventAssembler events() {
-    return events;
+  /** Returns the identifier of the last whole event that was passed on; empty if there is none. */
+  public synchronized String lastEvent() {
+    return events.lastEvent();
+  }
+
+  /** Returns whether the answer stopped inside an event. */
+  synchronized boolean hasPartialEvent() {
+    return events.hasPartial();
   }
 
   synchronized boolean isHeadSent() {
--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -1,5 +1,7 @@
 package dev.wisteriarail.gateway;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.core.result.ResultCode;
@@ -7,6 +9,8 @@
 import dev.wisteriarail.core.result.WisteriarailException;
 import dev.wisteriarail.core.route.CallerBounds;
 import dev.wisteriarail.settings.Endpoint;
+import dev.wisteriarail.settings.GatewayFile;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
@@ -44,12 +48,14 @@
 final class CallerFront implements AutoCloseable {
 
   private static final String READY = "ready";
+  private static final String METRICS = "metrics";
 
   /** Connections that wait to be accepted; a burst of callers must not overflow it. */
   private static final int ACCEPT_QUEUE = 512;
 
   private final Server server;
   private final CallerProtocol protocol;
+  private final GatewayMetrics metrics;
   private final Consumer<GatewayEvent> events;
   private final Map<Long, CallerExchange> exchanges = new ConcurrentHashMap<>();
   private final AtomicLong numbers = new AtomicLong();
@@ -57,9 +63,14 @@
   private volatile boolean ready;
   private volatile boolean closing;
 
-  private CallerFront(Server server, CallerProtocol protocol, Consumer<GatewayEvent> events) {
+  private CallerFront(
+      Server server,
+      CallerProtocol protocol,
+      GatewayMetrics metrics,
+      Consumer<GatewayEvent> events) {
     this.server = server;
     this.protocol = protocol;
+    this.metrics = metrics;
     this.events = events;
   }
 
@@ -69,17 +80,18 @@
    * @throws SettingsException if an address cannot be bound
    */
   static CallerFront start(
-      Endpoint callers,
-      Endpoint balancer,
+      GatewayFile file,
+      GatewayMetrics metrics,
       QueuedThreadPool threads,
       Scheduler scheduler,
       CallerProtocol protocol,
       Consumer<GatewayEvent> events)
       throws SettingsException {
     Server server = new Server(threads, scheduler, null);
-    CallerFront front = new CallerFront(server, protocol, events);
-    server.addConnector(connector(server, callers, "callers"));
-    server.addConnector(connector(server, balancer, READY));
+    CallerFront front = new CallerFront(server, protocol, metrics, events);
+    server.addConnector(connector(server, file.callers(), "callers"));
+    server.addConnector(connector(server, file.balancer(), READY));
+    file.metrics().ifPresent(at -> server.addConnector(connector(server, at, METRICS)));
     server.setHandler(
         new Handler.Abstract.NonBlocking() {
           @Override
@@ -92,7 +104,7 @@
       server.start();
     } catch (Exception failure) {
       throw new SettingsException(
-          ResultCode.SETTINGS_INVALID, "http.port", "cannot listen on " + callers, failure);
+          ResultCode.SETTINGS_INVALID, "http.port", "cannot listen on an address", failure);
     }
     return front;
   }
@@ -127,17 +139,31 @@
   // Requests
 
   private boolean handle(Request request, Response response, Callback callback) {
-    if (request.getConnectionMetaData().getConnector().getName().equals(READY)) {
-      boolean asked = request.getHttpURI().getPath().equals(protocol.readinessPath());
-      response.setStatus(asked ? (ready ? 200 : 503) : 404);
-      callback.succeeded();
-      return true;
+    switch (request.getConnectionMetaData().getConnector().getName()) {
+      case READY -> answerBalancer(request, response, callback);
+      case METRICS -> answerMetrics(response, callback);
+      default -> readBody(request, response, callback);
     }
+    return true;
+  }
+
+  private void answerBalancer(Request request, Response response, Callback callback) {
+    boolean asked = request.getHttpURI().getPath().equals(protocol.readinessPath());
+    response.setStatus(asked ? (ready ? 200 : 503) : 404);
+    callback.succeeded();
+  }
+
+  private void answerMetrics(Response response, Callback callback) {
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; version=0.0.4");
+    response.write(true, ByteBuffer.wrap(metrics.scrape().getBytes(UTF_8)), callback);
+  }
+
+  private void readBody(Request request, Response response, Callback callback) {
     request.addIdleTimeoutListener(timeout -> false);
     long limit = bounds.maxBodyBytes();
     if (request.getLength() > limit) {
       refuseEarly(request, response, callback, ResultCode.REQUEST_TOO_LARGE, Optional.empty());
-      return true;
+      return;
     }
     Content.Source.asByteArrayAsync(
         request,
@@ -159,7 +185,6 @@
                 Optional.empty());
           }
         });
-    return true;
   }
 
   private void accept(Request request, Response response, Callback callback, byte[] body) {
@@ -250,7 +275,7 @@
   /** Closes the connections of callers that wait for nothing. */
   void closeIdle() {
     for (var connector : server.getConnectors()) {
-      if (READY.equals(connector.getName())) {
+      if (READY.equals(connector.getName()) || METRICS.equals(connector.getName())) {
         continue;
       }
       for (EndPoint endPoint : connector.getConnectedEndPoints()) {
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -128,9 +128,9 @@
               }
             },
             log);
+    GatewayMetrics metrics = GatewayMetrics.create();
     CallerFront callers =
-        CallerFront.start(
-            file.callers(), file.balancer(), threads, scheduler, callerProtocol, events::add);
+        CallerFront.start(file, metrics, threads, scheduler, callerProtocol, events::add);
     HttpClient pooled = GatewayHttp.start(threads, scheduler, RUNNER_IDLE_MILLIS, true);
     HttpClient fresh = GatewayHttp.start(threads, scheduler, RUNNER_IDLE_MILLIS, false);
     HttpClient control = GatewayHttp.start(threads, scheduler, CONTROL_IDLE_MILLIS, true);
@@ -146,6 +146,7 @@
             platform,
             new PeerLinks(peers),
             log,
+            metrics,
             clock,
             InstantSource.system(),
             events);
@@ -200,6 +201,7 @@
     peerServer.close();
     clients.forEach(GatewayHttp::stop);
     shared.forEach(GatewayHttp::stop);
+    log.close();
   }
 
   /** Returns the settings. */
--- a/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
@@ -38,6 +38,7 @@
   private final PlatformClient platform;
   private final PeerLinks peers;
   private final EventLog log;
+  private final GatewayMetrics metrics;
   private final InstantSource steady;
   private final InstantSource timeOfDay;
   private final BlockingQueue<GatewayEvent> events;
@@ -54,6 +55,7 @@
       PlatformClient platform,
       PeerLinks peers,
       EventLog log,
+      GatewayMetrics metrics,
       InstantSource steady,
       InstantSource timeOfDay,
       BlockingQueue<GatewayEvent> events) {
@@ -63,6 +65,7 @@
     this.platform = platform;
     this.peers = peers;
     this.log = log;
+    this.metrics = metrics;
     this.steady = steady;
     this.timeOfDay = timeOfDay;
     this.events = events;
@@ -184,7 +187,10 @@
           platform.register(
               register.address(), done -> submit(new GatewayEvent.RegistrationTold(done)));
       case GatewayEffect.SendPeer send -> peers.send(send.to(), send.message());
-      case GatewayEffect.Emit emit -> log.write(emit.event());
+      case GatewayEffect.Emit emit -> {
+        log.write(emit.event());
+        metrics.count(emit.event());
+      }
       case GatewayEffect.SetReady ready -> {
         callers.setReady(ready.ready());
         if (!ready.ready()) {
--- a/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
@@ -51,7 +51,9 @@
           headers.put(Names.EXPECTED_RUNNER, attempt.runner().id());
           headers.put(
               Names.PRIORITY, Integer.toString(Math.clamp(attempt.rank(), 0, LEAST_URGENT)));
-          attempt.lastEvent().ifPresent(event -> headers.put(Names.LAST_EVENT, event));
+          if (!exchange.lastEvent().isEmpty()) {
+            headers.put(Names.LAST_EVENT, exchange.lastEvent());
+          }
         });
   }
 
--- a/src/main/java/dev/wisteriarail/runtime/EventLog.java
+++ b/src/main/java/dev/wisteriarail/runtime/EventLog.java
@@ -1,41 +1,139 @@
 package dev.wisteriarail.runtime;
 
 import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.event.LogVolume;
 import dev.wisteriarail.core.event.NodeEvent;
 import dev.wisteriarail.core.id.NodeId;
+import java.time.InstantSource;
+import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
 
-/** Writes numbered events through Log4j 2. Thread-safe. */
-public final class EventLog {
+/**
+ * Writes numbered events through Log4j 2, on a thread of its own: a stalled output stops no caller.
+ *
+ * <p>{@link LogVolume} bounds what is written. Life cycle: one per node; {@link #close} writes what
+ * is queued. Thread-safe.
+ */
+public final class EventLog implements AutoCloseable {
 
   private static final Logger LOGGER = LogManager.getLogger("wisteriarail.events");
 
+  /** Lines that wait for the output; some hundred bytes each. */
+  private static final int QUEUE_LINES = 4_096;
+
+  /** Time that closing waits for lines that are queued. */
+  private static final long CLOSE_MILLIS = 200;
+
   private final String node;
+  private final Consumer<StringMapMessage> output;
+  private final InstantSource clock;
+  private final BlockingQueue<StringMapMessage> queue = new LinkedBlockingQueue<>(QUEUE_LINES);
+  private final LogVolume volume = LogVolume.create();
+  private final Thread writer;
+  private volatile boolean open = true;
 
-  private EventLog(String node) {
+  private EventLog(String node, Consumer<StringMapMessage> output, InstantSource clock) {
     this.node = node;
+    this.output = output;
+    this.clock = clock;
+    writer = Thread.ofPlatform().name("event-log").daemon(true).unstarted(this::writeAll);
   }
 
   /** Returns the event log of a node. */
   public static EventLog forNode(NodeId node) {
-    return new EventLog(node.value());
+    return start(node, LOGGER::info, MonotonicClock.start());
   }
 
-  /** Writes one event. */
+  /**
+   * Returns an event log with an output of its own.
+   *
+   * @param node the node
+   * @param output takes each line; may block
+   * @param clock the time by which volume is counted
+   */
+  static EventLog start(NodeId node, Consumer<StringMapMessage> output, InstantSource clock) {
+    EventLog log = new EventLog(node.value(), output, clock);
+    log.writer.start();
+    return log;
+  }
+
+  /** Writes one event, or leaves it out where too many are written. Does not block. */
   public void write(NodeEvent event) {
+    OptionalLong omitted;
+    synchronized (volume) {
+      double fill = 1.0 - (double) queue.remainingCapacity() / QUEUE_LINES;
+      omitted = volume.admit(event.code(), fill, clock.instant());
+    }
+    if (omitted.isPresent()) {
+      StringMapMessage message = message(event);
+      if (omitted.getAsLong() > 0) {
+        message.put("omitted", Long.toString(omitted.getAsLong()));
+      }
+      // A queue that filled up since the bound was asked loses the line; the bound counts the next.
+      boolean _ = queue.offer(message);
+    }
+  }
+
+  private StringMapMessage message(NodeEvent event) {
     StringMapMessage message = new StringMapMessage();
     message.put("event", Integer.toString(event.code().number()));
     message.put("title", event.code().title());
     message.put("node", node);
     event.fields().forEach(message::put);
-    LOGGER.info(message);
+    return message;
+  }
+
+  private void writeAll() {
+    try {
+      while (open || !queue.isEmpty()) {
+        StringMapMessage message = queue.poll(CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+        if (message != null) {
+          output.accept(message);
+        }
+      }
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /** Writes that something failed in an unexpected way, with the place. */
   public void writeFault(RuntimeException fault) {
-    LOGGER.error("internal fault", fault);
-    write(NodeEvent.of(EventCode.NODE_FAULT, "fault", fault));
+    StackTraceElement[] trace = fault.getStackTrace();
+    write(
+        NodeEvent.of(
+            EventCode.NODE_FAULT, "fault", fault, "at", trace.length == 0 ? "" : trace[0]));
+  }
+
+  /** Writes what is queued, and how many lines were left out; waits a moment for the output. */
+  @Override
+  public void close() {
+    synchronized (volume) {
+      volume
+          .untold()
+          .forEach(
+              (event, count) -> {
+                boolean _ =
+                    queue.offer(
+                        message(
+                            NodeEvent.of(
+                                EventCode.LINES_OMITTED,
+                                "of_event",
+                                event.number(),
+                                "count",
+                                count)));
+              });
+    }
+    open = false;
+    try {
+      writer.join(CLOSE_MILLIS * 2);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- a/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
+++ b/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
@@ -98,6 +98,7 @@
       events.add(new Event.TimerFired());
       workers.shutdownNow();
       adapters.peers().close();
+      adapters.events().close();
     }
   }
 
@@ -140,7 +141,7 @@
     ready = core.isReady();
     for (RunnerId runner : configuration.runners().keySet()) {
       if (polled.add(runner)) {
-        workers.execute(() -> pollRunner(runner));
+        execute(() -> pollRunner(runner));
       }
     }
   }
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/fleet/EngineStateTest.java
@@ -0,0 +1,120 @@
+package dev.wisteriarail.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Orders to one engine whose answers are lost, late or refused. */
+class EngineStateTest {
+
+  private static final Instant START = Instant.EPOCH;
+  private static final FleetOrder LOAD = new FleetOrder.LoadModel("m", LoadSource.STORE);
+
+  private final EngineState engine =
+      EngineState.of(RunnerDirectoryTest.entry("r", false, 1), START);
+
+  private static RunnerReport report(long orders, boolean busy, String... models) {
+    return new RunnerReport(
+        "r",
+        1,
+        orders,
+        busy,
+        Arrays.stream(models).map(name -> new LoadedModel(name, List.of())).toList(),
+        Set.of(),
+        Set.of(),
+        0,
+        0,
+        0);
+  }
+
+  private Instant settled() {
+    Instant later = START.plusSeconds(1);
+    engine.acceptReport(report(4, false), later, later);
+    return later;
+  }
+
+  @Test
+  void noOrderBeforeTheCountOfOrdersIsKnown() {
+    assertThat(engine.isFree(START)).isFalse();
+    engine.acceptReport(report(4, false), START, START);
+    assertThat(engine.isFree(START)).isFalse();
+    Instant now = settled();
+    assertThat(engine.isFree(now)).isTrue();
+    assertThat(engine.orders()).isEqualTo(4);
+  }
+
+  @Test
+  void orderWithoutAnswerIsSettledByAReportAskedLaterOnly() {
+    Instant now = settled();
+    engine.begin(1, LOAD, Duration.ofSeconds(6), now);
+    engine.finish(1, FleetOrderOutcome.UNKNOWN, now.plusMillis(500));
+    engine.acceptReport(report(4, false), now.plusMillis(600), now.plusMillis(610));
+    assertThat(engine.isFree(now.plusMillis(610))).isFalse();
+    engine.acceptReport(report(4, false), now.plusSeconds(2), now.plusSeconds(2));
+    assertThat(engine.isFree(now.plusSeconds(2))).isTrue();
+    assertThat(engine.orders()).isEqualTo(4);
+  }
+
+  @Test
+  void orderWithoutAnswerThatWasAcceptedIsAwaited() {
+    Instant now = settled();
+    engine.begin(1, LOAD, Duration.ofSeconds(6), now);
+    engine.finish(1, FleetOrderOutcome.UNKNOWN, now.plusMillis(500));
+    engine.acceptReport(report(5, true), now.plusSeconds(2), now.plusSeconds(2));
+    assertThat(engine.isFree(now.plusSeconds(2))).isFalse();
+    engine.acceptReport(report(5, false, "m"), now.plusSeconds(7), now.plusSeconds(7));
+    assertThat(engine.models()).containsKey("m");
+    assertThat(engine.isFree(now.plusSeconds(7))).isTrue();
+    assertThat(engine.orders()).isEqualTo(5);
+  }
+
+  @Test
+  void loadFromDiskServesWhenItsTimeHasComeAndAReportCorrectsIt() {
+    Instant now = settled();
+    engine.begin(1, new FleetOrder.LoadModel("m", LoadSource.DISK), Duration.ofMillis(840), now);
+    engine.finish(1, FleetOrderOutcome.ACCEPTED, now);
+    assertThat(engine.advance(now.plusMillis(800))).isFalse();
+    assertThat(engine.advance(now.plusMillis(840))).isTrue();
+    assertThat(engine.models()).containsKey("m");
+    Instant late = now.plusSeconds(3);
+    engine.acceptReport(report(5, false), late, late);
+    assertThat(engine.models()).doesNotContainKey("m");
+  }
+
+  @Test
+  void refusalRightAfterAnUnloadingIsTriedAgainSoon() {
+    Instant now = settled();
+    engine.begin(1, new FleetOrder.UnloadModel("x"), Duration.ofMillis(60), now);
+    engine.markIdleUnload(true);
+    engine.finish(1, FleetOrderOutcome.ACCEPTED, now);
+    Instant done = now.plusMillis(60);
+    assertThat(engine.advance(done)).isTrue();
+    engine.begin(2, LOAD, Duration.ofSeconds(6), done);
+    engine.finish(2, FleetOrderOutcome.CONFLICT, done.plusMillis(2));
+    assertThat(engine.isFree(done.plusMillis(2))).isFalse();
+    assertThat(engine.isFree(done.plusMillis(50))).isTrue();
+    assertThat(engine.orders()).isEqualTo(5);
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FleetOrderOutcome.class,
+      names = {"CONFLICT", "REFUSED", "UNREACHABLE"})
+  void surpriseMakesTheCountUnsureUntilAReport(FleetOrderOutcome outcome) {
+    Instant now = settled();
+    engine.begin(1, LOAD, Duration.ofSeconds(6), now);
+    engine.finish(1, outcome, now);
+    assertThat(engine.isFree(now.plusMillis(100))).isFalse();
+    Instant later = now.plusSeconds(1);
+    engine.acceptReport(report(9, false), later, later);
+    assertThat(engine.isFree(later)).isTrue();
+    assertThat(engine.orders()).isEqualTo(9);
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
@@ -0,0 +1,97 @@
+package dev.wisteriarail.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** What a node believes of the directory of runners. */
+class RunnerDirectoryTest {
+
+  private static final Instant START = Instant.EPOCH;
+
+  static RunnerEntry entry(String id, boolean draining, long born) {
+    return new RunnerEntry(
+        id, "s", "10.0.0.1", 80, "a", 8, draining, born, List.of(), Set.of(), Set.of());
+  }
+
+  private static DirectoryChange delta(long from, long to, RunnerEntry... entries) {
+    return new DirectoryChange(false, from, to, List.of(entries), List.of());
+  }
+
+  private static DirectoryChange whole(long to, RunnerEntry... entries) {
+    return new DirectoryChange(true, 0, to, List.of(entries), List.of());
+  }
+
+  private static List<String> usable(RunnerDirectory directory) {
+    return directory.usable().stream().map(RunnerEntry::id).toList();
+  }
+
+  @Test
+  void drainingRunnerNeverComesBackByAnOlderWord() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, entry("r", false, 1)), START);
+    directory.accept(delta(5, 6, entry("r", true, 1)), START);
+    assertThat(usable(directory)).isEmpty();
+    directory.accept(delta(6, 7, entry("r", false, 1)), START);
+    assertThat(usable(directory)).isEmpty();
+    directory.accept(delta(7, 8, entry("r", false, 2)), START);
+    assertThat(usable(directory)).containsExactly("r");
+  }
+
+  @Test
+  void entryOfAnEarlierRunIsPassedOver() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, entry("r", false, 9)), START);
+    directory.accept(delta(5, 6, entry("r", true, 3)), START);
+    assertThat(usable(directory)).containsExactly("r");
+  }
+
+  @Test
+  void changeThatLeavesAGapIsNotTaken() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, entry("r", false, 1)), START);
+    assertThat(directory.accept(delta(7, 8, entry("x", false, 1)), START)).isEmpty();
+    assertThat(directory.offset()).isEqualTo(5);
+  }
+
+  @Test
+  void relayedChangesReachBackToTheLastOneThatMattered() {
+    RunnerDirectory reader = RunnerDirectory.create();
+    RunnerDirectory peer = RunnerDirectory.create();
+    reader.accept(whole(5, entry("r", false, 1)), START);
+    peer.accept(reader.whole(), START);
+    DirectoryChange same = delta(5, 9, entry("r", false, 1));
+    assertThat(reader.material(same).isEmpty()).isTrue();
+    reader.accept(same, START);
+    DirectoryChange news = delta(9, 10, entry("r", true, 1));
+    DirectoryChange relayed = reader.material(news);
+    reader.accept(news, START);
+    peer.accept(relayed, START);
+    assertThat(usable(peer)).isEmpty();
+    assertThat(peer.offset()).isEqualTo(reader.offset());
+  }
+
+  @Test
+  void entriesThatVanishTogetherStayInUseForAMoment() {
+    RunnerEntry[] all =
+        IntStream.range(0, 6).mapToObj(i -> entry("r" + i, false, 1)).toArray(RunnerEntry[]::new);
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, all), START);
+    directory.accept(whole(9, all[0]), START);
+    assertThat(usable(directory)).hasSize(6);
+    directory.advance(START.plusMillis(1_600));
+    assertThat(usable(directory)).containsExactly("r0");
+  }
+
+  @Test
+  void singleEntryThatVanishesIsOutAtOnce() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, entry("r", false, 1), entry("x", false, 1)), START);
+    directory.accept(new DirectoryChange(false, 5, 6, List.of(), List.of("r")), START);
+    assertThat(usable(directory)).containsExactly("x");
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
@@ -0,0 +1,232 @@
+package dev.wisteriarail.core.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import dev.wisteriarail.core.route.RouteKind;
+import dev.wisteriarail.core.route.RouteSpec;
+import dev.wisteriarail.core.route.ServiceShare;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The rules for one request, each under the load that it answers. */
+class ForwardRulesTest {
+
+  private static final Instant START = Instant.EPOCH;
+
+  static RouteSpec route(RouteKind kind, boolean resumable) {
+    return new RouteSpec(
+        "r",
+        "h",
+        "/p/",
+        kind,
+        Duration.ofSeconds(12),
+        Duration.ofMillis(400),
+        1,
+        List.of(new ServiceShare("s", 1)),
+        2,
+        true,
+        resumable,
+        Duration.ofMillis(250));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"400, 250, 2000", "2500, 250, 10000", "500, 300, 2400", "5000, 100, 12000"})
+  void callersOfStreamsLeaveAfterTheLongestOfThreeTimes(long objective, long gap, long patience) {
+    RouteSpec route =
+        new RouteSpec(
+            "r",
+            "h",
+            "/p/",
+            RouteKind.STREAMING,
+            Duration.ofSeconds(12),
+            Duration.ofMillis(objective),
+            1,
+            List.of(new ServiceShare("s", 1)),
+            1,
+            true,
+            false,
+            Duration.ofMillis(gap));
+    assertThat(route.patience()).isEqualTo(Duration.ofMillis(patience));
+  }
+
+  // Waiting
+
+  @ParameterizedTest
+  @CsvSource({"2000, 1000, wait", "2000, 1900, refuse", "2000, 9000, refuse", "150, 0, refuse"})
+  void requestWaitsOnlyWhileItsStartCanComeInTime(long left, long startsIn, String expected) {
+    WaitRule.Verdict verdict =
+        WaitRule.decide(Duration.ofMillis(left), Optional.of(Duration.ofMillis(startsIn)));
+    assertThat(verdict instanceof WaitRule.Verdict.Wait).isEqualTo(expected.equals("wait"));
+    if (verdict instanceof WaitRule.Verdict.Refuse refuse && startsIn > left) {
+      assertThat(refuse.returnAfter()).isEqualTo(Duration.ofMillis(startsIn));
+    }
+  }
+
+  // Retries
+
+  @Test
+  void repeatsOfAllNodesStayWithinTheBudgetWhenEveryRequestFails() {
+    int nodes = 9;
+    List<RetryBudget> budgets = new ArrayList<>();
+    for (int i = 0; i < nodes; i++) {
+      budgets.add(RetryBudget.create(Duration.ofSeconds(10), 0.2, 58));
+    }
+    int requests = 0;
+    int repeats = 0;
+    for (int millis = 0; millis < 10_000; millis += 10) {
+      RetryBudget budget = budgets.get(millis / 10 % nodes);
+      Instant now = START.plusMillis(millis);
+      budget.countRequest(now);
+      requests++;
+      repeats += budget.takeRepeat(nodes, now) ? 1 : 0;
+    }
+    assertThat(repeats).isAtMost((int) (0.2 * requests + 58));
+    assertThat(repeats).isAtLeast((int) (0.4 * 0.2 * requests));
+  }
+
+  @Test
+  void budgetIsFreeAgainAfterItsWindow() {
+    RetryBudget budget = RetryBudget.create(Duration.ofSeconds(10), 0, 5);
+    while (budget.takeRepeat(1, START)) {
+      // Spends all of it.
+    }
+    assertThat(budget.takeRepeat(1, START.plusSeconds(9))).isFalse();
+    assertThat(budget.takeRepeat(1, START.plusSeconds(11))).isTrue();
+  }
+
+  // Bad runners
+
+  @Test
+  void runnerThatFailsAlmostHalfOfItsRequestsIsLeftOutAndTriedAgainByOne() {
+    RunnerHealth health = RunnerHealth.create();
+    Instant now = START;
+    boolean out = false;
+    for (int i = 0; i < 60 && !out; i++) {
+      now = now.plusMillis(50);
+      health.send();
+      if (i % 9 < 4) {
+        out = health.fail(false, now);
+      } else {
+        health.succeed();
+      }
+    }
+    assertThat(out).isTrue();
+    assertThat(health.isIn(now)).isFalse();
+    Instant later = now.plusSeconds(1);
+    assertThat(health.isIn(later)).isTrue();
+    health.send();
+    assertThat(health.isIn(later)).isFalse();
+    health.succeed();
+    assertThat(health.isIn(later)).isTrue();
+  }
+
+  @Test
+  void runnerWithRareFailuresStaysIn() {
+    RunnerHealth health = RunnerHealth.create();
+    for (int i = 0; i < 200; i++) {
+      health.send();
+      if (i % 7 == 0) {
+        assertThat(health.fail(false, START.plusMillis(i))).isFalse();
+      } else {
+        health.succeed();
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "STREAMING, true, false, 900, 4, true",
+    "STREAMING, true, false, 700, 4, false",
+    "STREAMING, true, false, 5000, 30, false",
+    "STREAMING, true, true, 800, 30, true",
+    "STREAMING, false, true, 9000, 4, false",
+    "NON_IDEMPOTENT, false, false, 9000, 4, false",
+  })
+  void silentRunnerIsGivenUpWhereTheRequestMayRunAgain(
+      RouteKind kind,
+      boolean resumable,
+      boolean begun,
+      long silence,
+      int running,
+      boolean stalled) {
+    assertThat(
+            StallRule.isStalled(
+                route(kind, resumable), begun, Duration.ofMillis(silence), running, 32))
+        .isEqualTo(stalled);
+  }
+
+  @Test
+  void requestThatCrashedThreeRunnersIsRefusedForAWhile() {
+    CrashLedger ledger = CrashLedger.create();
+    ledger.note(7, START);
+    ledger.note(7, START.plusSeconds(1));
+    assertThat(ledger.isRefused(7, START.plusSeconds(2))).isFalse();
+    ledger.note(7, START.plusSeconds(2));
+    assertThat(ledger.isRefused(7, START.plusSeconds(3))).isTrue();
+    assertThat(ledger.isRefused(8, START.plusSeconds(3))).isFalse();
+    assertThat(ledger.isRefused(7, START.plusSeconds(400))).isFalse();
+  }
+
+  // Choice
+
+  @Test
+  void burstOfOneModelIsSpreadOverItsRunners() {
+    Map<String, Integer> running = new HashMap<>(Map.of("a", 0, "b", 0, "c", 0));
+    for (int i = 0; i < 60; i++) {
+      List<RunnerChoice.Candidate> candidates = new ArrayList<>();
+      running.forEach(
+          (runner, count) ->
+              candidates.add(
+                  new RunnerChoice.Candidate(runner, count, 32, runner.equals("a"), false, 0)));
+      String chosen = RunnerChoice.best(candidates, i * 77L).orElseThrow().runner();
+      running.merge(chosen, 1, Integer::sum);
+    }
+    running.values().forEach(count -> assertThat(count).isIn(List.of(19, 20, 21)));
+  }
+
+  @Test
+  void fullRunnersGetNothing() {
+    assertThat(
+            RunnerChoice.best(List.of(new RunnerChoice.Candidate("a", 32, 32, true, true, 0)), 1))
+        .isEqualTo(Optional.empty());
+  }
+
+  // Streams
+
+  @ParameterizedTest
+  @CsvSource({"1", "2", "3", "7", "1000"})
+  void onlyWholeEventsArePassedOnHoweverTheBytesCome(int step) {
+    byte[] stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda".getBytes(UTF_8);
+    EventAssembler events = EventAssembler.create();
+    StringBuilder passed = new StringBuilder();
+    for (int from = 0; from < stream.length; from += step) {
+      int to = Math.min(stream.length, from + step);
+      passed.append(new String(events.accept(Arrays.copyOfRange(stream, from, to)), UTF_8));
+    }
+    assertThat(passed.toString()).isEqualTo("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
+    assertThat(events.lastEvent()).isEqualTo("2");
+    assertThat(events.hasPartial()).isTrue();
+  }
+
+  @Test
+  void eventsThatTheCallerHasAreDroppedAfterAnotherAttempt() {
+    EventAssembler events = EventAssembler.create();
+    events.accept("id: 1\n\nid: 2\n\nid: 3\nda".getBytes(UTF_8));
+    events.restart();
+    byte[] passed = events.accept("id: 2\n\nid: 3\n\n".getBytes(UTF_8));
+    assertThat(new String(passed, UTF_8)).isEqualTo("id: 3\n\n");
+    assertThat(events.hasGap()).isFalse();
+    events.accept("id: 5\n\n".getBytes(UTF_8));
+    assertThat(events.hasGap()).isTrue();
+  }
+}
