--- a/src/main/java/dev/wisteriarail/cli/ExplainCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/ExplainCommand.java
@@ -1,12 +1,17 @@
 package dev.wisteriarail.cli;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import dev.wisteriarail.audit.AuditTrail;
+import dev.wisteriarail.audit.LogStory;
 import dev.wisteriarail.core.id.ModelId;
 import dev.wisteriarail.core.id.RunnerId;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.core.result.WisteriarailException;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -37,6 +42,10 @@
   public void declareOptions(OptionParser parser) {
     PlatformLog.declareOptions(parser);
     parser.accepts("events", "a node's event log, for requests").withRequiredArg();
+    parser
+        .accepts("logs", "files with structured logs of nodes, or - for standard input")
+        .withRequiredArg()
+        .withValuesSeparatedBy(',');
     parser.nonOptions("what, and its name");
   }
 
@@ -46,6 +55,9 @@
     if (words.size() != 2) {
       throw usage("name what to explain: request, model, runner or decision, and which");
     }
+    if (options.has("logs")) {
+      return tellFromLogs(options.valuesOf("logs"), words.get(1), out);
+    }
     return PlatformLog.use(
         options,
         log -> {
@@ -58,6 +70,31 @@
         });
   }
 
+  private static ExitCode tellFromLogs(List<?> files, String request, PrintStream out)
+      throws SettingsException {
+    LogStory story = LogStory.create();
+    for (Object file : files) {
+      try (BufferedReader log = open(String.valueOf(file))) {
+        story.read(log);
+      } catch (IOException failure) {
+        throw new SettingsException(
+            ResultCode.FILE_UNREADABLE, String.valueOf(file), "cannot be read", failure);
+      }
+    }
+    List<String> sentences = story.tell(request);
+    sentences.forEach(out::println);
+    if (sentences.isEmpty()) {
+      out.println("no line names request " + request + "; see omitted lines in docs/OPERATIONS.md");
+    }
+    return sentences.isEmpty() ? ExitCode.FAILED : ExitCode.SUCCESS;
+  }
+
+  private static BufferedReader open(String file) throws IOException {
+    return file.equals("-")
+        ? new BufferedReader(new InputStreamReader(System.in, UTF_8))
+        : Files.newBufferedReader(Path.of(file), UTF_8);
+  }
+
   private static List<String> explain(AuditTrail trail, String what, String name)
       throws SettingsException {
     return switch (what) {
--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -43,6 +43,9 @@
   /** Time after which the unloading of a model without requests is taken as done. */
   private static final Duration IDLE_UNLOAD = Duration.ofMillis(60);
 
+  /** Time after its load in which the requests that wanted an adapter reach its engine. */
+  private static final Duration ADAPTER_KEEP = Duration.ofMillis(400);
+
   private final Map<String, EngineState> engines = new TreeMap<>();
   private final Map<String, String> serviceOf = new HashMap<>();
   private final Map<String, ModelPlanner> planners = new HashMap<>();
@@ -270,15 +273,10 @@
     Map<String, Set<String>> models = new TreeMap<>();
     engine.models().forEach((name, adapters) -> models.put(name, Set.copyOf(adapters)));
     Optional<EngineState.OpenOrder> loading = engine.loading();
-    List<String> byAge = new ArrayList<>();
-    models.forEach((name, adapters) -> adapters.forEach(each -> byAge.add(name + "/" + each)));
-    byAge.sort(
-        Comparator.comparing(
-            (String adapter) -> {
-              int slash = adapter.indexOf('/');
-              return engine.adapterUsedAt(
-                  adapter.substring(0, slash), adapter.substring(slash + 1));
-            }));
+    List<String> idle = new ArrayList<>();
+    models.forEach((name, adapters) -> adapters.forEach(each -> idle.add(name + "/" + each)));
+    idle.removeIf(adapter -> usedAt(engine, adapter).isAfter(now.minus(ADAPTER_KEEP)));
+    idle.sort(Comparator.comparing((String adapter) -> usedAt(engine, adapter)));
     return new PlanInput.Engine(
         engine.runner(),
         engine.domain(),
@@ -293,7 +291,12 @@
         engine.onDisk(),
         load == null ? Map.of() : load.byModel(),
         load == null ? Set.of() : load.adapters(),
-        byAge);
+        idle);
+  }
+
+  private static Instant usedAt(EngineState engine, String adapter) {
+    int slash = adapter.indexOf('/');
+    return engine.adapterUsedAt(adapter.substring(0, slash), adapter.substring(slash + 1));
   }
 
   private static long leftMillis(EngineState.OpenOrder order, Instant now) {
--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -25,11 +25,11 @@
   /** Reports are some hundred milliseconds old; after this long they include what was done. */
   static final Duration REPORT_LAG = Duration.ofMillis(450);
 
-  /** Time in which an engine drops a model on which nothing runs, at most. */
-  private static final Duration UNLOAD_LIMIT = Duration.ofMillis(1_200);
+  /** Time by which an order that was taken as done is done in truth, at most. */
+  private static final Duration ASSUMED_LIMIT = Duration.ofMillis(1_200);
 
-  /** Pause before an order that came too early after an unloading is sent again. */
-  private static final Duration UNLOAD_RETRY = Duration.ofMillis(40);
+  /** Pause before an order that came too early after such an order is sent again. */
+  private static final Duration ASSUMED_RETRY = Duration.ofMillis(40);
 
   /** An engine that has not answered a question for this long is not planned with. */
   private static final Duration SILENCE = Duration.ofMillis(1_200);
@@ -44,11 +44,10 @@
   private long orders;
   private boolean ordersSure;
   private boolean busy;
-  private boolean announced;
   private boolean idleUnload;
   private Optional<OpenOrder> open = Optional.empty();
   private Instant changedAt;
-  private Instant unloadedAt = Instant.MIN;
+  private Instant assumedAt = Instant.MIN;
   private Instant notBefore = Instant.MIN;
   private Instant unansweredSince = Instant.MAX;
   private long revision;
@@ -148,7 +147,6 @@
   void begin(long number, FleetOrder body, Duration expected, Instant now) {
     open = Optional.of(new OpenOrder(number, body, orders, now, now.plus(expected), false));
     changedAt = now;
-    announced = false;
     if (body instanceof FleetOrder.UnloadModel unload) {
       models.remove(unload.model());
     } else if (body instanceof FleetOrder.UnloadAdapter unload) {
@@ -168,20 +166,26 @@
       return false;
     }
     return switch (open.get().body()) {
-      case FleetOrder.LoadModel load when !announced && load.source() != LoadSource.STORE -> {
-        announced = true;
+      case FleetOrder.LoadModel load when load.source() != LoadSource.STORE -> {
+        assumeDone(now);
         models.putIfAbsent(load.model(), new TreeSet<>());
         yield true;
       }
       case FleetOrder.UnloadModel unload when idleUnload -> {
-        open = Optional.empty();
-        busy = false;
+        assumeDone(now);
         yield true;
       }
       default -> false;
     };
   }
 
+  private void assumeDone(Instant now) {
+    open = Optional.empty();
+    busy = false;
+    assumedAt = now;
+    changedAt = now;
+  }
+
   /** Notes whether a request runs on the model that is unloaded. */
   void markIdleUnload(boolean idle) {
     idleUnload = idle;
@@ -197,7 +201,7 @@
     switch (outcome) {
       case ACCEPTED -> {
         orders++;
-        unloadedAt = order.body() instanceof FleetOrder.UnloadModel ? now : Instant.MIN;
+        assumedAt = Instant.MIN;
         if (isLong(order.body())) {
           open = Optional.of(order.withAccepted());
           busy = true;
@@ -219,9 +223,9 @@
       case CONFLICT -> {
         open = Optional.empty();
         undo(order.body());
-        if (now.isBefore(unloadedAt.plus(UNLOAD_LIMIT))) {
-          // The unloading before it was taken as done too early.
-          notBefore = now.plus(UNLOAD_RETRY);
+        if (now.isBefore(assumedAt.plus(ASSUMED_LIMIT))) {
+          // The order before it was taken as done too early.
+          notBefore = now.plus(ASSUMED_RETRY);
         } else {
           ordersSure = false;
         }
@@ -307,7 +311,7 @@
 
   /** Returns the load under way of a model that cannot serve yet. */
   Optional<OpenOrder> loading() {
-    return open.filter(order -> !announced && order.body() instanceof FleetOrder.LoadModel);
+    return open.filter(order -> order.body() instanceof FleetOrder.LoadModel);
   }
 
   /** Returns whether an order may be sent to it. */
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -203,6 +203,7 @@
         engines.values().stream()
             .filter(engine -> engine.free() && !taken.contains(engine.runner()))
             .filter(engine -> engine.models().containsKey(want.model()))
+            .filter(engine -> mayTakeAdapter(engine, want))
             .min(
                 Comparator.comparingInt((PlanInput.Engine engine) -> adapterCount(engine))
                     .thenComparingInt(PlanInput.Engine::totalRunning))
@@ -210,16 +211,25 @@
       }
     }
 
+    /** Adapters that were loaded a moment ago are kept until their requests came. */
+    private boolean mayTakeAdapter(PlanInput.Engine engine, PlanInput.AdapterWant want) {
+      return !isFullOfAdapters(engine, want)
+          || engine.idleAdapters().stream()
+              .anyMatch(each -> !engine.adaptersInUse().contains(each) && !isWanted(each));
+    }
+
+    private boolean isFullOfAdapters(PlanInput.Engine engine, PlanInput.AdapterWant want) {
+      return adapterCount(engine) >= spec.adapterSlots()
+          || freeMegabytes(engine) < hosted.get(want.model()).adapterMegabytes();
+    }
+
     private void placeAdapter(PlanInput.Engine engine, PlanInput.AdapterWant want) {
       String name = want.model() + "/" + want.adapter();
-      if (engine.adaptersByAge().contains(name)) {
+      if (engine.models().get(want.model()).contains(want.adapter())) {
         return;
       }
       taken.add(engine.runner());
-      boolean full =
-          adapterCount(engine) >= spec.adapterSlots()
-              || freeMegabytes(engine) < hosted.get(want.model()).adapterMegabytes();
-      if (!full) {
+      if (!isFullOfAdapters(engine, want)) {
         orders.add(
             new Plan.Placed(
                 engine.runner(),
@@ -227,8 +237,9 @@
                 "requests wait"));
         return;
       }
-      engine.adaptersByAge().stream()
+      engine.idleAdapters().stream()
           .filter(adapter -> !engine.adaptersInUse().contains(adapter))
+          .filter(adapter -> !isWanted(adapter))
           .findFirst()
           .ifPresent(
               adapter -> {
@@ -242,6 +253,11 @@
               });
     }
 
+    private boolean isWanted(String adapter) {
+      return input.adapterWants().stream()
+          .anyMatch(want -> adapter.equals(want.model() + "/" + want.adapter()));
+    }
+
     /** Keeps the weight store busy with models that too few engines have on their disks. */
     void stock() {
       long stocking =
--- a/src/main/java/dev/wisteriarail/core/fleet/PlanInput.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PlanInput.java
@@ -39,7 +39,8 @@
    * @param onDisk models that its disk holds
    * @param running requests that it serves, by model
    * @param adaptersInUse adapters that requests use, as model and adapter joined by a slash
-   * @param adaptersByAge its adapters, the longest unused first, in the same form
+   * @param idleAdapters adapters that were not used lately, the longest unused first, in the same
+   *     form
    */
   public record Engine(
       String runner,
@@ -53,7 +54,7 @@
       Set<String> onDisk,
       Map<String, Integer> running,
       Set<String> adaptersInUse,
-      List<String> adaptersByAge) {
+      List<String> idleAdapters) {
 
     /** Returns all requests that it serves. */
     public int totalRunning() {
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -0,0 +1,205 @@
+package dev.wisteriarail.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.route.EngineSpec;
+import dev.wisteriarail.core.route.HostedModel;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Placement under the loads that it answers. */
+class ModelPlannerTest {
+
+  private static final int ENGINES = 6;
+  private static final int MODELS = 30;
+
+  private final ModelPlanner planner = ModelPlanner.create();
+  private final Map<String, Set<String>>[] held = newHeld();
+  private final Map<String, PlanInput.ModelNeed> needs = new HashMap<>();
+  private final List<PlanInput.AdapterWant> adapterWants = new ArrayList<>();
+  private final Map<String, Integer>[] running = newRunning();
+  private Set<String> onEveryDisk = Set.of();
+  private List<String> idleAdapters = List.of();
+
+  @SuppressWarnings("unchecked")
+  private static Map<String, Set<String>>[] newHeld() {
+    Map<String, Set<String>>[] all = new Map[ENGINES];
+    for (int i = 0; i < ENGINES; i++) {
+      all[i] = new TreeMap<>();
+    }
+    return all;
+  }
+
+  @SuppressWarnings("unchecked")
+  private static Map<String, Integer>[] newRunning() {
+    Map<String, Integer>[] all = new Map[ENGINES];
+    for (int i = 0; i < ENGINES; i++) {
+      all[i] = new HashMap<>();
+    }
+    return all;
+  }
+
+  private static EngineSpec spec() {
+    List<HostedModel> models =
+        IntStream.range(0, MODELS)
+            .mapToObj(
+                i ->
+                    new HostedModel(
+                        "m" + i,
+                        70,
+                        Duration.ofSeconds(6),
+                        Duration.ofMillis(840),
+                        Duration.ofMillis(630),
+                        i == 0 ? 20 : 0,
+                        1))
+            .toList();
+    return new EngineSpec(32, 100_000, 200, 8, 6.7, models);
+  }
+
+  private Plan plan(int storeLoads) {
+    List<PlanInput.Engine> engines = new ArrayList<>();
+    for (int i = 0; i < ENGINES; i++) {
+      engines.add(
+          new PlanInput.Engine(
+              "e" + i,
+              "a",
+              true,
+              held[i],
+              "",
+              LoadSource.MEMORY,
+              0,
+              Set.of(),
+              onEveryDisk,
+              running[i],
+              Set.of(),
+              idleAdapters));
+    }
+    return planner.plan(new PlanInput(spec(), engines, needs, adapterWants, storeLoads, 4, true));
+  }
+
+  private void hold(int engine, String... models) {
+    for (String model : models) {
+      held[engine].put(model, Set.of());
+    }
+  }
+
+  private static PlanInput.ModelNeed waiting(int count) {
+    return new PlanInput.ModelNeed(count, count, 5_000, 0.5, 0);
+  }
+
+  @Test
+  void modelOnADiskIsLoadedFromThereAndNotFromTheStore() {
+    onEveryDisk = Set.of("m5");
+    needs.put("m5", waiting(1));
+    Plan plan = plan(4);
+    assertThat(plan.orders()).hasSize(1);
+    assertThat(plan.orders().getFirst().order())
+        .isEqualTo(new FleetOrder.LoadModel("m5", LoadSource.DISK));
+  }
+
+  @Test
+  void busyWeightStoreGivesTheWaitingModelsATimeToComeBack() {
+    needs.put("m5", waiting(2));
+    needs.put("m6", waiting(1));
+    Plan plan = plan(4);
+    assertThat(plan.orders()).isEmpty();
+    Map<String, Long> forecasts = new HashMap<>();
+    plan.forecasts().forEach(each -> forecasts.put(each.model(), each.startsInMillis()));
+    assertThat(forecasts.get("m5")).isAtLeast(6_000L);
+    assertThat(forecasts.get("m6")).isGreaterThan(forecasts.get("m5"));
+  }
+
+  @Test
+  void modelWithRequestsIsNeverMadeWayFor() {
+    for (int i = 0; i < ENGINES; i++) {
+      hold(i, "m" + (10 + i), "m" + (20 + i));
+      running[i].put("m" + (10 + i), 3);
+    }
+    onEveryDisk = Set.of("m5");
+    needs.put("m5", waiting(1));
+    Plan plan = plan(0);
+    Plan.Placed first = plan.orders().getFirst();
+    assertThat(first.order()).isInstanceOf(FleetOrder.UnloadModel.class);
+    assertThat(first.order().model()).startsWith("m2");
+  }
+
+  @Test
+  void clearedEngineGetsTheModelThatItWasClearedFor() {
+    for (int i = 0; i < ENGINES; i++) {
+      hold(i, "m" + (10 + i), "m" + (20 + i));
+    }
+    onEveryDisk = Set.of("m5");
+    needs.put("m5", waiting(1));
+    Plan.Placed cleared = plan(4).orders().getFirst();
+    int engine = Integer.parseInt(cleared.runner().substring(1));
+    held[engine].remove(cleared.order().model());
+    needs.put("m6", waiting(9));
+    onEveryDisk = Set.of("m5", "m6");
+    Plan next = plan(4);
+    assertThat(next.orders())
+        .contains(
+            new Plan.Placed(
+                cleared.runner(),
+                new FleetOrder.LoadModel("m5", LoadSource.DISK),
+                "cleared for it"));
+  }
+
+  @Test
+  void modelWithManyRequestsGetsMoreReplicas() {
+    hold(0, "m0");
+    onEveryDisk = Set.of("m0");
+    running[0].put("m0", 30);
+    needs.put("m0", new PlanInput.ModelNeed(0, 0, Long.MAX_VALUE, 12, 30));
+    Plan plan = plan(4);
+    assertThat(plan.orders())
+        .contains(
+            new Plan.Placed(
+                plan.orders().getFirst().runner(),
+                new FleetOrder.LoadModel("m0", LoadSource.DISK),
+                "more replicas wanted"));
+    assertThat(plan.orders().getFirst().runner()).isNotEqualTo("e0");
+  }
+
+  @Test
+  void weightStoreIsKeptBusyBeforeAnybodyAsks() {
+    Plan plan = plan(0);
+    assertThat(plan.orders()).hasSize(4);
+    assertThat(plan.orders().stream().map(Plan.Placed::runner).distinct().count()).isEqualTo(4);
+  }
+
+  @Test
+  void adapterThatWasLoadedAMomentAgoIsKept() {
+    held[0].put("m0", Set.of("a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"));
+    adapterWants.add(new PlanInput.AdapterWant("m0", "a9", 1, 400));
+    needs.put("m0", new PlanInput.ModelNeed(1, 1, 400, 0.5, 8));
+    assertThat(orderedFor("m0")).isEmpty();
+    idleAdapters = List.of("m0/a3");
+    assertThat(orderedFor("m0")).containsExactly(new FleetOrder.UnloadAdapter("m0", "a3"));
+  }
+
+  private List<FleetOrder> orderedFor(String model) {
+    return plan(4).orders().stream()
+        .map(Plan.Placed::order)
+        .filter(order -> order.model().equals(model))
+        .toList();
+  }
+
+  @Test
+  void noEngineIsOrderedToHoldMoreThanFits() {
+    for (int i = 0; i < ENGINES; i++) {
+      hold(i, "m" + (10 + i), "m" + (20 + i));
+      running[i].put("m" + (10 + i), 1);
+      running[i].put("m" + (20 + i), 1);
+    }
+    onEveryDisk = Set.of("m5");
+    needs.put("m5", waiting(9));
+    assertThat(plan(0).orders()).isEmpty();
+  }
+}
