Count loads of the same round before adding replicas

Cause: ModelPlannerTest (modelOnADiskIsLoadedFromThere) failed: a model placed for waiting requests was placed once more in the same round as a missing replica, since only loads under way were counted.

Change: the round counts what it placed itself.

--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -79,6 +79,7 @@
     private final Map<String, PlanInput.Engine> engines = new LinkedHashMap<>();
     private final Set<String> taken = new HashSet<>();
     private final Map<String, Long> startsIn = new HashMap<>();
+    private final Map<String, Set<String>> placedNow = new HashMap<>();
     private final List<Plan.Placed> orders = new ArrayList<>();
     private int storeLoads;
 
@@ -405,10 +406,17 @@
     }
 
     private int replicasWithLoading(String model) {
-      long loading =
-          engines.values().stream().filter(engine -> engine.loading().equals(model)).count();
-      long promised = clearedFor.values().stream().filter(model::equals).count();
-      return replicas(model) + (int) (loading + promised);
+      Set<String> coming = new HashSet<>(placedNow.getOrDefault(model, Set.of()));
+      engines.values().stream()
+          .filter(engine -> engine.loading().equals(model))
+          .forEach(engine -> coming.add(engine.runner()));
+      clearedFor.forEach(
+          (runner, promised) -> {
+            if (promised.equals(model) && !engines.get(runner).models().containsKey(model)) {
+              coming.add(runner);
+            }
+          });
+      return replicas(model) + coming.size();
     }
 
     private boolean isCached(String model) {
@@ -435,6 +443,7 @@
       startsIn.merge(
           model, loadMillis(engine, model) + CLEARING_MILLIS * victims.get().size(), Math::min);
       if (victims.get().isEmpty()) {
+        placedNow.computeIfAbsent(model, name -> new HashSet<>()).add(engine.runner());
         orders.add(
             new Plan.Placed(engine.runner(), new FleetOrder.LoadModel(model, source), reason));
         return;
