Refuse late streams while stopping; close connections that fall idle later

A stream that ran at SIGTERM had its head sent without Connection: close; its connection stayed open after the one closing of idle connections at 2.5 s, its caller sent a new request 5.7 s after SIGTERM, and the end of the process cut it.

Ruled out: a stream longer than the grace; this one took 1.5 s.

Change: idle connections are closed every 200 ms from 2.5 s on; streams that come later than 2.8 s after the stop request are refused, not run, with a short Retry-After.

--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -129,7 +129,8 @@
     return shares.getLast().service();
   }
 
-  private void refuse(
+  /** Refuses a request that is not taken at all. */
+  void refuse(
       ForwardRequest request, ResultCode code, Optional<Duration> returnAfter, GatewayStep step) {
     step.log(
         EventCode.FORWARD_REFUSED,
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -15,11 +15,14 @@
 import dev.wisteriarail.core.fleet.RunnerDirectory;
 import dev.wisteriarail.core.fleet.RunnerTurn;
 import dev.wisteriarail.core.fleet.RunnerUse;
+import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RunnerBoard;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.FleetMessage;
+import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.route.RouteSpec;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -39,6 +42,18 @@
   /** Time after a stop request in which the balancer notices and sends no more callers. */
   private static final Duration BALANCER_NOTICE = Duration.ofMillis(2500);
 
+  /** Time after a stop request from which new streams are refused: they take some seconds. */
+  private static final Duration LATEST_STREAM = Duration.ofMillis(2800);
+
+  /** Time before the end of the process from which nothing new is taken: a plain answer's time. */
+  private static final Duration LAST_ANSWERS = Duration.ofMillis(800);
+
+  /** Time to come back to another node after the refusal of a node that stops. */
+  private static final Duration DRAIN_RETURN = Duration.ofMillis(50);
+
+  /** Pause between two closings of callers' idle connections. */
+  private static final Duration CLOSE_PAUSE = Duration.ofMillis(200);
+
   /** Part of the grace after a stop request that is kept for the end of the process itself. */
   private static final Duration EXIT_RESERVE = Duration.ofMillis(800);
 
@@ -68,7 +83,7 @@
   private boolean registering;
   private boolean ready;
   private boolean storeLost;
-  private boolean callersClosed;
+  private Instant nextClose = Instant.MAX;
   private boolean drainCompleted;
   private boolean relaying;
   private long heldFence;
@@ -105,7 +120,11 @@
     }
     switch (event) {
       case GatewayEvent.RequestArrived arrived -> {
-        forwarder.accept(arrived.request(), configuration, step);
+        if (isDraining() && isTooLate(arrived.request(), now)) {
+          forwarder.refuse(arrived.request(), ResultCode.DRAINING, Optional.of(DRAIN_RETURN), step);
+        } else {
+          forwarder.accept(arrived.request(), configuration, step);
+        }
         hastenDemand(now);
       }
       case GatewayEvent.CallerLeft left -> forwarder.acceptLeft(left.exchange(), step);
@@ -136,6 +155,7 @@
       case GatewayEvent.DrainRequested drain -> {
         if (drainingSince.equals(Instant.MAX)) {
           drainingSince = now;
+          nextClose = now.plus(BALANCER_NOTICE);
           step.log(EventCode.NODE_DRAINING, "in_flight", forwarder.size());
         }
       }
@@ -531,6 +551,19 @@
     }
   }
 
+  /** A stream that begins late might be cut by the end of the process; another node can take it. */
+  private boolean isTooLate(ForwardRequest request, Instant now) {
+    Duration since = Duration.between(drainingSince, now);
+    boolean stream =
+        configuration
+            .flatMap(known -> known.route(request.host(), request.path()))
+            .filter(RouteSpec::streaming)
+            .isPresent();
+    Duration limit =
+        stream ? LATEST_STREAM : settings.drainGrace().minus(EXIT_RESERVE).minus(LAST_ANSWERS);
+    return since.compareTo(limit) > 0;
+  }
+
   private boolean isDraining() {
     return !drainingSince.equals(Instant.MAX);
   }
@@ -540,11 +573,12 @@
       return;
     }
     Instant now = step.now();
-    if (!callersClosed && !now.isBefore(drainingSince.plus(BALANCER_NOTICE))) {
-      callersClosed = true;
+    if (!now.isBefore(nextClose)) {
+      nextClose = now.plus(CLOSE_PAUSE);
       step.emit(new GatewayEffect.CloseIdleCallers());
     }
-    boolean empty = callersClosed && forwarder.isEmpty();
+    boolean noticed = !now.isBefore(drainingSince.plus(BALANCER_NOTICE));
+    boolean empty = noticed && forwarder.isEmpty();
     boolean late = !now.isBefore(drainingSince.plus(settings.drainGrace()).minus(EXIT_RESERVE));
     if (empty || late) {
       drainCompleted = true;
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -0,0 +1,182 @@
+package dev.wisteriarail.core.gateway;
+
+import dev.wisteriarail.core.fleet.DirectoryChange;
+import dev.wisteriarail.core.fleet.FleetTimings;
+import dev.wisteriarail.core.fleet.LoadedModel;
+import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.forward.AttemptResult;
+import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.route.CallerBounds;
+import dev.wisteriarail.core.route.EngineSpec;
+import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.route.HostedModel;
+import dev.wisteriarail.core.route.RouteKind;
+import dev.wisteriarail.core.route.RouteSpec;
+import dev.wisteriarail.core.route.ServicePool;
+import dev.wisteriarail.core.route.ServiceShare;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** One gateway's core in virtual time, fed by hand. */
+final class CoreHarness {
+
+  static final String ENGINES = "engines";
+  static final String PLAIN = "plain";
+
+  private final GatewayCore core;
+  private final List<GatewayEffect> effects = new ArrayList<>();
+  private Instant now = Instant.EPOCH.plusSeconds(1_000);
+  private long exchanges;
+
+  private CoreHarness(GatewayCore core) {
+    this.core = core;
+  }
+
+  /** Returns a core that knows a configuration, two plain runners, and engines that hold m0. */
+  static CoreHarness ready() {
+    CoreHarness harness = unready();
+    harness.handle(
+        new GatewayEvent.StoreTold(
+            new StoreRead.NewestConfiguration(),
+            new StoreAnswer.ConfigurationRead(Optional.of(configuration(1)), 1)));
+    harness.directory(
+        5,
+        runner("p1", PLAIN, false),
+        runner("p2", PLAIN, false),
+        runner("e1", ENGINES, false),
+        runner("e2", ENGINES, false));
+    return harness;
+  }
+
+  static CoreHarness unready() {
+    GatewaySettings settings =
+        new GatewaySettings(
+            new NodeAddress(NodeId.of("n1"), Incarnation.of(1), "10.0.0.1", 7000),
+            "a",
+            List.of(),
+            FleetTimings.DEFAULT,
+            Duration.ofSeconds(10),
+            0.2,
+            50,
+            Duration.ofSeconds(8));
+    CoreHarness harness = new CoreHarness(GatewayCore.create(settings));
+    harness.tick();
+    return harness;
+  }
+
+  static GatewayConfiguration configuration(long version) {
+    HostedModel model =
+        new HostedModel(
+            "m0", 60, Duration.ofSeconds(6), Duration.ofMillis(840), Duration.ofMillis(630), 0, 0);
+    return new GatewayConfiguration(
+        version,
+        List.of(
+            route("chat", RouteKind.STREAMING, ENGINES, true, 2),
+            route("report", RouteKind.STREAMING, ENGINES, false, 1),
+            route("lookup", RouteKind.IDEMPOTENT, PLAIN, false, 2),
+            route("order", RouteKind.NON_IDEMPOTENT, PLAIN, false, 1)),
+        Map.of(
+            ENGINES,
+            new ServicePool(
+                ENGINES, 100, Optional.of(new EngineSpec(8, 100_000, 130, 4, 5, List.of(model)))),
+            PLAIN,
+            new ServicePool(PLAIN, 100, Optional.empty())),
+        CallerBounds.DEFAULT);
+  }
+
+  private static RouteSpec route(
+      String name, RouteKind kind, String service, boolean resumable, int runners) {
+    return new RouteSpec(
+        name,
+        "host",
+        "/" + name + "/",
+        kind,
+        Duration.ofSeconds(5),
+        Duration.ofMillis(400),
+        1,
+        List.of(new ServiceShare(service, 1)),
+        runners,
+        false,
+        resumable,
+        Duration.ofMillis(250));
+  }
+
+  static RunnerEntry runner(String id, String service, boolean draining) {
+    List<LoadedModel> models =
+        service.equals(ENGINES) ? List.of(new LoadedModel("m0", List.of())) : List.of();
+    return new RunnerEntry(
+        id, service, "10.0.1.1", 80, "a", 6, draining, 1, models, Set.of(), Set.of());
+  }
+
+  // Events
+
+  void directory(long to, RunnerEntry... entries) {
+    handle(
+        new GatewayEvent.StoreTold(
+            new StoreRead.WholeDirectory(),
+            new StoreAnswer.DirectoryRead(
+                new DirectoryChange(true, 0, to, List.of(entries), List.of()))));
+  }
+
+  /** Lets a request arrive; returns its exchange. */
+  long arrive(String route) {
+    return arrive(route, ++exchanges);
+  }
+
+  long arrive(String route, long fingerprint) {
+    boolean model = route.equals("chat") || route.equals("report");
+    long exchange = ++exchanges;
+    handle(
+        new GatewayEvent.RequestArrived(
+            new ForwardRequest(
+                exchange,
+                "r" + exchange,
+                "host",
+                "/" + route + "/1",
+                Optional.of(Duration.ofSeconds(5)),
+                model ? Optional.of("m0") : Optional.empty(),
+                Optional.empty(),
+                10,
+                10,
+                List.of(),
+                fingerprint)));
+    return exchange;
+  }
+
+  void told(long exchange, int attempt, AttemptResult result) {
+    handle(new GatewayEvent.AttemptTold(exchange, attempt, result));
+  }
+
+  void pass(Duration time) {
+    Instant until = now.plus(time);
+    while (now.isBefore(until)) {
+      now = now.plusMillis(50);
+      tick();
+    }
+  }
+
+  private void tick() {
+    handle(new GatewayEvent.Tick(false));
+  }
+
+  void handle(GatewayEvent event) {
+    effects.addAll(core.handle(event, now));
+  }
+
+  // Effects
+
+  /** Returns the effects of a kind since the last call of this method for any kind. */
+  <T extends GatewayEffect> List<T> take(Class<T> kind) {
+    List<T> taken = effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+    effects.clear();
+    return taken;
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
@@ -0,0 +1,187 @@
+package dev.wisteriarail.core.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.forward.AttemptResult;
+import dev.wisteriarail.core.result.ResultCode;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The promises of one gateway to its callers, in virtual time. */
+class GatewayCoreTest {
+
+  private final CoreHarness node = CoreHarness.ready();
+
+  private GatewayEffect.SendAttempt onlySend() {
+    List<GatewayEffect.SendAttempt> sends = node.take(GatewayEffect.SendAttempt.class);
+    assertThat(sends).hasSize(1);
+    return sends.getFirst();
+  }
+
+  private GatewayEffect.Refuse onlyRefusal() {
+    List<GatewayEffect.Refuse> refusals = node.take(GatewayEffect.Refuse.class);
+    assertThat(refusals).hasSize(1);
+    return refusals.getFirst();
+  }
+
+  @Test
+  void nodeWithoutConfigurationRefusesAndDoesNotSayNotFound() {
+    CoreHarness fresh = CoreHarness.unready();
+    fresh.arrive("lookup");
+    assertThat(fresh.take(GatewayEffect.Refuse.class).getFirst().code())
+        .isEqualTo(ResultCode.CONFIGURATION_UNKNOWN);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"lookup, true", "order, false", "chat, true", "report, false"})
+  void onlyWhatMayRunAgainIsSentAgainAfterALostAnswer(String route, boolean again) {
+    long exchange = node.arrive(route);
+    GatewayEffect.SendAttempt first = onlySend();
+    node.told(exchange, 1, new AttemptResult.Broken("reset", false, "", true));
+    if (again) {
+      assertThat(onlySend().runner().id()).isNotEqualTo(first.runner().id());
+    } else {
+      assertThat(onlyRefusal().code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"lookup", "order", "chat", "report"})
+  void whatDidNotRunGoesToARunnerAgain(String route) {
+    long exchange = node.arrive(route);
+    onlySend();
+    node.told(exchange, 1, new AttemptResult.Answered(503, true, false));
+    node.pass(Duration.ofMillis(100));
+    onlySend();
+  }
+
+  @Test
+  void requestRunsOnNoMoreRunnersThanItsRouteAllows() {
+    long exchange = node.arrive("lookup");
+    onlySend();
+    node.told(exchange, 1, new AttemptResult.Answered(500, false, true));
+    onlySend();
+    node.told(exchange, 2, new AttemptResult.Answered(500, false, true));
+    assertThat(node.take(GatewayEffect.PassAnswer.class)).hasSize(1);
+  }
+
+  @Test
+  void answerOfAnEarlierAttemptChangesNothing() {
+    long exchange = node.arrive("lookup");
+    node.told(exchange, 1, new AttemptResult.Broken("reset", false, "", true));
+    node.take(GatewayEffect.SendAttempt.class);
+    node.told(exchange, 1, new AttemptResult.Broken("reset", false, "", true));
+    assertThat(node.take(GatewayEffect.Refuse.class)).isEmpty();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"chat", "order"})
+  void callerThatLeavesTakesItsRunnersWorkAlong(String route) {
+    long exchange = node.arrive(route);
+    onlySend();
+    node.handle(new GatewayEvent.CallerLeft(exchange));
+    assertThat(node.take(GatewayEffect.CancelAttempt.class)).hasSize(1);
+  }
+
+  @Test
+  void routesTimeEndsARequestThatNoRunnerAnswered() {
+    node.arrive("order");
+    onlySend();
+    node.pass(Duration.ofMillis(5_100));
+    assertThat(onlyRefusal().code()).isEqualTo(ResultCode.DEADLINE_PASSED);
+  }
+
+  @Test
+  void cutStreamGoesOnElsewhereAndOtherwiseIsNotEndedAsIfWhole() {
+    long chat = node.arrive("chat");
+    onlySend();
+    node.told(chat, 1, new AttemptResult.Started());
+    node.told(chat, 1, new AttemptResult.Broken("reset", true, "3", true));
+    onlySend();
+    long report = node.arrive("report");
+    node.told(report, 1, new AttemptResult.Started());
+    node.told(report, 1, new AttemptResult.Broken("reset", true, "3", true));
+    assertThat(node.take(GatewayEffect.CutAnswer.class)).hasSize(1);
+  }
+
+  @Test
+  void silentRunnerIsGivenUpForAStreamThatMayGoOn() {
+    node.arrive("chat");
+    GatewayEffect.SendAttempt first = onlySend();
+    node.pass(Duration.ofSeconds(1));
+    assertThat(onlySend().runner().id()).isNotEqualTo(first.runner().id());
+  }
+
+  @Test
+  void requestThatCrashesRunnersIsRefusedWhoeverSendsIt() {
+    for (int i = 0; i < 3; i++) {
+      long exchange = node.arrive("order", 99);
+      node.told(exchange, 1, new AttemptResult.Broken("reset", false, "", true));
+      node.pass(Duration.ofSeconds(6));
+    }
+    node.take(GatewayEffect.class);
+    node.arrive("order", 99);
+    assertThat(onlyRefusal().code()).isEqualTo(ResultCode.CRASHING_REQUEST);
+  }
+
+  @Test
+  void drainingRunnerGetsNothingNewAndKeepsWhatItHas() {
+    long exchange = node.arrive("order");
+    String runner = onlySend().runner().id();
+    node.directory(
+        6,
+        CoreHarness.runner("p1", CoreHarness.PLAIN, true),
+        CoreHarness.runner("p2", CoreHarness.PLAIN, true));
+    assertThat(node.take(GatewayEffect.CancelAttempt.class)).isEmpty();
+    node.arrive("order");
+    assertThat(node.take(GatewayEffect.SendAttempt.class)).isEmpty();
+    node.told(exchange, 1, new AttemptResult.Finished(200));
+    assertThat(runner).startsWith("p");
+  }
+
+  @Test
+  void stoppingNodeServesWhatComesAtFirstAndRefusesLateStreams() {
+    node.handle(new GatewayEvent.DrainRequested());
+    assertThat(node.take(GatewayEffect.SetReady.class).getLast().ready()).isFalse();
+    node.pass(Duration.ofSeconds(2));
+    long early = node.arrive("report");
+    onlySend();
+    node.pass(Duration.ofMillis(1_200));
+    node.arrive("report");
+    GatewayEffect.Refuse late = onlyRefusal();
+    assertThat(late.code()).isEqualTo(ResultCode.DRAINING);
+    assertThat(late.returnAfter()).isPresent();
+    node.told(early, 1, new AttemptResult.Finished(200));
+    node.pass(Duration.ofMillis(400));
+    assertThat(node.take(GatewayEffect.DrainCompleted.class)).hasSize(1);
+  }
+
+  @Test
+  void stoppingNodeClosesConnectionsThatFallIdleLater() {
+    node.handle(new GatewayEvent.DrainRequested());
+    long stream = node.arrive("report");
+    node.pass(Duration.ofSeconds(3));
+    node.take(GatewayEffect.class);
+    node.pass(Duration.ofSeconds(1));
+    assertThat(node.take(GatewayEffect.CloseIdleCallers.class)).isNotEmpty();
+    node.told(stream, 1, new AttemptResult.Finished(200));
+  }
+
+  @Test
+  void versionOfTheConfigurationNeverGoesBack() {
+    node.handle(
+        new GatewayEvent.StoreTold(
+            new StoreRead.NewestConfiguration(),
+            new StoreAnswer.ConfigurationRead(Optional.of(CoreHarness.configuration(7)), 3)));
+    node.take(GatewayEffect.class);
+    node.handle(
+        new GatewayEvent.StoreTold(
+            new StoreRead.NewestConfiguration(),
+            new StoreAnswer.ConfigurationRead(Optional.of(CoreHarness.configuration(5)), 4)));
+    assertThat(node.take(GatewayEffect.ApplyBounds.class)).isEmpty();
+  }
+}
