Count what a refused unloading leaves on the engine; slow heartbeats in large fleets

An order that is refused because the one before was taken as done too early put a model back without its adapters, and an adapter not at all, so the next load counted too little.

Ruled out: late orders (each names the number of accepted orders); adapters in transit (counted when accepted).

Change: a refused unloading restores what it had taken off the books. EngineStateTest.refusedUnloadingLeavesTheEngineAsItWas failed before. Heartbeats slow down beyond 20 peers and name other nodes only in every eighth.

--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -45,6 +45,7 @@
   private boolean ordersSure;
   private boolean busy;
   private boolean idleUnload;
+  private Set<String> droppedAdapters = Set.of();
   private Optional<OpenOrder> open = Optional.empty();
   private Instant changedAt;
   private Instant assumedAt = Instant.MIN;
@@ -148,6 +149,7 @@
     open = Optional.of(new OpenOrder(number, body, orders, now, now.plus(expected), false));
     changedAt = now;
     if (body instanceof FleetOrder.UnloadModel unload) {
+      droppedAdapters = models.getOrDefault(unload.model(), Set.of());
       models.remove(unload.model());
     } else if (body instanceof FleetOrder.UnloadAdapter unload) {
       models.getOrDefault(unload.model(), Set.of()).remove(unload.adapter());
@@ -255,9 +257,13 @@
     }
   }
 
+  /** Counts again what a refused order would have dropped: it still takes room. */
   private void undo(FleetOrder body) {
     if (body instanceof FleetOrder.UnloadModel unload) {
-      models.putIfAbsent(unload.model(), new TreeSet<>());
+      models.putIfAbsent(unload.model(), new TreeSet<>(droppedAdapters));
+    } else if (body instanceof FleetOrder.UnloadAdapter unload
+        && models.containsKey(unload.model())) {
+      models.get(unload.model()).add(unload.adapter());
     }
   }
 
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -39,7 +39,7 @@
   private static final double RATE_PER_REPLICA = 6;
 
   /** Share of the engines that may be busy with loads from the store that nobody waits for. */
-  private static final double STOCKING_SHARE = 0.34;
+  private static final double STOCKING_SHARE = 0.5;
 
   /** Engines that should have a model with adapters on their disks: its usual replicas. */
   private static final int COPIES_WITH_ADAPTERS = 3;
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -21,6 +21,12 @@
   /** Heartbeats go on to a silent peer for this long, in case only the way back is cut. */
   private static final Duration FORGET_AFTER = Duration.ofMinutes(1);
 
+  /** Peers up to which heartbeats keep their pace; beyond, they slow down in proportion. */
+  private static final int PEERS_AT_FULL_PACE = 20;
+
+  /** Heartbeats slow down to this part of their pace at most. */
+  private static final int SLOWEST = 3;
+
   private final NodeAddress self;
   private final Duration silence;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
@@ -86,6 +92,14 @@
         && peer.address().port() == from.port();
   }
 
+  /** Notes that a message other than a heartbeat came from a peer. */
+  public void touch(NodeId node, Instant now) {
+    Peer known = peers.get(node);
+    if (known != null && !known.heardAt().equals(Instant.MIN)) {
+      peers.put(node, new Peer(known.address(), known.status(), now, known.learntAt()));
+    }
+  }
+
   /** Starts every peer's silence anew, after this node itself stood still. */
   public void forgive(Instant now) {
     peers.replaceAll(
@@ -140,9 +154,16 @@
     return peer == null ? Incarnation.NONE : peer.address().incarnation();
   }
 
+  /** Returns by how much heartbeats are slowed down, so that they stay cheap in a large fleet. */
+  public double pace() {
+    return Math.clamp((double) peers.size() / PEERS_AT_FULL_PACE, 1, SLOWEST);
+  }
+
+  /** A coordinator is heard all the time, whatever the pace of heartbeats is. */
   private boolean isLive(Peer peer, Instant now) {
+    double slowness = peer.status().fence() > 0 ? 1 : pace();
     return !peer.heardAt().equals(Instant.MIN)
-        && Duration.between(peer.heardAt(), now).compareTo(silence) < 0;
+        && Duration.between(peer.heardAt(), now).toMillis() < silence.toMillis() * slowness;
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -86,6 +86,7 @@
   private Instant nextClose = Instant.MAX;
   private boolean drainCompleted;
   private boolean relaying;
+  private long beats;
   private long heldFence;
 
   private GatewayCore(GatewaySettings settings) {
@@ -270,6 +271,7 @@
   }
 
   private void acceptPeer(GatewayEvent.PeerTold told, GatewayStep step) {
+    peers.touch(told.from(), step.now());
     switch (told.message()) {
       case FleetMessage.Beat beat -> acceptBeat(beat, step);
       case FleetMessage.DemandTold demand -> {
@@ -427,14 +429,22 @@
     if (step.now().isBefore(nextBeat)) {
       return;
     }
-    nextBeat = step.now().plus(timings.beat());
-    List<NodeAddress> known = peers.live(step.now()).stream().map(PeerTable.Peer::address).toList();
+    double pace = lease.isHeld() ? 1 : peers.pace();
+    nextBeat = step.now().plusMillis(Math.round(timings.beat().toMillis() * pace));
+    boolean introduces = beats++ % BEATS_BETWEEN_INTRODUCTIONS == 0;
+    List<NodeAddress> known =
+        introduces
+            ? peers.live(step.now()).stream().map(PeerTable.Peer::address).toList()
+            : List.of();
     FleetMessage.Beat beat = new FleetMessage.Beat(settings.self(), known, status(step.now()));
     for (NodeAddress peer : peers.addresses()) {
       step.emit(new GatewayEffect.SendPeer(peer, beat));
     }
   }
 
+  /** Heartbeats between two that name other nodes; a list of them is long in a large fleet. */
+  private static final int BEATS_BETWEEN_INTRODUCTIONS = 8;
+
   private void hastenDemand(Instant now) {
     if (forwarder.hasWaiting() && nextDemand.isAfter(now.plusMillis(HASTE_MILLIS))) {
       nextDemand = now.plusMillis(HASTE_MILLIS);
--- a/src/test/java/dev/wisteriarail/core/fleet/EngineStateTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/EngineStateTest.java
@@ -117,4 +117,28 @@
     assertThat(engine.isFree(later)).isTrue();
     assertThat(engine.orders()).isEqualTo(9);
   }
+
+  @Test
+  void refusedUnloadingLeavesTheEngineAsItWas() {
+    Instant now = START.plusSeconds(1);
+    RunnerReport held =
+        new RunnerReport(
+            "r",
+            1,
+            4,
+            false,
+            List.of(new LoadedModel("m", List.of("a1", "a2"))),
+            Set.of(),
+            Set.of(),
+            0,
+            0,
+            0);
+    engine.acceptReport(held, now, now);
+    engine.begin(1, new FleetOrder.UnloadAdapter("m", "a1"), Duration.ZERO, now);
+    engine.finish(1, FleetOrderOutcome.CONFLICT, now);
+    assertThat(engine.models().get("m")).containsExactly("a1", "a2");
+    engine.begin(2, new FleetOrder.UnloadModel("m"), Duration.ZERO, now);
+    engine.finish(2, FleetOrderOutcome.CONFLICT, now);
+    assertThat(engine.models().get("m")).containsExactly("a1", "a2");
+  }
 }
