Make the duties of a large fleet cheaper: plan less often, encode once

Each event of a request ran the coordinator's plan, each heartbeat was encoded for each peer and named all nodes, and every change of a count of requests was told to all nodes every 150 ms.

Change: events of single requests no longer touch the fleet's duties; a plan every 15 ms at most; a message to many peers is encoded once; counts are told when they change by 15 in 100; intervals grow with the fleet up to threefold, the coordinator's heartbeat excepted.

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -46,6 +46,9 @@
   /** Time after its load in which the requests that wanted an adapter reach its engine. */
   private static final Duration ADAPTER_KEEP = Duration.ofMillis(400);
 
+  /** Change of the requests on an engine, as a share of them, that is told to the nodes. */
+  private static final double TOLD_DIFFERENCE = 0.15;
+
   private final Map<String, EngineState> engines = new TreeMap<>();
   private final Map<String, String> serviceOf = new HashMap<>();
   private final Map<String, ModelPlanner> planners = new HashMap<>();
@@ -391,7 +394,8 @@
     for (EngineState engine : engines.values()) {
       UseBook.Load load = loads.get(engine.runner());
       int running = load == null ? 0 : load.running();
-      if (running != toldRunning.getOrDefault(engine.runner(), 0)) {
+      int told = toldRunning.getOrDefault(engine.runner(), 0);
+      if (Math.abs(running - told) > told * TOLD_DIFFERENCE) {
         toldRunning.put(engine.runner(), running);
         engine.revise(++revision);
       }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -77,7 +77,9 @@
   private Instant nextBeat = Instant.MIN;
   private Instant nextDemand = Instant.MIN;
   private Instant nextFleetTold = Instant.MIN;
+  private Instant nextPlan = Instant.MIN;
   private Instant lastOrderAt = Instant.MIN;
+  private int liveNodes = 1;
   private Instant drainingSince = Instant.MAX;
   private boolean registered;
   private boolean registering;
@@ -341,23 +343,36 @@
   // Progress
 
   private void advance(GatewayEvent event, GatewayStep step) {
+    boolean ofRequest =
+        event instanceof GatewayEvent.RequestArrived
+            || event instanceof GatewayEvent.AttemptTold
+            || event instanceof GatewayEvent.CallerLeft;
+    if (!ofRequest) {
+      advanceFleet(event instanceof GatewayEvent.Tick, step);
+    }
+    reportDemand(step);
+    forwarder.advance(configuration, liveNodes, step);
+    if (!ofRequest) {
+      updateReadiness(step);
+      finishDrain(step);
+    }
+  }
+
+  /** Advances the duties that nodes share; events of single requests do not touch them. */
+  private void advanceFleet(boolean tick, GatewayStep step) {
     Instant now = step.now();
-    directory.advance(now);
-    board.advance();
-    List<PeerTable.Peer> live = peers.live(now);
-    boolean tick = event instanceof GatewayEvent.Tick;
     if (tick) {
+      directory.advance(now);
+      board.advance();
       peers.advance(now);
     }
+    List<PeerTable.Peer> live = peers.live(now);
+    liveNodes = live.size() + 1;
     coordinate(live, step);
     readStore(live, step);
     beat(step);
-    reportDemand(step);
     giveOrders(step);
     tellFleet(live, step);
-    forwarder.advance(configuration, live.size() + 1, step);
-    updateReadiness(step);
-    finishDrain(step);
   }
 
   private void coordinate(List<PeerTable.Peer> live, GatewayStep step) {
@@ -451,6 +466,12 @@
     }
   }
 
+  /** Least time between two plans; the fastest load takes some hundred milliseconds. */
+  private static final long PLAN_MILLIS = 15;
+
+  /** Time in which news of engines are put together, for each doubling of the pace. */
+  private static final long NEWS_MILLIS = 30;
+
   /** Time in which requests that arrive together are put into one report. */
   private static final long HASTE_MILLIS = 10;
 
@@ -459,7 +480,7 @@
     if (now.isBefore(nextDemand)) {
       return;
     }
-    nextDemand = now.plus(timings.demand());
+    nextDemand = now.plusMillis(Math.round(timings.demand().toMillis() * peers.pace()));
     List<ModelDemand> demands = forwarder.demands(now);
     List<RunnerUse> uses = board.takeUses();
     if (lease.isHeld()) {
@@ -479,9 +500,10 @@
 
   private void giveOrders(GatewayStep step) {
     Instant now = step.now();
-    if (!lease.isHeld() || configuration.isEmpty()) {
+    if (!lease.isHeld() || configuration.isEmpty() || now.isBefore(nextPlan)) {
       return;
     }
+    nextPlan = now.plusMillis(Math.round(PLAN_MILLIS * peers.pace()));
     coordinator.sync(configuration.get(), directory, now);
     for (String runner : coordinator.takeQuestions(now)) {
       directory.usable(runner).ifPresent(entry -> step.emit(new GatewayEffect.AskReport(entry)));
@@ -519,20 +541,28 @@
     if (!lease.isHeld()) {
       return;
     }
-    boolean due = !now.isBefore(nextFleetTold);
     boolean news = coordinator.revision() > board.viewRevision();
-    if (!due && !news) {
+    Instant soon = now.plusMillis(Math.round(NEWS_MILLIS * (peers.pace() - 1)));
+    if (news && nextFleetTold.isAfter(soon)) {
+      nextFleetTold = soon;
+    }
+    if (now.isBefore(nextFleetTold)) {
       return;
     }
-    nextFleetTold = now.plus(timings.demand());
+    nextFleetTold = now.plusMillis(Math.round(timings.demand().toMillis() * peers.pace()));
     board.accept(coordinator.viewsSince(board.viewRevision(), now), coordinator.forecasts(), now);
+    Map<Long, FleetMessage.FleetTold> messages = new HashMap<>();
     for (PeerTable.Peer peer : live) {
       long known = toldRevision.getOrDefault(peer.node(), 0L);
-      step.emit(
-          new GatewayEffect.SendPeer(
-              peer.address(),
-              new FleetMessage.FleetTold(
-                  lease.fence(), coordinator.viewsSince(known, now), coordinator.forecasts())));
+      FleetMessage.FleetTold message =
+          messages.computeIfAbsent(
+              known,
+              revision ->
+                  new FleetMessage.FleetTold(
+                      lease.fence(),
+                      coordinator.viewsSince(revision, now),
+                      coordinator.forecasts()));
+      step.emit(new GatewayEffect.SendPeer(peer.address(), message));
       toldRevision.put(peer.node(), coordinator.revision());
     }
   }
--- a/src/main/java/dev/wisteriarail/peer/FrameCodec.java
+++ b/src/main/java/dev/wisteriarail/peer/FrameCodec.java
@@ -20,8 +20,12 @@
 
   private FrameCodec() {}
 
-  static void write(DataOutputStream out, PeerFrame frame) throws IOException {
-    byte[] bytes = Codecs.messagePack().writeValueAsBytes(frame);
+  /** Encodes the content of a frame. */
+  static byte[] encode(PeerFrame frame) throws IOException {
+    return Codecs.messagePack().writeValueAsBytes(frame);
+  }
+
+  static void write(DataOutputStream out, byte[] bytes) throws IOException {
     out.writeInt(bytes.length);
     out.write(bytes);
     out.flush();
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -48,6 +48,7 @@
   private final Optional<PeerTls> tls;
   private final EventLog log;
   private final Map<NodeId, Link> links = new ConcurrentHashMap<>();
+  private volatile Encoded lastEncoded;
 
   private TcpPeerTransport(
       NodeId self, Incarnation incarnation, Optional<PeerTls> tls, EventLog log) {
@@ -74,7 +75,31 @@
         links.compute(
             peer.node(),
             (node, known) -> known != null && known.leadsTo(peer) ? known : replace(known, peer));
-    link.offer(new PeerFrame(PeerFrame.VERSION, self, incarnation, message));
+    try {
+      link.offer(encode(message));
+    } catch (IOException failure) {
+      log.write(
+          NodeEvent.of(
+              EventCode.PEER_REFUSED,
+              "peer",
+              peer.node(),
+              "reason",
+              "cannot be encoded: " + failure));
+    }
+  }
+
+  /** Encodes a message; one that goes to many peers in a row is encoded once. */
+  @SuppressWarnings("ReferenceEquality") // The same object; comparing its content costs more.
+  private byte[] encode(PeerMessage message) throws IOException {
+    Encoded known = lastEncoded;
+    if (known == null || known.message != message) {
+      known =
+          new Encoded(
+              message,
+              FrameCodec.encode(new PeerFrame(PeerFrame.VERSION, self, incarnation, message)));
+      lastEncoded = known;
+    }
+    return known.bytes;
   }
 
   private Link replace(Link known, VmEntry peer) {
@@ -89,13 +114,25 @@
     links.values().forEach(Link::finish);
   }
 
+  /** A message and the content of its frame. */
+  private static final class Encoded {
+
+    private final PeerMessage message;
+    private final byte[] bytes;
+
+    Encoded(PeerMessage message, byte[] bytes) {
+      this.message = message;
+      this.bytes = bytes;
+    }
+  }
+
   /** The connection to one peer and the frames that wait for it. */
   private static final class Link {
 
     private final VmEntry peer;
     private final Optional<PeerTls> tls;
     private final EventLog log;
-    private final BlockingQueue<PeerFrame> queue = new ArrayBlockingQueue<>(QUEUE_LIMIT);
+    private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(QUEUE_LIMIT);
     private final Thread thread;
     private final AtomicLong unacknowledged = new AtomicLong();
     private volatile boolean finishing;
@@ -117,7 +154,7 @@
       return peer.host().equals(entry.host()) && peer.port() == entry.port();
     }
 
-    void offer(PeerFrame frame) {
+    void offer(byte[] frame) {
       if (!queue.offer(frame)) {
         queue.poll();
         queue.offer(frame);
@@ -180,7 +217,7 @@
       try (DataOutputStream out =
           new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()))) {
         while ((!finishing || !queue.isEmpty()) && generation == generation()) {
-          PeerFrame frame = queue.take();
+          byte[] frame = queue.take();
           unacknowledged.incrementAndGet();
           FrameCodec.write(out, frame);
         }
