Let a restarted holder go on at once where nobody else held the lease lately

Change: where the last nine records are all of this VM, no other holder can have given an order within the handover, so the claim is made at once and orders follow at once. Otherwise the wait stays whole.

--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -25,6 +25,9 @@
   /** Added to a predecessor's renewal interval: time for its refused renewal to reach it. */
   private static final Duration REFUSAL_MARGIN = Duration.ofMillis(200);
 
+  /** Records that are looked at: their renewals take longer than a handover and its margins. */
+  private static final int LAST_RECORDS = 9;
+
   private enum Phase {
     IDLE,
     LOOKING,
@@ -156,17 +159,31 @@
     if (end == 0) {
       predecessor = Optional.empty();
       phase = Phase.CLAIMING;
-    } else if (next < end || records.records().isEmpty()) {
-      lookFrom = Math.max(end - 1, records.first());
-      nextCallAt = records.from() == lookFrom ? now.plus(RETRY) : now;
+      return;
+    }
+    long wanted = Math.max(end - LAST_RECORDS, records.first());
+    if (next < end || records.from() > wanted || records.records().isEmpty()) {
+      nextCallAt = lookFrom == wanted ? now.plus(RETRY) : now;
+      lookFrom = wanted;
     } else {
-      acceptLast(records.records().getLast());
+      acceptLast(records.records());
     }
   }
 
-  private void acceptLast(LeaseRecord last) {
-    predecessor = Optional.of(last.holder());
-    phase = last.kind() == LeaseRecord.Kind.RELEASE ? Phase.CLAIMING : Phase.WAITING;
+  /**
+   * Takes the last records. Where this VM wrote all of them, no other holder can have given an
+   * order within the handover: each lies a renewal after the one before, and a renewal shows that
+   * the claim before it was known to its writer.
+   */
+  private void acceptLast(List<LeaseRecord> records) {
+    LeaseRecord last = records.getLast();
+    boolean ownLast = last.holder().equals(self);
+    boolean ownAll =
+        records.size() >= LAST_RECORDS
+            && records.stream().allMatch(each -> each.holder().equals(self));
+    predecessor = ownAll ? Optional.empty() : Optional.of(last.holder());
+    boolean over = ownLast || last.kind() == LeaseRecord.Kind.RELEASE;
+    phase = over ? Phase.CLAIMING : Phase.WAITING;
   }
 
   /** Finds out whether a record of this run stands where another was refused. */
@@ -199,7 +216,7 @@
     renewedAt = callStartedAt;
     unsure = false;
     // A record tells who claimed, not who gave orders: a claim may take effect seconds after its
-    // writer gave it up, so not even a record of this node shortens the wait.
+    // writer gave it up, so one record of this VM does not shorten the wait.
     ordersFrom =
         predecessor.isEmpty()
             ? now
--- a/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
@@ -49,6 +49,31 @@
     assertThat(run.leases.get(0).mayOrder(run.now)).isFalse();
   }
 
+  @Test
+  void restartedHolderGoesOnAtOnceIfNobodyElseHeldTheLeaseLately() {
+    LeaseStore store = new LeaseStore(1, 0);
+    Run run = new Run(store, TIMINGS, "a");
+    run.steps(1_000);
+    run.restart(0);
+    run.steps(30);
+    assertThat(run.leases.getFirst().mayOrder(run.now)).isTrue();
+  }
+
+  @Test
+  void holderThatRestartsSoonAfterItsClaimWaitsOutTheOneBefore() {
+    LeaseStore store = new LeaseStore(1, 0);
+    Run run = new Run(store, TIMINGS, "a", "b");
+    run.wanted[1] = false;
+    run.steps(600);
+    run.frozen[0] = true;
+    run.wanted[1] = true;
+    run.steps(250);
+    assertThat(run.leases.get(1).isHeld()).isTrue();
+    run.restart(1);
+    run.steps(30);
+    assertThat(run.leases.get(1).mayOrder(run.now)).isFalse();
+  }
+
   @Test
   void releasedLeaseIsTakenWithoutWaitingForItsEnd() {
     LeaseStore store = new LeaseStore(1, 0);
@@ -88,14 +113,19 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16})
+  @ValueSource(
+      longs = {
+        1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25,
+        26, 27, 28, 29, 30
+      })
   void twoHoldersNeverOrderWithinTheHandover(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
     LeaseStore store = new LeaseStore(seed, 0.2);
     Run run = new Run(store, TIMINGS, "a", "b", "c");
     for (int round = 0; round < 200; round++) {
       int node = random.nextInt(3);
-      switch (random.nextInt(5)) {
+      switch (random.nextInt(6)) {
+        case 3 -> run.restart(node);
         case 0 -> run.wanted[node] = !run.wanted[node];
         case 1 -> run.frozen[node] = !run.frozen[node];
         case 2 -> store.setDown(random.nextBoolean());
@@ -129,10 +159,15 @@
     private final List<List<Runnable>> held = new ArrayList<>();
     private final boolean[] wanted;
     private final boolean[] frozen;
+    private final String[] names;
+    private final FleetTimings timings;
     private Instant now = START;
+    private long incarnation = 1;
 
     Run(LeaseStore store, FleetTimings timings, String... names) {
       this.store = store;
+      this.names = names;
+      this.timings = timings;
       wanted = new boolean[names.length];
       frozen = new boolean[names.length];
       for (int i = 0; i < names.length; i++) {
@@ -142,6 +177,13 @@
       }
     }
 
+    /** Replaces a node's process; answers to the old one are lost. */
+    void restart(int node) {
+      leases.set(node, OrderLease.create(names[node], ++incarnation, timings));
+      held.set(node, new ArrayList<>());
+      frozen[node] = false;
+    }
+
     void steps(int count) {
       for (int i = 0; i < count; i++) {
         now = now.plus(LeaseStore.step());
