Refuse at once what no coordinator can load in time

Change: a new holder tells the waiting requests how long it may give no order; a node that lost its coordinator takes six seconds for the takeover. Such requests are refused at once with that time; at the first start nothing changes. GatewayCoreTest.requestForAModelThatNobodyCanLoadIsRefusedAtOnce failed before.

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -201,6 +201,36 @@
     return orders;
   }
 
+  /**
+   * Tells the waiting requests how long no model can be loaded, while no order may go out yet.
+   *
+   * @param blocked time until the first order
+   */
+  public void forecastBlocked(GatewayConfiguration configuration, Duration blocked, Instant now) {
+    demand.forgetBefore(now.minus(NODE_SILENCE));
+    Set<String> held = new HashSet<>();
+    engines
+        .values()
+        .forEach(
+            engine ->
+                engine
+                    .models()
+                    .keySet()
+                    .forEach(model -> held.add(serviceOf.get(engine.runner()) + "/" + model)));
+    List<ModelForecast> late = new ArrayList<>();
+    demand
+        .wants()
+        .keySet()
+        .forEach(
+            key -> {
+              boolean missing = !held.contains(key.service() + "/" + key.model());
+              if (missing && configuration.engineOf(key.service()).isPresent()) {
+                late.add(new ModelForecast(key.service(), key.model(), blocked.toMillis()));
+              }
+            });
+    forecasts = late;
+  }
+
   private void touchAdapters(String runner, UseBook.Load load, Instant now) {
     EngineState engine = engines.get(runner);
     if (engine == null) {
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -268,6 +268,13 @@
         && isSafe(now);
   }
 
+  /** Returns how long no order may go out yet, for a lease that is held. */
+  public Duration ordersIn(Instant now) {
+    return phase == Phase.HOLDING && now.isBefore(ordersFrom)
+        ? Duration.between(now, ordersFrom)
+        : Duration.ZERO;
+  }
+
   /** Returns whether the lease has not run out, or fencing numbers protect orders after it. */
   public boolean isSafe(Instant now) {
     return timings.fencesEnforced() || now.isBefore(renewedAt.plus(timings.lease()));
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -51,6 +51,12 @@
   /** Time to come back after a refusal of a request that crashes runners. */
   private static final Duration CRASH_RETURN = Duration.ofSeconds(30);
 
+  /**
+   * Time in which another node takes the lease and gives its first order: the silence after which a
+   * coordinator counts as lost, the lease, the handover, and a load from disk.
+   */
+  private static final Duration TAKEOVER = Duration.ofSeconds(6);
+
   /** Least time left with which a request is handed to a runner. */
   private static final Duration LEAST_TIME = Duration.ofMillis(15);
 
@@ -62,6 +68,7 @@
   private final Map<Long, PendingForward> pending = new LinkedHashMap<>();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private int nodes = 1;
+  private boolean hasCoordinator;
 
   private Forwarder(GatewaySettings settings, RunnerBoard board) {
     this.settings = settings;
@@ -146,8 +153,13 @@
   // Dispatch
 
   /** Sends what can be sent and ends what has waited too long. */
-  void advance(Optional<GatewayConfiguration> configuration, int liveNodes, GatewayStep step) {
+  void advance(
+      Optional<GatewayConfiguration> configuration,
+      int liveNodes,
+      boolean coordinated,
+      GatewayStep step) {
     nodes = Math.max(1, liveNodes);
+    hasCoordinator = coordinated;
     if (configuration.isEmpty() || pending.isEmpty()) {
       return;
     }
@@ -270,7 +282,7 @@
 
   private void checkWait(PendingForward forward, GatewayStep step) {
     Duration left = forward.patienceLeft(step.now());
-    Optional<Duration> startsIn = board.forecast(forward.service(), forward.model(), step.now());
+    Optional<Duration> startsIn = startsIn(forward, step.now());
     switch (WaitRule.decide(left, startsIn)) {
       case WaitRule.Verdict.Wait wait -> {
         if (forward.takeWaitLog()) {
@@ -294,6 +306,16 @@
     }
   }
 
+  /** Without a coordinator nothing is loaded until another node has taken the lease. */
+  private Optional<Duration> startsIn(PendingForward forward, Instant now) {
+    Optional<Duration> told = board.forecast(forward.service(), forward.model(), now);
+    boolean loaded =
+        forward.model().isEmpty()
+            || board.usable(forward.service()).stream()
+                .anyMatch(entry -> board.holds(entry, forward.model(), ""));
+    return told.isPresent() || loaded || hasCoordinator ? told : Optional.of(TAKEOVER);
+  }
+
   private void endWaiting(PendingForward forward, Duration returnAfter, GatewayStep step) {
     if (forward.answerBegun()) {
       cut(forward, "no runner to go on with", step);
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -88,6 +88,7 @@
   private Instant nextClose = Instant.MAX;
   private boolean drainCompleted;
   private boolean relaying;
+  private boolean coordinatorSeen;
   private long beats;
   private long heldFence;
 
@@ -351,7 +352,8 @@
       advanceFleet(event instanceof GatewayEvent.Tick, step);
     }
     reportDemand(step);
-    forwarder.advance(configuration, liveNodes, step);
+    boolean coordinated = coordinatorNode.isPresent() || !coordinatorSeen;
+    forwarder.advance(configuration, liveNodes, coordinated, step);
     if (!ofRequest) {
       updateReadiness(step);
       finishDrain(step);
@@ -397,6 +399,7 @@
     }
     Optional<NodeId> before = coordinatorNode;
     coordinatorNode = Coordination.coordinator(self, lease.fence(), live);
+    coordinatorSeen |= coordinatorNode.isPresent();
     if (!before.equals(coordinatorNode)) {
       step.log(
           EventCode.COORDINATOR_CHANGED,
@@ -509,6 +512,7 @@
       directory.usable(runner).ifPresent(entry -> step.emit(new GatewayEffect.AskReport(entry)));
     }
     if (!lease.mayOrder(now)) {
+      coordinator.forecastBlocked(configuration.get(), lease.ordersIn(now), now);
       return;
     }
     for (Coordinator.NumberedOrder order : coordinator.decide(configuration.get(), now)) {
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -4,11 +4,13 @@
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.fleet.LoadedModel;
 import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.fleet.PeerStatus;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.route.CallerBounds;
 import dev.wisteriarail.core.route.EngineSpec;
 import dev.wisteriarail.core.route.GatewayConfiguration;
@@ -116,6 +118,11 @@
         id, service, "10.0.1.1", 80, "a", 6, draining, 1, models, Set.of(), Set.of());
   }
 
+  static RunnerEntry emptyEngine(String id) {
+    return new RunnerEntry(
+        id, ENGINES, "10.0.1.1", 80, "a", 6, false, 1, List.of(), Set.of(), Set.of());
+  }
+
   // Events
 
   void directory(long to, RunnerEntry... entries) {
@@ -151,6 +158,15 @@
     return exchange;
   }
 
+  /** Lets a heartbeat of a node that holds the lease on orders arrive. */
+  void hearCoordinator(String name) {
+    NodeAddress address = new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.0.2", 7000);
+    PeerStatus status = new PeerStatus(9, 0, true, false, 1, 5, 5, 0);
+    handle(
+        new GatewayEvent.PeerTold(
+            NodeId.of(name), Incarnation.of(1), new FleetMessage.Beat(address, List.of(), status)));
+  }
+
   void told(long exchange, int attempt, AttemptResult result) {
     handle(new GatewayEvent.AttemptTold(exchange, attempt, result));
   }
--- a/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
@@ -184,4 +184,22 @@
             new StoreAnswer.ConfigurationRead(Optional.of(CoreHarness.configuration(5)), 4)));
     assertThat(node.take(GatewayEffect.ApplyBounds.class)).isEmpty();
   }
+
+  @Test
+  void requestForAModelThatNobodyCanLoadIsRefusedAtOnce() {
+    CoreHarness alone = CoreHarness.unready();
+    alone.handle(
+        new GatewayEvent.StoreTold(
+            new StoreRead.NewestConfiguration(),
+            new StoreAnswer.ConfigurationRead(Optional.of(CoreHarness.configuration(1)), 1)));
+    alone.directory(5, CoreHarness.emptyEngine("e1"));
+    alone.hearCoordinator("n2");
+    alone.pass(Duration.ofMillis(1_300));
+    alone.take(GatewayEffect.class);
+    alone.arrive("chat");
+    alone.pass(Duration.ofMillis(50));
+    GatewayEffect.Refuse refusal = alone.take(GatewayEffect.Refuse.class).getFirst();
+    assertThat(refusal.code()).isEqualTo(ResultCode.DEADLINE_UNREACHABLE);
+    assertThat(refusal.returnAfter().orElseThrow()).isGreaterThan(Duration.ofSeconds(2));
+  }
 }
