--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -305,7 +305,7 @@
   private PlanInput.Engine planned(EngineState engine, UseBook.Load load, Instant now) {
     Map<String, Set<String>> models = new TreeMap<>();
     engine.models().forEach((name, adapters) -> models.put(name, Set.copyOf(adapters)));
-    Optional<EngineState.OpenOrder> loading = engine.loading();
+    final Optional<EngineState.OpenOrder> loading = engine.loading();
     List<String> idle = new ArrayList<>();
     models.forEach((name, adapters) -> adapters.forEach(each -> idle.add(name + "/" + each)));
     idle.removeIf(adapter -> usedAt(engine, adapter).isAfter(now.minus(ADAPTER_KEEP)));
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -225,7 +225,7 @@
     }
 
     private void placeAdapter(PlanInput.Engine engine, PlanInput.AdapterWant want) {
-      String name = want.model() + "/" + want.adapter();
+      final String name = want.model() + "/" + want.adapter();
       if (engine.models().get(want.model()).contains(want.adapter())) {
         return;
       }
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -153,7 +153,7 @@
     if (phase != Phase.LOOKING) {
       return;
     }
-    long next = records.from() + records.records().size();
+    final long next = records.from() + records.records().size();
     end = records.end();
     endSeenAt = now;
     if (end == 0) {
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -387,7 +387,7 @@
       return Optional.empty();
     }
     boolean crashed = told.result() instanceof AttemptResult.Broken broken && broken.lost();
-    acceptResult(forward, told.result(), step);
+    apply(forward, told.result(), step);
     if (!crashed) {
       return Optional.empty();
     }
@@ -400,7 +400,7 @@
     crashes.note(fingerprint, now);
   }
 
-  private void acceptResult(PendingForward forward, AttemptResult result, GatewayStep step) {
+  private void apply(PendingForward forward, AttemptResult result, GatewayStep step) {
     RunnerEntry runner = forward.runner().orElseThrow();
     switch (result) {
       case AttemptResult.Started started -> {
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -99,7 +99,7 @@
       case WRITTEN -> tellProgress();
       case NOTHING -> demander.run();
       case GAP -> abort(response, "events are missing");
-      case REFUSED -> abort(response, "the attempt is given up");
+      default -> abort(response, "the attempt is given up");
     }
   }
 
--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -88,7 +88,7 @@
       Consumer<GatewayEvent> events)
       throws SettingsException {
     Server server = new Server(threads, scheduler, null);
-    CallerFront front = new CallerFront(server, protocol, metrics, events);
+    final CallerFront front = new CallerFront(server, protocol, metrics, events);
     server.addConnector(connector(server, file.callers(), "callers"));
     server.addConnector(connector(server, file.balancer(), READY));
     file.metrics().ifPresent(at -> server.addConnector(connector(server, at, METRICS)));
--- a/src/test/java/dev/wisteriarail/core/fleet/EngineStateTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/EngineStateTest.java
@@ -51,7 +51,7 @@
   }
 
   @Test
-  void orderWithoutAnswerIsSettledByAReportAskedLaterOnly() {
+  void orderWithoutAnswerIsSettledByOneReportAskedLaterOnly() {
     Instant now = settled();
     engine.begin(1, LOAD, Duration.ofSeconds(6), now);
     engine.finish(1, FleetOrderOutcome.UNKNOWN, now.plusMillis(500));
@@ -76,7 +76,7 @@
   }
 
   @Test
-  void loadFromDiskServesWhenItsTimeHasComeAndAReportCorrectsIt() {
+  void loadFromDiskServesWhenItsTimeHasComeAndOneReportCorrectsIt() {
     Instant now = settled();
     engine.begin(1, new FleetOrder.LoadModel("m", LoadSource.DISK), Duration.ofMillis(840), now);
     engine.finish(1, FleetOrderOutcome.ACCEPTED, now);
@@ -107,7 +107,7 @@
   @EnumSource(
       value = FleetOrderOutcome.class,
       names = {"CONFLICT", "REFUSED", "UNREACHABLE"})
-  void surpriseMakesTheCountUnsureUntilAReport(FleetOrderOutcome outcome) {
+  void surpriseMakesTheCountUnsureUntilOneReport(FleetOrderOutcome outcome) {
     Instant now = settled();
     engine.begin(1, LOAD, Duration.ofSeconds(6), now);
     engine.finish(1, outcome, now);
--- a/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -95,7 +95,7 @@
   }
 
   @Test
-  void modelOnADiskIsLoadedFromThereAndNotFromTheStore() {
+  void modelOnOneDiskIsLoadedFromThereAndNotFromTheStore() {
     onEveryDisk = Set.of("m5");
     needs.put("m5", waiting(1));
     Plan plan = plan(4);
@@ -105,7 +105,7 @@
   }
 
   @Test
-  void busyWeightStoreGivesTheWaitingModelsATimeToComeBack() {
+  void busyWeightStoreGivesTheWaitingModelsOneTimeToComeBack() {
     needs.put("m5", waiting(2));
     needs.put("m6", waiting(1));
     Plan plan = plan(4);
@@ -175,7 +175,7 @@
   }
 
   @Test
-  void adapterThatWasLoadedAMomentAgoIsKept() {
+  void adapterThatWasLoadedOneMomentAgoIsKept() {
     held[0].put("m0", Set.of("a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"));
     adapterWants.add(new PlanInput.AdapterWant("m0", "a9", 1, 400));
     needs.put("m0", new PlanInput.ModelNeed(1, 1, 400, 0.5, 8));
--- a/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
@@ -37,7 +37,7 @@
     run.wanted[1] = false;
     run.steps(100);
     run.frozen[0] = true;
-    Instant stopped = run.now;
+    final Instant stopped = run.now;
     run.wanted[1] = true;
     run.steps(1_000);
     assertThat(run.leases.get(1).fence()).isGreaterThan(1);
--- a/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
@@ -51,7 +51,7 @@
   }
 
   @Test
-  void changeThatLeavesAGapIsNotTaken() {
+  void changeThatLeavesOneGapIsNotTaken() {
     RunnerDirectory directory = RunnerDirectory.create();
     directory.accept(whole(5, entry("r", false, 1)), START);
     assertThat(directory.accept(delta(7, 8, entry("x", false, 1)), START)).isEmpty();
@@ -76,7 +76,7 @@
   }
 
   @Test
-  void entriesThatVanishTogetherStayInUseForAMoment() {
+  void entriesThatVanishTogetherStayInUseForOneMoment() {
     RunnerEntry[] all =
         IntStream.range(0, 6).mapToObj(i -> entry("r" + i, false, 1)).toArray(RunnerEntry[]::new);
     RunnerDirectory directory = RunnerDirectory.create();
--- a/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
@@ -166,7 +166,7 @@
   }
 
   @Test
-  void requestThatCrashedThreeRunnersIsRefusedForAWhile() {
+  void requestThatCrashedThreeRunnersIsRefusedForOneWhile() {
     CrashLedger ledger = CrashLedger.create();
     ledger.note(7, START);
     ledger.note(7, START.plusSeconds(1));
--- a/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
@@ -38,7 +38,7 @@
 
   @ParameterizedTest
   @CsvSource({"lookup, true", "order, false", "chat, true", "report, false"})
-  void onlyWhatMayRunAgainIsSentAgainAfterALostAnswer(String route, boolean again) {
+  void onlyWhatMayRunAgainIsSentAgainAfterOneLostAnswer(String route, boolean again) {
     long exchange = node.arrive(route);
     GatewayEffect.SendAttempt first = onlySend();
     node.told(exchange, 1, new AttemptResult.Broken("reset", false, "", true));
@@ -51,7 +51,7 @@
 
   @ParameterizedTest
   @CsvSource({"lookup", "order", "chat", "report"})
-  void whatDidNotRunGoesToARunnerAgain(String route) {
+  void whatDidNotRunGoesToOneRunnerAgain(String route) {
     long exchange = node.arrive(route);
     onlySend();
     node.told(exchange, 1, new AttemptResult.Answered(503, true, false));
@@ -88,7 +88,7 @@
   }
 
   @Test
-  void routesTimeEndsARequestThatNoRunnerAnswered() {
+  void routesTimeEndsOneRequestThatNoRunnerAnswered() {
     node.arrive("order");
     onlySend();
     node.pass(Duration.ofMillis(5_100));
@@ -109,7 +109,7 @@
   }
 
   @Test
-  void silentRunnerIsGivenUpForAStreamThatMayGoOn() {
+  void silentRunnerIsGivenUpForOneStreamThatMayGoOn() {
     node.arrive("chat");
     GatewayEffect.SendAttempt first = onlySend();
     node.pass(Duration.ofSeconds(1));
@@ -130,7 +130,7 @@
 
   @Test
   void drainingRunnerGetsNothingNewAndKeepsWhatItHas() {
-    long exchange = node.arrive("order");
+    final long exchange = node.arrive("order");
     String runner = onlySend().runner().id();
     node.directory(
         6,
@@ -148,7 +148,7 @@
     node.handle(new GatewayEvent.DrainRequested());
     assertThat(node.take(GatewayEffect.SetReady.class).getLast().ready()).isFalse();
     node.pass(Duration.ofSeconds(2));
-    long early = node.arrive("report");
+    final long early = node.arrive("report");
     onlySend();
     node.pass(Duration.ofMillis(1_200));
     node.arrive("report");
@@ -163,7 +163,7 @@
   @Test
   void stoppingNodeClosesConnectionsThatFallIdleLater() {
     node.handle(new GatewayEvent.DrainRequested());
-    long stream = node.arrive("report");
+    final long stream = node.arrive("report");
     node.pass(Duration.ofSeconds(3));
     node.take(GatewayEffect.class);
     node.pass(Duration.ofSeconds(1));
@@ -186,7 +186,7 @@
   }
 
   @Test
-  void requestForAModelThatNobodyCanLoadIsRefusedAtOnce() {
+  void requestForOneModelThatNobodyCanLoadIsRefusedAtOnce() {
     CoreHarness alone = CoreHarness.unready();
     alone.handle(
         new GatewayEvent.StoreTold(
