--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -0,0 +1,195 @@
+package dev.wisteriarail.core.gateway;
+
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.fleet.Coordinator;
+import dev.wisteriarail.core.fleet.FleetOrderOutcome;
+import dev.wisteriarail.core.fleet.OrderLease;
+import dev.wisteriarail.core.fleet.PeerTable;
+import dev.wisteriarail.core.fleet.RunnerDirectory;
+import dev.wisteriarail.core.forward.RunnerBoard;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.peer.FleetMessage;
+import dev.wisteriarail.core.route.GatewayConfiguration;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What a node does while it holds the lease on orders: it plans, gives orders, and tells the other
+ * nodes what the engines hold.
+ *
+ * <p>Life cycle: one per run of a node; {@link #begin} and {@link #stop} with the lease. Not
+ * thread-safe.
+ */
+final class EngineDuty {
+
+  /** Leaves a million revisions of views to each holder of the lease. */
+  private static final int REVISION_BITS = 20;
+
+  /** Least time between two plans; the fastest load takes some hundred milliseconds. */
+  private static final long PLAN_MILLIS = 15;
+
+  /** Time in which news of engines are put together, for each doubling of the pace. */
+  private static final long NEWS_MILLIS = 30;
+
+  private final GatewaySettings settings;
+  private final OrderLease lease;
+  private final RunnerDirectory directory;
+  private final RunnerBoard board;
+  private final Coordinator coordinator = Coordinator.create();
+  private final Map<NodeId, Long> toldRevision = new HashMap<>();
+  private Instant nextFleetTold = Instant.MIN;
+  private Instant nextPlan = Instant.MIN;
+  private Instant lastOrderAt = Instant.MIN;
+
+  private EngineDuty(
+      GatewaySettings settings, OrderLease lease, RunnerDirectory directory, RunnerBoard board) {
+    this.settings = settings;
+    this.lease = lease;
+    this.directory = directory;
+    this.board = board;
+  }
+
+  static EngineDuty create(
+      GatewaySettings settings, OrderLease lease, RunnerDirectory directory, RunnerBoard board) {
+    return new EngineDuty(settings, lease, directory, board);
+  }
+
+  /** Begins anew under a fencing number. */
+  void begin(long fence) {
+    coordinator.reset();
+    coordinator.startRevisionsAt(fence << REVISION_BITS);
+    lastOrderAt = Instant.MIN;
+    toldRevision.clear();
+  }
+
+  /** Forgets the engines; no order goes out without the lease. */
+  void stop() {
+    coordinator.reset();
+  }
+
+  // News
+
+  /** Takes what a node's callers want and where its requests run. */
+  void acceptDemand(
+      NodeId node, Incarnation incarnation, FleetMessage.DemandTold demand, Instant now) {
+    coordinator.acceptDemand(
+        node.value(), incarnation.value(), demand.demands(), demand.uses(), now);
+    toldRevision.put(node, demand.viewRevision());
+  }
+
+  /** Takes an engine's report. */
+  void acceptReport(GatewayEvent.ReportRead read, GatewayConfiguration known, Instant now) {
+    coordinator.acceptReport(read.report(), read.askedAt(), known, now);
+  }
+
+  /** Takes the outcome of an order. */
+  void acceptOrder(GatewayEvent.OrderTold told, GatewayStep step) {
+    coordinator.acceptOutcome(told.runner(), told.number(), told.outcome(), step.now());
+    step.log(
+        EventCode.RUNNER_ORDER_ANSWERED,
+        "runner",
+        told.runner(),
+        "order",
+        told.number(),
+        "outcome",
+        told.outcome(),
+        "detail",
+        told.detail());
+    if (told.outcome() == FleetOrderOutcome.FENCED) {
+      lease.lose();
+    }
+  }
+
+  // Progress
+
+  /** Gives orders and tells the fleet, if the lease is held. */
+  void advance(
+      Optional<GatewayConfiguration> configuration,
+      List<PeerTable.Peer> live,
+      double pace,
+      GatewayStep step) {
+    if (lease.isHeld()) {
+      giveOrders(configuration, pace, step);
+      tellFleet(live, pace, step);
+    }
+  }
+
+  private void giveOrders(
+      Optional<GatewayConfiguration> configuration, double pace, GatewayStep step) {
+    Instant now = step.now();
+    if (configuration.isEmpty() || now.isBefore(nextPlan)) {
+      return;
+    }
+    nextPlan = now.plusMillis(Math.round(PLAN_MILLIS * pace));
+    coordinator.sync(configuration.get(), directory, now);
+    for (String runner : coordinator.takeQuestions(now)) {
+      directory.usable(runner).ifPresent(entry -> step.emit(new GatewayEffect.AskReport(entry)));
+    }
+    if (!lease.mayOrder(now)) {
+      coordinator.forecastBlocked(configuration.get(), lease.ordersIn(now), now);
+      return;
+    }
+    for (Coordinator.NumberedOrder order : coordinator.decide(configuration.get(), now)) {
+      lastOrderAt = now;
+      step.log(
+          EventCode.RUNNER_ORDERED,
+          "runner",
+          order.runner(),
+          "order",
+          order.number(),
+          "body",
+          order.order(),
+          "expected",
+          order.expected(),
+          "fence",
+          lease.fence(),
+          "reason",
+          order.reason());
+      directory
+          .usable(order.runner())
+          .ifPresent(
+              entry ->
+                  step.emit(
+                      new GatewayEffect.GiveOrder(
+                          entry, order, settings.self().node().value(), lease.fence())));
+    }
+  }
+
+  private void tellFleet(List<PeerTable.Peer> live, double pace, GatewayStep step) {
+    Instant now = step.now();
+    boolean news = coordinator.revision() > board.viewRevision();
+    Instant soon = now.plusMillis(Math.round(NEWS_MILLIS * (pace - 1)));
+    if (news && nextFleetTold.isAfter(soon)) {
+      nextFleetTold = soon;
+    }
+    if (now.isBefore(nextFleetTold)) {
+      return;
+    }
+    nextFleetTold = now.plusMillis(Math.round(settings.timings().demand().toMillis() * pace));
+    board.accept(coordinator.viewsSince(board.viewRevision(), now), coordinator.forecasts(), now);
+    Map<Long, FleetMessage.FleetTold> messages = new HashMap<>();
+    for (PeerTable.Peer peer : live) {
+      long known = toldRevision.getOrDefault(peer.node(), 0L);
+      FleetMessage.FleetTold message =
+          messages.computeIfAbsent(
+              known,
+              revision ->
+                  new FleetMessage.FleetTold(
+                      lease.fence(),
+                      coordinator.viewsSince(revision, now),
+                      coordinator.forecasts()));
+      step.emit(new GatewayEffect.SendPeer(peer.address(), message));
+      toldRevision.put(peer.node(), coordinator.revision());
+    }
+  }
+
+  /** Returns the time since the last order under the last claim; negative if there was none. */
+  long lastOrderAgeMillis(Instant now) {
+    return lastOrderAt.equals(Instant.MIN) ? -1 : Duration.between(lastOrderAt, now).toMillis();
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
@@ -0,0 +1,159 @@
+package dev.wisteriarail.core.gateway;
+
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.forward.RunnerBoard;
+import dev.wisteriarail.core.result.ResultCode;
+import java.time.Duration;
+import java.util.Optional;
+
+/** The log lines of one request: what was decided, and from which inputs. Stateless. */
+final class ForwardLog {
+
+  private ForwardLog() {}
+
+  static void notFound(ForwardRequest request, long version, GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_REFUSED,
+        "request",
+        request.id(),
+        "code",
+        ResultCode.NOT_FOUND.label(),
+        "host",
+        request.host(),
+        "path",
+        request.path(),
+        "configuration",
+        version);
+  }
+
+  static void waiting(
+      PendingForward forward, Optional<Duration> startsIn, Duration left, GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_WAITING,
+        "request",
+        forward.request().id(),
+        "service",
+        forward.service(),
+        "model",
+        forward.model(),
+        "adapter",
+        forward.adapter(),
+        "forecast_ms",
+        startsIn.map(Duration::toMillis).orElse(-1L),
+        "patience_ms",
+        left.toMillis());
+  }
+
+  static void sent(
+      PendingForward forward, RunnerEntry runner, RunnerBoard board, GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_SENT,
+        "request",
+        forward.request().id(),
+        "route",
+        forward.route().name(),
+        "attempt",
+        forward.attempts(),
+        "runner",
+        runner.id(),
+        "running",
+        board.allRunning(runner),
+        "waited_ms",
+        Duration.between(forward.arrivedAt(), step.now()).toMillis(),
+        "left_ms",
+        forward.timeLeft(step.now()).toMillis(),
+        "view",
+        board.viewRevision());
+  }
+
+  static void answered(PendingForward forward, RunnerEntry runner, int status, GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_ANSWERED,
+        "request",
+        forward.request().id(),
+        "status",
+        status,
+        "runner",
+        runner.id(),
+        "attempts",
+        forward.attempts(),
+        "took_ms",
+        Duration.between(forward.arrivedAt(), step.now()).toMillis());
+  }
+
+  static void retried(PendingForward forward, String reason, GatewayStep step) {
+    step.log(
+        forward.answerBegun() ? EventCode.FORWARD_RESUMED : EventCode.FORWARD_RETRIED,
+        "request",
+        forward.request().id(),
+        "after_attempt",
+        forward.attempts(),
+        "runner",
+        forward.runner().map(RunnerEntry::id).orElse(""),
+        "reason",
+        reason,
+        "last_event",
+        forward.lastEvent().orElse(""));
+  }
+
+  static void refused(
+      PendingForward forward,
+      ResultCode code,
+      Optional<Duration> returnAfter,
+      RunnerBoard board,
+      GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_REFUSED,
+        "request",
+        forward.request().id(),
+        "code",
+        code.label(),
+        "route",
+        forward.route().name(),
+        "model",
+        forward.model(),
+        "adapter",
+        forward.adapter(),
+        "held_ms",
+        Duration.between(forward.arrivedAt(), step.now()).toMillis(),
+        "attempts",
+        forward.attempts(),
+        "may_have_run",
+        forward.mayHaveRun(),
+        "forecast_ms",
+        board
+            .forecast(forward.service(), forward.model(), step.now())
+            .map(Duration::toMillis)
+            .orElse(-1L),
+        "return_after_ms",
+        returnAfter.map(Duration::toMillis).orElse(-1L));
+  }
+
+  static void cut(PendingForward forward, String reason, GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_CUT,
+        "request",
+        forward.request().id(),
+        "reason",
+        reason,
+        "attempts",
+        forward.attempts(),
+        "last_event",
+        forward.lastEvent().orElse(""),
+        "took_ms",
+        Duration.between(forward.arrivedAt(), step.now()).toMillis());
+  }
+
+  static void left(PendingForward forward, GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_LEFT,
+        "request",
+        forward.request().id(),
+        "state",
+        forward.state(),
+        "after_ms",
+        Duration.between(forward.arrivedAt(), step.now()).toMillis());
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -8,15 +8,12 @@
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RetryBudget;
 import dev.wisteriarail.core.forward.RunnerBoard;
-import dev.wisteriarail.core.forward.RunnerChoice;
-import dev.wisteriarail.core.forward.SessionTrail;
 import dev.wisteriarail.core.forward.StallRule;
 import dev.wisteriarail.core.forward.WaitRule;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.EngineSpec;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.core.route.RouteSpec;
-import dev.wisteriarail.core.route.ServiceShare;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -60,10 +57,13 @@
   /** Least time left with which a request is handed to a runner. */
   private static final Duration LEAST_TIME = Duration.ofMillis(15);
 
+  private static final int STATUS_MISDIRECTED = 421;
+  private static final int STATUS_SERVER_ERROR = 500;
+
   private final GatewaySettings settings;
   private final RunnerBoard board;
+  private final RunnerPicker picker;
   private final CrashLedger crashes = CrashLedger.create();
-  private final SessionTrail sessions = SessionTrail.create();
   private final DemandTally tally = DemandTally.create();
   private final Map<Long, PendingForward> pending = new LinkedHashMap<>();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
@@ -73,6 +73,7 @@
   private Forwarder(GatewaySettings settings, RunnerBoard board) {
     this.settings = settings;
     this.board = board;
+    picker = RunnerPicker.create(settings.domain(), board);
   }
 
   static Forwarder create(GatewaySettings settings, RunnerBoard board) {
@@ -89,18 +90,7 @@
     }
     Optional<RouteSpec> route = configuration.get().route(request.host(), request.path());
     if (route.isEmpty()) {
-      step.log(
-          EventCode.FORWARD_REFUSED,
-          "request",
-          request.id(),
-          "code",
-          ResultCode.NOT_FOUND.label(),
-          "host",
-          request.host(),
-          "path",
-          request.path(),
-          "configuration",
-          configuration.get().version());
+      ForwardLog.notFound(request, configuration.get().version(), step);
       step.emit(
           new GatewayEffect.Refuse(request.exchange(), ResultCode.NOT_FOUND, Optional.empty()));
       return;
@@ -110,7 +100,7 @@
       refuse(request, ResultCode.CRASHING_REQUEST, Optional.of(CRASH_RETURN), step);
       return;
     }
-    String service = chooseService(route.get(), request);
+    String service = RunnerPicker.chooseService(route.get(), request);
     PendingForward forward = PendingForward.of(request, route.get(), service, step.now());
     pending.put(request.exchange(), forward);
     budget(service).countRequest(step.now());
@@ -118,24 +108,6 @@
     tryToSend(forward, configuration.get(), step);
   }
 
-  /** Spreads a route's requests over its services by their weights. */
-  private String chooseService(RouteSpec route, ForwardRequest request) {
-    List<ServiceShare> shares =
-        route.shares().stream().filter(share -> share.weight() > 0).toList();
-    if (shares.size() <= 1) {
-      return (shares.isEmpty() ? route.shares().getFirst() : shares.getFirst()).service();
-    }
-    int total = shares.stream().mapToInt(ServiceShare::weight).sum();
-    int point = Math.floorMod(request.id().hashCode() * 0x9E3779B1, total);
-    for (ServiceShare share : shares) {
-      point -= share.weight();
-      if (point < 0) {
-        return share.service();
-      }
-    }
-    return shares.getLast().service();
-  }
-
   /** Refuses a request that is not taken at all. */
   void refuse(
       ForwardRequest request, ResultCode code, Optional<Duration> returnAfter, GatewayStep step) {
@@ -195,7 +167,7 @@
     if (step.now().isBefore(forward.notBefore())) {
       return true;
     }
-    Optional<RunnerEntry> runner = chooseRunner(forward, configuration, step.now());
+    Optional<RunnerEntry> runner = picker.choose(forward, configuration, step.now());
     if (runner.isEmpty()) {
       checkWait(forward, step);
       return false;
@@ -208,65 +180,11 @@
     return true;
   }
 
-  private Optional<RunnerEntry> chooseRunner(
-      PendingForward forward, GatewayConfiguration configuration, Instant now) {
-    Optional<EngineSpec> engine = configuration.engineOf(forward.service());
-    List<RunnerChoice.Candidate> candidates = new ArrayList<>();
-    Map<String, RunnerEntry> entries = new HashMap<>();
-    boolean runAgain = !forward.runnersThatMayHaveRun().isEmpty();
-    Optional<String> sessionRunner =
-        forward.request().session().flatMap(session -> sessions.runner(forward.model(), session));
-    for (RunnerEntry entry : board.usable(forward.service())) {
-      boolean fits =
-          board.health(entry.id()).isIn(now)
-              && !(runAgain && forward.runnersThatMayHaveRun().contains(entry.id()))
-              && (engine.isEmpty()
-                  || forward.model().isEmpty()
-                  || board.holds(entry, forward.model(), forward.adapter()))
-              && engine
-                  .map(spec -> board.allTokens(entry) + forward.tokens() <= spec.cacheTokens())
-                  .orElse(true);
-      if (fits) {
-        entries.put(entry.id(), entry);
-        candidates.add(
-            new RunnerChoice.Candidate(
-                entry.id(),
-                board.allRunning(entry),
-                engine.map(EngineSpec::slots).orElse(Math.max(1, entry.slots())),
-                entry.domain().equals(settings.domain()),
-                sessionRunner.filter(entry.id()::equals).isPresent(),
-                board.health(entry.id()).failures()));
-      }
-    }
-    return RunnerChoice.best(candidates, forward.request().fingerprint() + forward.exchange())
-        .map(best -> entries.get(best.runner()));
-  }
-
   private void send(PendingForward forward, RunnerEntry runner, GatewayStep step) {
-    int attempt = forward.send(runner, step.now());
+    final int attempt = forward.send(runner, step.now());
     board.begin(runner.id(), forward.model(), forward.adapter(), forward.tokens());
-    forward
-        .request()
-        .session()
-        .ifPresent(session -> sessions.note(forward.model(), session, runner.id()));
-    step.log(
-        EventCode.FORWARD_SENT,
-        "request",
-        forward.request().id(),
-        "route",
-        forward.route().name(),
-        "attempt",
-        attempt,
-        "runner",
-        runner.id(),
-        "running",
-        board.allRunning(runner),
-        "waited_ms",
-        Duration.between(forward.arrivedAt(), step.now()).toMillis(),
-        "left_ms",
-        forward.timeLeft(step.now()).toMillis(),
-        "view",
-        board.viewRevision());
+    picker.note(forward, runner);
+    ForwardLog.sent(forward, runner, board, step);
     step.emit(
         new GatewayEffect.SendAttempt(
             forward.exchange(),
@@ -286,20 +204,7 @@
     switch (WaitRule.decide(left, startsIn)) {
       case WaitRule.Verdict.Wait wait -> {
         if (forward.takeWaitLog()) {
-          step.log(
-              EventCode.FORWARD_WAITING,
-              "request",
-              forward.request().id(),
-              "service",
-              forward.service(),
-              "model",
-              forward.model(),
-              "adapter",
-              forward.adapter(),
-              "forecast_ms",
-              startsIn.map(Duration::toMillis).orElse(-1L),
-              "patience_ms",
-              left.toMillis());
+          ForwardLog.waiting(forward, startsIn, left, step);
         }
       }
       case WaitRule.Verdict.Refuse refuse -> endWaiting(forward, refuse.returnAfter(), step);
@@ -363,7 +268,7 @@
       return;
     }
     forward.markMayHaveRun();
-    if (mayRetry(forward, false) && hasOtherRunner(forward, step.now())) {
+    if (mayRetry(forward, false) && picker.hasOther(forward, step.now())) {
       release(forward, step);
       noteFailure(runner, "silent", false, step);
       retry(forward, "silent", Duration.ZERO, step);
@@ -412,18 +317,7 @@
       case AttemptResult.Finished finished -> {
         leave(forward, runner);
         board.health(runner.id()).succeed();
-        step.log(
-            EventCode.FORWARD_ANSWERED,
-            "request",
-            forward.request().id(),
-            "status",
-            finished.status(),
-            "runner",
-            runner.id(),
-            "attempts",
-            forward.attempts(),
-            "took_ms",
-            Duration.between(forward.arrivedAt(), step.now()).toMillis());
+        ForwardLog.answered(forward, runner, finished.status(), step);
         pending.remove(forward.exchange());
       }
       case AttemptResult.Answered answered -> {
@@ -468,19 +362,10 @@
     } else {
       board.health(runner.id()).succeed();
     }
-    if (failed && mayRetry(forward, false) && hasOtherRunner(forward, step.now())) {
+    if (failed && mayRetry(forward, false) && picker.hasOther(forward, step.now())) {
       retry(forward, reason, Duration.ZERO, step);
     } else if (answered.passable()) {
-      step.log(
-          EventCode.FORWARD_ANSWERED,
-          "request",
-          forward.request().id(),
-          "status",
-          answered.status(),
-          "runner",
-          runner.id(),
-          "attempts",
-          forward.attempts());
+      ForwardLog.answered(forward, runner, answered.status(), step);
       step.emit(new GatewayEffect.PassAnswer(forward.exchange(), forward.attempts()));
       pending.remove(forward.exchange());
     } else {
@@ -488,19 +373,6 @@
     }
   }
 
-  private static final int STATUS_MISDIRECTED = 421;
-  private static final int STATUS_SERVER_ERROR = 500;
-
-  private boolean hasOtherRunner(PendingForward forward, Instant now) {
-    return board.usable(forward.service()).stream()
-        .anyMatch(
-            entry ->
-                !forward.runnersThatMayHaveRun().contains(entry.id())
-                    && board.health(entry.id()).isIn(now)
-                    && (forward.model().isEmpty()
-                        || board.holds(entry, forward.model(), forward.adapter())));
-  }
-
   /** Returns whether the request may be handed to another runner. */
   private boolean mayRetry(PendingForward forward, boolean notRun) {
     if (notRun && !forward.mayHaveRun()) {
@@ -520,18 +392,7 @@
   }
 
   private void retry(PendingForward forward, String reason, Duration pause, GatewayStep step) {
-    step.log(
-        forward.answerBegun() ? EventCode.FORWARD_RESUMED : EventCode.FORWARD_RETRIED,
-        "request",
-        forward.request().id(),
-        "after_attempt",
-        forward.attempts(),
-        "runner",
-        forward.runner().map(RunnerEntry::id).orElse(""),
-        "reason",
-        reason,
-        "last_event",
-        forward.lastEvent().orElse(""));
+    ForwardLog.retried(forward, reason, step);
     forward.waitAgain(step.now().plus(pause), step.now());
   }
 
@@ -577,48 +438,13 @@
 
   private void end(
       PendingForward forward, ResultCode code, Optional<Duration> returnAfter, GatewayStep step) {
-    step.log(
-        EventCode.FORWARD_REFUSED,
-        "request",
-        forward.request().id(),
-        "code",
-        code.label(),
-        "route",
-        forward.route().name(),
-        "model",
-        forward.model(),
-        "adapter",
-        forward.adapter(),
-        "held_ms",
-        Duration.between(forward.arrivedAt(), step.now()).toMillis(),
-        "attempts",
-        forward.attempts(),
-        "may_have_run",
-        forward.mayHaveRun(),
-        "forecast_ms",
-        board
-            .forecast(forward.service(), forward.model(), step.now())
-            .map(Duration::toMillis)
-            .orElse(-1L),
-        "return_after_ms",
-        returnAfter.map(Duration::toMillis).orElse(-1L));
+    ForwardLog.refused(forward, code, returnAfter, board, step);
     pending.remove(forward.exchange());
     step.emit(new GatewayEffect.Refuse(forward.exchange(), code, returnAfter));
   }
 
   private void cut(PendingForward forward, String reason, GatewayStep step) {
-    step.log(
-        EventCode.FORWARD_CUT,
-        "request",
-        forward.request().id(),
-        "reason",
-        reason,
-        "attempts",
-        forward.attempts(),
-        "last_event",
-        forward.lastEvent().orElse(""),
-        "took_ms",
-        Duration.between(forward.arrivedAt(), step.now()).toMillis());
+    ForwardLog.cut(forward, reason, step);
     pending.remove(forward.exchange());
     step.emit(new GatewayEffect.CutAnswer(forward.exchange()));
   }
@@ -629,14 +455,7 @@
       return;
     }
     release(forward, step);
-    step.log(
-        EventCode.FORWARD_LEFT,
-        "request",
-        forward.request().id(),
-        "state",
-        forward.state(),
-        "after_ms",
-        Duration.between(forward.arrivedAt(), step.now()).toMillis());
+    ForwardLog.left(forward, step);
     pending.remove(exchange);
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -2,9 +2,7 @@
 
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.fleet.Coordination;
-import dev.wisteriarail.core.fleet.Coordinator;
 import dev.wisteriarail.core.fleet.DirectoryChange;
-import dev.wisteriarail.core.fleet.FleetOrderOutcome;
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.fleet.LeaseAnswer;
 import dev.wisteriarail.core.fleet.ModelDemand;
@@ -39,23 +37,11 @@
  */
 public final class GatewayCore {
 
-  /** Time after a stop request in which the balancer notices and sends no more callers. */
-  private static final Duration BALANCER_NOTICE = Duration.ofMillis(2500);
-
-  /** Time after a stop request from which new streams are refused: they take some seconds. */
-  private static final Duration LATEST_STREAM = Duration.ofMillis(2800);
-
-  /** Time before the end of the process from which nothing new is taken: a plain answer's time. */
-  private static final Duration LAST_ANSWERS = Duration.ofMillis(800);
-
-  /** Time to come back to another node after the refusal of a node that stops. */
-  private static final Duration DRAIN_RETURN = Duration.ofMillis(50);
-
-  /** Pause between two closings of callers' idle connections. */
-  private static final Duration CLOSE_PAUSE = Duration.ofMillis(200);
+  /** Heartbeats between two that name other nodes; a list of them is long in a large fleet. */
+  private static final int BEATS_BETWEEN_INTRODUCTIONS = 8;
 
-  /** Part of the grace after a stop request that is kept for the end of the process itself. */
-  private static final Duration EXIT_RESERVE = Duration.ofMillis(800);
+  /** Time in which requests that arrive together are put into one report. */
+  private static final long HASTE_MILLIS = 10;
 
   private static final String SOURCE_STORE = "store";
 
@@ -66,27 +52,21 @@
   private final PeerTable peers;
   private final StoreWatch store;
   private final OrderLease lease;
-  private final Coordinator coordinator = Coordinator.create();
   private final RunnerBoard board;
   private final Forwarder forwarder;
-  private final Map<NodeId, Long> toldRevision = new HashMap<>();
+  private final DrainPlan drain;
+  private final EngineDuty duty;
   private final Map<NodeId, Instant> wholeToldAt = new HashMap<>();
   private Optional<GatewayConfiguration> configuration = Optional.empty();
   private Optional<NodeId> coordinatorNode = Optional.empty();
   private Instant startedAt = Instant.MAX;
   private Instant nextBeat = Instant.MIN;
   private Instant nextDemand = Instant.MIN;
-  private Instant nextFleetTold = Instant.MIN;
-  private Instant nextPlan = Instant.MIN;
-  private Instant lastOrderAt = Instant.MIN;
   private int liveNodes = 1;
-  private Instant drainingSince = Instant.MAX;
   private boolean registered;
   private boolean registering;
   private boolean ready;
   private boolean storeLost;
-  private Instant nextClose = Instant.MAX;
-  private boolean drainCompleted;
   private boolean relaying;
   private boolean coordinatorSeen;
   private long beats;
@@ -101,6 +81,8 @@
     lease = OrderLease.create(self.value(), settings.self().incarnation().value(), timings);
     board = RunnerBoard.create(directory);
     forwarder = Forwarder.create(settings, board);
+    drain = DrainPlan.create(settings.drainGrace());
+    duty = EngineDuty.create(settings, lease, directory, board);
   }
 
   /** Returns the core of a node that knows nothing yet. */
@@ -124,8 +106,9 @@
     }
     switch (event) {
       case GatewayEvent.RequestArrived arrived -> {
-        if (isDraining() && isTooLate(arrived.request(), now)) {
-          forwarder.refuse(arrived.request(), ResultCode.DRAINING, Optional.of(DRAIN_RETURN), step);
+        if (drain.refuses(isStream(arrived.request()), now)) {
+          forwarder.refuse(
+              arrived.request(), ResultCode.DRAINING, Optional.of(DrainPlan.RETURN), step);
         } else {
           forwarder.accept(arrived.request(), configuration, step);
         }
@@ -145,10 +128,9 @@
         registering = false;
         registered = told.done();
       }
-      case GatewayEvent.OrderTold told -> acceptOrder(told, step);
+      case GatewayEvent.OrderTold told -> duty.acceptOrder(told, step);
       case GatewayEvent.ReportRead read ->
-          configuration.ifPresent(
-              known -> coordinator.acceptReport(read.report(), read.askedAt(), known, now));
+          configuration.ifPresent(known -> duty.acceptReport(read, known, now));
       case GatewayEvent.PeerTold told -> acceptPeer(told, step);
       case GatewayEvent.Tick tick -> {
         if (tick.stoodStill()) {
@@ -156,10 +138,8 @@
           lease.suspect();
         }
       }
-      case GatewayEvent.DrainRequested drain -> {
-        if (drainingSince.equals(Instant.MAX)) {
-          drainingSince = now;
-          nextClose = now.plus(BALANCER_NOTICE);
+      case GatewayEvent.DrainRequested requested -> {
+        if (drain.begin(now)) {
           step.log(EventCode.NODE_DRAINING, "in_flight", forwarder.size());
         }
       }
@@ -256,35 +236,12 @@
     }
   }
 
-  private void acceptOrder(GatewayEvent.OrderTold told, GatewayStep step) {
-    coordinator.acceptOutcome(told.runner(), told.number(), told.outcome(), step.now());
-    step.log(
-        EventCode.RUNNER_ORDER_ANSWERED,
-        "runner",
-        told.runner(),
-        "order",
-        told.number(),
-        "outcome",
-        told.outcome(),
-        "detail",
-        told.detail());
-    if (told.outcome() == FleetOrderOutcome.FENCED) {
-      lease.lose();
-    }
-  }
-
   private void acceptPeer(GatewayEvent.PeerTold told, GatewayStep step) {
     peers.touch(told.from(), step.now());
     switch (told.message()) {
       case FleetMessage.Beat beat -> acceptBeat(beat, step);
       case FleetMessage.DemandTold demand -> {
-        coordinator.acceptDemand(
-            told.from().value(),
-            told.incarnation().value(),
-            demand.demands(),
-            demand.uses(),
-            step.now());
-        toldRevision.put(told.from(), demand.viewRevision());
+        duty.acceptDemand(told.from(), told.incarnation(), demand, step.now());
       }
       case FleetMessage.FleetTold fleet ->
           board.accept(fleet.views(), fleet.forecasts(), step.now());
@@ -356,7 +313,7 @@
     forwarder.advance(configuration, liveNodes, coordinated, step);
     if (!ofRequest) {
       updateReadiness(step);
-      finishDrain(step);
+      drain.advance(forwarder.size(), step);
     }
   }
 
@@ -373,8 +330,7 @@
     coordinate(live, step);
     readStore(live, step);
     beat(step);
-    giveOrders(step);
-    tellFleet(live, step);
+    duty.advance(configuration, live, peers.pace(), step);
   }
 
   private void coordinate(List<PeerTable.Peer> live, GatewayStep step) {
@@ -386,14 +342,12 @@
     lease.advance(wants, now).ifPresent(call -> step.emit(new GatewayEffect.CallLease(call)));
     if (lease.fence() != heldFence) {
       heldFence = lease.fence();
-      coordinator.reset();
       if (heldFence > 0) {
-        coordinator.startRevisionsAt(heldFence << REVISION_BITS);
-        lastOrderAt = Instant.MIN;
-        toldRevision.clear();
+        duty.begin(heldFence);
         step.log(EventCode.LEASE_GAINED, "fence", heldFence);
       } else {
-        step.log(EventCode.LEASE_LOST, "last_order_ms", ageMillis(lastOrderAt, now));
+        duty.stop();
+        step.log(EventCode.LEASE_LOST, "last_order_ms", duty.lastOrderAgeMillis(now));
       }
       nextBeat = now;
     }
@@ -410,9 +364,6 @@
     }
   }
 
-  /** Leaves a million revisions of views to each holder of the lease. */
-  private static final int REVISION_BITS = 20;
-
   private void readStore(List<PeerTable.Peer> live, GatewayStep step) {
     Instant now = step.now();
     boolean stale = directory.age(now).compareTo(timings.directoryStale()) > 0;
@@ -430,19 +381,15 @@
   private PeerStatus status(Instant now) {
     return new PeerStatus(
         lease.fence(),
-        ageMillis(lastOrderAt, now),
+        duty.lastOrderAgeMillis(now),
         store.isReachable() && !store.answeredAt().equals(Instant.MIN),
-        isDraining(),
+        drain.isDraining(),
         configuration.map(GatewayConfiguration::version).orElse(0L),
         directory.offset(),
         directory.materialOffset(),
         Math.max(0, directory.age(now).toMillis()));
   }
 
-  private static long ageMillis(Instant then, Instant now) {
-    return then.equals(Instant.MIN) ? -1 : Duration.between(then, now).toMillis();
-  }
-
   private void beat(GatewayStep step) {
     if (step.now().isBefore(nextBeat)) {
       return;
@@ -460,24 +407,12 @@
     }
   }
 
-  /** Heartbeats between two that name other nodes; a list of them is long in a large fleet. */
-  private static final int BEATS_BETWEEN_INTRODUCTIONS = 8;
-
   private void hastenDemand(Instant now) {
     if (forwarder.hasWaiting() && nextDemand.isAfter(now.plusMillis(HASTE_MILLIS))) {
       nextDemand = now.plusMillis(HASTE_MILLIS);
     }
   }
 
-  /** Least time between two plans; the fastest load takes some hundred milliseconds. */
-  private static final long PLAN_MILLIS = 15;
-
-  /** Time in which news of engines are put together, for each doubling of the pace. */
-  private static final long NEWS_MILLIS = 30;
-
-  /** Time in which requests that arrive together are put into one report. */
-  private static final long HASTE_MILLIS = 10;
-
   private void reportDemand(GatewayStep step) {
     Instant now = step.now();
     if (now.isBefore(nextDemand)) {
@@ -486,89 +421,14 @@
     nextDemand = now.plusMillis(Math.round(timings.demand().toMillis() * peers.pace()));
     List<ModelDemand> demands = forwarder.demands(now);
     List<RunnerUse> uses = board.takeUses();
+    FleetMessage.DemandTold told = new FleetMessage.DemandTold(demands, uses, board.viewRevision());
     if (lease.isHeld()) {
-      coordinator.acceptDemand(
-          self.value(), settings.self().incarnation().value(), demands, uses, now);
+      duty.acceptDemand(self, settings.self().incarnation(), told, now);
       return;
     }
     coordinatorNode
         .flatMap(node -> peers.live(node, now))
-        .ifPresent(
-            peer ->
-                step.emit(
-                    new GatewayEffect.SendPeer(
-                        peer.address(),
-                        new FleetMessage.DemandTold(demands, uses, board.viewRevision()))));
-  }
-
-  private void giveOrders(GatewayStep step) {
-    Instant now = step.now();
-    if (!lease.isHeld() || configuration.isEmpty() || now.isBefore(nextPlan)) {
-      return;
-    }
-    nextPlan = now.plusMillis(Math.round(PLAN_MILLIS * peers.pace()));
-    coordinator.sync(configuration.get(), directory, now);
-    for (String runner : coordinator.takeQuestions(now)) {
-      directory.usable(runner).ifPresent(entry -> step.emit(new GatewayEffect.AskReport(entry)));
-    }
-    if (!lease.mayOrder(now)) {
-      coordinator.forecastBlocked(configuration.get(), lease.ordersIn(now), now);
-      return;
-    }
-    for (Coordinator.NumberedOrder order : coordinator.decide(configuration.get(), now)) {
-      lastOrderAt = now;
-      step.log(
-          EventCode.RUNNER_ORDERED,
-          "runner",
-          order.runner(),
-          "order",
-          order.number(),
-          "body",
-          order.order(),
-          "expected",
-          order.expected(),
-          "fence",
-          lease.fence(),
-          "reason",
-          order.reason());
-      directory
-          .usable(order.runner())
-          .ifPresent(
-              entry ->
-                  step.emit(
-                      new GatewayEffect.GiveOrder(entry, order, self.value(), lease.fence())));
-    }
-  }
-
-  private void tellFleet(List<PeerTable.Peer> live, GatewayStep step) {
-    Instant now = step.now();
-    if (!lease.isHeld()) {
-      return;
-    }
-    boolean news = coordinator.revision() > board.viewRevision();
-    Instant soon = now.plusMillis(Math.round(NEWS_MILLIS * (peers.pace() - 1)));
-    if (news && nextFleetTold.isAfter(soon)) {
-      nextFleetTold = soon;
-    }
-    if (now.isBefore(nextFleetTold)) {
-      return;
-    }
-    nextFleetTold = now.plusMillis(Math.round(timings.demand().toMillis() * peers.pace()));
-    board.accept(coordinator.viewsSince(board.viewRevision(), now), coordinator.forecasts(), now);
-    Map<Long, FleetMessage.FleetTold> messages = new HashMap<>();
-    for (PeerTable.Peer peer : live) {
-      long known = toldRevision.getOrDefault(peer.node(), 0L);
-      FleetMessage.FleetTold message =
-          messages.computeIfAbsent(
-              known,
-              revision ->
-                  new FleetMessage.FleetTold(
-                      lease.fence(),
-                      coordinator.viewsSince(revision, now),
-                      coordinator.forecasts()));
-      step.emit(new GatewayEffect.SendPeer(peer.address(), message));
-      toldRevision.put(peer.node(), coordinator.revision());
-    }
+        .ifPresent(peer -> step.emit(new GatewayEffect.SendPeer(peer.address(), told)));
   }
 
   private void tellAll(FleetMessage message, GatewayStep step) {
@@ -580,7 +440,7 @@
   // Readiness and drain
 
   private void updateReadiness(GatewayStep step) {
-    boolean now = !isDraining() && configuration.isPresent() && directory.offset() >= 0;
+    boolean now = !drain.isDraining() && configuration.isPresent() && directory.offset() >= 0;
     if (now != ready) {
       ready = now;
       step.emit(new GatewayEffect.SetReady(ready));
@@ -595,39 +455,10 @@
     }
   }
 
-  /** A stream that begins late might be cut by the end of the process; another node can take it. */
-  private boolean isTooLate(ForwardRequest request, Instant now) {
-    Duration since = Duration.between(drainingSince, now);
-    boolean stream =
-        configuration
-            .flatMap(known -> known.route(request.host(), request.path()))
-            .filter(RouteSpec::streaming)
-            .isPresent();
-    Duration limit =
-        stream ? LATEST_STREAM : settings.drainGrace().minus(EXIT_RESERVE).minus(LAST_ANSWERS);
-    return since.compareTo(limit) > 0;
-  }
-
-  private boolean isDraining() {
-    return !drainingSince.equals(Instant.MAX);
-  }
-
-  private void finishDrain(GatewayStep step) {
-    if (!isDraining() || drainCompleted) {
-      return;
-    }
-    Instant now = step.now();
-    if (!now.isBefore(nextClose)) {
-      nextClose = now.plus(CLOSE_PAUSE);
-      step.emit(new GatewayEffect.CloseIdleCallers());
-    }
-    boolean noticed = !now.isBefore(drainingSince.plus(BALANCER_NOTICE));
-    boolean empty = noticed && forwarder.isEmpty();
-    boolean late = !now.isBefore(drainingSince.plus(settings.drainGrace()).minus(EXIT_RESERVE));
-    if (empty || late) {
-      drainCompleted = true;
-      step.log(EventCode.NODE_STOPPED, "in_flight", forwarder.size());
-      step.emit(new GatewayEffect.DrainCompleted());
-    }
+  private boolean isStream(ForwardRequest request) {
+    return configuration
+        .flatMap(known -> known.route(request.host(), request.path()))
+        .filter(RouteSpec::streaming)
+        .isPresent();
   }
 }
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
@@ -0,0 +1,110 @@
+package dev.wisteriarail.core.gateway;
+
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.forward.RunnerBoard;
+import dev.wisteriarail.core.forward.RunnerChoice;
+import dev.wisteriarail.core.forward.SessionTrail;
+import dev.wisteriarail.core.route.EngineSpec;
+import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.route.RouteSpec;
+import dev.wisteriarail.core.route.ServiceShare;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Gathers the runners that could serve a request and lets {@link RunnerChoice} choose among them.
+ *
+ * <p>Life cycle: one per run of a node. Not thread-safe.
+ */
+final class RunnerPicker {
+
+  private final String domain;
+  private final RunnerBoard board;
+  private final SessionTrail sessions = SessionTrail.create();
+
+  private RunnerPicker(String domain, RunnerBoard board) {
+    this.domain = domain;
+    this.board = board;
+  }
+
+  static RunnerPicker create(String domain, RunnerBoard board) {
+    return new RunnerPicker(domain, board);
+  }
+
+  /** Spreads a route's requests over its services by their weights. */
+  static String chooseService(RouteSpec route, ForwardRequest request) {
+    List<ServiceShare> shares =
+        route.shares().stream().filter(share -> share.weight() > 0).toList();
+    if (shares.size() <= 1) {
+      return (shares.isEmpty() ? route.shares().getFirst() : shares.getFirst()).service();
+    }
+    int total = shares.stream().mapToInt(ServiceShare::weight).sum();
+    int point = Math.floorMod(request.id().hashCode() * 0x9E3779B1, total);
+    for (ServiceShare share : shares) {
+      point -= share.weight();
+      if (point < 0) {
+        return share.service();
+      }
+    }
+    return shares.getLast().service();
+  }
+
+  /** Notes that a runner gets a request of a session. */
+  void note(PendingForward forward, RunnerEntry runner) {
+    forward
+        .request()
+        .session()
+        .ifPresent(session -> sessions.note(forward.model(), session, runner.id()));
+  }
+
+  /** Returns the runner that gets the request now; empty if it has to wait. */
+  Optional<RunnerEntry> choose(
+      PendingForward forward, GatewayConfiguration configuration, Instant now) {
+    Optional<EngineSpec> engine = configuration.engineOf(forward.service());
+    List<RunnerChoice.Candidate> candidates = new ArrayList<>();
+    Map<String, RunnerEntry> entries = new HashMap<>();
+    boolean runAgain = !forward.runnersThatMayHaveRun().isEmpty();
+    Optional<String> sessionRunner =
+        forward.request().session().flatMap(session -> sessions.runner(forward.model(), session));
+    for (RunnerEntry entry : board.usable(forward.service())) {
+      boolean fits =
+          board.health(entry.id()).isIn(now)
+              && !(runAgain && forward.runnersThatMayHaveRun().contains(entry.id()))
+              && (engine.isEmpty()
+                  || forward.model().isEmpty()
+                  || board.holds(entry, forward.model(), forward.adapter()))
+              && engine
+                  .map(spec -> board.allTokens(entry) + forward.tokens() <= spec.cacheTokens())
+                  .orElse(true);
+      if (fits) {
+        entries.put(entry.id(), entry);
+        candidates.add(
+            new RunnerChoice.Candidate(
+                entry.id(),
+                board.allRunning(entry),
+                engine.map(EngineSpec::slots).orElse(Math.max(1, entry.slots())),
+                entry.domain().equals(domain),
+                sessionRunner.filter(entry.id()::equals).isPresent(),
+                board.health(entry.id()).failures()));
+      }
+    }
+    return RunnerChoice.best(candidates, forward.request().fingerprint() + forward.exchange())
+        .map(best -> entries.get(best.runner()));
+  }
+
+  /** Returns whether a runner that has not had the request could serve it. */
+  boolean hasOther(PendingForward forward, Instant now) {
+    return board.usable(forward.service()).stream()
+        .anyMatch(
+            entry ->
+                !forward.runnersThatMayHaveRun().contains(entry.id())
+                    && board.health(entry.id()).isIn(now)
+                    && (forward.model().isEmpty()
+                        || board.holds(entry, forward.model(), forward.adapter())));
+  }
+}
--- a/src/main/java/dev/wisteriarail/demo/GatewayTrial.java
+++ b/src/main/java/dev/wisteriarail/demo/GatewayTrial.java
@@ -6,8 +6,10 @@
 import dev.wisteriarail.platform.CallerHeaders;
 import dev.wisteriarail.platform.PlatformCalls;
 import dev.wisteriarail.platform.RunnerHeaders;
+import dev.wisteriarail.settings.Endpoint;
 import dev.wisteriarail.settings.GatewayFile;
 import dev.wisteriarail.settings.TomlDocument;
+import dev.wisteriarail.standin.PlatformCaller;
 import dev.wisteriarail.standin.PlatformStandin;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -18,7 +20,7 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.client.Request;
 
 /**
  * Runs two gateway nodes before a stand-in of the users' platform, sends each kind of request once,
@@ -120,21 +122,10 @@
 
   private int status(GatewayNode node, String method, String path, String model)
       throws InterruptedException {
-    var at = node.file().callers();
-    var request =
-        http.newRequest("http://" + at.host() + ":" + at.port() + path)
-            .method(method)
-            .headers(
-                headers -> {
-                  headers.put("X-Wisteriarail-Request-Id", "trial-" + requests++);
-                  headers.put("X-Wisteriarail-Deadline-Ms", "4000");
-                  if (!model.isEmpty()) {
-                    headers.put("X-Wisteriarail-Model", model);
-                  }
-                });
-    if (method.equals("POST")) {
-      request.body(new StringRequestContent("text/plain", "question"));
-    }
+    Endpoint at = node.file().callers();
+    Request request =
+        PlatformCaller.request(
+            http, at.host() + ":" + at.port(), method, path, model, "trial-" + requests++);
     try {
       ContentResponse response = request.send();
       return response.getStatus();
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/standin/PlatformCaller.java
@@ -0,0 +1,41 @@
+package dev.wisteriarail.standin;
+
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+
+/** Builds requests as the callers of the users' platform send them. Stateless. */
+public final class PlatformCaller {
+
+  private static final String PATIENCE_MILLIS = "4000";
+
+  private PlatformCaller() {}
+
+  /**
+   * Returns a request that is not sent yet.
+   *
+   * @param http a started client
+   * @param address a node's address for callers, as host and port
+   * @param method HTTP method
+   * @param path path with the query
+   * @param model the model, with an adapter after a slash; empty text for a plain service
+   * @param id the caller's name of the request
+   */
+  public static Request request(
+      HttpClient http, String address, String method, String path, String model, String id) {
+    Request request =
+        http.newRequest("http://" + address + path)
+            .method(method)
+            .headers(
+                headers -> {
+                  headers.put("X-Wisteriarail-Request-Id", id);
+                  headers.put("X-Wisteriarail-Deadline-Ms", PATIENCE_MILLIS);
+                  if (!model.isEmpty()) {
+                    headers.put("X-Wisteriarail-Model", model);
+                  }
+                });
+    return method.equals("POST")
+        ? request.body(new StringRequestContent("text/plain", "question"))
+        : request;
+  }
+}
--- a/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
@@ -14,12 +14,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
 /** Real gateway nodes before a stand-in of the platform, all on loopback. */
 final class GatewayFleet implements AutoCloseable {
 
   private static final Duration LIMIT = Duration.ofSeconds(30);
+  private static final long POLL_NANOS = 5_000_000;
 
   private final PlatformStandin platform;
   private final List<GatewayNode> nodes = new ArrayList<>();
@@ -97,7 +99,7 @@
       if (System.nanoTime() > until) {
         throw new AssertionError("the condition did not come true");
       }
-      Thread.onSpinWait();
+      LockSupport.parkNanos(POLL_NANOS);
     }
   }
 
--- a/src/test/java/dev/wisteriarail/platform/PlatformBoundaryTest.java
+++ b/src/test/java/dev/wisteriarail/platform/PlatformBoundaryTest.java
@@ -54,8 +54,7 @@
   @Test
   void namesOfTheWireStandInTheAdapterOnly() throws IOException {
     Path root = Path.of("src", "main", "java", "dev", "wisteriarail");
-    List<Path> allowed =
-        List.of(root.resolve("platform"), root.resolve("standin"), root.resolve("demo"));
+    List<Path> allowed = List.of(root.resolve("platform"), root.resolve("standin"));
     try (Stream<Path> files = Files.walk(root)) {
       List<Path> leaks =
           files
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/platform/UnframedAnswerTest.java
@@ -0,0 +1,91 @@
+package dev.wisteriarail.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Answers of a runner that have no length and end with their connection. */
+class UnframedAnswerTest {
+
+  @ParameterizedTest
+  @CsvSource({"false, 200", "true, 502"})
+  void answerThatIsResetOnTheWayIsNotWhole(boolean reset, int status) throws Exception {
+    try (GatewayFleet fleet = GatewayFleet.start(1, 0, 0);
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Thread.ofVirtual().start(() -> serveAll(server, reset));
+      fleet.platform().store().put("keyed.servers", "raw", entry(server.getLocalPort()));
+      HttpResponse<String>[] answer = newHolder();
+      fleet.await(
+          () -> {
+            answer[0] = order(fleet);
+            return answer[0].statusCode() != 503;
+          });
+      assertThat(answer[0].statusCode()).isEqualTo(status);
+      if (!reset) {
+        assertThat(answer[0].body()).isEqualTo("whole");
+      }
+    }
+  }
+
+  @SuppressWarnings("unchecked")
+  private static HttpResponse<String>[] newHolder() {
+    return new HttpResponse[1];
+  }
+
+  private static HttpResponse<String> order(GatewayFleet fleet) {
+    try {
+      return fleet.send(0, "POST", "/order/1", "");
+    } catch (Exception failure) {
+      throw new AssertionError(failure);
+    }
+  }
+
+  private static String entry(int port) {
+    return String.format(
+        "{\"service\":\"plain\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,"
+            + "\"state\":\"ready\",\"models\":[],\"sequence\":1,\"born\":1}",
+        port);
+  }
+
+  private static void serveAll(ServerSocket server, boolean reset) {
+    while (!server.isClosed()) {
+      try (Socket socket = server.accept()) {
+        serve(socket, reset);
+      } catch (IOException closed) {
+        // The test has ended, or the node closed the connection.
+      }
+    }
+  }
+
+  private static void serve(Socket socket, boolean reset) throws IOException {
+    BufferedReader in =
+        new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
+    String id = "";
+    String line = in.readLine();
+    while (line != null && !line.isEmpty()) {
+      if (line.startsWith("X-Wisteriarail-Request-Id: ")) {
+        id = line.substring(line.indexOf(' ') + 1);
+      }
+      line = in.readLine();
+    }
+    in.skip("body".length());
+    String head =
+        "HTTP/1.1 200 OK\r\nX-Wisteriarail-Request-Id: "
+            + id
+            + "\r\nX-Wisteriarail-Response-Signature: s\r\nConnection: close\r\n\r\n";
+    socket.getOutputStream().write((head + "whole").getBytes(US_ASCII));
+    socket.getOutputStream().flush();
+    if (reset) {
+      socket.setSoLinger(true, 0);
+    }
+  }
+}
