One key of demand; remove accessors that nothing calls

Cause: a read of the whole change found the same record, its order and its comparison in DemandBook and in DemandTally, and five accessors without a caller (PeerTable.all and incarnation, RunnerDirectory.all, CallerFront.open, Forwarder.isEmpty).

Change: DemandKey serves both.

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -178,7 +178,7 @@
     }
     demand.forgetBefore(now.minus(NODE_SILENCE));
     uses.forgetBefore(now.minus(NODE_SILENCE));
-    Map<DemandBook.Key, DemandBook.Want> wants = demand.wants();
+    Map<DemandKey, DemandBook.Want> wants = demand.wants();
     Map<String, UseBook.Load> loads = uses.loads();
     loads.forEach((runner, load) -> touchAdapters(runner, load, now));
     List<NumberedOrder> orders = new ArrayList<>();
@@ -283,7 +283,7 @@
   private PlanInput input(
       String service,
       EngineSpec spec,
-      Map<DemandBook.Key, DemandBook.Want> wants,
+      Map<DemandKey, DemandBook.Want> wants,
       Map<String, UseBook.Load> loads,
       Instant now) {
     List<PlanInput.Engine> known = new ArrayList<>();
@@ -339,12 +339,12 @@
   private Map<String, PlanInput.ModelNeed> needs(
       String service,
       EngineSpec spec,
-      Map<DemandBook.Key, DemandBook.Want> wants,
+      Map<DemandKey, DemandBook.Want> wants,
       List<PlanInput.Engine> known,
       Instant now) {
     Map<String, PlanInput.ModelNeed> needs = new HashMap<>();
     for (HostedModel model : spec.models()) {
-      DemandBook.Want want = wants.get(new DemandBook.Key(service, model.name(), ""));
+      DemandBook.Want want = wants.get(new DemandKey(service, model.name(), ""));
       double rate = demand.rate(service, model.name(), "", now);
       int running =
           known.stream().mapToInt(each -> each.running().getOrDefault(model.name(), 0)).sum();
@@ -363,7 +363,7 @@
   }
 
   private static List<PlanInput.AdapterWant> adapterWants(
-      String service, Map<DemandBook.Key, DemandBook.Want> wants) {
+      String service, Map<DemandKey, DemandBook.Want> wants) {
     List<PlanInput.AdapterWant> adapterWants = new ArrayList<>();
     wants.forEach(
         (key, want) -> {
--- a/src/main/java/dev/wisteriarail/core/fleet/DemandBook.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/DemandBook.java
@@ -27,14 +27,14 @@
   private static final double RISE_ARRIVALS = 3;
 
   private final Map<String, NodeReport> reports = new TreeMap<>();
-  private final Map<Key, Rate> rates = new HashMap<>();
+  private final Map<DemandKey, Rate> rates = new HashMap<>();
 
   /** Takes a node's report. */
   void accept(String node, long incarnation, List<ModelDemand> demands, Instant now) {
     NodeReport before = reports.get(node);
-    Map<Key, Long> counts = new HashMap<>();
+    Map<DemandKey, Long> counts = new HashMap<>();
     for (ModelDemand demand : demands) {
-      Key key = Key.of(demand);
+      DemandKey key = demand.key();
       counts.put(key, demand.arrivals());
       long known =
           before != null && before.incarnation() == incarnation
@@ -58,18 +58,18 @@
 
   /** Returns arrivals a second of a model, its adapters included where the adapter is empty. */
   double rate(String service, String model, String adapter, Instant now) {
-    Rate rate = rates.get(new Key(service, model, adapter));
+    Rate rate = rates.get(new DemandKey(service, model, adapter));
     return rate == null ? 0 : rate.perSecond(now);
   }
 
   /** Returns what is wanted now, merged over the nodes. */
-  Map<Key, Want> wants() {
-    Map<Key, Want> wants = new TreeMap<>();
+  Map<DemandKey, Want> wants() {
+    Map<DemandKey, Want> wants = new TreeMap<>();
     for (NodeReport report : reports.values()) {
       for (ModelDemand demand : report.demands()) {
         if (demand.waiting() > 0 || demand.worth() > 0) {
           wants.merge(
-              Key.of(demand),
+              demand.key(),
               new Want(demand.waiting(), demand.worth(), demand.leastLeftMillis()),
               Want::plus);
         }
@@ -78,27 +78,6 @@
     return wants;
   }
 
-  /**
-   * A model or one of its adapters.
-   *
-   * @param service the service
-   * @param model the model
-   * @param adapter the adapter; empty text for the model itself
-   */
-  record Key(String service, String model, String adapter) implements Comparable<Key> {
-
-    static Key of(ModelDemand demand) {
-      return new Key(demand.service(), demand.model(), demand.adapter());
-    }
-
-    @Override
-    public int compareTo(Key other) {
-      int order = service.compareTo(other.service);
-      order = order == 0 ? model.compareTo(other.model) : order;
-      return order == 0 ? adapter.compareTo(other.adapter) : order;
-    }
-  }
-
   /**
    * Requests that wait.
    *
@@ -117,7 +96,7 @@
   }
 
   private record NodeReport(
-      long incarnation, List<ModelDemand> demands, Map<Key, Long> counts, Instant at) {}
+      long incarnation, List<ModelDemand> demands, Map<DemandKey, Long> counts, Instant at) {}
 
   /** Counts of arrivals that fade, one slowly and one fast. */
   private static final class Rate {
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelDemand.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelDemand.java
@@ -18,4 +18,10 @@
     int waiting,
     double worth,
     long leastLeftMillis,
-    long arrivals) {}
+    long arrivals) {
+
+  /** Returns what is asked for. */
+  public DemandKey key() {
+    return new DemandKey(service, model, adapter);
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -1,11 +1,9 @@
 package dev.wisteriarail.core.fleet;
 
-import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -143,17 +141,6 @@
     return Optional.ofNullable(peers.get(node)).filter(peer -> isLive(peer, now));
   }
 
-  /** Returns all known peers. */
-  public Collection<Peer> all() {
-    return peers.values();
-  }
-
-  /** Returns a known peer's newest run. */
-  public Incarnation incarnation(NodeId node) {
-    Peer peer = peers.get(node);
-    return peer == null ? Incarnation.NONE : peer.address().incarnation();
-  }
-
   /** Returns by how much heartbeats are slowed down, so that they stay cheap in a large fleet. */
   public double pace() {
     return Math.clamp((double) peers.size() / PEERS_AT_FULL_PACE, 1, SLOWEST);
--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -178,11 +177,6 @@
     return Optional.ofNullable(lapsed.get(id)).map(Lapsed::entry);
   }
 
-  /** Returns all entries, those of leaving runners included. */
-  public Collection<RunnerEntry> all() {
-    return entries.values();
-  }
-
   /** Returns the offset after the last known record; negative if nothing is known. */
   public long offset() {
     return offset;
--- a/src/main/java/dev/wisteriarail/core/gateway/DemandTally.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/DemandTally.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.gateway;
 
+import dev.wisteriarail.core.fleet.DemandKey;
 import dev.wisteriarail.core.fleet.ModelDemand;
 import java.time.Duration;
 import java.time.Instant;
@@ -23,9 +24,9 @@
   /** Time for which a changed count is told again, in case a report is lost. */
   private static final Duration REPEAT = Duration.ofSeconds(2);
 
-  private final Map<Key, Long> arrivals = new TreeMap<>();
-  private final Map<Key, Instant> changedAt = new HashMap<>();
-  private final Map<Key, List<Instant>> returns = new HashMap<>();
+  private final Map<DemandKey, Long> arrivals = new TreeMap<>();
+  private final Map<DemandKey, Instant> changedAt = new HashMap<>();
+  private final Map<DemandKey, List<Instant>> returns = new HashMap<>();
 
   private DemandTally() {}
 
@@ -37,13 +38,13 @@
     if (forward.model().isEmpty()) {
       return;
     }
-    count(new Key(forward.service(), forward.model(), ""), forward.arrivedAt());
+    count(new DemandKey(forward.service(), forward.model(), ""), forward.arrivedAt());
     if (!forward.adapter().isEmpty()) {
-      count(Key.of(forward), forward.arrivedAt());
+      count(keyOf(forward), forward.arrivedAt());
     }
   }
 
-  private void count(Key key, Instant now) {
+  private void count(DemandKey key, Instant now) {
     arrivals.merge(key, 1L, Long::sum);
     changedAt.put(key, now);
   }
@@ -53,21 +54,22 @@
     if (!forward.model().isEmpty()) {
       returns
           .computeIfAbsent(
-              new Key(forward.service(), forward.model(), ""), key -> new ArrayList<>())
+              new DemandKey(forward.service(), forward.model(), ""), key -> new ArrayList<>())
           .add(at.plus(RETURN_GRACE));
     }
   }
 
   List<ModelDemand> demands(Collection<PendingForward> pending, Instant now) {
-    Map<Key, Waiting> waiting = new TreeMap<>();
+    Map<DemandKey, Waiting> waiting = new TreeMap<>();
     for (PendingForward forward : pending) {
       if (forward.state() == PendingForward.State.WAITING && !forward.model().isEmpty()) {
         long left = forward.patienceLeft(now).toMillis();
         waiting
-            .computeIfAbsent(new Key(forward.service(), forward.model(), ""), key -> new Waiting())
+            .computeIfAbsent(
+                new DemandKey(forward.service(), forward.model(), ""), key -> new Waiting())
             .add(left);
         if (!forward.adapter().isEmpty()) {
-          waiting.computeIfAbsent(Key.of(forward), key -> new Waiting()).add(left);
+          waiting.computeIfAbsent(keyOf(forward), key -> new Waiting()).add(left);
         }
       }
     }
@@ -95,18 +97,8 @@
     return demands;
   }
 
-  private record Key(String service, String model, String adapter) implements Comparable<Key> {
-
-    static Key of(PendingForward forward) {
-      return new Key(forward.service(), forward.model(), forward.adapter());
-    }
-
-    @Override
-    public int compareTo(Key other) {
-      int order = service.compareTo(other.service);
-      order = order == 0 ? model.compareTo(other.model) : order;
-      return order == 0 ? adapter.compareTo(other.adapter) : order;
-    }
+  private static DemandKey keyOf(PendingForward forward) {
+    return new DemandKey(forward.service(), forward.model(), forward.adapter());
   }
 
   private static final class Waiting {
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -480,10 +480,6 @@
         .anyMatch(forward -> forward.state() == PendingForward.State.WAITING);
   }
 
-  boolean isEmpty() {
-    return pending.isEmpty();
-  }
-
   int size() {
     return pending.size();
   }
--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -296,10 +296,6 @@
     }
   }
 
-  int open() {
-    return exchanges.size();
-  }
-
   @Override
   public void close() {
     GatewayHttp.stop(server);
