--- a/src/main/java/dev/wisteriarail/core/fleet/Coordination.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordination.java
@@ -9,7 +9,7 @@
  * and which node reads the store for all.
  *
  * <p>It is the node that holds the lease on orders. A node tries for the lease only where no live
- * peer says that it holds one, and where no live peer that reaches the store has a lower name. The
+ * peer says that it holds one, and where no live peer that reaches the store ranks before it. The
  * lease itself settles who gets it, so two nodes that disagree about their peers do no harm.
  *
  * <p>Stateless.
@@ -36,10 +36,11 @@
    * Returns the node that reads the store for all: the coordinator, or the first node that the
    * store answers while it does not answer the coordinator.
    */
-  public static Optional<NodeId> relay(NodeId self, PeerStatus own, List<PeerTable.Peer> live) {
-    Optional<NodeId> coordinator = coordinator(self, own.fence(), live);
+  public static Optional<NodeId> relay(
+      NodeAddress self, PeerStatus own, List<PeerTable.Peer> live) {
+    Optional<NodeId> coordinator = coordinator(self.node(), own.fence(), live);
     boolean reaches =
-        coordinator.filter(self::equals).isPresent()
+        coordinator.filter(self.node()::equals).isPresent()
             ? own.storeReachable()
             : live.stream()
                 .filter(peer -> coordinator.filter(peer.node()::equals).isPresent())
@@ -47,14 +48,14 @@
     if (coordinator.isEmpty() || reaches) {
       return coordinator;
     }
-    NodeId first = mayRelay(own) ? self : null;
+    NodeAddress first = mayRelay(own) ? self : null;
     for (PeerTable.Peer peer : live) {
-      boolean earlier = first == null || peer.node().compareTo(first) < 0;
+      boolean earlier = first == null || peer.address().ranksBefore(first);
       if (mayRelay(peer.status()) && earlier) {
-        first = peer.node();
+        first = peer.address();
       }
     }
-    return Optional.ofNullable(first);
+    return Optional.ofNullable(first).map(NodeAddress::node);
   }
 
   /**
@@ -71,7 +72,7 @@
    * @param live its live peers
    */
   public static boolean wantsLease(
-      NodeId self,
+      NodeAddress self,
       PeerStatus own,
       boolean holdsLease,
       boolean settled,
@@ -89,9 +90,10 @@
       return false;
     }
     boolean led = live.stream().anyMatch(peer -> peer.status().fence() > 0);
-    boolean lowest =
-        live.stream().noneMatch(peer -> mayRelay(peer.status()) && peer.node().compareTo(self) < 0);
-    return !led && lowest;
+    boolean first =
+        live.stream()
+            .noneMatch(peer -> mayRelay(peer.status()) && peer.address().ranksBefore(self));
+    return !led && first;
   }
 
   private static boolean mayRelay(PeerStatus status) {
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -4,9 +4,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -19,15 +22,23 @@
   /** Heartbeats go on to a silent peer for this long, in case only the way back is cut. */
   private static final Duration FORGET_AFTER = Duration.ofMinutes(1);
 
-  /** Peers up to which heartbeats keep their pace; beyond, they slow down in proportion. */
+  /**
+   * Peers up to which each node sends heartbeats to all others, at full pace. Among 64 nodes that
+   * took 140 messages a second and node; beyond, only hubs do so, and more slowly.
+   */
   private static final int PEERS_AT_FULL_PACE = 20;
 
+  /** Hubs of a large fleet: the next coordinator, and spares in case several are lost at once. */
+  private static final int HUBS = 4;
+
   /** Heartbeats slow down to this part of their pace at most. */
   private static final int SLOWEST = 3;
 
   private final NodeAddress self;
   private final Duration silence;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
+  private final Set<NodeId> hubs = new HashSet<>();
+  private boolean selfIsHub = true;
 
   private PeerTable(NodeAddress self, Duration silence) {
     this.self = self;
@@ -53,10 +64,9 @@
     }
     Peer known = peers.get(address.node());
     if (known == null) {
-      peers.put(address.node(), new Peer(address, PeerStatus.UNKNOWN, Instant.MIN, now));
+      peers.put(address.node(), Peer.learnt(address, now));
     } else if (address.incarnation().compareTo(known.address().incarnation()) > 0) {
-      peers.put(
-          address.node(), new Peer(address, known.status(), known.heardAt(), known.learntAt()));
+      peers.put(address.node(), known.withAddress(address));
     }
   }
 
@@ -79,10 +89,14 @@
       return false;
     }
     peers.values().removeIf(peer -> isReplaced(peer, from));
-    peers.put(from.node(), new Peer(from, status, now, now));
+    peers.put(from.node(), new Peer(from, status, now, now, expectedSince(known)));
     return returned;
   }
 
+  private static Instant expectedSince(Peer known) {
+    return known == null ? Instant.MAX : known.expectedSince();
+  }
+
   /** Addresses that were only guessed give way to the node that answers there. */
   private static boolean isReplaced(Peer peer, NodeAddress from) {
     return peer.heardAt().equals(Instant.MIN)
@@ -94,17 +108,14 @@
   public void touch(NodeId node, Instant now) {
     Peer known = peers.get(node);
     if (known != null && !known.heardAt().equals(Instant.MIN)) {
-      peers.put(node, new Peer(known.address(), known.status(), now, known.learntAt()));
+      peers.put(node, known.withHeardAt(now));
     }
   }
 
   /** Starts every peer's silence anew, after this node itself stood still. */
   public void forgive(Instant now) {
     peers.replaceAll(
-        (node, peer) ->
-            peer.heardAt().equals(Instant.MIN)
-                ? peer
-                : new Peer(peer.address(), peer.status(), now, peer.learntAt()));
+        (node, peer) -> peer.heardAt().equals(Instant.MIN) ? peer : peer.withHeardAt(now));
   }
 
   /** Forgets peers that were silent for long. */
@@ -118,6 +129,74 @@
     return a.isAfter(b) ? a : b;
   }
 
+  // Hubs
+
+  /**
+   * Returns the peers to send a heartbeat to.
+   *
+   * <p>In a large fleet a few nodes, the hubs, exchange heartbeats with all others; the rest send
+   * theirs to the hubs and the coordinator only. Each node chooses the hubs for itself: the first
+   * ones by rank that are not missing. Nodes that differ in their choice lose nothing but
+   * heartbeats, as the lease decides who coordinates.
+   *
+   * @param coordinates whether this node coordinates, and so tells all others that it lives
+   */
+  public List<NodeAddress> beatTargets(boolean coordinates, Instant now) {
+    chooseHubs(now);
+    if (coordinates || selfIsHub) {
+      return addresses();
+    }
+    return peers.values().stream()
+        .filter(
+            peer -> hubs.contains(peer.node()) || (peer.status().fence() > 0 && isLive(peer, now)))
+        .map(Peer::address)
+        .toList();
+  }
+
+  private void chooseHubs(Instant now) {
+    hubs.clear();
+    if (peers.size() <= PEERS_AT_FULL_PACE) {
+      selfIsHub = true;
+      return;
+    }
+    List<Peer> ranked =
+        peers.values().stream()
+            .sorted(Comparator.comparing(Peer::address, NodeAddress.BY_RANK))
+            .toList();
+    selfIsHub = false;
+    int places = HUBS;
+    for (Peer peer : ranked) {
+      if (!selfIsHub && places > 0 && self.ranksBefore(peer.address())) {
+        selfIsHub = true;
+        places--;
+      }
+      boolean missing = isMissing(peer, now);
+      boolean chosen = places > 0 && !missing;
+      if (chosen) {
+        hubs.add(peer.node());
+        places--;
+      }
+      if (chosen && peer.expectedSince().equals(Instant.MAX)) {
+        peers.put(peer.node(), peer.withExpectedSince(now));
+      } else if (!chosen && !missing) {
+        peers.put(peer.node(), peer.withExpectedSince(Instant.MAX));
+      }
+    }
+    selfIsHub |= places > 0;
+    if (places > 0) {
+      peers.replaceAll((node, peer) -> peer.withExpectedSince(Instant.MAX));
+    }
+  }
+
+  /** Returns whether a peer was taken for a hub and did not send the heartbeats of one. */
+  private boolean isMissing(Peer peer, Instant now) {
+    if (peer.expectedSince().equals(Instant.MAX) || isLive(peer, now)) {
+      return false;
+    }
+    Instant since = later(peer.expectedSince(), peer.heardAt());
+    return Duration.between(since, now).toMillis() >= silence.toMillis() * SLOWEST;
+  }
+
   // Accessors
 
   /** Returns the addresses of all known peers, silent ones included. */
@@ -125,6 +204,17 @@
     return peers.values().stream().map(Peer::address).toList();
   }
 
+  /** Returns the number of live nodes, as far as this node or a live peer knows. */
+  public int liveNodes(Instant now) {
+    int known = 1;
+    for (Peer peer : peers.values()) {
+      if (isLive(peer, now)) {
+        known = Math.max(known, peer.status().liveNodes());
+      }
+    }
+    return Math.max(known, live(now).size() + 1);
+  }
+
   /** Returns the peers that were heard lately, in the order of their identifiers. */
   public List<Peer> live(Instant now) {
     List<Peer> live = new ArrayList<>();
@@ -160,8 +250,34 @@
    * @param status what it last said of itself
    * @param heardAt when it said so; {@link Instant#MIN} if it never did
    * @param learntAt when its address was learnt
+   * @param expectedSince since when this node takes it for a hub; {@link Instant#MAX} if it does
+   *     not
    */
-  public record Peer(NodeAddress address, PeerStatus status, Instant heardAt, Instant learntAt) {
+  public record Peer(
+      NodeAddress address,
+      PeerStatus status,
+      Instant heardAt,
+      Instant learntAt,
+      Instant expectedSince) {
+
+    static Peer learnt(NodeAddress address, Instant now) {
+      return new Peer(address, PeerStatus.UNKNOWN, Instant.MIN, now, Instant.MAX);
+    }
+
+    /** Takes the address of a newer run, which has not missed any heartbeat yet. */
+    Peer withAddress(NodeAddress newAddress) {
+      return new Peer(newAddress, status, heardAt, learntAt, Instant.MAX);
+    }
+
+    Peer withHeardAt(Instant newHeardAt) {
+      return new Peer(address, status, newHeardAt, learntAt, expectedSince);
+    }
+
+    Peer withExpectedSince(Instant newExpectedSince) {
+      return newExpectedSince.equals(expectedSince)
+          ? this
+          : new Peer(address, status, heardAt, learntAt, newExpectedSince);
+    }
 
     /** Returns its identifier. */
     public NodeId node() {
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -63,7 +63,7 @@
   private Instant nextBeat = Instant.MIN;
   private Instant nextDemand = Instant.MIN;
   private int liveNodes = 1;
-  private boolean registered;
+  private StoreWatch.Registration registration = StoreWatch.Registration.PENDING;
   private boolean registering;
   private boolean ready;
   private boolean storeLost;
@@ -116,9 +116,7 @@
       }
       case GatewayEvent.CallerLeft left -> forwarder.acceptLeft(left.exchange(), step);
       case GatewayEvent.AttemptTold told ->
-          forwarder
-              .acceptResult(told, step)
-              .ifPresent(fingerprint -> tellAll(new FleetMessage.CrashTold(fingerprint), step));
+          forwarder.acceptResult(told, step).ifPresent(fingerprint -> tellCrash(fingerprint, step));
       case GatewayEvent.StoreTold told -> acceptStore(told, step);
       case GatewayEvent.LeaseTold told -> {
         store.noteCall(!(told.answer() instanceof LeaseAnswer.Failed), now);
@@ -126,7 +124,7 @@
       }
       case GatewayEvent.RegistrationTold told -> {
         registering = false;
-        registered = told.done();
+        registration = told.done() ? StoreWatch.Registration.DONE : StoreWatch.Registration.FAILED;
       }
       case GatewayEvent.OrderTold told -> duty.acceptOrder(told, step);
       case GatewayEvent.ReportRead read ->
@@ -157,7 +155,8 @@
               NodeId.of("seed-" + seed),
               Incarnation.NONE,
               seed.substring(0, colon),
-              Integer.parseInt(seed.substring(colon + 1))),
+              Integer.parseInt(seed.substring(colon + 1)),
+              0),
           now);
     }
   }
@@ -326,7 +325,7 @@
       peers.advance(now);
     }
     List<PeerTable.Peer> live = peers.live(now);
-    liveNodes = live.size() + 1;
+    liveNodes = peers.liveNodes(now);
     coordinate(live, step);
     readStore(live, step);
     beat(step);
@@ -338,7 +337,8 @@
     boolean settled = !now.isBefore(startedAt.plus(timings.settle()));
     boolean expired = lease.isHeld() && !lease.isSafe(now);
     boolean wants =
-        Coordination.wantsLease(self, status(now), lease.isHeld(), settled, expired, live);
+        Coordination.wantsLease(
+            settings.self(), status(now), lease.isHeld(), settled, expired, live);
     lease.advance(wants, now).ifPresent(call -> step.emit(new GatewayEffect.CallLease(call)));
     if (lease.fence() != heldFence) {
       heldFence = lease.fence();
@@ -367,12 +367,17 @@
   private void readStore(List<PeerTable.Peer> live, GatewayStep step) {
     Instant now = step.now();
     boolean stale = directory.age(now).compareTo(timings.directoryStale()) > 0;
-    relaying = Coordination.relay(self, status(now), live).filter(self::equals).isPresent();
+    relaying =
+        Coordination.relay(settings.self(), status(now), live).filter(self::equals).isPresent();
     boolean watching = relaying || stale;
-    for (StoreRead read : store.advance(watching, directory.offset(), live.isEmpty(), now)) {
+    for (StoreRead read :
+        store.advance(watching, directory.offset(), registration, live.isEmpty(), now)) {
       step.emit(new GatewayEffect.ReadStore(read));
     }
-    if (!registered && !registering && store.isReachable() && directory.offset() >= 0) {
+    if (registration != StoreWatch.Registration.DONE
+        && !registering
+        && store.isReachable()
+        && directory.offset() >= 0) {
       registering = true;
       step.emit(new GatewayEffect.RegisterNode(settings.self()));
     }
@@ -387,6 +392,7 @@
         configuration.map(GatewayConfiguration::version).orElse(0L),
         directory.offset(),
         directory.materialOffset(),
+        peers.live(now).size() + 1,
         Math.max(0, directory.age(now).toMillis()));
   }
 
@@ -402,7 +408,7 @@
             ? peers.live(step.now()).stream().map(PeerTable.Peer::address).toList()
             : List.of();
     FleetMessage.Beat beat = new FleetMessage.Beat(settings.self(), known, status(step.now()));
-    for (NodeAddress peer : peers.addresses()) {
+    for (NodeAddress peer : peers.beatTargets(lease.isHeld(), step.now())) {
       step.emit(new GatewayEffect.SendPeer(peer, beat));
     }
   }
@@ -437,6 +443,14 @@
     }
   }
 
+  /** Tells all nodes, those included that exchange no heartbeats with this one. */
+  private void tellCrash(long fingerprint, GatewayStep step) {
+    FleetMessage.CrashTold message = new FleetMessage.CrashTold(fingerprint);
+    for (NodeAddress peer : peers.addresses()) {
+      step.emit(new GatewayEffect.SendPeer(peer, message));
+    }
+  }
+
   // Readiness and drain
 
   private void updateReadiness(GatewayStep step) {
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
@@ -31,6 +31,16 @@
   /** Time after its first read in which a node expects others to start too. */
   private static final Duration STARTING = Duration.ofSeconds(4);
 
+  /** How far a node's own address got into the store. */
+  enum Registration {
+    /** Not written yet. */
+    PENDING,
+    /** The last try failed. */
+    FAILED,
+    /** Written. */
+    DONE
+  }
+
   private final Duration directoryPause;
   private boolean configurationRead;
   private boolean readingConfiguration;
@@ -38,6 +48,7 @@
   private boolean readingNodes;
   private long nextConfiguration = -1;
   private boolean directoryGap = true;
+  private boolean nodesRead;
   private Instant configurationAt = Instant.MIN;
   private Instant directoryAt = Instant.MIN;
   private Instant nodesAt = Instant.MIN;
@@ -60,9 +71,15 @@
    *
    * @param watching whether this node follows the store, for itself or for all
    * @param directoryOffset offset up to which it knows the directory; negative if it knows nothing
-   * @param lonely whether no peer was heard yet
+   * @param registration how far this node's own address got into the store
+   * @param lonely whether no peer is heard
    */
-  List<StoreRead> advance(boolean watching, long directoryOffset, boolean lonely, Instant now) {
+  List<StoreRead> advance(
+      boolean watching,
+      long directoryOffset,
+      Registration registration,
+      boolean lonely,
+      Instant now) {
     List<StoreRead> reads = new ArrayList<>();
     boolean first = !configurationRead || directoryOffset < 0;
     if (!readingConfiguration && !now.isBefore(configurationAt) && (watching || first)) {
@@ -79,7 +96,7 @@
               ? new StoreRead.WholeDirectory()
               : new StoreRead.DirectoryChanges(directoryOffset));
     }
-    if (!readingNodes && lonely && !now.isBefore(nodesAt)) {
+    if (!readingNodes && wantsNodes(registration, lonely) && !now.isBefore(nodesAt)) {
       readingNodes = true;
       reads.add(new StoreRead.Nodes());
     }
@@ -89,6 +106,18 @@
     return reads;
   }
 
+  /**
+   * Of two nodes that start together, the one that reads after both are registered learns of the
+   * other; so each reads once after its own registration.
+   */
+  private boolean wantsNodes(Registration registration, boolean lonely) {
+    return switch (registration) {
+      case PENDING -> false;
+      case FAILED -> lonely;
+      case DONE -> lonely || !nodesRead;
+    };
+  }
+
   // Answers
 
   /** Takes the end of a read. */
@@ -133,7 +162,7 @@
           nextConfiguration = -1;
         }
       }
-      case StoreAnswer.NodesRead read -> {}
+      case StoreAnswer.NodesRead read -> nodesRead = true;
       case StoreAnswer.Failed failure -> {}
     }
   }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -164,7 +164,8 @@
 
   private static GatewaySettings settings(GatewayFile file, Incarnation incarnation) {
     return new GatewaySettings(
-        new NodeAddress(file.node(), incarnation, file.peers().host(), file.peers().port()),
+        new NodeAddress(
+            file.node(), incarnation, file.peers().host(), file.peers().port(), file.linkMbps()),
         file.failureDomain().value(),
         file.seeds(),
         file.timings(),
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -14,6 +14,7 @@
  * docs/SETTINGS.md describes each key.
  *
  * @param node the node's name
+ * @param linkMbps bandwidth of its VM's link in Mbit/s; nodes with faster links coordinate first
  * @param failureDomain where it stands
  * @param callers where it listens for callers
  * @param balancer where it answers the balancer whether it takes callers
@@ -29,6 +30,7 @@
  */
 public record GatewayFile(
     NodeId node,
+    int linkMbps,
     FailureDomain failureDomain,
     Endpoint callers,
     Endpoint balancer,
@@ -70,6 +72,7 @@
     GatewayFile file =
         new GatewayFile(
             NodeId.of(toml.text("node.id")),
+            (int) toml.number("node.link_mbps", 0, 1_000_000, 1_000),
             FailureDomain.of(toml.text("node.failure_domain")),
             endpoint(toml, "gateway.callers"),
             endpoint(toml, "gateway.balancer"),
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -61,7 +61,7 @@
   static CoreHarness unready() {
     GatewaySettings settings =
         new GatewaySettings(
-            new NodeAddress(NodeId.of("n1"), Incarnation.of(1), "10.0.0.1", 7000),
+            new NodeAddress(NodeId.of("n1"), Incarnation.of(1), "10.0.0.1", 7000, 1000),
             "a",
             List.of(),
             FleetTimings.DEFAULT,
@@ -160,8 +160,9 @@
 
   /** Lets a heartbeat of a node that holds the lease on orders arrive. */
   void hearCoordinator(String name) {
-    NodeAddress address = new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.0.2", 7000);
-    PeerStatus status = new PeerStatus(9, 0, true, false, 1, 5, 5, 0);
+    NodeAddress address =
+        new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.0.2", 7000, 1000);
+    PeerStatus status = new PeerStatus(9, 0, true, false, 1, 5, 5, 2, 0);
     handle(
         new GatewayEvent.PeerTold(
             NodeId.of(name), Incarnation.of(1), new FleetMessage.Beat(address, List.of(), status)));
