--- a/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
@@ -11,7 +11,6 @@
  * @param directoryOffset offset up to which it knows the directory of runners; negative if it knows
  *     nothing of it
  * @param directoryChange offset after the last change of the directory that matters to others
- * @param liveNodes number of live nodes that it knows of, itself included
  * @param directoryAgeMillis time since its knowledge of the directory was last known to be current
  */
 public record PeerStatus(
@@ -22,9 +21,8 @@
     long configurationVersion,
     long directoryOffset,
     long directoryChange,
-    int liveNodes,
     long directoryAgeMillis) {
 
   /** What is assumed of a node that has said nothing yet. */
-  public static final PeerStatus UNKNOWN = new PeerStatus(0, -1, false, false, 0, -1, -1, 0, 0);
+  public static final PeerStatus UNKNOWN = new PeerStatus(0, -1, false, false, 0, -1, -1, 0);
 }
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -204,15 +204,12 @@
     return peers.values().stream().map(Peer::address).toList();
   }
 
-  /** Returns the number of live nodes, as far as this node or a live peer knows. */
-  public int liveNodes(Instant now) {
-    int known = 1;
-    for (Peer peer : peers.values()) {
-      if (isLive(peer, now)) {
-        known = Math.max(known, peer.status().liveNodes());
-      }
-    }
-    return Math.max(known, live(now).size() + 1);
+  /**
+   * Returns between how many nodes what all may use together is divided. In a large fleet these are
+   * all nodes that were known lately, as most of them are not heard; so it never is too few.
+   */
+  public int sharers(Instant now) {
+    return 1 + (peers.size() > PEERS_AT_FULL_PACE ? peers.size() : live(now).size());
   }
 
   /** Returns the peers that were heard lately, in the order of their identifiers. */
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -127,10 +127,10 @@
   /** Sends what can be sent and ends what has waited too long. */
   void advance(
       Optional<GatewayConfiguration> configuration,
-      int liveNodes,
+      int sharers,
       boolean coordinated,
       GatewayStep step) {
-    nodes = Math.max(1, liveNodes);
+    nodes = sharers;
     hasCoordinator = coordinated;
     if (configuration.isEmpty() || pending.isEmpty()) {
       return;
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -62,7 +62,7 @@
   private Instant startedAt = Instant.MAX;
   private Instant nextBeat = Instant.MIN;
   private Instant nextDemand = Instant.MIN;
-  private int liveNodes = 1;
+  private int sharers = 1;
   private StoreWatch.Registration registration = StoreWatch.Registration.PENDING;
   private boolean registering;
   private boolean ready;
@@ -309,7 +309,7 @@
     }
     reportDemand(step);
     boolean coordinated = coordinatorNode.isPresent() || !coordinatorSeen;
-    forwarder.advance(configuration, liveNodes, coordinated, step);
+    forwarder.advance(configuration, sharers, coordinated, step);
     if (!ofRequest) {
       updateReadiness(step);
       drain.advance(forwarder.size(), step);
@@ -325,7 +325,7 @@
       peers.advance(now);
     }
     List<PeerTable.Peer> live = peers.live(now);
-    liveNodes = peers.liveNodes(now);
+    sharers = peers.sharers(now);
     coordinate(live, step);
     readStore(live, step);
     beat(step);
@@ -392,7 +392,6 @@
         configuration.map(GatewayConfiguration::version).orElse(0L),
         directory.offset(),
         directory.materialOffset(),
-        peers.live(now).size() + 1,
         Math.max(0, directory.age(now).toMillis()));
   }
 
