--- a/src/main/java/dev/wisteriarail/cli/Main.java
+++ b/src/main/java/dev/wisteriarail/cli/Main.java
@@ -29,6 +29,7 @@
           new LoadCommand(),
           new ReplayCommand(),
           new ServeCommand(),
+          new SoakCommand(),
           new StandinCommand(),
           new StatusCommand(),
           new TraceCommand());
--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -61,6 +61,7 @@
   private List<ModelForecast> forecasts = List.of();
   private long nextOrder = 1;
   private long revision;
+  private long heldRevision;
 
   private Coordinator() {}
 
@@ -106,11 +107,11 @@
       EngineState known = engines.get(entry.id());
       if (known == null || isLaterRun(entry, known)) {
         EngineState engine = EngineState.of(entry, now);
-        engine.revise(++revision);
+        reviseHeld(engine);
         engines.put(entry.id(), engine);
         serviceOf.put(entry.id(), entry.service());
       } else if (known.acceptEntry(entry)) {
-        known.revise(++revision);
+        reviseHeld(known);
       }
     }
     engines.keySet().retainAll(seen);
@@ -132,7 +133,7 @@
     }
     Optional<EngineState.OpenOrder> before = engine.open();
     if (engine.acceptReport(report, asked, now)) {
-      engine.revise(++revision);
+      reviseHeld(engine);
     }
     if (before.isPresent() && engine.open().isEmpty()) {
       learnLoad(engine, before.get(), configuration, now);
@@ -163,7 +164,7 @@
     EngineState engine = engines.get(runner);
     if (engine != null) {
       engine.finish(number, outcome, now);
-      engine.revise(++revision);
+      reviseHeld(engine);
     }
   }
 
@@ -173,7 +174,7 @@
   public List<NumberedOrder> decide(GatewayConfiguration configuration, Instant now) {
     for (EngineState engine : engines.values()) {
       if (engine.advance(now)) {
-        engine.revise(++revision);
+        reviseHeld(engine);
       }
     }
     demand.forgetBefore(now.minus(NODE_SILENCE));
@@ -249,7 +250,7 @@
     long number = nextOrder++;
     final long expected = engine.orders();
     engine.begin(number, placed.order(), expectedTime(placed.order(), spec), now);
-    engine.revise(++revision);
+    reviseHeld(engine);
     if (placed.order() instanceof FleetOrder.LoadModel load && load.source() == LoadSource.STORE) {
       storeLoads.begin(now);
       storeLoadsAtBegin.put(number, (long) countStoreLoads(serviceOf.get(placed.runner())));
@@ -415,6 +416,11 @@
     return questions;
   }
 
+  private void reviseHeld(EngineState engine) {
+    engine.revise(++revision);
+    heldRevision = revision;
+  }
+
   // Output
 
   /** Returns the views that changed after a revision. */
@@ -452,6 +458,11 @@
         load == null ? 0 : load.tokens());
   }
 
+  /** Returns the newest revision of a view that tells of more than running requests. */
+  public long heldRevision() {
+    return heldRevision;
+  }
+
   /** Returns when models that are waited for can serve. */
   public List<ModelForecast> forecasts() {
     return forecasts;
--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
@@ -35,6 +35,7 @@
   private final Map<String, Long> drained = new LinkedHashMap<>();
   private long offset = -1;
   private long materialOffset = -1;
+  private long changes;
   private Instant currentAt = Instant.MIN;
 
   private RunnerDirectory() {}
@@ -71,6 +72,9 @@
       put(entry).ifPresent(turns::add);
     }
     remove(removed, now, turns);
+    if (isMaterial || !turns.isEmpty()) {
+      changes++;
+    }
     if (isMaterial) {
       materialOffset = Math.max(offset, change.to());
     }
@@ -151,7 +155,9 @@
 
   /** Forgets entries that stayed away after a lapse. */
   public void advance(Instant now) {
-    lapsed.values().removeIf(entry -> !now.isBefore(entry.until()));
+    if (lapsed.values().removeIf(entry -> !now.isBefore(entry.until()))) {
+      changes++;
+    }
   }
 
   // Accessors
@@ -177,6 +183,11 @@
     return Optional.ofNullable(lapsed.get(id)).map(Lapsed::entry);
   }
 
+  /** Returns a number that grows whenever the runners that may get requests may have changed. */
+  public long changes() {
+    return changes;
+  }
+
   /** Returns the offset after the last known record; negative if nothing is known. */
   public long offset() {
     return offset;
--- a/src/main/java/dev/wisteriarail/core/forward/RunnerBoard.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunnerBoard.java
@@ -33,6 +33,8 @@
   private final Map<String, RunnerHealth> health = new HashMap<>();
   private long viewRevision;
   private Instant forecastAt = Instant.MIN;
+  private RunnerIndex index = RunnerIndex.EMPTY;
+  private long indexedChanges = -1;
 
   private RunnerBoard(RunnerDirectory directory) {
     this.directory = directory;
@@ -51,6 +53,9 @@
       RunnerView known = views.get(view.runner());
       if (known == null || view.revision() > known.revision()) {
         views.put(view.runner(), view);
+        if (known == null || !known.models().equals(view.models())) {
+          indexedChanges = -1;
+        }
       }
       viewRevision = Math.max(viewRevision, view.revision());
     }
@@ -61,6 +66,9 @@
 
   /** Forgets runners that are gone. */
   public void advance() {
+    if (directory.changes() == indexedChanges) {
+      return;
+    }
     views.keySet().removeIf(id -> directory.usable(id).isEmpty());
     health.keySet().removeIf(id -> directory.usable(id).isEmpty() && !ownRunning.containsKey(id));
   }
@@ -108,6 +116,7 @@
             view.readyInMillis(),
             view.running(),
             view.tokens()));
+    indexedChanges = -1;
   }
 
   /** Returns where this node's requests run, and notes that the coordinator is told. */
@@ -138,7 +147,29 @@
 
   /** Returns the runners of a service that may get requests, as far as the directory says. */
   public List<RunnerEntry> usable(String service) {
-    return directory.usable().stream().filter(entry -> entry.service().equals(service)).toList();
+    return index().ofService(service);
+  }
+
+  /**
+   * Returns the runners that may get requests and hold a model, and the adapter unless it is empty.
+   * Without a model these are all runners of the service.
+   */
+  public List<RunnerEntry> holders(String service, String model, String adapter) {
+    if (model.isEmpty()) {
+      return usable(service);
+    }
+    List<RunnerEntry> holders = index().holders(service, model);
+    return adapter.isEmpty()
+        ? holders
+        : holders.stream().filter(entry -> holds(entry, model, adapter)).toList();
+  }
+
+  private RunnerIndex index() {
+    if (directory.changes() != indexedChanges) {
+      index = RunnerIndex.of(directory.usable(), this::models);
+      indexedChanges = directory.changes();
+    }
+    return index;
   }
 
   /** Returns whether a runner holds a model, and the adapter unless it is empty. */
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/forward/RunnerIndex.java
@@ -0,0 +1,63 @@
+package dev.wisteriarail.core.forward;
+
+import dev.wisteriarail.core.fleet.LoadedModel;
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * Runners by their service and by the models that they hold.
+ *
+ * <p>The load that it answers: many requests wait for models that no runner holds, and each message
+ * from the coordinator makes a node look for runners for all of them. Looking through all runners
+ * each time took most of the time of the core's thread among 63 runners. Immutable.
+ */
+final class RunnerIndex {
+
+  static final RunnerIndex EMPTY = new RunnerIndex(Map.of(), Map.of());
+
+  private final Map<String, List<RunnerEntry>> byService;
+  private final Map<String, List<RunnerEntry>> byModel;
+
+  private RunnerIndex(
+      Map<String, List<RunnerEntry>> byService, Map<String, List<RunnerEntry>> byModel) {
+    this.byService = byService;
+    this.byModel = byModel;
+  }
+
+  /**
+   * Builds an index.
+   *
+   * @param runners the runners that may get requests
+   * @param models returns what a runner holds
+   */
+  static RunnerIndex of(
+      List<RunnerEntry> runners, Function<RunnerEntry, List<LoadedModel>> models) {
+    Map<String, List<RunnerEntry>> byService = new HashMap<>();
+    Map<String, List<RunnerEntry>> byModel = new HashMap<>();
+    for (RunnerEntry runner : runners) {
+      byService.computeIfAbsent(runner.service(), service -> new ArrayList<>()).add(runner);
+      for (LoadedModel held : models.apply(runner)) {
+        byModel
+            .computeIfAbsent(key(runner.service(), held.name()), key -> new ArrayList<>())
+            .add(runner);
+      }
+    }
+    return new RunnerIndex(byService, byModel);
+  }
+
+  private static String key(String service, String model) {
+    return service + "/" + model;
+  }
+
+  List<RunnerEntry> ofService(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  List<RunnerEntry> holders(String service, String model) {
+    return byModel.getOrDefault(key(service, model), List.of());
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -33,9 +33,15 @@
   /** Least time between two plans; the fastest load takes some hundred milliseconds. */
   private static final long PLAN_MILLIS = 15;
 
-  /** Time in which news of engines are put together, for each doubling of the pace. */
+  /** Time in which news of what engines hold are put together, for each doubling of the pace. */
   private static final long NEWS_MILLIS = 30;
 
+  /**
+   * The same for news of how many requests they run. Each message goes to all nodes, and among 64
+   * of them taking these messages cost a node more than its requests.
+   */
+  private static final long LOAD_NEWS_MILLIS = 90;
+
   private final GatewaySettings settings;
   private final OrderLease lease;
   private final RunnerDirectory directory;
@@ -163,7 +169,8 @@
   private void tellFleet(List<PeerTable.Peer> live, double pace, GatewayStep step) {
     Instant now = step.now();
     boolean news = coordinator.revision() > board.viewRevision();
-    Instant soon = now.plusMillis(Math.round(NEWS_MILLIS * (pace - 1)));
+    boolean held = coordinator.heldRevision() > board.viewRevision();
+    Instant soon = now.plusMillis(Math.round((held ? NEWS_MILLIS : LOAD_NEWS_MILLIS) * (pace - 1)));
     if (news && nextFleetTold.isAfter(soon)) {
       nextFleetTold = soon;
     }
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -216,8 +216,7 @@
     Optional<Duration> told = board.forecast(forward.service(), forward.model(), now);
     boolean loaded =
         forward.model().isEmpty()
-            || board.usable(forward.service()).stream()
-                .anyMatch(entry -> board.holds(entry, forward.model(), ""));
+            || !board.holders(forward.service(), forward.model(), "").isEmpty();
     return told.isPresent() || loaded || hasCoordinator ? told : Optional.of(TAKEOVER);
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
@@ -71,13 +71,10 @@
     boolean runAgain = !forward.runnersThatMayHaveRun().isEmpty();
     Optional<String> sessionRunner =
         forward.request().session().flatMap(session -> sessions.runner(forward.model(), session));
-    for (RunnerEntry entry : board.usable(forward.service())) {
+    for (RunnerEntry entry : holders(forward, engine.isPresent())) {
       boolean fits =
           board.health(entry.id()).isIn(now)
               && !(runAgain && forward.runnersThatMayHaveRun().contains(entry.id()))
-              && (engine.isEmpty()
-                  || forward.model().isEmpty()
-                  || board.holds(entry, forward.model(), forward.adapter()))
               && engine
                   .map(spec -> board.allTokens(entry) + forward.tokens() <= spec.cacheTokens())
                   .orElse(true);
@@ -99,12 +96,16 @@
 
   /** Returns whether a runner that has not had the request could serve it. */
   boolean hasOther(PendingForward forward, Instant now) {
-    return board.usable(forward.service()).stream()
+    return holders(forward, true).stream()
         .anyMatch(
             entry ->
                 !forward.runnersThatMayHaveRun().contains(entry.id())
-                    && board.health(entry.id()).isIn(now)
-                    && (forward.model().isEmpty()
-                        || board.holds(entry, forward.model(), forward.adapter())));
+                    && board.health(entry.id()).isIn(now));
+  }
+
+  private List<RunnerEntry> holders(PendingForward forward, boolean engine) {
+    return engine
+        ? board.holders(forward.service(), forward.model(), forward.adapter())
+        : board.usable(forward.service());
   }
 }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -14,6 +14,7 @@
 import dev.wisteriarail.peer.TcpPeerTransport;
 import dev.wisteriarail.runtime.EventLog;
 import dev.wisteriarail.runtime.MonotonicClock;
+import dev.wisteriarail.runtime.TimeOfDay;
 import dev.wisteriarail.settings.Endpoint;
 import dev.wisteriarail.settings.GatewayFile;
 import java.io.IOException;
@@ -98,7 +99,8 @@
       RunnerProtocol runnerProtocol,
       BiFunction<HttpClient, String, PlatformClient> platformClients)
       throws SettingsException {
-    MonotonicClock clock = MonotonicClock.start();
+    InstantSource timeOfDay = TimeOfDay.source();
+    MonotonicClock clock = MonotonicClock.start(timeOfDay);
     Incarnation incarnation = Incarnation.of(clock.instant().toEpochMilli());
     EventLog log = EventLog.forNode(file.node());
     log.write(
@@ -148,7 +150,7 @@
             log,
             metrics,
             clock,
-            InstantSource.system(),
+            timeOfDay,
             events);
     runtime.start();
     return new GatewayNode(
@@ -165,7 +167,11 @@
   private static GatewaySettings settings(GatewayFile file, Incarnation incarnation) {
     return new GatewaySettings(
         new NodeAddress(
-            file.node(), incarnation, file.peers().host(), file.peers().port(), file.linkMbps()),
+            file.node(),
+            incarnation,
+            file.announced().host(),
+            file.announced().port(),
+            file.linkMbps()),
         file.failureDomain().value(),
         file.seeds(),
         file.timings(),
--- a/src/main/java/dev/wisteriarail/runtime/MonotonicClock.java
+++ b/src/main/java/dev/wisteriarail/runtime/MonotonicClock.java
@@ -16,7 +16,12 @@
 
   /** Returns a clock that starts at the present wall time. */
   public static MonotonicClock start() {
-    return new MonotonicClock(Instant.now(), System.nanoTime());
+    return start(InstantSource.system());
+  }
+
+  /** Returns a clock that starts at the present time of another one. */
+  public static MonotonicClock start(InstantSource timeOfDay) {
+    return new MonotonicClock(timeOfDay.instant(), System.nanoTime());
   }
 
   @Override
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -19,6 +19,7 @@
  * @param callers where it listens for callers
  * @param balancer where it answers the balancer whether it takes callers
  * @param peers where it listens for other nodes
+ * @param announced address that it tells other nodes, as it may be reached through another one
  * @param metrics where it serves its metrics; empty to serve none
  * @param seeds addresses of some nodes, which may be stale, as host and port
  * @param storeAddress address of the platform's store, as host and port
@@ -35,6 +36,7 @@
     Endpoint callers,
     Endpoint balancer,
     Endpoint peers,
+    Endpoint announced,
     Optional<Endpoint> metrics,
     List<String> seeds,
     String storeAddress,
@@ -77,6 +79,8 @@
             endpoint(toml, "gateway.callers"),
             endpoint(toml, "gateway.balancer"),
             endpoint(toml, "gateway.peers"),
+            endpoint(
+                toml, toml.contains("gateway.announced") ? "gateway.announced" : "gateway.peers"),
             toml.contains("gateway.metrics")
                 ? Optional.of(endpoint(toml, "gateway.metrics"))
                 : Optional.empty(),
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/soak/NodeProcess.java
@@ -0,0 +1,129 @@
+package dev.wisteriarail.soak;
+
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.result.SettingsException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One gateway node as a process of its own, which is started, signalled and killed by its id.
+ *
+ * <p>Life cycle: {@link #start} any number of times, then {@link #kill}. Not thread-safe.
+ */
+final class NodeProcess {
+
+  private final String name;
+  private final Path settings;
+  private final Path log;
+  private Process process;
+
+  private NodeProcess(String name, Path settings, Path log) {
+    this.name = name;
+    this.settings = settings;
+    this.log = log;
+  }
+
+  /**
+   * Returns a node that does not run yet.
+   *
+   * @param name its identifier
+   * @param toml its settings
+   * @param directory where its settings and its log are kept
+   */
+  static NodeProcess create(String name, String toml, Path directory) throws SettingsException {
+    Path settings = directory.resolve(name + ".toml");
+    write(settings, toml);
+    return new NodeProcess(name, settings, directory.resolve(name + ".log"));
+  }
+
+  private static void write(Path path, String text) throws SettingsException {
+    try {
+      Files.writeString(path, text);
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.SETTINGS_INVALID, "soak", "cannot write " + path, failure);
+    }
+  }
+
+  /** Changes its settings file; a running process reads it after SIGHUP. */
+  void writeSettings(String toml) throws SettingsException {
+    write(settings, toml);
+  }
+
+  /**
+   * Starts the process, unless it runs.
+   *
+   * @param clockOffset by how much its time of day differs from the machine's
+   */
+  void start(Duration clockOffset) throws SettingsException {
+    if (isAlive()) {
+      return;
+    }
+    String java = ProcessHandle.current().info().command().orElse("java");
+    ProcessBuilder builder =
+        new ProcessBuilder(
+            List.of(
+                java,
+                "-Xmx96m",
+                "-Xss256k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Dwisteriarail.log=json",
+                "-Dwisteriarail.clock.offset_ms=" + clockOffset.toMillis(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "dev.wisteriarail.cli.Main",
+                "serve",
+                "--config",
+                settings.toString()));
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    try {
+      process = builder.start();
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.SETTINGS_INVALID, "soak", "cannot start " + name, failure);
+    }
+  }
+
+  boolean isAlive() {
+    return process != null && process.isAlive();
+  }
+
+  /** Sends SIGTERM. */
+  void terminate() {
+    if (isAlive()) {
+      process.destroy();
+    }
+  }
+
+  /** Sends SIGKILL and waits for the end. */
+  void kill() throws InterruptedException {
+    if (isAlive()) {
+      process.destroyForcibly();
+      process.waitFor();
+    }
+  }
+
+  /** Sends a signal that Java has no call for, such as STOP, CONT or HUP. */
+  void signal(String signal) throws SettingsException, InterruptedException {
+    if (!isAlive()) {
+      return;
+    }
+    try {
+      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.SETTINGS_INVALID, "soak", "cannot signal " + name, failure);
+    }
+  }
+
+  /** Waits for the end; returns whether it came within the limit. */
+  boolean awaitEnd(Duration limit) throws InterruptedException {
+    return process == null || process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -0,0 +1,296 @@
+package dev.wisteriarail.soak;
+
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.core.result.WisteriarailException;
+import dev.wisteriarail.standin.Faults;
+import dev.wisteriarail.standin.RunnerStandin;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+
+/**
+ * One soak: real processes, callers that keep sending, disturbances of a seeded plan in series and
+ * overlapping, and at the end the checks.
+ *
+ * <p>Life cycle: {@link #run} once. Its verdict does not depend on how fast the machine is: limits
+ * of time are far beyond what a working system needs.
+ */
+public final class Soak {
+
+  /** Time in which every node must serve again once all faults are over. */
+  private static final Duration RECOVERY = Duration.ofSeconds(90);
+
+  /** Time in which a process must end after SIGTERM; its own limit is four seconds. */
+  private static final Duration STOP_LIMIT = Duration.ofSeconds(60);
+
+  /** Share of retries that settings files alternate between. */
+  private static final List<String> RETRY_RATIOS = List.of("0.1", "0.2");
+
+  private static final Duration POLL = Duration.ofMillis(100);
+  private static final double LOST_ANSWERS = 0.3;
+  private static final long SLOW_STORE_MILLIS = 400;
+  private static final int THREADS = 8;
+
+  private final SoakFleet fleet;
+  private final PrintStream out;
+  private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(THREADS);
+  private final List<String> routes = new ArrayList<>();
+  private final List<String> broken = new ArrayList<>();
+
+  private Soak(SoakFleet fleet, PrintStream out) {
+    this.fleet = fleet;
+    this.out = out;
+  }
+
+  /**
+   * Runs a soak.
+   *
+   * @param seed decides the disturbances and what callers ask for
+   * @param length for how long disturbances begin
+   * @param nodes number of node processes
+   * @param directory where settings and logs of the nodes are kept
+   * @param out where the plan is printed as it is carried out
+   * @throws SettingsException if a process or a stand-in cannot be started
+   */
+  public static Report run(long seed, Duration length, int nodes, Path directory, PrintStream out)
+      throws SettingsException, InterruptedException {
+    SoakPlan plan = SoakPlan.draw(seed, length, nodes, SoakFleet.RUNNERS);
+    try (SoakFleet fleet = SoakFleet.start(nodes, directory)) {
+      return new Soak(fleet, out).run(seed, plan, length);
+    }
+  }
+
+  private Report run(long seed, SoakPlan plan, Duration length) throws InterruptedException {
+    List<String> addresses =
+        fleet.members().stream().map(member -> member.callers().address()).toList();
+    SoakCallers callers = SoakCallers.start(seed, addresses);
+    awaitRecovery(callers, addresses, "after the start");
+    for (SoakPlan.Step step : plan.steps()) {
+      ScheduledFuture<?> _ =
+          timer.schedule(() -> perform(step), step.at().toMillis(), TimeUnit.MILLISECONDS);
+    }
+    Thread.sleep(length);
+    timer.shutdown();
+    if (!timer.awaitTermination(STOP_LIMIT.toMillis(), TimeUnit.MILLISECONDS)) {
+      add("the disturbances did not end");
+    }
+    heal();
+    awaitRecovery(callers, addresses, "after the faults");
+    List<SoakCallers.Outcome> outcomes = callers.stop();
+    stopAll();
+    List<String> violations = new ArrayList<>(broken);
+    violations.addAll(
+        SoakOracle.violations(outcomes, fleet.platform().everyRunner(), plan.plannedOnly()));
+    Map<Integer, Integer> statuses = new TreeMap<>();
+    outcomes.forEach(outcome -> statuses.merge(outcome.status(), 1, Integer::sum));
+    return new Report(seed, plan.plannedOnly(), plan.steps().size(), statuses, violations);
+  }
+
+  private synchronized void add(String violation) {
+    broken.add(violation);
+  }
+
+  // Disturbances
+
+  private void perform(SoakPlan.Step step) {
+    out.println(step.at().toMillis() + " ms " + step.what());
+    try {
+      perform(step.what());
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    } catch (WisteriarailException | RuntimeException failure) {
+      LogManager.getLogger(Soak.class).warn("a disturbance failed: {}", step, failure);
+      add("the soak could not carry out " + step + ": " + failure);
+    }
+  }
+
+  private void perform(Disturbance what) throws SettingsException, InterruptedException {
+    switch (what) {
+      case Disturbance.NodeStopped stopped -> {
+        NodeProcess process = process(stopped.node());
+        process.terminate();
+        awaitEnd(process, stopped);
+        process.start(Duration.ZERO);
+      }
+      case Disturbance.NodeKilled killed -> {
+        process(killed.node()).kill();
+        Thread.sleep(killed.downMillis());
+        process(killed.node()).start(Duration.ofMillis(killed.clockOffsetMillis()));
+      }
+      case Disturbance.AllKilled killed -> {
+        for (SoakFleet.Member member : fleet.members()) {
+          member.process().kill();
+        }
+        Thread.sleep(killed.downMillis());
+        startAll();
+      }
+      case Disturbance.NodePaused paused -> {
+        process(paused.node()).signal("STOP");
+        Thread.sleep(paused.millis());
+        process(paused.node()).signal("CONT");
+      }
+      case Disturbance.SettingsChanged changed -> {
+        SoakFleet.Member member = fleet.members().get(changed.node());
+        String ratio = RETRY_RATIOS.get(changed.node() % RETRY_RATIOS.size());
+        member.process().writeSettings(member.toml().formatted(ratio));
+        member.process().signal("HUP");
+      }
+      case Disturbance.ConfigurationPublished published -> publish();
+      case Disturbance.LinkHarmed harmed -> {
+        LoopbackProxy proxy = fleet.proxy(harmed.link(), harmed.index());
+        proxy.set(harmed.state());
+        Thread.sleep(harmed.millis());
+        proxy.set(LinkState.OPEN);
+      }
+      case Disturbance.StoreHarmed harmed -> {
+        fleet.platform().store().server().setFaults(faults(harmed.harm()));
+        Thread.sleep(harmed.millis());
+        fleet.platform().store().server().setFaults(Faults.NONE);
+      }
+      case Disturbance.StoreCompacted compacted ->
+          List.of("keyed.servers", "keyed.op").forEach(fleet.platform().store()::compact);
+      case Disturbance.RunnerCrashed crashed -> crash(crashed);
+      case Disturbance.RunnerMisbehaves bad -> {
+        behave(bad.runner(), bad.behaviour());
+        Thread.sleep(bad.millis());
+        behave(bad.runner(), RunnerStandin.Behaviour.SOUND);
+      }
+    }
+  }
+
+  private static Faults faults(Disturbance.StoreHarm harm) {
+    return switch (harm) {
+      case DOWN -> Faults.NONE.withDown(true);
+      case SLOW -> Faults.NONE.withDelay(SLOW_STORE_MILLIS);
+      case LOSES_ANSWERS -> Faults.NONE.withLostAnswers(LOST_ANSWERS);
+    };
+  }
+
+  private synchronized void publish() {
+    routes.add("added-" + routes.size());
+    fleet.platform().publish(routes);
+  }
+
+  private void crash(Disturbance.RunnerCrashed crashed)
+      throws SettingsException, InterruptedException {
+    synchronized (this) {
+      if (!fleet.hasRunner(crashed.runner())) {
+        return;
+      }
+      fleet.crashRunner(crashed.runner());
+    }
+    Thread.sleep(crashed.downMillis());
+    fleet.restartRunner(crashed.runner());
+  }
+
+  private synchronized void behave(int runner, RunnerStandin.Behaviour behaviour) {
+    if (fleet.hasRunner(runner)) {
+      fleet.platform().runner(SoakFleet.runnerId(runner)).behave(behaviour);
+    }
+  }
+
+  private NodeProcess process(int node) {
+    return fleet.members().get(node).process();
+  }
+
+  private void awaitEnd(NodeProcess process, Object why) throws InterruptedException {
+    if (!process.awaitEnd(STOP_LIMIT)) {
+      add("STOP a process did not end after " + why);
+      process.kill();
+    }
+  }
+
+  private void startAll() throws SettingsException {
+    for (SoakFleet.Member member : fleet.members()) {
+      member.process().start(Duration.ZERO);
+    }
+  }
+
+  // Ends
+
+  private void heal() {
+    fleet.openLinks();
+    fleet.platform().store().server().setFaults(Faults.NONE);
+    for (int i = 0; i < SoakFleet.RUNNERS; i++) {
+      behave(i, RunnerStandin.Behaviour.SOUND);
+    }
+    try {
+      for (SoakFleet.Member member : fleet.members()) {
+        member.process().signal("CONT");
+      }
+      startAll();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    } catch (SettingsException failure) {
+      add("a node could not be started: " + failure.describe());
+    }
+  }
+
+  /** Waits until each node serves each kind of request; notes those that do not. */
+  private void awaitRecovery(SoakCallers callers, List<String> addresses, String when)
+      throws InterruptedException {
+    long until = System.nanoTime() + RECOVERY.toNanos();
+    for (String address : addresses) {
+      for (SoakCallers.Kind kind : SoakCallers.Kind.values()) {
+        while (callers.send(address, kind, 0).status() != 200) {
+          if (System.nanoTime() > until) {
+            add("RECOVER " + address + " does not serve " + kind + " " + when);
+            return;
+          }
+          Thread.sleep(POLL);
+        }
+      }
+    }
+  }
+
+  private void stopAll() throws InterruptedException {
+    fleet.members().forEach(member -> member.process().terminate());
+    for (SoakFleet.Member member : fleet.members()) {
+      awaitEnd(member.process(), "the end of the soak");
+    }
+  }
+
+  /**
+   * What a soak found.
+   *
+   * @param seed its seed
+   * @param plannedOnly whether it had nothing but planned work
+   * @param disturbances number of disturbances
+   * @param statuses number of requests by the status of their answer; 0 for no whole answer
+   * @param violations what was broken, one line each
+   */
+  public record Report(
+      long seed,
+      boolean plannedOnly,
+      int disturbances,
+      Map<Integer, Integer> statuses,
+      List<String> violations) {
+
+    /** Copies the collections. */
+    public Report {
+      statuses = Map.copyOf(statuses);
+      violations = List.copyOf(violations);
+    }
+
+    /** Returns the report as one line, and one more for each violation. */
+    public String describe() {
+      String head =
+          "seed %d: %d disturbances%s, requests by status %s, %d violations"
+              .formatted(
+                  seed,
+                  disturbances,
+                  plannedOnly ? " (planned work only)" : "",
+                  new TreeMap<>(statuses),
+                  violations.size());
+      return violations.isEmpty() ? head : head + "\n  " + String.join("\n  ", violations);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/soak/SoakFleet.java
@@ -0,0 +1,207 @@
+package dev.wisteriarail.soak;
+
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.standin.PlatformStandin;
+import dev.wisteriarail.standin.RunnerStandin;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The processes of one soak: gateway nodes, each behind its proxies, and a stand-in of the
+ * platform.
+ *
+ * <p>Life cycle: {@link #start}, then {@link #close}. Thread-safe.
+ */
+final class SoakFleet implements AutoCloseable {
+
+  private static final int ENGINES = 3;
+  private static final int PLAIN = 2;
+
+  /** Number of runners of all kinds. */
+  static final int RUNNERS = ENGINES + PLAIN;
+
+  /** Time that a node has for its requests after SIGTERM. */
+  private static final int DRAIN_SECONDS = 4;
+
+  private final PlatformStandin platform;
+  private final List<Member> members = new ArrayList<>();
+  private final Map<String, LoopbackProxy> runnerProxies = new HashMap<>();
+
+  private SoakFleet(PlatformStandin platform) {
+    this.platform = platform;
+  }
+
+  /**
+   * Starts the platform and all nodes.
+   *
+   * @param nodes number of nodes
+   * @param directory where settings and logs of the nodes are kept
+   */
+  static SoakFleet start(int nodes, Path directory) throws SettingsException {
+    SoakFleet fleet = new SoakFleet(PlatformStandin.start(ENGINES, PLAIN));
+    for (RunnerStandin runner : fleet.platform.runners()) {
+      fleet.interpose(runner);
+    }
+    fleet.platform.writeEntries();
+    for (int i = 0; i < nodes; i++) {
+      Member member = fleet.newMember("n" + i, directory);
+      fleet.members.add(member);
+      member.process().start(Duration.ZERO);
+    }
+    return fleet;
+  }
+
+  /** Puts a proxy before a runner, which is the only address that nodes learn. */
+  private synchronized void interpose(RunnerStandin runner) throws SettingsException {
+    LoopbackProxy proxy = LoopbackProxy.start(port(runner.address()));
+    LoopbackProxy before = runnerProxies.put(runner.id(), proxy);
+    if (before != null) {
+      before.close();
+    }
+    runner.announce(proxy.address());
+  }
+
+  private Member newMember(String name, Path directory) throws SettingsException {
+    int callerPort = freePort();
+    int balancerPort = freePort();
+    int peerPort = freePort();
+    LoopbackProxy callers = LoopbackProxy.start(callerPort);
+    LoopbackProxy peers = LoopbackProxy.start(peerPort);
+    LoopbackProxy store = LoopbackProxy.start(port(platform.store().address()));
+    String toml =
+        """
+        [node]
+        id = "%s"
+        failure_domain = "a"
+        drain_limit_s = %d
+        [gateway]
+        callers = "127.0.0.1:%d"
+        balancer = "127.0.0.1:%d"
+        peers = "127.0.0.1:%d"
+        announced = "%s"
+        [store]
+        address = "%s"
+        [orders]
+        handover_ms = 1000
+        [retries]
+        ratio = %%s
+        """
+            .formatted(
+                name,
+                DRAIN_SECONDS,
+                callerPort,
+                balancerPort,
+                peerPort,
+                peers.address(),
+                store.address());
+    return new Member(
+        NodeProcess.create(name, toml.formatted("0.2"), directory),
+        toml,
+        balancerPort,
+        callers,
+        peers,
+        store);
+  }
+
+  private static int port(String address) {
+    return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+  }
+
+  private static int freePort() throws SettingsException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.SETTINGS_INVALID, "soak", "no free port on loopback", failure);
+    }
+  }
+
+  // Control
+
+  /** Ends a runner and starts it again after a while. */
+  void crashRunner(int index) {
+    platform.crash(runnerId(index));
+  }
+
+  /** Starts a runner that was ended. */
+  void restartRunner(int index) throws SettingsException {
+    interpose(platform.restart(runnerId(index)));
+  }
+
+  /** Returns whether a runner runs. */
+  boolean hasRunner(int index) {
+    return platform.runners().stream().anyMatch(runner -> runner.id().equals(runnerId(index)));
+  }
+
+  /** Returns a runner's identifier. */
+  static String runnerId(int index) {
+    return index < ENGINES ? "engine-" + index : "plain-" + (index - ENGINES);
+  }
+
+  /** Returns the proxy on a link. */
+  synchronized LoopbackProxy proxy(Disturbance.Link link, int index) {
+    return switch (link) {
+      case CALLERS -> members.get(index).callers();
+      case STORE -> members.get(index).store();
+      case PEERS -> members.get(index).peers();
+      case RUNNER -> runnerProxies.get(runnerId(index));
+    };
+  }
+
+  /** Opens all links. */
+  synchronized void openLinks() {
+    runnerProxies.values().forEach(proxy -> proxy.set(LinkState.OPEN));
+    for (Member member : members) {
+      List.of(member.callers(), member.peers(), member.store())
+          .forEach(proxy -> proxy.set(LinkState.OPEN));
+    }
+  }
+
+  // Accessors
+
+  PlatformStandin platform() {
+    return platform;
+  }
+
+  /** Returns the nodes, in the order of their numbers. */
+  List<Member> members() {
+    return List.copyOf(members);
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    for (Member member : members) {
+      member.process().kill();
+    }
+    for (Member member : members) {
+      List.of(member.callers(), member.peers(), member.store()).forEach(LoopbackProxy::close);
+    }
+    runnerProxies.values().forEach(LoopbackProxy::close);
+    platform.close();
+  }
+
+  /**
+   * One node.
+   *
+   * @param process its process
+   * @param toml its settings, with a place for the share of retries
+   * @param balancerPort where it tells whether it takes callers
+   * @param callers proxy before its port for callers
+   * @param peers proxy before its port for other nodes
+   * @param store its own proxy before the store
+   */
+  record Member(
+      NodeProcess process,
+      String toml,
+      int balancerPort,
+      LoopbackProxy callers,
+      LoopbackProxy peers,
+      LoopbackProxy store) {}
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/soak/SoakOracle.java
@@ -0,0 +1,82 @@
+package dev.wisteriarail.soak;
+
+import dev.wisteriarail.standin.RunnerStandin;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Checks what the users were promised, from what callers got and runners did. Stateless. The rules
+ * are those of docs/PROMISES.md.
+ */
+final class SoakOracle {
+
+  /** Refusals that say that the request did not run and will not. */
+  private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
+
+  private static final int OK = 200;
+  private static final int FIRST_CLIENT_ERROR = 300;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private SoakOracle() {}
+
+  /**
+   * Returns what was broken, one line each.
+   *
+   * @param outcomes how the requests of all callers ended
+   * @param runners all runners that ever were
+   * @param plannedOnly whether nothing but planned work was done, so that nothing may get lost
+   */
+  static List<String> violations(
+      List<SoakCallers.Outcome> outcomes, List<RunnerStandin> runners, boolean plannedOnly) {
+    List<String> found = new ArrayList<>();
+    Map<String, Integer> runs = new HashMap<>();
+    for (RunnerStandin runner : runners) {
+      runner.ran().forEach(id -> runs.merge(id, 1, Integer::sum));
+      runner.wrongOrders().forEach(order -> found.add("ORDERS " + runner.id() + ": " + order));
+    }
+    Set<String> sent = new HashSet<>();
+    for (SoakCallers.Outcome outcome : outcomes) {
+      sent.add(outcome.id());
+      check(outcome, runs.getOrDefault(outcome.id(), 0), plannedOnly, found);
+    }
+    runs.keySet().stream()
+        .filter(id -> !sent.contains(id))
+        .forEach(id -> found.add("UNASKED " + id + " ran and no caller sent it"));
+    return found;
+  }
+
+  private static void check(
+      SoakCallers.Outcome outcome, int runs, boolean plannedOnly, List<String> found) {
+    String request = outcome.id() + " (" + outcome.kind() + ")";
+    boolean once = !outcome.kind().mayRunAgain();
+    if (once && runs > 1) {
+      found.add("TWICE " + request + " ran " + runs + " times");
+    }
+    if (once && runs > 0 && NOT_RUN.contains(outcome.status())) {
+      found.add("REFUSED " + request + " was refused with " + outcome.status() + " and ran");
+    }
+    if (outcome.status() == OK && !outcome.body().equals(expected(outcome))) {
+      found.add("MIXED " + request + " got another body: " + outcome.body());
+    }
+    boolean ownRefusal =
+        outcome.status() >= FIRST_CLIENT_ERROR
+            && outcome.status() < FIRST_SERVER_ERROR
+            && !NOT_RUN.contains(outcome.status());
+    if (ownRefusal) {
+      found.add("DENIED " + request + " was proper and got " + outcome.status());
+    }
+    if (plannedOnly && runs > 0 && outcome.status() == SoakCallers.Outcome.NO_ANSWER) {
+      found.add("LOST " + request + " ran and got no answer: " + outcome.body());
+    }
+  }
+
+  private static String expected(SoakCallers.Outcome outcome) {
+    return outcome.kind().isStream()
+        ? RunnerStandin.wholeStream(outcome.id())
+        : RunnerStandin.plainAnswer(outcome.id());
+  }
+}
--- a/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
@@ -35,9 +35,11 @@
   private static final String OPERATOR_TOPIC = "keyed.op";
   private static final long BEAT_MILLIS = 200;
   private static final int MODELS = 6;
+  private static final double MODEL_MB = 60;
 
   private final MetadataStoreStandin store;
   private final List<RunnerStandin> runners = new ArrayList<>();
+  private final List<RunnerStandin> ended = new ArrayList<>();
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private long beat;
   private long version;
@@ -82,11 +84,34 @@
     }
   }
 
+  /** Ends a runner without a word, as a crash does. */
+  public synchronized void crash(String id) {
+    RunnerStandin runner = runner(id);
+    runners.remove(runner);
+    ended.add(runner);
+    runner.close();
+  }
+
+  /**
+   * Starts a crashed runner again under its identifier, with nothing loaded.
+   *
+   * @param id the identifier
+   * @throws SettingsException if no port can be bound
+   */
+  public synchronized RunnerStandin restart(String id) throws SettingsException {
+    RunnerStandin before =
+        ended.stream().filter(runner -> runner.id().equals(id)).toList().getLast();
+    RunnerStandin runner = before.successor();
+    add(runner);
+    return runner;
+  }
+
   /** Ends a runner and removes its entry. */
   public synchronized void remove(String id) {
     runners.removeIf(
         runner -> {
           if (runner.id().equals(id)) {
+            ended.add(runner);
             runner.close();
             store.put(RUNNERS_TOPIC, id, "");
             return true;
@@ -143,7 +168,7 @@
       models.add(
           Map.of(
               "name", "m" + i,
-              "weights_mb", 60.0,
+              "weights_mb", MODEL_MB,
               "load_s", 0.2,
               "warm_s", 0.1,
               "disk_load_s", 0.1,
@@ -153,8 +178,8 @@
     Map<String, Object> engine = new LinkedHashMap<>();
     engine.put("slots", 8);
     engine.put("kv_cache_tokens", 100_000);
-    engine.put("weights_mb", 130.0);
-    engine.put("adapter_slots", 4);
+    engine.put("weights_mb", RunnerStandin.MODEL_PLACES * MODEL_MB + 10);
+    engine.put("adapter_slots", RunnerStandin.ADAPTER_PLACES);
     engine.put("loads_per_s", 10.0);
     engine.put("models", models);
     return Map.of("name", ENGINES, "max_connections", 100, "engine", engine);
@@ -176,6 +201,13 @@
     return runners.stream().filter(runner -> runner.id().equals(id)).findFirst().orElseThrow();
   }
 
+  /** Returns all runners that ever were, those that ended first. */
+  public synchronized List<RunnerStandin> everyRunner() {
+    List<RunnerStandin> all = new ArrayList<>(ended);
+    all.addAll(runners);
+    return all;
+  }
+
   /** Returns all runners. */
   public synchronized List<RunnerStandin> runners() {
     return List.copyOf(runners);
--- a/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -12,6 +12,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * A stand-in of one of the users' runners: an engine that takes orders and streams events, or a
@@ -26,6 +28,12 @@
   private static final long EVENT_PAUSE_MILLIS = 3;
   private static final long LOAD_MILLIS = 120;
 
+  /** Models of the stand-in's size that fit into the memory of one engine. */
+  static final int MODEL_PLACES = 2;
+
+  /** Adapters that an engine may hold. */
+  static final int ADAPTER_PLACES = 4;
+
   private final String id;
   private final String service;
   private final boolean engine;
@@ -33,11 +41,14 @@
   private final Map<String, Set<String>> models = new TreeMap<>();
   private final Set<String> disk = new TreeSet<>();
   private final List<String> ran = new ArrayList<>();
+  private final List<String> wrongOrders = new ArrayList<>();
   private StandinServer server;
   private Behaviour behaviour = Behaviour.SOUND;
   private boolean draining;
   private long orders;
   private long fence;
+  private String fenceHolder = "";
+  private String announced = "";
   private long busyUntilNanos;
   private int running;
 
@@ -88,6 +99,11 @@
     return runner;
   }
 
+  /** Starts the next run of an ended runner: the same identifier, nothing loaded. */
+  RunnerStandin successor() throws SettingsException {
+    return start(id, service, engine, List.of(), born + 1);
+  }
+
   // Calls
 
   private void handle(Call call) throws IOException, InterruptedException {
@@ -140,7 +156,12 @@
       call.reply(412, "an older fencing number");
       return;
     }
+    String holder = (String) order.get("holder");
+    if (token == fence && !holder.equals(fenceHolder)) {
+      wrongOrders.add("two holders with fencing number " + token);
+    }
     fence = token;
+    fenceHolder = holder;
     if (isBusy() || (expect != null && ((Number) expect).longValue() != orders)) {
       call.reply(409, "another order");
       return;
@@ -152,6 +173,7 @@
     if (adapter != null) {
       Set<String> adapters = models.getOrDefault(model, new TreeSet<>());
       boolean unused = load ? adapters.add(adapter) : adapters.remove(adapter);
+      noteHeld();
       call.reply(load ? 202 : 200, unused ? "" : "holds");
       return;
     }
@@ -159,12 +181,23 @@
       models.putIfAbsent(model, new TreeSet<>());
       disk.add(model);
       busyUntilNanos = System.nanoTime() + LOAD_MILLIS * 1_000_000;
+      noteHeld();
     } else {
       models.remove(model);
     }
     call.reply(202, "");
   }
 
+  private void noteHeld() {
+    if (models.size() > MODEL_PLACES) {
+      wrongOrders.add("told to hold " + models.keySet());
+    }
+    int adapters = models.values().stream().mapToInt(Set::size).sum();
+    if (adapters > ADAPTER_PLACES) {
+      wrongOrders.add("told to hold " + adapters + " adapters");
+    }
+  }
+
   private void serve(Call call) throws IOException, InterruptedException {
     String request = call.header("X-Wisteriarail-Request-Id").orElse("");
     if (request.isEmpty()) {
@@ -226,10 +259,12 @@
     } else if (engine) {
       stream(call, request, how);
     } else {
-      call.setHeader("Content-Length", Integer.toString(request.length() + 5));
-      call.writePart("done ", false);
+      String text = plainAnswer(request);
+      int half = text.length() / 2;
+      call.setHeader("Content-Length", Integer.toString(text.length()));
+      call.writePart(text.substring(0, half), false);
       if (how != Behaviour.CUT) {
-        call.writePart(request, true);
+        call.writePart(text.substring(half), true);
       }
     }
   }
@@ -239,7 +274,7 @@
     call.setHeader("Content-Type", "text/event-stream");
     int from = Integer.parseInt(call.header("Last-Event-Id").orElse("0")) + 1;
     for (int event = from; event <= EVENTS; event++) {
-      String text = "id: " + event + "\ndata: " + request + " " + event + "\n\n";
+      String text = event(request, event);
       if (how == Behaviour.CUT && event == EVENTS / 2) {
         call.writePart(text.substring(0, text.length() / 2), false);
         return;
@@ -249,6 +284,22 @@
     }
   }
 
+  private static String event(String request, int number) {
+    return "id: " + number + "\ndata: " + request + " " + number + "\n\n";
+  }
+
+  /** Returns the body of a plain runner's answer to a request. */
+  public static String plainAnswer(String request) {
+    return "done " + request;
+  }
+
+  /** Returns the body of an engine's whole stream for a request. */
+  public static String wholeStream(String request) {
+    return IntStream.rangeClosed(1, EVENTS)
+        .mapToObj(number -> event(request, number))
+        .collect(Collectors.joining());
+  }
+
   // Control and observation
 
   /** Changes what it does with requests. */
@@ -261,6 +312,21 @@
     draining = true;
   }
 
+  /** Makes its entry name another address, through which it is reached. */
+  public synchronized void announce(String address) {
+    announced = address;
+  }
+
+  /** Returns the orders that no platform may give, as text. */
+  public synchronized List<String> wrongOrders() {
+    return List.copyOf(wrongOrders);
+  }
+
+  /** Returns the address at which it listens, as host and port. */
+  public String address() {
+    return server.address().replace("http://", "");
+  }
+
   /** Returns the identifiers of the requests that it ran, in order. */
   public synchronized List<String> ran() {
     return List.copyOf(ran);
@@ -280,7 +346,7 @@
   public synchronized String entry(long beat) {
     Map<String, Object> entry = new LinkedHashMap<>(description());
     entry.put("service", service);
-    entry.put("address", server.address().replace("http://", ""));
+    entry.put("address", announced.isEmpty() ? address() : announced);
     entry.put("zone", "a");
     entry.put("version", "v1");
     entry.put("slots", 8);
