--- a/src/main/java/dev/wisteriarail/cli/ServeCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/ServeCommand.java
@@ -1,7 +1,5 @@
 package dev.wisteriarail.cli;
 
-import dev.wisteriarail.core.event.EventCode;
-import dev.wisteriarail.core.event.NodeEvent;
 import dev.wisteriarail.core.result.WisteriarailException;
 import dev.wisteriarail.gateway.GatewayNode;
 import dev.wisteriarail.node.Node;
@@ -46,7 +44,7 @@
       throws WisteriarailException, InterruptedException {
     Path path = Path.of((String) options.valueOf("config"));
     TomlDocument toml = TomlDocument.read(path);
-    Stoppable stop = GatewayFile.describes(toml) ? startGateway(toml) : startNode(path, out);
+    Stoppable stop = GatewayFile.describes(toml) ? startGateway(path, toml) : startNode(path, out);
     CountDownLatch stopped = new CountDownLatch(1);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stopGracefully(stop, stopped)));
     stopped.await();
@@ -60,15 +58,14 @@
     return node::stop;
   }
 
-  private static Stoppable startGateway(TomlDocument toml) throws WisteriarailException {
+  private static Stoppable startGateway(Path path, TomlDocument toml) throws WisteriarailException {
     GatewayNode node =
         GatewayNode.start(
             GatewayFile.from(toml),
             CallerHeaders.create(),
             RunnerHeaders.create(),
             PlatformCalls::create);
-    HangupSignal.handle(
-        () -> node.log().write(NodeEvent.of(EventCode.NODE_RELOADED, "changed", "nothing")));
+    HangupSignal.handle(() -> node.reload(path));
     return node::stop;
   }
 
--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
@@ -30,6 +30,9 @@
   /** Entries of a service that vanish at once before a lapse is suspected: this or more. */
   private static final int MASS_REMOVAL_COUNT = 3;
 
+  /** Stands for the age of a directory that was never known to be current. */
+  private static final Duration UNKNOWN_AGE = Duration.ofDays(1);
+
   private final Map<String, RunnerEntry> entries = new LinkedHashMap<>();
   private final Map<String, Lapsed> lapsed = new LinkedHashMap<>();
   private final Map<String, Long> drained = new LinkedHashMap<>();
@@ -50,10 +53,13 @@
   /**
    * Takes a change.
    *
+   * @param change the change
+   * @param asOf a time at which the store had nothing later; {@link Instant#MIN} if none is known
+   * @param now the time
    * @return what became different, for the log; empty if the change was known already or leaves a
    *     gap after what is known
    */
-  public List<RunnerTurn> accept(DirectoryChange change, Instant now) {
+  public List<RunnerTurn> accept(DirectoryChange change, Instant asOf, Instant now) {
     boolean news =
         change.whole()
             ? change.to() >= offset
@@ -79,7 +85,7 @@
       materialOffset = Math.max(offset, change.to());
     }
     offset = Math.max(offset, change.to());
-    currentAt = now;
+    confirm(asOf);
     return turns;
   }
 
@@ -146,10 +152,10 @@
     }
   }
 
-  /** Notes that nothing changed up to now. */
-  public void confirm(Instant now) {
-    if (offset >= 0 && now.isAfter(currentAt)) {
-      currentAt = now;
+  /** Notes that nothing that is not known here had changed by a time. */
+  public void confirm(Instant asOf) {
+    if (offset >= 0 && asOf.isAfter(currentAt)) {
+      currentAt = asOf;
     }
   }
 
@@ -200,7 +206,7 @@
 
   /** Returns how long ago the directory was last known to be current. */
   public Duration age(Instant now) {
-    return offset < 0 ? Duration.ofDays(1) : Duration.between(currentAt, now);
+    return currentAt.equals(Instant.MIN) ? UNKNOWN_AGE : Duration.between(currentAt, now);
   }
 
   /** Returns the whole directory as a change for a node that knows less. */
--- a/src/main/java/dev/wisteriarail/core/forward/RetryBudget.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RetryBudget.java
@@ -19,9 +19,9 @@
   /** Part of its allowance that a node uses, so that uneven nodes stay below the sum. */
   private static final double CAUTION = 0.6;
 
-  private final Duration window;
-  private final double ratio;
-  private final double slack;
+  private Duration window;
+  private double ratio;
+  private double slack;
   private final Deque<Instant> requests = new ArrayDeque<>();
   private final Deque<Instant> repeats = new ArrayDeque<>();
 
@@ -42,6 +42,13 @@
     return new RetryBudget(window, ratio, slack);
   }
 
+  /** Changes the limits; what was spent stays spent. */
+  public void setLimits(Duration newWindow, double newRatio, double newSlack) {
+    window = newWindow;
+    ratio = newRatio;
+    slack = newSlack;
+  }
+
   /** Counts a request. */
   public void countRequest(Instant now) {
     requests.addLast(now);
--- a/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
@@ -34,7 +34,7 @@
   /** Part of the grace after a stop request that is kept for the end of the process itself. */
   private static final Duration EXIT_RESERVE = Duration.ofMillis(800);
 
-  private final Duration grace;
+  private Duration grace;
   private Instant since = Instant.MAX;
   private Instant nextClose = Instant.MAX;
   private boolean completed;
@@ -52,6 +52,11 @@
     return new DrainPlan(grace);
   }
 
+  /** Changes the time after a stop request until the process has to end. */
+  void setGrace(Duration newGrace) {
+    grace = newGrace;
+  }
+
   /** Begins the stop; returns whether it had not begun before. */
   boolean begin(Instant now) {
     if (isDraining()) {
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -60,7 +60,7 @@
   private static final int STATUS_MISDIRECTED = 421;
   private static final int STATUS_SERVER_ERROR = 500;
 
-  private final GatewaySettings settings;
+  private GatewaySettings settings;
   private final RunnerBoard board;
   private final RunnerPicker picker;
   private final CrashLedger crashes = CrashLedger.create();
@@ -80,6 +80,17 @@
     return new Forwarder(settings, board);
   }
 
+  /** Takes changed settings. */
+  void accept(GatewaySettings changed) {
+    settings = changed;
+    budgets
+        .values()
+        .forEach(
+            budget ->
+                budget.setLimits(
+                    changed.retryWindow(), changed.retryRatio(), changed.retrySlack()));
+  }
+
   // Arrival
 
   void accept(
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -136,6 +136,10 @@
           lease.suspect();
         }
       }
+      case GatewayEvent.SettingsRead read -> {
+        forwarder.accept(read.settings());
+        drain.setGrace(read.settings().drainGrace());
+      }
       case GatewayEvent.DrainRequested requested -> {
         if (drain.begin(now)) {
           step.log(EventCode.NODE_DRAINING, "in_flight", forwarder.size());
@@ -166,7 +170,8 @@
     switch (told.answer()) {
       case StoreAnswer.ConfigurationRead read ->
           read.configuration().ifPresent(newer -> apply(newer, SOURCE_STORE, step));
-      case StoreAnswer.DirectoryRead read -> apply(read.change(), SOURCE_STORE, step);
+      case StoreAnswer.DirectoryRead read ->
+          apply(read.change(), store.directoryAskedAt(), SOURCE_STORE, step);
       case StoreAnswer.NodesRead read ->
           read.nodes().forEach(address -> peers.learn(address, step.now()));
       case StoreAnswer.RecordsDropped dropped ->
@@ -204,9 +209,9 @@
     }
   }
 
-  private void apply(DirectoryChange change, String source, GatewayStep step) {
+  private void apply(DirectoryChange change, Instant asOf, String source, GatewayStep step) {
     DirectoryChange material = directory.material(change);
-    for (RunnerTurn turn : directory.accept(change, step.now())) {
+    for (RunnerTurn turn : directory.accept(change, asOf, step.now())) {
       EventCode code =
           switch (turn.kind()) {
             case JOINED -> EventCode.RUNNER_JOINED;
@@ -248,7 +253,7 @@
           apply(configured.configuration(), told.from().value(), step);
       case FleetMessage.CrashTold crash -> forwarder.acceptCrash(crash.fingerprint(), step.now());
       case FleetMessage.DirectoryTold directed ->
-          apply(directed.change(), told.from().value(), step);
+          apply(directed.change(), Instant.MIN, told.from().value(), step);
     }
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEvent.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEvent.java
@@ -96,4 +96,11 @@
 
   /** The node is to shut down gracefully. */
   record DrainRequested() implements GatewayEvent {}
+
+  /**
+   * The settings were read again.
+   *
+   * @param settings the settings; those of addresses and duties count from the next start only
+   */
+  record SettingsRead(GatewaySettings settings) implements GatewayEvent {}
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
@@ -51,6 +51,7 @@
   private boolean nodesRead;
   private Instant configurationAt = Instant.MIN;
   private Instant directoryAt = Instant.MIN;
+  private Instant directoryAskedAt = Instant.MIN;
   private Instant nodesAt = Instant.MIN;
   private Instant answeredAt = Instant.MIN;
   private Instant failingSince = Instant.MAX;
@@ -91,6 +92,7 @@
     }
     if (!readingDirectory && !now.isBefore(directoryAt) && (watching || directoryOffset < 0)) {
       readingDirectory = true;
+      directoryAskedAt = now;
       reads.add(
           directoryGap || directoryOffset < 0
               ? new StoreRead.WholeDirectory()
@@ -189,6 +191,11 @@
     return failingSince.equals(Instant.MAX);
   }
 
+  /** Returns when the last read of the directory began: its answer is at least as new. */
+  Instant directoryAskedAt() {
+    return directoryAskedAt;
+  }
+
   /** Returns when the store last answered; {@link Instant#MIN} if it never did. */
   Instant answeredAt() {
     return answeredAt;
--- a/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
@@ -23,6 +23,11 @@
   record Beat(NodeAddress self, List<NodeAddress> known, PeerStatus status)
       implements FleetMessage {
 
+    @Override
+    public boolean isRepeated() {
+      return true;
+    }
+
     /** Copies the list. */
     public Beat {
       known = List.copyOf(known);
@@ -39,6 +44,11 @@
   record DemandTold(List<ModelDemand> demands, List<RunnerUse> uses, long viewRevision)
       implements FleetMessage {
 
+    @Override
+    public boolean isRepeated() {
+      return true;
+    }
+
     /** Copies the lists. */
     public DemandTold {
       demands = List.copyOf(demands);
@@ -56,6 +66,11 @@
   record FleetTold(long fence, List<RunnerView> views, List<ModelForecast> forecasts)
       implements FleetMessage {
 
+    @Override
+    public boolean isRepeated() {
+      return true;
+    }
+
     /** Copies the lists. */
     public FleetTold {
       views = List.copyOf(views);
--- a/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
@@ -23,6 +23,11 @@
         PeerMessage.OutageRecordsKept,
         PeerMessage.Goodbye {
 
+  /** Returns whether a later message of the kind makes up for the loss of this one. */
+  default boolean isRepeated() {
+    return false;
+  }
+
   /**
    * Shows that the sender lives, and what it knows.
    *
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -20,6 +20,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
@@ -56,7 +57,8 @@
   /** Part of the time after a stop request that is kept for closing. */
   private static final Duration EXIT_RESERVE = Duration.ofMillis(300);
 
-  private final GatewayFile file;
+  private final Incarnation incarnation;
+  private volatile GatewayFile file;
   private final GatewayRuntime runtime;
   private final CallerFront callers;
   private final TcpPeerServer peerServer;
@@ -67,6 +69,7 @@
 
   private GatewayNode(
       GatewayFile file,
+      Incarnation incarnation,
       GatewayRuntime runtime,
       CallerFront callers,
       TcpPeerServer peerServer,
@@ -75,6 +78,7 @@
       List<LifeCycle> shared,
       EventLog log) {
     this.file = file;
+    this.incarnation = incarnation;
     this.runtime = runtime;
     this.callers = callers;
     this.peerServer = peerServer;
@@ -155,6 +159,7 @@
     runtime.start();
     return new GatewayNode(
         file,
+        incarnation,
         runtime,
         callers,
         peerServer,
@@ -193,6 +198,29 @@
     }
   }
 
+  /**
+   * Takes changed settings: those of retries and of stopping at once, others at the next start. A
+   * file with a mistake changes nothing.
+   *
+   * @param path the settings file
+   */
+  public synchronized void reload(Path path) {
+    try {
+      GatewayFile newer = GatewayFile.read(path);
+      log.write(
+          NodeEvent.of(
+              EventCode.NODE_RELOADED,
+              "changed",
+              newer.changedAtOnce(file),
+              "at_next_start",
+              newer.changedForNextStart(file)));
+      file = newer;
+      runtime.submit(new GatewayEvent.SettingsRead(settings(newer, incarnation)));
+    } catch (SettingsException mistake) {
+      log.write(NodeEvent.of(EventCode.NODE_RELOADED, "refused", mistake.describe()));
+    }
+  }
+
   /** Stops gracefully: waits for the requests in flight, within the limit of the settings. */
   public boolean stop() throws InterruptedException {
     boolean drained = runtime.drain(file.drainLimit().minus(EXIT_RESERVE));
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -33,6 +33,14 @@
 public final class TcpPeerTransport implements PeerTransport {
 
   private static final int QUEUE_LIMIT = 256;
+
+  /**
+   * Frames on their way to a peer beyond which repeated messages are left out. A heartbeat that
+   * waits behind them would pass off old knowledge as new; about half a second of the messages of a
+   * coordinator.
+   */
+  private static final int REPEATED_LIMIT = 12;
+
   private static final int CONNECT_TIMEOUT_MILLIS = 500;
   private static final Duration RECONNECT_DELAY = Duration.ofMillis(200);
   private static final Duration REFUSED_DELAY = Duration.ofSeconds(5);
@@ -76,7 +84,9 @@
             peer.node(),
             (node, known) -> known != null && known.leadsTo(peer) ? known : replace(known, peer));
     try {
-      link.offer(encode(message));
+      if (!message.isRepeated() || link.takesRepeated()) {
+        link.offer(encode(message));
+      }
     } catch (IOException failure) {
       log.write(
           NodeEvent.of(
@@ -154,6 +164,10 @@
       return peer.host().equals(entry.host()) && peer.port() == entry.port();
     }
 
+    boolean takesRepeated() {
+      return queue.size() + unacknowledged.get() < REPEATED_LIMIT;
+    }
+
     void offer(byte[] frame) {
       if (!queue.offer(frame)) {
         queue.poll();
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.result.SettingsException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -95,6 +96,44 @@
     return file;
   }
 
+  /** Returns the keys of settings that differ from those of another file and may change at once. */
+  public List<String> changedAtOnce(GatewayFile other) {
+    List<String> keys = new ArrayList<>();
+    add(keys, "retries.window_s", !retryWindow.equals(other.retryWindow));
+    add(keys, "retries.ratio", retryRatio != other.retryRatio);
+    add(keys, "retries.slack", retrySlack != other.retrySlack);
+    add(keys, "node.drain_limit_s", !drainLimit.equals(other.drainLimit));
+    return keys;
+  }
+
+  /** Returns the tables of settings that differ and count from the next start only. */
+  public List<String> changedForNextStart(GatewayFile other) {
+    List<String> tables = new ArrayList<>();
+    add(
+        tables,
+        "node",
+        !node.equals(other.node)
+            || linkMbps != other.linkMbps
+            || !failureDomain.equals(other.failureDomain));
+    boolean sameAddresses =
+        callers.equals(other.callers)
+            && balancer.equals(other.balancer)
+            && peers.equals(other.peers)
+            && announced.equals(other.announced)
+            && metrics.equals(other.metrics)
+            && seeds.equals(other.seeds);
+    add(tables, "gateway", !sameAddresses);
+    add(tables, "store", !storeAddress.equals(other.storeAddress));
+    add(tables, "orders", !timings.equals(other.timings));
+    return tables;
+  }
+
+  private static void add(List<String> names, String name, boolean changed) {
+    if (changed) {
+      names.add(name);
+    }
+  }
+
   private static FleetTimings timings(TomlDocument toml) {
     FleetTimings defaults = FleetTimings.DEFAULT;
     return defaults.withOrders(
--- a/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
@@ -33,28 +33,28 @@
   @Test
   void drainingRunnerNeverComesBackByAnOlderWord() {
     RunnerDirectory directory = RunnerDirectory.create();
-    directory.accept(whole(5, entry("r", false, 1)), START);
-    directory.accept(delta(5, 6, entry("r", true, 1)), START);
+    directory.accept(whole(5, entry("r", false, 1)), START, START);
+    directory.accept(delta(5, 6, entry("r", true, 1)), START, START);
     assertThat(usable(directory)).isEmpty();
-    directory.accept(delta(6, 7, entry("r", false, 1)), START);
+    directory.accept(delta(6, 7, entry("r", false, 1)), START, START);
     assertThat(usable(directory)).isEmpty();
-    directory.accept(delta(7, 8, entry("r", false, 2)), START);
+    directory.accept(delta(7, 8, entry("r", false, 2)), START, START);
     assertThat(usable(directory)).containsExactly("r");
   }
 
   @Test
   void entryOfAnEarlierRunIsPassedOver() {
     RunnerDirectory directory = RunnerDirectory.create();
-    directory.accept(whole(5, entry("r", false, 9)), START);
-    directory.accept(delta(5, 6, entry("r", true, 3)), START);
+    directory.accept(whole(5, entry("r", false, 9)), START, START);
+    directory.accept(delta(5, 6, entry("r", true, 3)), START, START);
     assertThat(usable(directory)).containsExactly("r");
   }
 
   @Test
   void changeThatLeavesOneGapIsNotTaken() {
     RunnerDirectory directory = RunnerDirectory.create();
-    directory.accept(whole(5, entry("r", false, 1)), START);
-    assertThat(directory.accept(delta(7, 8, entry("x", false, 1)), START)).isEmpty();
+    directory.accept(whole(5, entry("r", false, 1)), START, START);
+    assertThat(directory.accept(delta(7, 8, entry("x", false, 1)), START, START)).isEmpty();
     assertThat(directory.offset()).isEqualTo(5);
   }
 
@@ -62,15 +62,15 @@
   void relayedChangesReachBackToTheLastOneThatMattered() {
     RunnerDirectory reader = RunnerDirectory.create();
     RunnerDirectory peer = RunnerDirectory.create();
-    reader.accept(whole(5, entry("r", false, 1)), START);
-    peer.accept(reader.whole(), START);
+    reader.accept(whole(5, entry("r", false, 1)), START, START);
+    peer.accept(reader.whole(), START, START);
     DirectoryChange same = delta(5, 9, entry("r", false, 1));
     assertThat(reader.material(same).isEmpty()).isTrue();
-    reader.accept(same, START);
+    reader.accept(same, START, START);
     DirectoryChange news = delta(9, 10, entry("r", true, 1));
     DirectoryChange relayed = reader.material(news);
-    reader.accept(news, START);
-    peer.accept(relayed, START);
+    reader.accept(news, START, START);
+    peer.accept(relayed, START, START);
     assertThat(usable(peer)).isEmpty();
     assertThat(peer.offset()).isEqualTo(reader.offset());
   }
@@ -80,8 +80,8 @@
     RunnerEntry[] all =
         IntStream.range(0, 6).mapToObj(i -> entry("r" + i, false, 1)).toArray(RunnerEntry[]::new);
     RunnerDirectory directory = RunnerDirectory.create();
-    directory.accept(whole(5, all), START);
-    directory.accept(whole(9, all[0]), START);
+    directory.accept(whole(5, all), START, START);
+    directory.accept(whole(9, all[0]), START, START);
     assertThat(usable(directory)).hasSize(6);
     directory.advance(START.plusMillis(1_600));
     assertThat(usable(directory)).containsExactly("r0");
@@ -90,8 +90,28 @@
   @Test
   void singleEntryThatVanishesIsOutAtOnce() {
     RunnerDirectory directory = RunnerDirectory.create();
-    directory.accept(whole(5, entry("r", false, 1), entry("x", false, 1)), START);
-    directory.accept(new DirectoryChange(false, 5, 6, List.of(), List.of("r")), START);
+    directory.accept(whole(5, entry("r", false, 1), entry("x", false, 1)), START, START);
+    directory.accept(new DirectoryChange(false, 5, 6, List.of(), List.of("r")), START, START);
     assertThat(usable(directory)).containsExactly("x");
   }
+
+  @Test
+  void itsAgeCountsFromTheBeginningOfTheReadAndNotFromItsArrival() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, entry("r", false, 1)), START.minusMillis(900), START);
+    assertThat(directory.age(START).toMillis()).isEqualTo(900);
+    directory.accept(delta(5, 6, entry("r", true, 1)), Instant.MIN, START);
+    assertThat(directory.age(START).toMillis()).isEqualTo(900);
+  }
+
+  @Test
+  void itsChangesCountWhatRequestsMayBeSentTo() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, entry("r", false, 1)), START, START);
+    final long before = directory.changes();
+    directory.accept(delta(5, 6, entry("r", false, 1)), START, START);
+    assertThat(directory.changes()).isEqualTo(before);
+    directory.accept(delta(6, 7, entry("r", true, 1)), START, START);
+    assertThat(directory.changes()).isGreaterThan(before);
+  }
 }
--- a/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
@@ -229,4 +229,13 @@
     events.accept("id: 5\n\n".getBytes(UTF_8));
     assertThat(events.hasGap()).isTrue();
   }
+
+  @Test
+  void changedLimitsOfRetriesCountAtOnce() {
+    RetryBudget budget = RetryBudget.create(Duration.ofSeconds(10), 0, 10);
+    Instant now = Instant.EPOCH;
+    assertThat(budget.takeRepeat(1, now)).isTrue();
+    budget.setLimits(Duration.ofSeconds(10), 0, 0);
+    assertThat(budget.takeRepeat(1, now)).isFalse();
+  }
 }
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
@@ -0,0 +1,59 @@
+package dev.wisteriarail.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.fleet.PeerStatus;
+import dev.wisteriarail.core.id.FailureDomain;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.membership.VmEntry;
+import dev.wisteriarail.core.peer.FleetMessage;
+import dev.wisteriarail.core.peer.PeerMessage;
+import dev.wisteriarail.runtime.EventLog;
+import java.io.DataInputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Messages to a peer that reads slowly. */
+final class PeerQueueTest {
+
+  private static final NodeId SELF = NodeId.of("n1");
+
+  @Test
+  void repeatedMessagesDoNotQueueUpAndOthersArrive() throws Exception {
+    NodeAddress address = new NodeAddress(SELF, Incarnation.of(1), "127.0.0.1", 1, 1_000);
+    FleetMessage.Beat beat = new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN);
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        EventLog log = EventLog.forNode(SELF)) {
+      TcpPeerTransport transport =
+          TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log);
+      VmEntry peer =
+          new VmEntry(
+              NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
+      for (int i = 0; i < 100; i++) {
+        transport.send(peer, beat);
+      }
+      transport.send(peer, new FleetMessage.CrashTold(7));
+      try (Socket socket = listener.accept()) {
+        List<PeerMessage> received = readUntilCrash(socket);
+        assertThat(received.size()).isAtMost(20);
+      }
+      transport.close();
+    }
+  }
+
+  private static List<PeerMessage> readUntilCrash(Socket socket) throws Exception {
+    List<PeerMessage> received = new ArrayList<>();
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    do {
+      received.add(FrameCodec.read(in).message());
+    } while (!(received.getLast() instanceof FleetMessage.CrashTold));
+    return received;
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
@@ -0,0 +1,67 @@
+package dev.wisteriarail.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.wisteriarail.core.result.SettingsException;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Settings of a gateway node, and what a change of them means. */
+final class GatewayFileTest {
+
+  private static final String TOML =
+      """
+      [node]
+      id = "n1"
+      failure_domain = "a"
+      drain_limit_s = 8
+      link_mbps = 200.0
+      [gateway]
+      callers = "10.0.0.1:8149"
+      balancer = "10.0.0.1:8141"
+      peers = "10.0.0.1:8144"
+      [store]
+      address = "10.0.0.9:80"
+      [retries]
+      ratio = 0.2
+      """;
+
+  private static GatewayFile parse(String toml) throws SettingsException {
+    return GatewayFile.from(TomlDocument.parse("test", toml));
+  }
+
+  @Test
+  void theAddressForPeersIsAnnouncedUnlessAnotherIsNamed() throws Exception {
+    assertThat(parse(TOML).announced()).isEqualTo(new Endpoint("10.0.0.1", 8144));
+    String other = TOML.replace("[store]", "announced = \"10.0.0.2:1\"\n[store]");
+    assertThat(parse(other).announced()).isEqualTo(new Endpoint("10.0.0.2", 1));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "ratio = 0.2, ratio = 0.3, retries.ratio, ''",
+    "drain_limit_s = 8, drain_limit_s = 9, node.drain_limit_s, ''",
+    "link_mbps = 200.0, link_mbps = 10.0, '', node",
+    "10.0.0.9:80, 10.0.0.9:81, '', store",
+    "10.0.0.1:8149, 10.0.0.1:8150, '', gateway",
+  })
+  void changesAreNamed(String from, String to, String atOnce, String atNextStart) throws Exception {
+    GatewayFile before = parse(TOML);
+    GatewayFile after = parse(TOML.replace(from, to));
+    assertThat(after.changedAtOnce(before)).isEqualTo(names(atOnce));
+    assertThat(after.changedForNextStart(before)).isEqualTo(names(atNextStart));
+  }
+
+  private static List<String> names(String text) {
+    return Arrays.stream(text.split(" ")).filter(name -> !name.isEmpty()).toList();
+  }
+
+  @Test
+  void aMissingAddressIsAMistake() {
+    assertThrows(SettingsException.class, () -> parse(TOML.replace("10.0.0.1:8149", "nowhere")));
+  }
+}
