--- a/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
@@ -73,6 +73,9 @@
 
   /** Returns whether a request comes too late to be taken. */
   boolean refuses(boolean stream, Instant now) {
+    if (completed) {
+      return true;
+    }
     Duration limit = stream ? LATEST_STREAM : grace.minus(EXIT_RESERVE).minus(LAST_ANSWERS);
     return isDraining() && Duration.between(since, now).compareTo(limit) > 0;
   }
--- a/src/main/java/dev/wisteriarail/demo/DemoCaller.java
+++ b/src/main/java/dev/wisteriarail/demo/DemoCaller.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.HdrHistogram.Histogram;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -15,6 +17,7 @@
 /** Sends a caller's requests to a node of the demo. Thread-safe. */
 final class DemoCaller {
 
+  private static final Logger LOGGER = LogManager.getLogger(DemoCaller.class);
   private static final Duration CALL_LIMIT = Duration.ofSeconds(20);
   private static final int STATUS_OK = 200;
 
@@ -59,6 +62,7 @@
       Thread.currentThread().interrupt();
       return Optional.empty();
     } catch (TimeoutException | ExecutionException failure) {
+      LOGGER.warn("no answer to a caller of {}{}", node.address(), path, failure);
       return Optional.empty();
     }
   }
--- a/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
@@ -6,6 +6,8 @@
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -71,7 +73,7 @@
     }
     if (!headSent) {
       headSent = true;
-      putHead(status, headers);
+      putStreamHead(status, headers);
     }
     response.write(false, ByteBuffer.wrap(whole), done);
     return Relayed.WRITTEN;
@@ -97,7 +99,7 @@
     ended = true;
     if (!headSent) {
       headSent = true;
-      putHead(status, headers);
+      putStreamHead(status, headers);
     }
     response.write(true, ByteBuffer.allocate(0), callback);
     return true;
@@ -123,7 +125,26 @@
     }
     ended = true;
     callback.failed(new IOException("the answer is cut"));
-    request.getConnectionMetaData().getConnection().getEndPoint().close();
+    EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+    if (!isChunkable() && endPoint instanceof PeekingEndPoint peeking) {
+      peeking.resetOnClose();
+    }
+    endPoint.close();
+  }
+
+  /**
+   * Sends the head of a streamed answer. It is chunked also where the connection closes after it:
+   * otherwise the close would be its end, and a cut answer would look complete.
+   */
+  private void putStreamHead(int status, HttpFields headers) {
+    putHead(status, headers);
+    if (isChunkable()) {
+      response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
+    }
+  }
+
+  private boolean isChunkable() {
+    return request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1;
   }
 
   private void putHead(int status, HttpFields headers) {
--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -14,8 +14,11 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -53,11 +56,21 @@
   /** Connections that wait to be accepted; a burst of callers must not overflow it. */
   private static final int ACCEPT_QUEUE = 512;
 
+  /** Pause between two looks for connections that fell idle while a node stops. */
+  private static final Duration CLOSE_PAUSE = Duration.ofMillis(10);
+
   private final Server server;
   private final CallerProtocol protocol;
   private final GatewayMetrics metrics;
   private final Consumer<GatewayEvent> events;
   private final Map<Long, CallerExchange> exchanges = new ConcurrentHashMap<>();
+
+  /** Connections that have begun a request and not ended its answer. */
+  private final Set<EndPoint> serving = ConcurrentHashMap.newKeySet();
+
+  /** Connections that are about to be closed; a request that still comes there is refused. */
+  private final Set<EndPoint> ending = ConcurrentHashMap.newKeySet();
+
   private final AtomicLong numbers = new AtomicLong();
   private volatile CallerBounds bounds = CallerBounds.DEFAULT;
   private volatile boolean ready;
@@ -142,11 +155,22 @@
     switch (request.getConnectionMetaData().getConnector().getName()) {
       case READY -> answerBalancer(request, response, callback);
       case METRICS -> answerMetrics(response, callback);
-      default -> readBody(request, response, callback);
+      default -> begin(request, response, callback);
     }
     return true;
   }
 
+  private void begin(Request request, Response response, Callback callback) {
+    EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+    serving.add(endPoint);
+    Callback ended = Callback.from(callback, () -> serving.remove(endPoint));
+    if (ending.contains(endPoint)) {
+      refuseEarly(request, response, ended, ResultCode.DRAINING, Optional.of(Duration.ZERO));
+    } else {
+      readBody(request, response, ended);
+    }
+  }
+
   private void answerBalancer(Request request, Response response, Callback callback) {
     boolean asked = request.getHttpURI().getPath().equals(protocol.readinessPath());
     response.setStatus(asked ? (ready ? 200 : 503) : 404);
@@ -274,26 +298,36 @@
 
   /** Closes the connections of callers that wait for nothing. */
   void closeIdle() {
-    for (var connector : server.getConnectors()) {
-      if (READY.equals(connector.getName()) || METRICS.equals(connector.getName())) {
-        continue;
+    for (EndPoint endPoint : callerConnections()) {
+      // Its next request sees either this mark or is seen here.
+      ending.add(endPoint);
+      if (!serving.contains(endPoint)) {
+        endPoint.close();
       }
-      for (EndPoint endPoint : connector.getConnectedEndPoints()) {
-        boolean serving =
-            exchanges.values().stream()
-                .anyMatch(
-                    exchange ->
-                        exchange
-                            .request()
-                            .getConnectionMetaData()
-                            .getConnection()
-                            .getEndPoint()
-                            .equals(endPoint));
-        if (!serving) {
-          endPoint.close();
-        }
+      ending.remove(endPoint);
+    }
+  }
+
+  /**
+   * Waits until no caller is connected, and closes connections as they fall idle meanwhile. The
+   * core refuses what still comes.
+   */
+  void closeAll(Duration limit) throws InterruptedException {
+    long until = System.nanoTime() + limit.toNanos();
+    while (!callerConnections().isEmpty() && System.nanoTime() < until) {
+      closeIdle();
+      Thread.sleep(CLOSE_PAUSE);
+    }
+  }
+
+  private List<EndPoint> callerConnections() {
+    List<EndPoint> connections = new ArrayList<>();
+    for (var connector : server.getConnectors()) {
+      if (!READY.equals(connector.getName()) && !METRICS.equals(connector.getName())) {
+        connections.addAll(connector.getConnectedEndPoints());
       }
     }
+    return connections;
   }
 
   @Override
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -57,6 +57,9 @@
   /** Part of the time after a stop request that is kept for closing. */
   private static final Duration EXIT_RESERVE = Duration.ofMillis(300);
 
+  /** Time in which callers that go on sending are refused before the process ends. */
+  private static final Duration LAST_REFUSALS = Duration.ofMillis(250);
+
   private final Incarnation incarnation;
   private volatile GatewayFile file;
   private final GatewayRuntime runtime;
@@ -224,6 +227,7 @@
   /** Stops gracefully: waits for the requests in flight, within the limit of the settings. */
   public boolean stop() throws InterruptedException {
     boolean drained = runtime.drain(file.drainLimit().minus(EXIT_RESERVE));
+    callers.closeAll(LAST_REFUSALS);
     kill();
     return drained;
   }
--- a/src/main/java/dev/wisteriarail/gateway/PeekingEndPoint.java
+++ b/src/main/java/dev/wisteriarail/gateway/PeekingEndPoint.java
@@ -1,9 +1,12 @@
 package dev.wisteriarail.gateway;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -18,6 +21,8 @@
  */
 final class PeekingEndPoint extends SocketChannelEndPoint {
 
+  private static final Logger LOGGER = LogManager.getLogger(PeekingEndPoint.class);
+
   /** Bytes that are read ahead; a caller that sends more is still there. */
   private static final int PEEK_BYTES = 512;
 
@@ -53,6 +58,15 @@
     return ended;
   }
 
+  /** Makes the next close a reset, which no caller takes for the end of an answer. */
+  void resetOnClose() {
+    try {
+      channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+    } catch (IOException closed) {
+      LOGGER.debug("a connection was closed before it was reset", closed);
+    }
+  }
+
   @Override
   public synchronized int fill(ByteBuffer buffer) throws IOException {
     if (!peeked.hasRemaining()) {
--- a/src/main/java/dev/wisteriarail/soak/NodeProcess.java
+++ b/src/main/java/dev/wisteriarail/soak/NodeProcess.java
@@ -12,14 +12,14 @@
 /**
  * One gateway node as a process of its own, which is started, signalled and killed by its id.
  *
- * <p>Life cycle: {@link #start} any number of times, then {@link #kill}. Not thread-safe.
+ * <p>Life cycle: {@link #start} any number of times, then {@link #kill}. Thread-safe.
  */
 final class NodeProcess {
 
   private final String name;
   private final Path settings;
   private final Path log;
-  private Process process;
+  private volatile Process process;
 
   private NodeProcess(String name, Path settings, Path log) {
     this.name = name;
@@ -59,7 +59,7 @@
    *
    * @param clockOffset by how much its time of day differs from the machine's
    */
-  void start(Duration clockOffset) throws SettingsException {
+  synchronized void start(Duration clockOffset) throws SettingsException {
     if (isAlive()) {
       return;
     }
--- a/src/main/java/dev/wisteriarail/soak/SoakCallers.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakCallers.java
@@ -30,6 +30,9 @@
   /** Longest pause of a caller between two requests. */
   private static final int PAUSE_MILLIS = 60;
 
+  /** The same after a request without an answer: its node may be down. */
+  private static final int PAUSE_UNANSWERED_MILLIS = 400;
+
   /** A caller waits longer than the deadline that it names, so that the node answers first. */
   private static final Duration PATIENCE = Duration.ofSeconds(12);
 
@@ -84,8 +87,10 @@
   private void call(String address, SplittableRandom random) {
     try {
       while (!stopping) {
-        send(address, Kind.values()[random.nextInt(Kind.values().length)], random.nextInt(MODELS));
-        Thread.sleep(random.nextInt(PAUSE_MILLIS));
+        Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+        Outcome outcome = send(address, kind, random.nextInt(MODELS));
+        boolean answered = outcome.status() != Outcome.NO_ANSWER;
+        Thread.sleep(random.nextInt(answered ? PAUSE_MILLIS : PAUSE_UNANSWERED_MILLIS));
       }
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
--- a/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
@@ -202,4 +202,16 @@
     assertThat(refusal.code()).isEqualTo(ResultCode.DEADLINE_UNREACHABLE);
     assertThat(refusal.returnAfter().orElseThrow()).isGreaterThan(Duration.ofSeconds(2));
   }
+
+  @Test
+  void whatComesAfterTheEndOfAStopIsRefusedAndNotSent() {
+    CoreHarness harness = CoreHarness.ready();
+    harness.handle(new GatewayEvent.DrainRequested());
+    harness.pass(Duration.ofSeconds(3));
+    assertThat(harness.take(GatewayEffect.DrainCompleted.class)).hasSize(1);
+    harness.arrive("lookup");
+    assertThat(harness.take(GatewayEffect.SendAttempt.class)).isEmpty();
+    harness.arrive("lookup");
+    assertThat(harness.take(GatewayEffect.Refuse.class)).hasSize(1);
+  }
 }
--- a/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
@@ -92,6 +92,21 @@
     }
   }
 
+  /** Begins to stop a node, and waits until it says that it takes no more callers. */
+  Thread stopInBackground(int node) throws InterruptedException {
+    Thread stopping =
+        Thread.startVirtualThread(
+            () -> {
+              try {
+                nodes.get(node).stop();
+              } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+              }
+            });
+    await(() -> !isReady(nodes.get(node)));
+    return stopping;
+  }
+
   /** Waits for a condition; fails only if it does not come true in a long time. */
   void await(BooleanSupplier condition) throws InterruptedException {
     long until = System.nanoTime() + LIMIT.toNanos();
--- a/src/test/java/dev/wisteriarail/platform/GatewayPathTest.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayPathTest.java
@@ -57,6 +57,23 @@
     }
   }
 
+  @Test
+  void aStreamThatIsCutWhileItsNodeStopsDoesNotLookComplete() throws Exception {
+    try (GatewayFleet fleet = GatewayFleet.start(1, 1, 0)) {
+      assertThat(stream(fleet, 0, "/report/1", "m0")).isPresent();
+      fleet.platform().runner("engine-0").behave(Behaviour.CUT);
+      Thread stop = fleet.stopInBackground(0);
+      int status;
+      try {
+        status = fleet.send(0, "POST", "/report/1", "m0").statusCode();
+      } catch (IOException cut) {
+        status = 0;
+      }
+      assertThat(status).isNotEqualTo(200);
+      stop.join();
+    }
+  }
+
   @ParameterizedTest
   @CsvSource({
     "GET, /lookup/1, FAILING, 500",
