--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/fleet/Copies.java
@@ -0,0 +1,47 @@
+package dev.wisteriarail.core.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * How often each model is held by the engines of a service. Counted once for each plan: a plan asks
+ * for it for each pair of an engine and a model. Immutable.
+ */
+final class Copies {
+
+  private final Map<String, Integer> replicas = new HashMap<>();
+  private final Map<String, Integer> copies = new HashMap<>();
+  private final Set<String> cached = new HashSet<>();
+
+  private Copies() {}
+
+  static Copies count(Iterable<PlanInput.Engine> engines) {
+    Copies counted = new Copies();
+    for (PlanInput.Engine engine : engines) {
+      Set<String> anywhere = new HashSet<>(engine.inHostMemory());
+      anywhere.addAll(engine.onDisk());
+      counted.cached.addAll(anywhere);
+      anywhere.addAll(engine.models().keySet());
+      anywhere.forEach(model -> counted.copies.merge(model, 1, Integer::sum));
+      engine.models().keySet().forEach(model -> counted.replicas.merge(model, 1, Integer::sum));
+    }
+    return counted;
+  }
+
+  /** Returns how many engines serve a model. */
+  int replicas(String model) {
+    return replicas.getOrDefault(model, 0);
+  }
+
+  /** Returns how many engines serve a model or have its weights in memory or on disk. */
+  int copies(String model) {
+    return copies.getOrDefault(model, 0);
+  }
+
+  /** Returns whether an engine has a model's weights in its host memory or on its disk. */
+  boolean isCached(String model) {
+    return cached.contains(model);
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -80,6 +80,8 @@
     private final Set<String> taken = new HashSet<>();
     private final Map<String, Long> startsIn = new HashMap<>();
     private final Map<String, Set<String>> placedNow = new HashMap<>();
+    private final Copies copies;
+    private final Set<String> wantedAdapters;
     private final List<Plan.Placed> orders = new ArrayList<>();
     private int storeLoads;
 
@@ -90,6 +92,11 @@
           spec.models().stream()
               .collect(Collectors.toMap(HostedModel::name, Function.identity(), (a, b) -> a));
       input.engines().forEach(engine -> engines.put(engine.runner(), engine));
+      copies = Copies.count(input.engines());
+      wantedAdapters =
+          input.adapterWants().stream()
+              .map(want -> want.model() + "/" + want.adapter())
+              .collect(Collectors.toSet());
       clearedFor.keySet().retainAll(engines.keySet());
       storeLoads = input.storeLoads();
       for (PlanInput.Engine engine : input.engines()) {
@@ -105,7 +112,7 @@
           .models()
           .forEach(
               (model, need) -> {
-                if (replicas(model) == 0 && need.worth() > 0) {
+                if (copies.replicas(model) == 0 && need.worth() > 0) {
                   forecasts.add(
                       new Plan.Forecast(
                           model, startsIn.getOrDefault(model, ModelForecast.UNPLANNED)));
@@ -141,7 +148,7 @@
       List<String> wanted =
           input.models().keySet().stream()
               .filter(model -> input.need(model).worth() > 0 && hosted.containsKey(model))
-              .filter(model -> replicas(model) == 0 && !startsIn.containsKey(model))
+              .filter(model -> copies.replicas(model) == 0 && !startsIn.containsKey(model))
               .sorted(
                   Comparator.comparing((String model) -> input.need(model).waiting() == 0)
                       .thenComparingDouble(model -> -input.need(model).worth())
@@ -152,7 +159,7 @@
         Optional<PlanInput.Engine> engine = bestEngine(model, false);
         if (engine.isPresent()) {
           place(engine.get(), model, "requests wait");
-        } else if (!isCached(model)) {
+        } else if (!copies.isCached(model)) {
           fromStore.add(model);
         }
       }
@@ -184,7 +191,7 @@
       List<String> busy =
           input.models().keySet().stream()
               .filter(hosted::containsKey)
-              .filter(model -> replicas(model) > 0 || startsIn.containsKey(model))
+              .filter(model -> copies.replicas(model) > 0 || startsIn.containsKey(model))
               .filter(model -> replicasWithLoading(model) < wantedReplicas(model))
               .sorted(Comparator.comparingDouble((String model) -> -input.need(model).perSecond()))
               .toList();
@@ -255,8 +262,7 @@
     }
 
     private boolean isWanted(String adapter) {
-      return input.adapterWants().stream()
-          .anyMatch(want -> adapter.equals(want.model() + "/" + want.adapter()));
+      return wantedAdapters.contains(adapter);
     }
 
     /** Keeps the weight store busy with models that too few engines have on their disks. */
@@ -268,11 +274,11 @@
               .count();
       List<String> missing =
           hosted.keySet().stream()
-              .filter(model -> copies(model) < wantedCopies(model))
+              .filter(model -> copies.copies(model) < wantedCopies(model))
               .filter(model -> !startsIn.containsKey(model))
               .sorted(
                   Comparator.comparingDouble((String model) -> -input.need(model).perSecond())
-                      .thenComparing(model -> copies(model) > 0 || wantedCopies(model) == 1)
+                      .thenComparing(model -> copies.copies(model) > 0 || wantedCopies(model) == 1)
                       .thenComparing(Function.identity()))
               .toList();
       for (String model : missing) {
@@ -291,13 +297,6 @@
       return hosted.get(model).adapters() > 0 ? Math.min(COPIES_WITH_ADAPTERS, engines.size()) : 1;
     }
 
-    private int copies(String model) {
-      return (int)
-          engines.values().stream()
-              .filter(engine -> isCachedOn(engine, model) || engine.models().containsKey(model))
-              .count();
-    }
-
     /** Before anybody asks for a model, engines have nothing better to do than to load. */
     private boolean isQuiet() {
       return input.models().values().stream().allMatch(need -> need.perSecond() < QUIET_RATE);
@@ -378,7 +377,7 @@
       if (engine.running().getOrDefault(model, 0) > 0) {
         return false;
       }
-      int others = replicas(model) - 1;
+      int others = copies.replicas(model) - 1;
       if (input.need(model).waiting() > 0 && others == 0) {
         return false;
       }
@@ -387,7 +386,7 @@
 
     /** What a model is worth on an engine: its requests a second, less if others hold it too. */
     private double keepValue(PlanInput.Engine engine, String model) {
-      double value = input.need(model).perSecond() / Math.max(1, replicas(model));
+      double value = input.need(model).perSecond() / Math.max(1, copies.replicas(model));
       return isCachedOn(engine, model) ? value : value + 1;
     }
 
@@ -400,11 +399,6 @@
       return (int) Math.min(most, Math.max(least, Math.max(byRunning, byRate)));
     }
 
-    private int replicas(String model) {
-      return (int)
-          engines.values().stream().filter(engine -> engine.models().containsKey(model)).count();
-    }
-
     private int replicasWithLoading(String model) {
       Set<String> coming = new HashSet<>(placedNow.getOrDefault(model, Set.of()));
       engines.values().stream()
@@ -416,11 +410,7 @@
               coming.add(runner);
             }
           });
-      return replicas(model) + coming.size();
-    }
-
-    private boolean isCached(String model) {
-      return engines.values().stream().anyMatch(engine -> isCachedOn(engine, model));
+      return copies.replicas(model) + coming.size();
     }
 
     private static boolean isCachedOn(PlanInput.Engine engine, String model) {
--- a/src/main/java/dev/wisteriarail/core/fleet/UseBook.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/UseBook.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -17,18 +18,31 @@
 
   private final Map<String, NodeUses> reports = new TreeMap<>();
 
+  /** The merged reports; empty while they have to be merged anew. */
+  private Optional<Map<String, Load>> merged = Optional.empty();
+
   /** Takes a node's report. */
   void accept(String node, List<RunnerUse> uses, Instant now) {
     reports.put(node, new NodeUses(List.copyOf(uses), now));
+    merged = Optional.empty();
   }
 
   /** Drops the reports of nodes that were not heard since. */
   void forgetBefore(Instant oldest) {
-    reports.values().removeIf(report -> report.at().isBefore(oldest));
+    if (reports.values().removeIf(report -> report.at().isBefore(oldest))) {
+      merged = Optional.empty();
+    }
   }
 
   /** Returns the requests that run on each runner, by runner. */
   Map<String, Load> loads() {
+    if (merged.isEmpty()) {
+      merged = Optional.of(merge());
+    }
+    return merged.get();
+  }
+
+  private Map<String, Load> merge() {
     Map<String, Load> loads = new HashMap<>();
     for (NodeUses report : reports.values()) {
       for (RunnerUse use : report.uses()) {
--- a/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -34,7 +34,7 @@
   private static final long PLAN_MILLIS = 15;
 
   /** Time in which news of what engines hold are put together, for each doubling of the pace. */
-  private static final long NEWS_MILLIS = 30;
+  private static final long NEWS_MILLIS = 50;
 
   /**
    * The same for news of how many requests they run. Each message goes to all nodes, and among 64
