--- a/src/main/java/dev/wisteriarail/cli/LoadCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/LoadCommand.java
@@ -106,7 +106,7 @@
     List<PlannedCall> calls =
         LoadPlanner.plan(
             scenario, texts(options, "model"), targets.size(), (Long) options.valueOf("seed"));
-    HttpClient http = HttpClients.start();
+    HttpClient http = HttpClients.startForCallers();
     try {
       ArrayNode callers = JsonNodeFactory.instance.arrayNode();
       for (CallerResult result : LoadRunner.create(http, setup).run(calls)) {
--- a/src/main/java/dev/wisteriarail/demo/DemoFleet.java
+++ b/src/main/java/dev/wisteriarail/demo/DemoFleet.java
@@ -43,7 +43,7 @@
    * @throws SettingsException if a port cannot be bound
    */
   public static DemoFleet start(int nodeCount, StandinPlan plan) throws SettingsException {
-    DemoFleet fleet = new DemoFleet(StandinFleet.start(plan), HttpClients.start());
+    DemoFleet fleet = new DemoFleet(StandinFleet.start(plan), HttpClients.startForCallers());
     for (int i = 1; i <= nodeCount; i++) {
       fleet.startNode("n" + i);
     }
--- a/src/main/java/dev/wisteriarail/demo/GatewayTrial.java
+++ b/src/main/java/dev/wisteriarail/demo/GatewayTrial.java
@@ -9,11 +9,10 @@
 import dev.wisteriarail.settings.Endpoint;
 import dev.wisteriarail.settings.GatewayFile;
 import dev.wisteriarail.settings.TomlDocument;
+import dev.wisteriarail.standin.FreePorts;
 import dev.wisteriarail.standin.PlatformCaller;
 import dev.wisteriarail.standin.PlatformStandin;
-import java.io.IOException;
 import java.io.PrintStream;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
@@ -46,7 +45,7 @@
    * @return whether each outcome was right
    */
   public static boolean run(PrintStream out) throws SettingsException, InterruptedException {
-    HttpClient http = HttpClients.start();
+    HttpClient http = HttpClients.startForCallers();
     try (PlatformStandin platform = PlatformStandin.start(2, 1)) {
       GatewayTrial trial = new GatewayTrial(out, http);
       List<GatewayNode> nodes = List.of(trial.node("g1", platform), trial.node("g2", platform));
@@ -76,7 +75,12 @@
         address = "%s"
         """
             .formatted(
-                name, freePort(), freePort(), freePort(), freePort(), platform.store().address());
+                name,
+                FreePorts.next(),
+                FreePorts.next(),
+                FreePorts.next(),
+                FreePorts.next(),
+                platform.store().address());
     return GatewayNode.start(
         GatewayFile.from(TomlDocument.parse(name, toml)),
         CallerHeaders.create(),
@@ -84,14 +88,6 @@
         PlatformCalls::create);
   }
 
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException failure) {
-      throw new IllegalStateException("no free port on loopback", failure);
-    }
-  }
-
   private void sendAll(List<GatewayNode> nodes) throws InterruptedException {
     for (GatewayNode node : nodes) {
       check("plain request", await(node, "GET", "/lookup/1", ""));
--- a/src/main/java/dev/wisteriarail/logservice/HttpClients.java
+++ b/src/main/java/dev/wisteriarail/logservice/HttpClients.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.logservice;
 
+import java.time.Duration;
 import org.apache.logging.log4j.LogManager;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -8,15 +9,29 @@
 public final class HttpClients {
 
   private static final int CONNECTIONS_PER_ADDRESS = 1_024;
-  private static final long CONNECT_TIMEOUT_MILLIS = 500;
+
+  /** A node tries another address of the log rather than wait for one that does not accept. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+  /** Callers have no other address; on a busy machine a node may take seconds to accept. */
+  private static final Duration CALLER_CONNECT_TIMEOUT = Duration.ofSeconds(10);
 
   private HttpClients() {}
 
-  /** Returns a started client. */
+  /** Returns a started client for a node's calls. */
   public static HttpClient start() {
+    return start(CONNECT_TIMEOUT);
+  }
+
+  /** Returns a started client for the demo's and the tools' callers. */
+  public static HttpClient startForCallers() {
+    return start(CALLER_CONNECT_TIMEOUT);
+  }
+
+  private static HttpClient start(Duration connectTimeout) {
     HttpClient http = new HttpClient();
     http.setMaxConnectionsPerDestination(CONNECTIONS_PER_ADDRESS);
-    http.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+    http.setConnectTimeout(connectTimeout.toMillis());
     http.setUserAgentField(null);
     QueuedThreadPool threads = new QueuedThreadPool();
     threads.setName("http-client");
--- a/src/main/java/dev/wisteriarail/soak/SoakCallers.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakCallers.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.soak;
 
+import dev.wisteriarail.logservice.HttpClients;
 import dev.wisteriarail.standin.PlatformCaller;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,7 +15,6 @@
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
  * Callers that send requests of every kind to all nodes, over connections that they keep until a
@@ -36,7 +36,6 @@
   /** A caller waits longer than the deadline that it names, so that the node answers first. */
   private static final Duration PATIENCE = Duration.ofSeconds(12);
 
-  private static final long CONNECT_TIMEOUT_MILLIS = 5_000;
   private static final int MODELS = 4;
 
   private final HttpClient http;
@@ -56,7 +55,7 @@
    * @param addresses address of each node as host and port
    */
   static SoakCallers start(long seed, List<String> addresses) {
-    SoakCallers callers = new SoakCallers(startHttp());
+    SoakCallers callers = new SoakCallers(HttpClients.startForCallers());
     SplittableRandom random = new SplittableRandom(seed);
     for (String address : addresses) {
       for (int i = 0; i < CALLERS_OF_A_NODE; i++) {
@@ -68,22 +67,6 @@
     return callers;
   }
 
-  private static HttpClient startHttp() {
-    HttpClient http = new HttpClient();
-    http.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-    http.setUserAgentField(null);
-    QueuedThreadPool threads = new QueuedThreadPool();
-    threads.setName("callers");
-    threads.setDaemon(true);
-    http.setExecutor(threads);
-    try {
-      http.start();
-    } catch (Exception failure) {
-      throw new IllegalStateException("the HTTP client did not start", failure);
-    }
-    return http;
-  }
-
   private void call(String address, SplittableRandom random) {
     try {
       while (!stopping) {
@@ -135,11 +118,7 @@
     for (Thread thread : threads) {
       thread.join();
     }
-    try {
-      http.stop();
-    } catch (Exception failure) {
-      throw new IllegalStateException("the HTTP client did not stop", failure);
-    }
+    HttpClients.stop(http);
     return List.copyOf(outcomes);
   }
 
--- a/src/main/java/dev/wisteriarail/soak/SoakFleet.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakFleet.java
@@ -1,11 +1,9 @@
 package dev.wisteriarail.soak;
 
-import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.standin.FreePorts;
 import dev.wisteriarail.standin.PlatformStandin;
 import dev.wisteriarail.standin.RunnerStandin;
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -69,9 +67,9 @@
   }
 
   private Member newMember(String name, Path directory) throws SettingsException {
-    int callerPort = freePort();
-    int balancerPort = freePort();
-    int peerPort = freePort();
+    int callerPort = FreePorts.next();
+    int balancerPort = FreePorts.next();
+    int peerPort = FreePorts.next();
     LoopbackProxy callers = LoopbackProxy.start(callerPort);
     LoopbackProxy peers = LoopbackProxy.start(peerPort);
     LoopbackProxy store = LoopbackProxy.start(port(platform.store().address()));
@@ -114,15 +112,6 @@
     return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
   }
 
-  private static int freePort() throws SettingsException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException failure) {
-      throw new SettingsException(
-          ResultCode.SETTINGS_INVALID, "soak", "no free port on loopback", failure);
-    }
-  }
-
   // Control
 
   /** Ends a runner and starts it again after a while. */
