--- a/src/main/java/dev/wisteriarail/cli/FuzzCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/FuzzCommand.java
@@ -4,6 +4,8 @@
 import dev.wisteriarail.codec.Codecs;
 import dev.wisteriarail.core.result.WisteriarailException;
 import dev.wisteriarail.fuzz.Campaign;
+import dev.wisteriarail.fuzz.gateway.GatewayDefect;
+import dev.wisteriarail.fuzz.gateway.GatewayFuzz;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import joptsimple.OptionParser;
@@ -50,11 +52,15 @@
         .defaultsTo(DEFAULT_STEPS);
     parser.accepts("shrink", "look for the shortest plan that breaks the same promise");
     parser.accepts("history", "print the history of each run that breaks a promise");
+    parser.accepts("gateway", "fuzz gateway nodes on the users' platform instead");
     parser.accepts("json", "print one JSON object");
   }
 
   @Override
   public ExitCode run(OptionSet options, PrintStream out) throws WisteriarailException {
+    if (options.has("gateway")) {
+      return runGateways(options, out);
+    }
     Campaign campaign =
         Campaign.run(
             (Long) options.valueOf("seed"),
@@ -68,6 +74,17 @@
     return campaign.summary().violations().isEmpty() ? ExitCode.SUCCESS : ExitCode.FAILED;
   }
 
+  private static ExitCode runGateways(OptionSet options, PrintStream out) {
+    long first = (Long) options.valueOf("seed");
+    boolean sound = true;
+    for (long seed = first; seed < first + (Integer) options.valueOf("runs"); seed++) {
+      GatewayFuzz.Result result = GatewayFuzz.execute(seed, true, GatewayDefect.NONE);
+      out.println(result.describe());
+      sound &= result.violations().isEmpty();
+    }
+    return sound ? ExitCode.SUCCESS : ExitCode.FAILED;
+  }
+
   private static String json(Campaign.Summary summary) {
     try {
       return Codecs.json().writeValueAsString(summary);
--- a/src/main/java/dev/wisteriarail/fuzz/Chance.java
+++ b/src/main/java/dev/wisteriarail/fuzz/Chance.java
@@ -5,7 +5,7 @@
 import java.util.SplittableRandom;
 
 /** Seeded random choices. Each part of a run draws from a stream of its own. */
-final class Chance {
+public final class Chance {
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -16,28 +16,28 @@
   }
 
   /** Returns the stream of one part of a run. */
-  static Chance of(long seed, String part) {
+  public static Chance of(long seed, String part) {
     return new Chance(new SplittableRandom(seed * 31 + part.hashCode()));
   }
 
   /** Returns true with the given probability. */
-  boolean happens(double probability) {
+  public boolean happens(double probability) {
     return random.nextDouble() < probability;
   }
 
   /** Returns a number from 0 to the bound, exclusive. */
-  int below(int bound) {
+  public int below(int bound) {
     return random.nextInt(bound);
   }
 
   /** Returns a duration between two numbers of milliseconds. */
-  Duration millis(double least, double most) {
+  public Duration millis(double least, double most) {
     return Duration.ofNanos(
         (long) ((least + random.nextDouble() * (most - least)) * NANOS_PER_MILLI));
   }
 
   /** Returns one entry of a list. */
-  <T> T pick(List<T> choices) {
+  public <T> T pick(List<T> choices) {
     return choices.get(random.nextInt(choices.size()));
   }
 }
--- a/src/main/java/dev/wisteriarail/fuzz/VirtualScheduler.java
+++ b/src/main/java/dev/wisteriarail/fuzz/VirtualScheduler.java
@@ -9,7 +9,7 @@
  *
  * <p>Not thread-safe; one run owns it.
  */
-final class VirtualScheduler {
+public final class VirtualScheduler {
 
   private record Task(Instant at, long sequence, Runnable action) implements Comparable<Task> {
 
@@ -25,23 +25,23 @@
   private long sequence;
 
   /** Returns the current virtual time. */
-  Instant now() {
+  public Instant now() {
     return now;
   }
 
   /** Runs an action at a time, at once if it has passed. */
-  void at(Instant time, Runnable action) {
+  public void at(Instant time, Runnable action) {
     sequence++;
     tasks.add(new Task(time.isBefore(now) ? now : time, sequence, action));
   }
 
   /** Runs an action after a delay. */
-  void after(Duration delay, Runnable action) {
+  public void after(Duration delay, Runnable action) {
     at(now.plus(delay), action);
   }
 
   /** Runs all tasks up to a time. */
-  void runUntil(Instant end) {
+  public void runUntil(Instant end) {
     while (!tasks.isEmpty() && !tasks.peek().at().isAfter(end)) {
       Task task = tasks.poll();
       now = task.at();
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
@@ -0,0 +1,189 @@
+package dev.wisteriarail.fuzz.gateway;
+
+import dev.wisteriarail.core.fleet.FleetTimings;
+import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.gateway.GatewayCore;
+import dev.wisteriarail.core.gateway.GatewayEffect;
+import dev.wisteriarail.core.gateway.GatewayEvent;
+import dev.wisteriarail.core.gateway.GatewaySettings;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One node: its core, and what a process keeps beside it. Not thread-safe.
+ *
+ * <p>Life cycle: runs follow each other; each begins with {@link #start} and a new core.
+ */
+final class FuzzedNode {
+
+  private final int number;
+  private final GatewayDefect defect;
+  private final Deque<GatewayEvent> backlog = new ArrayDeque<>();
+  private final Map<Long, String> exchanges = new HashMap<>();
+  private final Map<Long, Integer> attempts = new HashMap<>();
+  private GatewayCore core;
+  private long run;
+  private boolean up;
+  private boolean paused;
+  private boolean ready;
+  private boolean storeCut;
+  private boolean peersCut;
+  private Instant disturbedAt = Instant.EPOCH;
+
+  FuzzedNode(int number, GatewayDefect defect) {
+    this.number = number;
+    this.defect = defect;
+  }
+
+  /** Begins a run; returns its number, by which late answers to earlier runs are told. */
+  long start() {
+    run++;
+    up = true;
+    paused = false;
+    ready = false;
+    backlog.clear();
+    exchanges.clear();
+    attempts.clear();
+    GatewaySettings settings =
+        new GatewaySettings(
+            address(),
+            "a",
+            List.of(),
+            FleetTimings.DEFAULT.withOrders(Duration.ofSeconds(3), true),
+            GatewayFuzzPlan.RETRY_WINDOW,
+            GatewayFuzzPlan.RETRY_RATIO,
+            GatewayFuzzPlan.RETRY_SLACK,
+            Duration.ofSeconds(8));
+    core = GatewayCore.create(defect.alter(settings));
+    return run;
+  }
+
+  private NodeAddress address() {
+    return new NodeAddress(
+        NodeId.of("n" + number), Incarnation.of(run), "10.0.0." + number, 7000, 1_000);
+  }
+
+  void stop() {
+    up = false;
+    run++;
+  }
+
+  /** Takes an event; a node that stands still takes it when it goes on. */
+  List<GatewayEffect> handle(GatewayEvent event, Instant now) {
+    if (!up) {
+      return List.of();
+    }
+    if (paused) {
+      if (!(event instanceof GatewayEvent.Tick)) {
+        backlog.add(event);
+      }
+      return List.of();
+    }
+    List<GatewayEffect> effects = new ArrayList<>();
+    for (GatewayEvent altered : defect.alter(event)) {
+      for (GatewayEffect effect : core.handle(altered, now)) {
+        effects.addAll(defect.alter(effect));
+      }
+    }
+    return effects;
+  }
+
+  void pause() {
+    paused = true;
+  }
+
+  /** Goes on after a pause; returns what came meanwhile. */
+  List<GatewayEvent> resume() {
+    paused = false;
+    List<GatewayEvent> missed = new ArrayList<>();
+    missed.add(new GatewayEvent.Tick(true));
+    missed.addAll(backlog);
+    backlog.clear();
+    return missed;
+  }
+
+  // Requests
+
+  void open(long exchange, String request) {
+    exchanges.put(exchange, request);
+  }
+
+  /** Returns the caller's name of an open request; empty text if it has ended. */
+  String request(long exchange) {
+    return exchanges.getOrDefault(exchange, "");
+  }
+
+  void close(long exchange) {
+    exchanges.remove(exchange);
+    attempts.remove(exchange);
+  }
+
+  void beginAttempt(long exchange, int attempt) {
+    attempts.put(exchange, attempt);
+  }
+
+  void cancelAttempt(long exchange) {
+    attempts.remove(exchange);
+  }
+
+  boolean isCurrent(long exchange, int attempt) {
+    return attempts.getOrDefault(exchange, -1) == attempt;
+  }
+
+  // State
+
+  void setReady(boolean isReady) {
+    ready = isReady;
+  }
+
+  void setStoreCut(boolean cut) {
+    storeCut = cut;
+  }
+
+  void setPeersCut(boolean cut) {
+    peersCut = cut;
+  }
+
+  void disturb(Instant now) {
+    disturbedAt = now;
+  }
+
+  // Accessors
+
+  int number() {
+    return number;
+  }
+
+  long run() {
+    return run;
+  }
+
+  boolean isUp() {
+    return up;
+  }
+
+  boolean isReady() {
+    return up && ready && !paused;
+  }
+
+  boolean isStoreCut() {
+    return storeCut;
+  }
+
+  boolean isPeersCut() {
+    return peersCut;
+  }
+
+  /** Returns when something was last done to it from outside. */
+  Instant disturbedAt() {
+    return disturbedAt;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzzPlan.java
@@ -0,0 +1,95 @@
+package dev.wisteriarail.fuzz.gateway;
+
+import dev.wisteriarail.core.route.CallerBounds;
+import dev.wisteriarail.core.route.EngineSpec;
+import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.route.HostedModel;
+import dev.wisteriarail.core.route.RouteKind;
+import dev.wisteriarail.core.route.RouteSpec;
+import dev.wisteriarail.core.route.ServicePool;
+import dev.wisteriarail.core.route.ServiceShare;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The deployment that is fuzzed: its routes, services and figures. Stateless. */
+final class GatewayFuzzPlan {
+
+  static final String HOST = "host";
+  static final String ENGINES = "engines";
+  static final String PLAIN = "plain";
+  static final int NODES = 4;
+  static final int ENGINE_COUNT = 4;
+  static final int PLAIN_COUNT = 3;
+  static final int MODELS = 7;
+  static final int SLOTS = 6;
+  static final int ADAPTER_SLOTS = 2;
+
+  /** Models that an engine's memory holds. */
+  static final int MODELS_THAT_FIT = 2;
+
+  static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
+  static final double RETRY_RATIO = 0.2;
+  static final double RETRY_SLACK = 5;
+
+  private static final double MODEL_MEGABYTES = 60;
+  private static final double ENGINE_MEGABYTES = 130;
+
+  private GatewayFuzzPlan() {}
+
+  /** Returns a configuration with as many added routes as its version. */
+  static GatewayConfiguration configuration(long version) {
+    List<RouteSpec> routes = new ArrayList<>();
+    routes.add(route("chat", RouteKind.STREAMING, ENGINES, true, 2));
+    routes.add(route("report", RouteKind.STREAMING, ENGINES, false, 1));
+    routes.add(route("lookup", RouteKind.IDEMPOTENT, PLAIN, false, 2));
+    routes.add(route("order", RouteKind.NON_IDEMPOTENT, PLAIN, false, 1));
+    for (long added = 2; added <= version; added++) {
+      routes.add(route("added-" + added, RouteKind.IDEMPOTENT, PLAIN, false, 2));
+    }
+    List<HostedModel> models = new ArrayList<>();
+    for (int i = 0; i < MODELS; i++) {
+      models.add(
+          new HostedModel(
+              "m" + i,
+              MODEL_MEGABYTES,
+              Duration.ofMillis(900),
+              Duration.ofMillis(900),
+              Duration.ofMillis(900),
+              2,
+              1));
+    }
+    EngineSpec engine = new EngineSpec(SLOTS, 100_000, ENGINE_MEGABYTES, ADAPTER_SLOTS, 5, models);
+    return new GatewayConfiguration(
+        version,
+        routes,
+        Map.of(
+            ENGINES, new ServicePool(ENGINES, 100, Optional.of(engine)),
+            PLAIN, new ServicePool(PLAIN, 100, Optional.empty())),
+        CallerBounds.DEFAULT);
+  }
+
+  /** Returns whether a route came with a later configuration, which nodes may not know yet. */
+  static boolean isAdded(RouteSpec route) {
+    return route.name().startsWith("added-");
+  }
+
+  private static RouteSpec route(
+      String name, RouteKind kind, String service, boolean resumable, int runners) {
+    return new RouteSpec(
+        name,
+        HOST,
+        "/" + name + "/",
+        kind,
+        Duration.ofSeconds(kind == RouteKind.STREAMING ? 8 : 2),
+        Duration.ofMillis(400),
+        1,
+        List.of(new ServiceShare(service, 1)),
+        runners,
+        false,
+        resumable,
+        Duration.ofMillis(250));
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
@@ -0,0 +1,181 @@
+package dev.wisteriarail.fuzz.gateway;
+
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.route.RouteSpec;
+import dev.wisteriarail.fuzz.oracle.Violation;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Checks what callers, runners and the operator see of the nodes. docs/PROMISES.md names the
+ * checks. Not thread-safe.
+ */
+final class GatewayOracle {
+
+  /** Refusals that say that the request did not run and will not. */
+  private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
+
+  /** Time after its deadline in which a request must have ended. */
+  private static final Duration ENDING_SLACK = Duration.ofMillis(500);
+
+  private static final int FIRST_CLIENT_ERROR = 400;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final Map<String, Asked> asked = new TreeMap<>();
+  private final Map<String, List<Instant>> requests = new HashMap<>();
+  private final Map<String, List<Instant>> repeats = new HashMap<>();
+  private final Map<String, Integer> endings = new TreeMap<>();
+  private final List<Violation> violations = new ArrayList<>();
+
+  void complain(String check, String detail, Instant now) {
+    violations.add(new Violation(check, now, detail));
+  }
+
+  // What callers see
+
+  void ask(String id, RouteSpec route, int node, Instant now) {
+    asked.put(id, new Asked(route, node, now.plus(route.timeout())));
+    String service = route.shares().getFirst().service();
+    requests.computeIfAbsent(service, name -> new ArrayList<>()).add(now);
+  }
+
+  /** A request ended without an answer of a runner. */
+  void refuse(String id, ResultCode code, Instant now) {
+    end(id, code.label(), now);
+    Asked request = asked.get(id);
+    int status = code.httpStatus();
+    boolean denied = status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR;
+    if (denied && !NOT_RUN.contains(status) && !GatewayFuzzPlan.isAdded(request.route)) {
+      complain("denied", id + " is proper and got " + code, now);
+    }
+    request.notRunSaid = NOT_RUN.contains(status);
+    checkTruth(id, request, now);
+  }
+
+  /** A request ended with an answer, or its answer was cut. */
+  void end(String id, String how, Instant now) {
+    Asked request = asked.get(id);
+    if (request.ended) {
+      complain("one-ending", id + " ended again: " + how, now);
+    }
+    request.ended = true;
+    endings.merge(how, 1, Integer::sum);
+  }
+
+  /** A caller left, or its node ended: no ending is owed any more. */
+  void release(String id) {
+    asked.get(id).owed = false;
+  }
+
+  /** Releases the open requests of a node that ended. */
+  void releaseNode(int node) {
+    asked.values().stream().filter(request -> request.node == node).forEach(r -> r.owed = false);
+  }
+
+  // What runners see
+
+  void arrive(String id, String runner, Instant now) {
+    Asked request = asked.get(id);
+    request.arrivals++;
+    if (request.arrivals > 1) {
+      String service = request.route.shares().getFirst().service();
+      repeats.computeIfAbsent(service, name -> new ArrayList<>()).add(now);
+      checkBudget(service, now);
+    }
+  }
+
+  void run(String id, String runner, Instant now) {
+    Asked request = asked.get(id);
+    request.runs++;
+    if (request.runs > 1 && !request.route.repeatable()) {
+      complain("at-most-once", id + " ran again on " + runner, now);
+    }
+    checkTruth(id, request, now);
+  }
+
+  private void checkTruth(String id, Asked request, Instant now) {
+    if (request.notRunSaid && request.runs > 0 && !request.route.repeatable()) {
+      complain("not-run", id + " was said not to have run", now);
+    }
+  }
+
+  private void checkBudget(String service, Instant now) {
+    int sent = count(repeats, service, now.minus(GatewayFuzzPlan.RETRY_WINDOW), now);
+    int recent = count(requests, service, now.minus(GatewayFuzzPlan.RETRY_WINDOW), now);
+    int before =
+        count(
+            requests,
+            service,
+            now.minus(GatewayFuzzPlan.RETRY_WINDOW.multipliedBy(2)),
+            now.minus(GatewayFuzzPlan.RETRY_WINDOW));
+    double allowed =
+        GatewayFuzzPlan.RETRY_RATIO * Math.max(recent, before) + GatewayFuzzPlan.RETRY_SLACK;
+    if (sent > allowed) {
+      complain("retry-budget", service + " got " + sent + " repeats, allowed " + allowed, now);
+    }
+  }
+
+  private static int count(
+      Map<String, List<Instant>> times, String service, Instant after, Instant until) {
+    return (int)
+        times.getOrDefault(service, List.of()).stream()
+            .filter(time -> time.isAfter(after) && !time.isAfter(until))
+            .count();
+  }
+
+  // Progress
+
+  /** Looks for requests whose time has passed. */
+  void checkEndings(Instant now) {
+    asked.forEach(
+        (id, request) -> {
+          if (request.owed && !request.ended && now.isAfter(request.deadline.plus(ENDING_SLACK))) {
+            request.owed = false;
+            complain("one-ending", id + " has no ending after its deadline", now);
+          }
+        });
+  }
+
+  // Accessors
+
+  boolean isServed(String id) {
+    return asked.get(id).ended && !asked.get(id).notRunSaid;
+  }
+
+  int size() {
+    return asked.size();
+  }
+
+  Map<String, Integer> endings() {
+    return endings;
+  }
+
+  List<Violation> violations() {
+    return violations;
+  }
+
+  /** One request. */
+  private static final class Asked {
+
+    private final RouteSpec route;
+    private final int node;
+    private final Instant deadline;
+    private int arrivals;
+    private int runs;
+    private boolean ended;
+    private boolean notRunSaid;
+    private boolean owed = true;
+
+    Asked(RouteSpec route, int node, Instant deadline) {
+      this.route = route;
+      this.node = node;
+      this.deadline = deadline;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -0,0 +1,149 @@
+package dev.wisteriarail.fuzz;
+
+import dev.wisteriarail.core.fleet.Coordinator;
+import dev.wisteriarail.core.fleet.FleetOrder;
+import dev.wisteriarail.core.fleet.LoadSource;
+import dev.wisteriarail.core.gateway.GatewayEffect;
+import dev.wisteriarail.core.gateway.GatewayEvent;
+import dev.wisteriarail.core.gateway.GatewaySettings;
+import dev.wisteriarail.core.gateway.StoreAnswer;
+import dev.wisteriarail.core.peer.FleetMessage;
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.fuzz.gateway.GatewayDefect;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** Deliberate defects of gateway nodes, one for each check. */
+enum GatewayDefects implements GatewayDefect {
+  SENDS_TWICE {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      return effect instanceof GatewayEffect.SendAttempt
+          ? List.of(effect, effect)
+          : List.of(effect);
+    }
+  },
+  SAYS_NOT_RUN {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      boolean unknown =
+          effect instanceof GatewayEffect.Refuse refuse
+              && refuse.code() == ResultCode.OUTCOME_UNKNOWN;
+      return List.of(
+          unknown
+              ? new GatewayEffect.Refuse(
+                  ((GatewayEffect.Refuse) effect).exchange(),
+                  ResultCode.DEADLINE_UNREACHABLE,
+                  Optional.empty())
+              : effect);
+    }
+  },
+  DROPS_ENDINGS {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      return effect instanceof GatewayEffect.Refuse || effect instanceof GatewayEffect.PassAnswer
+          ? List.of()
+          : List.of(effect);
+    }
+  },
+  DENIES_ROUTES {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      return List.of(
+          effect instanceof GatewayEffect.Refuse refuse
+              ? new GatewayEffect.Refuse(
+                  refuse.exchange(), ResultCode.NOT_FOUND, Optional.empty())
+              : effect);
+    }
+  },
+  SHARES_A_FENCE {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      return List.of(
+          effect instanceof GatewayEffect.GiveOrder order
+              ? new GatewayEffect.GiveOrder(
+                  order.runner(),
+                  order.order(),
+                  order.holder() + order.order().number() % 2,
+                  order.fence())
+              : effect);
+    }
+  },
+  ORDERS_BEYOND_MEMORY {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      boolean unloads =
+          effect instanceof GatewayEffect.GiveOrder order
+              && order.order().order() instanceof FleetOrder.UnloadModel;
+      if (!unloads) {
+        return List.of(effect);
+      }
+      GatewayEffect.GiveOrder order = (GatewayEffect.GiveOrder) effect;
+      Coordinator.NumberedOrder known = order.order();
+      return List.of(
+          new GatewayEffect.GiveOrder(
+              order.runner(),
+              new Coordinator.NumberedOrder(
+                  known.number(),
+                  known.runner(),
+                  known.bornMillis(),
+                  known.expected(),
+                  new FleetOrder.LoadModel("m6", LoadSource.STORE),
+                  known.reason()),
+              order.holder(),
+              order.fence()));
+    }
+  },
+  SPENDS_ANY_BUDGET {
+    @Override
+    public GatewaySettings alter(GatewaySettings settings) {
+      return new GatewaySettings(
+          settings.self(),
+          settings.domain(),
+          settings.seeds(),
+          settings.timings(),
+          Duration.ofSeconds(10),
+          100,
+          10_000,
+          settings.drainGrace());
+    }
+  },
+  MISSES_CHANGES {
+    @Override
+    public List<GatewayEvent> alter(GatewayEvent event) {
+      boolean laterDirectory =
+          event instanceof GatewayEvent.StoreTold told
+              && told.answer() instanceof StoreAnswer.DirectoryRead read
+              && read.change().entries().stream().anyMatch(entry -> entry.draining());
+      boolean laterConfiguration =
+          event instanceof GatewayEvent.StoreTold told
+              && told.answer() instanceof StoreAnswer.ConfigurationRead read
+              && read.configuration().filter(known -> known.version() > 1).isPresent();
+      boolean laterWord =
+          event instanceof GatewayEvent.PeerTold told
+              && (told.message() instanceof FleetMessage.DirectoryTold
+                  || told.message() instanceof FleetMessage.ConfigurationTold);
+      return laterDirectory || laterConfiguration || laterWord ? List.of() : List.of(event);
+    }
+  },
+  REFUSES_EVERYTHING {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      return List.of(
+          effect instanceof GatewayEffect.SendAttempt send
+              ? new GatewayEffect.Refuse(
+                  send.exchange(), ResultCode.NO_CAPACITY, Optional.empty())
+              : effect);
+    }
+  },
+  FAILS_INSIDE {
+    @Override
+    public List<GatewayEvent> alter(GatewayEvent event) {
+      if (event instanceof GatewayEvent.CallerLeft) {
+        throw new IllegalStateException("a deliberate defect");
+      }
+      return List.of(event);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
@@ -0,0 +1,64 @@
+package dev.wisteriarail.fuzz;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import dev.wisteriarail.fuzz.gateway.GatewayDefect;
+import dev.wisteriarail.fuzz.gateway.GatewayFuzz;
+import dev.wisteriarail.fuzz.oracle.Violation;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Gateway nodes under faults in virtual time, and what each check is for. */
+final class GatewayFuzzTest {
+
+  private static final long SEED = 3;
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void promisesHoldUnderFaults(long seed) {
+    GatewayFuzz.Result result = GatewayFuzz.execute(seed, true, GatewayDefect.NONE);
+    assertWithMessage(result.describe()).that(result.violations()).isEmpty();
+  }
+
+  @Test
+  void promisesHoldWithoutFaults() {
+    GatewayFuzz.Result result = GatewayFuzz.execute(SEED, false, GatewayDefect.NONE);
+    assertWithMessage(result.describe()).that(result.violations()).isEmpty();
+  }
+
+  @Test
+  void aSeedGivesTheSameRun() {
+    assertThat(GatewayFuzz.execute(SEED, true, GatewayDefect.NONE))
+        .isEqualTo(GatewayFuzz.execute(SEED, true, GatewayDefect.NONE));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "at-most-once, SENDS_TWICE, true",
+    "not-run, SAYS_NOT_RUN, true",
+    "one-ending, DROPS_ENDINGS, true",
+    "denied, DENIES_ROUTES, true",
+    "one-holder, SHARES_A_FENCE, false",
+    "memory, ORDERS_BEYOND_MEMORY, false",
+    "retry-budget, SPENDS_ANY_BUDGET, true",
+    "drain, MISSES_CHANGES, false",
+    "configuration, MISSES_CHANGES, false",
+    "recovery, REFUSES_EVERYTHING, false",
+    "core-fault, FAILS_INSIDE, false",
+  })
+  void aCheckSeesItsDefect(String check, GatewayDefects defect, boolean faulty) {
+    Set<String> broken =
+        LongStream.rangeClosed(1, faulty ? 8 : 1)
+            .mapToObj(seed -> GatewayFuzz.execute(seed, faulty, defect))
+            .flatMap(result -> result.violations().stream())
+            .map(Violation::check)
+            .collect(Collectors.toSet());
+    assertThat(broken).contains(check);
+  }
+}
