--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -155,7 +155,7 @@
 
   private void chooseHubs(Instant now) {
     hubs.clear();
-    if (peers.size() <= PEERS_AT_FULL_PACE) {
+    if (!isLarge()) {
       selfIsHub = true;
       return;
     }
@@ -209,7 +209,7 @@
    * all nodes that were known lately, as most of them are not heard; so it never is too few.
    */
   public int sharers(Instant now) {
-    return 1 + (peers.size() > PEERS_AT_FULL_PACE ? peers.size() : live(now).size());
+    return 1 + (isLarge() ? peers.size() : live(now).size());
   }
 
   /** Returns the peers that were heard lately, in the order of their identifiers. */
@@ -228,6 +228,11 @@
     return Optional.ofNullable(peers.get(node)).filter(peer -> isLive(peer, now));
   }
 
+  /** Returns whether there are so many nodes that messages are spared. */
+  public boolean isLarge() {
+    return peers.size() > PEERS_AT_FULL_PACE;
+  }
+
   /** Returns by how much heartbeats are slowed down, so that they stay cheap in a large fleet. */
   public double pace() {
     return Math.clamp((double) peers.size() / PEERS_AT_FULL_PACE, 1, SLOWEST);
--- a/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.fleet.Coordinator;
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
+import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.fleet.OrderLease;
 import dev.wisteriarail.core.fleet.PeerTable;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
@@ -51,6 +52,7 @@
   private Instant nextFleetTold = Instant.MIN;
   private Instant nextPlan = Instant.MIN;
   private Instant lastOrderAt = Instant.MIN;
+  private List<ModelForecast> forecasts = List.of();
 
   private EngineDuty(
       GatewaySettings settings, OrderLease lease, RunnerDirectory directory, RunnerBoard board) {
@@ -180,6 +182,8 @@
     nextFleetTold = now.plusMillis(Math.round(settings.timings().demand().toMillis() * pace));
     board.accept(coordinator.viewsSince(board.viewRevision(), now), coordinator.forecasts(), now);
     Map<Long, FleetMessage.FleetTold> messages = new HashMap<>();
+    boolean quiet = pace > 1 && forecasts.isEmpty() && coordinator.forecasts().isEmpty();
+    forecasts = coordinator.forecasts();
     for (PeerTable.Peer peer : live) {
       long known = toldRevision.getOrDefault(peer.node(), 0L);
       FleetMessage.FleetTold message =
@@ -190,6 +194,9 @@
                       lease.fence(),
                       coordinator.viewsSince(revision, now),
                       coordinator.forecasts()));
+      if (quiet && message.views().isEmpty()) {
+        continue;
+      }
       step.emit(new GatewayEffect.SendPeer(peer.address(), message));
       toldRevision.put(peer.node(), coordinator.revision());
     }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -43,6 +43,14 @@
   /** Time in which requests that arrive together are put into one report. */
   private static final long HASTE_MILLIS = 10;
 
+  /** Time between two reports of a node of a large fleet that has nothing to report. */
+  private static final Duration QUIET_REPORT = Duration.ofSeconds(1);
+
+  /** Time between two ticks: the finest of the intervals, or of those of a large fleet. */
+  private static final Duration TICK = Duration.ofMillis(50);
+
+  private static final Duration LARGE_FLEET_TICK = Duration.ofMillis(100);
+
   private static final String SOURCE_STORE = "store";
 
   private final GatewaySettings settings;
@@ -62,6 +70,7 @@
   private Instant startedAt = Instant.MAX;
   private Instant nextBeat = Instant.MIN;
   private Instant nextDemand = Instant.MIN;
+  private Instant quietToldAt = Instant.EPOCH;
   private int sharers = 1;
   private StoreWatch.Registration registration = StoreWatch.Registration.PENDING;
   private boolean registering;
@@ -90,6 +99,11 @@
     return new GatewayCore(settings);
   }
 
+  /** Returns how long the runtime waits before it tells that time has passed. */
+  public Duration tickPause() {
+    return peers.isLarge() && !lease.isHeld() ? LARGE_FLEET_TICK : TICK;
+  }
+
   // Events
 
   /**
@@ -244,9 +258,8 @@
     peers.touch(told.from(), step.now());
     switch (told.message()) {
       case FleetMessage.Beat beat -> acceptBeat(beat, step);
-      case FleetMessage.DemandTold demand -> {
-        duty.acceptDemand(told.from(), told.incarnation(), demand, step.now());
-      }
+      case FleetMessage.DemandTold demand ->
+          duty.acceptDemand(told.from(), told.incarnation(), demand, step.now());
       case FleetMessage.FleetTold fleet ->
           board.accept(fleet.views(), fleet.forecasts(), step.now());
       case FleetMessage.ConfigurationTold configured ->
@@ -431,6 +444,11 @@
     nextDemand = now.plusMillis(Math.round(timings.demand().toMillis() * peers.pace()));
     List<ModelDemand> demands = forwarder.demands(now);
     List<RunnerUse> uses = board.takeUses();
+    boolean quiet = peers.isLarge() && demands.isEmpty() && uses.isEmpty();
+    if (quiet && now.isBefore(quietToldAt.plus(QUIET_REPORT))) {
+      return;
+    }
+    quietToldAt = quiet ? now : Instant.EPOCH;
     FleetMessage.DemandTold told = new FleetMessage.DemandTold(demands, uses, board.viewRevision());
     if (lease.isHeld()) {
       duty.acceptDemand(self, settings.self().incarnation(), told, now);
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -230,7 +230,10 @@
 
   private void checkRoute(FuzzedNode node, String request, GatewayEffect.Refuse refuse) {
     boolean known = time.now().isAfter(publishedAt.plus(CHANGE_BOUND));
-    if (request.startsWith("added-") && known && isCalm(node) && refuse.code().httpStatus() == 404) {
+    if (request.startsWith("added-")
+        && known
+        && isCalm(node)
+        && refuse.code().httpStatus() == 404) {
       oracle.complain("configuration", request + " was refused long after its route", time.now());
     }
   }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
@@ -23,9 +23,6 @@
  */
 final class GatewayRuntime implements AutoCloseable {
 
-  /** Time between two ticks: the finest of the core's intervals. */
-  private static final Duration TICK = Duration.ofMillis(50);
-
   /** Ticks between two looks for callers that left. */
   private static final int TICKS_BETWEEN_LOOKS = 2;
 
@@ -115,7 +112,7 @@
         }
         batch.clear();
         if (!steady.instant().isBefore(nextTick)) {
-          nextTick = steady.instant().plus(TICK);
+          nextTick = steady.instant().plus(core.tickPause());
           step(new GatewayEvent.Tick(clocksJumped()));
           if (++ticks % TICKS_BETWEEN_LOOKS == 0) {
             callers.reportAbandoned();
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -52,8 +52,7 @@
     public List<GatewayEffect> alter(GatewayEffect effect) {
       return List.of(
           effect instanceof GatewayEffect.Refuse refuse
-              ? new GatewayEffect.Refuse(
-                  refuse.exchange(), ResultCode.NOT_FOUND, Optional.empty())
+              ? new GatewayEffect.Refuse(refuse.exchange(), ResultCode.NOT_FOUND, Optional.empty())
               : effect);
     }
   },
@@ -132,8 +131,7 @@
     public List<GatewayEffect> alter(GatewayEffect effect) {
       return List.of(
           effect instanceof GatewayEffect.SendAttempt send
-              ? new GatewayEffect.Refuse(
-                  send.exchange(), ResultCode.NO_CAPACITY, Optional.empty())
+              ? new GatewayEffect.Refuse(send.exchange(), ResultCode.NO_CAPACITY, Optional.empty())
               : effect);
     }
   },
