--- a/src/main/java/dev/wisteriarail/core/fleet/FleetTimings.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/FleetTimings.java
@@ -46,6 +46,29 @@
           Duration.ofSeconds(3),
           true);
 
+  /** Part of the time in which a leaving runner must be known that its word may be on the way. */
+  private static final double RELAYED_SHARE = 0.4;
+
+  /**
+   * Returns the same timings for a platform's bound on leaving runners. The rest of it is left for a
+   * node that reads the store for itself.
+   *
+   * @param bound time in which every node must know that a runner leaves
+   */
+  public FleetTimings withLeaveBound(Duration bound) {
+    return new FleetTimings(
+        beat,
+        silence,
+        settle,
+        demand,
+        directoryRead,
+        Duration.ofMillis(Math.round(bound.toMillis() * RELAYED_SHARE)),
+        renew,
+        lease,
+        handover,
+        fencesEnforced);
+  }
+
   /** Returns the same timings with what the platform says of orders. */
   public FleetTimings withOrders(Duration newHandover, boolean newFencesEnforced) {
     return new FleetTimings(
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -47,6 +47,9 @@
     double retrySlack,
     Duration drainLimit) {
 
+  /** Time in which every node must know that a runner leaves, where the settings name none. */
+  private static final Duration LEAVE_BOUND = Duration.ofSeconds(2);
+
   /** Copies the list. */
   public GatewayFile {
     seeds = List.copyOf(seeds);
@@ -136,9 +139,11 @@
 
   private static FleetTimings timings(TomlDocument toml) {
     FleetTimings defaults = FleetTimings.DEFAULT;
-    return defaults.withOrders(
-        toml.millis("orders.handover_ms", defaults.handover()),
-        toml.flag("orders.fences_enforced", defaults.fencesEnforced()));
+    return defaults
+        .withOrders(
+            toml.millis("orders.handover_ms", defaults.handover()),
+            toml.flag("orders.fences_enforced", defaults.fencesEnforced()))
+        .withLeaveBound(toml.millis("runners.leave_within_ms", LEAVE_BOUND));
   }
 
   private static Duration seconds(TomlDocument toml, String path, double whenAbsent) {
