--- a/src/main/java/dev/wisteriarail/core/fleet/FleetTimings.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/FleetTimings.java
@@ -50,8 +50,8 @@
   private static final double RELAYED_SHARE = 0.4;
 
   /**
-   * Returns the same timings for a platform's bound on leaving runners. The rest of it is left for a
-   * node that reads the store for itself.
+   * Returns the same timings for a platform's bound on leaving runners. The rest of it is left for
+   * a node that reads the store for itself.
    *
    * @param bound time in which every node must know that a runner leaves
    */
--- a/src/main/java/dev/wisteriarail/demo/GatewayTrial.java
+++ b/src/main/java/dev/wisteriarail/demo/GatewayTrial.java
@@ -9,7 +9,7 @@
 import dev.wisteriarail.settings.Endpoint;
 import dev.wisteriarail.settings.GatewayFile;
 import dev.wisteriarail.settings.TomlDocument;
-import dev.wisteriarail.standin.FreePorts;
+import dev.wisteriarail.standin.LoopbackSettings;
 import dev.wisteriarail.standin.PlatformCaller;
 import dev.wisteriarail.standin.PlatformStandin;
 import java.io.PrintStream;
@@ -60,27 +60,7 @@
   }
 
   private GatewayNode node(String name, PlatformStandin platform) throws SettingsException {
-    String toml =
-        """
-        [node]
-        id = "%s"
-        failure_domain = "a"
-        drain_limit_s = 4
-        [gateway]
-        callers = "127.0.0.1:%d"
-        balancer = "127.0.0.1:%d"
-        peers = "127.0.0.1:%d"
-        metrics = "127.0.0.1:%d"
-        [store]
-        address = "%s"
-        """
-            .formatted(
-                name,
-                FreePorts.next(),
-                FreePorts.next(),
-                FreePorts.next(),
-                FreePorts.next(),
-                platform.store().address());
+    String toml = LoopbackSettings.of(name, platform.store().address()).toml();
     return GatewayNode.start(
         GatewayFile.from(TomlDocument.parse(name, toml)),
         CallerHeaders.create(),
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
@@ -24,6 +24,9 @@
   /** Time after its deadline in which a request must have ended. */
   private static final Duration ENDING_SLACK = Duration.ofMillis(500);
 
+  /** One request in this many has to be served once the faults are over. */
+  private static final int LEAST_SERVED_ONE_IN = 4;
+
   private static final int FIRST_CLIENT_ERROR = 400;
   private static final int FIRST_SERVER_ERROR = 500;
 
@@ -40,7 +43,7 @@
   // What callers see
 
   void ask(String id, RouteSpec route, int node, Instant now) {
-    asked.put(id, new Asked(route, node, now.plus(route.timeout())));
+    asked.put(id, new Asked(route, node, now));
     String service = route.shares().getFirst().service();
     requests.computeIfAbsent(service, name -> new ArrayList<>()).add(now);
   }
@@ -65,6 +68,7 @@
       complain("one-ending", id + " ended again: " + how, now);
     }
     request.ended = true;
+    request.how = how;
     endings.merge(how, 1, Integer::sum);
   }
 
@@ -142,12 +146,32 @@
         });
   }
 
-  // Accessors
-
-  boolean isServed(String id) {
-    return asked.get(id).ended && !asked.get(id).notRunSaid;
+  /**
+   * Checks that each node serves a quarter of the requests of each kind: the platform's rule.
+   *
+   * @param since requests before that do not count
+   */
+  void checkRecovery(Instant since, Instant now) {
+    Map<String, List<String>> ends = new TreeMap<>();
+    Map<String, Integer> served = new HashMap<>();
+    asked.forEach(
+        (id, request) -> {
+          if (!request.askedAt.isBefore(since) && request.ended) {
+            String group = request.route.name() + " at n" + request.node;
+            ends.computeIfAbsent(group, name -> new ArrayList<>()).add(request.how);
+            served.merge(group, request.runs > 0 && !request.notRunSaid ? 1 : 0, Integer::sum);
+          }
+        });
+    ends.forEach(
+        (group, hows) -> {
+          if (served.get(group) * LEAST_SERVED_ONE_IN < hows.size()) {
+            complain("recovery", group + " is served too seldom: " + hows, now);
+          }
+        });
   }
 
+  // Accessors
+
   int size() {
     return asked.size();
   }
@@ -165,17 +189,20 @@
 
     private final RouteSpec route;
     private final int node;
+    private final Instant askedAt;
     private final Instant deadline;
     private int arrivals;
     private int runs;
     private boolean ended;
+    private String how = "open";
     private boolean notRunSaid;
     private boolean owed = true;
 
-    Asked(RouteSpec route, int node, Instant deadline) {
+    Asked(RouteSpec route, int node, Instant askedAt) {
       this.route = route;
       this.node = node;
-      this.deadline = deadline;
+      this.askedAt = askedAt;
+      deadline = askedAt.plus(route.timeout());
     }
   }
 }
--- a/src/main/java/dev/wisteriarail/logservice/HttpClients.java
+++ b/src/main/java/dev/wisteriarail/logservice/HttpClients.java
@@ -20,15 +20,15 @@
 
   /** Returns a started client for a node's calls. */
   public static HttpClient start() {
-    return start(CONNECT_TIMEOUT);
+    return startWith(CONNECT_TIMEOUT);
   }
 
   /** Returns a started client for the demo's and the tools' callers. */
   public static HttpClient startForCallers() {
-    return start(CALLER_CONNECT_TIMEOUT);
+    return startWith(CALLER_CONNECT_TIMEOUT);
   }
 
-  private static HttpClient start(Duration connectTimeout) {
+  private static HttpClient startWith(Duration connectTimeout) {
     HttpClient http = new HttpClient();
     http.setMaxConnectionsPerDestination(CONNECTIONS_PER_ADDRESS);
     http.setConnectTimeout(connectTimeout.toMillis());
--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -32,7 +32,7 @@
   private static final Duration STOP_LIMIT = Duration.ofSeconds(60);
 
   /** Share of retries that settings files alternate between. */
-  private static final List<String> RETRY_RATIOS = List.of("0.1", "0.2");
+  private static final List<Double> RETRY_RATIOS = List.of(0.1, 0.2);
 
   private static final Duration POLL = Duration.ofMillis(100);
   private static final double LOST_ANSWERS = 0.3;
@@ -139,8 +139,8 @@
       }
       case Disturbance.SettingsChanged changed -> {
         SoakFleet.Member member = fleet.members().get(changed.node());
-        String ratio = RETRY_RATIOS.get(changed.node() % RETRY_RATIOS.size());
-        member.process().writeSettings(member.toml().formatted(ratio));
+        double ratio = RETRY_RATIOS.get(changed.node() % RETRY_RATIOS.size());
+        member.process().writeSettings(member.settings().withRetryRatio(ratio).toml());
         member.process().signal("HUP");
       }
       case Disturbance.ConfigurationPublished published -> publish();
@@ -155,8 +155,7 @@
         Thread.sleep(harmed.millis());
         fleet.platform().store().server().setFaults(Faults.NONE);
       }
-      case Disturbance.StoreCompacted compacted ->
-          List.of("keyed.servers", "keyed.op").forEach(fleet.platform().store()::compact);
+      case Disturbance.StoreCompacted compacted -> fleet.platform().forgetHistory();
       case Disturbance.RunnerCrashed crashed -> crash(crashed);
       case Disturbance.RunnerMisbehaves bad -> {
         behave(bad.runner(), bad.behaviour());
--- a/src/main/java/dev/wisteriarail/soak/SoakFleet.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakFleet.java
@@ -1,7 +1,7 @@
 package dev.wisteriarail.soak;
 
 import dev.wisteriarail.core.result.SettingsException;
-import dev.wisteriarail.standin.FreePorts;
+import dev.wisteriarail.standin.LoopbackSettings;
 import dev.wisteriarail.standin.PlatformStandin;
 import dev.wisteriarail.standin.RunnerStandin;
 import java.nio.file.Path;
@@ -25,9 +25,6 @@
   /** Number of runners of all kinds. */
   static final int RUNNERS = ENGINES + PLAIN;
 
-  /** Time that a node has for its requests after SIGTERM. */
-  private static final int DRAIN_SECONDS = 4;
-
   private final PlatformStandin platform;
   private final List<Member> members = new ArrayList<>();
   private final Map<String, LoopbackProxy> runnerProxies = new HashMap<>();
@@ -67,45 +64,13 @@
   }
 
   private Member newMember(String name, Path directory) throws SettingsException {
-    int callerPort = FreePorts.next();
-    int balancerPort = FreePorts.next();
-    int peerPort = FreePorts.next();
-    LoopbackProxy callers = LoopbackProxy.start(callerPort);
-    LoopbackProxy peers = LoopbackProxy.start(peerPort);
-    LoopbackProxy store = LoopbackProxy.start(port(platform.store().address()));
-    String toml =
-        """
-        [node]
-        id = "%s"
-        failure_domain = "a"
-        drain_limit_s = %d
-        [gateway]
-        callers = "127.0.0.1:%d"
-        balancer = "127.0.0.1:%d"
-        peers = "127.0.0.1:%d"
-        announced = "%s"
-        [store]
-        address = "%s"
-        [orders]
-        handover_ms = 1000
-        [retries]
-        ratio = %%s
-        """
-            .formatted(
-                name,
-                DRAIN_SECONDS,
-                callerPort,
-                balancerPort,
-                peerPort,
-                peers.address(),
-                store.address());
-    return new Member(
-        NodeProcess.create(name, toml.formatted("0.2"), directory),
-        toml,
-        balancerPort,
-        callers,
-        peers,
-        store);
+    LoopbackSettings direct = LoopbackSettings.of(name, platform.store().address());
+    LoopbackProxy callers = LoopbackProxy.start(direct.callerPort());
+    LoopbackProxy peers = LoopbackProxy.start(direct.peerPort());
+    LoopbackProxy store = LoopbackProxy.start(port(direct.store()));
+    LoopbackSettings settings = direct.withLinks(peers.address(), store.address());
+    NodeProcess process = NodeProcess.create(name, settings.toml(), directory);
+    return new Member(process, settings, callers, peers, store);
   }
 
   private static int port(String address) {
@@ -180,16 +145,14 @@
    * One node.
    *
    * @param process its process
-   * @param toml its settings, with a place for the share of retries
-   * @param balancerPort where it tells whether it takes callers
+   * @param settings its settings at its first start
    * @param callers proxy before its port for callers
    * @param peers proxy before its port for other nodes
    * @param store its own proxy before the store
    */
   record Member(
       NodeProcess process,
-      String toml,
-      int balancerPort,
+      LoopbackSettings settings,
       LoopbackProxy callers,
       LoopbackProxy peers,
       LoopbackProxy store) {}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/standin/LoopbackSettings.java
@@ -0,0 +1,109 @@
+package dev.wisteriarail.standin;
+
+import dev.wisteriarail.core.result.SettingsException;
+
+/**
+ * Settings of a gateway node that runs on loopback before the stand-in of the platform. Immutable.
+ *
+ * @param name the node's identifier
+ * @param callerPort where it listens for callers
+ * @param balancerPort where it tells whether it takes callers
+ * @param peerPort where it listens for other nodes
+ * @param metricsPort where it serves its metrics
+ * @param announced address that it tells other nodes, as host and port
+ * @param store the store's address, as host and port
+ * @param drainSeconds time that it has to stop
+ * @param handoverMillis pause between the orders of two coordinators
+ * @param retryRatio repeats allowed for each request
+ */
+public record LoopbackSettings(
+    String name,
+    int callerPort,
+    int balancerPort,
+    int peerPort,
+    int metricsPort,
+    String announced,
+    String store,
+    int drainSeconds,
+    int handoverMillis,
+    double retryRatio) {
+
+  private static final int DRAIN_SECONDS = 4;
+  private static final double RETRY_RATIO = 0.2;
+
+  /** Short, so that another node gives orders soon after the first one is gone. */
+  private static final int HANDOVER_MILLIS = 1_000;
+
+  /**
+   * Returns settings with free ports.
+   *
+   * @throws SettingsException if no port is free
+   */
+  public static LoopbackSettings of(String name, String store) throws SettingsException {
+    int peerPort = FreePorts.next();
+    return new LoopbackSettings(
+        name,
+        FreePorts.next(),
+        FreePorts.next(),
+        peerPort,
+        FreePorts.next(),
+        "127.0.0.1:" + peerPort,
+        store,
+        DRAIN_SECONDS,
+        HANDOVER_MILLIS,
+        RETRY_RATIO);
+  }
+
+  /** Returns the same settings with other addresses for the way to it and to the store. */
+  public LoopbackSettings withLinks(String newAnnounced, String newStore) {
+    return new LoopbackSettings(
+        name,
+        callerPort,
+        balancerPort,
+        peerPort,
+        metricsPort,
+        newAnnounced,
+        newStore,
+        drainSeconds,
+        handoverMillis,
+        retryRatio);
+  }
+
+  /** Returns the same settings with another share of repeats. */
+  public LoopbackSettings withRetryRatio(double newRatio) {
+    return new LoopbackSettings(
+        name,
+        callerPort,
+        balancerPort,
+        peerPort,
+        metricsPort,
+        announced,
+        store,
+        drainSeconds,
+        handoverMillis,
+        newRatio);
+  }
+
+  /** Returns the settings as TOML. */
+  public String toml() {
+    return String.join(
+        "\n",
+        "[node]",
+        "id = \"" + name + "\"",
+        "failure_domain = \"a\"",
+        "drain_limit_s = " + drainSeconds,
+        "[gateway]",
+        "callers = \"127.0.0.1:" + callerPort + "\"",
+        "balancer = \"127.0.0.1:" + balancerPort + "\"",
+        "peers = \"127.0.0.1:" + peerPort + "\"",
+        "announced = \"" + announced + "\"",
+        "metrics = \"127.0.0.1:" + metricsPort + "\"",
+        "[store]",
+        "address = \"" + store + "\"",
+        "[orders]",
+        "handover_ms = " + handoverMillis,
+        "[retries]",
+        "ratio = " + retryRatio,
+        "");
+  }
+}
--- a/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
@@ -84,6 +84,12 @@
     }
   }
 
+  /** Drops what the store holds besides the newest entries and the configuration. */
+  public void forgetHistory() {
+    store.compact(RUNNERS_TOPIC);
+    store.compact(OPERATOR_TOPIC);
+  }
+
   /** Ends a runner without a word, as a crash does. */
   public synchronized void crash(String id) {
     RunnerStandin runner = runner(id);
