--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -83,12 +83,9 @@
   /** Takes changed settings. */
   void accept(GatewaySettings changed) {
     settings = changed;
-    budgets
-        .values()
-        .forEach(
-            budget ->
-                budget.setLimits(
-                    changed.retryWindow(), changed.retryRatio(), changed.retrySlack()));
+    for (RetryBudget budget : budgets.values()) {
+      budget.setLimits(changed.retryWindow(), changed.retryRatio(), changed.retrySlack());
+    }
   }
 
   // Arrival
@@ -172,7 +169,7 @@
   private boolean tryToSend(
       PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
     if (forward.timeLeft(step.now()).compareTo(LEAST_TIME) < 0) {
-      endLate(forward, step);
+      endWaiting(forward, SHORT_RETURN, step);
       return true;
     }
     if (step.now().isBefore(forward.notBefore())) {
@@ -242,8 +239,14 @@
     }
   }
 
-  private void endLate(PendingForward forward, GatewayStep step) {
-    endWaiting(forward, SHORT_RETURN, step);
+  /** While a node stops, ends what waits at a time from which nothing like it is taken any more. */
+  void endWaiting(DrainPlan drain, GatewayStep step) {
+    for (PendingForward forward : List.copyOf(pending.values())) {
+      boolean waits = forward.state() == PendingForward.State.WAITING;
+      if (waits && drain.refuses(forward.route().streaming(), step.now())) {
+        endWaiting(forward, DrainPlan.RETURN, step);
+      }
+    }
   }
 
   private void checkTime(
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -330,6 +330,7 @@
     forwarder.advance(configuration, sharers, coordinated, step);
     if (!ofRequest) {
       updateReadiness(step);
+      forwarder.endWaiting(drain, step);
       drain.advance(forwarder.size(), step);
     }
   }
@@ -473,8 +474,6 @@
     }
   }
 
-  // Readiness and drain
-
   private void updateReadiness(GatewayStep step) {
     boolean now = !drain.isDraining() && configuration.isPresent() && directory.offset() >= 0;
     if (now != ready) {
