--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -0,0 +1,197 @@
+package dev.wisteriarail.fuzz.gateway;
+
+import dev.wisteriarail.core.fleet.FleetOrderOutcome;
+import dev.wisteriarail.core.forward.AttemptResult;
+import dev.wisteriarail.core.gateway.GatewayEffect;
+import dev.wisteriarail.core.gateway.GatewayEvent;
+import dev.wisteriarail.fuzz.Chance;
+import dev.wisteriarail.fuzz.VirtualScheduler;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
+/**
+ * Carries what nodes send to runners, and what comes back: requests, orders and questions.
+ *
+ * <p>Not thread-safe; one run owns it.
+ */
+final class BackendCalls {
+
+  private static final Duration ORDER_SILENCE = Duration.ofMillis(500);
+
+  private final GatewayFuzz world;
+  private final VirtualScheduler time;
+  private final GatewayOracle oracle;
+  private final Chance network;
+  private final List<FakeBackend> backends;
+
+  BackendCalls(
+      GatewayFuzz world,
+      VirtualScheduler time,
+      GatewayOracle oracle,
+      Chance network,
+      List<FakeBackend> backends) {
+    this.world = world;
+    this.time = time;
+    this.oracle = oracle;
+    this.network = network;
+    this.backends = backends;
+  }
+
+  private FakeBackend backend(String id) {
+    return backends.stream().filter(each -> each.id().equals(id)).findFirst().orElseThrow();
+  }
+
+  void order(FuzzedNode node, long run, GatewayEffect.GiveOrder order) {
+    FakeBackend backend = backend(order.runner().id());
+    long number = order.order().number();
+    if (!backend.isUp()) {
+      world.later(
+          network.millis(1, 5),
+          node,
+          run,
+          new GatewayEvent.OrderTold(backend.id(), number, FleetOrderOutcome.UNREACHABLE, ""));
+      return;
+    }
+    boolean lost = network.happens(world.lostAnswers());
+    Duration delay = lost ? network.millis(1, 3_000) : network.millis(1, 5);
+    time.after(
+        delay,
+        () -> {
+          FleetOrderOutcome outcome =
+              backend.isUp()
+                  ? backend.order(order, oracle, time.now())
+                  : FleetOrderOutcome.UNREACHABLE;
+          if (!lost) {
+            world.later(
+                network.millis(1, 5),
+                node,
+                run,
+                new GatewayEvent.OrderTold(backend.id(), number, outcome, ""));
+          }
+        });
+    if (lost) {
+      world.later(
+          ORDER_SILENCE,
+          node,
+          run,
+          new GatewayEvent.OrderTold(backend.id(), number, FleetOrderOutcome.UNKNOWN, ""));
+    }
+  }
+
+  void report(FuzzedNode node, long run, GatewayEffect.AskReport ask) {
+    FakeBackend backend = backend(ask.runner().id());
+    Instant askedAt = time.now();
+    if (backend.isUp()) {
+      world.later(
+          network.millis(2, 10),
+          node,
+          run,
+          new GatewayEvent.ReportRead(backend.report(askedAt), askedAt));
+    }
+  }
+
+  void send(FuzzedNode node, long run, GatewayEffect.SendAttempt send) {
+    String request = node.request(send.exchange());
+    if (request.isEmpty()) {
+      return;
+    }
+    node.beginAttempt(send.exchange(), send.attempt());
+    FakeBackend backend = backend(send.runner().id());
+    world.checkDrain(node, backend, request);
+    if (!backend.isUp()) {
+      tell(node, run, send, network.millis(1, 5), new AttemptResult.NotSent("refused"));
+      return;
+    }
+    time.after(network.millis(1, 5), () -> serve(node, run, send, backend, request));
+  }
+
+  private void tell(
+      FuzzedNode node,
+      long run,
+      GatewayEffect.SendAttempt send,
+      Duration delay,
+      AttemptResult result) {
+    time.after(
+        delay,
+        () -> {
+          if (node.run() != run || !node.isCurrent(send.exchange(), send.attempt())) {
+            return;
+          }
+          if (result instanceof AttemptResult.Finished) {
+            world.finish(node, send.exchange(), "served");
+          }
+          world.deliver(
+              node, run, new GatewayEvent.AttemptTold(send.exchange(), send.attempt(), result));
+        });
+  }
+
+  private void serve(
+      FuzzedNode node,
+      long run,
+      GatewayEffect.SendAttempt send,
+      FakeBackend backend,
+      String request) {
+    oracle.arrive(request, backend.id(), time.now());
+    String[] parts = request.split("~", -1);
+    String model = parts[1];
+    String adapter = parts[2];
+    Duration soon = network.millis(1, 5);
+    if (!backend.isUp()) {
+      tell(node, run, send, soon, new AttemptResult.Broken("reset", false, "", true));
+    } else if (backend.mood() == FakeBackend.Mood.FULL) {
+      tell(node, run, send, soon, new AttemptResult.Answered(503, true, true));
+    } else if (!backend.holds(model, adapter, time.now())) {
+      tell(node, run, send, soon, new AttemptResult.Answered(421, true, true));
+    } else {
+      oracle.run(request, backend.id(), time.now());
+      answer(node, run, send, backend);
+    }
+  }
+
+  private void answer(
+      FuzzedNode node, long run, GatewayEffect.SendAttempt send, FakeBackend backend) {
+    Duration first = network.millis(10, 80);
+    Duration whole = first.plus(send.streaming() ? network.millis(100, 900) : Duration.ZERO);
+    long born = backend.born();
+    time.after(
+        whole,
+        () -> {
+          if (!backend.isUp() || backend.born() != born) {
+            tell(
+                node,
+                run,
+                send,
+                Duration.ZERO,
+                new AttemptResult.Broken("reset", send.streaming(), "2", true));
+          }
+        });
+    switch (backend.mood()) {
+      case FAILING -> tell(node, run, send, first, new AttemptResult.Answered(500, false, true));
+      case ANSWER_LOST ->
+          tell(node, run, send, first, new AttemptResult.Broken("closed", false, "", true));
+      case CUT -> {
+        if (send.streaming()) {
+          tell(node, run, send, first, new AttemptResult.Started());
+        }
+        tell(
+            node,
+            run,
+            send,
+            whole,
+            new AttemptResult.Broken("cut", send.streaming(), send.streaming() ? "3" : "", false));
+      }
+      case SILENT -> {}
+      default -> {
+        tell(node, run, send, first, new AttemptResult.Started());
+        time.after(
+            whole,
+            () -> {
+              if (backend.isUp() && backend.born() == born) {
+                tell(node, run, send, Duration.ZERO, new AttemptResult.Finished(200));
+              }
+            });
+      }
+    }
+  }
+}
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -1,9 +1,7 @@
 package dev.wisteriarail.fuzz.gateway;
 
-import dev.wisteriarail.core.fleet.FleetOrderOutcome;
 import dev.wisteriarail.core.fleet.LeaseAnswer;
 import dev.wisteriarail.core.fleet.LeaseCall;
-import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
@@ -45,7 +43,6 @@
 
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration STORE_SILENCE = Duration.ofMillis(900);
-  private static final Duration ORDER_SILENCE = Duration.ofMillis(500);
   private static final Duration POLL = Duration.ofMillis(100);
   private static final Duration ENTRY_PAUSE = Duration.ofMillis(500);
 
@@ -60,6 +57,7 @@
   private final List<FuzzedNode> nodes = new ArrayList<>();
   private final List<FakeBackend> backends = new ArrayList<>();
   private final Map<String, Instant> drainedAt = new TreeMap<>();
+  private final BackendCalls calls;
   private final Chance chance;
   private final Chance network;
   private final Instant end;
@@ -74,6 +72,7 @@
   private GatewayFuzz(long seed, GatewayDefect defect) {
     chance = Chance.of(seed, "faults");
     network = Chance.of(seed, "network");
+    calls = new BackendCalls(this, time, oracle, network, backends);
     end = time.now().plus(FAULTS).plus(RECOVERY).plus(Duration.ofSeconds(10));
     for (int i = 0; i < GatewayFuzzPlan.NODES; i++) {
       nodes.add(new FuzzedNode(i, defect));
@@ -167,7 +166,7 @@
     }
   }
 
-  private void deliver(FuzzedNode node, long run, GatewayEvent event) {
+  void deliver(FuzzedNode node, long run, GatewayEvent event) {
     if (node.run() != run) {
       return;
     }
@@ -181,7 +180,7 @@
     effects.forEach(effect -> perform(node, run, effect));
   }
 
-  private void later(Duration delay, FuzzedNode node, long run, GatewayEvent event) {
+  void later(Duration delay, FuzzedNode node, long run, GatewayEvent event) {
     time.after(delay, () -> deliver(node, run, event));
   }
 
@@ -197,10 +196,10 @@
       }
       case GatewayEffect.PassAnswer pass -> finish(node, pass.exchange(), "answer passed on");
       case GatewayEffect.CutAnswer cut -> finish(node, cut.exchange(), "cut");
-      case GatewayEffect.SendAttempt send -> send(node, run, send);
+      case GatewayEffect.SendAttempt send -> calls.send(node, run, send);
       case GatewayEffect.CancelAttempt cancel -> node.cancelAttempt(cancel.exchange());
-      case GatewayEffect.GiveOrder order -> order(node, run, order);
-      case GatewayEffect.AskReport ask -> report(node, run, ask);
+      case GatewayEffect.GiveOrder order -> calls.order(node, run, order);
+      case GatewayEffect.AskReport ask -> calls.report(node, run, ask);
       case GatewayEffect.ReadStore read -> read(node, run, read.call(), time.now());
       case GatewayEffect.CallLease lease -> lease(node, run, lease.call());
       case GatewayEffect.RegisterNode register -> {
@@ -225,7 +224,7 @@
     time.after(Duration.ofMillis(500), () -> startNode(node));
   }
 
-  private void finish(FuzzedNode node, long exchange, String how) {
+  void finish(FuzzedNode node, long exchange, String how) {
     String request = node.request(exchange);
     node.close(exchange);
     if (!request.isEmpty()) {
@@ -233,6 +232,20 @@
     }
   }
 
+  /** Complains of a request to a runner that said long ago that it leaves. */
+  void checkDrain(FuzzedNode node, FakeBackend backend, String request) {
+    Instant drained = drainedAt.getOrDefault(backend.id(), Instant.MAX);
+    boolean late = !drained.equals(Instant.MAX) && time.now().isAfter(drained.plus(CHANGE_BOUND));
+    if (late && isCalm(node)) {
+      oracle.complain("drain", request + " sent to " + backend.id() + " that leaves", time.now());
+    }
+  }
+
+  /** Returns the share of calls whose answer is lost now. */
+  double lostAnswers() {
+    return lostAnswers;
+  }
+
   private void checkRoute(FuzzedNode node, String request, GatewayEffect.Refuse refuse) {
     boolean known = time.now().isAfter(publishedAt.plus(CHANGE_BOUND));
     if (request.startsWith("added-")
@@ -306,168 +319,6 @@
             later(network.millis(1, 10), node, run, new GatewayEvent.LeaseTold(store.call(call))));
   }
 
-  // Runners
-
-  private FakeBackend backend(String id) {
-    return backends.stream().filter(each -> each.id().equals(id)).findFirst().orElseThrow();
-  }
-
-  private void order(FuzzedNode node, long run, GatewayEffect.GiveOrder order) {
-    FakeBackend backend = backend(order.runner().id());
-    long number = order.order().number();
-    if (!backend.isUp()) {
-      later(
-          network.millis(1, 5),
-          node,
-          run,
-          new GatewayEvent.OrderTold(backend.id(), number, FleetOrderOutcome.UNREACHABLE, ""));
-      return;
-    }
-    boolean lost = network.happens(lostAnswers);
-    Duration delay = lost ? network.millis(1, 3_000) : network.millis(1, 5);
-    time.after(
-        delay,
-        () -> {
-          FleetOrderOutcome outcome =
-              backend.isUp()
-                  ? backend.order(order, oracle, time.now())
-                  : FleetOrderOutcome.UNREACHABLE;
-          if (!lost) {
-            later(
-                network.millis(1, 5),
-                node,
-                run,
-                new GatewayEvent.OrderTold(backend.id(), number, outcome, ""));
-          }
-        });
-    if (lost) {
-      later(
-          ORDER_SILENCE,
-          node,
-          run,
-          new GatewayEvent.OrderTold(backend.id(), number, FleetOrderOutcome.UNKNOWN, ""));
-    }
-  }
-
-  private void report(FuzzedNode node, long run, GatewayEffect.AskReport ask) {
-    FakeBackend backend = backend(ask.runner().id());
-    Instant askedAt = time.now();
-    if (backend.isUp()) {
-      later(
-          network.millis(2, 10),
-          node,
-          run,
-          new GatewayEvent.ReportRead(backend.report(askedAt), askedAt));
-    }
-  }
-
-  private void send(FuzzedNode node, long run, GatewayEffect.SendAttempt send) {
-    String request = node.request(send.exchange());
-    if (request.isEmpty()) {
-      return;
-    }
-    node.beginAttempt(send.exchange(), send.attempt());
-    FakeBackend backend = backend(send.runner().id());
-    Instant drained = drainedAt.getOrDefault(backend.id(), Instant.MAX);
-    boolean late = !drained.equals(Instant.MAX) && time.now().isAfter(drained.plus(CHANGE_BOUND));
-    if (late && isCalm(node)) {
-      oracle.complain("drain", request + " sent to " + backend.id() + " that leaves", time.now());
-    }
-    if (!backend.isUp()) {
-      tell(node, run, send, network.millis(1, 5), new AttemptResult.NotSent("refused"));
-      return;
-    }
-    time.after(network.millis(1, 5), () -> serve(node, run, send, backend, request));
-  }
-
-  private void tell(
-      FuzzedNode node,
-      long run,
-      GatewayEffect.SendAttempt send,
-      Duration delay,
-      AttemptResult result) {
-    time.after(
-        delay,
-        () -> {
-          if (node.run() != run || !node.isCurrent(send.exchange(), send.attempt())) {
-            return;
-          }
-          if (result instanceof AttemptResult.Finished) {
-            finish(node, send.exchange(), "served");
-          }
-          deliver(node, run, new GatewayEvent.AttemptTold(send.exchange(), send.attempt(), result));
-        });
-  }
-
-  private void serve(
-      FuzzedNode node,
-      long run,
-      GatewayEffect.SendAttempt send,
-      FakeBackend backend,
-      String request) {
-    oracle.arrive(request, backend.id(), time.now());
-    String[] parts = request.split("~", -1);
-    String model = parts[1];
-    String adapter = parts[2];
-    Duration soon = network.millis(1, 5);
-    if (!backend.isUp()) {
-      tell(node, run, send, soon, new AttemptResult.Broken("reset", false, "", true));
-    } else if (backend.mood() == FakeBackend.Mood.FULL) {
-      tell(node, run, send, soon, new AttemptResult.Answered(503, true, true));
-    } else if (!backend.holds(model, adapter, time.now())) {
-      tell(node, run, send, soon, new AttemptResult.Answered(421, true, true));
-    } else {
-      oracle.run(request, backend.id(), time.now());
-      answer(node, run, send, backend);
-    }
-  }
-
-  private void answer(
-      FuzzedNode node, long run, GatewayEffect.SendAttempt send, FakeBackend backend) {
-    Duration first = network.millis(10, 80);
-    Duration whole = first.plus(send.streaming() ? network.millis(100, 900) : Duration.ZERO);
-    long born = backend.born();
-    time.after(
-        whole,
-        () -> {
-          if (!backend.isUp() || backend.born() != born) {
-            tell(
-                node,
-                run,
-                send,
-                Duration.ZERO,
-                new AttemptResult.Broken("reset", send.streaming(), "2", true));
-          }
-        });
-    switch (backend.mood()) {
-      case FAILING -> tell(node, run, send, first, new AttemptResult.Answered(500, false, true));
-      case ANSWER_LOST ->
-          tell(node, run, send, first, new AttemptResult.Broken("closed", false, "", true));
-      case CUT -> {
-        if (send.streaming()) {
-          tell(node, run, send, first, new AttemptResult.Started());
-        }
-        tell(
-            node,
-            run,
-            send,
-            whole,
-            new AttemptResult.Broken("cut", send.streaming(), send.streaming() ? "3" : "", false));
-      }
-      case SILENT -> {}
-      default -> {
-        tell(node, run, send, first, new AttemptResult.Started());
-        time.after(
-            whole,
-            () -> {
-              if (backend.isUp() && backend.born() == born) {
-                tell(node, run, send, Duration.ZERO, new AttemptResult.Finished(200));
-              }
-            });
-      }
-    }
-  }
-
   // Callers
 
   private void ask() {
