--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -345,7 +345,7 @@
       Instant now) {
     Map<String, PlanInput.ModelNeed> needs = new HashMap<>();
     for (HostedModel model : spec.models()) {
-      DemandBook.Want want = wants.get(new DemandKey(service, model.name(), ""));
+      DemandBook.Want want = wants.get(DemandKey.of(service, model.name()));
       double rate = demand.rate(service, model.name(), "", now);
       int running =
           known.stream().mapToInt(each -> each.running().getOrDefault(model.name(), 0)).sum();
--- a/src/main/java/dev/wisteriarail/core/fleet/DemandKey.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/DemandKey.java
@@ -10,6 +10,11 @@
 public record DemandKey(String service, String model, String adapter)
     implements Comparable<DemandKey> {
 
+  /** Returns the key of a model itself. */
+  public static DemandKey of(String service, String model) {
+    return new DemandKey(service, model, "");
+  }
+
   @Override
   public int compareTo(DemandKey other) {
     int order = service.compareTo(other.service);
--- a/src/main/java/dev/wisteriarail/core/forward/RunnerBoard.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunnerBoard.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.forward;
 
+import dev.wisteriarail.core.fleet.DemandKey;
 import dev.wisteriarail.core.fleet.LoadedModel;
 import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
@@ -25,7 +26,7 @@
 
   private final RunnerDirectory directory;
   private final Map<String, RunnerView> views = new HashMap<>();
-  private final Map<String, ModelForecast> forecasts = new HashMap<>();
+  private final Map<DemandKey, ModelForecast> forecasts = new HashMap<>();
   private final Map<Use, Integer> running = new TreeMap<>();
   private final Map<String, Integer> ownRunning = new HashMap<>();
   private final Map<String, Long> ownTokens = new HashMap<>();
@@ -60,15 +61,12 @@
       viewRevision = Math.max(viewRevision, view.revision());
     }
     forecasts.clear();
-    planned.forEach(each -> forecasts.put(each.service() + "/" + each.model(), each));
+    planned.forEach(each -> forecasts.put(DemandKey.of(each.service(), each.model()), each));
     forecastAt = now;
   }
 
   /** Forgets runners that are gone. */
   public void advance() {
-    if (directory.changes() == indexedChanges) {
-      return;
-    }
     views.keySet().removeIf(id -> directory.usable(id).isEmpty());
     health.keySet().removeIf(id -> directory.usable(id).isEmpty() && !ownRunning.containsKey(id));
   }
@@ -211,7 +209,7 @@
 
   /** Returns when the coordinator expects a model to be ready; empty if it said nothing lately. */
   public Optional<Duration> forecast(String service, String model, Instant now) {
-    ModelForecast forecast = forecasts.get(service + "/" + model);
+    ModelForecast forecast = forecasts.get(DemandKey.of(service, model));
     if (forecast == null) {
       return Optional.empty();
     }
--- a/src/main/java/dev/wisteriarail/core/forward/RunnerIndex.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunnerIndex.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.forward;
 
+import dev.wisteriarail.core.fleet.DemandKey;
 import dev.wisteriarail.core.fleet.LoadedModel;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import java.util.ArrayList;
@@ -20,10 +21,10 @@
   static final RunnerIndex EMPTY = new RunnerIndex(Map.of(), Map.of());
 
   private final Map<String, List<RunnerEntry>> byService;
-  private final Map<String, List<RunnerEntry>> byModel;
+  private final Map<DemandKey, List<RunnerEntry>> byModel;
 
   private RunnerIndex(
-      Map<String, List<RunnerEntry>> byService, Map<String, List<RunnerEntry>> byModel) {
+      Map<String, List<RunnerEntry>> byService, Map<DemandKey, List<RunnerEntry>> byModel) {
     this.byService = byService;
     this.byModel = byModel;
   }
@@ -37,27 +38,23 @@
   static RunnerIndex of(
       List<RunnerEntry> runners, Function<RunnerEntry, List<LoadedModel>> models) {
     Map<String, List<RunnerEntry>> byService = new HashMap<>();
-    Map<String, List<RunnerEntry>> byModel = new HashMap<>();
+    Map<DemandKey, List<RunnerEntry>> byModel = new HashMap<>();
     for (RunnerEntry runner : runners) {
       byService.computeIfAbsent(runner.service(), service -> new ArrayList<>()).add(runner);
       for (LoadedModel held : models.apply(runner)) {
         byModel
-            .computeIfAbsent(key(runner.service(), held.name()), key -> new ArrayList<>())
+            .computeIfAbsent(DemandKey.of(runner.service(), held.name()), key -> new ArrayList<>())
             .add(runner);
       }
     }
     return new RunnerIndex(byService, byModel);
   }
 
-  private static String key(String service, String model) {
-    return service + "/" + model;
-  }
-
   List<RunnerEntry> ofService(String service) {
     return byService.getOrDefault(service, List.of());
   }
 
   List<RunnerEntry> holders(String service, String model) {
-    return byModel.getOrDefault(key(service, model), List.of());
+    return byModel.getOrDefault(DemandKey.of(service, model), List.of());
   }
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/DemandTally.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/DemandTally.java
@@ -38,7 +38,7 @@
     if (forward.model().isEmpty()) {
       return;
     }
-    count(new DemandKey(forward.service(), forward.model(), ""), forward.arrivedAt());
+    count(DemandKey.of(forward.service(), forward.model()), forward.arrivedAt());
     if (!forward.adapter().isEmpty()) {
       count(keyOf(forward), forward.arrivedAt());
     }
@@ -54,7 +54,7 @@
     if (!forward.model().isEmpty()) {
       returns
           .computeIfAbsent(
-              new DemandKey(forward.service(), forward.model(), ""), key -> new ArrayList<>())
+              DemandKey.of(forward.service(), forward.model()), key -> new ArrayList<>())
           .add(at.plus(RETURN_GRACE));
     }
   }
@@ -65,8 +65,7 @@
       if (forward.state() == PendingForward.State.WAITING && !forward.model().isEmpty()) {
         long left = forward.patienceLeft(now).toMillis();
         waiting
-            .computeIfAbsent(
-                new DemandKey(forward.service(), forward.model(), ""), key -> new Waiting())
+            .computeIfAbsent(DemandKey.of(forward.service(), forward.model()), key -> new Waiting())
             .add(left);
         if (!forward.adapter().isEmpty()) {
           waiting.computeIfAbsent(keyOf(forward), key -> new Waiting()).add(left);
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/forward/RunnerBoardTest.java
@@ -0,0 +1,54 @@
+package dev.wisteriarail.core.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.fleet.DirectoryChange;
+import dev.wisteriarail.core.fleet.RunnerDirectory;
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** What a node keeps of runners that come and go. */
+final class RunnerBoardTest {
+
+  private static final Instant NOW = Instant.EPOCH;
+
+  private final RunnerDirectory directory = RunnerDirectory.create();
+  private final RunnerBoard board = RunnerBoard.create(directory);
+
+  private void setRunners(long offset, RunnerEntry... runners) {
+    directory.accept(new DirectoryChange(true, 0, offset, List.of(runners), List.of()), NOW, NOW);
+  }
+
+  private static RunnerEntry runner(String id) {
+    return new RunnerEntry(
+        id, "engines", "10.1.0.1", 80, "a", 6, false, 1, List.of(), Set.of(), Set.of());
+  }
+
+  @Test
+  void healthOfRunnerThatIsGoneIsForgottenAlsoAfterRequestsLookedForRunners() {
+    setRunners(1, runner("r1"), runner("r2"));
+    final RunnerHealth before = board.health("r1");
+    assertThat(board.usable("engines")).hasSize(2);
+    setRunners(2, runner("r2"));
+    assertThat(board.usable("engines")).hasSize(1);
+    board.advance();
+    setRunners(3, runner("r1"), runner("r2"));
+    assertThat(board.health("r1")).isNotSameInstanceAs(before);
+  }
+
+  @Test
+  void healthOfRunnerThatIsGoneIsKeptWhileRequestsOfThisNodeRunThere() {
+    setRunners(1, runner("r1"));
+    board.begin("r1", "", "", 10);
+    final RunnerHealth before = board.health("r1");
+    setRunners(2);
+    board.advance();
+    assertThat(board.health("r1")).isSameInstanceAs(before);
+    board.end("r1", "", "", 10);
+    board.advance();
+    assertThat(board.health("r1")).isNotSameInstanceAs(before);
+  }
+}
