--- a/src/main/java/dev/wisteriarail/core/cell/CellLedger.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellLedger.java
@@ -249,27 +249,13 @@
   }
 
   private static Reservation decidedReservation(RecordBody.LoadDecided body) {
-    return new Reservation(
-        body.replica(),
-        body.model(),
-        body.version(),
-        body.runner(),
-        body.bytes(),
-        body.fence(),
-        false,
-        false);
+    return Reservation.of(
+        body.replica(), body.model(), body.version(), body.runner(), body.bytes(), body.fence());
   }
 
   private static Reservation adoptedReservation(RecordBody.LoadAdopted body) {
-    return new Reservation(
-        body.replica(),
-        body.model(),
-        body.version(),
-        body.runner(),
-        body.bytes(),
-        body.origin(),
-        false,
-        false);
+    return Reservation.of(
+        body.replica(), body.model(), body.version(), body.runner(), body.bytes(), body.origin());
   }
 
   private static boolean isSame(OutageRecord one, LogRecord logged) {
--- a/src/main/java/dev/wisteriarail/core/cell/Reservation.java
+++ b/src/main/java/dev/wisteriarail/core/cell/Reservation.java
@@ -27,6 +27,17 @@
     boolean unloading,
     boolean settled) {
 
+  /** Returns a reservation whose load may be under way. */
+  static Reservation of(
+      ReplicaId replica,
+      ModelId model,
+      String version,
+      RunnerId runner,
+      long bytes,
+      FencingNumber fence) {
+    return new Reservation(replica, model, version, runner, bytes, fence, false, false);
+  }
+
   /** Returns the same reservation with its unloading decided. */
   public Reservation withUnloading() {
     return new Reservation(replica, model, version, runner, bytes, fence, true, settled);
--- a/src/main/java/dev/wisteriarail/core/fleet/FleetTimings.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/FleetTimings.java
@@ -56,28 +56,24 @@
    * @param bound time in which every node must know that a runner leaves
    */
   public FleetTimings withLeaveBound(Duration bound) {
-    return new FleetTimings(
-        beat,
-        silence,
-        settle,
-        demand,
-        directoryRead,
-        Duration.ofMillis(Math.round(bound.toMillis() * RELAYED_SHARE)),
-        renew,
-        lease,
-        handover,
-        fencesEnforced);
+    Duration relayed = Duration.ofMillis(Math.round(bound.toMillis() * RELAYED_SHARE));
+    return with(relayed, handover, fencesEnforced);
   }
 
   /** Returns the same timings with what the platform says of orders. */
   public FleetTimings withOrders(Duration newHandover, boolean newFencesEnforced) {
+    return with(directoryStale, newHandover, newFencesEnforced);
+  }
+
+  private FleetTimings with(
+      Duration newDirectoryStale, Duration newHandover, boolean newFencesEnforced) {
     return new FleetTimings(
         beat,
         silence,
         settle,
         demand,
         directoryRead,
-        directoryStale,
+        newDirectoryStale,
         renew,
         lease,
         newHandover,
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -37,8 +37,6 @@
   private final NodeAddress self;
   private final Duration silence;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
-  private final Set<NodeId> hubs = new HashSet<>();
-  private boolean selfIsHub = true;
 
   private PeerTable(NodeAddress self, Duration silence) {
     this.self = self;
@@ -89,14 +87,11 @@
       return false;
     }
     peers.values().removeIf(peer -> isReplaced(peer, from));
-    peers.put(from.node(), new Peer(from, status, now, now, expectedSince(known)));
+    Instant expectedSince = known == null ? Instant.MAX : known.expectedSince();
+    peers.put(from.node(), new Peer(from, status, now, now, expectedSince));
     return returned;
   }
 
-  private static Instant expectedSince(Peer known) {
-    return known == null ? Instant.MAX : known.expectedSince();
-  }
-
   /** Addresses that were only guessed give way to the node that answers there. */
   private static boolean isReplaced(Peer peer, NodeAddress from) {
     return peer.heardAt().equals(Instant.MIN)
@@ -142,8 +137,11 @@
    * @param coordinates whether this node coordinates, and so tells all others that it lives
    */
   public List<NodeAddress> beatTargets(boolean coordinates, Instant now) {
-    chooseHubs(now);
-    if (coordinates || selfIsHub) {
+    if (!isLarge()) {
+      return addresses();
+    }
+    Set<NodeId> hubs = chooseHubs(now);
+    if (coordinates || hubs.contains(self.node())) {
       return addresses();
     }
     return peers.values().stream()
@@ -153,28 +151,21 @@
         .toList();
   }
 
-  private void chooseHubs(Instant now) {
-    hubs.clear();
-    if (!isLarge()) {
-      selfIsHub = true;
-      return;
-    }
+  /** Returns the hubs of a large fleet, this node included if it is one. */
+  private Set<NodeId> chooseHubs(Instant now) {
+    Set<NodeId> hubs = new HashSet<>();
     List<Peer> ranked =
         peers.values().stream()
             .sorted(Comparator.comparing(Peer::address, NodeAddress.BY_RANK))
             .toList();
-    selfIsHub = false;
-    int places = HUBS;
     for (Peer peer : ranked) {
-      if (!selfIsHub && places > 0 && self.ranksBefore(peer.address())) {
-        selfIsHub = true;
-        places--;
+      if (hubs.size() < HUBS && self.ranksBefore(peer.address())) {
+        hubs.add(self.node());
       }
       boolean missing = isMissing(peer, now);
-      boolean chosen = places > 0 && !missing;
+      boolean chosen = hubs.size() < HUBS && !missing;
       if (chosen) {
         hubs.add(peer.node());
-        places--;
       }
       if (chosen && peer.expectedSince().equals(Instant.MAX)) {
         peers.put(peer.node(), peer.withExpectedSince(now));
@@ -182,10 +173,11 @@
         peers.put(peer.node(), peer.withExpectedSince(Instant.MAX));
       }
     }
-    selfIsHub |= places > 0;
-    if (places > 0) {
+    if (hubs.size() < HUBS) {
+      hubs.add(self.node());
       peers.replaceAll((node, peer) -> peer.withExpectedSince(Instant.MAX));
     }
+    return hubs;
   }
 
   /** Returns whether a peer was taken for a hub and did not send the heartbeats of one. */
@@ -207,9 +199,11 @@
   /**
    * Returns between how many nodes what all may use together is divided. In a large fleet these are
    * all nodes that were known lately, as most of them are not heard; so it never is too few.
+   *
+   * @param live the peers that were heard lately
    */
-  public int sharers(Instant now) {
-    return 1 + (isLarge() ? peers.size() : live(now).size());
+  public int sharers(List<Peer> live) {
+    return 1 + (isLarge() ? peers.size() : live.size());
   }
 
   /** Returns the peers that were heard lately, in the order of their identifiers. */
--- a/src/main/java/dev/wisteriarail/core/forward/RetryBudget.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RetryBudget.java
@@ -1,6 +1,5 @@
 package dev.wisteriarail.core.forward;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -19,34 +18,22 @@
   /** Part of its allowance that a node uses, so that uneven nodes stay below the sum. */
   private static final double CAUTION = 0.6;
 
-  private Duration window;
-  private double ratio;
-  private double slack;
+  private RetryLimits limits;
   private final Deque<Instant> requests = new ArrayDeque<>();
   private final Deque<Instant> repeats = new ArrayDeque<>();
 
-  private RetryBudget(Duration window, double ratio, double slack) {
-    this.window = window;
-    this.ratio = ratio;
-    this.slack = slack;
+  private RetryBudget(RetryLimits limits) {
+    this.limits = limits;
   }
 
-  /**
-   * Returns an unspent budget.
-   *
-   * @param window length of the sliding window
-   * @param ratio repeats allowed for each request in the window
-   * @param slack repeats of the whole fleet that are allowed besides
-   */
-  public static RetryBudget create(Duration window, double ratio, double slack) {
-    return new RetryBudget(window, ratio, slack);
+  /** Returns an unspent budget. */
+  public static RetryBudget create(RetryLimits limits) {
+    return new RetryBudget(limits);
   }
 
   /** Changes the limits; what was spent stays spent. */
-  public void setLimits(Duration newWindow, double newRatio, double newSlack) {
-    window = newWindow;
-    ratio = newRatio;
-    slack = newSlack;
+  public void setLimits(RetryLimits newLimits) {
+    limits = newLimits;
   }
 
   /** Counts a request. */
@@ -63,7 +50,8 @@
    */
   public boolean takeRepeat(int nodes, Instant now) {
     trim(now);
-    double allowance = CAUTION * (ratio * requests.size() + slack / Math.max(1, nodes));
+    double allowance =
+        CAUTION * (limits.ratio() * requests.size() + limits.slack() / Math.max(1, nodes));
     if (repeats.size() + 1 > allowance) {
       return false;
     }
@@ -72,7 +60,7 @@
   }
 
   private void trim(Instant now) {
-    Instant oldest = now.minus(window);
+    Instant oldest = now.minus(limits.window());
     while (!requests.isEmpty() && requests.peekFirst().isBefore(oldest)) {
       requests.removeFirst();
     }
--- a/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -3,7 +3,6 @@
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.fleet.Coordinator;
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
-import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.fleet.OrderLease;
 import dev.wisteriarail.core.fleet.PeerTable;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
@@ -52,7 +51,7 @@
   private Instant nextFleetTold = Instant.MIN;
   private Instant nextPlan = Instant.MIN;
   private Instant lastOrderAt = Instant.MIN;
-  private List<ModelForecast> forecasts = List.of();
+  private boolean forecastsTold;
 
   private EngineDuty(
       GatewaySettings settings, OrderLease lease, RunnerDirectory directory, RunnerBoard board) {
@@ -182,8 +181,9 @@
     nextFleetTold = now.plusMillis(Math.round(settings.timings().demand().toMillis() * pace));
     board.accept(coordinator.viewsSince(board.viewRevision(), now), coordinator.forecasts(), now);
     Map<Long, FleetMessage.FleetTold> messages = new HashMap<>();
-    boolean quiet = pace > 1 && forecasts.isEmpty() && coordinator.forecasts().isEmpty();
-    forecasts = coordinator.forecasts();
+    boolean forecasts = !coordinator.forecasts().isEmpty();
+    boolean quiet = pace > 1 && !forecastsTold && !forecasts;
+    forecastsTold = forecasts;
     for (PeerTable.Peer peer : live) {
       long known = toldRevision.getOrDefault(peer.node(), 0L);
       FleetMessage.FleetTold message =
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.forward.CrashLedger;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RetryBudget;
+import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.forward.RunnerBoard;
 import dev.wisteriarail.core.forward.StallRule;
 import dev.wisteriarail.core.forward.WaitRule;
@@ -60,7 +61,7 @@
   private static final int STATUS_MISDIRECTED = 421;
   private static final int STATUS_SERVER_ERROR = 500;
 
-  private GatewaySettings settings;
+  private RetryLimits retries;
   private final RunnerBoard board;
   private final RunnerPicker picker;
   private final CrashLedger crashes = CrashLedger.create();
@@ -71,7 +72,7 @@
   private boolean hasCoordinator;
 
   private Forwarder(GatewaySettings settings, RunnerBoard board) {
-    this.settings = settings;
+    retries = settings.retries();
     this.board = board;
     picker = RunnerPicker.create(settings.domain(), board);
   }
@@ -80,12 +81,10 @@
     return new Forwarder(settings, board);
   }
 
-  /** Takes changed settings. */
-  void accept(GatewaySettings changed) {
-    settings = changed;
-    for (RetryBudget budget : budgets.values()) {
-      budget.setLimits(changed.retryWindow(), changed.retryRatio(), changed.retrySlack());
-    }
+  /** Takes changed limits of repeats. */
+  void accept(RetryLimits changed) {
+    retries = changed;
+    budgets.values().forEach(budget -> budget.setLimits(changed));
   }
 
   // Arrival
@@ -473,11 +472,7 @@
   }
 
   private RetryBudget budget(String service) {
-    return budgets.computeIfAbsent(
-        service,
-        name ->
-            RetryBudget.create(
-                settings.retryWindow(), settings.retryRatio(), settings.retrySlack()));
+    return budgets.computeIfAbsent(service, name -> RetryBudget.create(retries));
   }
 
   // Accessors
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -130,7 +130,12 @@
       }
       case GatewayEvent.CallerLeft left -> forwarder.acceptLeft(left.exchange(), step);
       case GatewayEvent.AttemptTold told ->
-          forwarder.acceptResult(told, step).ifPresent(fingerprint -> tellCrash(fingerprint, step));
+          // Nodes that exchange no heartbeats with this one have to know it too.
+          forwarder
+              .acceptResult(told, step)
+              .ifPresent(
+                  fingerprint ->
+                      tell(peers.addresses(), new FleetMessage.CrashTold(fingerprint), step));
       case GatewayEvent.StoreTold told -> acceptStore(told, step);
       case GatewayEvent.LeaseTold told -> {
         store.noteCall(!(told.answer() instanceof LeaseAnswer.Failed), now);
@@ -151,7 +156,7 @@
         }
       }
       case GatewayEvent.SettingsRead read -> {
-        forwarder.accept(read.settings());
+        forwarder.accept(read.settings().retries());
         drain.setGrace(read.settings().drainGrace());
       }
       case GatewayEvent.DrainRequested requested -> {
@@ -330,7 +335,9 @@
     forwarder.advance(configuration, sharers, coordinated, step);
     if (!ofRequest) {
       updateReadiness(step);
-      forwarder.endWaiting(drain, step);
+      if (drain.isDraining()) {
+        forwarder.endWaiting(drain, step);
+      }
       drain.advance(forwarder.size(), step);
     }
   }
@@ -344,7 +351,7 @@
       peers.advance(now);
     }
     List<PeerTable.Peer> live = peers.live(now);
-    sharers = peers.sharers(now);
+    sharers = peers.sharers(live);
     coordinate(live, step);
     readStore(live, step);
     beat(step);
@@ -421,14 +428,9 @@
     double pace = lease.isHeld() ? 1 : peers.pace();
     nextBeat = step.now().plusMillis(Math.round(timings.beat().toMillis() * pace));
     boolean introduces = beats++ % BEATS_BETWEEN_INTRODUCTIONS == 0;
-    List<NodeAddress> known =
-        introduces
-            ? peers.live(step.now()).stream().map(PeerTable.Peer::address).toList()
-            : List.of();
+    List<NodeAddress> known = introduces ? liveAddresses(step.now()) : List.of();
     FleetMessage.Beat beat = new FleetMessage.Beat(settings.self(), known, status(step.now()));
-    for (NodeAddress peer : peers.beatTargets(lease.isHeld(), step.now())) {
-      step.emit(new GatewayEffect.SendPeer(peer, beat));
-    }
+    tell(peers.beatTargets(lease.isHeld(), step.now()), beat, step);
   }
 
   private void hastenDemand(Instant now) {
@@ -461,17 +463,15 @@
   }
 
   private void tellAll(FleetMessage message, GatewayStep step) {
-    for (PeerTable.Peer peer : peers.live(step.now())) {
-      step.emit(new GatewayEffect.SendPeer(peer.address(), message));
-    }
+    tell(liveAddresses(step.now()), message, step);
   }
 
-  /** Tells all nodes, those included that exchange no heartbeats with this one. */
-  private void tellCrash(long fingerprint, GatewayStep step) {
-    FleetMessage.CrashTold message = new FleetMessage.CrashTold(fingerprint);
-    for (NodeAddress peer : peers.addresses()) {
-      step.emit(new GatewayEffect.SendPeer(peer, message));
-    }
+  private List<NodeAddress> liveAddresses(Instant now) {
+    return peers.live(now).stream().map(PeerTable.Peer::address).toList();
+  }
+
+  private static void tell(List<NodeAddress> to, FleetMessage message, GatewayStep step) {
+    to.forEach(peer -> step.emit(new GatewayEffect.SendPeer(peer, message)));
   }
 
   private void updateReadiness(GatewayStep step) {
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.forward.RetryLimits;
 import java.time.Duration;
 import java.util.List;
 
@@ -12,9 +13,7 @@
  * @param domain its failure domain
  * @param seeds addresses of some nodes, which may be stale, as host and port
  * @param timings intervals of the duties that nodes share
- * @param retryWindow window in which repeats are counted
- * @param retryRatio repeats allowed for each request in the window
- * @param retrySlack repeats of the whole fleet that are allowed besides
+ * @param retries repeats that all nodes may send
  * @param drainGrace time after a stop request until the process has to end
  */
 public record GatewaySettings(
@@ -22,9 +21,7 @@
     String domain,
     List<String> seeds,
     FleetTimings timings,
-    Duration retryWindow,
-    double retryRatio,
-    double retrySlack,
+    RetryLimits retries,
     Duration drainGrace) {
 
   /** Copies the list. */
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -93,12 +93,12 @@
 
   void send(FuzzedNode node, long run, GatewayEffect.SendAttempt send) {
     String request = node.request(send.exchange());
-    if (request.isEmpty()) {
+    if (!node.isOpen(send.exchange())) {
       return;
     }
     node.beginAttempt(send.exchange(), send.attempt());
     FakeBackend backend = backend(send.runner().id());
-    world.checkDrain(node, backend, request);
+    world.checkDrain(backend, request);
     if (!backend.isUp()) {
       tell(node, run, send, network.millis(1, 5), new AttemptResult.NotSent("refused"));
       return;
@@ -119,7 +119,7 @@
             return;
           }
           if (result instanceof AttemptResult.Finished) {
-            world.finish(node, send.exchange(), "served");
+            world.finish(node, send.exchange(), GatewayOracle.SERVED);
           }
           world.deliver(
               node, run, new GatewayEvent.AttemptTold(send.exchange(), send.attempt(), result));
@@ -132,7 +132,7 @@
       GatewayEffect.SendAttempt send,
       FakeBackend backend,
       String request) {
-    oracle.arrive(request, backend.id(), time.now());
+    oracle.arrive(request, time.now());
     String[] parts = request.split("~", -1);
     String model = parts[1];
     String adapter = parts[2];
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
@@ -198,10 +198,6 @@
     return up;
   }
 
-  boolean isDraining() {
-    return draining;
-  }
-
   long born() {
     return born;
   }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
@@ -14,8 +14,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * One node: its core, and what a process keeps beside it. Not thread-safe.
@@ -28,6 +30,7 @@
   private final GatewayDefect defect;
   private final Deque<GatewayEvent> backlog = new ArrayDeque<>();
   private final Map<Long, String> exchanges = new HashMap<>();
+  private final Set<Long> open = new HashSet<>();
   private final Map<Long, Integer> attempts = new HashMap<>();
   private GatewayCore core;
   private long run;
@@ -36,7 +39,6 @@
   private boolean ready;
   private boolean storeCut;
   private boolean peersCut;
-  private Instant disturbedAt = Instant.EPOCH;
 
   FuzzedNode(int number, GatewayDefect defect) {
     this.number = number;
@@ -51,6 +53,7 @@
     ready = false;
     backlog.clear();
     exchanges.clear();
+    open.clear();
     attempts.clear();
     GatewaySettings settings =
         new GatewaySettings(
@@ -58,9 +61,7 @@
             "a",
             List.of(),
             FleetTimings.DEFAULT.withOrders(Duration.ofSeconds(3), true),
-            GatewayFuzzPlan.RETRY_WINDOW,
-            GatewayFuzzPlan.RETRY_RATIO,
-            GatewayFuzzPlan.RETRY_SLACK,
+            GatewayFuzzPlan.RETRIES,
             Duration.ofSeconds(8));
     core = GatewayCore.create(defect.alter(settings));
     return run;
@@ -114,18 +115,29 @@
 
   void open(long exchange, String request) {
     exchanges.put(exchange, request);
+    open.add(exchange);
   }
 
-  /** Returns the caller's name of an open request; empty text if it has ended. */
+  /** Returns the caller's name of a request of this run; empty text if its caller left. */
   String request(long exchange) {
     return exchanges.getOrDefault(exchange, "");
   }
 
+  boolean isOpen(long exchange) {
+    return open.contains(exchange);
+  }
+
   void close(long exchange) {
-    exchanges.remove(exchange);
+    open.remove(exchange);
     attempts.remove(exchange);
   }
 
+  /** Notes that a caller left, so that no ending is expected any more. */
+  void leave(long exchange) {
+    close(exchange);
+    exchanges.remove(exchange);
+  }
+
   void beginAttempt(long exchange, int attempt) {
     attempts.put(exchange, attempt);
   }
@@ -152,10 +164,6 @@
     peersCut = cut;
   }
 
-  void disturb(Instant now) {
-    disturbedAt = now;
-  }
-
   // Accessors
 
   int number() {
@@ -181,9 +189,4 @@
   boolean isPeersCut() {
     return peersCut;
   }
-
-  /** Returns when something was last done to it from outside. */
-  Instant disturbedAt() {
-    return disturbedAt;
-  }
 }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -61,7 +61,7 @@
   private final Chance chance;
   private final Chance network;
   private final Instant end;
-  private Instant storeDisturbedAt = Instant.EPOCH;
+  private Instant disturbedUntil = Instant.EPOCH;
   private Instant publishedAt = Instant.EPOCH;
   private boolean storeDown;
   private double lostAnswers;
@@ -142,19 +142,18 @@
     return !storeDown && !node.isStoreCut();
   }
 
-  /** Returns whether bounds of time hold for a node now, and did for some seconds. */
-  private boolean isCalm(FuzzedNode node) {
-    Instant since = time.now().minus(SETTLING);
-    return storeDisturbedAt.isBefore(since)
-        && node.disturbedAt().isBefore(since)
-        && nodes.stream().allMatch(each -> each.disturbedAt().isBefore(since));
+  /** Returns whether bounds of time hold now: nothing was disturbed for some seconds. */
+  private boolean isCalm() {
+    return disturbedUntil.isBefore(time.now().minus(SETTLING));
   }
 
   // Nodes
 
   private void startNode(FuzzedNode node) {
     long run = node.start();
-    node.disturb(time.now());
+    if (time.now().isAfter(disturbedUntil)) {
+      disturbedUntil = time.now();
+    }
     tick(node, run);
   }
 
@@ -191,7 +190,7 @@
         node.close(refuse.exchange());
         if (!request.isEmpty()) {
           oracle.refuse(request, refuse.code(), time.now());
-          checkRoute(node, request, refuse);
+          checkRoute(request, refuse);
         }
       }
       case GatewayEffect.PassAnswer pass -> finish(node, pass.exchange(), "answer passed on");
@@ -233,10 +232,10 @@
   }
 
   /** Complains of a request to a runner that said long ago that it leaves. */
-  void checkDrain(FuzzedNode node, FakeBackend backend, String request) {
+  void checkDrain(FakeBackend backend, String request) {
     Instant drained = drainedAt.getOrDefault(backend.id(), Instant.MAX);
     boolean late = !drained.equals(Instant.MAX) && time.now().isAfter(drained.plus(CHANGE_BOUND));
-    if (late && isCalm(node)) {
+    if (late && isCalm()) {
       oracle.complain("drain", request + " sent to " + backend.id() + " that leaves", time.now());
     }
   }
@@ -246,12 +245,9 @@
     return lostAnswers;
   }
 
-  private void checkRoute(FuzzedNode node, String request, GatewayEffect.Refuse refuse) {
+  private void checkRoute(String request, GatewayEffect.Refuse refuse) {
     boolean known = time.now().isAfter(publishedAt.plus(CHANGE_BOUND));
-    if (request.startsWith("added-")
-        && known
-        && isCalm(node)
-        && refuse.code().httpStatus() == 404) {
+    if (request.startsWith("added-") && known && isCalm() && refuse.code().httpStatus() == 404) {
       oracle.complain("configuration", request + " was refused long after its route", time.now());
     }
   }
@@ -363,10 +359,9 @@
   }
 
   private void leave(FuzzedNode node, long exchange) {
-    String request = node.request(exchange);
-    if (!request.isEmpty()) {
-      oracle.release(request);
-      node.close(exchange);
+    if (node.isOpen(exchange)) {
+      oracle.release(node.request(exchange));
+      node.leave(exchange);
       deliver(node, node.run(), new GatewayEvent.CallerLeft(exchange));
     }
   }
@@ -428,10 +423,7 @@
         publish();
       }
     }
-    for (FuzzedNode each : nodes) {
-      each.disturb(time.now().plus(length));
-    }
-    storeDisturbedAt = time.now().plus(length);
+    disturbedUntil = time.now().plus(length);
     time.after(chance.millis(200, 2_500), this::disturb);
   }
 
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzzPlan.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzzPlan.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.fuzz.gateway;
 
+import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.route.CallerBounds;
 import dev.wisteriarail.core.route.EngineSpec;
 import dev.wisteriarail.core.route.GatewayConfiguration;
@@ -30,9 +31,7 @@
   /** Models that an engine's memory holds. */
   static final int MODELS_THAT_FIT = 2;
 
-  static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
-  static final double RETRY_RATIO = 0.2;
-  static final double RETRY_SLACK = 5;
+  static final RetryLimits RETRIES = new RetryLimits(Duration.ofSeconds(10), 0.2, 5);
 
   private static final double MODEL_MEGABYTES = 60;
   private static final double ENGINE_MEGABYTES = 130;
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.fuzz.gateway;
 
+import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.RouteSpec;
 import dev.wisteriarail.fuzz.oracle.Violation;
@@ -18,6 +19,9 @@
  */
 final class GatewayOracle {
 
+  /** How a request ends whose answer was passed on whole. */
+  static final String SERVED = "served";
+
   /** Refusals that say that the request did not run and will not. */
   private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
 
@@ -43,14 +47,16 @@
   // What callers see
 
   void ask(String id, RouteSpec route, int node, Instant now) {
-    asked.put(id, new Asked(route, node, now));
-    String service = route.shares().getFirst().service();
-    requests.computeIfAbsent(service, name -> new ArrayList<>()).add(now);
+    Asked request = new Asked(route, node, now);
+    asked.put(id, request);
+    requests.computeIfAbsent(request.service(), name -> new ArrayList<>()).add(now);
   }
 
   /** A request ended without an answer of a runner. */
   void refuse(String id, ResultCode code, Instant now) {
-    end(id, code.label(), now);
+    if (!end(id, code.label(), now)) {
+      return;
+    }
     Asked request = asked.get(id);
     int status = code.httpStatus();
     boolean denied = status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR;
@@ -61,15 +67,26 @@
     checkTruth(id, request, now);
   }
 
-  /** A request ended with an answer, or its answer was cut. */
-  void end(String id, String how, Instant now) {
+  /**
+   * A request ended with an answer, or its answer was cut.
+   *
+   * <p>A core may end what was served a moment ago and it was not told of yet; the adapter drops
+   * that, as a caller's exchange is ended once.
+   *
+   * @return whether the caller sees this ending
+   */
+  boolean end(String id, String how, Instant now) {
     Asked request = asked.get(id);
     if (request.ended) {
-      complain("one-ending", id + " ended again: " + how, now);
+      if (!request.how.equals(SERVED)) {
+        complain("one-ending", id + " ended with " + request.how + " and again: " + how, now);
+      }
+      return false;
     }
     request.ended = true;
     request.how = how;
     endings.merge(how, 1, Integer::sum);
+    return true;
   }
 
   /** A caller left, or its node ended: no ending is owed any more. */
@@ -84,13 +101,12 @@
 
   // What runners see
 
-  void arrive(String id, String runner, Instant now) {
+  void arrive(String id, Instant now) {
     Asked request = asked.get(id);
     request.arrivals++;
     if (request.arrivals > 1) {
-      String service = request.route.shares().getFirst().service();
-      repeats.computeIfAbsent(service, name -> new ArrayList<>()).add(now);
-      checkBudget(service, now);
+      repeats.computeIfAbsent(request.service(), name -> new ArrayList<>()).add(now);
+      checkBudget(request.service(), now);
     }
   }
 
@@ -110,16 +126,12 @@
   }
 
   private void checkBudget(String service, Instant now) {
-    int sent = count(repeats, service, now.minus(GatewayFuzzPlan.RETRY_WINDOW), now);
-    int recent = count(requests, service, now.minus(GatewayFuzzPlan.RETRY_WINDOW), now);
-    int before =
-        count(
-            requests,
-            service,
-            now.minus(GatewayFuzzPlan.RETRY_WINDOW.multipliedBy(2)),
-            now.minus(GatewayFuzzPlan.RETRY_WINDOW));
-    double allowed =
-        GatewayFuzzPlan.RETRY_RATIO * Math.max(recent, before) + GatewayFuzzPlan.RETRY_SLACK;
+    RetryLimits limits = GatewayFuzzPlan.RETRIES;
+    Instant since = now.minus(limits.window());
+    int sent = count(repeats, service, since, now);
+    int recent = count(requests, service, since, now);
+    int before = count(requests, service, since.minus(limits.window()), since);
+    double allowed = limits.ratio() * Math.max(recent, before) + limits.slack();
     if (sent > allowed) {
       complain("retry-budget", service + " got " + sent + " repeats, allowed " + allowed, now);
     }
@@ -204,5 +216,9 @@
       this.askedAt = askedAt;
       deadline = askedAt.plus(route.timeout());
     }
+
+    String service() {
+      return route.shares().getFirst().service();
+    }
   }
 }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -183,9 +183,7 @@
         file.failureDomain().value(),
         file.seeds(),
         file.timings(),
-        file.retryWindow(),
-        file.retryRatio(),
-        file.retrySlack(),
+        file.retries(),
         file.drainLimit());
   }
 
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.settings;
 
 import dev.wisteriarail.core.fleet.FleetTimings;
+import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.id.FailureDomain;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.result.SettingsException;
@@ -25,9 +26,7 @@
  * @param seeds addresses of some nodes, which may be stale, as host and port
  * @param storeAddress address of the platform's store, as host and port
  * @param timings intervals of the duties that nodes share
- * @param retryWindow window in which repeats are counted
- * @param retryRatio repeats allowed for each request in the window
- * @param retrySlack repeats of the whole fleet that are allowed besides
+ * @param retries repeats that all nodes may send
  * @param drainLimit time after a stop request until the process has to end
  */
 public record GatewayFile(
@@ -42,9 +41,7 @@
     List<String> seeds,
     String storeAddress,
     FleetTimings timings,
-    Duration retryWindow,
-    double retryRatio,
-    double retrySlack,
+    RetryLimits retries,
     Duration drainLimit) {
 
   /** Time in which every node must know that a runner leaves, where the settings name none. */
@@ -91,9 +88,10 @@
             toml.texts("gateway.seeds"),
             toml.text("store.address"),
             timings(toml),
-            seconds(toml, "retries.window_s", 10),
-            toml.number("retries.ratio", 0, 10, 0.2),
-            toml.number("retries.slack", 0, 100_000, 50),
+            new RetryLimits(
+                seconds(toml, "retries.window_s", 10),
+                toml.number("retries.ratio", 0, 10, 0.2),
+                toml.number("retries.slack", 0, 100_000, 50)),
             seconds(toml, "node.drain_limit_s", 8));
     toml.check();
     return file;
@@ -102,9 +100,9 @@
   /** Returns the keys of settings that differ from those of another file and may change at once. */
   public List<String> changedAtOnce(GatewayFile other) {
     List<String> keys = new ArrayList<>();
-    add(keys, "retries.window_s", !retryWindow.equals(other.retryWindow));
-    add(keys, "retries.ratio", retryRatio != other.retryRatio);
-    add(keys, "retries.slack", retrySlack != other.retrySlack);
+    add(keys, "retries.window_s", !retries.window().equals(other.retries.window()));
+    add(keys, "retries.ratio", retries.ratio() != other.retries.ratio());
+    add(keys, "retries.slack", retries.slack() != other.retries.slack());
     add(keys, "node.drain_limit_s", !drainLimit.equals(other.drainLimit));
     return keys;
   }
--- a/src/main/java/dev/wisteriarail/soak/LoopbackProxy.java
+++ b/src/main/java/dev/wisteriarail/soak/LoopbackProxy.java
@@ -98,10 +98,15 @@
           new InetSocketAddress(InetAddress.getLoopbackAddress(), target), CONNECT_TIMEOUT_MILLIS);
       near.setTcpNoDelay(true);
       far.setTcpNoDelay(true);
-      Thread.ofVirtual().start(() -> pump(far, near, LinkState.CUT_TO_CALLER));
+      Thread back = Thread.ofVirtual().start(() -> pump(far, near, LinkState.CUT_TO_CALLER));
       pump(near, far, LinkState.CUT_TO_SERVER);
+      back.join();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
     } catch (IOException unreachable) {
       // The server is down: a caller behind a network sees a reset too.
+      reset(near);
+    } finally {
       end(near);
       end(far);
     }
@@ -131,10 +136,6 @@
       // One side is gone, or the link was reset; the other side must see that too.
       reset(from);
       reset(to);
-    } finally {
-      if (from.isInputShutdown() || to.isClosed()) {
-        end(from);
-      }
     }
   }
 
@@ -147,9 +148,14 @@
     }
   }
 
+  /** Closes a socket; what was passed on before still arrives. */
   private void end(Socket socket) {
     sockets.remove(socket);
-    reset(socket);
+    try {
+      socket.close();
+    } catch (IOException failure) {
+      LOGGER.debug("a socket did not close", failure);
+    }
   }
 
   @Override
--- a/src/main/java/dev/wisteriarail/standin/LoopbackSettings.java
+++ b/src/main/java/dev/wisteriarail/standin/LoopbackSettings.java
@@ -12,8 +12,6 @@
  * @param metricsPort where it serves its metrics
  * @param announced address that it tells other nodes, as host and port
  * @param store the store's address, as host and port
- * @param drainSeconds time that it has to stop
- * @param handoverMillis pause between the orders of two coordinators
  * @param retryRatio repeats allowed for each request
  */
 public record LoopbackSettings(
@@ -24,11 +22,11 @@
     int metricsPort,
     String announced,
     String store,
-    int drainSeconds,
-    int handoverMillis,
     double retryRatio) {
 
+  /** Time that a node has for its requests after SIGTERM: far more than one of them takes. */
   private static final int DRAIN_SECONDS = 4;
+
   private static final double RETRY_RATIO = 0.2;
 
   /** Short, so that another node gives orders soon after the first one is gone. */
@@ -49,39 +47,19 @@
         FreePorts.next(),
         "127.0.0.1:" + peerPort,
         store,
-        DRAIN_SECONDS,
-        HANDOVER_MILLIS,
         RETRY_RATIO);
   }
 
   /** Returns the same settings with other addresses for the way to it and to the store. */
   public LoopbackSettings withLinks(String newAnnounced, String newStore) {
     return new LoopbackSettings(
-        name,
-        callerPort,
-        balancerPort,
-        peerPort,
-        metricsPort,
-        newAnnounced,
-        newStore,
-        drainSeconds,
-        handoverMillis,
-        retryRatio);
+        name, callerPort, balancerPort, peerPort, metricsPort, newAnnounced, newStore, retryRatio);
   }
 
   /** Returns the same settings with another share of repeats. */
   public LoopbackSettings withRetryRatio(double newRatio) {
     return new LoopbackSettings(
-        name,
-        callerPort,
-        balancerPort,
-        peerPort,
-        metricsPort,
-        announced,
-        store,
-        drainSeconds,
-        handoverMillis,
-        newRatio);
+        name, callerPort, balancerPort, peerPort, metricsPort, announced, store, newRatio);
   }
 
   /** Returns the settings as TOML. */
@@ -91,7 +69,7 @@
         "[node]",
         "id = \"" + name + "\"",
         "failure_domain = \"a\"",
-        "drain_limit_s = " + drainSeconds,
+        "drain_limit_s = " + DRAIN_SECONDS,
         "[gateway]",
         "callers = \"127.0.0.1:" + callerPort + "\"",
         "balancer = \"127.0.0.1:" + balancerPort + "\"",
@@ -101,7 +79,7 @@
         "[store]",
         "address = \"" + store + "\"",
         "[orders]",
-        "handover_ms = " + handoverMillis,
+        "handover_ms = " + HANDOVER_MILLIS,
         "[retries]",
         "ratio = " + retryRatio,
         "");
--- a/src/main/java/dev/wisteriarail/standin/MetadataStoreStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/MetadataStoreStandin.java
@@ -163,7 +163,7 @@
 
   /** Returns the address as host and port. */
   public String address() {
-    return server.address().replace("http://", "");
+    return server.authority();
   }
 
   /** Returns the server, for its faults. */
--- a/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
@@ -112,20 +112,6 @@
     return runner;
   }
 
-  /** Ends a runner and removes its entry. */
-  public synchronized void remove(String id) {
-    runners.removeIf(
-        runner -> {
-          if (runner.id().equals(id)) {
-            ended.add(runner);
-            runner.close();
-            store.put(RUNNERS_TOPIC, id, "");
-            return true;
-          }
-          return false;
-        });
-  }
-
   /**
    * Publishes a configuration: the standard routes, and one more plain route for each name.
    *
--- a/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -324,7 +324,7 @@
 
   /** Returns the address at which it listens, as host and port. */
   public String address() {
-    return server.address().replace("http://", "");
+    return server.authority();
   }
 
   /** Returns the identifiers of the requests that it ran, in order. */
--- a/src/main/java/dev/wisteriarail/standin/StandinServer.java
+++ b/src/main/java/dev/wisteriarail/standin/StandinServer.java
@@ -71,7 +71,12 @@
 
   /** Returns the base address. */
   public String address() {
-    return "http://" + host + ":" + JettyServers.port(server);
+    return "http://" + authority();
+  }
+
+  /** Returns the address as host and port. */
+  public String authority() {
+    return host + ":" + JettyServers.port(server);
   }
 
   /** Returns the faults in force. */
--- a/src/test/java/dev/wisteriarail/core/cell/LogOutageTest.java
+++ b/src/test/java/dev/wisteriarail/core/cell/LogOutageTest.java
@@ -94,10 +94,8 @@
     assertThat(fleet.records(RecordBody.PredecessorAbsorbed.class)).isNotEmpty();
   }
 
-  @ParameterizedTest
-  @ValueSource(booleans = {true, false})
-  void orderFormedInAnOutageFindsItsMemoryCounted(boolean checksFencing) {
-    CellFleet fleet = started(checksFencing);
+  /** Returns the controller, paused while the log is down and an order of it is on its way. */
+  private static Node pausedWithOrderFormedInAnOutage(CellFleet fleet) {
     Node old = fleet.controller();
     setLog(fleet, LogMode.DOWN);
     fleet.run(SOON);
@@ -106,6 +104,14 @@
     fleet.runUntil(SOON, () -> !old.held.isEmpty());
     assertThat(old.held).isNotEmpty();
     old.paused = true;
+    return old;
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void orderFormedInAnOutageFindsItsMemoryCounted(boolean checksFencing) {
+    CellFleet fleet = started(checksFencing);
+    final Node old = pausedWithOrderFormedInAnOutage(fleet);
     setLog(fleet, LogMode.UP);
     fleet.run(LONG);
     for (int model = 2; model <= 5; model++) {
@@ -123,13 +129,7 @@
   @ValueSource(booleans = {true, false})
   void untoldSuccessorTrustsNoRunnerThatIgnoresFencing(boolean checksFencing) {
     CellFleet fleet = started(checksFencing);
-    Node old = fleet.controller();
-    setLog(fleet, LogMode.DOWN);
-    fleet.run(SOON);
-    old.holdsOrders = true;
-    fleet.send(fleet.other(old), "m1");
-    fleet.runUntil(SOON, () -> !old.held.isEmpty());
-    old.paused = true;
+    final Node old = pausedWithOrderFormedInAnOutage(fleet);
     kill(fleet, List.of("n1", "n2", "n3"), old);
     setLog(fleet, LogMode.UP);
     fleet.run(SOON);
--- a/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
@@ -140,7 +140,8 @@
     }
     for (int round = 0; round < 20; round++) {
       rounds(1);
-      assertThat(tables.get(FAST_LINKS).sharers(now)).isAtLeast(64 - FAST_LINKS);
+      PeerTable table = tables.get(FAST_LINKS);
+      assertThat(table.sharers(table.live(now))).isAtLeast(64 - FAST_LINKS);
     }
   }
 
--- a/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
@@ -79,7 +79,7 @@
     int nodes = 9;
     List<RetryBudget> budgets = new ArrayList<>();
     for (int i = 0; i < nodes; i++) {
-      budgets.add(RetryBudget.create(Duration.ofSeconds(10), 0.2, 58));
+      budgets.add(RetryBudget.create(new RetryLimits(Duration.ofSeconds(10), 0.2, 58)));
     }
     int requests = 0;
     int repeats = 0;
@@ -96,7 +96,7 @@
 
   @Test
   void budgetIsFreeAgainAfterItsWindow() {
-    RetryBudget budget = RetryBudget.create(Duration.ofSeconds(10), 0, 5);
+    RetryBudget budget = RetryBudget.create(new RetryLimits(Duration.ofSeconds(10), 0, 5));
     while (budget.takeRepeat(1, START)) {
       // Spends all of it.
     }
@@ -232,10 +232,10 @@
 
   @Test
   void changedLimitsOfRetriesCountAtOnce() {
-    RetryBudget budget = RetryBudget.create(Duration.ofSeconds(10), 0, 10);
+    RetryBudget budget = RetryBudget.create(new RetryLimits(Duration.ofSeconds(10), 0, 10));
     Instant now = Instant.EPOCH;
     assertThat(budget.takeRepeat(1, now)).isTrue();
-    budget.setLimits(Duration.ofSeconds(10), 0, 0);
+    budget.setLimits(new RetryLimits(Duration.ofSeconds(10), 0, 0));
     assertThat(budget.takeRepeat(1, now)).isFalse();
   }
 }
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.FleetMessage;
@@ -65,9 +66,7 @@
             "a",
             List.of(),
             FleetTimings.DEFAULT,
-            Duration.ofSeconds(10),
-            0.2,
-            50,
+            new RetryLimits(Duration.ofSeconds(10), 0.2, 50),
             Duration.ofSeconds(8));
     CoreHarness harness = new CoreHarness(GatewayCore.create(settings));
     harness.tick();
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.core.fleet.Coordinator;
 import dev.wisteriarail.core.fleet.FleetOrder;
 import dev.wisteriarail.core.fleet.LoadSource;
+import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.core.gateway.GatewaySettings;
@@ -47,6 +48,12 @@
           : List.of(effect);
     }
   },
+  ENDS_TWICE {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      return effect instanceof GatewayEffect.Refuse ? List.of(effect, effect) : List.of(effect);
+    }
+  },
   DENIES_ROUTES {
     @Override
     public List<GatewayEffect> alter(GatewayEffect effect) {
@@ -102,9 +109,7 @@
           settings.domain(),
           settings.seeds(),
           settings.timings(),
-          Duration.ofSeconds(10),
-          100,
-          10_000,
+          new RetryLimits(Duration.ofSeconds(10), 100, 10_000),
           settings.drainGrace());
     }
   },
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
@@ -43,6 +43,7 @@
     "at-most-once, SENDS_TWICE, true",
     "not-run, SAYS_NOT_RUN, true",
     "one-ending, DROPS_ENDINGS, true",
+    "one-ending, ENDS_TWICE, true",
     "denied, DENIES_ROUTES, true",
     "one-holder, SHARES_A_FENCE, false",
     "memory, ORDERS_BEYOND_MEMORY, false",
