--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -144,7 +144,10 @@
     private final EventLog log;
     private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(QUEUE_LIMIT);
     private final Thread thread;
-    private final AtomicLong unacknowledged = new AtomicLong();
+
+    /** Frames of the present connection that the peer did not acknowledge; 0 once it ended. */
+    private volatile AtomicLong unacknowledged = new AtomicLong();
+
     private volatile boolean finishing;
 
     private Link(VmEntry peer, Optional<PeerTls> tls, EventLog log) {
@@ -226,40 +229,47 @@
 
     private void writeAll(Socket socket) throws IOException, InterruptedException {
       long generation = generation();
-      unacknowledged.set(0);
-      Thread.ofVirtual().name("peer-acknowledge").start(() -> readAcknowledgements(socket));
+      AtomicLong sent = new AtomicLong();
+      unacknowledged = sent;
+      Thread.ofVirtual().name("peer-acknowledge").start(() -> readAcknowledgements(socket, sent));
       try (DataOutputStream out =
           new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()))) {
         while ((!finishing || !queue.isEmpty()) && generation == generation()) {
           byte[] frame = queue.take();
-          unacknowledged.incrementAndGet();
+          sent.incrementAndGet();
           FrameCodec.write(out, frame);
         }
       }
     }
 
-    /** Closes the connection once the peer leaves a frame unacknowledged, which ends the writer. */
-    private void readAcknowledgements(Socket socket) {
+    /**
+     * Closes the connection once the peer leaves a frame unacknowledged, which ends the writer at
+     * its next frame.
+     */
+    private static void readAcknowledgements(Socket socket, AtomicLong sent) {
       try (socket) {
         socket.setSoTimeout(ACKNOWLEDGE_TIMEOUT_MILLIS);
         InputStream in = socket.getInputStream();
         boolean alive = true;
         while (alive) {
-          alive = readAcknowledgement(in);
+          alive = readAcknowledgement(in, sent);
         }
       } catch (IOException closed) {
         // The writer finds the connection closed, and opens another one.
+      } finally {
+        // Else the limit of repeated messages would keep that next frame away.
+        sent.set(0);
       }
     }
 
     /** Returns whether the peer still answers. */
-    private boolean readAcknowledgement(InputStream in) throws IOException {
-      long before = unacknowledged.get();
+    private static boolean readAcknowledgement(InputStream in, AtomicLong sent) throws IOException {
+      long before = sent.get();
       try {
         if (in.read() < 0) {
           return false;
         }
-        unacknowledged.decrementAndGet();
+        sent.decrementAndGet();
         return true;
       } catch (SocketTimeoutException silent) {
         return before == 0;
--- a/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
@@ -25,10 +25,50 @@
 
   private static final NodeId SELF = NodeId.of("n1");
 
+  /** Far more than the transport takes to give up a silent connection. */
+  private static final int ACCEPT_TIMEOUT_MILLIS = 30_000;
+
+  private static final long SEND_PAUSE_MILLIS = 10;
+
+  private static FleetMessage.Beat beat() {
+    NodeAddress address = new NodeAddress(SELF, Incarnation.of(1), "127.0.0.1", 1, 1_000);
+    return new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN);
+  }
+
+  @Test
+  void connectionThatFallsSilentIsReplacedThoughOnlyRepeatedMessagesAreSent() throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 2, InetAddress.getLoopbackAddress());
+        EventLog log = EventLog.forNode(SELF)) {
+      listener.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
+      TcpPeerTransport transport =
+          TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log);
+      VmEntry peer =
+          new VmEntry(
+              NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
+      Thread sender = Thread.startVirtualThread(() -> sendBeats(transport, peer));
+      try (Socket silent = listener.accept();
+          Socket next = listener.accept()) {
+        assertThat(next.getPort()).isNotEqualTo(silent.getPort());
+      } finally {
+        sender.interrupt();
+        transport.close();
+      }
+    }
+  }
+
+  private static void sendBeats(TcpPeerTransport transport, VmEntry peer) {
+    try {
+      while (true) {
+        transport.send(peer, beat());
+        Thread.sleep(SEND_PAUSE_MILLIS);
+      }
+    } catch (InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Test
   void repeatedMessagesDoNotQueueUpAndOthersArrive() throws Exception {
-    NodeAddress address = new NodeAddress(SELF, Incarnation.of(1), "127.0.0.1", 1, 1_000);
-    FleetMessage.Beat beat = new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN);
     try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         EventLog log = EventLog.forNode(SELF)) {
       TcpPeerTransport transport =
@@ -37,7 +77,7 @@
           new VmEntry(
               NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
       for (int i = 0; i < 100; i++) {
-        transport.send(peer, beat);
+        transport.send(peer, beat());
       }
       transport.send(peer, new FleetMessage.CrashTold(7));
       try (Socket socket = listener.accept()) {
