--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -13,6 +13,8 @@
   NODE_STOPPED(103, "node stopped"),
   /** The settings file was read again. */
   NODE_RELOADED(104, "settings read again"),
+  /** The process ends now. */
+  NODE_ENDED(105, "process ends"),
   /** A system outside stopped answering. */
   DEPENDENCY_LOST(110, "dependency lost"),
   /** A system outside answers again. */
--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -320,6 +320,16 @@
     }
   }
 
+  /** Returns the number of open connections of callers. */
+  int connections() {
+    return callerConnections().size();
+  }
+
+  /** Returns the number of requests whose answer has not ended. */
+  int requests() {
+    return exchanges.size();
+  }
+
   private List<EndPoint> callerConnections() {
     List<EndPoint> connections = new ArrayList<>();
     for (var connector : server.getConnectors()) {
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -226,6 +226,15 @@
   public boolean stop() throws InterruptedException {
     boolean drained = runtime.drain(file.drainLimit().minus(EXIT_RESERVE));
     callers.closeAll(LAST_REFUSALS);
+    log.write(
+        NodeEvent.of(
+            EventCode.NODE_ENDED,
+            "drained",
+            drained,
+            "connections_left",
+            callers.connections(),
+            "requests_left",
+            callers.requests()));
     kill();
     return drained;
   }
