--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.core.fleet.DirectoryChange;
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.fleet.LoadedModel;
+import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.PeerStatus;
 import dev.wisteriarail.core.fleet.RunnerEntry;
@@ -74,16 +75,20 @@
   }
 
   static GatewayConfiguration configuration(long version) {
+    return configuration(version, Duration.ofSeconds(5));
+  }
+
+  static GatewayConfiguration configuration(long version, Duration timeout) {
     HostedModel model =
         new HostedModel(
             "m0", 60, Duration.ofSeconds(6), Duration.ofMillis(840), Duration.ofMillis(630), 0, 0);
     return new GatewayConfiguration(
         version,
         List.of(
-            route("chat", RouteKind.STREAMING, ENGINES, true, 2),
-            route("report", RouteKind.STREAMING, ENGINES, false, 1),
-            route("lookup", RouteKind.IDEMPOTENT, PLAIN, false, 2),
-            route("order", RouteKind.NON_IDEMPOTENT, PLAIN, false, 1)),
+            route("chat", RouteKind.STREAMING, ENGINES, true, 2, timeout),
+            route("report", RouteKind.STREAMING, ENGINES, false, 1, timeout),
+            route("lookup", RouteKind.IDEMPOTENT, PLAIN, false, 2, timeout),
+            route("order", RouteKind.NON_IDEMPOTENT, PLAIN, false, 1, timeout)),
         Map.of(
             ENGINES,
             new ServicePool(
@@ -94,13 +99,18 @@
   }
 
   private static RouteSpec route(
-      String name, RouteKind kind, String service, boolean resumable, int runners) {
+      String name,
+      RouteKind kind,
+      String service,
+      boolean resumable,
+      int runners,
+      Duration timeout) {
     return new RouteSpec(
         name,
         "host",
         "/" + name + "/",
         kind,
-        Duration.ofSeconds(5),
+        timeout,
         Duration.ofMillis(400),
         1,
         List.of(new ServiceShare(service, 1)),
@@ -124,6 +134,24 @@
 
   // Events
 
+  /** Applies a newer configuration whose routes all have a time limit. */
+  void configure(Duration timeout) {
+    handle(
+        new GatewayEvent.StoreTold(
+            new StoreRead.NewestConfiguration(),
+            new StoreAnswer.ConfigurationRead(Optional.of(configuration(2, timeout)), 2)));
+  }
+
+  /** Lets the coordinator tell when it expects m0 to be ready. */
+  void hearForecast(String coordinator, Duration startsIn) {
+    ModelForecast forecast = new ModelForecast(ENGINES, "m0", startsIn.toMillis());
+    handle(
+        new GatewayEvent.PeerTold(
+            NodeId.of(coordinator),
+            Incarnation.of(1),
+            new FleetMessage.FleetTold(9, List.of(), List.of(forecast))));
+  }
+
   void directory(long to, RunnerEntry... entries) {
     handle(
         new GatewayEvent.StoreTold(
@@ -137,7 +165,15 @@
     return arrive(route, ++exchanges);
   }
 
+  long arrive(String route, Duration patience) {
+    return arrive(route, ++exchanges, patience);
+  }
+
   long arrive(String route, long fingerprint) {
+    return arrive(route, fingerprint, Duration.ofSeconds(5));
+  }
+
+  private long arrive(String route, long fingerprint, Duration patience) {
     boolean model = route.equals("chat") || route.equals("report");
     long exchange = ++exchanges;
     handle(
@@ -147,7 +183,7 @@
                 "r" + exchange,
                 "host",
                 "/" + route + "/1",
-                Optional.of(Duration.ofSeconds(5)),
+                Optional.of(patience),
                 model ? Optional.of("m0") : Optional.empty(),
                 Optional.empty(),
                 10,
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
@@ -0,0 +1,158 @@
+package dev.wisteriarail.core.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.KnownRedCondition;
+import dev.wisteriarail.core.forward.AttemptResult;
+import dev.wisteriarail.core.result.ResultCode;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a stopping node owes the requests that it took, in virtual time. */
+@ExtendWith(KnownRedCondition.class)
+final class StoppingNodeTest {
+
+  private static final Duration GRACE = Duration.ofSeconds(8);
+
+  /** Longer than the time that a stopping node has. */
+  private static final Duration LONG_LIMIT = Duration.ofSeconds(25);
+
+  private final CoreHarness node = CoreHarness.ready();
+
+  /** LOST of 2026-12-04: a request in the hands of a node that ended got no answer. */
+  @ParameterizedTest
+  @CsvSource({
+    "lookup, SENT, OUTCOME_UNKNOWN",
+    "order, SENT, OUTCOME_UNKNOWN",
+    "chat, SENT, OUTCOME_UNKNOWN",
+    "report, SENT, OUTCOME_UNKNOWN",
+    "report, REJECTED, DEADLINE_UNREACHABLE",
+    "order, REJECTED, DEADLINE_UNREACHABLE",
+    "report, WAITING, DEADLINE_UNREACHABLE",
+    "chat, WAITING, DEADLINE_UNREACHABLE",
+  })
+  void requestInTheHandsOfAnEndingNodeGetsItsFinalAnswer(
+      String route, Stage stage, ResultCode expected) {
+    node.configure(LONG_LIMIT);
+    if (stage == Stage.WAITING) {
+      forgetModel();
+    }
+    long exchange = node.arrive(route, LONG_LIMIT);
+    node.handle(new GatewayEvent.DrainRequested());
+    if (stage == Stage.REJECTED) {
+      node.pass(Duration.ofMillis(7_150));
+      node.told(exchange, 1, new AttemptResult.Answered(503, true, false));
+    }
+    node.pass(GRACE);
+    List<GatewayEffect> all = node.take(GatewayEffect.class);
+    List<GatewayEffect.Refuse> refusals = only(all, GatewayEffect.Refuse.class);
+    assertThat(refusals).hasSize(1);
+    assertThat(refusals.getFirst().exchange()).isEqualTo(exchange);
+    assertThat(refusals.getFirst().code()).isEqualTo(expected);
+    assertThat(all.indexOf(refusals.getFirst()))
+        .isLessThan(all.indexOf(new GatewayEffect.DrainCompleted()));
+    assertThat(only(all, GatewayEffect.CancelAttempt.class).isEmpty())
+        .isEqualTo(stage != Stage.SENT);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"chat", "report"})
+  void streamThatIsStillRunningWhenItsNodeEndsIsCutVisibly(String route) {
+    node.configure(LONG_LIMIT);
+    long exchange = node.arrive(route, LONG_LIMIT);
+    node.told(exchange, 1, new AttemptResult.Started());
+    node.handle(new GatewayEvent.DrainRequested());
+    for (int i = 0; i < 80; i++) {
+      node.pass(Duration.ofMillis(100));
+      node.told(exchange, 1, new AttemptResult.Progressed());
+    }
+    List<GatewayEffect> all = node.take(GatewayEffect.class);
+    assertThat(only(all, GatewayEffect.CutAnswer.class))
+        .containsExactly(new GatewayEffect.CutAnswer(exchange));
+    assertThat(all.indexOf(new GatewayEffect.CutAnswer(exchange)))
+        .isLessThan(all.indexOf(new GatewayEffect.DrainCompleted()));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    // run time of earlier ones, time after the stop request, taken
+    "400, 1000, true",
+    "400, 5000, true",
+    "400, 6500, false",
+    "5000, 1000, true",
+    "5000, 2100, true",
+    "5000, 2300, false",
+    "7500, 100, false",
+  })
+  void stoppingNodeTakesOnlyStreamsThatCanEndBeforeIt(long ran, long after, boolean taken) {
+    node.configure(LONG_LIMIT);
+    runToEnd("report", Duration.ofMillis(ran));
+    node.handle(new GatewayEvent.DrainRequested());
+    long other = node.arrive("order", LONG_LIMIT);
+    node.pass(Duration.ofMillis(after));
+    node.take(GatewayEffect.class);
+    long exchange = node.arrive("report", LONG_LIMIT);
+    List<GatewayEffect> all = node.take(GatewayEffect.class);
+    assertThat(only(all, GatewayEffect.SendAttempt.class)).hasSize(taken ? 1 : 0);
+    List<GatewayEffect.Refuse> refusals = only(all, GatewayEffect.Refuse.class);
+    assertThat(refusals).hasSize(taken ? 0 : 1);
+    refusals.forEach(refusal -> assertThat(refusal.code()).isEqualTo(ResultCode.DRAINING));
+    assertThat(exchange).isNotEqualTo(other);
+  }
+
+  @Test
+  void streamsThatRunLongNowCountBeforeTheyEnd() {
+    node.configure(LONG_LIMIT);
+    runToEnd("report", Duration.ofMillis(400));
+    long running = node.arrive("report", LONG_LIMIT);
+    node.told(running, 1, new AttemptResult.Started());
+    node.pass(Duration.ofSeconds(6));
+    node.handle(new GatewayEvent.DrainRequested());
+    node.pass(Duration.ofSeconds(2));
+    node.take(GatewayEffect.class);
+    node.arrive("report", LONG_LIMIT);
+    assertThat(node.take(GatewayEffect.Refuse.class)).hasSize(1);
+  }
+
+  @Test
+  void requestWhoseModelComesTooLateIsHandedBackAtOnce() {
+    node.configure(LONG_LIMIT);
+    runToEnd("report", Duration.ofSeconds(2));
+    forgetModel();
+    node.hearForecast("n2", Duration.ofSeconds(6));
+    node.arrive("report", LONG_LIMIT);
+    assertThat(node.take(GatewayEffect.Refuse.class)).isEmpty();
+    node.handle(new GatewayEvent.DrainRequested());
+    List<GatewayEffect.Refuse> refusals = node.take(GatewayEffect.Refuse.class);
+    assertThat(refusals).hasSize(1);
+    assertThat(refusals.getFirst().returnAfter()).hasValue(DrainPlan.RETURN);
+  }
+
+  /** Leaves no engine that holds m0, and a coordinator that said nothing of it. */
+  private void forgetModel() {
+    node.directory(6, CoreHarness.emptyEngine("e1"), CoreHarness.emptyEngine("e2"));
+    node.hearCoordinator("n2");
+  }
+
+  private void runToEnd(String route, Duration time) {
+    long exchange = node.arrive(route, LONG_LIMIT);
+    node.told(exchange, 1, new AttemptResult.Started());
+    node.pass(time);
+    node.told(exchange, 1, new AttemptResult.Finished(200));
+    node.take(GatewayEffect.class);
+  }
+
+  private static <T> List<T> only(List<GatewayEffect> effects, Class<T> kind) {
+    return effects.stream().filter(kind::isInstance).map(kind::cast).toList();
+  }
+
+  private enum Stage {
+    WAITING,
+    SENT,
+    REJECTED
+  }
+}
