A node that ends gives each request in its hands a final answer, and takes only what can end before it

And DrainPlan took streams by a fixed time, 2.8 s after the stop request, whatever they take.

Class of fault: an owner that ends on a clock of its own and does not settle what it owns. Ruled out: a lost wake-up of waiting requests (rows WAITING pass on the old code), the configuration of 23.8 s (nothing of a stop reads it).

Change: ForwardEnds holds the requests that have not ended and every way in which they end; when the stop is over each gets one: 503 (not handed over), 502 (a runner may have run it), a visible cut (its answer had begun). RunTimes learns what requests of a route take (nine of ten of the last 32, and the oldest one that runs now); a stopping node refuses at once, on arrival or in the queue, what could not end before it by that and by the forecast of its model. Without any known time the request's own limit counts.

--- a/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
@@ -9,8 +9,8 @@
  * ends.
  *
  * <p>The load that it answers: nodes are stopped one after the other under full traffic. Callers
- * keep their connections and go on sending until the balancer and the closed connections tell them;
- * a stream that begins late might be cut by the end of the process, and another node can take it.
+ * keep their connections and go on sending until the balancer and the closed connections tell them.
+ * A node takes only what can end before it does, since another node can take the rest.
  *
  * <p>Life cycle: one per run of a node. Not thread-safe.
  */
@@ -22,10 +22,7 @@
   /** Time after a stop request in which the balancer notices and sends no more callers. */
   private static final Duration BALANCER_NOTICE = Duration.ofMillis(2500);
 
-  /** Time after a stop request from which new streams are refused: they take some seconds. */
-  private static final Duration LATEST_STREAM = Duration.ofMillis(2800);
-
-  /** Time before the end of the process from which nothing new is taken: a plain answer's time. */
+  /** Time before the end of the process from which nothing is taken, however short it is. */
   private static final Duration LAST_ANSWERS = Duration.ofMillis(800);
 
   /** Pause between two closings of callers' idle connections. */
@@ -71,17 +68,35 @@
     return !since.equals(Instant.MAX);
   }
 
-  /** Returns whether a request comes too late to be taken. */
-  boolean refuses(boolean stream, Instant now) {
+  /**
+   * Returns whether a request cannot end before the process.
+   *
+   * @param needed time that it needs from now on
+   */
+  boolean refuses(Duration needed, Instant now) {
     if (completed) {
       return true;
     }
-    Duration limit = stream ? LATEST_STREAM : grace.minus(EXIT_RESERVE).minus(LAST_ANSWERS);
-    return isDraining() && Duration.between(since, now).compareTo(limit) > 0;
+    Duration reserve = needed.compareTo(LAST_ANSWERS) > 0 ? needed : LAST_ANSWERS;
+    return isDraining() && now.plus(reserve).isAfter(end());
+  }
+
+  /** Returns whether the process ends now, whatever is in flight. */
+  boolean isOver(Instant now) {
+    return isDraining() && !completed && !now.isBefore(end());
   }
 
-  /** Closes idle connections and ends the stop when its time has come. */
-  void advance(int inFlight, GatewayStep step) {
+  private Instant end() {
+    return since.plus(grace).minus(EXIT_RESERVE);
+  }
+
+  /**
+   * Closes idle connections, and ends the stop when nothing is in flight any more.
+   *
+   * @param inFlight requests that have not ended
+   * @param endedLast requests that were ended because the process ends
+   */
+  void advance(int inFlight, int endedLast, GatewayStep step) {
     if (!isDraining() || completed) {
       return;
     }
@@ -90,11 +105,15 @@
       nextClose = now.plus(CLOSE_PAUSE);
       step.emit(new GatewayEffect.CloseIdleCallers());
     }
-    boolean empty = !now.isBefore(since.plus(BALANCER_NOTICE)) && inFlight == 0;
-    boolean late = !now.isBefore(since.plus(grace).minus(EXIT_RESERVE));
-    if (empty || late) {
+    boolean noticed = !now.isBefore(since.plus(BALANCER_NOTICE)) || isOver(now);
+    if (noticed && inFlight == 0) {
       completed = true;
-      step.log(EventCode.NODE_STOPPED, "in_flight", inFlight);
+      step.log(
+          EventCode.NODE_STOPPED,
+          "after_ms",
+          Duration.between(since, now).toMillis(),
+          "ended_last",
+          endedLast);
       step.emit(new GatewayEffect.DrainCompleted());
     }
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RetryBudget;
 import dev.wisteriarail.core.forward.RetryLimits;
+import dev.wisteriarail.core.forward.RunTimes;
 import dev.wisteriarail.core.forward.RunnerBoard;
 import dev.wisteriarail.core.forward.StallRule;
 import dev.wisteriarail.core.forward.WaitRule;
@@ -21,7 +22,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,9 +43,6 @@
   /** Rejections of one request after which it is refused. */
   private static final int MOST_REJECTIONS = 6;
 
-  /** Time to come back after a refusal that only needs another node or a moment. */
-  private static final Duration SHORT_RETURN = Duration.ofMillis(500);
-
   /** Time to come back after a refusal of a request that crashes runners. */
   private static final Duration CRASH_RETURN = Duration.ofSeconds(30);
 
@@ -66,7 +63,8 @@
   private final RunnerPicker picker;
   private final CrashLedger crashes = CrashLedger.create();
   private final DemandTally tally = DemandTally.create();
-  private final Map<Long, PendingForward> pending = new LinkedHashMap<>();
+  private final RunTimes runTimes = RunTimes.create();
+  private final ForwardEnds pending;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private int nodes = 1;
   private boolean hasCoordinator;
@@ -75,6 +73,7 @@
     retries = settings.retries();
     this.board = board;
     picker = RunnerPicker.create(settings.domain(), board);
+    pending = ForwardEnds.create(board, tally);
   }
 
   static Forwarder create(GatewaySettings settings, RunnerBoard board) {
@@ -92,7 +91,8 @@
   void accept(
       ForwardRequest request, Optional<GatewayConfiguration> configuration, GatewayStep step) {
     if (configuration.isEmpty()) {
-      refuse(request, ResultCode.CONFIGURATION_UNKNOWN, Optional.of(SHORT_RETURN), step);
+      refuse(
+          request, ResultCode.CONFIGURATION_UNKNOWN, Optional.of(ForwardEnds.SHORT_RETURN), step);
       return;
     }
     Optional<RouteSpec> route = configuration.get().route(request.host(), request.path());
@@ -109,7 +109,7 @@
     }
     String service = RunnerPicker.chooseService(route.get(), request);
     PendingForward forward = PendingForward.of(request, route.get(), service, step.now());
-    pending.put(request.exchange(), forward);
+    pending.add(forward);
     budget(service).countRequest(step.now());
     tally.countArrival(forward);
     tryToSend(forward, configuration.get(), step);
@@ -139,11 +139,11 @@
       GatewayStep step) {
     nodes = sharers;
     hasCoordinator = coordinated;
-    if (configuration.isEmpty() || pending.isEmpty()) {
+    if (configuration.isEmpty() || pending.size() == 0) {
       return;
     }
     List<PendingForward> waiting = new ArrayList<>();
-    for (PendingForward forward : List.copyOf(pending.values())) {
+    for (PendingForward forward : pending.all()) {
       if (forward.state() == PendingForward.State.WAITING) {
         waiting.add(forward);
       } else {
@@ -168,7 +168,7 @@
   private boolean tryToSend(
       PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
     if (forward.timeLeft(step.now()).compareTo(LEAST_TIME) < 0) {
-      endWaiting(forward, SHORT_RETURN, step);
+      pending.endWaiting(forward, ResultCode.DEADLINE_UNREACHABLE, ForwardEnds.SHORT_RETURN, step);
       return true;
     }
     if (step.now().isBefore(forward.notBefore())) {
@@ -180,7 +180,7 @@
       return false;
     }
     if (forward.attempts() > 0 && !budget(forward.service()).takeRepeat(nodes, step.now())) {
-      giveUp(forward, "the retry budget is spent", step);
+      pending.giveUp(forward, "the retry budget is spent", step);
       return true;
     }
     send(forward, runner.get(), step);
@@ -214,7 +214,8 @@
           ForwardLog.waiting(forward, startsIn, left, step);
         }
       }
-      case WaitRule.Verdict.Refuse refuse -> endWaiting(forward, refuse.returnAfter(), step);
+      case WaitRule.Verdict.Refuse refuse ->
+          pending.endWaiting(forward, ResultCode.DEADLINE_UNREACHABLE, refuse.returnAfter(), step);
     }
   }
 
@@ -227,40 +228,60 @@
     return told.isPresent() || loaded || hasCoordinator ? told : Optional.of(TAKEOVER);
   }
 
-  private void endWaiting(PendingForward forward, Duration returnAfter, GatewayStep step) {
-    if (forward.answerBegun()) {
-      cut(forward, "no runner to go on with", step);
-    } else if (forward.mayHaveRun()) {
-      end(forward, ResultCode.OUTCOME_UNKNOWN, Optional.empty(), step);
-    } else {
-      tally.countReturn(forward, step.now().plus(returnAfter));
-      end(forward, ResultCode.DEADLINE_UNREACHABLE, Optional.of(returnAfter), step);
+  /**
+   * Returns the time until a request would have ended: until a runner has its model, and what
+   * requests of its route take there; no longer than it may take.
+   */
+  private Duration needed(PendingForward forward, Map<String, Duration> running, Instant now) {
+    String route = forward.route().name();
+    Duration left = forward.timeLeft(now);
+    Duration runs =
+        max(runTimes.expected(route).orElse(left), running.getOrDefault(route, Duration.ZERO));
+    Duration needed = startsIn(forward, now).orElse(Duration.ZERO).plus(runs);
+    return needed.compareTo(left) < 0 ? needed : left;
+  }
+
+  /** Returns for each route how long a runner has had the oldest of its requests. */
+  private Map<String, Duration> longestRunning(Instant now) {
+    Map<String, Duration> longest = new HashMap<>();
+    for (PendingForward forward : pending.all()) {
+      longest.merge(forward.route().name(), forward.ran(now), Forwarder::max);
     }
+    return longest;
   }
 
-  /** While a node stops, ends what waits at a time from which nothing like it is taken any more. */
+  private static Duration max(Duration a, Duration b) {
+    return a.compareTo(b) >= 0 ? a : b;
+  }
+
+  /** While a node stops, ends what waits and could not end before the process does. */
   void endWaiting(DrainPlan drain, GatewayStep step) {
-    for (PendingForward forward : List.copyOf(pending.values())) {
+    Map<String, Duration> running = longestRunning(step.now());
+    for (PendingForward forward : pending.all()) {
       boolean waits = forward.state() == PendingForward.State.WAITING;
-      if (waits && drain.refuses(forward.route().streaming(), step.now())) {
-        endWaiting(forward, DrainPlan.RETURN, step);
+      if (waits && drain.refuses(needed(forward, running, step.now()), step.now())) {
+        pending.endWaiting(forward, ResultCode.DRAINING, DrainPlan.RETURN, step);
       }
     }
   }
 
+  /**
+   * Ends every request, as the process ends.
+   *
+   * @return how many there were
+   */
+  int endAll(GatewayStep step) {
+    return pending.endAll(step);
+  }
+
   private void checkTime(
       PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
     if (step.now().isBefore(forward.deadline())) {
       checkStall(forward, configuration, step);
       return;
     }
-    release(forward, step);
     forward.runner().ifPresent(runner -> noteFailure(runner, "no answer in time", false, step));
-    if (forward.answerBegun()) {
-      cut(forward, "the time limit passed", step);
-    } else {
-      end(forward, ResultCode.DEADLINE_PASSED, Optional.empty(), step);
-    }
+    pending.expire(forward, step);
   }
 
   /** Gives up a runner that answers nothing, if another one may go on. */
@@ -281,7 +302,7 @@
     }
     forward.markMayHaveRun();
     if (mayRetry(forward, false) && picker.hasOther(forward, step.now())) {
-      release(forward, step);
+      pending.release(forward, step);
       noteFailure(runner, "silent", false, step);
       retry(forward, "silent", Duration.ZERO, step);
     } else {
@@ -297,12 +318,15 @@
    * @return the fingerprint of the request if its runner may have crashed on it
    */
   Optional<Long> acceptResult(GatewayEvent.AttemptTold told, GatewayStep step) {
-    PendingForward forward = pending.get(told.exchange());
-    if (forward == null
-        || forward.attempts() != told.attempt()
-        || forward.state() == PendingForward.State.WAITING) {
+    Optional<PendingForward> known =
+        pending
+            .get(told.exchange())
+            .filter(forward -> forward.attempts() == told.attempt())
+            .filter(forward -> forward.state() != PendingForward.State.WAITING);
+    if (known.isEmpty()) {
       return Optional.empty();
     }
+    PendingForward forward = known.get();
     boolean crashed = told.result() instanceof AttemptResult.Broken broken && broken.lost();
     apply(forward, told.result(), step);
     if (!crashed) {
@@ -327,23 +351,24 @@
       }
       case AttemptResult.Progressed progressed -> forward.markProgress(step.now());
       case AttemptResult.Finished finished -> {
-        leave(forward, runner);
+        pending.leave(forward, runner);
         board.health(runner.id()).succeed();
+        runTimes.note(forward.route().name(), forward.ran(step.now()));
         ForwardLog.answered(forward, runner, finished.status(), step);
-        pending.remove(forward.exchange());
+        pending.remove(forward);
       }
       case AttemptResult.Answered answered -> {
-        leave(forward, runner);
+        pending.leave(forward, runner);
         acceptFailure(forward, runner, answered, step);
       }
       case AttemptResult.NotSent notSent -> {
-        leave(forward, runner);
+        pending.leave(forward, runner);
         forward.markRejected();
         noteFailure(runner, notSent.reason(), true, step);
         retryOrEnd(forward, notSent.reason(), true, step);
       }
       case AttemptResult.Broken broken -> {
-        leave(forward, runner);
+        pending.leave(forward, runner);
         forward.markMayHaveRun();
         forward.keepLastEvent(broken.lastEvent());
         noteFailure(runner, broken.reason(), false, step);
@@ -379,9 +404,9 @@
     } else if (answered.passable()) {
       ForwardLog.answered(forward, runner, answered.status(), step);
       step.emit(new GatewayEffect.PassAnswer(forward.exchange(), forward.attempts()));
-      pending.remove(forward.exchange());
+      pending.remove(forward);
     } else {
-      giveUp(forward, reason, step);
+      pending.giveUp(forward, reason, step);
     }
   }
 
@@ -399,7 +424,7 @@
     if (mayRetry(forward, notRun)) {
       retry(forward, reason, notRun ? REJECTION_PAUSE : Duration.ZERO, step);
     } else {
-      giveUp(forward, reason, step);
+      pending.giveUp(forward, reason, step);
     }
   }
 
@@ -408,14 +433,19 @@
     forward.waitAgain(step.now().plus(pause), step.now());
   }
 
-  private void giveUp(PendingForward forward, String reason, GatewayStep step) {
-    if (forward.answerBegun()) {
-      cut(forward, reason, step);
-    } else if (forward.mayHaveRun()) {
-      end(forward, ResultCode.OUTCOME_UNKNOWN, Optional.empty(), step);
-    } else {
-      end(forward, ResultCode.NO_CAPACITY, Optional.of(SHORT_RETURN), step);
-    }
+  /** Returns the time until a request that now comes would have ended. */
+  Duration needed(
+      ForwardRequest request, Optional<GatewayConfiguration> configuration, Instant now) {
+    return configuration
+        .flatMap(known -> known.route(request.host(), request.path()))
+        .map(
+            route ->
+                needed(
+                    PendingForward.of(
+                        request, route, RunnerPicker.chooseService(route, request), now),
+                    longestRunning(now),
+                    now))
+        .orElse(Duration.ZERO);
   }
 
   private void noteFailure(RunnerEntry runner, String reason, boolean certain, GatewayStep step) {
@@ -433,42 +463,15 @@
     }
   }
 
-  // Ends
-
-  private void leave(PendingForward forward, RunnerEntry runner) {
-    board.end(runner.id(), forward.model(), forward.adapter(), forward.tokens());
-  }
-
-  private void release(PendingForward forward, GatewayStep step) {
-    if (forward.state() != PendingForward.State.WAITING) {
-      RunnerEntry runner = forward.runner().orElseThrow();
-      leave(forward, runner);
-      board.health(runner.id()).release();
-      step.emit(new GatewayEffect.CancelAttempt(forward.exchange(), forward.attempts()));
-    }
-  }
-
-  private void end(
-      PendingForward forward, ResultCode code, Optional<Duration> returnAfter, GatewayStep step) {
-    ForwardLog.refused(forward, code, returnAfter, board, step);
-    pending.remove(forward.exchange());
-    step.emit(new GatewayEffect.Refuse(forward.exchange(), code, returnAfter));
-  }
-
-  private void cut(PendingForward forward, String reason, GatewayStep step) {
-    ForwardLog.cut(forward, reason, step);
-    pending.remove(forward.exchange());
-    step.emit(new GatewayEffect.CutAnswer(forward.exchange()));
-  }
-
   void acceptLeft(long exchange, GatewayStep step) {
-    PendingForward forward = pending.get(exchange);
-    if (forward == null) {
-      return;
-    }
-    release(forward, step);
-    ForwardLog.left(forward, step);
-    pending.remove(exchange);
+    pending
+        .get(exchange)
+        .ifPresent(
+            forward -> {
+              pending.release(forward, step);
+              ForwardLog.left(forward, step);
+              pending.remove(forward);
+            });
   }
 
   private RetryBudget budget(String service) {
@@ -479,13 +482,12 @@
 
   /** Returns what this node's callers want now. */
   List<ModelDemand> demands(Instant now) {
-    return tally.demands(pending.values(), now);
+    return tally.demands(pending.all(), now);
   }
 
   /** Returns whether a request waits. */
   boolean hasWaiting() {
-    return pending.values().stream()
-        .anyMatch(forward -> forward.state() == PendingForward.State.WAITING);
+    return pending.hasWaiting();
   }
 
   int size() {
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -13,14 +13,12 @@
 import dev.wisteriarail.core.fleet.RunnerDirectory;
 import dev.wisteriarail.core.fleet.RunnerTurn;
 import dev.wisteriarail.core.fleet.RunnerUse;
-import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RunnerBoard;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
-import dev.wisteriarail.core.route.RouteSpec;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -120,7 +118,8 @@
     }
     switch (event) {
       case GatewayEvent.RequestArrived arrived -> {
-        if (drain.refuses(isStream(arrived.request()), now)) {
+        if (drain.isDraining()
+            && drain.refuses(forwarder.needed(arrived.request(), configuration, now), now)) {
           forwarder.refuse(
               arrived.request(), ResultCode.DRAINING, Optional.of(DrainPlan.RETURN), step);
         } else {
@@ -338,7 +337,8 @@
       if (drain.isDraining()) {
         forwarder.endWaiting(drain, step);
       }
-      drain.advance(forwarder.size(), step);
+      int endedLast = drain.isOver(step.now()) ? forwarder.endAll(step) : 0;
+      drain.advance(forwarder.size(), endedLast, step);
     }
   }
 
@@ -489,11 +489,4 @@
       }
     }
   }
-
-  private boolean isStream(ForwardRequest request) {
-    return configuration
-        .flatMap(known -> known.route(request.host(), request.path()))
-        .filter(RouteSpec::streaming)
-        .isPresent();
-  }
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -40,6 +40,7 @@
   private Optional<String> lastEvent = Optional.empty();
   private boolean answerBegun;
   private Instant notBefore = Instant.MIN;
+  private Instant sentAt = Instant.MIN;
   private Instant progressAt = Instant.MIN;
   private Instant waitingSince;
   private boolean waitLogged;
@@ -67,6 +68,7 @@
   int send(RunnerEntry to, Instant now) {
     state = answerBegun ? State.ANSWERING : State.SENT;
     runner = Optional.of(to);
+    sentAt = now;
     progressAt = now;
     stallKept = false;
     return ++attempts;
@@ -203,6 +205,11 @@
     return progressAt;
   }
 
+  /** Returns how long its runner has had it; zero while it waits. */
+  Duration ran(Instant now) {
+    return state == State.WAITING ? Duration.ZERO : Duration.between(sentAt, now);
+  }
+
   Duration timeLeft(Instant now) {
     return Duration.between(now, deadline);
   }
