A refusal that meets an answer just begun ends it visibly

Cause: the core refuses a request (its time is over, or the node ends) while its runner's first event is being written. The refusal found the head sent and did nothing, and the attempt was cancelled, so the exchange never ended: the caller waited until its own limit.

Change: CallerExchange.fail answers, or cuts an answer that has begun. CallerExchangeTest, second row, before: read timed out after 10 s; after: the connection ends without the last chunk.

--- a/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
@@ -118,6 +118,16 @@
     return true;
   }
 
+  /**
+   * Ends the answer with a failure of the node's own; one that has begun is cut instead, so that it
+   * ends in any case.
+   */
+  synchronized void fail(int status, HttpFields headers) {
+    if (!answer(status, headers, new byte[0])) {
+      cut();
+    }
+  }
+
   /** Ends the answer so that it does not look complete. */
   synchronized void cut() {
     if (ended) {
--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -260,7 +260,7 @@
     CallerExchange exchange = exchanges.get(number);
     if (exchange != null) {
       HttpFields headers = protocol.refusalHeaders(exchange.request(), code, returnAfter);
-      exchange.answer(code.httpStatus(), headers, new byte[0]);
+      exchange.fail(code.httpStatus(), headers);
     }
   }
 
