A fault in one call of a gateway node stops no other event or effect

Cause: GatewayRuntime dropped the rest of a batch of events, and the rest of an event's effects, when one of them threw. Arrived requests in the batch were then known to nobody and never ended; a node whose registration threw was never ready. Change: each event and each effect is guarded by itself, faults are logged (event 190), an arrival that faults is answered with 500, and a failure that cannot be passed on any more cuts its exchange.

--- a/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
@@ -4,12 +4,14 @@
 import dev.wisteriarail.core.gateway.GatewayCore;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
+import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.runtime.EventLog;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -121,9 +123,6 @@
       } catch (InterruptedException interrupted) {
         Thread.currentThread().interrupt();
         return;
-      } catch (RuntimeException fault) {
-        batch.clear();
-        log.writeFault(fault);
       }
     }
   }
@@ -140,9 +139,24 @@
     return late || difference.abs().compareTo(CLOCK_JUMP) > 0;
   }
 
+  /** Handles one event; a fault in it or in one of its effects stops none of the others. */
   private void step(GatewayEvent event) {
-    for (GatewayEffect effect : core.handle(event, steady.instant())) {
-      perform(effect);
+    List<GatewayEffect> effects;
+    try {
+      effects = core.handle(event, steady.instant());
+    } catch (RuntimeException fault) {
+      log.writeFault(fault);
+      if (event instanceof GatewayEvent.RequestArrived arrived) {
+        callers.refuse(arrived.request().exchange(), ResultCode.INTERNAL, Optional.empty());
+      }
+      return;
+    }
+    for (GatewayEffect effect : effects) {
+      try {
+        perform(effect);
+      } catch (RuntimeException fault) {
+        log.writeFault(fault);
+      }
     }
   }
 
@@ -153,7 +167,9 @@
         runners.forget(refuse.exchange());
       }
       case GatewayEffect.PassAnswer pass -> {
-        runners.passAnswer(pass.exchange());
+        if (!runners.passAnswer(pass.exchange())) {
+          callers.exchange(pass.exchange()).ifPresent(CallerExchange::cut);
+        }
         runners.forget(pass.exchange());
       }
       case GatewayEffect.CutAnswer cut -> {
--- a/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.gateway.GatewayNode;
+import dev.wisteriarail.gateway.PlatformClient;
 import dev.wisteriarail.settings.GatewayFile;
 import dev.wisteriarail.settings.TomlDocument;
 import dev.wisteriarail.standin.LoopbackSettings;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 /** Real gateway nodes before a stand-in of the platform, all on loopback. */
 final class GatewayFleet implements AutoCloseable {
@@ -24,17 +26,25 @@
   private static final long POLL_NANOS = 5_000_000;
 
   private final PlatformStandin platform;
+  private final UnaryOperator<PlatformClient> clients;
   private final List<GatewayNode> nodes = new ArrayList<>();
   private final HttpClient http =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private int requests;
 
-  private GatewayFleet(PlatformStandin platform) {
+  private GatewayFleet(PlatformStandin platform, UnaryOperator<PlatformClient> clients) {
     this.platform = platform;
+    this.clients = clients;
   }
 
   static GatewayFleet start(int count, int engines, int plain) throws Exception {
-    GatewayFleet fleet = new GatewayFleet(PlatformStandin.start(engines, plain));
+    return start(count, engines, plain, UnaryOperator.identity());
+  }
+
+  /** Starts nodes whose clients of the platform are wrapped. */
+  static GatewayFleet start(
+      int count, int engines, int plain, UnaryOperator<PlatformClient> clients) throws Exception {
+    GatewayFleet fleet = new GatewayFleet(PlatformStandin.start(engines, plain), clients);
     for (int i = 0; i < count; i++) {
       fleet.startNode("n" + i);
     }
@@ -49,7 +59,7 @@
             GatewayFile.from(TomlDocument.parse(name, toml)),
             CallerHeaders.create(),
             RunnerHeaders.create(),
-            PlatformCalls::create));
+            (http, address) -> clients.apply(PlatformCalls.create(http, address))));
   }
 
   private boolean allReady() {
