A chat node whose time to stop is over ends what is left, truthfully

The same cause as in the gateway: NodeRuntime.drain waited for its limit and Node then closed the connections, with requests queued, held for their intent or at a runner. Change: shortly before the limit the core is told (DrainExpired) and ends each: not run where no runner had it, outcome unknown otherwise; a non-repeatable one that was handed over runs on and its key stays unresolved in the log. The HTTP server then writes what has ended (GracefulHandler, 250 ms).

--- a/src/main/java/dev/wisteriarail/capacity/Role.java
+++ b/src/main/java/dev/wisteriarail/capacity/Role.java
@@ -35,6 +35,7 @@
       case Event.OrderAnswered e -> CONTROLLER;
       case Event.TimerFired e -> CONTROLLER;
       case Event.DrainRequested e -> CONTROLLER;
+      case Event.DrainExpired e -> CONTROLLER;
     };
   }
 }
--- a/src/main/java/dev/wisteriarail/core/Event.java
+++ b/src/main/java/dev/wisteriarail/core/Event.java
@@ -149,4 +149,7 @@
 
   /** The node is to shut down gracefully. */
   record DrainRequested() implements Event {}
+
+  /** The time of a graceful shutdown is over: what is left has to end now. */
+  record DrainExpired() implements Event {}
 }
--- a/src/main/java/dev/wisteriarail/core/NodeCore.java
+++ b/src/main/java/dev/wisteriarail/core/NodeCore.java
@@ -133,6 +133,7 @@
         controller.drain(step.now());
         step.log(EventCode.NODE_DRAINING, "node", settings.node());
       }
+      case Event.DrainExpired expired -> requests.endAll(context(step));
     }
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -228,6 +228,21 @@
     return told.isPresent() || loaded || hasCoordinator ? told : Optional.of(TAKEOVER);
   }
 
+  /** Returns the time until a request that now comes would have ended. */
+  Duration needed(
+      ForwardRequest request, Optional<GatewayConfiguration> configuration, Instant now) {
+    return configuration
+        .flatMap(known -> known.route(request.host(), request.path()))
+        .map(
+            route ->
+                needed(
+                    PendingForward.of(
+                        request, route, RunnerPicker.chooseService(route, request), now),
+                    longestRunning(now),
+                    now))
+        .orElse(Duration.ZERO);
+  }
+
   /**
    * Returns the time until a request would have ended: until a runner has its model, and what
    * requests of its route take there; no longer than it may take.
@@ -433,21 +448,6 @@
     forward.waitAgain(step.now().plus(pause), step.now());
   }
 
-  /** Returns the time until a request that now comes would have ended. */
-  Duration needed(
-      ForwardRequest request, Optional<GatewayConfiguration> configuration, Instant now) {
-    return configuration
-        .flatMap(known -> known.route(request.host(), request.path()))
-        .map(
-            route ->
-                needed(
-                    PendingForward.of(
-                        request, route, RunnerPicker.chooseService(route, request), now),
-                    longestRunning(now),
-                    now))
-        .orElse(Duration.ZERO);
-  }
-
   private void noteFailure(RunnerEntry runner, String reason, boolean certain, GatewayStep step) {
     if (board.health(runner.id()).fail(certain, step.now())) {
       step.log(
--- a/src/main/java/dev/wisteriarail/core/request/LateRefusals.java
+++ b/src/main/java/dev/wisteriarail/core/request/LateRefusals.java
@@ -28,6 +28,13 @@
         : Refusal.notRun(ResultCode.DEADLINE_PASSED, detail, RETRY_AFTER);
   }
 
+  /** Returns the refusal of a request that is left when its node ends. */
+  static Refusal nodeEnds(PendingRequest pending) {
+    return pending.handedOver()
+        ? Refusal.outcomeUnknown(ResultCode.OUTCOME_UNKNOWN, "the node ends; it may still run")
+        : Refusal.notRun(ResultCode.DRAINING, "the node ends", Duration.ZERO);
+  }
+
   /** Returns the ending of a call whose non-repeatable request runs on. */
   static Refusal stillRunning() {
     return Refusal.mayHaveRun(
--- a/src/main/java/dev/wisteriarail/core/request/RequestTable.java
+++ b/src/main/java/dev/wisteriarail/core/request/RequestTable.java
@@ -17,7 +17,6 @@
 import dev.wisteriarail.core.peer.Demand;
 import dev.wisteriarail.core.request.PendingRequest.Phase;
 import dev.wisteriarail.core.result.Execution;
-import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.routing.Router;
 import dev.wisteriarail.core.routing.RunnerTable;
 import dev.wisteriarail.core.state.Ledger;
@@ -51,6 +50,7 @@
   private final WaitingQueue queue = WaitingQueue.create();
   private final StartEstimator estimator = StartEstimator.create();
   private final DemandTally demand = new DemandTally();
+  private final StartCheck starts = StartCheck.create(estimator, demand);
   private final RetryPolicy retries;
   private final PoisonGuard poison;
   private final AttemptBook attempts;
@@ -92,7 +92,9 @@
     }
     PendingRequest pending = open(request, configuration, step.now());
     demand.recordArrival(request.target());
-    if (refuseIfTooLate(pending, context)) {
+    Optional<Refusal> late = starts.refuse(pending, queue, context);
+    late.ifPresent(tooLate -> giveUp(pending, tooLate, context.step()));
+    if (late.isPresent()) {
       return;
     }
     if (pending.onlyOnce()) {
@@ -391,43 +393,28 @@
   private void review(RequestContext context) {
     for (Collection<PendingRequest> group : queue.groups()) {
       for (PendingRequest pending : List.copyOf(group)) {
-        if (!refuseIfColdTooLong(pending, context)) {
+        Optional<Refusal> late = starts.refuseCold(pending, context);
+        late.ifPresent(refusal -> giveUp(pending, refusal, context.step()));
+        if (late.isEmpty()) {
           break;
         }
       }
     }
   }
 
-  private boolean refuseIfTooLate(PendingRequest pending, RequestContext context) {
-    Step step = context.step();
-    if (StartEstimator.fitsNowhere(pending.request().target(), context.configuration())) {
+  /** Ends every request, as the node ends; a non-repeatable one that was handed over runs on. */
+  public void endAll(RequestContext context) {
+    for (PendingRequest pending : List.copyOf(requests.values())) {
+      if (pending.phase() == Phase.DISPATCHED && !pending.onlyOnce()) {
+        attempts.cancel(pending, context.runners(), context.step());
+      }
       giveUp(
           pending,
-          Refusal.notRun(ResultCode.NO_CAPACITY, "no runner is large enough for the model"),
-          step);
-      return true;
-    }
-    Duration wait = estimator.queueing(pending, queue, context);
-    if (step.now().plus(wait).isAfter(pending.deadline())) {
-      giveUp(pending, LateRefusals.unreachable(pending, "the queue takes", wait), step);
-      return true;
-    }
-    return refuseIfColdTooLong(pending, context);
-  }
-
-  private boolean refuseIfColdTooLong(PendingRequest pending, RequestContext context) {
-    Instant now = context.step().now();
-    Target target = pending.request().target();
-    Duration load = estimator.coldStart(target, context.configuration(), context.runners());
-    if (!now.plus(load).isAfter(pending.deadline())) {
-      return false;
+          pending.phase() == Phase.HELD
+              ? gate.refusalAtDeadline(pending)
+              : LateRefusals.nodeEnds(pending),
+          context.step());
     }
-    demand.expect(target, pending.urgency(), now.plus(load).plus(LateRefusals.RETRY_AFTER));
-    giveUp(
-        pending,
-        LateRefusals.unreachable(pending, "loading the model takes", load),
-        context.step());
-    return true;
   }
 
   private void refusePoison(RequestContext context) {
--- a/src/main/java/dev/wisteriarail/http/CallerServer.java
+++ b/src/main/java/dev/wisteriarail/http/CallerServer.java
@@ -2,8 +2,10 @@
 
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
+import java.time.Duration;
 import org.apache.logging.log4j.LogManager;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 
 /**
  * The HTTP server for callers.
@@ -35,7 +37,7 @@
       throws SettingsException {
     Server server = JettyServers.create(host, port, limits);
     server.setErrorHandler(new ProblemErrorHandler());
-    server.setHandler(new CallerHandler(node, exchanges, limits, metrics));
+    server.setHandler(new GracefulHandler(new CallerHandler(node, exchanges, limits, metrics)));
     try {
       server.start();
     } catch (Exception failure) {
@@ -50,6 +52,12 @@
     return JettyServers.port(server);
   }
 
+  /** Stops after the answers in progress are written, within a limit. */
+  public void close(Duration limit) {
+    server.setStopTimeout(limit.toMillis());
+    close();
+  }
+
   @Override
   public void close() {
     try {
--- a/src/main/java/dev/wisteriarail/node/Node.java
+++ b/src/main/java/dev/wisteriarail/node/Node.java
@@ -28,6 +28,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -41,6 +42,9 @@
  */
 public final class Node {
 
+  /** Time in which answers that have ended are written before the connections are closed. */
+  private static final Duration LAST_ANSWERS = Duration.ofMillis(250);
+
   private final NodeFile file;
   private final NodeRuntime runtime;
   private final CallerServer callers;
@@ -123,6 +127,7 @@
   /** Stops gracefully: finishes what is in flight, then closes. */
   public boolean stop() throws InterruptedException {
     boolean drained = runtime.drain(file.drainLimit());
+    callers.close(LAST_ANSWERS);
     kill();
     return drained;
   }
--- a/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
+++ b/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
@@ -41,6 +41,9 @@
  */
 public final class NodeRuntime implements AutoCloseable {
 
+  /** Part of the time of a graceful stop in which the node ends what is left. */
+  private static final Duration LAST_ENDINGS = Duration.ofMillis(500);
+
   private static final Duration LOG_WAIT = Duration.ofMillis(500);
   private static final Duration LOG_RETRY = Duration.ofMillis(200);
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
@@ -86,10 +89,21 @@
     workers.execute(this::readVmList);
   }
 
-  /** Stops taking requests and waits until those in flight have ended. */
+  /**
+   * Stops taking requests and waits until those in flight have ended; ends them itself shortly
+   * before the limit.
+   *
+   * @return whether they ended by themselves
+   */
   public boolean drain(Duration limit) throws InterruptedException {
     submit(new Event.DrainRequested());
-    return drained.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+    Duration patience = limit.minus(LAST_ENDINGS);
+    if (drained.await(Math.max(0, patience.toMillis()), TimeUnit.MILLISECONDS)) {
+      return true;
+    }
+    submit(new Event.DrainExpired());
+    drained.await(LAST_ENDINGS.toMillis(), TimeUnit.MILLISECONDS);
+    return false;
   }
 
   @Override
--- a/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
@@ -170,7 +170,7 @@
     return effects.stream().filter(kind::isInstance).map(kind::cast).toList();
   }
 
-  private enum Stage {
+  enum Stage {
     WAITING,
     SENT,
     REJECTED
