A stopping node waits until callers have taken the answers that are on the way

Cause: the core counts a request as ended when its runner's answer is complete; the process ended 250 ms after the last one, with up to 5 s of its grace left, and cut what a slow caller had not read. Change: GatewayNode.stop waits for the callers' exchanges within the grace.

--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -56,7 +56,7 @@
   /** Connections that wait to be accepted; a burst of callers must not overflow it. */
   private static final int ACCEPT_QUEUE = 512;
 
-  /** Pause between two looks for connections that fell idle while a node stops. */
+  /** Pause between two looks at the callers' connections while a node stops. */
   private static final Duration CLOSE_PAUSE = Duration.ofMillis(10);
 
   private final Server server;
@@ -308,6 +308,17 @@
     }
   }
 
+  /**
+   * Waits until callers have taken the answers that are on the way.
+   *
+   * @param until latest time, on the clock of {@link System#nanoTime}
+   */
+  void awaitAnswers(long until) throws InterruptedException {
+    while (!exchanges.isEmpty() && System.nanoTime() < until) {
+      Thread.sleep(CLOSE_PAUSE);
+    }
+  }
+
   /**
    * Waits until no caller is connected, and closes connections as they fall idle meanwhile. The
    * core refuses what still comes.
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -224,7 +224,10 @@
 
   /** Stops gracefully: waits for the requests in flight, within the limit of the settings. */
   public boolean stop() throws InterruptedException {
-    boolean drained = runtime.drain(file.drainLimit().minus(EXIT_RESERVE));
+    Duration limit = file.drainLimit().minus(EXIT_RESERVE);
+    long until = System.nanoTime() + limit.minus(LAST_REFUSALS).toNanos();
+    boolean drained = runtime.drain(limit);
+    callers.awaitAnswers(until);
     callers.closeAll(LAST_REFUSALS);
     log.write(
         NodeEvent.of(
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -0,0 +1,89 @@
+package dev.wisteriarail.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import dev.wisteriarail.core.gateway.GatewayEvent;
+import dev.wisteriarail.platform.CallerHeaders;
+import dev.wisteriarail.settings.GatewayFile;
+import dev.wisteriarail.settings.TomlDocument;
+import dev.wisteriarail.standin.LoopbackSettings;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.locks.LockSupport;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.Test;
+
+/** What callers see of the end of a node. */
+final class CallerFrontTest {
+
+  private static final int ANSWER_BYTES = 7 * 1024 * 1024;
+  private static final int RECEIVE_BYTES = 4_096;
+  private static final int READ_BYTES = 64 * 1024;
+  private static final long READ_PAUSE_NANOS = 10_000_000;
+  private static final Duration LIMIT = Duration.ofSeconds(60);
+
+  private final BlockingQueue<GatewayEvent> events = new LinkedBlockingQueue<>();
+
+  /** The node ended when its core had nothing in flight, with the answer half written. */
+  @Test
+  void wholeAnswerToOneSlowCallerIsDeliveredBeforeTheNodeEnds() throws Exception {
+    LoopbackSettings settings = LoopbackSettings.of("n0", "127.0.0.1:1");
+    GatewayFile file = GatewayFile.from(TomlDocument.parse("n0", settings.toml()));
+    QueuedThreadPool threads = new QueuedThreadPool(12, 4);
+    Scheduler scheduler = new ScheduledExecutorScheduler("timer", true);
+    threads.start();
+    scheduler.start();
+    CallerFront front =
+        CallerFront.start(
+            file, GatewayMetrics.create(), threads, scheduler, CallerHeaders.create(), events::add);
+    try (Socket caller = new Socket()) {
+      caller.setReceiveBufferSize(RECEIVE_BYTES);
+      caller.connect(
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), settings.callerPort()));
+      String head = "GET /report/1 HTTP/1.1\r\nHost: a\r\nX-Wisteriarail-Request-Id: r1\r\n\r\n";
+      caller.getOutputStream().write(head.getBytes(UTF_8));
+      GatewayEvent.RequestArrived arrived = (GatewayEvent.RequestArrived) events.take();
+      CallerExchange exchange = front.exchange(arrived.request().exchange()).orElseThrow();
+      front.closeAfterAnswers();
+      exchange.attach(1);
+      assertThat(exchange.answer(200, HttpFields.EMPTY, new byte[ANSWER_BYTES])).isTrue();
+      Thread end = Thread.startVirtualThread(() -> end(front));
+      assertThat(readAll(caller.getInputStream())).isAtLeast(ANSWER_BYTES);
+      end.join();
+    } finally {
+      front.close();
+      scheduler.stop();
+      threads.stop();
+    }
+  }
+
+  private static void end(CallerFront front) {
+    try {
+      front.awaitAnswers(System.nanoTime() + LIMIT.toNanos());
+      front.closeAll(Duration.ZERO);
+      front.close();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static int readAll(InputStream in) throws IOException {
+    byte[] buffer = new byte[READ_BYTES];
+    int read = 0;
+    for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+      read += count;
+      LockSupport.parkNanos(READ_PAUSE_NANOS);
+    }
+    return read;
+  }
+}
