--- a/src/main/java/dev/wisteriarail/core/forward/RunTimes.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunTimes.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * How long runners take for requests of each route, from the sending to the end of the answer.
@@ -18,10 +20,10 @@
  */
 public final class RunTimes {
 
-  /** Answers of a route that are looked at, newest first. */
+  /** Requests of a route that are looked at, newest first. */
   private static final int ANSWERS = 32;
 
-  /** Share of the answers that ended within the time that is expected of the next one. */
+  /** Share of the requests that ended within the time that is expected of the next one. */
   private static final double SHARE = 0.9;
 
   private final Map<String, Deque<Duration>> byRoute = new HashMap<>();
@@ -33,7 +35,7 @@
     return new RunTimes();
   }
 
-  /** Notes that an answer was passed on to its end. */
+  /** Notes how long a request was at its runners, whether or not it was answered in the end. */
   public void note(String route, Duration time) {
     Deque<Duration> times = byRoute.computeIfAbsent(route, name -> new ArrayDeque<>());
     if (times.size() == ANSWERS) {
@@ -42,13 +44,18 @@
     times.addFirst(time);
   }
 
-  /** Returns the time that the next request of a route is expected to take, if any is known. */
-  public Optional<Duration> expected(String route) {
-    Deque<Duration> times = byRoute.get(route);
-    if (times == null) {
+  /**
+   * Returns the time that the next request of a route is expected to take, if any is known.
+   *
+   * @param route the route
+   * @param running how long runners have had the requests of the route that have not ended
+   */
+  public Optional<Duration> expected(String route, Collection<Duration> running) {
+    Collection<Duration> ended = byRoute.getOrDefault(route, new ArrayDeque<>());
+    if (ended.isEmpty()) {
       return Optional.empty();
     }
-    List<Duration> sorted = times.stream().sorted().toList();
+    List<Duration> sorted = Stream.concat(ended.stream(), running.stream()).sorted().toList();
     return Optional.of(sorted.get((int) Math.ceil(sorted.size() * SHARE) - 1));
   }
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
@@ -22,6 +22,12 @@
   /** Time after a stop request in which the balancer notices and sends no more callers. */
   private static final Duration BALANCER_NOTICE = Duration.ofMillis(2500);
 
+  /**
+   * Time after a stop request from which no new stream is taken: by then the balancer sends callers
+   * elsewhere, and the time that streams are expected to take is exceeded by one in ten.
+   */
+  private static final Duration LATEST_STREAM = Duration.ofMillis(2800);
+
   /** Time before the end of the process from which nothing is taken, however short it is. */
   private static final Duration LAST_ANSWERS = Duration.ofMillis(800);
 
@@ -49,9 +55,11 @@
     return new DrainPlan(grace);
   }
 
-  /** Changes the time after a stop request until the process has to end. */
+  /** Changes the time after a stop request until the process has to end, for later requests. */
   void setGrace(Duration newGrace) {
-    grace = newGrace;
+    if (!isDraining()) {
+      grace = newGrace;
+    }
   }
 
   /** Begins the stop; returns whether it had not begun before. */
@@ -68,15 +76,23 @@
     return !since.equals(Instant.MAX);
   }
 
+  /**
+   * Returns whether a request that comes now is not taken.
+   *
+   * @param stream whether its answer is a stream
+   * @param needed time that it needs from now on
+   */
+  boolean refuses(boolean stream, Duration needed, Instant now) {
+    boolean late = isDraining() && now.isAfter(since.plus(LATEST_STREAM));
+    return completed || (stream && late) || cannotEnd(needed, now);
+  }
+
   /**
    * Returns whether a request cannot end before the process.
    *
    * @param needed time that it needs from now on
    */
-  boolean refuses(Duration needed, Instant now) {
-    if (completed) {
-      return true;
-    }
+  boolean cannotEnd(Duration needed, Instant now) {
     Duration reserve = needed.compareTo(LAST_ANSWERS) > 0 ? needed : LAST_ANSWERS;
     return isDraining() && now.plus(reserve).isAfter(end());
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -8,7 +8,6 @@
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RetryBudget;
 import dev.wisteriarail.core.forward.RetryLimits;
-import dev.wisteriarail.core.forward.RunTimes;
 import dev.wisteriarail.core.forward.RunnerBoard;
 import dev.wisteriarail.core.forward.StallRule;
 import dev.wisteriarail.core.forward.WaitRule;
@@ -63,8 +62,8 @@
   private final RunnerPicker picker;
   private final CrashLedger crashes = CrashLedger.create();
   private final DemandTally tally = DemandTally.create();
-  private final RunTimes runTimes = RunTimes.create();
   private final ForwardEnds pending;
+  private final NeededTime needed;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private int nodes = 1;
   private boolean hasCoordinator;
@@ -74,6 +73,7 @@
     this.board = board;
     picker = RunnerPicker.create(settings.domain(), board);
     pending = ForwardEnds.create(board, tally);
+    needed = NeededTime.create(pending, this::startsIn);
   }
 
   static Forwarder create(GatewaySettings settings, RunnerBoard board) {
@@ -228,53 +228,27 @@
     return told.isPresent() || loaded || hasCoordinator ? told : Optional.of(TAKEOVER);
   }
 
-  /** Returns the time until a request that now comes would have ended. */
-  Duration needed(
-      ForwardRequest request, Optional<GatewayConfiguration> configuration, Instant now) {
-    return configuration
-        .flatMap(known -> known.route(request.host(), request.path()))
-        .map(
-            route ->
-                needed(
-                    PendingForward.of(
-                        request, route, RunnerPicker.chooseService(route, request), now),
-                    longestRunning(now),
-                    now))
-        .orElse(Duration.ZERO);
+  /** Returns whether a request that comes now is too late for a stopping node. */
+  boolean isTooLate(
+      ForwardRequest request,
+      Optional<GatewayConfiguration> configuration,
+      DrainPlan drain,
+      Instant now) {
+    return drain.isDraining() && needed.isTooLate(request, configuration, drain, now);
   }
 
   /**
-   * Returns the time until a request would have ended: until a runner has its model, and what
-   * requests of its route take there; no longer than it may take.
+   * While a node stops, hands back what waits, has not run, and could not end before the process:
+   * another node can take it. What may have run has nobody else, so it is tried until the end.
    */
-  private Duration needed(PendingForward forward, Map<String, Duration> running, Instant now) {
-    String route = forward.route().name();
-    Duration left = forward.timeLeft(now);
-    Duration runs =
-        max(runTimes.expected(route).orElse(left), running.getOrDefault(route, Duration.ZERO));
-    Duration needed = startsIn(forward, now).orElse(Duration.ZERO).plus(runs);
-    return needed.compareTo(left) < 0 ? needed : left;
-  }
-
-  /** Returns for each route how long a runner has had the oldest of its requests. */
-  private Map<String, Duration> longestRunning(Instant now) {
-    Map<String, Duration> longest = new HashMap<>();
-    for (PendingForward forward : pending.all()) {
-      longest.merge(forward.route().name(), forward.ran(now), Forwarder::max);
-    }
-    return longest;
-  }
-
-  private static Duration max(Duration a, Duration b) {
-    return a.compareTo(b) >= 0 ? a : b;
-  }
-
-  /** While a node stops, ends what waits and could not end before the process does. */
   void endWaiting(DrainPlan drain, GatewayStep step) {
-    Map<String, Duration> running = longestRunning(step.now());
+    if (!pending.hasWaiting()) {
+      return;
+    }
+    Map<String, List<Duration>> running = needed.running(step.now());
     for (PendingForward forward : pending.all()) {
-      boolean waits = forward.state() == PendingForward.State.WAITING;
-      if (waits && drain.refuses(needed(forward, running, step.now()), step.now())) {
+      boolean waits = forward.state() == PendingForward.State.WAITING && forward.isUntouched();
+      if (waits && drain.cannotEnd(needed.of(forward, running, step.now()), step.now())) {
         pending.endWaiting(forward, ResultCode.DRAINING, DrainPlan.RETURN, step);
       }
     }
@@ -296,6 +270,7 @@
       return;
     }
     forward.runner().ifPresent(runner -> noteFailure(runner, "no answer in time", false, step));
+    needed.noteEnd(forward, step.now());
     pending.expire(forward, step);
   }
 
@@ -368,7 +343,7 @@
       case AttemptResult.Finished finished -> {
         pending.leave(forward, runner);
         board.health(runner.id()).succeed();
-        runTimes.note(forward.route().name(), forward.ran(step.now()));
+        needed.noteEnd(forward, step.now());
         ForwardLog.answered(forward, runner, finished.status(), step);
         pending.remove(forward);
       }
@@ -468,6 +443,7 @@
         .get(exchange)
         .ifPresent(
             forward -> {
+              needed.noteEnd(forward, step.now());
               pending.release(forward, step);
               ForwardLog.left(forward, step);
               pending.remove(forward);
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -118,8 +118,7 @@
     }
     switch (event) {
       case GatewayEvent.RequestArrived arrived -> {
-        if (drain.isDraining()
-            && drain.refuses(forwarder.needed(arrived.request(), configuration, now), now)) {
+        if (forwarder.isTooLate(arrived.request(), configuration, drain, now)) {
           forwarder.refuse(
               arrived.request(), ResultCode.DRAINING, Optional.of(DrainPlan.RETURN), step);
         } else {
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -68,7 +68,7 @@
   int send(RunnerEntry to, Instant now) {
     state = answerBegun ? State.ANSWERING : State.SENT;
     runner = Optional.of(to);
-    sentAt = now;
+    sentAt = answerBegun ? sentAt : now;
     progressAt = now;
     stallKept = false;
     return ++attempts;
@@ -205,9 +205,15 @@
     return progressAt;
   }
 
-  /** Returns how long its runner has had it; zero while it waits. */
+  /** Returns how long runners have had it, since it last waited without a part of its answer. */
   Duration ran(Instant now) {
-    return state == State.WAITING ? Duration.ZERO : Duration.between(sentAt, now);
+    boolean waits = state == State.WAITING && !answerBegun;
+    return waits ? Duration.ZERO : Duration.between(sentAt, now);
+  }
+
+  /** Returns whether no runner can have run it. */
+  boolean isUntouched() {
+    return !answerBegun && !mayHaveRun;
   }
 
   Duration timeLeft(Instant now) {
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -60,16 +60,18 @@
     return harness;
   }
 
+  static GatewaySettings settings(Duration grace) {
+    return new GatewaySettings(
+        new NodeAddress(NodeId.of("n1"), Incarnation.of(1), "10.0.0.1", 7000, 1000),
+        "a",
+        List.of(),
+        FleetTimings.DEFAULT,
+        new RetryLimits(Duration.ofSeconds(10), 0.2, 50),
+        grace);
+  }
+
   static CoreHarness unready() {
-    GatewaySettings settings =
-        new GatewaySettings(
-            new NodeAddress(NodeId.of("n1"), Incarnation.of(1), "10.0.0.1", 7000, 1000),
-            "a",
-            List.of(),
-            FleetTimings.DEFAULT,
-            new RetryLimits(Duration.ofSeconds(10), 0.2, 50),
-            Duration.ofSeconds(8));
-    CoreHarness harness = new CoreHarness(GatewayCore.create(settings));
+    CoreHarness harness = new CoreHarness(GatewayCore.create(settings(Duration.ofSeconds(8))));
     harness.tick();
     return harness;
   }
--- a/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
@@ -81,8 +81,8 @@
   @CsvSource({
     // run time of earlier ones, time after the stop request, taken
     "400, 1000, true",
-    "400, 5000, true",
-    "400, 6500, false",
+    "400, 2700, true",
+    "400, 2900, false",
     "5000, 1000, true",
     "5000, 2100, true",
     "5000, 2300, false",
@@ -131,6 +131,93 @@
     assertThat(refusals.getFirst().returnAfter()).hasValue(DrainPlan.RETURN);
   }
 
+  @Test
+  void begunStreamBetweenTwoTriesIsNotCutAtTheStopRequest() {
+    node.configure(LONG_LIMIT);
+    runToEnd("chat", Duration.ofMillis(7_500));
+    long exchange = node.arrive("chat", LONG_LIMIT);
+    node.told(exchange, 1, new AttemptResult.Started());
+    node.pass(Duration.ofSeconds(1));
+    node.told(exchange, 1, new AttemptResult.Broken("reset", true, "3", true));
+    node.pass(Duration.ofMillis(50));
+    node.told(exchange, 2, new AttemptResult.Answered(503, true, false));
+    node.take(GatewayEffect.class);
+    node.handle(new GatewayEvent.DrainRequested());
+    List<GatewayEffect> all = node.take(GatewayEffect.class);
+    assertThat(only(all, GatewayEffect.CutAnswer.class)).isEmpty();
+  }
+
+  @Test
+  void repeatableRequestThatMayHaveRunIsTriedAgainByStoppingNode() {
+    node.configure(LONG_LIMIT);
+    long exchange = node.arrive("lookup", LONG_LIMIT);
+    node.told(exchange, 1, new AttemptResult.Broken("reset", false, "", true));
+    node.pass(Duration.ofMillis(50));
+    node.told(exchange, 2, new AttemptResult.Answered(503, true, false));
+    node.take(GatewayEffect.class);
+    node.handle(new GatewayEvent.DrainRequested());
+    List<GatewayEffect> all = node.take(GatewayEffect.class);
+    assertThat(only(all, GatewayEffect.Refuse.class)).isEmpty();
+  }
+
+  @Test
+  void oneHungRequestDoesNotMakeAStoppingNodeRefuseShortOnes() {
+    node.configure(LONG_LIMIT);
+    for (int i = 0; i < 20; i++) {
+      runToEnd("order", Duration.ofMillis(50));
+    }
+    node.arrive("order", LONG_LIMIT);
+    node.pass(Duration.ofSeconds(8));
+    node.handle(new GatewayEvent.DrainRequested());
+    node.take(GatewayEffect.class);
+    node.arrive("order", LONG_LIMIT);
+    assertThat(node.take(GatewayEffect.Refuse.class)).isEmpty();
+  }
+
+  @Test
+  void streamTakenLongAfterTheStopRequestIsNotCutAtTheEnd() {
+    node.configure(LONG_LIMIT);
+    for (int i = 0; i < 20; i++) {
+      runToEnd("report", Duration.ofMillis(400));
+    }
+    node.arrive("order", LONG_LIMIT);
+    node.handle(new GatewayEvent.DrainRequested());
+    node.pass(Duration.ofMillis(3_500));
+    long exchange = node.arrive("report", LONG_LIMIT);
+    node.told(exchange, 1, new AttemptResult.Started());
+    node.pass(Duration.ofSeconds(5));
+    assertThat(node.take(GatewayEffect.CutAnswer.class)).isEmpty();
+  }
+
+  @Test
+  void streamsThatRanOutOfTimeCountInTheTimeThatIsExpected() {
+    node.configure(Duration.ofSeconds(6));
+    runToEnd("report", Duration.ofSeconds(1));
+    for (int i = 0; i < 20; i++) {
+      long slow = node.arrive("report", Duration.ofSeconds(6));
+      node.told(slow, 1, new AttemptResult.Started());
+      node.pass(Duration.ofSeconds(7));
+    }
+    node.arrive("order", Duration.ofSeconds(6));
+    node.handle(new GatewayEvent.DrainRequested());
+    node.pass(Duration.ofSeconds(3));
+    node.take(GatewayEffect.class);
+    node.arrive("report", Duration.ofSeconds(6));
+    List<GatewayEffect.Refuse> refusals = node.take(GatewayEffect.Refuse.class);
+    assertThat(refusals).hasSize(1);
+    assertThat(refusals.getFirst().code()).isEqualTo(ResultCode.DRAINING);
+  }
+
+  @Test
+  void settingsReadWhileStoppingDoNotMoveTheEnd() {
+    node.configure(LONG_LIMIT);
+    node.arrive("order", LONG_LIMIT);
+    node.handle(new GatewayEvent.DrainRequested());
+    node.handle(new GatewayEvent.SettingsRead(CoreHarness.settings(GRACE.multipliedBy(2))));
+    node.pass(GRACE);
+    assertThat(node.take(GatewayEffect.DrainCompleted.class)).hasSize(1);
+  }
+
   /** Leaves no engine that holds m0, and a coordinator that said nothing of it. */
   private void forgetModel() {
     node.directory(6, CoreHarness.emptyEngine("e1"), CoreHarness.emptyEngine("e2"));
