A begun stream whose next runner answers a failure is cut

Found by the review: the core passed the failure on, which cannot be done after the head went out; the caller got nothing more and no end (since a cut, but logged as answered). The core decides it now. Test failed before: one PassAnswer, no CutAnswer.

--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -391,7 +391,7 @@
     }
     if (failed && mayRetry(forward, false) && picker.hasOther(forward, step.now())) {
       retry(forward, reason, Duration.ZERO, step);
-    } else if (answered.passable()) {
+    } else if (answered.passable() && !forward.answerBegun()) {
       ForwardLog.answered(forward, runner, answered.status(), step);
       step.emit(new GatewayEffect.PassAnswer(forward.exchange(), forward.attempts()));
       pending.remove(forward);
--- a/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
@@ -214,4 +214,18 @@
     harness.arrive("lookup");
     assertThat(harness.take(GatewayEffect.Refuse.class)).hasSize(1);
   }
+
+  @Test
+  void begunStreamWhoseNextRunnerFailsIsCutAndNotGivenAnUnsendableAnswer() {
+    long exchange = node.arrive("chat");
+    node.told(exchange, 1, new AttemptResult.Started());
+    node.told(exchange, 1, new AttemptResult.Broken("reset", true, "3", true));
+    node.pass(Duration.ofMillis(100));
+    List<GatewayEffect.SendAttempt> sent = node.take(GatewayEffect.SendAttempt.class);
+    assertThat(sent.getLast().attempt()).isEqualTo(2);
+    node.told(exchange, 2, new AttemptResult.Answered(400, false, true));
+    List<GatewayEffect> all = node.take(GatewayEffect.class);
+    assertThat(all.stream().filter(GatewayEffect.CutAnswer.class::isInstance).toList()).hasSize(1);
+    assertThat(all.stream().filter(GatewayEffect.PassAnswer.class::isInstance).toList()).isEmpty();
+  }
 }
