The soak restarts nodes in turn and counts requests that never ran as lost

The soak missed the incident: LOST counted only requests that had run, and no node came to the end of its own time with requests in its hands. All models fitted and were loaded in 0.1 s, runners answered in 20 ms or broke off at once, no plan stopped the nodes one after the other, and planned work came without slow runners.

LOST now also counts a request whose connection is closed without a byte more than 2 s after it was sent whole (ten times the users' loss_slack_ms, as the machine is busy). Plans hold rolling restarts of all nodes, 1 to 1.5 s apart and overlapping, with bursts for models that take 4 s to load and silent runners; a third kind of plan has planned work and runners that are full, silent or slow, where nothing excuses a connection that is closed without a byte.

--- a/src/main/java/dev/wisteriarail/soak/Disturbance.java
+++ b/src/main/java/dev/wisteriarail/soak/Disturbance.java
@@ -46,6 +46,15 @@
     }
   }
 
+  /** Callers of all nodes ask for a model at once that may have to be loaded. */
+  record Burst(int model, int callersOfNode) implements Disturbance {
+
+    @Override
+    public boolean isPlanned() {
+      return true;
+    }
+  }
+
   /** The links of one kind to or from one process are harmed for a while. */
   record LinkHarmed(Link link, int index, LinkState state, long millis) implements Disturbance {}
 
@@ -60,7 +69,16 @@
 
   /** A runner treats requests badly for a while. */
   record RunnerMisbehaves(int runner, RunnerStandin.Behaviour behaviour, long millis)
-      implements Disturbance {}
+      implements Disturbance {
+
+    /** Returns whether no request that reaches the runner is broken off by it. */
+    boolean isPatient() {
+      return switch (behaviour) {
+        case SOUND, FULL, SILENT, SLOW -> true;
+        case FAILING, ANSWER_LOST, CUT, CROSSED, UNSIGNED -> false;
+      };
+    }
+  }
 
   /** Which links a proxy stands on. */
   enum Link {
--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -28,26 +28,32 @@
   /** Time in which every node must serve again once all faults are over. */
   private static final Duration RECOVERY = Duration.ofSeconds(90);
 
-  /** Time in which a process must end after SIGTERM; its own limit is four seconds. */
+  /** Time in which a process must end after SIGTERM; its own limit is some seconds. */
   private static final Duration STOP_LIMIT = Duration.ofSeconds(60);
 
+  /** The same for all disturbances of each node, as nodes are also stopped in turn. */
+  private static final Duration DISTURBANCES_OF_NODE = Duration.ofSeconds(2);
+
   /** Share of retries that settings files alternate between. */
   private static final List<Double> RETRY_RATIOS = List.of(0.1, 0.2);
 
   private static final Duration POLL = Duration.ofMillis(100);
   private static final double LOST_ANSWERS = 0.3;
   private static final long SLOW_STORE_MILLIS = 400;
-  private static final int THREADS = 8;
 
   private final SoakFleet fleet;
   private final PrintStream out;
-  private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(THREADS);
+  private final ScheduledThreadPoolExecutor timer;
   private final List<String> routes = new ArrayList<>();
   private final List<String> broken = new ArrayList<>();
 
-  private Soak(SoakFleet fleet, PrintStream out) {
+  private SoakCallers callers;
+
+  private Soak(SoakFleet fleet, SoakPlan plan, PrintStream out) {
     this.fleet = fleet;
     this.out = out;
+    // Each disturbance waits for its own end, and they overlap.
+    timer = new ScheduledThreadPoolExecutor(plan.steps().size() + 1, Thread.ofVirtual().factory());
   }
 
   /**
@@ -63,35 +69,35 @@
   public static Report run(long seed, Duration length, int nodes, Path directory, PrintStream out)
       throws SettingsException, InterruptedException {
     SoakPlan plan = SoakPlan.draw(seed, length, nodes, SoakFleet.RUNNERS);
-    try (SoakFleet fleet = SoakFleet.start(nodes, directory)) {
-      return new Soak(fleet, out).run(seed, plan, length);
+    try (SoakFleet fleet = SoakFleet.start(nodes, plan.stopLimit(), directory)) {
+      return new Soak(fleet, plan, out).run(seed, plan, length);
     }
   }
 
   private Report run(long seed, SoakPlan plan, Duration length) throws InterruptedException {
     List<String> addresses =
         fleet.members().stream().map(member -> member.callers().address()).toList();
-    SoakCallers callers = SoakCallers.start(seed, addresses);
-    awaitRecovery(callers, addresses, "after the start");
+    callers = SoakCallers.start(seed, addresses);
+    awaitRecovery(addresses, "after the start");
     for (SoakPlan.Step step : plan.steps()) {
       ScheduledFuture<?> _ =
           timer.schedule(() -> perform(step), step.at().toMillis(), TimeUnit.MILLISECONDS);
     }
     Thread.sleep(length);
     timer.shutdown();
-    if (!timer.awaitTermination(STOP_LIMIT.toMillis(), TimeUnit.MILLISECONDS)) {
+    Duration limit = STOP_LIMIT.plus(DISTURBANCES_OF_NODE.multipliedBy(addresses.size()));
+    if (!timer.awaitTermination(limit.toMillis(), TimeUnit.MILLISECONDS)) {
       add("the disturbances did not end");
     }
     heal();
-    awaitRecovery(callers, addresses, "after the faults");
+    awaitRecovery(addresses, "after the faults");
     List<SoakCallers.Outcome> outcomes = callers.stop();
     stopAll();
     List<String> violations = new ArrayList<>(broken);
-    violations.addAll(
-        SoakOracle.violations(outcomes, fleet.platform().everyRunner(), plan.plannedOnly()));
+    violations.addAll(SoakOracle.violations(outcomes, fleet.platform().everyRunner(), plan.work()));
     Map<Integer, Integer> statuses = new TreeMap<>();
     outcomes.forEach(outcome -> statuses.merge(outcome.status(), 1, Integer::sum));
-    return new Report(seed, plan.plannedOnly(), plan.steps().size(), statuses, violations);
+    return new Report(seed, plan.work(), plan.steps().size(), statuses, violations);
   }
 
   private synchronized void add(String violation) {
@@ -144,6 +150,11 @@
         member.process().signal("HUP");
       }
       case Disturbance.ConfigurationPublished published -> publish();
+      case Disturbance.Burst burst -> {
+        for (SoakFleet.Member member : fleet.members()) {
+          callers.burst(member.callers().address(), burst.model(), burst.callersOfNode());
+        }
+      }
       case Disturbance.LinkHarmed harmed -> {
         LoopbackProxy proxy = fleet.proxy(harmed.link(), harmed.index());
         proxy.set(harmed.state());
@@ -234,8 +245,7 @@
   }
 
   /** Waits until each node serves each kind of request; notes those that do not. */
-  private void awaitRecovery(SoakCallers callers, List<String> addresses, String when)
-      throws InterruptedException {
+  private void awaitRecovery(List<String> addresses, String when) throws InterruptedException {
     long until = System.nanoTime() + RECOVERY.toNanos();
     for (String address : addresses) {
       for (SoakCallers.Kind kind : SoakCallers.Kind.values()) {
@@ -261,14 +271,14 @@
    * What a soak found.
    *
    * @param seed its seed
-   * @param plannedOnly whether it had nothing but planned work
+   * @param work what kinds of disturbances it had
    * @param disturbances number of disturbances
    * @param statuses number of requests by the status of their answer; 0 for no whole answer
    * @param violations what was broken, one line each
    */
   public record Report(
       long seed,
-      boolean plannedOnly,
+      SoakPlan.Work work,
       int disturbances,
       Map<Integer, Integer> statuses,
       List<String> violations) {
@@ -282,13 +292,8 @@
     /** Returns the report as one line, and one more for each violation. */
     public String describe() {
       String head =
-          "seed %d: %d disturbances%s, requests by status %s, %d violations"
-              .formatted(
-                  seed,
-                  disturbances,
-                  plannedOnly ? " (planned work only)" : "",
-                  new TreeMap<>(statuses),
-                  violations.size());
+          "seed %d (%s): %d disturbances, requests by status %s, %d violations"
+              .formatted(seed, work, disturbances, new TreeMap<>(statuses), violations.size());
       return violations.isEmpty() ? head : head + "\n  " + String.join("\n  ", violations);
     }
   }
--- a/src/main/java/dev/wisteriarail/soak/SoakCallers.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakCallers.java
@@ -3,7 +3,6 @@
 import dev.wisteriarail.logservice.HttpClients;
 import dev.wisteriarail.standin.PlatformCaller;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.SplittableRandom;
@@ -34,14 +33,15 @@
   private static final int PAUSE_UNANSWERED_MILLIS = 400;
 
   /** A caller waits longer than the deadline that it names, so that the node answers first. */
-  private static final Duration PATIENCE = Duration.ofSeconds(12);
+  private static final Duration BEYOND_DEADLINE = Duration.ofSeconds(8);
 
+  private static final Duration SURVEY_DEADLINE = Duration.ofSeconds(20);
   private static final int MODELS = 4;
 
   private final HttpClient http;
   private final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
   private final AtomicLong requests = new AtomicLong();
-  private final List<Thread> threads = new ArrayList<>();
+  private final Queue<Thread> threads = new ConcurrentLinkedQueue<>();
   private volatile boolean stopping;
 
   private SoakCallers(HttpClient http) {
@@ -60,8 +60,7 @@
     for (String address : addresses) {
       for (int i = 0; i < CALLERS_OF_A_NODE; i++) {
         SplittableRandom own = random.split();
-        callers.threads.add(
-            Thread.ofVirtual().name("caller").start(() -> callers.call(address, own)));
+        callers.add(() -> callers.call(address, own));
       }
     }
     return callers;
@@ -91,27 +90,53 @@
     String id = "soak-" + requests.incrementAndGet();
     String named =
         switch (kind) {
-          case CHAT, REPORT -> "m" + model;
+          case CHAT, REPORT, SURVEY -> "m" + model;
           case ADAPTER -> "m" + model + "/a" + model % 2;
           case LOOKUP, ORDER -> "";
         };
     Request request =
-        PlatformCaller.request(http, address, kind.method(), kind.path() + id, named, id)
-            .timeout(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
+        PlatformCaller.request(
+                http, address, kind.method(), kind.path() + id, named, id, kind.deadline())
+            .timeout(kind.deadline().plus(BEYOND_DEADLINE).toMillis(), TimeUnit.MILLISECONDS);
     Outcome outcome = await(id, kind, request);
     outcomes.add(outcome);
     return outcome;
   }
 
   private static Outcome await(String id, Kind kind, Request request) throws InterruptedException {
+    AtomicLong sentAt = new AtomicLong();
+    request.onRequestSuccess(sent -> sentAt.set(System.nanoTime()));
+    request.onResponseBegin(begun -> sentAt.set(0));
     try {
       ContentResponse response = request.send();
-      return new Outcome(id, kind, response.getStatus(), response.getContentAsString());
-    } catch (ExecutionException | TimeoutException failure) {
-      return new Outcome(id, kind, Outcome.NO_ANSWER, String.valueOf(failure.getMessage()));
+      return Outcome.answered(id, kind, response.getStatus(), response.getContentAsString());
+    } catch (TimeoutException failure) {
+      return Outcome.unanswered(id, kind, Duration.ZERO, "time limit");
+    } catch (ExecutionException failure) {
+      boolean closed = sentAt.get() != 0 && !(failure.getCause() instanceof TimeoutException);
+      Duration waited = closed ? Duration.ofNanos(System.nanoTime() - sentAt.get()) : Duration.ZERO;
+      return Outcome.unanswered(id, kind, waited, String.valueOf(failure.getMessage()));
     }
   }
 
+  /** Sends several surveys at once, and does not wait for their ends. */
+  void burst(String address, int model, int count) {
+    for (int i = 0; i < count; i++) {
+      add(
+          () -> {
+            try {
+              send(address, Kind.SURVEY, model);
+            } catch (InterruptedException interrupted) {
+              Thread.currentThread().interrupt();
+            }
+          });
+    }
+  }
+
+  private void add(Runnable caller) {
+    threads.add(Thread.ofVirtual().name("caller").start(caller));
+  }
+
   /** Lets the callers finish their requests; returns the ends of all requests. */
   List<Outcome> stop() throws InterruptedException {
     stopping = true;
@@ -130,6 +155,8 @@
     ADAPTER("POST", "/chat/"),
     /** A stream that one runner has to finish. */
     REPORT("POST", "/report/"),
+    /** A stream whose callers wait long, also for a model that has to be loaded. */
+    SURVEY("POST", "/survey/"),
     /** A request that may run several times. */
     LOOKUP("GET", "/lookup/"),
     /** A request that may run once. */
@@ -151,8 +178,13 @@
       return path;
     }
 
+    /** Returns the time limit that callers name. */
+    Duration deadline() {
+      return this == SURVEY ? SURVEY_DEADLINE : PlatformCaller.PATIENCE;
+    }
+
     boolean isStream() {
-      return this == CHAT || this == ADAPTER || this == REPORT;
+      return this == CHAT || this == ADAPTER || this == REPORT || this == SURVEY;
     }
 
     boolean mayRunAgain() {
@@ -167,10 +199,20 @@
    * @param kind what was asked for
    * @param status HTTP status of the whole answer; {@link #NO_ANSWER} if none came
    * @param body the answer's body, or why none came
+   * @param closedAfter time from the sending of the whole request until its connection was closed
+   *     without a byte of an answer; zero if it ended in another way
    */
-  record Outcome(String id, Kind kind, int status, String body) {
+  record Outcome(String id, Kind kind, int status, String body, Duration closedAfter) {
 
     /** Stands for the status of an answer that did not come whole. */
     static final int NO_ANSWER = 0;
+
+    static Outcome answered(String id, Kind kind, int status, String body) {
+      return new Outcome(id, kind, status, body, Duration.ZERO);
+    }
+
+    static Outcome unanswered(String id, Kind kind, Duration closedAfter, String reason) {
+      return new Outcome(id, kind, NO_ANSWER, reason, closedAfter);
+    }
   }
 }
--- a/src/main/java/dev/wisteriarail/soak/SoakFleet.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakFleet.java
@@ -37,16 +37,17 @@
    * Starts the platform and all nodes.
    *
    * @param nodes number of nodes
+   * @param stopLimit time that they have after SIGTERM
    * @param directory where settings and logs of the nodes are kept
    */
-  static SoakFleet start(int nodes, Path directory) throws SettingsException {
+  static SoakFleet start(int nodes, Duration stopLimit, Path directory) throws SettingsException {
     SoakFleet fleet = new SoakFleet(PlatformStandin.start(ENGINES, PLAIN));
     for (RunnerStandin runner : fleet.platform.runners()) {
       fleet.interpose(runner);
     }
     fleet.platform.writeEntries();
     for (int i = 0; i < nodes; i++) {
-      Member member = fleet.newMember("n" + i, directory);
+      Member member = fleet.newMember("n" + i, stopLimit, directory);
       fleet.members.add(member);
       member.process().start(Duration.ZERO);
     }
@@ -63,12 +64,14 @@
     runner.announce(proxy.address());
   }
 
-  private Member newMember(String name, Path directory) throws SettingsException {
+  private Member newMember(String name, Duration stopLimit, Path directory)
+      throws SettingsException {
     LoopbackSettings direct = LoopbackSettings.of(name, platform.store().address());
     LoopbackProxy callers = LoopbackProxy.start(direct.callerPort());
     LoopbackProxy peers = LoopbackProxy.start(direct.peerPort());
     LoopbackProxy store = LoopbackProxy.start(port(direct.store()));
-    LoopbackSettings settings = direct.withLinks(peers.address(), store.address());
+    LoopbackSettings settings =
+        direct.withLinks(peers.address(), store.address()).withStopLimit(stopLimit);
     NodeProcess process = NodeProcess.create(name, settings.toml(), directory);
     return new Member(process, settings, callers, peers, store);
   }
--- a/src/main/java/dev/wisteriarail/soak/SoakOracle.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakOracle.java
@@ -1,11 +1,13 @@
 package dev.wisteriarail.soak;
 
 import dev.wisteriarail.standin.RunnerStandin;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -17,6 +19,12 @@
   /** Refusals that say that the request did not run and will not. */
   private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
 
+  /**
+   * Time after which a node must have read a whole request, so that it owes an answer: ten times
+   * the users' {@code loss_slack_ms}, as nodes and callers share a busy machine.
+   */
+  private static final Duration LOSS_SLACK = Duration.ofSeconds(2);
+
   private static final int OK = 200;
   private static final int FIRST_CLIENT_ERROR = 300;
   private static final int FIRST_SERVER_ERROR = 500;
@@ -28,10 +36,10 @@
    *
    * @param outcomes how the requests of all callers ended
    * @param runners all runners that ever were
-   * @param plannedOnly whether nothing but planned work was done, so that nothing may get lost
+   * @param work what was done, which decides what may get lost
    */
   static List<String> violations(
-      List<SoakCallers.Outcome> outcomes, List<RunnerStandin> runners, boolean plannedOnly) {
+      List<SoakCallers.Outcome> outcomes, List<RunnerStandin> runners, SoakPlan.Work work) {
     List<String> found = new ArrayList<>();
     Map<String, Integer> runs = new HashMap<>();
     for (RunnerStandin runner : runners) {
@@ -41,7 +49,7 @@
     Set<String> sent = new HashSet<>();
     for (SoakCallers.Outcome outcome : outcomes) {
       sent.add(outcome.id());
-      check(outcome, runs.getOrDefault(outcome.id(), 0), plannedOnly, found);
+      check(outcome, runs.getOrDefault(outcome.id(), 0), work, found);
     }
     runs.keySet().stream()
         .filter(id -> !sent.contains(id))
@@ -50,7 +58,7 @@
   }
 
   private static void check(
-      SoakCallers.Outcome outcome, int runs, boolean plannedOnly, List<String> found) {
+      SoakCallers.Outcome outcome, int runs, SoakPlan.Work work, List<String> found) {
     String request = outcome.id() + " (" + outcome.kind() + ")";
     boolean once = !outcome.kind().mayRunAgain();
     if (once && runs > 1) {
@@ -69,9 +77,20 @@
     if (ownRefusal) {
       found.add("DENIED " + request + " was proper and got " + outcome.status());
     }
-    if (plannedOnly && runs > 0 && outcome.status() == SoakCallers.Outcome.NO_ANSWER) {
-      found.add("LOST " + request + " ran and got no answer: " + outcome.body());
+    if (outcome.status() == SoakCallers.Outcome.NO_ANSWER) {
+      checkLost(outcome, runs, work).ifPresent(why -> found.add("LOST " + request + " " + why));
+    }
+  }
+
+  private static Optional<String> checkLost(
+      SoakCallers.Outcome outcome, int runs, SoakPlan.Work work) {
+    if (work == SoakPlan.Work.PLANNED && runs > 0) {
+      return Optional.of("ran and got no answer: " + outcome.body());
+    }
+    if (work != SoakPlan.Work.FAULTS && outcome.closedAfter().compareTo(LOSS_SLACK) > 0) {
+      return Optional.of("got no byte in " + outcome.closedAfter().toMillis() + " ms");
     }
+    return Optional.empty();
   }
 
   private static String expected(SoakCallers.Outcome outcome) {
--- a/src/main/java/dev/wisteriarail/soak/SoakPlan.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakPlan.java
@@ -1,8 +1,10 @@
 package dev.wisteriarail.soak;
 
+import dev.wisteriarail.standin.PlatformStandin;
 import dev.wisteriarail.standin.RunnerStandin;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -10,14 +12,38 @@
  * What a soak does and when; the same seed gives the same plan. Some seeds have planned work only,
  * so that losses which a fault would excuse can be told from others. Immutable.
  *
- * @param plannedOnly whether it holds nothing but planned work
+ * @param work what kinds of disturbances it holds
+ * @param stopLimit time that nodes have after SIGTERM
  * @param steps the disturbances, in the order of their times
  */
-public record SoakPlan(boolean plannedOnly, List<Step> steps) {
+public record SoakPlan(Work work, Duration stopLimit, List<Step> steps) {
 
   /** One seed in this many has planned work only. */
   private static final int PLANNED_ONE_IN = 4;
 
+  /** Of the others, one in this many has planned work and runners that let nodes wait. */
+  private static final int SLOW_RUNNERS_ONE_IN = 3;
+
+  /** Stop limits of nodes: a short one, and the users' grace. */
+  private static final List<Duration> STOP_LIMITS =
+      List.of(Duration.ofSeconds(4), Duration.ofSeconds(8));
+
+  /** Shortest and longest time between the stops of two nodes in a rolling restart. */
+  private static final int ROLL_LEAST_MILLIS = 1_000;
+
+  private static final int ROLL_MOST_MILLIS = 1_500;
+
+  /** One disturbance in this many is a rolling restart. */
+  private static final int ROLL_ONE_IN = 10;
+
+  private static final int NODES_BETWEEN_BURSTS = 3;
+
+  /** Callers of each node in a burst. */
+  private static final int BURST_CALLERS = 6;
+
+  /** Large models that bursts ask for. */
+  private static final int LARGE_MODELS = 2;
+
   /** Mean time between two disturbances; they last longer, so they overlap. */
   private static final int PAUSE_MILLIS = 700;
 
@@ -35,6 +61,16 @@
    */
   public record Step(Duration at, Disturbance what) {}
 
+  /** What a plan may hold. */
+  public enum Work {
+    /** Everything. */
+    FAULTS,
+    /** Planned work only, so that nothing may get lost. */
+    PLANNED,
+    /** Planned work, and runners that are full, silent or slow. */
+    PLANNED_WITH_SLOW_RUNNERS
+  }
+
   /** Copies the list. */
   public SoakPlan {
     steps = List.copyOf(steps);
@@ -50,24 +86,80 @@
    */
   public static SoakPlan draw(long seed, Duration length, int nodes, int runners) {
     SplittableRandom random = new SplittableRandom(seed);
-    boolean plannedOnly = random.nextInt(PLANNED_ONE_IN) == 0;
+    Work work = drawWork(random);
+    Duration stopLimit = STOP_LIMITS.get(random.nextInt(STOP_LIMITS.size()));
     List<Step> steps = new ArrayList<>();
     long at = random.nextInt(PAUSE_MILLIS);
     while (at < length.toMillis()) {
-      Disturbance what = draw(random, nodes, runners);
-      if (!plannedOnly || what.isPlanned()) {
+      if (random.nextInt(ROLL_ONE_IN) == 0) {
+        steps.addAll(rollingRestart(random, at, nodes, runners, work));
+        at += random.nextInt(2 * PAUSE_MILLIS);
+        continue;
+      }
+      Disturbance what = drawDisturbance(random, nodes, runners);
+      if (allows(work, what)) {
         steps.add(new Step(Duration.ofMillis(at), what));
         at += random.nextInt(2 * PAUSE_MILLIS);
       }
     }
-    return new SoakPlan(plannedOnly, steps);
+    steps.sort(Comparator.comparing(Step::at));
+    return new SoakPlan(work, stopLimit, steps);
+  }
+
+  private static Work drawWork(SplittableRandom random) {
+    if (random.nextInt(PLANNED_ONE_IN) == 0) {
+      return Work.PLANNED;
+    }
+    boolean slow = random.nextInt(SLOW_RUNNERS_ONE_IN) == 0;
+    return slow ? Work.PLANNED_WITH_SLOW_RUNNERS : Work.FAULTS;
+  }
+
+  private static boolean allows(Work work, Disturbance what) {
+    return switch (work) {
+      case FAULTS -> true;
+      case PLANNED -> what.isPlanned();
+      case PLANNED_WITH_SLOW_RUNNERS ->
+          what.isPlanned() || (what instanceof Disturbance.RunnerMisbehaves bad && bad.isPatient());
+    };
+  }
+
+  /**
+   * All nodes are stopped in turn, the next one before the last one has ended, while callers ask
+   * for a model that has to be loaded; runners may be silent meanwhile.
+   */
+  private static List<Step> rollingRestart(
+      SplittableRandom random, long start, int nodes, int runners, Work work) {
+    List<Step> steps = new ArrayList<>();
+    long at = start;
+    for (int node = 0; node < nodes; node++) {
+      steps.add(new Step(Duration.ofMillis(at), new Disturbance.NodeStopped(node)));
+      if (node % NODES_BETWEEN_BURSTS == 0) {
+        steps.add(new Step(Duration.ofMillis(at), burst(random)));
+      }
+      at += random.nextInt(ROLL_LEAST_MILLIS, ROLL_MOST_MILLIS);
+    }
+    if (work != Work.PLANNED) {
+      steps.add(
+          new Step(
+              Duration.ofMillis(start + random.nextInt(ROLL_MOST_MILLIS)),
+              new Disturbance.RunnerMisbehaves(
+                  random.nextInt(runners),
+                  RunnerStandin.Behaviour.SILENT,
+                  random.nextLong(LONGEST_MILLIS, 2 * LONGEST_MILLIS))));
+    }
+    return steps;
+  }
+
+  private static Disturbance burst(SplittableRandom random) {
+    int model = PlatformStandin.FIRST_LARGE_MODEL + random.nextInt(LARGE_MODELS);
+    return new Disturbance.Burst(model, BURST_CALLERS);
   }
 
-  private static Disturbance draw(SplittableRandom random, int nodes, int runners) {
+  private static Disturbance drawDisturbance(SplittableRandom random, int nodes, int runners) {
     int node = random.nextInt(nodes);
     int runner = random.nextInt(runners);
     long millis = random.nextLong(100, LONGEST_MILLIS);
-    return switch (random.nextInt(16)) {
+    return switch (random.nextInt(17)) {
       case 0, 1 -> new Disturbance.NodeStopped(node);
       case 2, 3 ->
           new Disturbance.NodeKilled(
@@ -85,6 +177,7 @@
       case 11, 12 ->
           new Disturbance.RunnerMisbehaves(
               runner, pick(random, RunnerStandin.Behaviour.values()), millis);
+      case 13 -> burst(random);
       default -> {
         Disturbance.Link link = pick(random, Disturbance.Link.values());
         int index = link == Disturbance.Link.RUNNER ? runner : node;
--- a/src/main/java/dev/wisteriarail/standin/LoopbackSettings.java
+++ b/src/main/java/dev/wisteriarail/standin/LoopbackSettings.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.standin;
 
 import dev.wisteriarail.core.result.SettingsException;
+import java.time.Duration;
 
 /**
  * Settings of a gateway node that runs on loopback before the stand-in of the platform. Immutable.
@@ -13,6 +14,7 @@
  * @param announced address that it tells other nodes, as host and port
  * @param store the store's address, as host and port
  * @param retryRatio repeats allowed for each request
+ * @param stopLimit time after SIGTERM until the process has to end, in whole seconds
  */
 public record LoopbackSettings(
     String name,
@@ -22,10 +24,11 @@
     int metricsPort,
     String announced,
     String store,
-    double retryRatio) {
+    double retryRatio,
+    Duration stopLimit) {
 
   /** Time that a node has for its requests after SIGTERM: far more than one of them takes. */
-  private static final int DRAIN_SECONDS = 4;
+  private static final Duration STOP_LIMIT = Duration.ofSeconds(4);
 
   private static final double RETRY_RATIO = 0.2;
 
@@ -47,19 +50,37 @@
         FreePorts.next(),
         "127.0.0.1:" + peerPort,
         store,
-        RETRY_RATIO);
+        RETRY_RATIO,
+        STOP_LIMIT);
   }
 
   /** Returns the same settings with other addresses for the way to it and to the store. */
   public LoopbackSettings withLinks(String newAnnounced, String newStore) {
-    return new LoopbackSettings(
-        name, callerPort, balancerPort, peerPort, metricsPort, newAnnounced, newStore, retryRatio);
+    return with(newAnnounced, newStore, retryRatio, stopLimit);
   }
 
   /** Returns the same settings with another share of repeats. */
   public LoopbackSettings withRetryRatio(double newRatio) {
+    return with(announced, store, newRatio, stopLimit);
+  }
+
+  /** Returns the same settings with another time for a stop. */
+  public LoopbackSettings withStopLimit(Duration newLimit) {
+    return with(announced, store, retryRatio, newLimit);
+  }
+
+  private LoopbackSettings with(
+      String newAnnounced, String newStore, double newRatio, Duration newLimit) {
     return new LoopbackSettings(
-        name, callerPort, balancerPort, peerPort, metricsPort, announced, store, newRatio);
+        name,
+        callerPort,
+        balancerPort,
+        peerPort,
+        metricsPort,
+        newAnnounced,
+        newStore,
+        newRatio,
+        newLimit);
   }
 
   /** Returns the settings as TOML. */
@@ -69,7 +90,7 @@
         "[node]",
         "id = \"" + name + "\"",
         "failure_domain = \"a\"",
-        "drain_limit_s = " + DRAIN_SECONDS,
+        "drain_limit_s = " + stopLimit.toSeconds(),
         "[gateway]",
         "callers = \"127.0.0.1:" + callerPort + "\"",
         "balancer = \"127.0.0.1:" + balancerPort + "\"",
--- a/src/main/java/dev/wisteriarail/standin/PlatformCaller.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformCaller.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.standin;
 
+import java.time.Duration;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.StringRequestContent;
@@ -7,7 +8,8 @@
 /** Builds requests as the callers of the users' platform send them. Stateless. */
 public final class PlatformCaller {
 
-  private static final String PATIENCE_MILLIS = "4000";
+  /** How long callers wait for an answer, unless they say otherwise. */
+  public static final Duration PATIENCE = Duration.ofSeconds(4);
 
   private PlatformCaller() {}
 
@@ -23,13 +25,29 @@
    */
   public static Request request(
       HttpClient http, String address, String method, String path, String model, String id) {
+    return request(http, address, method, path, model, id, PATIENCE);
+  }
+
+  /**
+   * Returns a request that is not sent yet, of a caller that waits for a time of its own.
+   *
+   * @param patience time in which the caller wants the whole answer
+   */
+  public static Request request(
+      HttpClient http,
+      String address,
+      String method,
+      String path,
+      String model,
+      String id,
+      Duration patience) {
     Request request =
         http.newRequest("http://" + address + path)
             .method(method)
             .headers(
                 headers -> {
                   headers.put("X-Wisteriarail-Request-Id", id);
-                  headers.put("X-Wisteriarail-Deadline-Ms", PATIENCE_MILLIS);
+                  headers.put("X-Wisteriarail-Deadline-Ms", patience.toMillis());
                   if (!model.isEmpty()) {
                     headers.put("X-Wisteriarail-Model", model);
                   }
--- a/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.settings.Endpoint;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -34,8 +35,16 @@
   private static final String RUNNERS_TOPIC = "keyed.servers";
   private static final String OPERATOR_TOPIC = "keyed.op";
   private static final long BEAT_MILLIS = 200;
-  private static final int MODELS = 6;
+  private static final int MODELS = 8;
+
+  /** The models from this number on take seconds to load. */
+  public static final int FIRST_LARGE_MODEL = 6;
+
   private static final double MODEL_MB = 60;
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration SURVEY_TIMEOUT = Duration.ofSeconds(25);
+  private static final Duration OBJECTIVE = Duration.ofMillis(500);
+  private static final Duration SURVEY_OBJECTIVE = Duration.ofSeconds(5);
 
   private final MetadataStoreStandin store;
   private final List<RunnerStandin> runners = new ArrayList<>();
@@ -121,6 +130,10 @@
     List<Map<String, Object>> routes = new ArrayList<>();
     routes.add(route("chat", "/chat/", "streaming", ENGINES, 2, true));
     routes.add(route("report", "/report/", "streaming", ENGINES, 1, false));
+    Map<String, Object> survey = route("survey", "/survey/", "streaming", ENGINES, 1, false);
+    survey.put("timeout_ms", SURVEY_TIMEOUT.toMillis());
+    survey.put("target_latency_ms", SURVEY_OBJECTIVE.toMillis());
+    routes.add(survey);
     routes.add(route("lookup", "/lookup/", "idempotent", PLAIN, 2, false));
     routes.add(route("order", "/order/", "non_idempotent", PLAIN, 1, false));
     more.forEach(name -> routes.add(route(name, "/" + name + "/", "idempotent", PLAIN, 2, false)));
@@ -143,8 +156,8 @@
     route.put("host", HOST);
     route.put("path_prefix", prefix);
     route.put("kind", kind);
-    route.put("timeout_ms", 5_000);
-    route.put("target_latency_ms", 500);
+    route.put("timeout_ms", TIMEOUT.toMillis());
+    route.put("target_latency_ms", OBJECTIVE.toMillis());
     route.put("priority", 1);
     route.put("service", service);
     route.put("max_attempts", attempts);
@@ -159,13 +172,20 @@
     for (int i = 0; i < MODELS; i++) {
       models.add(
           Map.of(
-              "name", "m" + i,
-              "weights_mb", MODEL_MB,
-              "load_s", 0.2,
-              "warm_s", 0.1,
-              "disk_load_s", 0.1,
-              "adapters", 2,
-              "adapter_mb", 1.0));
+              "name",
+              "m" + i,
+              "weights_mb",
+              MODEL_MB,
+              "load_s",
+              i < FIRST_LARGE_MODEL ? 0.2 : 4.0,
+              "warm_s",
+              0.1,
+              "disk_load_s",
+              i < FIRST_LARGE_MODEL ? 0.1 : 4.0,
+              "adapters",
+              2,
+              "adapter_mb",
+              1.0));
     }
     Map<String, Object> engine = new LinkedHashMap<>();
     engine.put("slots", 8);
--- a/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -27,6 +27,17 @@
   private static final int EVENTS = 6;
   private static final long EVENT_PAUSE_MILLIS = 3;
   private static final long LOAD_MILLIS = 120;
+  private static final long LARGE_LOAD_MILLIS = 4_000;
+
+  /** Pauses of a slow runner: before its answer, and between two events. */
+  private static final long SLOW_START_MILLIS = 1_500;
+
+  private static final long SLOW_EVENT_MILLIS = 600;
+
+  /** Time for which a silent runner keeps a connection. */
+  private static final long SILENCE_MILLIS = 30_000;
+
+  private static final long POLL_MILLIS = 100;
 
   /** Models of the stand-in's size that fit into the memory of one engine. */
   static final int MODEL_PLACES = 2;
@@ -50,6 +61,8 @@
   private String fenceHolder = "";
   private String announced = "";
   private long busyUntilNanos;
+  private String loading = "";
+  private volatile boolean closed;
   private int running;
 
   private RunnerStandin(String id, String service, boolean engine, long born) {
@@ -74,7 +87,11 @@
     /** It answers as if to another request. */
     CROSSED,
     /** It answers without its signature. */
-    UNSIGNED
+    UNSIGNED,
+    /** It takes requests, never begins to run them and answers nothing. */
+    SILENT,
+    /** It answers right, after seconds. */
+    SLOW
   }
 
   /**
@@ -132,11 +149,12 @@
 
   private Map<String, Object> description() {
     List<Map<String, Object>> held = new ArrayList<>();
-    if (!isBusy()) {
-      models.forEach(
-          (name, adapters) ->
-              held.add(Map.of("name", name, "version", 1, "adapters", List.copyOf(adapters))));
-    }
+    models.forEach(
+        (name, adapters) -> {
+          if (!isLoading(name)) {
+            held.add(Map.of("name", name, "version", 1, "adapters", List.copyOf(adapters)));
+          }
+        });
     Map<String, Object> description = new LinkedHashMap<>();
     description.put("models", held);
     description.put("available", Map.of("in_memory", List.of(), "on_disk", List.copyOf(disk)));
@@ -148,6 +166,15 @@
     return System.nanoTime() < busyUntilNanos;
   }
 
+  private boolean isLoading(String model) {
+    return isBusy() && model.equals(loading);
+  }
+
+  private static long loadMillis(String model) {
+    boolean large = Integer.parseInt(model.substring(1)) >= PlatformStandin.FIRST_LARGE_MODEL;
+    return large ? LARGE_LOAD_MILLIS : LOAD_MILLIS;
+  }
+
   private synchronized void order(Call call) throws IOException {
     Map<?, ?> order = Codecs.json().readValue(call.body(), Map.class);
     long token = ((Number) order.get("fencing_token")).longValue();
@@ -180,7 +207,8 @@
     if (load) {
       models.putIfAbsent(model, new TreeSet<>());
       disk.add(model);
-      busyUntilNanos = System.nanoTime() + LOAD_MILLIS * 1_000_000;
+      loading = model;
+      busyUntilNanos = System.nanoTime() + loadMillis(model) * 1_000_000;
       noteHeld();
     } else {
       models.remove(model);
@@ -224,6 +252,8 @@
     } else if (engine && !holds(call.header("X-Wisteriarail-Model").orElse(""))) {
       call.setHeader(NOT_RUN, "1");
       call.reply(421, "not loaded");
+    } else if (behaviour == Behaviour.SILENT) {
+      running++;
     } else {
       ran.add(request);
       running++;
@@ -234,7 +264,7 @@
   private boolean holds(String named) {
     int slash = named.indexOf('/');
     String model = slash < 0 ? named : named.substring(0, slash);
-    return !isBusy()
+    return !isLoading(model)
         && models.containsKey(model)
         && (slash < 0 || models.get(model).contains(named.substring(slash + 1)));
   }
@@ -245,9 +275,15 @@
 
   private void answer(Call call, String request, Behaviour how)
       throws IOException, InterruptedException {
-    if (how == Behaviour.ANSWER_LOST) {
+    if (how == Behaviour.SILENT) {
+      pause(SILENCE_MILLIS);
+    }
+    if (how == Behaviour.ANSWER_LOST || how == Behaviour.SILENT) {
       return;
     }
+    if (how == Behaviour.SLOW) {
+      pause(SLOW_START_MILLIS);
+    }
     if (how == Behaviour.CROSSED) {
       call.setHeader("X-Wisteriarail-Request-Id", "another-" + request);
     }
@@ -269,6 +305,14 @@
     }
   }
 
+  /** Waits, unless the runner ends meanwhile. */
+  private void pause(long millis) throws InterruptedException {
+    long until = System.nanoTime() + millis * 1_000_000;
+    while (!closed && System.nanoTime() < until) {
+      Thread.sleep(Math.min(millis, POLL_MILLIS));
+    }
+  }
+
   private void stream(Call call, String request, Behaviour how)
       throws IOException, InterruptedException {
     call.setHeader("Content-Type", "text/event-stream");
@@ -280,7 +324,7 @@
         return;
       }
       call.writePart(text, event == EVENTS);
-      Thread.sleep(EVENT_PAUSE_MILLIS);
+      Thread.sleep(how == Behaviour.SLOW ? SLOW_EVENT_MILLIS : EVENT_PAUSE_MILLIS);
     }
   }
 
@@ -362,6 +406,7 @@
 
   @Override
   public void close() {
+    closed = true;
     server.close();
   }
 }
--- a/src/test/java/dev/wisteriarail/soak/SoakTest.java
+++ b/src/test/java/dev/wisteriarail/soak/SoakTest.java
@@ -12,18 +12,22 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** A short soak, and what the oracle of the soak finds. */
+/** Short soaks with each kind of work, and what the oracle of the soak finds. */
 final class SoakTest {
 
   private static final RunnerStandin[] NO_RUNNERS = {};
 
+  /** Its plan holds a rolling restart, a burst and a silent runner. */
+  private static final long ROLLING_SEED = 9;
+
   @TempDir private Path directory;
 
   @ParameterizedTest
-  @ValueSource(longs = {3})
+  @ValueSource(longs = {3, 4, 7, ROLLING_SEED})
   void shortSoakBreaksNoPromise(long seed) throws Exception {
     PrintStream silent =
         new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
@@ -43,7 +47,7 @@
     for (long seed = 0; seed < 40; seed++) {
       SoakPlan plan = SoakPlan.draw(seed, Duration.ofSeconds(10), 3, 5);
       boolean onlyPlanned = plan.steps().stream().allMatch(step -> step.what().isPlanned());
-      assertThat(onlyPlanned || !plan.plannedOnly()).isTrue();
+      assertThat(onlyPlanned || plan.work() != SoakPlan.Work.PLANNED).isTrue();
     }
   }
 
@@ -54,7 +58,7 @@
         kind.isStream()
             ? RunnerStandin.wholeStream("another")
             : RunnerStandin.plainAnswer("another");
-    assertThat(check(new SoakCallers.Outcome("r1", kind, 200, body)).getFirst())
+    assertThat(check(SoakCallers.Outcome.answered("r1", kind, 200, body)).getFirst())
         .startsWith("MIXED");
   }
 
@@ -62,7 +66,7 @@
   void streamWithoutItsEndIsFound() {
     String whole = RunnerStandin.wholeStream("r1");
     SoakCallers.Outcome cut =
-        new SoakCallers.Outcome(
+        SoakCallers.Outcome.answered(
             "r1", SoakCallers.Kind.CHAT, 200, whole.substring(0, whole.length() - 10));
     assertThat(check(cut).getFirst()).startsWith("MIXED");
   }
@@ -70,11 +74,35 @@
   @Test
   void refusalOfProperRequestIsFound() {
     SoakCallers.Outcome denied =
-        new SoakCallers.Outcome("r1", SoakCallers.Kind.LOOKUP, 404, "no route");
+        SoakCallers.Outcome.answered("r1", SoakCallers.Kind.LOOKUP, 404, "no route");
     assertThat(check(denied).getFirst()).startsWith("DENIED");
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "PLANNED, 3000, true",
+    "PLANNED_WITH_SLOW_RUNNERS, 3000, true",
+    "FAULTS, 3000, false",
+    "PLANNED, 100, false",
+  })
+  void connectionThatIsClosedWithoutByteIsFound(SoakPlan.Work work, long millis, boolean lost) {
+    SoakCallers.Outcome closed =
+        SoakCallers.Outcome.unanswered(
+            "r1", SoakCallers.Kind.ORDER, Duration.ofMillis(millis), "closed");
+    List<String> found = SoakOracle.violations(List.of(closed), List.of(NO_RUNNERS), work);
+    assertThat(found.stream().anyMatch(line -> line.startsWith("LOST"))).isEqualTo(lost);
+  }
+
+  @Test
+  void plansHoldRollingRestartsAndSilentRunners() {
+    SoakPlan plan = SoakPlan.draw(ROLLING_SEED, Duration.ofSeconds(4), 2, 5);
+    assertThat(plan.work()).isEqualTo(SoakPlan.Work.PLANNED_WITH_SLOW_RUNNERS);
+    assertThat(plan.steps().stream().map(SoakPlan.Step::what).toList())
+        .containsAtLeast(new Disturbance.NodeStopped(0), new Disturbance.NodeStopped(1))
+        .inOrder();
+  }
+
   private static List<String> check(SoakCallers.Outcome outcome) {
-    return SoakOracle.violations(List.of(outcome), List.of(NO_RUNNERS), false);
+    return SoakOracle.violations(List.of(outcome), List.of(NO_RUNNERS), SoakPlan.Work.FAULTS);
   }
 }
