Soak: verdict of LOST allows for stalls of its own process; large fleets

The longest time for which the callers' process stood still is added to the limit of LOST and reported. Callers of more than seven nodes pause longer and the time to recover grows with more than 30 nodes, as all nodes share one machine.

--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -28,6 +28,9 @@
   /** Time in which every node must serve again once all faults are over. */
   private static final Duration RECOVERY = Duration.ofSeconds(90);
 
+  /** The same for each node of a large fleet, all of which start on one machine. */
+  private static final Duration RECOVERY_OF_NODE = Duration.ofSeconds(3);
+
   /** Time in which a process must end after SIGTERM; its own limit is some seconds. */
   private static final Duration STOP_LIMIT = Duration.ofSeconds(60);
 
@@ -94,10 +97,13 @@
     List<SoakCallers.Outcome> outcomes = callers.stop();
     stopAll();
     List<String> violations = new ArrayList<>(broken);
-    violations.addAll(SoakOracle.violations(outcomes, fleet.platform().everyRunner(), plan.work()));
+    violations.addAll(
+        SoakOracle.violations(
+            outcomes, fleet.platform().everyRunner(), plan.work(), callers.longestStall()));
     Map<Integer, Integer> statuses = new TreeMap<>();
     outcomes.forEach(outcome -> statuses.merge(outcome.status(), 1, Integer::sum));
-    return new Report(seed, plan.work(), plan.steps().size(), statuses, violations);
+    return new Report(
+        seed, plan.work(), plan.steps().size(), statuses, callers.longestStall(), violations);
   }
 
   private synchronized void add(String violation) {
@@ -246,7 +252,8 @@
 
   /** Waits until each node serves each kind of request; notes those that do not. */
   private void awaitRecovery(List<String> addresses, String when) throws InterruptedException {
-    long until = System.nanoTime() + RECOVERY.toNanos();
+    long ofAll = RECOVERY_OF_NODE.multipliedBy(addresses.size()).toNanos();
+    long until = System.nanoTime() + Math.max(RECOVERY.toNanos(), ofAll);
     for (String address : addresses) {
       for (SoakCallers.Kind kind : SoakCallers.Kind.values()) {
         while (callers.send(address, kind, 0).status() != 200) {
@@ -274,6 +281,7 @@
    * @param work what kinds of disturbances it had
    * @param disturbances number of disturbances
    * @param statuses number of requests by the status of their answer; 0 for no whole answer
+   * @param stall longest time for which the process of the callers stood still
    * @param violations what was broken, one line each
    */
   public record Report(
@@ -281,6 +289,7 @@
       SoakPlan.Work work,
       int disturbances,
       Map<Integer, Integer> statuses,
+      Duration stall,
       List<String> violations) {
 
     /** Copies the collections. */
@@ -292,7 +301,7 @@
     /** Returns the report as one line, and one more for each violation. */
     public String describe() {
       String head =
-          "seed %d (%s): %d disturbances, requests by status %s, %d violations"
+          "seed %d (%s): %d disturbances, requests by status %s, late by %d ms, %d violations"
               .formatted(seed, work, disturbances, new TreeMap<>(statuses), violations.size());
       return violations.isEmpty() ? head : head + "\n  " + String.join("\n  ", violations);
     }
--- a/src/main/java/dev/wisteriarail/soak/SoakCallers.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakCallers.java
@@ -29,6 +29,9 @@
   /** Longest pause of a caller between two requests. */
   private static final int PAUSE_MILLIS = 60;
 
+  /** Nodes from which on callers pause longer, as all share one machine. */
+  private static final int NODES_OF_FULL_PACE = 4;
+
   /** The same after a request without an answer: its node may be down. */
   private static final int PAUSE_UNANSWERED_MILLIS = 400;
 
@@ -38,14 +41,20 @@
   private static final Duration SURVEY_DEADLINE = Duration.ofSeconds(20);
   private static final int MODELS = 4;
 
+  /** Pause between two looks at how late this process runs. */
+  private static final long LOOK_MILLIS = 20;
+
   private final HttpClient http;
+  private final int pauseMillis;
+  private final AtomicLong longestStallNanos = new AtomicLong();
   private final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
   private final AtomicLong requests = new AtomicLong();
   private final Queue<Thread> threads = new ConcurrentLinkedQueue<>();
   private volatile boolean stopping;
 
-  private SoakCallers(HttpClient http) {
+  private SoakCallers(HttpClient http, int nodes) {
     this.http = http;
+    pauseMillis = PAUSE_MILLIS * Math.max(1, nodes / NODES_OF_FULL_PACE);
   }
 
   /**
@@ -55,8 +64,9 @@
    * @param addresses address of each node as host and port
    */
   static SoakCallers start(long seed, List<String> addresses) {
-    SoakCallers callers = new SoakCallers(HttpClients.startForCallers());
+    SoakCallers callers = new SoakCallers(HttpClients.startForCallers(), addresses.size());
     SplittableRandom random = new SplittableRandom(seed);
+    callers.add(callers::watchStalls);
     for (String address : addresses) {
       for (int i = 0; i < CALLERS_OF_A_NODE; i++) {
         SplittableRandom own = random.split();
@@ -72,7 +82,21 @@
         Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
         Outcome outcome = send(address, kind, random.nextInt(MODELS));
         boolean answered = outcome.status() != Outcome.NO_ANSWER;
-        Thread.sleep(random.nextInt(answered ? PAUSE_MILLIS : PAUSE_UNANSWERED_MILLIS));
+        Thread.sleep(random.nextInt(answered ? pauseMillis : PAUSE_UNANSWERED_MILLIS));
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Measures by how much this process, which times the callers, runs late. */
+  private void watchStalls() {
+    try {
+      while (!stopping) {
+        long before = System.nanoTime();
+        Thread.sleep(LOOK_MILLIS);
+        long late = System.nanoTime() - before - Duration.ofMillis(LOOK_MILLIS).toNanos();
+        longestStallNanos.accumulateAndGet(late, Math::max);
       }
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
@@ -147,6 +171,11 @@
     return List.copyOf(outcomes);
   }
 
+  /** Returns the longest time for which this process stood still. */
+  Duration longestStall() {
+    return Duration.ofNanos(longestStallNanos.get());
+  }
+
   /** What a caller asks for. */
   enum Kind {
     /** A stream that may go on at another runner. */
--- a/src/main/java/dev/wisteriarail/soak/SoakOracle.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakOracle.java
@@ -37,9 +37,13 @@
    * @param outcomes how the requests of all callers ended
    * @param runners all runners that ever were
    * @param work what was done, which decides what may get lost
+   * @param stall longest time for which the callers' process stood still
    */
   static List<String> violations(
-      List<SoakCallers.Outcome> outcomes, List<RunnerStandin> runners, SoakPlan.Work work) {
+      List<SoakCallers.Outcome> outcomes,
+      List<RunnerStandin> runners,
+      SoakPlan.Work work,
+      Duration stall) {
     List<String> found = new ArrayList<>();
     Map<String, Integer> runs = new HashMap<>();
     for (RunnerStandin runner : runners) {
@@ -49,7 +53,11 @@
     Set<String> sent = new HashSet<>();
     for (SoakCallers.Outcome outcome : outcomes) {
       sent.add(outcome.id());
-      check(outcome, runs.getOrDefault(outcome.id(), 0), work, found);
+      int count = runs.getOrDefault(outcome.id(), 0);
+      check(outcome, count, found);
+      if (outcome.status() == SoakCallers.Outcome.NO_ANSWER) {
+        checkLost(outcome, count, work, LOSS_SLACK.plus(stall)).ifPresent(found::add);
+      }
     }
     runs.keySet().stream()
         .filter(id -> !sent.contains(id))
@@ -57,8 +65,7 @@
     return found;
   }
 
-  private static void check(
-      SoakCallers.Outcome outcome, int runs, SoakPlan.Work work, List<String> found) {
+  private static void check(SoakCallers.Outcome outcome, int runs, List<String> found) {
     String request = outcome.id() + " (" + outcome.kind() + ")";
     boolean once = !outcome.kind().mayRunAgain();
     if (once && runs > 1) {
@@ -77,18 +84,16 @@
     if (ownRefusal) {
       found.add("DENIED " + request + " was proper and got " + outcome.status());
     }
-    if (outcome.status() == SoakCallers.Outcome.NO_ANSWER) {
-      checkLost(outcome, runs, work).ifPresent(why -> found.add("LOST " + request + " " + why));
-    }
   }
 
   private static Optional<String> checkLost(
-      SoakCallers.Outcome outcome, int runs, SoakPlan.Work work) {
+      SoakCallers.Outcome outcome, int runs, SoakPlan.Work work, Duration slack) {
+    String request = "LOST " + outcome.id() + " (" + outcome.kind() + ")";
     if (work == SoakPlan.Work.PLANNED && runs > 0) {
-      return Optional.of("ran and got no answer: " + outcome.body());
+      return Optional.of(request + " ran and got no answer: " + outcome.body());
     }
-    if (work != SoakPlan.Work.FAULTS && outcome.closedAfter().compareTo(LOSS_SLACK) > 0) {
-      return Optional.of("got no byte in " + outcome.closedAfter().toMillis() + " ms");
+    if (work != SoakPlan.Work.FAULTS && outcome.closedAfter().compareTo(slack) > 0) {
+      return Optional.of(request + " got no byte in " + outcome.closedAfter().toMillis() + " ms");
     }
     return Optional.empty();
   }
