--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -302,7 +302,13 @@
     public String describe() {
       String head =
           "seed %d (%s): %d disturbances, requests by status %s, late by %d ms, %d violations"
-              .formatted(seed, work, disturbances, new TreeMap<>(statuses), violations.size());
+              .formatted(
+                  seed,
+                  work,
+                  disturbances,
+                  new TreeMap<>(statuses),
+                  stall.toMillis(),
+                  violations.size());
       return violations.isEmpty() ? head : head + "\n  " + String.join("\n  ", violations);
     }
   }
