--- a/src/main/java/dev/wisteriarail/soak/SoakOracle.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakOracle.java
@@ -1,11 +1,13 @@
 package dev.wisteriarail.soak;
 
 import dev.wisteriarail.standin.RunnerStandin;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -17,6 +19,12 @@
   /** Refusals that say that the request did not run and will not. */
   private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
 
+  /**
+   * Time after which a node must have read a whole request, so that it owes an answer: ten times
+   * the users' {@code loss_slack_ms}, as nodes and callers share a busy machine.
+   */
+  private static final Duration LOSS_SLACK = Duration.ofSeconds(2);
+
   private static final int OK = 200;
   private static final int FIRST_CLIENT_ERROR = 300;
   private static final int FIRST_SERVER_ERROR = 500;
@@ -28,10 +36,14 @@
    *
    * @param outcomes how the requests of all callers ended
    * @param runners all runners that ever were
-   * @param plannedOnly whether nothing but planned work was done, so that nothing may get lost
+   * @param work what was done, which decides what may get lost
+   * @param stall longest time for which the callers' process stood still
    */
   static List<String> violations(
-      List<SoakCallers.Outcome> outcomes, List<RunnerStandin> runners, boolean plannedOnly) {
+      List<SoakCallers.Outcome> outcomes,
+      List<RunnerStandin> runners,
+      SoakPlan.Work work,
+      Duration stall) {
     List<String> found = new ArrayList<>();
     Map<String, Integer> runs = new HashMap<>();
     for (RunnerStandin runner : runners) {
@@ -41,7 +53,11 @@
     Set<String> sent = new HashSet<>();
     for (SoakCallers.Outcome outcome : outcomes) {
       sent.add(outcome.id());
-      check(outcome, runs.getOrDefault(outcome.id(), 0), plannedOnly, found);
+      int count = runs.getOrDefault(outcome.id(), 0);
+      check(outcome, count, found);
+      if (outcome.status() == SoakCallers.Outcome.NO_ANSWER) {
+        checkLost(outcome, count, work, LOSS_SLACK.plus(stall)).ifPresent(found::add);
+      }
     }
     runs.keySet().stream()
         .filter(id -> !sent.contains(id))
@@ -49,8 +65,7 @@
     return found;
   }
 
-  private static void check(
-      SoakCallers.Outcome outcome, int runs, boolean plannedOnly, List<String> found) {
+  private static void check(SoakCallers.Outcome outcome, int runs, List<String> found) {
     String request = outcome.id() + " (" + outcome.kind() + ")";
     boolean once = !outcome.kind().mayRunAgain();
     if (once && runs > 1) {
@@ -69,9 +84,18 @@
     if (ownRefusal) {
       found.add("DENIED " + request + " was proper and got " + outcome.status());
     }
-    if (plannedOnly && runs > 0 && outcome.status() == SoakCallers.Outcome.NO_ANSWER) {
-      found.add("LOST " + request + " ran and got no answer: " + outcome.body());
+  }
+
+  private static Optional<String> checkLost(
+      SoakCallers.Outcome outcome, int runs, SoakPlan.Work work, Duration slack) {
+    String request = "LOST " + outcome.id() + " (" + outcome.kind() + ")";
+    if (work == SoakPlan.Work.PLANNED && runs > 0) {
+      return Optional.of(request + " ran and got no answer: " + outcome.body());
+    }
+    if (work != SoakPlan.Work.FAULTS && outcome.closedAfter().compareTo(slack) > 0) {
+      return Optional.of(request + " got no byte in " + outcome.closedAfter().toMillis() + " ms");
     }
+    return Optional.empty();
   }
 
   private static String expected(SoakCallers.Outcome outcome) {
