The lease on orders goes to nodes that a rolling restart has behind it

Seen: while nodes are restarted one after the other, the lease on orders went, each time its holder stopped, to the next node by name, which the restart often stopped next.

Cause: a vacancy went to the first live node by bandwidth and name, whatever was known of restarts. A node that had not settled was waited for as well.

Change: while a live node says that it stops, nodes that started 6 s or more after the oldest live one rank first, then the fastest links, then a hash of the names, as tools restart nodes in the order of their names. Otherwise the order is as before, so a node that crashes again and again gains nothing. Heartbeats say whether a node has settled; one that has not is not waited for. Large fleets keep the order of their hubs. Nodes that disagree append under one condition, as before.

With the ranking of before, CoordinationTest fails in the cases of the restarted and of the unsettled node (run with a changed Coordination). The finalizer in Ring moved to NodeId, as it is used twice.

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordination.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordination.java
@@ -1,6 +1,8 @@
 package dev.wisteriarail.core.fleet;
 
+import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -12,10 +14,20 @@
  * peer says that it holds one, and where no live peer that reaches the store ranks before it. The
  * lease itself settles who gets it, so two nodes that disagree about their peers do no harm.
  *
+ * <p>While a node stops, others are likely to be stopped next, in the order of their names or
+ * another. Those that were restarted already then rank first, and the others by a hash of their
+ * names. A node that crashes again and again gains nothing by it.
+ *
  * <p>Stateless.
  */
 public final class Coordination {
 
+  /**
+   * Difference between the starts of two nodes from which the later one counts as restarted. Nodes
+   * that start together differ by less, also with clocks that are seconds apart.
+   */
+  static final long RESTARTED_LATER_MILLIS = 6_000;
+
   private Coordination() {}
 
   /** Returns the node that coordinates, as far as this node knows. */
@@ -67,17 +79,17 @@
    * @param self the node
    * @param own what it says of itself
    * @param holdsLease whether it holds the lease
-   * @param settled whether it has listened long enough since its start
    * @param expired whether its lease has run out and fencing numbers do not protect its orders
    * @param live its live peers
+   * @param wholeFleet whether those are all nodes, not the hubs of a large fleet only
    */
   public static boolean wantsLease(
       NodeAddress self,
       PeerStatus own,
       boolean holdsLease,
-      boolean settled,
       boolean expired,
-      List<PeerTable.Peer> live) {
+      List<PeerTable.Peer> live,
+      boolean wholeFleet) {
     if (own.draining()) {
       return false;
     }
@@ -86,16 +98,36 @@
       boolean othersReach = live.stream().anyMatch(peer -> mayRelay(peer.status()));
       return !overtaken && !(expired && othersReach);
     }
-    if (!settled || !own.storeReachable()) {
+    if (!mayLead(own)) {
       return false;
     }
     boolean led = live.stream().anyMatch(peer -> peer.status().fence() > 0);
+    boolean stopping = live.stream().anyMatch(peer -> peer.status().draining());
+    Comparator<NodeAddress> rank =
+        wholeFleet && stopping ? rankWhileStopping(self, live) : NodeAddress.BY_RANK;
     boolean first =
         live.stream()
-            .noneMatch(peer -> mayRelay(peer.status()) && peer.address().ranksBefore(self));
+            .noneMatch(peer -> mayLead(peer.status()) && rank.compare(peer.address(), self) < 0);
     return !led && first;
   }
 
+  private static Comparator<NodeAddress> rankWhileStopping(
+      NodeAddress self, List<PeerTable.Peer> live) {
+    long oldest =
+        live.stream()
+            .map(peer -> peer.address().incarnation())
+            .mapToLong(Incarnation::value)
+            .reduce(self.incarnation().value(), Math::min);
+    return Comparator.comparing(
+            (NodeAddress address) ->
+                address.incarnation().value() - oldest < RESTARTED_LATER_MILLIS)
+        .thenComparing(NodeAddress.BY_MIXED_RANK);
+  }
+
+  private static boolean mayLead(PeerStatus status) {
+    return mayRelay(status) && status.settled();
+  }
+
   private static boolean mayRelay(PeerStatus status) {
     return status.storeReachable() && !status.draining();
   }
--- a/src/main/java/dev/wisteriarail/core/fleet/NodeAddress.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/NodeAddress.java
@@ -20,6 +20,28 @@
   public static final Comparator<NodeAddress> BY_RANK =
       Comparator.comparingInt(NodeAddress::linkMbps).reversed().thenComparing(NodeAddress::node);
 
+  /** The same with a hash in place of the names, for what must not follow their order. */
+  public static final Comparator<NodeAddress> BY_MIXED_RANK =
+      Comparator.comparingInt(NodeAddress::linkMbps)
+          .reversed()
+          .thenComparingLong(address -> address.node().spread())
+          .thenComparing(NodeAddress::node);
+
+  /**
+   * Returns where a node may listen that is known by its address only.
+   *
+   * @param seed host and port, joined by a colon
+   */
+  public static NodeAddress ofSeed(String seed) {
+    int colon = seed.lastIndexOf(':');
+    return new NodeAddress(
+        NodeId.of("seed-" + seed),
+        Incarnation.NONE,
+        seed.substring(0, colon),
+        Integer.parseInt(seed.substring(colon + 1)),
+        0);
+  }
+
   /** Returns whether this node is asked before another one. */
   public boolean ranksBefore(NodeAddress other) {
     return BY_RANK.compare(this, other) < 0;
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
@@ -6,6 +6,7 @@
  * @param fence fencing number under which it gives orders to runners; 0 if it gives none
  * @param lastOrderAgeMillis time since its last order to a runner; negative if there was none
  * @param storeReachable whether the platform's store answers it
+ * @param settled whether it has listened long enough since its start to take duties
  * @param draining whether it is shutting down
  * @param configurationVersion version of the configuration in force on it; 0 if there is none
  * @param directoryOffset offset up to which it knows the directory of runners; negative if it knows
@@ -17,6 +18,7 @@
     long fence,
     long lastOrderAgeMillis,
     boolean storeReachable,
+    boolean settled,
     boolean draining,
     long configurationVersion,
     long directoryOffset,
@@ -24,5 +26,6 @@
     long directoryAgeMillis) {
 
   /** What is assumed of a node that has said nothing yet. */
-  public static final PeerStatus UNKNOWN = new PeerStatus(0, -1, false, false, 0, -1, -1, 0);
+  public static final PeerStatus UNKNOWN =
+      new PeerStatus(0, -1, false, false, false, 0, -1, -1, 0);
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -15,7 +15,6 @@
 import dev.wisteriarail.core.fleet.RunnerUse;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RunnerBoard;
-import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
@@ -171,17 +170,7 @@
 
   private void start(Instant now) {
     startedAt = now;
-    for (String seed : settings.seeds()) {
-      int colon = seed.lastIndexOf(':');
-      peers.learn(
-          new NodeAddress(
-              NodeId.of("seed-" + seed),
-              Incarnation.NONE,
-              seed.substring(0, colon),
-              Integer.parseInt(seed.substring(colon + 1)),
-              0),
-          now);
-    }
+    settings.seeds().forEach(seed -> peers.learn(NodeAddress.ofSeed(seed), now));
   }
 
   private void acceptStore(GatewayEvent.StoreTold told, GatewayStep step) {
@@ -360,11 +349,10 @@
 
   private void coordinate(List<PeerTable.Peer> live, GatewayStep step) {
     Instant now = step.now();
-    boolean settled = !now.isBefore(startedAt.plus(timings.settle()));
     boolean expired = lease.isHeld() && !lease.isSafe(now);
     boolean wants =
         Coordination.wantsLease(
-            settings.self(), status(now), lease.isHeld(), settled, expired, live);
+            settings.self(), status(now), lease.isHeld(), expired, live, !peers.isLarge());
     lease.advance(wants, now).ifPresent(call -> step.emit(new GatewayEffect.CallLease(call)));
     if (lease.fence() != heldFence) {
       heldFence = lease.fence();
@@ -414,6 +402,7 @@
         lease.fence(),
         duty.lastOrderAgeMillis(now),
         store.isReachable() && !store.answeredAt().equals(Instant.MIN),
+        !now.isBefore(startedAt.plus(timings.settle())),
         drain.isDraining(),
         configuration.map(GatewayConfiguration::version).orElse(0L),
         directory.offset(),
--- a/src/main/java/dev/wisteriarail/core/id/NodeId.java
+++ b/src/main/java/dev/wisteriarail/core/id/NodeId.java
@@ -21,6 +21,16 @@
     return new NodeId(value);
   }
 
+  /**
+   * Returns a number that spreads names that differ in a digit only; the finalizer of SplitMix64.
+   */
+  public long spread() {
+    long mixed = value.hashCode();
+    mixed = (mixed ^ mixed >>> 30) * 0xbf58476d1ce4e5b9L;
+    mixed = (mixed ^ mixed >>> 27) * 0x94d049bb133111ebL;
+    return mixed ^ mixed >>> 31;
+  }
+
   @Override
   public int compareTo(NodeId other) {
     return value.compareTo(other.value);
--- a/src/main/java/dev/wisteriarail/core/membership/Ring.java
+++ b/src/main/java/dev/wisteriarail/core/membership/Ring.java
@@ -22,7 +22,7 @@
 
   static Ring of(Collection<NodeId> nodes) {
     List<NodeId> sorted = new ArrayList<>(nodes);
-    sorted.sort(Comparator.comparingLong(Ring::position).thenComparing(node -> node));
+    sorted.sort(Comparator.comparingLong(NodeId::spread).thenComparing(node -> node));
     return new Ring(List.copyOf(sorted));
   }
 
@@ -50,12 +50,4 @@
     }
     return found;
   }
-
-  /** Spreads names that differ in a digit only; the finalizer of SplitMix64. */
-  private static long position(NodeId node) {
-    long mixed = node.value().hashCode();
-    mixed = (mixed ^ mixed >>> 30) * 0xbf58476d1ce4e5b9L;
-    mixed = (mixed ^ mixed >>> 27) * 0x94d049bb133111ebL;
-    return mixed ^ mixed >>> 31;
-  }
 }
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/fleet/CoordinationTest.java
@@ -0,0 +1,114 @@
+package dev.wisteriarail.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import java.time.Instant;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Which node tries for the lease on orders. */
+class CoordinationTest {
+
+  private static final long STARTED = 1_000_000;
+  private static final NodeAddress SELF = address("n2", STARTED);
+
+  private static NodeAddress address(String name, long incarnation) {
+    return new NodeAddress(NodeId.of(name), Incarnation.of(incarnation), name, 7000, 1000);
+  }
+
+  private static PeerStatus status(long fence, boolean settled, boolean draining) {
+    return new PeerStatus(fence, -1, true, settled, draining, 1, 1, 1, 0);
+  }
+
+  private static PeerTable.Peer peer(NodeAddress address, PeerStatus status) {
+    return new PeerTable.Peer(address, status, Instant.EPOCH, Instant.EPOCH, Instant.MAX);
+  }
+
+  private static PeerTable.Peer peer(String name, long incarnation) {
+    return peer(address(name, incarnation), status(0, true, false));
+  }
+
+  private static PeerTable.Peer stopping() {
+    return peer(address("n0", STARTED), status(0, true, true));
+  }
+
+  private static boolean claims(NodeAddress self, PeerTable.Peer... live) {
+    return Coordination.wantsLease(self, status(0, true, false), false, false, List.of(live), true);
+  }
+
+  /** Returns a node that stops, and all of some nodes but one. */
+  private static PeerTable.Peer[] others(List<NodeAddress> nodes, NodeAddress self) {
+    Stream<PeerTable.Peer> others =
+        nodes.stream()
+            .filter(other -> !other.equals(self))
+            .map(other -> peer(other, status(0, true, false)));
+    return Stream.concat(Stream.of(stopping()), others).toArray(PeerTable.Peer[]::new);
+  }
+
+  @Test
+  void vacantLeaseIsForTheFirstByName() {
+    assertThat(claims(SELF, peer("n3", STARTED))).isTrue();
+    assertThat(claims(SELF, peer("n1", STARTED))).isFalse();
+  }
+
+  @Test
+  void nodeThatWasRestartedRanksFirstWhileOthersAreStopped() {
+    NodeAddress restarted = address("n9", STARTED + 20_000);
+    assertThat(claims(restarted, stopping(), peer("n1", STARTED), peer("n3", STARTED))).isTrue();
+    assertThat(claims(SELF, stopping(), peer("n9", STARTED + 20_000))).isFalse();
+  }
+
+  @Test
+  void nodeThatCrashedGainsNothingWhileNoneIsStopped() {
+    assertThat(claims(address("n9", STARTED + 20_000), peer("n3", STARTED))).isFalse();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {-4_000, -300, 300, 4_000})
+  void clocksThatDifferBySecondsMakeNoNodeRestarted(long difference) {
+    boolean same = claims(SELF, stopping(), peer("n3", STARTED));
+    assertThat(claims(SELF, stopping(), peer("n3", STARTED + difference))).isEqualTo(same);
+  }
+
+  @Test
+  void exactlyOneOfEqualNodesClaimsWhileOthersAreStopped() {
+    List<NodeAddress> nodes =
+        List.of(address("n1", STARTED), address("n2", STARTED), address("n3", STARTED));
+    long claiming = nodes.stream().filter(self -> claims(self, others(nodes, self))).count();
+    assertThat(claiming).isEqualTo(1);
+  }
+
+  @Test
+  void nodeThatHasNotSettledIsPassedOver() {
+    PeerTable.Peer fresh = peer(address("n1", STARTED), status(0, false, false));
+    assertThat(claims(SELF, fresh)).isTrue();
+    assertThat(
+            Coordination.wantsLease(SELF, status(0, false, false), false, false, List.of(), true))
+        .isFalse();
+  }
+
+  @Test
+  void stoppingNodeGivesTheLeaseUpAndClaimsNone() {
+    PeerStatus own = status(0, true, true);
+    assertThat(Coordination.wantsLease(SELF, own, true, false, List.of(), true)).isFalse();
+    assertThat(Coordination.wantsLease(SELF, own, false, false, List.of(), true)).isFalse();
+  }
+
+  @Test
+  void nodesOfLargeFleetKeepToTheirHubs() {
+    boolean claims =
+        Coordination.wantsLease(
+            address("n9", STARTED + 20_000),
+            status(0, true, false),
+            false,
+            false,
+            List.of(stopping(), peer("n1", STARTED)),
+            false);
+    assertThat(claims).isFalse();
+  }
+}
