--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -14,7 +14,6 @@
 import dev.wisteriarail.core.fleet.RunnerTurn;
 import dev.wisteriarail.core.fleet.RunnerUse;
 import dev.wisteriarail.core.forward.RunnerBoard;
-import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
@@ -169,17 +168,7 @@
 
   private void start(Instant now) {
     startedAt = now;
-    for (String seed : settings.seeds()) {
-      int colon = seed.lastIndexOf(':');
-      peers.learn(
-          new NodeAddress(
-              NodeId.of("seed-" + seed),
-              Incarnation.NONE,
-              seed.substring(0, colon),
-              Integer.parseInt(seed.substring(colon + 1)),
-              0),
-          now);
-    }
+    settings.seeds().forEach(seed -> peers.learn(NodeAddress.ofSeed(seed), now));
   }
 
   private void acceptStore(GatewayEvent.StoreTold told, GatewayStep step) {
@@ -283,9 +272,8 @@
     if (status.directoryChange() >= 0 && status.directoryChange() <= directory.offset()) {
       directory.confirm(now.minusMillis(status.directoryAgeMillis()));
     }
-    if (status.fence() == 0 && status.lastOrderAgeMillis() >= 0) {
-      lease.acceptStopped(
-          beat.self().node().value(), now.minusMillis(status.lastOrderAgeMillis()), now);
+    if (status.fence() == 0 && status.lastFence() > 0) {
+      lease.acceptStopped(status.lastFence(), status.quietMillis(), now);
     }
     if (relaying) {
       helpBehind(beat, step);
@@ -359,16 +347,17 @@
 
   private void coordinate(List<PeerTable.Peer> live, GatewayStep step) {
     Instant now = step.now();
-    boolean settled = !now.isBefore(startedAt.plus(timings.settle()));
     boolean expired = lease.isHeld() && !lease.isSafe(now);
     boolean wants =
         Coordination.wantsLease(
-            settings.self(), status(now), lease.isHeld(), settled, expired, live);
-    lease.advance(wants, now).ifPresent(call -> step.emit(new GatewayEffect.CallLease(call)));
+            settings.self(), status(now), lease.isHeld(), expired, live, !peers.isLarge());
+    lease
+        .advance(wants, () -> duty.loads(now), now)
+        .ifPresent(call -> step.emit(new GatewayEffect.CallLease(call)));
     if (lease.fence() != heldFence) {
       heldFence = lease.fence();
       if (heldFence > 0) {
-        duty.begin(heldFence);
+        duty.begin(heldFence, now);
         step.log(EventCode.LEASE_GAINED, "fence", heldFence);
       } else {
         duty.stop();
@@ -380,6 +369,8 @@
     coordinatorNode = Coordination.coordinator(self, lease.fence(), live);
     coordinatorSeen |= coordinatorNode.isPresent();
     if (!before.equals(coordinatorNode)) {
+      nextDemand = now;
+      quietToldAt = Instant.EPOCH;
       step.log(
           EventCode.COORDINATOR_CHANGED,
           "coordinator",
@@ -411,8 +402,10 @@
   private PeerStatus status(Instant now) {
     return new PeerStatus(
         lease.fence(),
-        duty.lastOrderAgeMillis(now),
+        lease.lastFence(),
+        lease.quietFor(now).toMillis(),
         store.isReachable() && !store.answeredAt().equals(Instant.MIN),
+        !now.isBefore(startedAt.plus(timings.settle())),
         drain.isDraining(),
         configuration.map(GatewayConfiguration::version).orElse(0L),
         directory.offset(),
