A connection whose next request has begun is not closed as idle while its node stops

Cause, from the code: the mark "this connection serves a request" was taken off after the answer had been handed to the transport. A caller sends its next request as soon as it has that answer; when the thread of the first one was late, it took off the mark that the next request had set, and the connection counted as idle for all of that request's time. Ruled out: the runner (the requests waited), the server's idle timeout (15 s), the caller's time limit (28 s), the end of the process (3.1 and 1.1 s later).

Requests in progress are counted for each connection. BusyConnectionsTest fails with a mark in place of the count. That these two requests met this race is inferred from the code and the logs, not replayed.

--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -66,7 +66,7 @@
   private final Map<Long, CallerExchange> exchanges = new ConcurrentHashMap<>();
 
   /** Connections that have begun a request and not ended its answer. */
-  private final Set<EndPoint> serving = ConcurrentHashMap.newKeySet();
+  private final BusyConnections<EndPoint> serving = new BusyConnections<>();
 
   /** Connections that are about to be closed; a request that still comes there is refused. */
   private final Set<EndPoint> ending = ConcurrentHashMap.newKeySet();
@@ -162,8 +162,8 @@
 
   private void begin(Request request, Response response, Callback callback) {
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-    serving.add(endPoint);
-    Callback ended = Callback.from(callback, () -> serving.remove(endPoint));
+    serving.begin(endPoint);
+    Callback ended = Callback.from(callback, () -> serving.end(endPoint));
     if (ending.contains(endPoint)) {
       refuseEarly(request, response, ended, ResultCode.DRAINING, Optional.of(Duration.ZERO));
     } else {
@@ -301,7 +301,7 @@
     for (EndPoint endPoint : callerConnections()) {
       // Its next request sees either this mark or is seen here.
       ending.add(endPoint);
-      if (!serving.contains(endPoint)) {
+      if (!serving.isBusy(endPoint)) {
         endPoint.close();
       }
       ending.remove(endPoint);
