A planned handover of the lease on orders no longer stops all orders

The lease itself was vacant for about 50 ms at a time.

Cause: the successor waited a whole handover (3.2 s) for all runners, also for those that nobody had ordered lately. A holder that was stopped before its first order told its successor nothing, so that waited 3.8 s from its own claim; with a stop each 1.2 s nobody ever ordered. A successor that looked before the release was in the store waited out the whole lease. The word in heartbeats was not tied to a claim: it counted also if another claim of that node lay between.

Change: the rule judges orders to one runner, so the wait is kept for each runner. The release names the runners ordered lately, the waits that its writer inherited, and the loads under way and begun, for the store's rate. Times count from when they were read, so a late release only prolongs the wait. The holder tells its peers after the store's answer (200 ms at most); a waiting successor looks again every 250 ms. It begins when all nodes reported their demand and use, after two reports at the latest, and nodes report at once to a new coordinator. Engines that are known to be quiet need no settled report. A word counts for the claim that it names. A release that was done late is not taken for the claim of the same node after it.

Ruled out by a trial: telling the fleet the first views at once; requests then went to full runners.

NumberedOrder and the load times of a model moved to places of their own.

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * The duty of the node that gives orders to engines: it merges what all nodes want, keeps the state
@@ -57,11 +58,14 @@
   private final DemandBook demand = new DemandBook();
   private final UseBook uses = new UseBook();
   private final StoreLoads storeLoads = new StoreLoads();
+  private final InheritedLoads inherited = new InheritedLoads();
   private final Map<String, Integer> toldRunning = new HashMap<>();
   private List<ModelForecast> forecasts = List.of();
   private long nextOrder = 1;
   private long revision;
   private long heldRevision;
+  private Predicate<String> quiet = runner -> false;
+  private Predicate<String> orderable = runner -> true;
 
   private Coordinator() {}
 
@@ -78,6 +82,18 @@
     forecasts = List.of();
   }
 
+  /**
+   * Takes what the holder of the lease before left.
+   *
+   * @param left the loads that it began
+   * @param knownQuiet tells runners that had no order lately
+   */
+  public void inherit(LoadHistory left, Predicate<String> knownQuiet, Instant now) {
+    inherited.begin(left.underWay(), now);
+    storeLoads.addEarlier(left.storeLoadAgesMillis(), now);
+    quiet = knownQuiet;
+  }
+
   /** Starts the numbers of views above those of any coordinator before. */
   public void startRevisionsAt(long least) {
     revision = Math.max(revision, least);
@@ -106,7 +122,8 @@
       seen.add(entry.id());
       EngineState known = engines.get(entry.id());
       if (known == null || isLaterRun(entry, known)) {
-        EngineState engine = EngineState.of(entry, now);
+        EngineState engine =
+            quiet.test(entry.id()) ? EngineState.quiet(entry, now) : EngineState.of(entry, now);
         reviseHeld(engine);
         engines.put(entry.id(), engine);
         serviceOf.put(entry.id(), entry.service());
@@ -118,6 +135,7 @@
     serviceOf.keySet().retainAll(seen);
     askedAt.keySet().retainAll(seen);
     toldRunning.keySet().retainAll(seen);
+    quiet = runner -> false;
   }
 
   private static boolean isLaterRun(RunnerEntry entry, EngineState known) {
@@ -170,8 +188,14 @@
 
   // Decisions
 
-  /** Returns the orders to send now. */
-  public List<NumberedOrder> decide(GatewayConfiguration configuration, Instant now) {
+  /**
+   * Returns the orders to send now.
+   *
+   * @param mayOrder tells runners that orders may go to
+   */
+  public List<NumberedOrder> decide(
+      GatewayConfiguration configuration, Predicate<String> mayOrder, Instant now) {
+    orderable = mayOrder;
     for (EngineState engine : engines.values()) {
       if (engine.advance(now)) {
         reviseHeld(engine);
@@ -253,7 +277,7 @@
     reviseHeld(engine);
     if (placed.order() instanceof FleetOrder.LoadModel load && load.source() == LoadSource.STORE) {
       storeLoads.begin(now);
-      storeLoadsAtBegin.put(number, (long) countStoreLoads(serviceOf.get(placed.runner())));
+      storeLoadsAtBegin.put(number, (long) countStoreLoads(serviceOf.get(placed.runner()), now));
     }
     return new NumberedOrder(
         number, placed.runner(), engine.bornMillis(), expected, placed.order(), placed.reason());
@@ -265,7 +289,7 @@
           spec.models().stream()
               .filter(model -> model.name().equals(load.model()))
               .findFirst()
-              .map(model -> loadTime(model, load.source()))
+              .map(model -> model.loadFrom(load.source()))
               .orElse(Duration.ZERO);
       case FleetOrder.UnloadModel unload -> IDLE_UNLOAD;
       case FleetOrder.LoadAdapter load -> ADAPTER_LOAD;
@@ -273,14 +297,6 @@
     };
   }
 
-  private static Duration loadTime(HostedModel model, LoadSource source) {
-    return switch (source) {
-      case MEMORY -> model.loadFromMemory();
-      case DISK -> model.loadFromDisk();
-      case STORE -> model.loadFromStore();
-    };
-  }
-
   private PlanInput input(
       String service,
       EngineSpec spec,
@@ -298,7 +314,7 @@
         known,
         needs(service, spec, wants, known, now),
         adapterWants(service, wants),
-        countStoreLoads(service),
+        countStoreLoads(service, now),
         storeLoads.limit(),
         storeLoads.allows(spec.loadsPerSecond(), now));
   }
@@ -306,35 +322,39 @@
   private PlanInput.Engine planned(EngineState engine, UseBook.Load load, Instant now) {
     Map<String, Set<String>> models = new TreeMap<>();
     engine.models().forEach((name, adapters) -> models.put(name, Set.copyOf(adapters)));
-    final Optional<EngineState.OpenOrder> loading = engine.loading();
-    List<String> idle = new ArrayList<>();
-    models.forEach((name, adapters) -> adapters.forEach(each -> idle.add(name + "/" + each)));
-    idle.removeIf(adapter -> usedAt(engine, adapter).isAfter(now.minus(ADAPTER_KEEP)));
-    idle.sort(Comparator.comparing((String adapter) -> usedAt(engine, adapter)));
+    final Optional<LoadHistory.Loading> loading = loading(engine, now);
     return new PlanInput.Engine(
         engine.runner(),
         engine.domain(),
-        engine.isFree(now),
+        engine.isFree(now) && orderable.test(engine.runner()),
         models,
-        loading.map(order -> order.body().model()).orElse(""),
-        loading
-            .map(order -> ((FleetOrder.LoadModel) order.body()).source())
-            .orElse(LoadSource.MEMORY),
-        loading.map(order -> leftMillis(order, now)).orElse(0L),
+        loading.map(LoadHistory.Loading::model).orElse(""),
+        loading.map(LoadHistory.Loading::source).orElse(LoadSource.MEMORY),
+        loading.map(LoadHistory.Loading::leftMillis).orElse(0L),
         engine.inHostMemory(),
         engine.onDisk(),
         load == null ? Map.of() : load.byModel(),
         load == null ? Set.of() : load.adapters(),
-        idle);
+        engine.idleAdapters(now.minus(ADAPTER_KEEP)));
   }
 
-  private static Instant usedAt(EngineState engine, String adapter) {
-    int slash = adapter.indexOf('/');
-    return engine.adapterUsedAt(adapter.substring(0, slash), adapter.substring(slash + 1));
+  private Optional<LoadHistory.Loading> loading(EngineState engine, Instant now) {
+    return engine
+        .loading()
+        .map(
+            order -> {
+              FleetOrder.LoadModel load = (FleetOrder.LoadModel) order.body();
+              return new LoadHistory.Loading(
+                  engine.runner(), load.model(), load.source(), order.leftMillis(now));
+            })
+        .or(() -> inherited.on(engine, now));
   }
 
-  private static long leftMillis(EngineState.OpenOrder order, Instant now) {
-    return Math.max(0, Duration.between(now, order.expectedAt()).toMillis());
+  /** Returns the loads that the next holder of the lease has to know. */
+  public LoadHistory loads(Instant now) {
+    return new LoadHistory(
+        engines.values().stream().flatMap(engine -> loading(engine, now).stream()).toList(),
+        storeLoads.agesMillis(now));
   }
 
   private Map<String, PlanInput.ModelNeed> needs(
@@ -378,14 +398,11 @@
     return adapterWants;
   }
 
-  private int countStoreLoads(String service) {
+  private int countStoreLoads(String service, Instant now) {
     int count = 0;
     for (EngineState engine : engines.values()) {
       boolean fromStore =
-          engine
-              .loading()
-              .filter(order -> ((FleetOrder.LoadModel) order.body()).source() == LoadSource.STORE)
-              .isPresent();
+          loading(engine, now).filter(load -> load.source() == LoadSource.STORE).isPresent();
       if (fromStore && service.equals(serviceOf.get(engine.runner()))) {
         count++;
       }
@@ -453,7 +470,7 @@
         engine.revision(),
         models,
         engine.loading().map(order -> order.body().model()).orElse(""),
-        engine.loading().map(order -> leftMillis(order, now)).orElse(0L),
+        engine.loading().map(order -> order.leftMillis(now)).orElse(0L),
         load == null ? 0 : load.running(),
         load == null ? 0 : load.tokens());
   }
@@ -472,22 +489,4 @@
   public long revision() {
     return revision;
   }
-
-  /**
-   * An order ready to be sent.
-   *
-   * @param number the coordinator's number of it
-   * @param runner the runner
-   * @param bornMillis the run of the runner that it is for
-   * @param expected number of orders that the runner accepted before it
-   * @param order the order
-   * @param reason why, for the log
-   */
-  public record NumberedOrder(
-      long number,
-      String runner,
-      long bornMillis,
-      long expected,
-      FleetOrder order,
-      String reason) {}
 }
--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -66,6 +68,11 @@
     return new EngineState(entry, now);
   }
 
+  /** Returns the state of an engine that no order can have reached lately. */
+  static EngineState quiet(RunnerEntry entry, Instant now) {
+    return new EngineState(entry, now.minus(REPORT_LAG).minus(REPORT_LAG));
+  }
+
   private void adopt(List<LoadedModel> held, Set<String> memory, Set<String> disk) {
     models.clear();
     held.forEach(model -> models.put(model.name(), new TreeSet<>(model.adapters())));
@@ -346,8 +353,17 @@
     return !unansweredSince.equals(Instant.MAX) && now.isAfter(unansweredSince.plus(SILENCE));
   }
 
-  Instant adapterUsedAt(String model, String adapter) {
-    return adapterUsedAt.getOrDefault(model + "/" + adapter, Instant.MIN);
+  /** Returns the adapters that no request used since a time, the longest unused first. */
+  List<String> idleAdapters(Instant since) {
+    List<String> idle = new ArrayList<>();
+    models.forEach((name, adapters) -> adapters.forEach(each -> idle.add(name + "/" + each)));
+    idle.removeIf(adapter -> adapterUsedAt(adapter).isAfter(since));
+    idle.sort(Comparator.comparing(this::adapterUsedAt));
+    return idle;
+  }
+
+  private Instant adapterUsedAt(String adapter) {
+    return adapterUsedAt.getOrDefault(adapter, Instant.MIN);
   }
 
   /** Returns where the weights of a model would come from. */
@@ -376,6 +392,11 @@
       Instant expectedAt,
       boolean accepted) {
 
+    /** Returns the time until it should be done, in milliseconds. */
+    long leftMillis(Instant now) {
+      return Math.max(0, Duration.between(now, expectedAt).toMillis());
+    }
+
     OpenOrder withAccepted() {
       return new OpenOrder(number, body, expected, sentAt, expectedAt, true);
     }
--- a/src/main/java/dev/wisteriarail/core/fleet/FleetTimings.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/FleetTimings.java
@@ -13,7 +13,8 @@
  * @param directoryStale age of its directory after which a node reads the store for itself
  * @param renew between two renewals of the lease on orders
  * @param lease time after its last renewal for which a lease holds
- * @param handover pause between the last order of one holder and the first of the next
+ * @param handover pause between the last order of one holder to a runner and the first of the next
+ *     to that runner
  * @param fencesEnforced whether runners refuse orders with an old fencing number
  */
 public record FleetTimings(
--- a/src/main/java/dev/wisteriarail/core/fleet/LeaseRecord.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/LeaseRecord.java
@@ -1,13 +1,42 @@
 package dev.wisteriarail.core.fleet;
 
+import java.util.Optional;
+
 /**
  * A record of the lease on orders, as kept in the platform's store.
  *
  * @param holder the node that wrote it
  * @param incarnation the run of that node
  * @param kind what it says
+ * @param fence fencing number under which it was written; 0 in a claim, whose place gives it
+ * @param handover in a release, what the next holder has to know
  */
-public record LeaseRecord(String holder, long incarnation, Kind kind) {
+public record LeaseRecord(
+    String holder, long incarnation, Kind kind, long fence, Optional<Handover> handover) {
+
+  /** Stands for a record that cannot be read: its writer may hold the lease. */
+  public static final LeaseRecord UNREADABLE = renewal("", 0, 0);
+
+  /** Takes a record of an earlier version, which has no handover. */
+  public LeaseRecord {
+    handover = handover == null ? Optional.empty() : handover;
+  }
+
+  /** Returns a record that takes the lease. */
+  public static LeaseRecord claim(String holder, long incarnation) {
+    return new LeaseRecord(holder, incarnation, Kind.CLAIM, 0, Optional.empty());
+  }
+
+  /** Returns a record that keeps the lease. */
+  public static LeaseRecord renewal(String holder, long incarnation, long fence) {
+    return new LeaseRecord(holder, incarnation, Kind.RENEW, fence, Optional.empty());
+  }
+
+  /** Returns a record that gives the lease up. */
+  public static LeaseRecord release(
+      String holder, long incarnation, long fence, Handover handover) {
+    return new LeaseRecord(holder, incarnation, Kind.RELEASE, fence, Optional.of(handover));
+  }
 
   /** What a record says. */
   public enum Kind {
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -449,12 +449,7 @@
     // Figures
 
     private long loadMillis(PlanInput.Engine engine, String model) {
-      HostedModel spec = hosted.get(model);
-      return switch (engine.source(model)) {
-        case MEMORY -> spec.loadFromMemory().toMillis();
-        case DISK -> spec.loadFromDisk().toMillis();
-        case STORE -> spec.loadFromStore().toMillis();
-      };
+      return hosted.get(model).loadFrom(engine.source(model)).toMillis();
     }
 
     private double freeMegabytes(PlanInput.Engine engine) {
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -4,14 +4,17 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * The lease that lets one node at a time give orders to runners.
  *
  * <p>The lease is a chain of records in the platform's store, each appended under the condition
  * that nothing was appended since the record before. The place of the claim is the fencing number
- * of every order under it. A node claims only after nobody renewed for a whole lease, and gives its
- * first order only after every order of its predecessor lies {@link FleetTimings#handover} back.
+ * of every order under it. A node claims only after nobody renewed for a whole lease or the holder
+ * released it, and orders a runner only after every order of another holder to that runner lies
+ * {@link FleetTimings#handover} back. A release says which runners those are; without one, all
+ * runners wait.
  *
  * <p>While the store is away nobody can claim. Where runners check fencing numbers the holder then
  * goes on; where they do not, it stops when its lease has run out.
@@ -22,8 +25,11 @@
 
   private static final Duration RETRY = Duration.ofMillis(250);
 
-  /** Added to a predecessor's renewal interval: time for its refused renewal to reach it. */
-  private static final Duration REFUSAL_MARGIN = Duration.ofMillis(200);
+  /** Time that an answer or an order may be under way. */
+  private static final Duration TRANSIT_MARGIN = Duration.ofMillis(200);
+
+  /** Time for which a release without an answer is kept from the peers. */
+  private static final Duration RELEASE_PATIENCE = Duration.ofMillis(200);
 
   /** Records that are looked at: their renewals take longer than a handover and its margins. */
   private static final int LAST_RECORDS = 9;
@@ -33,12 +39,14 @@
     LOOKING,
     WAITING,
     CLAIMING,
-    HOLDING
+    HOLDING,
+    RELEASING
   }
 
   private final String self;
   private final long incarnation;
   private final FleetTimings timings;
+  private final OrderPauses pauses;
   private Phase phase = Phase.IDLE;
   private boolean calling;
   private boolean verifying;
@@ -49,14 +57,19 @@
   private Instant callStartedAt = Instant.MIN;
   private Instant nextCallAt = Instant.MIN;
   private Instant renewedAt = Instant.MIN;
-  private Instant ordersFrom = Instant.MAX;
-  private Optional<String> predecessor = Optional.empty();
+  private boolean predecessorOrdered;
+  private long predecessorFence;
+  private Optional<Handover> left = Optional.empty();
+  private Instant leftReadAt = Instant.MIN;
+  private Instant quietUntil = Instant.MIN;
   private long fence;
+  private long lastFence;
 
   private OrderLease(String self, long incarnation, FleetTimings timings) {
     this.self = self;
     this.incarnation = incarnation;
     this.timings = timings;
+    pauses = new OrderPauses(timings.handover().plus(TRANSIT_MARGIN));
   }
 
   /** Returns a lease that is not held. */
@@ -70,13 +83,17 @@
    * Returns the next call to make; its answer goes to {@link #accept}.
    *
    * @param wanted whether this node should hold the lease
+   * @param loads what a successor has to know of loads if the lease is given up now
    */
-  public Optional<LeaseCall> advance(boolean wanted, Instant now) {
+  public Optional<LeaseCall> advance(boolean wanted, Supplier<LoadHistory> loads, Instant now) {
+    if (phase == Phase.RELEASING && !now.isBefore(callStartedAt.plus(RELEASE_PATIENCE))) {
+      endRelease();
+    }
     if (calling || now.isBefore(nextCallAt)) {
       return Optional.empty();
     }
     if (phase == Phase.HOLDING || phase == Phase.CLAIMING) {
-      return verifying ? call(new LeaseCall.Read(end), now) : hold(wanted, now);
+      return verifying ? call(new LeaseCall.Read(end), now) : hold(wanted, loads, now);
     }
     if (!wanted) {
       phase = Phase.IDLE;
@@ -87,12 +104,21 @@
         phase = Phase.LOOKING;
         yield call(new LeaseCall.Read(lookFrom), now);
       }
-      case WAITING -> now.isBefore(endSeenAt.plus(timings.lease())) ? Optional.empty() : claim(now);
+      case WAITING -> {
+        if (!now.isBefore(endSeenAt.plus(timings.lease()))) {
+          yield claim(now);
+        }
+        if (now.isBefore(callStartedAt.plus(RETRY))) {
+          yield Optional.empty();
+        }
+        phase = Phase.LOOKING;
+        yield call(new LeaseCall.Read(lookFrom), now);
+      }
       default -> Optional.empty();
     };
   }
 
-  private Optional<LeaseCall> hold(boolean wanted, Instant now) {
+  private Optional<LeaseCall> hold(boolean wanted, Supplier<LoadHistory> loads, Instant now) {
     if (phase == Phase.CLAIMING) {
       if (wanted) {
         return claim(now);
@@ -101,24 +127,27 @@
       return Optional.empty();
     }
     if (!wanted) {
-      phase = Phase.IDLE;
-      fence = 0;
-      ordersFrom = Instant.MAX;
-      return call(new LeaseCall.Append(end, record(LeaseRecord.Kind.RELEASE)), now);
+      phase = Phase.RELEASING;
+      quietUntil = pauses.end();
+      Handover handover = pauses.leave(loads.get(), now);
+      return call(
+          new LeaseCall.Append(end, LeaseRecord.release(self, incarnation, fence, handover)), now);
     }
     if (!unsure && now.isBefore(renewedAt.plus(timings.renew()))) {
       return Optional.empty();
     }
-    return call(new LeaseCall.Append(end, record(LeaseRecord.Kind.RENEW)), now);
+    return call(new LeaseCall.Append(end, LeaseRecord.renewal(self, incarnation, fence)), now);
   }
 
   private Optional<LeaseCall> claim(Instant now) {
     phase = Phase.CLAIMING;
-    return call(new LeaseCall.Append(end, record(LeaseRecord.Kind.CLAIM)), now);
+    return call(new LeaseCall.Append(end, LeaseRecord.claim(self, incarnation)), now);
   }
 
-  private LeaseRecord record(LeaseRecord.Kind kind) {
-    return new LeaseRecord(self, incarnation, kind);
+  /** Lets the peers know of a release: its record is in the store, or no answer came. */
+  private void endRelease() {
+    phase = Phase.IDLE;
+    fence = 0;
   }
 
   private Optional<LeaseCall> call(LeaseCall call, Instant now) {
@@ -132,11 +161,15 @@
   /** Takes the answer to the call in progress. */
   public void accept(LeaseAnswer answer, Instant now) {
     calling = false;
+    if (phase == Phase.RELEASING) {
+      endRelease();
+    }
     switch (answer) {
       case LeaseAnswer.Records records when verifying -> verify(records, now);
       case LeaseAnswer.Records records -> look(records, now);
       case LeaseAnswer.Appended appended -> {
         end = appended.offset() + 1;
+        endSeenAt = now;
         if (phase == Phase.CLAIMING) {
           gain(appended.offset(), now);
         } else if (phase == Phase.HOLDING) {
@@ -154,10 +187,13 @@
       return;
     }
     final long next = records.from() + records.records().size();
-    end = records.end();
-    endSeenAt = now;
+    if (records.end() != end || endSeenAt.equals(Instant.MIN)) {
+      end = records.end();
+      endSeenAt = now;
+    }
     if (end == 0) {
-      predecessor = Optional.empty();
+      predecessorOrdered = false;
+      left = Optional.empty();
       phase = Phase.CLAIMING;
       return;
     }
@@ -166,23 +202,27 @@
       nextCallAt = lookFrom == wanted ? now.plus(RETRY) : now;
       lookFrom = wanted;
     } else {
-      acceptLast(records.records());
+      acceptLast(records.records(), now);
     }
   }
 
   /**
    * Takes the last records. Where this VM wrote all of them, no other holder can have given an
    * order within the handover: each lies a renewal after the one before, and a renewal shows that
-   * the claim before it was known to its writer.
+   * the claim before it was known to its writer. A release may follow its claim at once.
    */
-  private void acceptLast(List<LeaseRecord> records) {
+  private void acceptLast(List<LeaseRecord> records, Instant now) {
     LeaseRecord last = records.getLast();
-    boolean ownLast = last.holder().equals(self);
     boolean ownAll =
         records.size() >= LAST_RECORDS
-            && records.stream().allMatch(each -> each.holder().equals(self));
-    predecessor = ownAll ? Optional.empty() : Optional.of(last.holder());
-    boolean over = ownLast || last.kind() == LeaseRecord.Kind.RELEASE;
+            && records.stream()
+                .allMatch(
+                    each -> each.holder().equals(self) && each.kind() != LeaseRecord.Kind.RELEASE);
+    predecessorOrdered = !ownAll;
+    predecessorFence = last.kind() == LeaseRecord.Kind.CLAIM ? end : last.fence();
+    left = last.handover();
+    leftReadAt = now;
+    boolean over = last.holder().equals(self) || last.kind() == LeaseRecord.Kind.RELEASE;
     phase = over ? Phase.CLAIMING : Phase.WAITING;
   }
 
@@ -190,12 +230,16 @@
   private void verify(LeaseAnswer.Records records, Instant now) {
     verifying = false;
     List<LeaseRecord> since = records.records();
+    // A release whose answer was lost may lie where this node claims again.
+    LeaseRecord.Kind expected =
+        phase == Phase.CLAIMING ? LeaseRecord.Kind.CLAIM : LeaseRecord.Kind.RENEW;
     boolean whole = records.from() == end && end + since.size() == records.end();
     boolean own =
         whole
             && !since.isEmpty()
             && since.stream()
-                .allMatch(each -> each.holder().equals(self) && each.incarnation() == incarnation);
+                .allMatch(each -> each.holder().equals(self) && each.incarnation() == incarnation)
+            && since.getFirst().kind() == expected;
     if (!own) {
       lose();
       return;
@@ -213,40 +257,51 @@
   private void gain(long claimOffset, Instant now) {
     phase = Phase.HOLDING;
     fence = claimOffset + 1;
+    lastFence = fence;
     renewedAt = callStartedAt;
     unsure = false;
-    // A record tells who claimed, not who gave orders: a claim may take effect seconds after its
-    // writer gave it up, so one record of this VM does not shorten the wait.
-    ordersFrom =
-        predecessor.isEmpty()
-            ? now
-            : now.plus(timings.renew()).plus(REFUSAL_MARGIN).plus(timings.handover());
+    if (left.isPresent()) {
+      pauses.begin(left.get(), leftReadAt);
+    } else if (!predecessorOrdered) {
+      pauses.begin(now);
+    } else {
+      // A record tells who claimed, not who gave orders: a claim may take effect seconds after its
+      // writer gave it up, so one record of this VM does not shorten the wait.
+      pauses.begin(now.plus(timings.renew()).plus(TRANSIT_MARGIN).plus(timings.handover()));
+    }
   }
 
   // News from elsewhere
 
   /** Gives the lease up because a higher fencing number is in use. */
   public void lose() {
+    if (phase == Phase.HOLDING) {
+      quietUntil = pauses.end();
+    }
     phase = Phase.IDLE;
     verifying = false;
     fence = 0;
     lookFrom = 0;
-    ordersFrom = Instant.MAX;
   }
 
   /**
-   * Takes the predecessor's own word that it gave orders under its last claim, the last one at a
-   * time, and gives none now.
+   * Takes the word of a node that gives no orders now.
+   *
+   * @param itsFence the fencing number of its last claim; it counts only if nobody claimed between
+   *     that claim and the one of this node
+   * @param quietMillis time in which its successor may not order every runner
    */
-  public void acceptStopped(String node, Instant lastOrderAt, Instant now) {
-    if (phase == Phase.HOLDING && predecessor.filter(node::equals).isPresent()) {
-      Instant earliest = lastOrderAt.plus(timings.handover()).plus(REFUSAL_MARGIN);
-      if (earliest.isBefore(ordersFrom)) {
-        ordersFrom = earliest.isBefore(now) ? now : earliest;
-      }
+  public void acceptStopped(long itsFence, long quietMillis, Instant now) {
+    if (phase == Phase.HOLDING && itsFence == predecessorFence) {
+      pauses.shorten(now.plusMillis(quietMillis));
     }
   }
 
+  /** Notes an order that goes out now. */
+  public void noteOrder(String runner, Instant now) {
+    pauses.note(runner, now);
+  }
+
   /** Notes that the process stood still: no order goes out before the next renewal. */
   public void suspect() {
     unsure = phase == Phase.HOLDING;
@@ -259,19 +314,24 @@
     return phase == Phase.HOLDING;
   }
 
-  /** Returns whether an order may go out now. */
+  /** Returns whether orders may go out now to runners that are not kept for the predecessor. */
   public boolean mayOrder(Instant now) {
     return phase == Phase.HOLDING
         && !unsure
         && !verifying
-        && !now.isBefore(ordersFrom)
+        && !now.isBefore(pauses.from())
         && isSafe(now);
   }
 
+  /** Returns whether an order to a runner may go out now. */
+  public boolean mayOrder(String runner, Instant now) {
+    return mayOrder(now) && pauses.allows(runner, now);
+  }
+
   /** Returns how long no order may go out yet, for a lease that is held. */
   public Duration ordersIn(Instant now) {
-    return phase == Phase.HOLDING && now.isBefore(ordersFrom)
-        ? Duration.between(now, ordersFrom)
+    return phase == Phase.HOLDING && now.isBefore(pauses.from())
+        ? Duration.between(now, pauses.from())
         : Duration.ZERO;
   }
 
@@ -280,8 +340,30 @@
     return timings.fencesEnforced() || now.isBefore(renewedAt.plus(timings.lease()));
   }
 
-  /** Returns the fencing number; 0 if the lease is not held. */
+  /** Returns the fencing number; 0 if the lease is not held and no release is under way. */
   public long fence() {
     return fence;
   }
+
+  /** Returns the fencing number of the last claim that took effect; 0 if there was none. */
+  public long lastFence() {
+    return lastFence;
+  }
+
+  /** Returns, for a lease that is not held, how long a successor has to wait for this node. */
+  public Duration quietFor(Instant now) {
+    return quietUntil.isAfter(now) ? Duration.between(now, quietUntil) : Duration.ZERO;
+  }
+
+  /** Returns the loads that the predecessor named when it released the lease. */
+  public LoadHistory leftLoads() {
+    return left.map(Handover::loads).orElse(LoadHistory.NONE);
+  }
+
+  /** Returns whether the predecessor says that nobody ordered a runner lately. */
+  public boolean isKnownQuiet(String runner) {
+    return left.filter(it -> it.quietMillis() == 0)
+        .filter(it -> !it.runnerQuietMillis().containsKey(runner))
+        .isPresent();
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
@@ -4,7 +4,8 @@
  * What a node says of itself in each heartbeat.
  *
  * @param fence fencing number under which it gives orders to runners; 0 if it gives none
- * @param lastOrderAgeMillis time since its last order to a runner; negative if there was none
+ * @param lastFence fencing number of its last claim that took effect; 0 if there was none
+ * @param quietMillis if it gives no orders, time in which its successor has to wait for its own
  * @param storeReachable whether the platform's store answers it
  * @param settled whether it has listened long enough since its start to take duties
  * @param draining whether it is shutting down
@@ -16,7 +17,8 @@
  */
 public record PeerStatus(
     long fence,
-    long lastOrderAgeMillis,
+    long lastFence,
+    long quietMillis,
     boolean storeReachable,
     boolean settled,
     boolean draining,
@@ -27,5 +29,5 @@
 
   /** What is assumed of a node that has said nothing yet. */
   public static final PeerStatus UNKNOWN =
-      new PeerStatus(0, -1, false, false, false, 0, -1, -1, 0);
+      new PeerStatus(0, 0, 0, false, false, false, 0, -1, -1, 0);
 }
--- a/src/main/java/dev/wisteriarail/core/fleet/StoreLoads.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/StoreLoads.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 
 /**
  * Loads from the weight store: how many may begin, and how many at once are worth it.
@@ -33,6 +34,21 @@
   private final Deque<Instant> begins = new ArrayDeque<>();
   private int limit = FIRST_LIMIT;
 
+  /** Notes loads that began earlier, before any that this node began. */
+  void addEarlier(List<Long> agesMillis, Instant now) {
+    for (long age : agesMillis.reversed()) {
+      begins.addFirst(now.minusMillis(age));
+    }
+  }
+
+  /** Returns the time since each load of the window began, the oldest first. */
+  List<Long> agesMillis(Instant now) {
+    return begins.stream()
+        .filter(begin -> !begin.plus(WINDOW).isBefore(now))
+        .map(begin -> Duration.between(begin, now).toMillis())
+        .toList();
+  }
+
   /** Notes that a load begins. */
   void begin(Instant now) {
     begins.addLast(now);
--- a/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -3,6 +3,8 @@
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.fleet.Coordinator;
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
+import dev.wisteriarail.core.fleet.LoadHistory;
+import dev.wisteriarail.core.fleet.NumberedOrder;
 import dev.wisteriarail.core.fleet.OrderLease;
 import dev.wisteriarail.core.fleet.PeerTable;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
@@ -42,6 +44,9 @@
    */
   private static final long LOAD_NEWS_MILLIS = 90;
 
+  /** Reports of demand that a new holder of the lease lets a node miss before it orders. */
+  private static final int REPORTS_AWAITED = 2;
+
   private final GatewaySettings settings;
   private final OrderLease lease;
   private final RunnerDirectory directory;
@@ -51,6 +56,7 @@
   private Instant nextFleetTold = Instant.MIN;
   private Instant nextPlan = Instant.MIN;
   private Instant lastOrderAt = Instant.MIN;
+  private Instant begunAt = Instant.MIN;
   private boolean forecastsTold;
 
   private EngineDuty(
@@ -67,13 +73,22 @@
   }
 
   /** Begins anew under a fencing number. */
-  void begin(long fence) {
+  void begin(long fence, Instant now) {
     coordinator.reset();
+    coordinator.inherit(lease.leftLoads(), lease::isKnownQuiet, now);
     coordinator.startRevisionsAt(fence << REVISION_BITS);
     lastOrderAt = Instant.MIN;
+    begunAt = now;
+    nextPlan = now;
+    nextFleetTold = now;
     toldRevision.clear();
   }
 
+  /** Returns the loads that the next holder of the lease has to know. */
+  LoadHistory loads(Instant now) {
+    return coordinator.loads(now);
+  }
+
   /** Forgets the engines; no order goes out without the lease. */
   void stop() {
     coordinator.reset();
@@ -121,13 +136,19 @@
       double pace,
       GatewayStep step) {
     if (lease.isHeld()) {
-      giveOrders(configuration, pace, step);
-      tellFleet(live, pace, step);
+      boolean informed = isInformed(live, pace, step.now());
+      giveOrders(configuration, informed, pace, step);
+      if (informed) {
+        tellFleet(live, pace, step);
+      }
     }
   }
 
   private void giveOrders(
-      Optional<GatewayConfiguration> configuration, double pace, GatewayStep step) {
+      Optional<GatewayConfiguration> configuration,
+      boolean informed,
+      double pace,
+      GatewayStep step) {
     Instant now = step.now();
     if (configuration.isEmpty() || now.isBefore(nextPlan)) {
       return;
@@ -141,8 +162,13 @@
       coordinator.forecastBlocked(configuration.get(), lease.ordersIn(now), now);
       return;
     }
-    for (Coordinator.NumberedOrder order : coordinator.decide(configuration.get(), now)) {
+    if (!informed) {
+      return;
+    }
+    for (NumberedOrder order :
+        coordinator.decide(configuration.get(), runner -> lease.mayOrder(runner, now), now)) {
       lastOrderAt = now;
+      lease.noteOrder(order.runner(), now);
       step.log(
           EventCode.RUNNER_ORDERED,
           "runner",
@@ -167,6 +193,14 @@
     }
   }
 
+  /** Returns whether all nodes told what they want and use, or had the time to. */
+  private boolean isInformed(List<PeerTable.Peer> live, double pace, Instant now) {
+    long limit = Math.round(settings.timings().demand().toMillis() * pace * REPORTS_AWAITED);
+    return !now.isBefore(begunAt.plusMillis(limit))
+        || (toldRevision.containsKey(settings.self().node())
+            && live.stream().allMatch(peer -> toldRevision.containsKey(peer.node())));
+  }
+
   private void tellFleet(List<PeerTable.Peer> live, double pace, GatewayStep step) {
     Instant now = step.now();
     boolean news = coordinator.revision() > board.viewRevision();
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -274,9 +274,8 @@
     if (status.directoryChange() >= 0 && status.directoryChange() <= directory.offset()) {
       directory.confirm(now.minusMillis(status.directoryAgeMillis()));
     }
-    if (status.fence() == 0 && status.lastOrderAgeMillis() >= 0) {
-      lease.acceptStopped(
-          beat.self().node().value(), now.minusMillis(status.lastOrderAgeMillis()), now);
+    if (status.fence() == 0 && status.lastFence() > 0) {
+      lease.acceptStopped(status.lastFence(), status.quietMillis(), now);
     }
     if (relaying) {
       helpBehind(beat, step);
@@ -353,11 +352,13 @@
     boolean wants =
         Coordination.wantsLease(
             settings.self(), status(now), lease.isHeld(), expired, live, !peers.isLarge());
-    lease.advance(wants, now).ifPresent(call -> step.emit(new GatewayEffect.CallLease(call)));
+    lease
+        .advance(wants, () -> duty.loads(now), now)
+        .ifPresent(call -> step.emit(new GatewayEffect.CallLease(call)));
     if (lease.fence() != heldFence) {
       heldFence = lease.fence();
       if (heldFence > 0) {
-        duty.begin(heldFence);
+        duty.begin(heldFence, now);
         step.log(EventCode.LEASE_GAINED, "fence", heldFence);
       } else {
         duty.stop();
@@ -369,6 +370,8 @@
     coordinatorNode = Coordination.coordinator(self, lease.fence(), live);
     coordinatorSeen |= coordinatorNode.isPresent();
     if (!before.equals(coordinatorNode)) {
+      nextDemand = now;
+      quietToldAt = Instant.EPOCH;
       step.log(
           EventCode.COORDINATOR_CHANGED,
           "coordinator",
@@ -400,7 +403,8 @@
   private PeerStatus status(Instant now) {
     return new PeerStatus(
         lease.fence(),
-        duty.lastOrderAgeMillis(now),
+        lease.lastFence(),
+        lease.quietFor(now).toMillis(),
         store.isReachable() && !store.answeredAt().equals(Instant.MIN),
         !now.isBefore(startedAt.plus(timings.settle())),
         drain.isDraining(),
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
@@ -1,9 +1,9 @@
 package dev.wisteriarail.core.gateway;
 
 import dev.wisteriarail.core.event.NodeEvent;
-import dev.wisteriarail.core.fleet.Coordinator;
 import dev.wisteriarail.core.fleet.LeaseCall;
 import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.fleet.NumberedOrder;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
@@ -80,7 +80,7 @@
    * @param holder the node's name
    * @param fence the fencing number
    */
-  record GiveOrder(RunnerEntry runner, Coordinator.NumberedOrder order, String holder, long fence)
+  record GiveOrder(RunnerEntry runner, NumberedOrder order, String holder, long fence)
       implements GatewayEffect {}
 
   /**
--- a/src/main/java/dev/wisteriarail/core/route/HostedModel.java
+++ b/src/main/java/dev/wisteriarail/core/route/HostedModel.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.route;
 
+import dev.wisteriarail.core.fleet.LoadSource;
 import java.time.Duration;
 
 /**
@@ -20,4 +21,14 @@
     Duration loadFromDisk,
     Duration loadFromMemory,
     int adapters,
-    double adapterMegabytes) {}
+    double adapterMegabytes) {
+
+  /** Returns the time of a load, alone, from a source. */
+  public Duration loadFrom(LoadSource source) {
+    return switch (source) {
+      case MEMORY -> loadFromMemory;
+      case DISK -> loadFromDisk;
+      case STORE -> loadFromStore;
+    };
+  }
+}
--- a/src/main/java/dev/wisteriarail/platform/PlatformCalls.java
+++ b/src/main/java/dev/wisteriarail/platform/PlatformCalls.java
@@ -219,7 +219,7 @@
             records.add(Codecs.json().readValue(content, LeaseRecord.class));
           } catch (IOException malformed) {
             LOGGER.warn("a record of the lease cannot be read", malformed);
-            records.add(new LeaseRecord("", 0, LeaseRecord.Kind.RENEW));
+            records.add(LeaseRecord.UNREADABLE);
           }
         }
         yield new LeaseAnswer.Records(read.batch().end(), read.batch().first(), from, records);
