--- a/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.component.LifeCycle;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.Scheduler;
 
@@ -63,9 +64,14 @@
     return http;
   }
 
-  /** Opens connections on which a reset is an error and not the end of an answer. */
+  /** Opens connections on which a reset is an error and not the end of an answer; none use TLS. */
   private static final class ResetAwareConnector extends ClientConnector {
 
+    @Override
+    protected SslContextFactory.Client newSslContextFactory() {
+      return new UnusedTls();
+    }
+
     @Override
     protected EndPoint newEndPoint(
         SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
@@ -73,6 +79,15 @@
     }
   }
 
+  /** Reads no certificates: that is a quarter of the start of the first client. */
+  private static final class UnusedTls extends SslContextFactory.Client {
+
+    @Override
+    protected void doStart() {
+      // Calls with https fail, as no context was made.
+    }
+  }
+
   /** Starts a part of Jetty that needs nothing from outside. */
   static void startOrFail(LifeCycle part) {
     try {
