A changed header limit holds for new requests, and wide proper headers reach runners

Cause: the caller's server read headers up to the default of 16 KiB and never learnt of max_header_bytes. A connection's parser keeps the limit that it began with, so connections read up to 64 KiB (more if the configuration allows more when they are opened), and each whole request is measured against the bounds in force: 431 above them. The count is the least that the fields can have had, so that a proper request is never refused.

Found by the test: a proper request with more than 8 KiB of header got 502, as the client towards runners kept Jetty's 8 KiB. It follows the bounds now.

HeaderLimitTest (three cases) failed before: 502 for a header of 15 KiB within the limit, no 431 after the limit was lowered, the connection closed for 150 KB under a raised limit. The stand-in's own servers read headers up to 1 MiB. Not applied still: header_timeout_ms; the idle time of open connections.

--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.UriCompliance;
@@ -59,6 +60,18 @@
   /** Pause between two looks for connections that fell idle while a node stops. */
   private static final Duration CLOSE_PAUSE = Duration.ofMillis(10);
 
+  /**
+   * Longest request header, in bytes, that a connection reads unless the configuration allows more
+   * when it is opened. Shorter ones are measured against the bounds in force when they are whole,
+   * since a connection's parser keeps the limit that it began with.
+   */
+  private static final int READ_HEADER_BYTES = 64 * 1024;
+
+  /** Least bytes of a request line and of a header field besides their texts. */
+  private static final int LINE_EXTRA_BYTES = " HTTP/1.1\r\n".length() + 1;
+
+  private static final int FIELD_EXTRA_BYTES = ":\r\n".length();
+
   private final Server server;
   private final CallerProtocol protocol;
   private final GatewayMetrics metrics;
@@ -124,7 +137,7 @@
 
   private static ServerConnector connector(Server server, Endpoint at, String name) {
     HttpConfiguration http = new HttpConfiguration();
-    http.setRequestHeaderSize(CallerBounds.DEFAULT.maxHeaderBytes());
+    http.setRequestHeaderSize(READ_HEADER_BYTES);
     http.setSendServerVersion(false);
     http.setSendDateHeader(false);
     http.setHttpCompliance(HttpCompliance.STRICT);
@@ -183,6 +196,10 @@
   }
 
   private void readBody(Request request, Response response, Callback callback) {
+    if (headerBytes(request) > bounds.maxHeaderBytes()) {
+      refuseEarly(request, response, callback, ResultCode.HEADERS_TOO_LARGE, Optional.empty());
+      return;
+    }
     request.addIdleTimeoutListener(timeout -> false);
     long limit = bounds.maxBodyBytes();
     if (request.getLength() > limit) {
@@ -211,6 +228,17 @@
         });
   }
 
+  private static int headerBytes(Request request) {
+    int bytes = request.getMethod().length() + LINE_EXTRA_BYTES + "\r\n".length();
+    String target = request.getHttpURI().getPathQuery();
+    bytes += target == null ? 0 : target.length();
+    for (HttpField field : request.getHeaders()) {
+      String value = field.getValue();
+      bytes += field.getName().length() + (value == null ? 0 : value.length()) + FIELD_EXTRA_BYTES;
+    }
+    return bytes;
+  }
+
   private void accept(Request request, Response response, Callback callback, byte[] body) {
     long number = numbers.incrementAndGet();
     ForwardRequest forward;
@@ -243,7 +271,8 @@
     response.setStatus(code.httpStatus());
     protocol.refusalHeaders(request, code, returnAfter).forEach(response.getHeaders()::add);
     response.getHeaders().put(HttpHeader.CONTENT_LENGTH, 0);
-    if (closing || code.httpStatus() == 400 || code.httpStatus() == 413) {
+    boolean unread = code == ResultCode.REQUEST_TOO_LARGE || code == ResultCode.HEADERS_TOO_LARGE;
+    if (closing || unread || code.httpStatus() == 400) {
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
     callback.succeeded();
@@ -278,11 +307,19 @@
         });
   }
 
-  /** Takes new bounds on what callers may send; open connections keep theirs. */
+  /**
+   * Takes new bounds on what callers may send. Those on header and body hold for each request that
+   * comes later; open connections keep their idle time and the longest header that they read.
+   */
   void setBounds(CallerBounds newBounds) {
     bounds = newBounds;
+    int readBytes = Math.max(READ_HEADER_BYTES, newBounds.maxHeaderBytes());
     for (var connector : server.getConnectors()) {
       ((ServerConnector) connector).setIdleTimeout(newBounds.idleTimeout().toMillis());
+      connector
+          .getConnectionFactory(HttpConnectionFactory.class)
+          .getHttpConfiguration()
+          .setRequestHeaderSize(readBytes);
     }
   }
 
--- a/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
@@ -194,7 +194,10 @@
           callers.closeAfterAnswers();
         }
       }
-      case GatewayEffect.ApplyBounds apply -> callers.setBounds(apply.bounds());
+      case GatewayEffect.ApplyBounds apply -> {
+        callers.setBounds(apply.bounds());
+        runners.setBounds(apply.bounds());
+      }
       case GatewayEffect.CloseIdleCallers close -> callers.closeIdle();
       case GatewayEffect.DrainCompleted completed -> drained.countDown();
     }
--- a/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.gateway.GatewayEffect;
+import dev.wisteriarail.core.route.CallerBounds;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
@@ -17,6 +18,9 @@
  */
 final class RunnerClient {
 
+  /** Room for the header fields that the node itself adds, in bytes. */
+  private static final int OWN_HEADER_BYTES = 4 * 1024;
+
   private final HttpClient pooled;
   private final HttpClient fresh;
   private final RunnerProtocol protocol;
@@ -26,6 +30,14 @@
     this.pooled = pooled;
     this.fresh = fresh;
     this.protocol = protocol;
+    setBounds(CallerBounds.DEFAULT);
+  }
+
+  /** Takes new bounds: what a caller may send can also be handed on. */
+  void setBounds(CallerBounds bounds) {
+    int longest = bounds.maxHeaderBytes() + OWN_HEADER_BYTES;
+    pooled.setMaxRequestHeadersSize(longest);
+    fresh.setMaxRequestHeadersSize(longest);
   }
 
   /** Sends an attempt; tells what becomes of it. */
--- a/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
@@ -117,7 +117,17 @@
    *
    * @param more names of routes that are added, each with its prefix
    */
-  public synchronized void publish(List<String> more) {
+  public void publish(List<String> more) {
+    publish(more, Map.of());
+  }
+
+  /**
+   * Publishes a configuration with other bounds on what callers may send.
+   *
+   * @param more names of routes that are added, each with its prefix
+   * @param otherLimits bounds by their names that differ from the standard ones or are added
+   */
+  public synchronized void publish(List<String> more, Map<String, Integer> otherLimits) {
     List<Map<String, Object>> routes = new ArrayList<>();
     routes.add(route("chat", "/chat/", "streaming", ENGINES, 2, true));
     routes.add(route("report", "/report/", "streaming", ENGINES, 1, false));
@@ -128,7 +138,11 @@
     configuration.put("version", ++version);
     configuration.put("routes", routes);
     configuration.put("services", List.of(engineService(), plainService()));
-    configuration.put("limits", Map.of("max_body_bytes", 100_000, "idle_timeout_ms", 15_000));
+    Map<String, Integer> limits = new LinkedHashMap<>();
+    limits.put("max_body_bytes", 100_000);
+    limits.put("idle_timeout_ms", 15_000);
+    limits.putAll(otherLimits);
+    configuration.put("limits", limits);
     try {
       store.put(OPERATOR_TOPIC, "config", Codecs.json().writeValueAsString(configuration));
     } catch (IOException failure) {
--- a/src/main/java/dev/wisteriarail/standin/StandinServer.java
+++ b/src/main/java/dev/wisteriarail/standin/StandinServer.java
@@ -26,7 +26,7 @@
 
   private static final HttpLimits LIMITS =
       new HttpLimits(
-          64 * 1024 * 1024, 64 * 1024, Duration.ofMinutes(1), Duration.ofMinutes(10), 1_000_000);
+          64 * 1024 * 1024, 1024 * 1024, Duration.ofMinutes(1), Duration.ofMinutes(10), 1_000_000);
 
   /** Serves the calls of one stand-in. */
   @FunctionalInterface
