A forecast is told for adapters too, so that what cannot be loaded in time is refused at once

A request for an adapter that no engine holds waited out its patience (1.8 s there) and was refused then. Now a forecast names an adapter where it is one, the later one of model and adapter counts, and without a coordinator an adapter that no engine holds counts as not loadable like a model. Not covered: a forecast of adapters while orders go out (all places of adapters in use).

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -195,7 +195,8 @@
         orders.add(begin(placed, service.engine().get(), loads.get(placed.runner()), now));
       }
       for (Plan.Forecast forecast : plan.forecasts()) {
-        planned.add(new ModelForecast(service.name(), forecast.model(), forecast.startsInMillis()));
+        planned.add(
+            new ModelForecast(service.name(), forecast.model(), "", forecast.startsInMillis()));
       }
     }
     forecasts = planned;
@@ -203,32 +204,30 @@
   }
 
   /**
-   * Tells the waiting requests how long no model can be loaded, while no order may go out yet.
+   * Tells the waiting requests how long no model or adapter can be loaded, while no order may go
+   * out yet.
    *
    * @param blocked time until the first order
    */
   public void forecastBlocked(GatewayConfiguration configuration, Duration blocked, Instant now) {
     demand.forgetBefore(now.minus(NODE_SILENCE));
-    Set<String> held = new HashSet<>();
-    engines
-        .values()
-        .forEach(
-            engine ->
-                engine
-                    .models()
-                    .keySet()
-                    .forEach(model -> held.add(serviceOf.get(engine.runner()) + "/" + model)));
+    Set<DemandKey> held = new HashSet<>();
+    for (EngineState engine : engines.values()) {
+      String service = serviceOf.get(engine.runner());
+      engine
+          .models()
+          .forEach(
+              (model, adapters) -> {
+                held.add(DemandKey.of(service, model));
+                adapters.forEach(each -> held.add(new DemandKey(service, model, each)));
+              });
+    }
     List<ModelForecast> late = new ArrayList<>();
-    demand
-        .wants()
-        .keySet()
-        .forEach(
-            key -> {
-              boolean missing = !held.contains(key.service() + "/" + key.model());
-              if (missing && configuration.engineOf(key.service()).isPresent()) {
-                late.add(new ModelForecast(key.service(), key.model(), blocked.toMillis()));
-              }
-            });
+    for (DemandKey key : demand.wants().keySet()) {
+      if (!held.contains(key) && configuration.engineOf(key.service()).isPresent()) {
+        late.add(new ModelForecast(key.service(), key.model(), key.adapter(), blocked.toMillis()));
+      }
+    }
     forecasts = late;
   }
 
--- a/src/main/java/dev/wisteriarail/core/forward/RunnerBoard.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunnerBoard.java
@@ -10,11 +10,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * What one node knows of the runners when it chooses one: the directory, the coordinator's views,
@@ -61,7 +63,7 @@
       viewRevision = Math.max(viewRevision, view.revision());
     }
     forecasts.clear();
-    planned.forEach(each -> forecasts.put(DemandKey.of(each.service(), each.model()), each));
+    planned.forEach(each -> forecasts.put(each.key(), each));
     forecastAt = now;
   }
 
@@ -207,18 +209,18 @@
         ownTokens.getOrDefault(entry.id(), 0L), view(entry).map(RunnerView::tokens).orElse(0L));
   }
 
-  /** Returns when the coordinator expects a model to be ready; empty if it said nothing lately. */
-  public Optional<Duration> forecast(String service, String model, Instant now) {
-    ModelForecast forecast = forecasts.get(DemandKey.of(service, model));
-    if (forecast == null) {
-      return Optional.empty();
-    }
-    if (forecast.startsInMillis() == ModelForecast.UNPLANNED) {
-      return Optional.empty();
-    }
-    Duration age = Duration.between(forecastAt, now);
-    Duration left = Duration.ofMillis(forecast.startsInMillis()).minus(age);
-    return Optional.of(left.isNegative() ? Duration.ZERO : left);
+  /**
+   * Returns when the coordinator expects a model, and the adapter unless it is empty, to be ready;
+   * empty if it said nothing lately.
+   */
+  public Optional<Duration> forecast(String service, String model, String adapter, Instant now) {
+    return Stream.of(DemandKey.of(service, model), new DemandKey(service, model, adapter))
+        .flatMap(key -> Stream.ofNullable(forecasts.get(key)))
+        .map(ModelForecast::startsInMillis)
+        .filter(startsIn -> startsIn != ModelForecast.UNPLANNED)
+        .max(Comparator.naturalOrder())
+        .map(startsIn -> Duration.ofMillis(startsIn).minus(Duration.between(forecastAt, now)))
+        .map(left -> left.isNegative() ? Duration.ZERO : left);
   }
 
   /** Returns the newest revision of a view. */
--- a/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
@@ -124,7 +124,7 @@
         forward.mayHaveRun(),
         "forecast_ms",
         board
-            .forecast(forward.service(), forward.model(), step.now())
+            .forecast(forward.service(), forward.model(), forward.adapter(), step.now())
             .map(Duration::toMillis)
             .orElse(-1L),
         "return_after_ms",
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -220,10 +220,11 @@
 
   /** Without a coordinator nothing is loaded until another node has taken the lease. */
   private Optional<Duration> startsIn(PendingForward forward, Instant now) {
-    Optional<Duration> told = board.forecast(forward.service(), forward.model(), now);
+    Optional<Duration> told =
+        board.forecast(forward.service(), forward.model(), forward.adapter(), now);
     boolean loaded =
         forward.model().isEmpty()
-            || !board.holders(forward.service(), forward.model(), "").isEmpty();
+            || !board.holders(forward.service(), forward.model(), forward.adapter()).isEmpty();
     return told.isPresent() || loaded || hasCoordinator ? told : Optional.of(TAKEOVER);
   }
 
--- a/src/test/java/dev/wisteriarail/core/forward/RunnerBoardTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/RunnerBoardTest.java
@@ -3,8 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.wisteriarail.core.fleet.DirectoryChange;
+import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Set;
@@ -39,6 +41,22 @@
     assertThat(board.health("r1")).isNotSameInstanceAs(before);
   }
 
+  @Test
+  void forecastOfAdapterIsThatOfTheLaterOfItAndItsModel() {
+    setRunners(1, runner("r1"));
+    board.accept(
+        List.of(),
+        List.of(
+            new ModelForecast("engines", "m0", "", 500),
+            new ModelForecast("engines", "m0", "a1", 3_000),
+            new ModelForecast("engines", "m0", "a2", ModelForecast.UNPLANNED)),
+        NOW);
+    assertThat(board.forecast("engines", "m0", "a1", NOW)).hasValue(Duration.ofSeconds(3));
+    assertThat(board.forecast("engines", "m0", "a2", NOW)).hasValue(Duration.ofMillis(500));
+    assertThat(board.forecast("engines", "m0", "", NOW)).hasValue(Duration.ofMillis(500));
+    assertThat(board.forecast("engines", "m1", "a1", NOW)).isEmpty();
+  }
+
   @Test
   void healthOfRunnerThatIsGoneIsKeptWhileRequestsOfThisNodeRunThere() {
     setRunners(1, runner("r1"));
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -138,6 +138,10 @@
   }
 
   long arrive(String route, long fingerprint) {
+    return arrive(route, Optional.empty(), fingerprint);
+  }
+
+  private long arrive(String route, Optional<String> adapter, long fingerprint) {
     boolean model = route.equals("chat") || route.equals("report");
     long exchange = ++exchanges;
     handle(
@@ -149,7 +153,7 @@
                 "/" + route + "/1",
                 Optional.of(Duration.ofSeconds(5)),
                 model ? Optional.of("m0") : Optional.empty(),
-                Optional.empty(),
+                adapter,
                 10,
                 10,
                 List.of(),
@@ -157,6 +161,10 @@
     return exchange;
   }
 
+  long arriveForAdapter(String route, String adapter) {
+    return arrive(route, Optional.of(adapter), ++exchanges);
+  }
+
   /** Lets a heartbeat of a node that holds the lease on orders arrive. */
   void hearCoordinator(String name) {
     NodeAddress address =
--- a/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
@@ -2,7 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.forward.AttemptResult;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
 import java.time.Duration;
 import java.util.List;
@@ -203,6 +207,36 @@
     assertThat(refusal.returnAfter().orElseThrow()).isGreaterThan(Duration.ofSeconds(2));
   }
 
+  @Test
+  void requestForAdapterThatIsForecastTooLateIsRefusedAtOnce() {
+    node.hearCoordinator("n2");
+    node.handle(
+        new GatewayEvent.PeerTold(
+            NodeId.of("n2"),
+            Incarnation.of(1),
+            new FleetMessage.FleetTold(
+                9,
+                List.of(),
+                List.of(new ModelForecast(CoreHarness.ENGINES, "m0", "a1", 60_000)))));
+    node.take(GatewayEffect.class);
+    node.arriveForAdapter("chat", "a1");
+    node.pass(Duration.ofMillis(50));
+    GatewayEffect.Refuse refusal = node.take(GatewayEffect.Refuse.class).getFirst();
+    assertThat(refusal.code()).isEqualTo(ResultCode.DEADLINE_UNREACHABLE);
+    assertThat(refusal.returnAfter().orElseThrow()).isGreaterThan(Duration.ofSeconds(50));
+  }
+
+  @Test
+  void requestForAdapterIsRefusedAtOnceWhereNobodyCanLoadIt() {
+    node.hearCoordinator("n2");
+    node.pass(Duration.ofMillis(1_300));
+    node.take(GatewayEffect.class);
+    node.arriveForAdapter("chat", "a1");
+    node.pass(Duration.ofMillis(50));
+    GatewayEffect.Refuse refusal = node.take(GatewayEffect.Refuse.class).getFirst();
+    assertThat(refusal.code()).isEqualTo(ResultCode.DEADLINE_UNREACHABLE);
+  }
+
   @Test
   void whatComesAfterStoppingHasEndedIsRefused() {
     CoreHarness harness = CoreHarness.ready();
