--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -146,7 +146,7 @@
 
   /** Lets the coordinator tell when it expects m0 to be ready. */
   void hearForecast(String coordinator, Duration startsIn) {
-    ModelForecast forecast = new ModelForecast(ENGINES, "m0", startsIn.toMillis());
+    ModelForecast forecast = new ModelForecast(ENGINES, "m0", "", startsIn.toMillis());
     handle(
         new GatewayEvent.PeerTold(
             NodeId.of(coordinator),
@@ -168,14 +168,14 @@
   }
 
   long arrive(String route, Duration patience) {
-    return arrive(route, ++exchanges, patience);
+    return arrive(route, Optional.empty(), ++exchanges, patience);
   }
 
   long arrive(String route, long fingerprint) {
-    return arrive(route, fingerprint, Duration.ofSeconds(5));
+    return arrive(route, Optional.empty(), fingerprint, Duration.ofSeconds(5));
   }
 
-  private long arrive(String route, long fingerprint, Duration patience) {
+  private long arrive(String route, Optional<String> adapter, long fingerprint, Duration patience) {
     boolean model = route.equals("chat") || route.equals("report");
     long exchange = ++exchanges;
     handle(
@@ -187,7 +187,7 @@
                 "/" + route + "/1",
                 Optional.of(patience),
                 model ? Optional.of("m0") : Optional.empty(),
-                Optional.empty(),
+                adapter,
                 10,
                 10,
                 List.of(),
@@ -195,6 +195,10 @@
     return exchange;
   }
 
+  long arriveForAdapter(String route, String adapter) {
+    return arrive(route, Optional.of(adapter), ++exchanges, Duration.ofSeconds(5));
+  }
+
   /** Lets a heartbeat of a node that holds the lease on orders arrive. */
   void hearCoordinator(String name) {
     NodeAddress address =
