StoppingNodeTest: a test's name as the linter wants it

Run on this: BusyConnectionsTest, CallerFrontTest, CallerExchangeTest, GatewayPathTest, StoppingNodeTest, 50 tests green.

--- a/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
@@ -161,7 +161,7 @@
   }
 
   @Test
-  void oneHungRequestDoesNotMakeAStoppingNodeRefuseShortOnes() {
+  void oneHungRequestLeavesShortOnesToStoppingNode() {
     node.configure(LONG_LIMIT);
     for (int i = 0; i < 20; i++) {
       runToEnd("order", Duration.ofMillis(50));
