The callers' side answers what a stalled core left when the process ends

Change: after the core's time is over, each answer that is owed still ends as 502 by the callers' side itself. CallerFrontTest, second test: without endAll the caller had no answer after 60 s (run ended); with it 502.

--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -293,6 +293,11 @@
     }
   }
 
+  /** Ends every answer that is owed still, as an outcome that is not known. */
+  void endAll() {
+    exchanges.keySet().forEach(each -> refuse(each, ResultCode.OUTCOME_UNKNOWN, Optional.empty()));
+  }
+
   // Connections
 
   /** Tells the core of callers that left while their request is served. */
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -228,6 +228,8 @@
     long until = System.nanoTime() + limit.minus(LAST_REFUSALS).toNanos();
     boolean drained = runtime.drain(limit);
     callers.awaitAnswers(until);
+    // The core ends what it took; a core that stood still until now did not.
+    callers.endAll();
     callers.closeAll(LAST_REFUSALS);
     log.write(
         NodeEvent.of(
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -21,6 +21,8 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** What callers see of the end of a node. */
@@ -33,44 +35,76 @@
   private static final Duration LIMIT = Duration.ofSeconds(60);
 
   private final BlockingQueue<GatewayEvent> events = new LinkedBlockingQueue<>();
+  private final QueuedThreadPool threads = new QueuedThreadPool(12, 4);
+  private final Scheduler scheduler = new ScheduledExecutorScheduler("timer", true);
 
-  /** The node ended when its core had nothing in flight, with the answer half written. */
-  @Test
-  void wholeAnswerToOneSlowCallerIsDeliveredBeforeTheNodeEnds() throws Exception {
-    LoopbackSettings settings = LoopbackSettings.of("n0", "127.0.0.1:1");
+  private CallerFront front;
+  private LoopbackSettings settings;
+
+  @BeforeEach
+  void start() throws Exception {
+    settings = LoopbackSettings.of("n0", "127.0.0.1:1");
     GatewayFile file = GatewayFile.from(TomlDocument.parse("n0", settings.toml()));
-    QueuedThreadPool threads = new QueuedThreadPool(12, 4);
-    Scheduler scheduler = new ScheduledExecutorScheduler("timer", true);
     threads.start();
     scheduler.start();
-    CallerFront front =
+    front =
         CallerFront.start(
             file, GatewayMetrics.create(), threads, scheduler, CallerHeaders.create(), events::add);
-    try (Socket caller = new Socket()) {
-      caller.setReceiveBufferSize(RECEIVE_BYTES);
-      caller.connect(
-          new InetSocketAddress(InetAddress.getLoopbackAddress(), settings.callerPort()));
-      String head = "GET /report/1 HTTP/1.1\r\nHost: a\r\nX-Wisteriarail-Request-Id: r1\r\n\r\n";
-      caller.getOutputStream().write(head.getBytes(UTF_8));
-      GatewayEvent.RequestArrived arrived = (GatewayEvent.RequestArrived) events.take();
-      CallerExchange exchange = front.exchange(arrived.request().exchange()).orElseThrow();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    front.close();
+    scheduler.stop();
+    threads.stop();
+  }
+
+  /** The node ended when its core had nothing in flight, with the answer half written. */
+  @Test
+  void wholeAnswerToOneSlowCallerIsDeliveredBeforeTheNodeEnds() throws Exception {
+    try (Socket caller = connect()) {
+      CallerExchange exchange = request(caller);
       front.closeAfterAnswers();
       exchange.attach(1);
       assertThat(exchange.answer(200, HttpFields.EMPTY, new byte[ANSWER_BYTES])).isTrue();
-      Thread end = Thread.startVirtualThread(() -> end(front));
+      Thread end = Thread.startVirtualThread(() -> end(front, LIMIT));
       assertThat(readAll(caller.getInputStream())).isAtLeast(ANSWER_BYTES);
       end.join();
-    } finally {
-      front.close();
-      scheduler.stop();
-      threads.stop();
     }
   }
 
-  private static void end(CallerFront front) {
+  /** The node closed connections unanswered when its core had stood still past the end. */
+  @Test
+  void requestThatItsCoreLeftGetsOneAnswerBeforeTheNodeEnds() throws Exception {
+    try (Socket caller = connect()) {
+      request(caller);
+      Thread end = Thread.startVirtualThread(() -> end(front, Duration.ZERO));
+      String answer = new String(caller.getInputStream().readAllBytes(), UTF_8);
+      assertThat(answer).startsWith("HTTP/1.1 502 ");
+      end.join();
+    }
+  }
+
+  private Socket connect() throws IOException {
+    Socket caller = new Socket();
+    caller.setReceiveBufferSize(RECEIVE_BYTES);
+    caller.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), settings.callerPort()));
+    return caller;
+  }
+
+  private CallerExchange request(Socket caller) throws IOException, InterruptedException {
+    String head = "GET /report/1 HTTP/1.1\r\nHost: a\r\nX-Wisteriarail-Request-Id: r1\r\n\r\n";
+    caller.getOutputStream().write(head.getBytes(UTF_8));
+    GatewayEvent.RequestArrived arrived = (GatewayEvent.RequestArrived) events.take();
+    return front.exchange(arrived.request().exchange()).orElseThrow();
+  }
+
+  /** Ends the callers' side as a node does. */
+  private static void end(CallerFront front, Duration wait) {
     try {
-      front.awaitAnswers(System.nanoTime() + LIMIT.toNanos());
-      front.closeAll(Duration.ZERO);
+      front.awaitAnswers(System.nanoTime() + wait.toNanos());
+      front.endAll();
+      front.closeAll(LIMIT);
       front.close();
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
