--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -226,7 +226,7 @@
   public boolean stop() throws InterruptedException {
     Duration limit = file.drainLimit().minus(EXIT_RESERVE);
     long until = System.nanoTime() + limit.minus(LAST_REFUSALS).toNanos();
-    boolean drained = runtime.drain(limit);
+    final boolean drained = runtime.drain(limit);
     callers.awaitAnswers(until);
     // The core ends what it took; a core that stood still until now did not.
     callers.endAll();
