A stalled core leaves the process its time to end

Found by the review: where the core had not ended its requests, GatewayNode.stop waited for it until 0.3 s before the end of the grace and then refused for 0.25 s more, which left 50 ms before SIGKILL. It waits 0.25 s less for the core, whose own end comes 0.8 s before the grace's. Not covered by a test of its own; CallerFrontTest, GatewayPathTest, StopLogTest run through it.

--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -224,8 +224,8 @@
 
   /** Stops gracefully: waits for the requests in flight, within the limit of the settings. */
   public boolean stop() throws InterruptedException {
-    Duration limit = file.drainLimit().minus(EXIT_RESERVE);
-    long until = System.nanoTime() + limit.minus(LAST_REFUSALS).toNanos();
+    Duration limit = file.drainLimit().minus(EXIT_RESERVE).minus(LAST_REFUSALS);
+    long until = System.nanoTime() + limit.toNanos();
     final boolean drained = runtime.drain(limit);
     callers.awaitAnswers(until);
     // The core ends what it took; a core that stood still until now did not.
