--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -68,6 +68,10 @@
   RUNNER_REMOVED(242, "runner removed"),
   /** A runner gets no request for a while because of how requests ended on it. */
   RUNNER_EJECTED(243, "runner ejected"),
+  /** A runner wants nothing from this node for a while. */
+  RUNNER_PAUSED(244, "runner paused"),
+  /** A runner named a time to come back that is none; it is passed over. */
+  RUNNER_PAUSE_IGNORED(245, "runner's pause ignored"),
   /** An order was sent to a runner. */
   RUNNER_ORDERED(250, "order sent"),
   /** The call of an order returned. */
--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -417,13 +417,18 @@
         .findFirst();
   }
 
-  /** Returns the engines to ask for a report now, and notes that they are asked. */
-  public List<String> takeQuestions(Instant now) {
+  /**
+   * Returns the engines to ask for a report now, and notes that they are asked.
+   *
+   * @param mayAsk tells runners that may be asked
+   */
+  public List<String> takeQuestions(Predicate<String> mayAsk, Instant now) {
     List<String> questions = new ArrayList<>();
     for (EngineState engine : engines.values()) {
       Instant last = askedAt.getOrDefault(engine.runner(), Instant.MIN);
       Duration pause = engine.wantsReport(now) ? REPORT_PAUSE : REPORT_IDLE_PAUSE;
-      if (last.equals(Instant.MIN) || !now.isBefore(last.plus(pause))) {
+      boolean due = last.equals(Instant.MIN) || !now.isBefore(last.plus(pause));
+      if (due && mayAsk.test(engine.runner())) {
         askedAt.put(engine.runner(), now);
         engine.ask(now);
         questions.add(engine.runner());
--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,7 +15,8 @@
  * The runners that may get requests, by what they wrote into the platform's directory.
  *
  * <p>Knowledge only grows: a change is taken if it covers records that were not known, an entry of
- * an earlier run never replaces that of a later one, and a run that drains never comes back.
+ * an earlier run never replaces that of a later one, and a run that drains never comes back. A run
+ * that says in its answers that it leaves counts as draining, whatever its entry still says.
  *
  * <p>Life cycle: one per run of a node. Not thread-safe.
  */
@@ -36,6 +38,7 @@
   private final Map<String, RunnerEntry> entries = new LinkedHashMap<>();
   private final Map<String, Lapsed> lapsed = new LinkedHashMap<>();
   private final Map<String, Long> drained = new LinkedHashMap<>();
+  private final Set<RunnerRun> unconfirmed = new LinkedHashSet<>();
   private long offset = -1;
   private long materialOffset = -1;
   private long changes;
@@ -95,23 +98,52 @@
    */
   public DirectoryChange material(DirectoryChange change) {
     List<RunnerEntry> changed =
-        change.entries().stream().filter(entry -> !entry.equals(entries.get(entry.id()))).toList();
+        change.entries().stream()
+            .filter(entry -> !withLeaving(entry).equals(entries.get(entry.id())))
+            .toList();
     List<String> removed = change.removed().stream().filter(entries::containsKey).toList();
     long from = offset < 0 ? change.from() : Math.min(change.from(), materialOffset);
     return new DirectoryChange(change.whole(), from, change.to(), changed, removed);
   }
 
+  /**
+   * Takes what a run of a runner said of itself to this node or to a peer: that it leaves.
+   *
+   * @return what became different, for the log; empty if it was known
+   */
+  public Optional<RunnerTurn> leave(RunnerRun run) {
+    if (drained.getOrDefault(run.id(), -1L) >= run.bornMillis()) {
+      return Optional.empty();
+    }
+    drained.put(run.id(), run.bornMillis());
+    unconfirmed.add(run);
+    changes++;
+    Lapsed away = lapsed.get(run.id());
+    if (away != null && away.entry().bornMillis() == run.bornMillis()) {
+      lapsed.remove(run.id());
+      return Optional.of(new RunnerTurn(away.entry(), RunnerTurn.Kind.DRAINING));
+    }
+    RunnerEntry known = entries.get(run.id());
+    if (known == null || known.bornMillis() != run.bornMillis() || known.draining()) {
+      return Optional.empty();
+    }
+    RunnerEntry leaving = asDraining(known);
+    entries.put(run.id(), leaving);
+    return Optional.of(new RunnerTurn(leaving, RunnerTurn.Kind.DRAINING));
+  }
+
   private Optional<RunnerTurn> put(RunnerEntry entry) {
     RunnerEntry known = entries.get(entry.id());
     if (known != null && entry.bornMillis() != 0 && entry.bornMillis() < known.bornMillis()) {
       return Optional.empty();
     }
-    boolean leaves =
-        entry.draining() || drained.getOrDefault(entry.id(), -1L) == entry.bornMillis();
-    RunnerEntry newest = leaves && !entry.draining() ? asDraining(entry) : entry;
-    if (leaves) {
+    RunnerEntry newest = withLeaving(entry);
+    if (newest.draining()) {
       drained.put(entry.id(), entry.bornMillis());
     }
+    if (entry.draining()) {
+      unconfirmed.remove(RunnerRun.of(entry));
+    }
     entries.put(entry.id(), newest);
     lapsed.remove(entry.id());
     if (known == null || known.bornMillis() != newest.bornMillis()) {
@@ -123,6 +155,12 @@
     return Optional.empty();
   }
 
+  /** Returns an entry as it counts here: a run that left never comes back. */
+  private RunnerEntry withLeaving(RunnerEntry entry) {
+    boolean left = drained.getOrDefault(entry.id(), -1L) == entry.bornMillis();
+    return left && !entry.draining() ? asDraining(entry) : entry;
+  }
+
   private static RunnerEntry asDraining(RunnerEntry entry) {
     return new RunnerEntry(
         entry.id(),
@@ -159,8 +197,13 @@
     }
   }
 
-  /** Forgets entries that stayed away after a lapse. */
+  /** Forgets entries that stayed away after a lapse, and what runs said that are over. */
   public void advance(Instant now) {
+    unconfirmed.removeIf(
+        run -> {
+          RunnerEntry entry = entries.get(run.id());
+          return entry == null || entry.bornMillis() > run.bornMillis();
+        });
     if (lapsed.values().removeIf(entry -> !now.isBefore(entry.until()))) {
       changes++;
     }
@@ -189,6 +232,16 @@
     return Optional.ofNullable(lapsed.get(id)).map(Lapsed::entry);
   }
 
+  /** Returns the entries of runners that leave and may still serve what they have. */
+  public List<RunnerEntry> leaving() {
+    return entries.values().stream().filter(RunnerEntry::draining).toList();
+  }
+
+  /** Returns the runs that said that they leave and whose entries do not say so yet. */
+  public List<RunnerRun> unconfirmed() {
+    return List.copyOf(unconfirmed);
+  }
+
   /** Returns a number that grows whenever the runners that may get requests may have changed. */
   public long changes() {
     return changes;
--- a/src/main/java/dev/wisteriarail/core/forward/RunnerBoard.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunnerBoard.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.fleet.RunnerRun;
 import dev.wisteriarail.core.fleet.RunnerUse;
 import dev.wisteriarail.core.fleet.RunnerView;
 import java.time.Duration;
@@ -34,6 +35,7 @@
   private final Map<String, Long> ownTokens = new HashMap<>();
   private final Map<String, Integer> toldRunning = new HashMap<>();
   private final Map<String, RunnerHealth> health = new HashMap<>();
+  private final RunnerPauses pauses = RunnerPauses.create();
   private long viewRevision;
   private Instant forecastAt = Instant.MIN;
   private RunnerIndex index = RunnerIndex.EMPTY;
@@ -67,8 +69,9 @@
     forecastAt = now;
   }
 
-  /** Forgets runners that are gone. */
-  public void advance() {
+  /** Forgets runners that are gone, and pauses that are over. */
+  public void advance(Instant now) {
+    pauses.advance(now);
     views.keySet().removeIf(id -> directory.usable(id).isEmpty());
     health.keySet().removeIf(id -> directory.usable(id).isEmpty() && !ownRunning.containsKey(id));
   }
@@ -89,6 +92,11 @@
     ownTokens.computeIfPresent(runner, (key, sum) -> sum > tokens ? sum - tokens : null);
   }
 
+  /** Notes that a runner wants nothing from this node for a while. */
+  public void pause(RunnerRun runner, Duration length, Instant now) {
+    pauses.note(runner, length, now);
+  }
+
   /** Notes that a runner said that it lacks a model or adapter that a view names. */
   public void markMissing(String runner, String model, String adapter) {
     RunnerView view = views.get(runner);
@@ -145,6 +153,16 @@
     return health.computeIfAbsent(runner, id -> RunnerHealth.create());
   }
 
+  /** Returns how long a runner wants nothing from this node; zero if it may be sent to now. */
+  public Duration pauseLeft(RunnerEntry entry, Instant now) {
+    return pauses.left(RunnerRun.of(entry), now);
+  }
+
+  /** Returns whether a runner may be sent to: it wants that, and requests did not fail on it. */
+  public boolean isIn(RunnerEntry entry, Instant now) {
+    return pauseLeft(entry, now).isZero() && health(entry.id()).isIn(now);
+  }
+
   /** Returns the runners of a service that may get requests, as far as the directory says. */
   public List<RunnerEntry> usable(String service) {
     return index().ofService(service);
--- a/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -155,7 +155,7 @@
     }
     nextPlan = now.plusMillis(Math.round(PLAN_MILLIS * pace));
     coordinator.sync(configuration.get(), directory, now);
-    for (String runner : coordinator.takeQuestions(now)) {
+    for (String runner : coordinator.takeQuestions(runner -> wantsCalls(runner, now), now)) {
       directory.usable(runner).ifPresent(entry -> step.emit(new GatewayEffect.AskReport(entry)));
     }
     if (!lease.mayOrder(now)) {
@@ -166,7 +166,10 @@
       return;
     }
     for (NumberedOrder order :
-        coordinator.decide(configuration.get(), runner -> lease.mayOrder(runner, now), now)) {
+        coordinator.decide(
+            configuration.get(),
+            runner -> lease.mayOrder(runner, now) && wantsCalls(runner, now),
+            now)) {
       lastOrderAt = now;
       lease.noteOrder(order.runner(), now);
       step.log(
@@ -193,6 +196,13 @@
     }
   }
 
+  private boolean wantsCalls(String runner, Instant now) {
+    return directory
+        .usable(runner)
+        .filter(entry -> board.pauseLeft(entry, now).isZero())
+        .isPresent();
+  }
+
   /** Returns whether all nodes told what they want and use, or had the time to. */
   private boolean isInformed(List<PeerTable.Peer> live, double pace, Instant now) {
     long limit = Math.round(settings.timings().demand().toMillis() * pace * REPORTS_AWAITED);
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -219,13 +219,25 @@
     }
   }
 
-  /** Without a coordinator nothing is loaded until another node has taken the lease. */
+  /**
+   * Returns when a runner may take a request: when its model is there, or when the first of the
+   * runners that hold it wants requests again. Without a coordinator nothing is loaded until
+   * another node has taken the lease.
+   */
   private Optional<Duration> startsIn(PendingForward forward, Instant now) {
+    List<RunnerEntry> holders =
+        board.holders(forward.service(), forward.model(), forward.adapter());
+    Duration pause =
+        holders.stream()
+            .map(holder -> board.pauseLeft(holder, now))
+            .min(Comparator.naturalOrder())
+            .orElse(Duration.ZERO);
+    if (!pause.isZero()) {
+      return Optional.of(pause);
+    }
     Optional<Duration> told =
         board.forecast(forward.service(), forward.model(), forward.adapter(), now);
-    boolean loaded =
-        forward.model().isEmpty()
-            || !board.holders(forward.service(), forward.model(), forward.adapter()).isEmpty();
+    boolean loaded = forward.model().isEmpty() || !holders.isEmpty();
     return told.isPresent() || loaded || hasCoordinator ? told : Optional.of(TAKEOVER);
   }
 
@@ -385,7 +397,9 @@
     }
     forward.markMayHaveRun();
     boolean failed = answered.status() >= STATUS_SERVER_ERROR;
-    if (failed) {
+    if (!board.pauseLeft(runner, step.now()).isZero()) {
+      board.health(runner.id()).release();
+    } else if (failed) {
       noteFailure(runner, reason, false, step);
     } else {
       board.health(runner.id()).succeed();
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -11,7 +11,6 @@
 import dev.wisteriarail.core.fleet.PeerStatus;
 import dev.wisteriarail.core.fleet.PeerTable;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
-import dev.wisteriarail.core.fleet.RunnerTurn;
 import dev.wisteriarail.core.fleet.RunnerUse;
 import dev.wisteriarail.core.forward.RunnerBoard;
 import dev.wisteriarail.core.id.NodeId;
@@ -58,6 +57,7 @@
   private final StoreWatch store;
   private final OrderLease lease;
   private final RunnerBoard board;
+  private final RunnerNews news;
   private final Forwarder forwarder;
   private final DrainPlan drain;
   private final EngineDuty duty;
@@ -86,6 +86,7 @@
     store = StoreWatch.create(timings.directoryRead());
     lease = OrderLease.create(self.value(), settings.self().incarnation().value(), timings);
     board = RunnerBoard.create(directory);
+    news = RunnerNews.create(directory, board);
     forwarder = Forwarder.create(settings, board);
     drain = DrainPlan.create(settings.drainGrace());
     duty = EngineDuty.create(settings, lease, directory, board);
@@ -133,6 +134,11 @@
               .ifPresent(
                   fingerprint ->
                       tell(peers.addresses(), new FleetMessage.CrashTold(fingerprint), step));
+      case GatewayEvent.RunnerSpoke spoke -> {
+        if (news.accept(spoke, step)) {
+          nextBeat = now;
+        }
+      }
       case GatewayEvent.StoreTold told -> acceptStore(told, step);
       case GatewayEvent.LeaseTold told -> {
         store.noteCall(!(told.answer() instanceof LeaseAnswer.Failed), now);
@@ -217,28 +223,7 @@
 
   private void apply(DirectoryChange change, Instant asOf, String source, GatewayStep step) {
     DirectoryChange material = directory.material(change);
-    for (RunnerTurn turn : directory.accept(change, asOf, step.now())) {
-      EventCode code =
-          switch (turn.kind()) {
-            case JOINED -> EventCode.RUNNER_JOINED;
-            case DRAINING -> EventCode.RUNNER_DRAINING;
-            case REMOVED -> EventCode.RUNNER_REMOVED;
-          };
-      step.log(
-          code,
-          "runner",
-          turn.entry().id(),
-          "service",
-          turn.entry().service(),
-          "address",
-          turn.entry().address(),
-          "born",
-          turn.entry().bornMillis(),
-          "directory",
-          change.to(),
-          "source",
-          source);
-    }
+    directory.accept(change, asOf, step.now()).forEach(turn -> news.log(turn, source, step));
     boolean relayed = relaying && source.equals(SOURCE_STORE);
     if (relayed && !material.isEmpty()) {
       DirectoryChange relay = material.whole() ? directory.whole() : material;
@@ -268,6 +253,7 @@
       step.log(EventCode.PEER_SEEN, "peer", beat.self().node(), "host", beat.self().host());
     }
     beat.known().forEach(address -> peers.learn(address, now));
+    news.acceptLeaving(beat.leaving(), beat.self().node().value(), step);
     PeerStatus status = beat.status();
     if (status.directoryChange() >= 0 && status.directoryChange() <= directory.offset()) {
       directory.confirm(now.minusMillis(status.directoryAgeMillis()));
@@ -334,7 +320,7 @@
     Instant now = step.now();
     if (tick) {
       directory.advance(now);
-      board.advance();
+      board.advance(now);
       peers.advance(now);
     }
     List<PeerTable.Peer> live = peers.live(now);
@@ -421,7 +407,8 @@
     nextBeat = step.now().plusMillis(Math.round(timings.beat().toMillis() * pace));
     boolean introduces = beats++ % BEATS_BETWEEN_INTRODUCTIONS == 0;
     List<NodeAddress> known = introduces ? liveAddresses(step.now()) : List.of();
-    FleetMessage.Beat beat = new FleetMessage.Beat(settings.self(), known, status(step.now()));
+    FleetMessage.Beat beat =
+        new FleetMessage.Beat(settings.self(), known, status(step.now()), directory.unconfirmed());
     tell(peers.beatTargets(lease.isHeld(), step.now()), beat, step);
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEvent.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEvent.java
@@ -2,7 +2,9 @@
 
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
 import dev.wisteriarail.core.fleet.LeaseAnswer;
+import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.id.Incarnation;
@@ -36,6 +38,15 @@
    */
   record AttemptTold(long exchange, int attempt, AttemptResult result) implements GatewayEvent {}
 
+  /**
+   * A runner said something of itself in the head of an answer: to a request, an order or a
+   * question.
+   *
+   * @param runner the runner, as known when it was asked
+   * @param word what it said
+   */
+  record RunnerSpoke(RunnerEntry runner, RunnerWord word) implements GatewayEvent {}
+
   /**
    * A read of the store ended.
    *
--- a/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
@@ -73,7 +73,7 @@
         forward.request().session().flatMap(session -> sessions.runner(forward.model(), session));
     for (RunnerEntry entry : holders(forward, engine.isPresent())) {
       boolean fits =
-          board.health(entry.id()).isIn(now)
+          board.isIn(entry, now)
               && !(runAgain && forward.runnersThatMayHaveRun().contains(entry.id()))
               && engine
                   .map(spec -> board.allTokens(entry) + forward.tokens() <= spec.cacheTokens())
@@ -99,8 +99,7 @@
     return holders(forward, true).stream()
         .anyMatch(
             entry ->
-                !forward.runnersThatMayHaveRun().contains(entry.id())
-                    && board.health(entry.id()).isIn(now));
+                !forward.runnersThatMayHaveRun().contains(entry.id()) && board.isIn(entry, now));
   }
 
   private List<RunnerEntry> holders(PendingForward forward, boolean engine) {
--- a/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.PeerStatus;
+import dev.wisteriarail.core.fleet.RunnerRun;
 import dev.wisteriarail.core.fleet.RunnerUse;
 import dev.wisteriarail.core.fleet.RunnerView;
 import dev.wisteriarail.core.route.GatewayConfiguration;
@@ -19,8 +20,9 @@
    * @param self the sender's address
    * @param known addresses of other nodes that it heard lately
    * @param status what it knows and does
+   * @param leaving runs of runners that said that they leave, while the directory does not say so
    */
-  record Beat(NodeAddress self, List<NodeAddress> known, PeerStatus status)
+  record Beat(NodeAddress self, List<NodeAddress> known, PeerStatus status, List<RunnerRun> leaving)
       implements FleetMessage {
 
     @Override
@@ -28,9 +30,10 @@
       return true;
     }
 
-    /** Copies the list. */
+    /** Copies the lists; a node of an earlier version names no runners. */
     public Beat {
       known = List.copyOf(known);
+      leaving = leaving == null ? List.of() : List.copyOf(leaving);
     }
   }
 
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -1,6 +1,9 @@
 package dev.wisteriarail.fuzz.gateway;
 
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.fleet.RunnerRun;
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
@@ -105,6 +108,7 @@
     node.beginAttempt(send.exchange(), send.attempt());
     FakeBackend backend = backend(send.runner().id());
     world.checkDrain(backend, request);
+    oracle.checkWords(node.number(), run, backend, time.now());
     if (!backend.isUp()) {
       tell(node, run, send, network.millis(1, 5), new AttemptResult.NotSent("refused"));
       return;
@@ -149,9 +153,12 @@
     String model = parts[1];
     String adapter = parts[2];
     Duration soon = network.millis(1, 5);
+    if (backend.isUp() && backend.mood() != FakeBackend.Mood.SILENT) {
+      backend.words(time.now()).forEach(word -> speak(node, run, send.runner(), soon, word));
+    }
     if (!backend.isUp()) {
       tell(node, run, send, soon, new AttemptResult.Broken("reset", false, "", true));
-    } else if (backend.mood() == FakeBackend.Mood.FULL) {
+    } else if (backend.mood() == FakeBackend.Mood.FULL || backend.isPausing(time.now())) {
       tell(node, run, send, soon, new AttemptResult.Answered(503, true, true));
     } else if (!backend.holds(model, adapter, time.now())) {
       tell(node, run, send, soon, new AttemptResult.Answered(421, true, true));
@@ -161,6 +168,18 @@
     }
   }
 
+  private void speak(
+      FuzzedNode node, long run, RunnerEntry runner, Duration delay, RunnerWord word) {
+    time.after(
+        delay,
+        () -> {
+          if (node.run() == run && node.runs()) {
+            oracle.noteWord(node.number(), run, RunnerRun.of(runner), word, time.now());
+            world.deliver(node, run, new GatewayEvent.RunnerSpoke(runner, word));
+          }
+        });
+  }
+
   private void answer(
       FuzzedNode node, long run, GatewayEffect.SendAttempt send, FakeBackend backend) {
     Duration first =
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
@@ -5,7 +5,9 @@
 import dev.wisteriarail.core.fleet.LoadedModel;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.gateway.GatewayEffect;
+import java.math.BigDecimal;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -34,6 +36,8 @@
   private String loading = "";
   private boolean up = true;
   private boolean draining;
+  private boolean saysLeaving;
+  private Instant pausesUntil = Instant.EPOCH;
   private Mood mood = Mood.SOUND;
 
   /** What a runner does with requests. */
@@ -180,6 +184,8 @@
   void restart() {
     if (!up) {
       up = true;
+      saysLeaving = false;
+      pausesUntil = Instant.EPOCH;
       born++;
       orders = 0;
       fence = 0;
@@ -191,6 +197,16 @@
     draining = true;
   }
 
+  /** Says in its answers from now on that it leaves; its entry goes on to say that it is ready. */
+  void sayLeaving() {
+    saysLeaving = true;
+  }
+
+  /** Turns requests away until a time, and says so. */
+  void pauseUntil(Instant until) {
+    pausesUntil = until;
+  }
+
   void setMood(Mood newMood) {
     mood = newMood;
   }
@@ -209,6 +225,23 @@
     return born;
   }
 
+  /** Returns what it says of itself in an answer to a request. */
+  List<RunnerWord> words(Instant now) {
+    List<RunnerWord> words = new ArrayList<>();
+    if (saysLeaving) {
+      words.add(new RunnerWord.Leaves());
+    }
+    if (isPausing(now)) {
+      long millis = Duration.between(now, pausesUntil).toMillis();
+      words.add(new RunnerWord.Pauses(BigDecimal.valueOf(millis, 3).toPlainString()));
+    }
+    return words;
+  }
+
+  boolean isPausing(Instant now) {
+    return now.isBefore(pausesUntil);
+  }
+
   Mood mood() {
     return mood;
   }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
@@ -104,6 +104,11 @@
     return effects;
   }
 
+  /** Returns whether it takes events now. */
+  boolean runs() {
+    return up && !paused;
+  }
+
   void pause() {
     paused = true;
   }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
@@ -25,9 +25,13 @@
   private static final double ALL_RUNNERS_STRUCK = 0.4;
   private static final int BURST = 30;
 
+  /** Share of the runners that say something and leave; the others want a pause. */
+  private static final double LEAVING = 0.4;
+
   private final GatewayFuzz world;
   private final VirtualScheduler time;
   private final Chance chance;
+  private final Chance words;
   private final FakeMetadata store;
   private final List<FuzzedNode> nodes;
   private final List<FakeBackend> backends;
@@ -40,12 +44,14 @@
       GatewayFuzz world,
       VirtualScheduler time,
       Chance chance,
+      Chance words,
       FakeMetadata store,
       List<FuzzedNode> nodes,
       List<FakeBackend> backends) {
     this.world = world;
     this.time = time;
     this.chance = chance;
+    this.words = words;
     this.store = store;
     this.nodes = nodes;
     this.backends = backends;
@@ -105,6 +111,24 @@
     disturbedUntil = until.isAfter(disturbedUntil) ? until : disturbedUntil;
   }
 
+  /** Lets a runner say something of itself in its answers, and then the next one. */
+  void speak() {
+    if (time.now().isAfter(Instant.EPOCH.plus(GatewayFuzz.FAULTS))) {
+      return;
+    }
+    FakeBackend backend = words.pick(backends);
+    Duration length = words.millis(500, 4_000);
+    if (words.happens(LEAVING)) {
+      backend.sayLeaving();
+      time.after(length, backend::crash);
+      time.after(length.plus(words.millis(100, 2_000)), backend::restart);
+    } else {
+      backend.pauseUntil(time.now().plus(length));
+    }
+    disturb(length);
+    time.after(words.millis(500, 4_000), this::speak);
+  }
+
   /** Notes that a node starts, which disturbs what it and others know. */
   void noteStart() {
     disturb(Duration.ZERO);
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -69,7 +69,8 @@
     chance = Chance.of(seed, "faults");
     network = Chance.of(seed, "network");
     calls = new BackendCalls(this, time, oracle, network, backends);
-    faults = new GatewayFaults(this, time, chance, store, nodes, backends);
+    faults =
+        new GatewayFaults(this, time, chance, Chance.of(seed, "words"), store, nodes, backends);
     end = time.now().plus(FAULTS).plus(RECOVERY).plus(Duration.ofSeconds(10));
     for (int i = 0; i < GatewayFuzzPlan.NODES; i++) {
       nodes.add(new FuzzedNode(i, defect));
@@ -111,6 +112,7 @@
     time.after(Duration.ofSeconds(2), this::ask);
     if (faulty) {
       time.after(Duration.ofSeconds(3), faults::disturb);
+      time.after(Duration.ofSeconds(4), faults::speak);
     }
     time.after(Duration.ofSeconds(8), this::changeWhatOperatorsChange);
     time.at(Instant.EPOCH.plus(FAULTS).plus(RECOVERY), this::checkRecovery);
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
@@ -1,13 +1,17 @@
 package dev.wisteriarail.fuzz.gateway;
 
+import dev.wisteriarail.core.fleet.RunnerRun;
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.RouteSpec;
 import dev.wisteriarail.fuzz.oracle.Violation;
+import java.math.BigDecimal;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -34,6 +38,12 @@
   /** One request in this many has to be served once the faults are over. */
   private static final int LEAST_SERVED_ONE_IN = 4;
 
+  /** Time after a runner asked for a pause in which requests may still be on the way to it. */
+  private static final Duration PAUSE_GRACE = Duration.ofMillis(500);
+
+  /** Requests of one node to a runner in its pause that the platform's rules allow. */
+  private static final int MOST_IN_PAUSE = 2;
+
   private static final int FIRST_CLIENT_ERROR = 400;
   private static final int FIRST_SERVER_ERROR = 500;
 
@@ -42,6 +52,8 @@
   private final Map<String, List<Instant>> repeats = new HashMap<>();
   private final Map<String, Integer> endings = new TreeMap<>();
   private final List<Violation> violations = new ArrayList<>();
+  private final Set<Told> leavingTold = new HashSet<>();
+  private final Map<Told, Pause> pausesTold = new HashMap<>();
   private int takenAndCut;
 
   void complain(String check, String detail, Instant now) {
@@ -133,6 +145,31 @@
     }
   }
 
+  /** A runner told a node something of itself. */
+  void noteWord(int node, long run, RunnerRun runner, RunnerWord word, Instant now) {
+    Told told = new Told(node, run, runner);
+    switch (word) {
+      case RunnerWord.Leaves leaves -> leavingTold.add(told);
+      case RunnerWord.Pauses pauses -> {
+        BigDecimal millis = new BigDecimal(pauses.seconds()).movePointRight(3);
+        pausesTold.put(told, new Pause(now.plus(PAUSE_GRACE), now.plusMillis(millis.longValue())));
+      }
+    }
+  }
+
+  /** A node sends a request to a runner: it must have heeded what the runner told it. */
+  void checkWords(int node, long run, FakeBackend backend, Instant now) {
+    Told told = new Told(node, run, new RunnerRun(backend.id(), backend.born()));
+    if (leavingTold.contains(told)) {
+      complain("leaving-word", "n" + node + " sent to " + backend.id() + " that leaves", now);
+    }
+    Pause pause = pausesTold.get(told);
+    boolean within = pause != null && now.isAfter(pause.from) && now.isBefore(pause.until);
+    if (within && ++pause.sent > MOST_IN_PAUSE) {
+      complain("pause", "n" + node + " sent to " + backend.id() + " in its pause", now);
+    }
+  }
+
   void run(String id, String runner, Instant now) {
     Asked request = asked.get(id);
     request.runs++;
@@ -224,6 +261,22 @@
     return violations;
   }
 
+  /** What one run of a node was told by one run of a runner. */
+  private record Told(int node, long nodeRun, RunnerRun runner) {}
+
+  /** A pause that a runner asked a node for. */
+  private static final class Pause {
+
+    private final Instant from;
+    private final Instant until;
+    private int sent;
+
+    Pause(Instant from, Instant until) {
+      this.from = from;
+      this.until = until;
+    }
+  }
+
   /** One request. */
   private static final class Asked {
 
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.gateway;
 
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import java.io.ByteArrayOutputStream;
@@ -32,6 +33,7 @@
   private final CallerExchange exchange;
   private final GatewayEffect.SendAttempt attempt;
   private final RunnerProtocol protocol;
+  private final Consumer<RunnerWord> words;
   private final Consumer<AttemptResult> told;
   private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
   private volatile boolean begun;
@@ -44,10 +46,12 @@
       CallerExchange exchange,
       GatewayEffect.SendAttempt attempt,
       RunnerProtocol protocol,
+      Consumer<RunnerWord> words,
       Consumer<AttemptResult> told) {
     this.exchange = exchange;
     this.attempt = attempt;
     this.protocol = protocol;
+    this.words = words;
     this.told = told;
   }
 
@@ -76,7 +80,8 @@
 
   @Override
   public void onHeaders(Response response) {
-    head = protocol.read(exchange, response);
+    head = protocol.read(exchange, attempt, response);
+    head.words().forEach(words);
     if (!head.forThisRequest()) {
       abort(response, "the answer belongs to another request");
     }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
@@ -181,6 +181,7 @@
       case GatewayEffect.GiveOrder order ->
           platform.order(
               order,
+              word -> submit(new GatewayEvent.RunnerSpoke(order.runner(), word)),
               (outcome, detail) ->
                   submit(
                       new GatewayEvent.OrderTold(
@@ -189,6 +190,7 @@
         Instant askedAt = steady.instant();
         platform.report(
             ask.runner(),
+            word -> submit(new GatewayEvent.RunnerSpoke(ask.runner(), word)),
             report -> report.ifPresent(read -> submit(new GatewayEvent.ReportRead(read, askedAt))));
       }
       case GatewayEffect.ReadStore read ->
@@ -227,6 +229,7 @@
                 runners.send(
                     exchange,
                     send,
+                    word -> submit(new GatewayEvent.RunnerSpoke(send.runner(), word)),
                     (attempt, result) -> {
                       if (result instanceof AttemptResult.Finished) {
                         runners.forget(send.exchange());
--- a/src/main/java/dev/wisteriarail/gateway/PlatformClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/PlatformClient.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
@@ -29,9 +30,21 @@
   /** Writes a node's address; tells whether it was done. */
   void register(NodeAddress address, Consumer<Boolean> told);
 
-  /** Gives an order to a runner; tells the outcome and what the runner said. */
-  void order(GatewayEffect.GiveOrder order, BiConsumer<FleetOrderOutcome, String> told);
+  /**
+   * Gives an order to a runner; tells the outcome and what the runner said.
+   *
+   * @param words told before the outcome what the runner says of itself
+   */
+  void order(
+      GatewayEffect.GiveOrder order,
+      Consumer<RunnerWord> words,
+      BiConsumer<FleetOrderOutcome, String> told);
 
-  /** Asks a runner for a report; tells nothing if there is none. */
-  void report(RunnerEntry runner, Consumer<Optional<RunnerReport>> told);
+  /**
+   * Asks a runner for a report; tells nothing if there is none.
+   *
+   * @param words told before the report what the runner says of itself
+   */
+  void report(
+      RunnerEntry runner, Consumer<RunnerWord> words, Consumer<Optional<RunnerReport>> told);
 }
--- a/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
@@ -1,11 +1,13 @@
 package dev.wisteriarail.gateway;
 
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.route.CallerBounds;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -40,15 +42,16 @@
     fresh.setMaxRequestHeadersSize(longest);
   }
 
-  /** Sends an attempt; tells what becomes of it. */
+  /** Sends an attempt; tells what becomes of it, and before that what its runner says of itself. */
   void send(
       CallerExchange exchange,
       GatewayEffect.SendAttempt attempt,
+      Consumer<RunnerWord> words,
       BiConsumer<Integer, AttemptResult> told) {
     exchange.attach(attempt.attempt());
     AttemptRelay relay =
         new AttemptRelay(
-            exchange, attempt, protocol, result -> told.accept(attempt.attempt(), result));
+            exchange, attempt, protocol, words, result -> told.accept(attempt.attempt(), result));
     relays.put(attempt.exchange(), relay);
     HttpClient http = attempt.repeatable() ? pooled : fresh;
     Request request =
--- a/src/main/java/dev/wisteriarail/gateway/RunnerProtocol.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerProtocol.java
@@ -1,6 +1,8 @@
 package dev.wisteriarail.gateway;
 
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.gateway.GatewayEffect;
+import java.util.List;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
@@ -21,9 +23,10 @@
    * Reads the head of an answer.
    *
    * @param exchange the caller's request
+   * @param attempt the attempt that is answered
    * @param response the answer
    */
-  AnswerHead read(CallerExchange exchange, Response response);
+  AnswerHead read(CallerExchange exchange, GatewayEffect.SendAttempt attempt, Response response);
 
   /**
    * What the head of a runner's answer says.
@@ -33,9 +36,20 @@
    * @param signed whether it bears the runner's signature
    * @param notRun whether the runner says that it did not run the request
    * @param headers the headers to pass on
+   * @param words what the runner says of itself
    */
   record AnswerHead(
-      int status, boolean forThisRequest, boolean signed, boolean notRun, HttpFields headers) {
+      int status,
+      boolean forThisRequest,
+      boolean signed,
+      boolean notRun,
+      HttpFields headers,
+      List<RunnerWord> words) {
+
+    /** Copies the list. */
+    public AnswerHead {
+      words = List.copyOf(words);
+    }
 
     /** Returns whether the status tells success. */
     public boolean isSuccess() {
--- a/src/main/java/dev/wisteriarail/platform/Names.java
+++ b/src/main/java/dev/wisteriarail/platform/Names.java
@@ -15,6 +15,8 @@
   static final String SIGNATURE = "X-Wisteriarail-Response-Signature";
   static final String NOT_RUN = "X-Wisteriarail-Not-Executed";
   static final String PRIORITY = "X-Wisteriarail-Request-Priority";
+  static final String RUNNER = "X-Wisteriarail-Instance-Id";
+  static final String LEAVING = "Server-Leaving";
   static final String LAST_EVENT = "Last-Event-Id";
 
   static final String READINESS = "/wisteriarail/readiness";
--- a/src/main/java/dev/wisteriarail/platform/PlatformCalls.java
+++ b/src/main/java/dev/wisteriarail/platform/PlatformCalls.java
@@ -12,6 +12,7 @@
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
@@ -260,7 +261,10 @@
   // Runners
 
   @Override
-  public void order(GatewayEffect.GiveOrder order, BiConsumer<FleetOrderOutcome, String> told) {
+  public void order(
+      GatewayEffect.GiveOrder order,
+      Consumer<RunnerWord> words,
+      BiConsumer<FleetOrderOutcome, String> told) {
     byte[] body;
     try {
       body = Codecs.json().writeValueAsBytes(orderBody(order));
@@ -284,6 +288,7 @@
                       String.valueOf(result.getFailure().getMessage()));
                 } else {
                   int status = result.getResponse().getStatus();
+                  RunnerHeaders.words(order.runner().id(), result.getResponse()).forEach(words);
                   told.accept(outcome(status), status + " " + getContentAsString(UTF_8));
                 }
               }
@@ -319,7 +324,8 @@
   }
 
   @Override
-  public void report(RunnerEntry runner, Consumer<Optional<RunnerReport>> told) {
+  public void report(
+      RunnerEntry runner, Consumer<RunnerWord> words, Consumer<Optional<RunnerReport>> told) {
     http.newRequest("http://" + runner.address() + Names.REPORT)
         .headers(headers -> headers.put(Names.EXPECTED_RUNNER, runner.id()))
         .timeout(CONTROL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
@@ -327,6 +333,9 @@
             new BufferingResponseListener(MAX_ANSWER_BYTES) {
               @Override
               public void onComplete(Result result) {
+                if (result.isSucceeded()) {
+                  RunnerHeaders.words(runner.id(), result.getResponse()).forEach(words);
+                }
                 told.accept(decodeReport(runner, result, getContentAsString(UTF_8)));
               }
             });
--- a/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
@@ -1,8 +1,10 @@
 package dev.wisteriarail.platform;
 
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.gateway.CallerExchange;
 import dev.wisteriarail.gateway.RunnerProtocol;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -66,13 +68,16 @@
   }
 
   @Override
-  public AnswerHead read(CallerExchange exchange, Response response) {
+  public AnswerHead read(
+      CallerExchange exchange, GatewayEffect.SendAttempt attempt, Response response) {
     HttpFields headers = response.getHeaders();
     HttpFields.Mutable passed = HttpFields.build();
     Set<String> named = namedByConnection(headers);
     for (HttpField field : headers) {
       String name = field.getName();
-      if (!Names.isConnectionHeader(name) && !named.contains(name.toLowerCase(Locale.ROOT))) {
+      if (!Names.isConnectionHeader(name)
+          && !name.equalsIgnoreCase(Names.LEAVING)
+          && !named.contains(name.toLowerCase(Locale.ROOT))) {
         passed.add(field);
       }
     }
@@ -83,8 +88,29 @@
         own,
         headers.contains(Names.SIGNATURE),
         headers.contains(Names.NOT_RUN) || response.getStatus() == STATUS_MISDIRECTED,
-        passed);
+        passed,
+        words(attempt.runner().id(), response));
+  }
+
+  /** Returns what a runner says of itself; nothing if another one answers at its address. */
+  static List<RunnerWord> words(String runner, Response response) {
+    HttpFields headers = response.getHeaders();
+    String named = headers.get(Names.RUNNER);
+    if (named != null && !named.equals(runner)) {
+      return List.of();
+    }
+    List<RunnerWord> words = new ArrayList<>();
+    if (LEAVES.equals(headers.get(Names.LEAVING))) {
+      words.add(new RunnerWord.Leaves());
+    }
+    String seconds = headers.get(HttpHeader.RETRY_AFTER);
+    if (response.getStatus() == STATUS_UNAVAILABLE && seconds != null) {
+      words.add(new RunnerWord.Pauses(seconds.trim()));
+    }
+    return words;
   }
 
   private static final int STATUS_MISDIRECTED = 421;
+  private static final int STATUS_UNAVAILABLE = 503;
+  private static final String LEAVES = "1";
 }
--- a/src/main/java/dev/wisteriarail/soak/Disturbance.java
+++ b/src/main/java/dev/wisteriarail/soak/Disturbance.java
@@ -67,6 +67,9 @@
   /** A runner ends and comes back empty under its identifier. */
   record RunnerCrashed(int runner, long downMillis) implements Disturbance {}
 
+  /** A runner says in its answers that it leaves, serves on, ends, and comes back empty. */
+  record RunnerLeaves(int runner, long millis, long downMillis) implements Disturbance {}
+
   /** A runner treats requests badly for a while. */
   record RunnerMisbehaves(int runner, RunnerStandin.Behaviour behaviour, long millis)
       implements Disturbance {
@@ -74,7 +77,7 @@
     /** Returns whether no request that reaches the runner is broken off by it. */
     boolean isPatient() {
       return switch (behaviour) {
-        case SOUND, FULL, SILENT, SLOW -> true;
+        case SOUND, FULL, SILENT, SLOW, PAUSING -> true;
         case FAILING, ANSWER_LOST, CUT, CROSSED, UNSIGNED -> false;
       };
     }
--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -174,6 +174,11 @@
       }
       case Disturbance.StoreCompacted compacted -> fleet.platform().forgetHistory();
       case Disturbance.RunnerCrashed crashed -> crash(crashed);
+      case Disturbance.RunnerLeaves leaves -> {
+        sayLeaving(leaves.runner());
+        Thread.sleep(leaves.millis());
+        crash(new Disturbance.RunnerCrashed(leaves.runner(), leaves.downMillis()));
+      }
       case Disturbance.RunnerMisbehaves bad -> {
         behave(bad.runner(), bad.behaviour());
         Thread.sleep(bad.millis());
@@ -213,6 +218,12 @@
     }
   }
 
+  private synchronized void sayLeaving(int runner) {
+    if (fleet.hasRunner(runner)) {
+      fleet.platform().runner(SoakFleet.runnerId(runner)).sayLeaving();
+    }
+  }
+
   private NodeProcess process(int node) {
     return fleet.members().get(node).process();
   }
--- a/src/main/java/dev/wisteriarail/soak/SoakPlan.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakPlan.java
@@ -4,6 +4,7 @@
 import dev.wisteriarail.standin.RunnerStandin;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -47,6 +48,9 @@
   /** Mean time between two disturbances; they last longer, so they overlap. */
   private static final int PAUSE_MILLIS = 700;
 
+  /** Mean pause between two runners that say something of themselves, in milliseconds. */
+  private static final int WORD_PAUSE_MILLIS = 3_000;
+
   /** Longest time for which one disturbance lasts. */
   private static final int LONGEST_MILLIS = 3_000;
 
@@ -61,6 +65,12 @@
    */
   public record Step(Duration at, Disturbance what) {}
 
+  /** Behaviours of the main draw; {@link #runnersWords} draws the others. */
+  private static final RunnerStandin.Behaviour[] DRAWN_BEHAVIOURS =
+      Arrays.stream(RunnerStandin.Behaviour.values())
+          .filter(behaviour -> behaviour != RunnerStandin.Behaviour.PAUSING)
+          .toArray(RunnerStandin.Behaviour[]::new);
+
   /** What a plan may hold. */
   public enum Work {
     /** Everything. */
@@ -87,7 +97,7 @@
   public static SoakPlan draw(long seed, Duration length, int nodes, int runners) {
     SplittableRandom random = new SplittableRandom(seed);
     Work work = drawWork(random);
-    Duration stopLimit = STOP_LIMITS.get(random.nextInt(STOP_LIMITS.size()));
+    final Duration stopLimit = STOP_LIMITS.get(random.nextInt(STOP_LIMITS.size()));
     List<Step> steps = new ArrayList<>();
     long at = random.nextInt(PAUSE_MILLIS);
     while (at < length.toMillis()) {
@@ -102,10 +112,30 @@
         at += random.nextInt(2 * PAUSE_MILLIS);
       }
     }
+    if (work == Work.FAULTS) {
+      steps.addAll(runnersWords(new SplittableRandom(~seed), length, runners));
+    }
     steps.sort(Comparator.comparing(Step::at));
     return new SoakPlan(work, stopLimit, steps);
   }
 
+  /** Drawn beside the other steps, so that seeds that failed before them keep their steps. */
+  private static List<Step> runnersWords(SplittableRandom random, Duration length, int runners) {
+    List<Step> steps = new ArrayList<>();
+    long at = random.nextInt(WORD_PAUSE_MILLIS);
+    while (at < length.toMillis()) {
+      int runner = random.nextInt(runners);
+      long millis = random.nextLong(100, LONGEST_MILLIS);
+      Disturbance what =
+          random.nextBoolean()
+              ? new Disturbance.RunnerLeaves(runner, millis, millis / 4)
+              : new Disturbance.RunnerMisbehaves(runner, RunnerStandin.Behaviour.PAUSING, millis);
+      steps.add(new Step(Duration.ofMillis(at), what));
+      at += random.nextInt(2 * WORD_PAUSE_MILLIS);
+    }
+    return steps;
+  }
+
   private static Work drawWork(SplittableRandom random) {
     if (random.nextInt(PLANNED_ONE_IN) == 0) {
       return Work.PLANNED;
@@ -175,8 +205,7 @@
       case 9 -> new Disturbance.StoreCompacted();
       case 10 -> new Disturbance.RunnerCrashed(runner, millis);
       case 11, 12 ->
-          new Disturbance.RunnerMisbehaves(
-              runner, pick(random, RunnerStandin.Behaviour.values()), millis);
+          new Disturbance.RunnerMisbehaves(runner, pick(random, DRAWN_BEHAVIOURS), millis);
       case 13 -> burst(random);
       default -> {
         Disturbance.Link link = pick(random, Disturbance.Link.values());
--- a/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -39,6 +39,9 @@
 
   private static final long POLL_MILLIS = 100;
 
+  /** Time for which a pausing runner wants nothing, in seconds, as it writes it. */
+  private static final String PAUSE_SECONDS = "1.5";
+
   /** Models of the stand-in's size that fit into the memory of one engine. */
   static final int MODEL_PLACES = 2;
 
@@ -56,6 +59,7 @@
   private StandinServer server;
   private Behaviour behaviour = Behaviour.SOUND;
   private boolean draining;
+  private volatile boolean saysLeaving;
   private long orders;
   private long fence;
   private String fenceHolder = "";
@@ -64,6 +68,7 @@
   private String loading = "";
   private volatile boolean closed;
   private int running;
+  private int arrived;
 
   private RunnerStandin(String id, String service, boolean engine, long born) {
     this.id = id;
@@ -91,7 +96,9 @@
     /** It takes requests, never begins to run them and answers nothing. */
     SILENT,
     /** It answers right, after seconds. */
-    SLOW
+    SLOW,
+    /** It says that it is full, and that it wants nothing from the asking node for a while. */
+    PAUSING
   }
 
   /**
@@ -130,6 +137,9 @@
       call.reply(421, "another runner");
       return;
     }
+    if (saysLeaving) {
+      call.setHeader("Server-Leaving", "1");
+    }
     switch (call.path()) {
       case "/wisteriarail/report" -> call.replyJson(report());
       case "/wisteriarail/order" -> order(call);
@@ -246,8 +256,12 @@
 
   private synchronized Behaviour begin(Call call, String request) throws IOException {
     call.setHeader("X-Wisteriarail-Request-Id", request);
-    if (behaviour == Behaviour.FULL) {
+    arrived++;
+    if (behaviour == Behaviour.FULL || behaviour == Behaviour.PAUSING) {
       call.setHeader(NOT_RUN, "1");
+      if (behaviour == Behaviour.PAUSING) {
+        call.setHeader("Retry-After", PAUSE_SECONDS);
+      }
       call.reply(503, "full");
     } else if (engine && !holds(call.header("X-Wisteriarail-Model").orElse(""))) {
       call.setHeader(NOT_RUN, "1");
@@ -356,6 +370,16 @@
     draining = true;
   }
 
+  /** Makes it say in its answers that it leaves; its entry goes on to say that it is ready. */
+  public void sayLeaving() {
+    saysLeaving = true;
+  }
+
+  /** Returns how many requests reached it, those that it turned away included. */
+  public synchronized int arrived() {
+    return arrived;
+  }
+
   /** Makes its entry name another address, through which it is reached. */
   public synchronized void announce(String address) {
     announced = address;
--- a/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
@@ -114,4 +114,45 @@
     directory.accept(delta(6, 7, entry("r", true, 1)), START, START);
     assertThat(directory.changes()).isGreaterThan(before);
   }
+
+  @Test
+  void runnerThatSaysThatItLeavesStaysOutWhateverItsEntrySays() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, entry("r", false, 1), entry("x", false, 1)), START, START);
+    assertThat(directory.leave(new RunnerRun("r", 1))).isPresent();
+    assertThat(directory.leave(new RunnerRun("r", 1))).isEmpty();
+    directory.accept(delta(5, 6, entry("r", false, 1)), START, START);
+    assertThat(usable(directory)).containsExactly("x");
+    directory.accept(delta(6, 7, entry("r", false, 2)), START, START);
+    assertThat(usable(directory)).containsExactly("r", "x");
+  }
+
+  @Test
+  void wordOfAnEarlierRunDoesNotTouchOneThatStartedSince() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, entry("r", false, 2)), START, START);
+    assertThat(directory.leave(new RunnerRun("r", 1))).isEmpty();
+    assertThat(usable(directory)).containsExactly("r");
+  }
+
+  @Test
+  void wordThatComesBeforeTheEntryCountsForIt() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.leave(new RunnerRun("r", 1));
+    directory.accept(whole(5, entry("r", false, 1)), START, START);
+    assertThat(usable(directory)).isEmpty();
+  }
+
+  /** Peers are told until the directory says it itself, and its heartbeats are no news to them. */
+  @Test
+  void wordIsToldUntilTheEntrySaysItItself() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(whole(5, entry("r", false, 1)), START, START);
+    directory.leave(new RunnerRun("r", 1));
+    directory.advance(START);
+    assertThat(directory.unconfirmed()).containsExactly(new RunnerRun("r", 1));
+    assertThat(directory.material(delta(5, 6, entry("r", false, 1))).isEmpty()).isTrue();
+    directory.accept(delta(5, 6, entry("r", true, 1)), START, START);
+    assertThat(directory.unconfirmed()).isEmpty();
+  }
 }
--- a/src/test/java/dev/wisteriarail/core/forward/RunnerBoardTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/RunnerBoardTest.java
@@ -36,7 +36,7 @@
     assertThat(board.usable("engines")).hasSize(2);
     setRunners(2, runner("r2"));
     assertThat(board.usable("engines")).hasSize(1);
-    board.advance();
+    board.advance(Instant.EPOCH);
     setRunners(3, runner("r1"), runner("r2"));
     assertThat(board.health("r1")).isNotSameInstanceAs(before);
   }
@@ -63,10 +63,10 @@
     board.begin("r1", "", "", 10);
     final RunnerHealth before = board.health("r1");
     setRunners(2);
-    board.advance();
+    board.advance(Instant.EPOCH);
     assertThat(board.health("r1")).isSameInstanceAs(before);
     board.end("r1", "", "", 10);
-    board.advance();
+    board.advance(Instant.EPOCH);
     assertThat(board.health("r1")).isNotSameInstanceAs(before);
   }
 }
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -7,6 +7,8 @@
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.PeerStatus;
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.fleet.RunnerRun;
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RetryLimits;
@@ -206,7 +208,25 @@
     PeerStatus status = new PeerStatus(9, 9, 0, true, true, false, 1, 5, 5, 0);
     handle(
         new GatewayEvent.PeerTold(
-            NodeId.of(name), Incarnation.of(1), new FleetMessage.Beat(address, List.of(), status)));
+            NodeId.of(name),
+            Incarnation.of(1),
+            new FleetMessage.Beat(address, List.of(), status, List.of())));
+  }
+
+  /** Lets a runner say something of itself. */
+  void spoke(RunnerEntry runner, RunnerWord word) {
+    handle(new GatewayEvent.RunnerSpoke(runner, word));
+  }
+
+  /** Lets a heartbeat of a peer arrive that names runners which said that they leave. */
+  void hearLeaving(String peer, RunnerRun... leaving) {
+    NodeAddress address =
+        new NodeAddress(NodeId.of(peer), Incarnation.of(1), "10.0.0.2", 7000, 1000);
+    handle(
+        new GatewayEvent.PeerTold(
+            NodeId.of(peer),
+            Incarnation.of(1),
+            new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN, List.of(leaving))));
   }
 
   void told(long exchange, int attempt, AttemptResult result) {
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -141,6 +141,12 @@
       return laterDirectory || laterConfiguration || laterWord ? List.of() : List.of(event);
     }
   },
+  IGNORES_WORDS {
+    @Override
+    public List<GatewayEvent> alter(GatewayEvent event) {
+      return event instanceof GatewayEvent.RunnerSpoke ? List.of() : List.of(event);
+    }
+  },
   REFUSES_EVERYTHING {
     @Override
     public List<GatewayEffect> alter(GatewayEffect effect) {
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
@@ -66,6 +66,8 @@
     "retry-budget, SPENDS_ANY_BUDGET, true",
     "drain, MISSES_CHANGES, false",
     "configuration, MISSES_CHANGES, false",
+    "leaving-word, IGNORES_WORDS, true",
+    "pause, IGNORES_WORDS, true",
     "recovery, REFUSES_EVERYTHING, false",
     "core-fault, FAILS_INSIDE, false",
   })
--- a/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
@@ -32,7 +32,7 @@
 
   private static FleetMessage.Beat beat() {
     NodeAddress address = new NodeAddress(SELF, Incarnation.of(1), "127.0.0.1", 1, 1_000);
-    return new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN);
+    return new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN, List.of());
   }
 
   @Test
--- a/src/test/java/dev/wisteriarail/platform/GatewayPathTest.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayPathTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.wisteriarail.standin.RunnerStandin;
 import dev.wisteriarail.standin.RunnerStandin.Behaviour;
 import java.io.IOException;
 import java.net.http.HttpResponse;
@@ -179,4 +180,27 @@
         .map(line -> Integer.valueOf(line.substring("id: ".length())))
         .toList();
   }
+
+  @ParameterizedTest
+  @CsvSource({"false", "true"})
+  void runnerThatSaysThatItLeavesOrWantsPauseIsLeftAlone(boolean leaves) throws Exception {
+    try (GatewayFleet fleet = GatewayFleet.start(2, 0, 2)) {
+      RunnerStandin first = fleet.platform().runner("plain-0");
+      if (leaves) {
+        first.sayLeaving();
+      } else {
+        first.behave(Behaviour.PAUSING);
+      }
+      while (first.arrived() == 0) {
+        assertThat(fleet.send(0, "POST", "/order/1", "").statusCode()).isEqualTo(200);
+      }
+      int told = first.arrived();
+      for (int i = 0; i < 10; i++) {
+        HttpResponse<String> answer = fleet.send(0, "POST", "/order/1", "");
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.headers().firstValue("Server-Leaving")).isEmpty();
+      }
+      assertThat(first.arrived()).isEqualTo(told);
+    }
+  }
 }
--- a/src/test/java/dev/wisteriarail/platform/RuntimeFaultTest.java
+++ b/src/test/java/dev/wisteriarail/platform/RuntimeFaultTest.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
@@ -47,13 +48,17 @@
     }
 
     @Override
-    public void order(GatewayEffect.GiveOrder order, BiConsumer<FleetOrderOutcome, String> told) {
-      sound.order(order, told);
+    public void order(
+        GatewayEffect.GiveOrder order,
+        Consumer<RunnerWord> words,
+        BiConsumer<FleetOrderOutcome, String> told) {
+      sound.order(order, words, told);
     }
 
     @Override
-    public void report(RunnerEntry runner, Consumer<Optional<RunnerReport>> told) {
-      sound.report(runner, told);
+    public void report(
+        RunnerEntry runner, Consumer<RunnerWord> words, Consumer<Optional<RunnerReport>> told) {
+      sound.report(runner, words, told);
     }
   }
 }
