Bytes that are no answer and never end are bounded in every place

Cause: a status line, a header line, the size or an extension of a chunk were read for as long as bytes came (64 MB in the test, the cap of its server); an interim head left a call to the store without any end, as Jetty ends its time limit with it; an event without end was held whole. A late copy of an answer that names no request went to the next caller. Ruled out: limits on heads alone (chunk sizes are not heads); the requests' time limits alone (a control call lost its). Seen once: a request on a connection into which bytes were poured ended at its time limit with 504, a true answer.

--- a/src/main/java/dev/wisteriarail/core/forward/EventAssembler.java
+++ b/src/main/java/dev/wisteriarail/core/forward/EventAssembler.java
@@ -14,6 +14,9 @@
 
   private static final String ID_FIELD = "id:";
 
+  /** Longest event, in bytes: what is held of one until its end comes. */
+  private static final int MOST_EVENT_BYTES = 256 * 1024;
+
   private byte[] partial = new byte[0];
   private String lastEvent = "";
   private boolean gap;
@@ -143,6 +146,11 @@
     return partial.length > 0;
   }
 
+  /** Returns whether the event that was begun is longer than any sound one. */
+  public boolean isTooLong() {
+    return partial.length > MOST_EVENT_BYTES;
+  }
+
   /** Returns whether an event was left out between two that were passed on. */
   public boolean hasGap() {
     return gap;
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -25,7 +25,7 @@
     implements Response.HeadersListener, Response.AsyncContentListener, Response.CompleteListener {
 
   /** Longest answer that is held until it is whole, in bytes. */
-  private static final int MAX_WHOLE_BYTES = 8 * 1024 * 1024;
+  private static final int MAX_WHOLE_BYTES = 1024 * 1024;
 
   /** Pause between two words to the core that an answer goes on. */
   private static final long PROGRESS_NANOS = 200_000_000;
@@ -82,6 +82,7 @@
   public void onHeaders(Response response) {
     head = protocol.read(exchange, attempt, response);
     head.words().forEach(words);
+    GatewayHttp.noteProgress(response);
     if (!head.forThisRequest()) {
       abort(response, "the answer belongs to another request");
     }
@@ -89,6 +90,7 @@
 
   @Override
   public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
+    GatewayHttp.noteProgress(response);
     byte[] bytes = BufferUtil.toArray(chunk.getByteBuffer());
     if (!relaysEvents()) {
       whole.writeBytes(bytes);
@@ -104,6 +106,7 @@
       case WRITTEN -> tellProgress();
       case NOTHING -> demander.run();
       case GAP -> abort(response, "events are missing");
+      case TOO_LONG -> abort(response, "an event is too long to be held");
       default -> abort(response, "the attempt is given up");
     }
   }
--- a/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
@@ -68,6 +68,9 @@
     if (events.hasGap()) {
       return Relayed.GAP;
     }
+    if (events.isTooLong()) {
+      return Relayed.TOO_LONG;
+    }
     if (whole.length == 0) {
       return Relayed.NOTHING;
     }
@@ -87,6 +90,8 @@
     NOTHING,
     /** An event before it is missing. */
     GAP,
+    /** It goes on with an event that is longer than any sound one. */
+    TOO_LONG,
     /** The attempt may not write any more. */
     REFUSED
   }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
@@ -3,12 +3,17 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.component.LifeCycle;
@@ -25,6 +30,9 @@
   /** A connection is there after about a millisecond; a dark address never answers. */
   private static final long CONNECT_TIMEOUT_MILLIS = 300;
 
+  /** Longest head of an answer, in bytes; sound ones have some hundred. */
+  private static final int MOST_HEAD_BYTES = 64 * 1024;
+
   private GatewayHttp() {}
 
   /**
@@ -55,6 +63,7 @@
     http.setMaxConnectionsPerDestination(CONNECTIONS_PER_ADDRESS);
     http.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     http.setIdleTimeout(idleMillis);
+    http.setMaxResponseHeadersSize(MOST_HEAD_BYTES);
     http.setUserAgentField(null);
     http.setFollowRedirects(false);
     http.setSocketAddressResolver(new SocketAddressResolver.Sync());
@@ -64,6 +73,19 @@
     return http;
   }
 
+  /**
+   * Notes that an answer goes on: its head is whole, or a part of its body came. An interim answer
+   * ends the request, as nobody asks for one and the client would wait for ever after it.
+   */
+  public static void noteProgress(Response response) {
+    if (HttpStatus.isInformational(response.getStatus())) {
+      CompletableFuture<Boolean> _ = response.abort(new EofException("an interim answer"));
+    } else if (response.getRequest().getConnection() instanceof Connection connection
+        && connection.getEndPoint() instanceof ResetAwareEndPoint endPoint) {
+      endPoint.noteProgress();
+    }
+  }
+
   /** Opens connections on which a reset is an error and not the end of an answer; none use TLS. */
   private static final class ResetAwareConnector extends ClientConnector {
 
--- a/src/main/java/dev/wisteriarail/platform/PlatformCalls.java
+++ b/src/main/java/dev/wisteriarail/platform/PlatformCalls.java
@@ -17,6 +17,7 @@
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.gateway.GatewayHttp;
 import dev.wisteriarail.gateway.PlatformClient;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -277,6 +278,7 @@
         .headers(headers -> headers.put(Names.EXPECTED_RUNNER, order.runner().id()))
         .body(new BytesRequestContent("application/json", body))
         .timeout(CONTROL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .onResponseHeaders(GatewayHttp::noteProgress)
         .onRequestBegin(begun -> sent.set(true))
         .send(
             new BufferingResponseListener(MAX_ANSWER_BYTES) {
@@ -329,6 +331,7 @@
     http.newRequest("http://" + runner.address() + Names.REPORT)
         .headers(headers -> headers.put(Names.EXPECTED_RUNNER, runner.id()))
         .timeout(CONTROL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .onResponseHeaders(GatewayHttp::noteProgress)
         .send(
             new BufferingResponseListener(MAX_ANSWER_BYTES) {
               @Override
--- a/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 
 /** How runners are asked and how they answer. Stateless. */
 public final class RunnerHeaders implements RunnerProtocol {
@@ -82,7 +83,10 @@
       }
     }
     List<String> echoed = headers.getValuesList(Names.REQUEST_ID);
-    boolean own = echoed.isEmpty() || echoed.contains(exchange.forward().id());
+    // A late copy that names no request could answer any: only a failure is believed without it.
+    boolean own =
+        echoed.contains(exchange.forward().id())
+            || (echoed.isEmpty() && !HttpStatus.isSuccess(response.getStatus()));
     return new AnswerHead(
         response.getStatus(),
         own,
--- a/src/main/java/dev/wisteriarail/platform/StoreCalls.java
+++ b/src/main/java/dev/wisteriarail/platform/StoreCalls.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.wisteriarail.codec.Codecs;
+import dev.wisteriarail.gateway.GatewayHttp;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -152,6 +153,7 @@
   private static void send(Request request, long timeoutMillis, Consumer<Answer> told) {
     request
         .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+        .onResponseHeaders(GatewayHttp::noteProgress)
         .send(
             new BufferingResponseListener(MAX_ANSWER_BYTES) {
               @Override
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/platform/EndlessBytesTest.java
@@ -0,0 +1,276 @@
+package dev.wisteriarail.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import dev.wisteriarail.core.gateway.StoreAnswer;
+import dev.wisteriarail.core.gateway.StoreRead;
+import dev.wisteriarail.gateway.GatewayHttp;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * A runner in trouble sends bytes that are no answer and never end, until the node closes. The
+ * caller gets an error in time, the node holds a bounded part of them, and the connection is not
+ * used again.
+ */
+class EndlessBytesTest {
+
+  /** What a node may take of such an answer: what it holds of one, and the buffers of sockets. */
+  private static final long MOST_BYTES = 32L * 1024 * 1024;
+
+  /** The time limit of the caller, and time for a busy machine. */
+  private static final Duration MOST_TIME = Duration.ofSeconds(12);
+
+  private static final int LOOKUPS = 8;
+
+  private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+
+  /** Where the bytes stand that never end. */
+  enum Place {
+    STATUS_LINE("HTTP/1.1 200 ", "O", false),
+    NO_PROTOCOL("", "\0", false),
+    HEADER_LINES("HTTP/1.1 200 OK\r\n", "X-More: bytes\r\n", false),
+    HEADER_LINE("HTTP/1.1 200 OK\r\nX-More: ", "x", false),
+    INTERIM_HEADS("", "HTTP/1.1 100 Continue\r\n\r\n", false),
+    BODY_WITHOUT_LENGTH("", "x", true),
+    BODY_CHUNKS("", "1\r\nx\r\n", true),
+    CHUNK_SIZE("", "0", true),
+    CHUNK_EXTENSION("1;a=", "x", true),
+    TRAILER("1\r\nx\r\n0\r\n", "X-More: bytes\r\n", true),
+    EVENT("", "data: x\n", true);
+
+    private final String before;
+    private final String repeated;
+    private final boolean afterHead;
+
+    Place(String before, String repeated, boolean afterHead) {
+      this.before = before;
+      this.repeated = repeated;
+      this.afterHead = afterHead;
+    }
+
+    private String start(String request) {
+      if (!afterHead) {
+        return before;
+      }
+      String framing = isUnframed() ? "Connection: close\r\n\r\n" : CHUNKED;
+      return "HTTP/1.1 200 OK\r\nX-Wisteriarail-Request-Id: "
+          + request
+          + "\r\nX-Wisteriarail-Response-Signature: s\r\n"
+          + framing
+          + before;
+    }
+
+    private boolean isUnframed() {
+      return this == BODY_WITHOUT_LENGTH || this == EVENT;
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(Place.class)
+  void callerGetsAnErrorAndTheNodeStopsTaking(Place place) throws Exception {
+    AtomicLong written = new AtomicLong();
+    AtomicInteger requests = new AtomicInteger();
+    try (GatewayFleet fleet = GatewayFleet.start(1, 0, 0);
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Thread.ofVirtual().start(() -> serveAll(server, place, written, requests));
+      boolean stream = place == Place.EVENT;
+      fleet
+          .platform()
+          .store()
+          .put("keyed.servers", "raw", entry(server.getLocalPort(), stream ? "engines" : "plain"));
+      long begun = System.nanoTime();
+      int status = 503;
+      while (status == 503 && requests.get() == 0) {
+        begun = System.nanoTime();
+        status = ask(fleet, stream);
+      }
+      Duration took = Duration.ofNanos(System.nanoTime() - begun);
+      assertWithMessage(place.name()).that(status).isAnyOf(502, 504, 0);
+      assertThat(took).isLessThan(MOST_TIME);
+      assertThat(requests.get()).isEqualTo(1);
+      assertThat(written.get()).isLessThan(MOST_BYTES);
+    }
+  }
+
+  /** Returns the status; 0 if the answer was cut. */
+  private static int ask(GatewayFleet fleet, boolean stream) throws Exception {
+    try {
+      HttpResponse<String> answer =
+          stream ? fleet.send(0, "POST", "/report/1", "m0") : fleet.send(0, "POST", "/order/1", "");
+      return answer.statusCode();
+    } catch (IOException cut) {
+      return 0;
+    }
+  }
+
+  /** The store's answers and a runner's reports are bounded in the same places. */
+  @ParameterizedTest
+  @EnumSource(value = Place.class, mode = EnumSource.Mode.EXCLUDE, names = "EVENT")
+  void callsForControlFailInTime(Place place) throws Exception {
+    AtomicLong written = new AtomicLong();
+    QueuedThreadPool threads = new QueuedThreadPool();
+    Scheduler scheduler = new ScheduledExecutorScheduler();
+    threads.start();
+    scheduler.start();
+    HttpClient http = GatewayHttp.start(threads, scheduler, MOST_TIME.toMillis(), true);
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      AtomicInteger requests = new AtomicInteger();
+      Thread.ofVirtual().start(() -> serveAll(server, place, written, requests));
+      PlatformCalls calls = PlatformCalls.create(http, "127.0.0.1:" + server.getLocalPort());
+      CompletableFuture<StoreAnswer> answer = new CompletableFuture<>();
+      calls.read(new StoreRead.WholeDirectory(), answer::complete);
+      assertThat(answer.get(MOST_TIME.toSeconds(), TimeUnit.SECONDS))
+          .isInstanceOf(StoreAnswer.Failed.class);
+      assertThat(written.get()).isLessThan(MOST_BYTES);
+    } finally {
+      http.stop();
+      scheduler.stop();
+      threads.stop();
+    }
+  }
+
+  /**
+   * Bytes between two answers belong to no request: the connection is closed, others are used. A
+   * request that was sent on it at the same moment has an unknown outcome.
+   */
+  @Test
+  void bytesBetweenRequestsEndTheConnection() throws Exception {
+    AtomicLong mostWritten = new AtomicLong();
+    try (GatewayFleet fleet = GatewayFleet.start(1, 0, 0);
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Thread.ofVirtual().start(() -> serveThenPour(server, mostWritten));
+      fleet.platform().store().put("keyed.servers", "raw", entry(server.getLocalPort(), "plain"));
+      fleet.await(() -> lookup(fleet) == 200);
+      int served = 0;
+      for (int i = 0; i < LOOKUPS; i++) {
+        int status = lookup(fleet);
+        assertThat(status).isAnyOf(200, 502, 504);
+        served += status == 200 ? 1 : 0;
+      }
+      assertThat(served).isAtLeast(1);
+      assertThat(mostWritten.get()).isLessThan(MOST_BYTES);
+    }
+  }
+
+  private static int lookup(GatewayFleet fleet) {
+    try {
+      HttpResponse<String> answer = fleet.send(0, "GET", "/lookup/1", "");
+      if (answer.statusCode() == 200) {
+        assertThat(answer.body()).isEqualTo("whole");
+      }
+      return answer.statusCode();
+    } catch (Exception failure) {
+      throw new AssertionError(failure);
+    }
+  }
+
+  private static String entry(int port, String service) {
+    return String.format(
+        "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,"
+            + "\"state\":\"ready\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],"
+            + "\"sequence\":1,\"born\":1}",
+        service, port);
+  }
+
+  private static void serveAll(
+      ServerSocket server, Place place, AtomicLong written, AtomicInteger requests) {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        Thread.ofVirtual().start(() -> pour(socket, place, written, requests));
+      } catch (IOException closed) {
+        return;
+      }
+    }
+  }
+
+  private static void pour(Socket socket, Place place, AtomicLong written, AtomicInteger requests) {
+    try (socket) {
+      String request = readRequest(socket);
+      requests.addAndGet(request.isEmpty() ? 0 : 1);
+      OutputStream out = socket.getOutputStream();
+      out.write(place.start(request).getBytes(US_ASCII));
+      pourForever(out, place.repeated, written);
+    } catch (IOException closed) {
+      // The node closed the connection, which is what it has to do.
+    }
+  }
+
+  private static void serveThenPour(ServerSocket server, AtomicLong mostWritten) {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        Thread.ofVirtual().start(() -> answerThenPour(socket, mostWritten));
+      } catch (IOException closed) {
+        return;
+      }
+    }
+  }
+
+  private static void answerThenPour(Socket socket, AtomicLong mostWritten) {
+    AtomicLong written = new AtomicLong();
+    try (socket) {
+      String request = readRequest(socket);
+      if (request.isEmpty()) {
+        return;
+      }
+      String answer =
+          "HTTP/1.1 200 OK\r\nX-Wisteriarail-Request-Id: "
+              + request
+              + "\r\nX-Wisteriarail-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwhole";
+      socket.getOutputStream().write(answer.getBytes(US_ASCII));
+      socket.getOutputStream().flush();
+      pourForever(
+          socket.getOutputStream(), "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", written);
+    } catch (IOException closed) {
+      // The node closed the connection, which is what it has to do.
+    } finally {
+      mostWritten.accumulateAndGet(written.get(), Math::max);
+    }
+  }
+
+  private static void pourForever(OutputStream out, String text, AtomicLong written)
+      throws IOException {
+    byte[] bytes = text.repeat(4_000).getBytes(US_ASCII);
+    while (written.get() < 2 * MOST_BYTES) {
+      out.write(bytes);
+      written.addAndGet(bytes.length);
+    }
+  }
+
+  /** Returns the identifier of the request; empty text if it is one for control. */
+  private static String readRequest(Socket socket) throws IOException {
+    BufferedReader in =
+        new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
+    String request = "";
+    String line = in.readLine();
+    while (line != null && !line.isEmpty()) {
+      if (line.startsWith("X-Wisteriarail-Request-Id: ")) {
+        request = line.substring(line.indexOf(' ') + 1);
+      }
+      line = in.readLine();
+    }
+    return request;
+  }
+}
