What only leaving runners hold and callers ask for comes to others before they are gone

Ruled out: bringing everything it held (a model that nobody asks for would push out one that somebody does). Change: PlanInput names the models of leaving runners, ModelPlanner.replaceLeaving places those with arrivals. Test: ModelPlannerTest, failed before with 0 loads.

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -60,6 +60,7 @@
   private final StoreLoads storeLoads = new StoreLoads();
   private final InheritedLoads inherited = new InheritedLoads();
   private final Map<String, Integer> toldRunning = new HashMap<>();
+  private final Map<String, Set<String>> leaving = new HashMap<>();
   private List<ModelForecast> forecasts = List.of();
   private long nextOrder = 1;
   private long revision;
@@ -131,6 +132,11 @@
         reviseHeld(known);
       }
     }
+    leaving.clear();
+    for (RunnerEntry entry : directory.leaving()) {
+      Set<String> models = leaving.computeIfAbsent(entry.service(), name -> new HashSet<>());
+      entry.models().forEach(model -> models.add(model.name()));
+    }
     engines.keySet().retainAll(seen);
     serviceOf.keySet().retainAll(seen);
     askedAt.keySet().retainAll(seen);
@@ -315,7 +321,8 @@
         adapterWants(service, wants),
         countStoreLoads(service, now),
         storeLoads.limit(),
-        storeLoads.allows(spec.loadsPerSecond(), now));
+        storeLoads.allows(spec.loadsPerSecond(), now),
+        leaving.getOrDefault(service, Set.of()));
   }
 
   private PlanInput.Engine planned(EngineState engine, UseBook.Load load, Instant now) {
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -64,6 +64,7 @@
     Round round = new Round(input);
     round.keepPromises();
     round.serveWaiting();
+    round.replaceLeaving();
     round.spread();
     round.serveAdapters();
     round.stock();
@@ -186,6 +187,27 @@
       return load + load * place / Math.max(1, input.storeLoadLimit());
     }
 
+    /** Brings models that are asked for from runners that leave to others, before they are gone. */
+    void replaceLeaving() {
+      List<String> lost =
+          input.leaving().stream()
+              .filter(model -> hosted.containsKey(model) && !startsIn.containsKey(model))
+              .filter(model -> copies.replicas(model) == 0)
+              .filter(model -> input.need(model).perSecond() >= QUIET_RATE)
+              .sorted(Comparator.comparingDouble((String model) -> -input.need(model).perSecond()))
+              .toList();
+      lost.forEach(model -> placeAnywhere(model, "its runner leaves"));
+    }
+
+    private void placeAnywhere(String model, String reason) {
+      Optional<PlanInput.Engine> cached = bestEngine(model, false);
+      if (cached.isPresent()) {
+        place(cached.get(), model, reason);
+      } else if (mayLoadFromStore()) {
+        bestEngine(model, true).ifPresent(engine -> place(engine, model, reason));
+      }
+    }
+
     /** Gives models with many requests more replicas. */
     void spread() {
       List<String> busy =
@@ -195,14 +217,7 @@
               .filter(model -> replicasWithLoading(model) < wantedReplicas(model))
               .sorted(Comparator.comparingDouble((String model) -> -input.need(model).perSecond()))
               .toList();
-      for (String model : busy) {
-        Optional<PlanInput.Engine> cached = bestEngine(model, false);
-        if (cached.isPresent()) {
-          place(cached.get(), model, "more replicas wanted");
-        } else if (mayLoadFromStore()) {
-          bestEngine(model, true).ifPresent(engine -> place(engine, model, "more replicas wanted"));
-        }
-      }
+      busy.forEach(model -> placeAnywhere(model, "more replicas wanted"));
     }
 
     /** Loads adapters that requests wait for. */
--- a/src/main/java/dev/wisteriarail/core/fleet/PlanInput.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PlanInput.java
@@ -15,6 +15,7 @@
  * @param storeLoads loads from the weight store that are under way
  * @param storeLoadLimit loads from the weight store that may be under way at a time
  * @param storeLoadAllowed whether the rate of the weight store allows another load now
+ * @param leaving models that runners hold which leave
  */
 public record PlanInput(
     EngineSpec spec,
@@ -23,7 +24,8 @@
     List<AdapterWant> adapterWants,
     int storeLoads,
     int storeLoadLimit,
-    boolean storeLoadAllowed) {
+    boolean storeLoadAllowed,
+    Set<String> leaving) {
 
   /**
    * An engine.
--- a/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -13,6 +13,8 @@
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Placement under the loads that it answers. */
 class ModelPlannerTest {
@@ -27,6 +29,7 @@
   private final Map<String, Integer>[] running = newRunning();
   private Set<String> onEveryDisk = Set.of();
   private List<String> idleAdapters = List.of();
+  private Set<String> leaving = Set.of();
 
   @SuppressWarnings("unchecked")
   private static Map<String, Set<String>>[] newHeld() {
@@ -81,7 +84,8 @@
               Set.of(),
               idleAdapters));
     }
-    return planner.plan(new PlanInput(spec(), engines, needs, adapterWants, storeLoads, 4, true));
+    return planner.plan(
+        new PlanInput(spec(), engines, needs, adapterWants, storeLoads, 4, true, leaving));
   }
 
   private void hold(int engine, String... models) {
@@ -202,4 +206,19 @@
     needs.put("m5", waiting(9));
     assertThat(plan(0).orders()).isEmpty();
   }
+
+  /** A runner that leaves still serves; what only it holds comes to another one meanwhile. */
+  @ParameterizedTest
+  @CsvSource({"0.5, 1", "0, 0"})
+  void modelOfOneLeavingRunnerIsLoadedElsewhereIfItIsAskedFor(double perSecond, int loads) {
+    leaving = Set.of("m7");
+    onEveryDisk = Set.of("m7");
+    needs.put("m7", new PlanInput.ModelNeed(0, 0, Long.MAX_VALUE, perSecond, 1));
+    assertThat(
+            plan(4).orders().stream()
+                .filter(placed -> placed.order() instanceof FleetOrder.LoadModel)
+                .filter(placed -> placed.order().model().equals("m7"))
+                .toList())
+        .hasSize(loads);
+  }
 }
