--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -180,7 +180,8 @@
                 storeLoads.finish(
                     Duration.between(order.sentAt(), now),
                     model.loadFromStore(),
-                    atOnce.intValue()));
+                    atOnce.intValue(),
+                    now));
   }
 
   /** Takes the answer to an order. */
--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -51,6 +51,9 @@
   private Optional<OpenOrder> open = Optional.empty();
   private Instant changedAt;
   private Instant assumedAt = Instant.MIN;
+  private Optional<OpenOrder> assumedLoad = Optional.empty();
+  private boolean inDoubt;
+  private boolean confirmed = true;
   private Instant notBefore = Instant.MIN;
   private Instant unansweredSince = Instant.MAX;
   private long revision;
@@ -103,6 +106,8 @@
     busy = report.busy();
     orders = report.orders();
     ordersSure = true;
+    confirmed = true;
+    endDoubt();
     return adoptIfChanged(report);
   }
 
@@ -130,6 +135,8 @@
     busy = report.busy();
     orders = report.orders();
     ordersSure = true;
+    confirmed = true;
+    endDoubt();
     adoptIfChanged(report);
     changedAt = now;
     return true;
@@ -176,8 +183,9 @@
     }
     return switch (open.get().body()) {
       case FleetOrder.LoadModel load when load.source() != LoadSource.STORE -> {
+        assumedLoad = open;
         assumeDone(now);
-        models.putIfAbsent(load.model(), new TreeSet<>());
+        noteLoaded(load.model());
         yield true;
       }
       case FleetOrder.UnloadModel unload when idleUnload -> {
@@ -189,12 +197,30 @@
   }
 
   private void assumeDone(Instant now) {
+    inDoubt = false;
     open = Optional.empty();
     busy = false;
+    confirmed = false;
     assumedAt = now;
     changedAt = now;
   }
 
+  /**
+   * Notes that the engine serves a model. Its host memory holds the newest copies only: which of
+   * the others it still has is not known before the next report, their copies on disk stay.
+   */
+  private void noteLoaded(String model) {
+    models.putIfAbsent(model, new TreeSet<>());
+    onDisk.addAll(inHostMemory);
+    onDisk.add(model);
+    inHostMemory = new HashSet<>(Set.of(model));
+  }
+
+  private void endDoubt() {
+    assumedLoad = Optional.empty();
+    inDoubt = false;
+  }
+
   /** Notes whether a request runs on the model that is unloaded. */
   void markIdleUnload(boolean idle) {
     idleUnload = idle;
@@ -211,6 +237,9 @@
       case ACCEPTED -> {
         orders++;
         assumedAt = Instant.MIN;
+        // An engine takes one order at a time, so a load that was in doubt is done.
+        assumedLoad.filter(load -> inDoubt).ifPresent(load -> noteLoaded(load.body().model()));
+        endDoubt();
         if (isLong(order.body())) {
           open = Optional.of(order.withAccepted());
           busy = true;
@@ -233,8 +262,10 @@
         open = Optional.empty();
         undo(order.body());
         if (now.isBefore(assumedAt.plus(ASSUMED_LIMIT))) {
-          // The order before it was taken as done too early.
+          // The order before it was taken as done too early: nothing is sent to its model yet.
           notBefore = now.plus(ASSUMED_RETRY);
+          assumedLoad.ifPresent(load -> models.remove(load.body().model()));
+          inDoubt = assumedLoad.isPresent();
         } else {
           ordersSure = false;
         }
@@ -253,7 +284,7 @@
 
   private void apply(FleetOrder body, Instant now) {
     switch (body) {
-      case FleetOrder.LoadModel load -> models.putIfAbsent(load.model(), new TreeSet<>());
+      case FleetOrder.LoadModel load -> noteLoaded(load.model());
       case FleetOrder.UnloadModel unload -> models.remove(unload.model());
       case FleetOrder.LoadAdapter load -> {
         models.computeIfAbsent(load.model(), name -> new TreeSet<>()).add(load.adapter());
@@ -324,7 +355,8 @@
 
   /** Returns the load under way of a model that cannot serve yet. */
   Optional<OpenOrder> loading() {
-    return open.filter(order -> order.body() instanceof FleetOrder.LoadModel);
+    return open.filter(order -> order.body() instanceof FleetOrder.LoadModel)
+        .or(() -> assumedLoad.filter(load -> inDoubt));
   }
 
   /** Returns whether an order may be sent to it. */
@@ -338,7 +370,7 @@
       OpenOrder order = open.get();
       return !order.accepted() || !now.isBefore(order.expectedAt());
     }
-    return !ordersSure || busy;
+    return !ordersSure || busy || !confirmed;
   }
 
   /** Notes that the engine is asked for a report. */
--- a/src/main/java/dev/wisteriarail/core/fleet/StoreLoads.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/StoreLoads.java
@@ -10,7 +10,8 @@
  * Loads from the weight store: how many may begin, and how many at once are worth it.
  *
  * <p>Beyond some number at once, which the configuration does not name, every load slows down in
- * proportion, so more at once gain nothing. The number is learnt from how long loads take.
+ * proportion, so more at once gain nothing. The number is learnt from how long loads take: one more
+ * is tried, and only loads that began since then tell whether another one may be.
  *
  * <p>Not thread-safe.
  */
@@ -33,6 +34,7 @@
 
   private final Deque<Instant> begins = new ArrayDeque<>();
   private int limit = FIRST_LIMIT;
+  private Instant raisedAt = Instant.MIN;
 
   /** Notes loads that began earlier, before any that this node began. */
   void addEarlier(List<Long> agesMillis, Instant now) {
@@ -59,14 +61,15 @@
    *
    * @param took how long it took
    * @param alone how long it takes at full speed
-   * @param atOnce loads that were under way
+   * @param atOnce loads that were under way when it began
    */
-  void finish(Duration took, Duration alone, int atOnce) {
+  void finish(Duration took, Duration alone, int atOnce, Instant now) {
     double ratio = (double) took.toMillis() / Math.max(1, alone.toMillis());
     if (ratio > SLOW_RATIO) {
       limit = Math.max(1, Math.min(limit, (int) Math.round(atOnce / ratio)));
-    } else if (ratio < FULL_SPEED_RATIO && atOnce >= limit) {
+    } else if (ratio < FULL_SPEED_RATIO && atOnce >= limit && !now.minus(took).isBefore(raisedAt)) {
       limit = Math.min(MOST_AT_ONCE, limit + 1);
+      raisedAt = now;
     }
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -36,7 +36,10 @@
  */
 final class Forwarder {
 
-  /** Pause after a runner said that it is full or changing: about the lag of its reports. */
+  /**
+   * Pause after the first time that a runner said that it is full or changing; twice as long after
+   * each further time, so that the last one comes after the slowest of its reports.
+   */
   private static final Duration REJECTION_PAUSE = Duration.ofMillis(60);
 
   /** Rejections of one request after which it is refused. */
@@ -427,7 +430,9 @@
 
   private void retryOrEnd(PendingForward forward, String reason, boolean notRun, GatewayStep step) {
     if (mayRetry(forward, notRun)) {
-      retry(forward, reason, notRun ? REJECTION_PAUSE : Duration.ZERO, step);
+      Duration pause =
+          notRun ? REJECTION_PAUSE.multipliedBy(1L << (forward.rejections() - 1)) : Duration.ZERO;
+      retry(forward, reason, pause, step);
     } else {
       pending.giveUp(forward, reason, step);
     }
--- a/src/test/java/dev/wisteriarail/core/fleet/EngineStateTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/EngineStateTest.java
@@ -141,4 +141,50 @@
     engine.finish(2, FleetOrderOutcome.CONFLICT, now);
     assertThat(engine.models().get("m")).containsExactly("a1", "a2");
   }
+
+  /** Requests were sent to a model for more than a second before it was there, and given up. */
+  @Test
+  void refusedOrderAfterAnAssumedLoadTakesItsModelBackUntilItIsDone() {
+    Instant now = settled();
+    engine.begin(1, new FleetOrder.LoadModel("m", LoadSource.MEMORY), Duration.ofMillis(760), now);
+    engine.finish(1, FleetOrderOutcome.ACCEPTED, now);
+    Instant assumed = now.plusMillis(760);
+    engine.advance(assumed);
+    engine.begin(2, new FleetOrder.UnloadModel("x"), Duration.ofMillis(60), assumed);
+    engine.finish(2, FleetOrderOutcome.CONFLICT, assumed.plusMillis(2));
+    assertThat(engine.models()).doesNotContainKey("m");
+    assertThat(engine.loading().orElseThrow().body().model()).isEqualTo("m");
+    engine.begin(3, new FleetOrder.UnloadModel("x"), Duration.ofMillis(60), assumed.plusMillis(50));
+    engine.finish(3, FleetOrderOutcome.ACCEPTED, assumed.plusMillis(52));
+    assertThat(engine.models()).containsKey("m");
+    assertThat(engine.loading()).isEmpty();
+  }
+
+  @Test
+  void assumedLoadIsAskedAboutUntilOneReportConfirmsIt() {
+    Instant now = settled();
+    engine.begin(1, new FleetOrder.LoadModel("m", LoadSource.DISK), Duration.ofMillis(840), now);
+    engine.finish(1, FleetOrderOutcome.ACCEPTED, now);
+    Instant assumed = now.plusMillis(840);
+    engine.advance(assumed);
+    assertThat(engine.wantsReport(assumed)).isTrue();
+    Instant later = assumed.plusMillis(500);
+    engine.acceptReport(report(5, false, "m"), later, later);
+    assertThat(engine.wantsReport(later)).isFalse();
+  }
+
+  /** The host memory holds few models; a load of another one may have pushed any of them out. */
+  @Test
+  void hostMemoryIsBelievedOnlyOfTheLastLoadUntilTheNextReport() {
+    Instant now = START.plusSeconds(1);
+    RunnerReport held =
+        new RunnerReport("r", 1, 4, false, List.of(), Set.of("a", "b"), Set.of("m"), 0, 0, 0);
+    engine.acceptReport(held, now, now);
+    assertThat(engine.source("a")).isEqualTo(LoadSource.MEMORY);
+    engine.begin(1, new FleetOrder.LoadModel("m", LoadSource.DISK), Duration.ofMillis(840), now);
+    engine.finish(1, FleetOrderOutcome.ACCEPTED, now);
+    engine.advance(now.plusMillis(840));
+    assertThat(engine.source("a")).isEqualTo(LoadSource.DISK);
+    assertThat(engine.source("m")).isEqualTo(LoadSource.MEMORY);
+  }
 }
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/fleet/StoreLoadsTest.java
@@ -0,0 +1,34 @@
+package dev.wisteriarail.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+/** How many loads from the weight store are tried at once. */
+class StoreLoadsTest {
+
+  private static final Duration ALONE = Duration.ofSeconds(9);
+  private static final Instant NOW = Instant.EPOCH.plusSeconds(60);
+
+  /** Four loads that end together raised the number by four, and the next seven were slow. */
+  @Test
+  void loadsThatEndTogetherLetOneMoreBeTried() {
+    StoreLoads loads = new StoreLoads();
+    int first = loads.limit();
+    for (int i = 0; i < first; i++) {
+      loads.finish(ALONE, ALONE, first, NOW.plusMillis(100L * i));
+    }
+    assertThat(loads.limit()).isEqualTo(first + 1);
+    loads.finish(ALONE, ALONE, first + 1, NOW.plusSeconds(10));
+    assertThat(loads.limit()).isEqualTo(first + 2);
+  }
+
+  @Test
+  void slowLoadsLowerItToWhatTheStoreServesAtFullSpeed() {
+    StoreLoads loads = new StoreLoads();
+    loads.finish(ALONE.multipliedBy(2), ALONE, 8, NOW);
+    assertThat(loads.limit()).isEqualTo(4);
+  }
+}
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.fleet.PeerStatus;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerRun;
+import dev.wisteriarail.core.fleet.RunnerView;
 import dev.wisteriarail.core.fleet.RunnerWord;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.ForwardRequest;
@@ -41,6 +42,7 @@
   private final List<GatewayEffect> effects = new ArrayList<>();
   private Instant now = Instant.EPOCH.plusSeconds(1_000);
   private long exchanges;
+  private long views;
 
   private CoreHarness(GatewayCore core) {
     this.core = core;
@@ -156,6 +158,17 @@
             new FleetMessage.FleetTold(9, List.of(), List.of(forecast))));
   }
 
+  /** Lets the coordinator tell that an engine holds a model. */
+  void view(String runner, String model) {
+    RunnerView view =
+        new RunnerView(runner, 1, ++views, List.of(new LoadedModel(model, List.of())), "", 0, 0, 0);
+    handle(
+        new GatewayEvent.PeerTold(
+            NodeId.of("n2"),
+            Incarnation.of(1),
+            new FleetMessage.FleetTold(9, List.of(view), List.of())));
+  }
+
   void directory(long to, RunnerEntry... entries) {
     handle(
         new GatewayEvent.StoreTold(
--- a/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
@@ -262,4 +262,28 @@
     assertThat(all.stream().filter(GatewayEffect.CutAnswer.class::isInstance).toList()).hasSize(1);
     assertThat(all.stream().filter(GatewayEffect.PassAnswer.class::isInstance).toList()).isEmpty();
   }
+
+  /** A load takes longer than its stated time: its runner turns requests away until it is done. */
+  @ParameterizedTest
+  @CsvSource({"700", "1300"})
+  void requestOutlastsOneLoadThatTakesLongerThanStated(long lateMillis) {
+    final long exchange = node.arrive("report");
+    GatewayEffect.SendAttempt send = onlySend();
+    long passed = 0;
+    while (passed < lateMillis) {
+      node.told(exchange, send.attempt(), new AttemptResult.Answered(421, true, true));
+      List<GatewayEffect.SendAttempt> next = List.of();
+      while (next.isEmpty()) {
+        node.view("e1", "m0");
+        node.view("e2", "m0");
+        node.pass(Duration.ofMillis(50));
+        passed += 50;
+        next = node.take(GatewayEffect.SendAttempt.class);
+        assertThat(passed).isLessThan(5_000);
+      }
+      send = next.getFirst();
+    }
+    node.told(exchange, send.attempt(), new AttemptResult.Finished(200));
+    assertThat(node.take(GatewayEffect.Refuse.class)).isEmpty();
+  }
 }
