--- a/src/main/java/dev/wisteriarail/core/fleet/LeaseRecord.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/LeaseRecord.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.fleet;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /**
@@ -9,13 +10,19 @@
  * @param incarnation the run of that node
  * @param kind what it says
  * @param fence fencing number under which it was written; 0 in a claim, whose place gives it
+ * @param heldMillis in a renewal, time for which its writer has known that it holds the lease
  * @param handover in a release, what the next holder has to know
  */
 public record LeaseRecord(
-    String holder, long incarnation, Kind kind, long fence, Optional<Handover> handover) {
+    String holder,
+    long incarnation,
+    Kind kind,
+    long fence,
+    long heldMillis,
+    Optional<Handover> handover) {
 
   /** Stands for a record that cannot be read: its writer may hold the lease. */
-  public static final LeaseRecord UNREADABLE = renewal("", 0, 0);
+  public static final LeaseRecord UNREADABLE = renewal("", 0, 0, Duration.ZERO);
 
   /** Takes a record of an earlier version, which has no handover. */
   public LeaseRecord {
@@ -24,18 +31,19 @@
 
   /** Returns a record that takes the lease. */
   public static LeaseRecord claim(String holder, long incarnation) {
-    return new LeaseRecord(holder, incarnation, Kind.CLAIM, 0, Optional.empty());
+    return new LeaseRecord(holder, incarnation, Kind.CLAIM, 0, 0, Optional.empty());
   }
 
   /** Returns a record that keeps the lease. */
-  public static LeaseRecord renewal(String holder, long incarnation, long fence) {
-    return new LeaseRecord(holder, incarnation, Kind.RENEW, fence, Optional.empty());
+  public static LeaseRecord renewal(String holder, long incarnation, long fence, Duration held) {
+    return new LeaseRecord(
+        holder, incarnation, Kind.RENEW, fence, held.toMillis(), Optional.empty());
   }
 
   /** Returns a record that gives the lease up. */
   public static LeaseRecord release(
       String holder, long incarnation, long fence, Handover handover) {
-    return new LeaseRecord(holder, incarnation, Kind.RELEASE, fence, Optional.of(handover));
+    return new LeaseRecord(holder, incarnation, Kind.RELEASE, fence, 0, Optional.of(handover));
   }
 
   /** What a record says. */
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -31,8 +33,8 @@
   /** Time for which a release without an answer is kept from the peers. */
   private static final Duration RELEASE_PATIENCE = Duration.ofMillis(200);
 
-  /** Records that are looked at: their renewals take longer than a handover and its margins. */
-  private static final int LAST_RECORDS = 9;
+  /** Claims whose holder said that it stopped that are remembered. */
+  private static final int MOST_WORDS = 16;
 
   private enum Phase {
     IDLE,
@@ -57,8 +59,20 @@
   private Instant callStartedAt = Instant.MIN;
   private Instant nextCallAt = Instant.MIN;
   private Instant renewedAt = Instant.MIN;
-  private boolean predecessorOrdered;
+  private Instant firstTriedAt = Instant.MAX;
+  private Duration othersQuiet = Duration.ZERO;
+  private Instant claimedAt = Instant.MIN;
   private long predecessorFence;
+  private Instant predecessorSeenAt = Instant.MIN;
+  private long heardEnd = -1;
+  private Instant heardEndAt = Instant.MIN;
+  private final Map<Long, Instant> stoppedUntil =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Instant> eldest) {
+          return size() > MOST_WORDS;
+        }
+      };
   private Optional<Handover> left = Optional.empty();
   private Instant leftReadAt = Instant.MIN;
   private Instant quietUntil = Instant.MIN;
@@ -105,7 +119,8 @@
         yield call(new LeaseCall.Read(lookFrom), now);
       }
       case WAITING -> {
-        if (!now.isBefore(endSeenAt.plus(timings.lease()))) {
+        if (stoppedUntil.containsKey(predecessorFence)
+            || !now.isBefore(endSeenAt.plus(timings.lease()))) {
           yield claim(now);
         }
         if (now.isBefore(callStartedAt.plus(RETRY))) {
@@ -130,18 +145,23 @@
       phase = Phase.RELEASING;
       quietUntil = pauses.end();
       Handover handover = pauses.leave(loads.get(), now);
-      return call(
-          new LeaseCall.Append(end, LeaseRecord.release(self, incarnation, fence, handover)), now);
+      return append(LeaseRecord.release(self, incarnation, fence, handover), now);
     }
     if (!unsure && now.isBefore(renewedAt.plus(timings.renew()))) {
       return Optional.empty();
     }
-    return call(new LeaseCall.Append(end, LeaseRecord.renewal(self, incarnation, fence)), now);
+    return append(
+        LeaseRecord.renewal(self, incarnation, fence, Duration.between(claimedAt, now)), now);
   }
 
   private Optional<LeaseCall> claim(Instant now) {
     phase = Phase.CLAIMING;
-    return call(new LeaseCall.Append(end, LeaseRecord.claim(self, incarnation)), now);
+    return append(LeaseRecord.claim(self, incarnation), now);
+  }
+
+  private Optional<LeaseCall> append(LeaseRecord record, Instant now) {
+    firstTriedAt = firstTriedAt.isBefore(now) ? firstTriedAt : now;
+    return call(new LeaseCall.Append(end, record), now);
   }
 
   /** Lets the peers know of a release: its record is in the store, or no answer came. */
@@ -170,11 +190,11 @@
       case LeaseAnswer.Appended appended -> {
         end = appended.offset() + 1;
         endSeenAt = now;
+        firstTriedAt = Instant.MAX;
         if (phase == Phase.CLAIMING) {
-          gain(appended.offset(), now);
+          gain(appended.offset(), callStartedAt, now);
         } else if (phase == Phase.HOLDING) {
-          renewedAt = callStartedAt;
-          unsure = false;
+          renew(callStartedAt);
         }
       }
       case LeaseAnswer.Overtaken overtaken -> verifying = phase != Phase.IDLE;
@@ -189,36 +209,32 @@
     final long next = records.from() + records.records().size();
     if (records.end() != end || endSeenAt.equals(Instant.MIN)) {
       end = records.end();
-      endSeenAt = now;
+      firstTriedAt = Instant.MAX;
+      endSeenAt = end == heardEnd ? heardEndAt : now;
     }
     if (end == 0) {
-      predecessorOrdered = false;
       left = Optional.empty();
       phase = Phase.CLAIMING;
       return;
     }
-    long wanted = Math.max(end - LAST_RECORDS, records.first());
-    if (next < end || records.from() > wanted || records.records().isEmpty()) {
-      nextCallAt = lookFrom == wanted ? now.plus(RETRY) : now;
-      lookFrom = wanted;
+    if (next < end || records.records().isEmpty()) {
+      nextCallAt = lookFrom == end - 1 ? now.plus(RETRY) : now;
+      lookFrom = end - 1;
     } else {
-      acceptLast(records.records(), now);
+      acceptLast(records.records().getLast(), now);
     }
   }
 
   /**
-   * Takes the last records. Where this VM wrote all of them, no other holder can have given an
-   * order within the handover: each lies a renewal after the one before, and a renewal shows that
-   * the claim before it was known to its writer. A release may follow its claim at once.
+   * Takes the last record. Where it is a renewal of this VM, no other holder has given an order
+   * since a lease after the claim that it renews: it had learnt of that claim by then, or its own
+   * lease had run out. A release may follow its claim at once.
    */
-  private void acceptLast(List<LeaseRecord> records, Instant now) {
-    LeaseRecord last = records.getLast();
-    boolean ownAll =
-        records.size() >= LAST_RECORDS
-            && records.stream()
-                .allMatch(
-                    each -> each.holder().equals(self) && each.kind() != LeaseRecord.Kind.RELEASE);
-    predecessorOrdered = !ownAll;
+  private void acceptLast(LeaseRecord last, Instant now) {
+    boolean ownRenewal = last.holder().equals(self) && last.kind() == LeaseRecord.Kind.RENEW;
+    othersQuiet =
+        ownRenewal ? Duration.ofMillis(last.heldMillis()).minus(timings.lease()) : Duration.ZERO;
+    predecessorSeenAt = endSeenAt;
     predecessorFence = last.kind() == LeaseRecord.Kind.CLAIM ? end : last.fence();
     left = last.handover();
     leftReadAt = now;
@@ -244,35 +260,75 @@
       lose();
       return;
     }
+    final Instant writtenFrom = firstTriedAt;
     long firstOwn = end;
     end = records.end();
+    firstTriedAt = Instant.MAX;
     if (phase == Phase.CLAIMING) {
-      gain(firstOwn, now);
+      gain(firstOwn, writtenFrom, now);
     } else {
-      renewedAt = callStartedAt;
-      unsure = false;
+      renew(writtenFrom);
     }
   }
 
-  private void gain(long claimOffset, Instant now) {
+  /**
+   * Notes a renewal. Others count from when its record was written, so it holds from when the call
+   * began that may have written it, and not from when the record was found.
+   */
+  private void renew(Instant writtenFrom) {
+    renewedAt = writtenFrom;
+    unsure = false;
+  }
+
+  private void gain(long claimOffset, Instant writtenFrom, Instant now) {
     phase = Phase.HOLDING;
     fence = claimOffset + 1;
     lastFence = fence;
-    renewedAt = callStartedAt;
-    unsure = false;
-    if (left.isPresent()) {
-      pauses.begin(left.get(), leftReadAt);
-    } else if (!predecessorOrdered) {
+    renew(writtenFrom);
+    claimedAt = now;
+    if (claimOffset == 0) {
       pauses.begin(now);
+    } else if (left.isPresent()) {
+      pauses.begin(left.get(), leftReadAt);
     } else {
-      // A record tells who claimed, not who gave orders: a claim may take effect seconds after its
-      // writer gave it up, so one record of this VM does not shorten the wait.
-      pauses.begin(now.plus(timings.renew()).plus(TRANSIT_MARGIN).plus(timings.handover()));
+      pauses.begin(ordersFrom(now));
+      pauses.noteEarlierRun(now.plus(timings.handover()).plus(TRANSIT_MARGIN));
+      Instant stopped = stoppedUntil.get(predecessorFence);
+      if (stopped != null) {
+        pauses.shorten(stopped);
+      }
     }
   }
 
+  /**
+   * Returns from when orders may go out after a holder that left no word. It gave its last order
+   * before its lease ran out, which began no later than its last record was seen. A record tells
+   * who claimed, not who gave orders: a claim may take effect seconds after its writer gave it up,
+   * so one record of this VM does not shorten the wait.
+   */
+  private Instant ordersFrom(Instant now) {
+    Duration handover = timings.handover().plus(TRANSIT_MARGIN);
+    Instant afterLease = predecessorSeenAt.plus(timings.lease()).plus(handover);
+    Instant afterRenewal = now.plus(timings.renew()).plus(handover);
+    if (othersQuiet.isPositive()) {
+      afterRenewal = now.plus(handover).minus(othersQuiet);
+    }
+    return afterLease.isBefore(afterRenewal) ? afterLease : afterRenewal;
+  }
+
   // News from elsewhere
 
+  /**
+   * Takes from the holder's heartbeat how far the log of the lease reached: nothing was written
+   * before it that is not known by now.
+   */
+  public void acceptEnd(long holdersEnd, Instant now) {
+    if (holdersEnd > heardEnd) {
+      heardEnd = holdersEnd;
+      heardEndAt = now;
+    }
+  }
+
   /** Gives the lease up because a higher fencing number is in use. */
   public void lose() {
     if (phase == Phase.HOLDING) {
@@ -292,8 +348,10 @@
    * @param quietMillis time in which its successor may not order every runner
    */
   public void acceptStopped(long itsFence, long quietMillis, Instant now) {
+    Instant until = now.plusMillis(quietMillis);
+    stoppedUntil.merge(itsFence, until, (a, b) -> a.isBefore(b) ? a : b);
     if (phase == Phase.HOLDING && itsFence == predecessorFence) {
-      pauses.shorten(now.plusMillis(quietMillis));
+      pauses.shorten(until);
     }
   }
 
@@ -340,6 +398,11 @@
     return timings.fencesEnforced() || now.isBefore(renewedAt.plus(timings.lease()));
   }
 
+  /** Returns how far the log of the lease reaches, as far as this node knows. */
+  public long end() {
+    return end;
+  }
+
   /** Returns the fencing number; 0 if the lease is not held and no release is under way. */
   public long fence() {
     return fence;
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
@@ -17,6 +17,7 @@
   private final Map<String, Instant> inherited = new HashMap<>();
   private final Map<String, Instant> ordered = new HashMap<>();
   private Instant all = Instant.MAX;
+  private Instant earlierRun = Instant.MIN;
 
   /**
    * Returns pauses under which nothing may be ordered.
@@ -33,6 +34,7 @@
     inherited.clear();
     ordered.clear();
     all = from;
+    earlierRun = Instant.MIN;
   }
 
   /** Begins a claim with what the predecessor left, as known at a time. */
@@ -42,6 +44,16 @@
         .forEach((runner, quiet) -> inherited.put(runner, at.plusMillis(quiet)));
   }
 
+  /**
+   * Notes that an earlier run of this VM may have ordered any runner. That binds a successor only:
+   * one VM is one holder.
+   *
+   * @param until from when that does not matter any more
+   */
+  void noteEarlierRun(Instant until) {
+    earlierRun = until;
+  }
+
   /** Shortens the wait for all runners, after the predecessor told when it stopped. */
   void shorten(Instant from) {
     if (from.isBefore(all)) {
@@ -66,7 +78,7 @@
 
   /** Returns when a successor may order every runner. */
   Instant end() {
-    Instant end = all;
+    Instant end = all.isAfter(earlierRun) ? all : earlierRun;
     for (Instant until : untilByRunner().values()) {
       end = until.isAfter(end) ? until : end;
     }
@@ -83,7 +95,8 @@
                 quiet.put(runner, Duration.between(now, until).toMillis());
               }
             });
-    long allMillis = all.isAfter(now) ? Duration.between(now, all).toMillis() : 0;
+    Instant forAll = all.isAfter(earlierRun) ? all : earlierRun;
+    long allMillis = forAll.isAfter(now) ? Duration.between(now, forAll).toMillis() : 0;
     return new Handover(allMillis, quiet, loads);
   }
 
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
@@ -6,6 +6,8 @@
  * @param fence fencing number under which it gives orders to runners; 0 if it gives none
  * @param lastFence fencing number of its last claim that took effect; 0 if there was none
  * @param quietMillis if it gives no orders, time in which its successor has to wait for its own
+ * @param leaseEnd for a node that gives orders, how far the log of the lease reached with its last
+ *     renewal
  * @param storeReachable whether the platform's store answers it
  * @param settled whether it has listened long enough since its start to take duties
  * @param draining whether it is shutting down
@@ -19,6 +21,7 @@
     long fence,
     long lastFence,
     long quietMillis,
+    long leaseEnd,
     boolean storeReachable,
     boolean settled,
     boolean draining,
@@ -29,5 +32,5 @@
 
   /** What is assumed of a node that has said nothing yet. */
   public static final PeerStatus UNKNOWN =
-      new PeerStatus(0, 0, 0, false, false, false, 0, -1, -1, 0);
+      new PeerStatus(0, 0, 0, -1, false, false, false, 0, -1, -1, 0);
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -258,6 +258,9 @@
     if (status.directoryChange() >= 0 && status.directoryChange() <= directory.offset()) {
       directory.confirm(now.minusMillis(status.directoryAgeMillis()));
     }
+    if (status.fence() > 0) {
+      lease.acceptEnd(status.leaseEnd(), now);
+    }
     if (status.fence() == 0 && status.lastFence() > 0) {
       lease.acceptStopped(status.lastFence(), status.quietMillis(), now);
     }
@@ -390,6 +393,7 @@
         lease.fence(),
         lease.lastFence(),
         lease.quietFor(now).toMillis(),
+        lease.isHeld() ? lease.end() : -1,
         store.isReachable() && !store.answeredAt().equals(Instant.MIN),
         !now.isBefore(startedAt.plus(timings.settle())),
         drain.isDraining(),
--- a/src/test/java/dev/wisteriarail/core/fleet/CoordinationTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/CoordinationTest.java
@@ -22,7 +22,7 @@
   }
 
   private static PeerStatus status(long fence, boolean settled, boolean draining) {
-    return new PeerStatus(fence, 0, 0, true, settled, draining, 1, 1, 1, 0);
+    return new PeerStatus(fence, 0, 0, -1, true, settled, draining, 1, 1, 1, 0);
   }
 
   private static PeerTable.Peer peer(NodeAddress address, PeerStatus status) {
--- a/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Leases of several nodes over one faulty store, in virtual time. */
@@ -147,6 +148,68 @@
     assertThat(successor.mayOrder(run.now)).isTrue();
   }
 
+  /** The store was away, the holder stopped and said so; its successor began five seconds late. */
+  @Test
+  void wordThatCameBeforeTheClaimCounts() {
+    LeaseStore store = new LeaseStore(1, 0);
+    Run run = new Run(store, TIMINGS, "a", "b");
+    run.wanted[1] = false;
+    run.steps(100);
+    final long fence = run.leases.getFirst().fence();
+    run.frozen[0] = true;
+    run.steps(600);
+    run.leases.get(1).acceptStopped(fence, 0, run.now);
+    run.wanted[1] = true;
+    run.steps(30);
+    assertThat(run.leases.get(1).mayOrder(run.now)).isTrue();
+  }
+
+  /** All nodes are killed; the last holder comes back first and needs no handover from itself. */
+  @ParameterizedTest
+  @CsvSource({"130, false", "560, true"})
+  void ownRenewalsCountAgainstTheWaitAfterOneRestart(int steps, boolean soon) {
+    LeaseStore store = new LeaseStore(1, 0);
+    Run run = new Run(store, TIMINGS, "a", "b");
+    run.wanted[1] = false;
+    run.steps(600);
+    run.frozen[0] = true;
+    run.wanted[1] = true;
+    run.steps(250);
+    assertThat(run.leases.get(1).isHeld()).isTrue();
+    run.steps(steps);
+    run.restart(1);
+    run.steps(30);
+    assertThat(run.leases.get(1).mayOrder(run.now)).isEqualTo(soon);
+    run.checkTurns();
+  }
+
+  /** The end of a lost holder's lease is known from its last heartbeat, and the wait with it. */
+  @Test
+  void lostHoldersLeaseRunsFromItsLastHeartbeat() {
+    Duration unheard = firstOrderAfterLoss(false);
+    Duration heard = firstOrderAfterLoss(true);
+    assertThat(heard).isAtLeast(TIMINGS.handover());
+    assertThat(heard).isLessThan(unheard.minus(Duration.ofMillis(500)));
+  }
+
+  private static Duration firstOrderAfterLoss(boolean heard) {
+    LeaseStore store = new LeaseStore(1, 0);
+    Run run = new Run(store, TIMINGS, "a", "b");
+    run.wanted[1] = false;
+    run.steps(100);
+    run.frozen[0] = true;
+    final Instant lost = run.now;
+    if (heard) {
+      run.leases.get(1).acceptEnd(run.leases.getFirst().end(), run.now);
+    }
+    run.steps(90);
+    run.wanted[1] = true;
+    run.steps(1_000);
+    Instant first =
+        run.orders.stream().filter(order -> order.node() == 1).findFirst().orElseThrow().at();
+    return Duration.between(lost, first);
+  }
+
   @Test
   void releaseThatIsDoneLateIsNotTakenForTheClaimAfterIt() {
     OrderLease lease = OrderLease.create("a", 1, TIMINGS);
@@ -211,7 +274,7 @@
   @ValueSource(
       longs = {
         1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25,
-        26, 27, 28, 29, 30
+        26, 27, 28, 29, 30, 36, 41, 44, 66, 72, 184, 283, 310, 324, 337, 509
       })
   void twoHoldersNeverOrderOneRunnerWithinTheHandover(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
@@ -234,8 +297,10 @@
 
   private record Order(Instant at, int node, long fence, String runner) {}
 
-  /** A node's word that it gives no orders, on its way to the others. */
-  private record Word(Instant at, long fence, long quietMillis) {}
+  /**
+   * A node's word that it gives no orders, or how far its log reaches, on its way to the others.
+   */
+  private record Word(Instant at, long fence, long quietMillis, long end) {}
 
   /** Steps several nodes; each orders whenever it may. */
   private static final class Run {
@@ -308,7 +373,11 @@
       boolean speaks = words != null && words.nextInt(20) == 0;
       if (speaks && lease.fence() == 0 && lease.lastFence() > 0) {
         Instant at = now.plusMillis(words.nextInt(2_000));
-        underWay.add(new Word(at, lease.lastFence(), lease.quietFor(now).toMillis()));
+        underWay.add(new Word(at, lease.lastFence(), lease.quietFor(now).toMillis(), -1));
+      }
+      if (speaks && lease.isHeld()) {
+        Instant at = now.plusMillis(words.nextInt(2_000));
+        underWay.add(new Word(at, 0, 0, lease.end()));
       }
     }
 
@@ -318,7 +387,10 @@
       for (Word word : due) {
         for (int node = 0; node < leases.size(); node++) {
           if (!frozen[node]) {
-            leases.get(node).acceptStopped(word.fence(), word.quietMillis(), now);
+            leases.get(node).acceptEnd(word.end(), now);
+            if (word.fence() > 0) {
+              leases.get(node).acceptStopped(word.fence(), word.quietMillis(), now);
+            }
           }
         }
       }
--- a/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
@@ -57,7 +57,7 @@
   }
 
   private void beat(int node) {
-    PeerStatus status = new PeerStatus(0, 0, 0, true, true, false, 1, 1, 1, 0);
+    PeerStatus status = new PeerStatus(0, 0, 0, -1, true, true, false, 1, 1, 1, 0);
     for (NodeAddress target : tables.get(node).beatTargets(false, now)) {
       sent++;
       int to = addresses.indexOf(target);
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -218,7 +218,7 @@
   void hearCoordinator(String name) {
     NodeAddress address =
         new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.0.2", 7000, 1000);
-    PeerStatus status = new PeerStatus(9, 9, 0, true, true, false, 1, 5, 5, 0);
+    PeerStatus status = new PeerStatus(9, 9, 0, -1, true, true, false, 1, 5, 5, 0);
     handle(
         new GatewayEvent.PeerTold(
             NodeId.of(name),
