--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -319,7 +318,7 @@
         spec,
         known,
         needs(service, spec, wants, known, now),
-        adapterWants(service, wants),
+        DemandBook.adapterWants(service, wants),
         countStoreLoads(service, now),
         storeLoads.limit(),
         storeLoads.allows(spec.loadsPerSecond(), now),
@@ -327,14 +326,12 @@
   }
 
   private PlanInput.Engine planned(EngineState engine, UseBook.Load load, Instant now) {
-    Map<String, Set<String>> models = new TreeMap<>();
-    engine.models().forEach((name, adapters) -> models.put(name, Set.copyOf(adapters)));
     final Optional<LoadHistory.Loading> loading = loading(engine, now);
     return new PlanInput.Engine(
         engine.runner(),
         engine.domain(),
         engine.isFree(now) && orderable.test(engine.runner()),
-        models,
+        engine.modelsAndComing(),
         loading.map(LoadHistory.Loading::model).orElse(""),
         loading.map(LoadHistory.Loading::source).orElse(LoadSource.MEMORY),
         loading.map(LoadHistory.Loading::leftMillis).orElse(0L),
@@ -390,21 +387,6 @@
     return needs;
   }
 
-  private static List<PlanInput.AdapterWant> adapterWants(
-      String service, Map<DemandKey, DemandBook.Want> wants) {
-    List<PlanInput.AdapterWant> adapterWants = new ArrayList<>();
-    wants.forEach(
-        (key, want) -> {
-          if (key.service().equals(service) && !key.adapter().isEmpty() && want.waiting() > 0) {
-            adapterWants.add(
-                new PlanInput.AdapterWant(
-                    key.model(), key.adapter(), want.waiting(), want.leastLeftMillis()));
-          }
-        });
-    adapterWants.sort(Comparator.comparingLong(PlanInput.AdapterWant::leastLeftMillis));
-    return adapterWants;
-  }
-
   private int countStoreLoads(String service, Instant now) {
     int count = 0;
     for (EngineState engine : engines.values()) {
--- a/src/main/java/dev/wisteriarail/core/fleet/DemandBook.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/DemandBook.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -78,6 +80,21 @@
     return wants;
   }
 
+  /** Returns the adapters of a service that requests wait for, the most urgent first. */
+  static List<PlanInput.AdapterWant> adapterWants(String service, Map<DemandKey, Want> wants) {
+    List<PlanInput.AdapterWant> adapterWants = new ArrayList<>();
+    wants.forEach(
+        (key, want) -> {
+          if (key.service().equals(service) && !key.adapter().isEmpty() && want.waiting() > 0) {
+            adapterWants.add(
+                new PlanInput.AdapterWant(
+                    key.model(), key.adapter(), want.waiting(), want.leastLeftMillis()));
+          }
+        });
+    adapterWants.sort(Comparator.comparingLong(PlanInput.AdapterWant::leastLeftMillis));
+    return adapterWants;
+  }
+
   /**
    * Requests that wait.
    *
--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -333,6 +333,18 @@
     return models;
   }
 
+  /** Returns the models that it serves, with their adapters and the one that is being loaded. */
+  Map<String, Set<String>> modelsAndComing() {
+    Map<String, Set<String>> all = new TreeMap<>();
+    models.forEach((name, adapters) -> all.put(name, new TreeSet<>(adapters)));
+    if (open.isPresent()
+        && open.get().body() instanceof FleetOrder.LoadAdapter load
+        && all.containsKey(load.model())) {
+      all.get(load.model()).add(load.adapter());
+    }
+    return all;
+  }
+
   Set<String> inHostMemory() {
     return inHostMemory;
   }
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -62,11 +62,11 @@
   /** Returns what to do now. */
   public Plan plan(PlanInput input) {
     Round round = new Round(input);
+    round.serveAdapters();
     round.keepPromises();
     round.serveWaiting();
     round.replaceLeaving();
     round.spread();
-    round.serveAdapters();
     round.stock();
     return round.plan();
   }
@@ -82,7 +82,6 @@
     private final Map<String, Long> startsIn = new HashMap<>();
     private final Map<String, Set<String>> placedNow = new HashMap<>();
     private final Copies copies;
-    private final Set<String> wantedAdapters;
     private final List<Plan.Placed> orders = new ArrayList<>();
     private int storeLoads;
 
@@ -94,10 +93,6 @@
               .collect(Collectors.toMap(HostedModel::name, Function.identity(), (a, b) -> a));
       input.engines().forEach(engine -> engines.put(engine.runner(), engine));
       copies = Copies.count(input.engines());
-      wantedAdapters =
-          input.adapterWants().stream()
-              .map(want -> want.model() + "/" + want.adapter())
-              .collect(Collectors.toSet());
       clearedFor.keySet().retainAll(engines.keySet());
       storeLoads = input.storeLoads();
       for (PlanInput.Engine engine : input.engines()) {
@@ -124,6 +119,13 @@
 
     // Steps
 
+    void serveAdapters() {
+      for (Plan.Placed placed : AdapterPlacement.orders(input, hosted, this::freeMegabytes)) {
+        taken.add(placed.runner());
+        orders.add(placed);
+      }
+    }
+
     /** Goes on with engines that were being cleared for a model. */
     void keepPromises() {
       for (Map.Entry<String, String> promise : List.copyOf(clearedFor.entrySet())) {
@@ -220,66 +222,6 @@
       busy.forEach(model -> placeAnywhere(model, "more replicas wanted"));
     }
 
-    /** Loads adapters that requests wait for. */
-    void serveAdapters() {
-      for (PlanInput.AdapterWant want : input.adapterWants()) {
-        engines.values().stream()
-            .filter(engine -> engine.free() && !taken.contains(engine.runner()))
-            .filter(engine -> engine.models().containsKey(want.model()))
-            .filter(engine -> mayTakeAdapter(engine, want))
-            .min(
-                Comparator.comparingInt((PlanInput.Engine engine) -> adapterCount(engine))
-                    .thenComparingInt(PlanInput.Engine::totalRunning))
-            .ifPresent(engine -> placeAdapter(engine, want));
-      }
-    }
-
-    /** Adapters that were loaded a moment ago are kept until their requests came. */
-    private boolean mayTakeAdapter(PlanInput.Engine engine, PlanInput.AdapterWant want) {
-      return !isFullOfAdapters(engine, want)
-          || engine.idleAdapters().stream()
-              .anyMatch(each -> !engine.adaptersInUse().contains(each) && !isWanted(each));
-    }
-
-    private boolean isFullOfAdapters(PlanInput.Engine engine, PlanInput.AdapterWant want) {
-      return adapterCount(engine) >= spec.adapterSlots()
-          || freeMegabytes(engine) < hosted.get(want.model()).adapterMegabytes();
-    }
-
-    private void placeAdapter(PlanInput.Engine engine, PlanInput.AdapterWant want) {
-      final String name = want.model() + "/" + want.adapter();
-      if (engine.models().get(want.model()).contains(want.adapter())) {
-        return;
-      }
-      taken.add(engine.runner());
-      if (!isFullOfAdapters(engine, want)) {
-        orders.add(
-            new Plan.Placed(
-                engine.runner(),
-                new FleetOrder.LoadAdapter(want.model(), want.adapter()),
-                "requests wait"));
-        return;
-      }
-      engine.idleAdapters().stream()
-          .filter(adapter -> !engine.adaptersInUse().contains(adapter))
-          .filter(adapter -> !isWanted(adapter))
-          .findFirst()
-          .ifPresent(
-              adapter -> {
-                int slash = adapter.indexOf('/');
-                orders.add(
-                    new Plan.Placed(
-                        engine.runner(),
-                        new FleetOrder.UnloadAdapter(
-                            adapter.substring(0, slash), adapter.substring(slash + 1)),
-                        "makes room for " + name));
-              });
-    }
-
-    private boolean isWanted(String adapter) {
-      return wantedAdapters.contains(adapter);
-    }
-
     /** Keeps the weight store busy with models that too few engines have on their disks. */
     void stock() {
       long stocking =
@@ -483,9 +425,5 @@
       HostedModel known = hosted.get(model);
       return known == null ? spec.weightMegabytes() : known.megabytes();
     }
-
-    private static int adapterCount(PlanInput.Engine engine) {
-      return engine.models().values().stream().mapToInt(Set::size).sum();
-    }
   }
 }
--- a/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -221,4 +221,37 @@
                 .toList())
         .hasSize(loads);
   }
+
+  /**
+   * Models are traded on all engines all the time, and requests wait for adapters of the model that
+   * most ask for: their adapters waited until no model did.
+   */
+  @Test
+  void adapterComesBeforeTheModelsThatItsEngineHasToBring() {
+    onEveryDisk = Set.of("m5", "m6", "m7", "m8", "m9", "m10", "m11");
+    hold(0, "m0", "m1");
+    for (int model = 5; model < 12; model++) {
+      needs.put("m" + model, new PlanInput.ModelNeed(1, 1, 4_000, 0.1, 0));
+    }
+    adapterWants.add(new PlanInput.AdapterWant("m0", "a9", 1, 4_000));
+    assertThat(
+            plan(4).orders().stream()
+                .filter(placed -> placed.runner().equals("e0"))
+                .map(Plan.Placed::order)
+                .toList())
+        .containsExactly(new FleetOrder.LoadAdapter("m0", "a9"));
+  }
+
+  /** A second copy of an adapter takes one of the few places from another one. */
+  @ParameterizedTest
+  @CsvSource({"3, 0", "32, 1"})
+  void adapterGetsItsSecondHomeOnlyWhenTheFirstIsFull(int requests, int loads) {
+    held[0].put("m0", Set.of("a9"));
+    running[0].put("m0", requests);
+    held[1].put("m0", Set.of());
+    adapterWants.add(new PlanInput.AdapterWant("m0", "a9", 1, 4_000));
+    needs.put("m0", new PlanInput.ModelNeed(1, 1, 4_000, 0.5, requests));
+    assertThat(orderedFor("m0").stream().filter(FleetOrder.LoadAdapter.class::isInstance).toList())
+        .hasSize(loads);
+  }
 }
