--- a/src/main/java/dev/wisteriarail/core/fleet/Copies.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Copies.java
@@ -40,6 +40,14 @@
     return copies.getOrDefault(model, 0);
   }
 
+  /** Returns how many models that no engine serves only this engine has in memory or on disk. */
+  int onlyOn(PlanInput.Engine engine) {
+    Set<String> cachedHere = new HashSet<>(engine.inHostMemory());
+    cachedHere.addAll(engine.onDisk());
+    return (int)
+        cachedHere.stream().filter(model -> replicas(model) == 0 && copies(model) == 1).count();
+  }
+
   /** Returns whether an engine has a model's weights in its host memory or on its disk. */
   boolean isCached(String model) {
     return cached.contains(model);
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -38,6 +38,9 @@
   /** Arrivals a second that one replica takes: about half of what its prompts cost to read. */
   private static final double RATE_PER_REPLICA = 6;
 
+  /** Share of an engine's slots that the requests of one model may take before it is full. */
+  private static final double FULL_SHARE = 0.5;
+
   /** Share of the engines that may be busy with loads from the store that nobody waits for. */
   private static final double STOCKING_SHARE = 0.5;
 
@@ -47,6 +50,12 @@
   /** Arrivals a second of a model below which it counts as not asked for. */
   private static final double QUIET_RATE = 0.02;
 
+  /**
+   * Share of the time of a load from the store that each model counts which only the loading engine
+   * could bring back meanwhile, and each request a second that its adapters may be asked for with.
+   */
+  private static final double BLOCKED_SHARE = 0.1;
+
   /** Time that clearing a place adds to a load, in milliseconds. */
   private static final long CLEARING_MILLIS = 400;
 
@@ -198,14 +207,14 @@
               .filter(model -> input.need(model).perSecond() >= QUIET_RATE)
               .sorted(Comparator.comparingDouble((String model) -> -input.need(model).perSecond()))
               .toList();
-      lost.forEach(model -> placeAnywhere(model, "its runner leaves"));
+      lost.forEach(model -> bring(model, "its runner leaves", true));
     }
 
-    private void placeAnywhere(String model, String reason) {
+    private void bring(String model, String reason, boolean fromStore) {
       Optional<PlanInput.Engine> cached = bestEngine(model, false);
       if (cached.isPresent()) {
         place(cached.get(), model, reason);
-      } else if (mayLoadFromStore()) {
+      } else if (fromStore && mayLoadFromStore()) {
         bestEngine(model, true).ifPresent(engine -> place(engine, model, reason));
       }
     }
@@ -219,7 +228,10 @@
               .filter(model -> replicasWithLoading(model) < wantedReplicas(model))
               .sorted(Comparator.comparingDouble((String model) -> -input.need(model).perSecond()))
               .toList();
-      busy.forEach(model -> placeAnywhere(model, "more replicas wanted"));
+      for (String model : busy) {
+        boolean needed = replicasWithLoading(model) < neededReplicas(model);
+        bring(model, "more replicas wanted", needed);
+      }
     }
 
     /** Keeps the weight store busy with models that too few engines have on their disks. */
@@ -302,12 +314,30 @@
     /** Cost in milliseconds: the load, the clearing, and what the lost models are worth. */
     private double cost(PlanInput.Engine engine, String model, List<String> victims) {
       double cost = loadMillis(engine, model);
+      if (engine.source(model) == LoadSource.STORE) {
+        cost += cost * BLOCKED_SHARE * blockedBy(engine);
+      }
       for (String victim : victims) {
         cost += CLEARING_MILLIS + 1000 * keepValue(engine, victim);
       }
       return cost + 10 * engine.totalRunning();
     }
 
+    /**
+     * What an engine cannot do while it loads from the store: bring back models from its disk that
+     * no other engine has, and load adapters of the models that it serves.
+     */
+    private double blockedBy(PlanInput.Engine engine) {
+      double adapterRequests = 0;
+      for (String held : engine.models().keySet()) {
+        HostedModel model = hosted.get(held);
+        if (model != null && model.adapters() > 0) {
+          adapterRequests += input.need(held).perSecond() / Math.max(1, copies.replicas(held));
+        }
+      }
+      return copies.onlyOn(engine) + adapterRequests;
+    }
+
     /** Returns what has to go for a model to fit; empty if it cannot fit. */
     private Optional<List<String>> victims(PlanInput.Engine engine, String model) {
       double missing = hosted.get(model).megabytes() - freeMegabytes(engine);
@@ -356,6 +386,17 @@
       return (int) Math.min(most, Math.max(least, Math.max(byRunning, byRate)));
     }
 
+    /**
+     * Replicas that are worth a load from the store: it blocks its engine for the models on its
+     * disk, which others wait for, for many times as long as a load from disk does.
+     */
+    private int neededReplicas(String model) {
+      PlanInput.ModelNeed need = input.need(model);
+      double bySlots = Math.ceil((need.running() + need.waiting()) / (spec.slots() * FULL_SHARE));
+      double least = need.perSecond() >= SPARE_REPLICA_RATE ? 2 : 1;
+      return (int) Math.min(wantedReplicas(model), Math.max(least, bySlots));
+    }
+
     private int replicasWithLoading(String model) {
       Set<String> coming = new HashSet<>(placedNow.getOrDefault(model, Set.of()));
       engines.values().stream()
--- a/src/main/sh/launcher.sh
+++ b/src/main/sh/launcher.sh
@@ -5,7 +5,7 @@
   serve) heap="-Xmx160m -Xmn32m" ;;
   *) heap="-Xmx1g" ;;
 esac
-java_opts=${WISTERIARAIL_JAVA_OPTS-$heap -Xss512k -XX:+UseSerialGC -XX:+UseCompactObjectHeaders}
+java_opts=${WISTERIARAIL_JAVA_OPTS-$heap -Xss512k -XX:+UseSerialGC -XX:+UseCompactObjectHeaders --sun-misc-unsafe-memory-access=allow}
 for home in "$JAVA_HOME" /usr/lib/jvm/* /opt/java/* /opt/jdk*; do
   if [ -x "$home/bin/java" ] && grep -q '^JAVA_VERSION="25' "$home/release" 2>/dev/null; then
     # shellcheck disable=SC2086
--- a/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -30,6 +30,7 @@
   private Set<String> onEveryDisk = Set.of();
   private List<String> idleAdapters = List.of();
   private Set<String> leaving = Set.of();
+  private final Map<String, Set<String>> onDisk = new HashMap<>();
 
   @SuppressWarnings("unchecked")
   private static Map<String, Set<String>>[] newHeld() {
@@ -79,7 +80,7 @@
               LoadSource.MEMORY,
               0,
               Set.of(),
-              onEveryDisk,
+              onDisk.getOrDefault("e" + i, onEveryDisk),
               running[i],
               Set.of(),
               idleAdapters));
@@ -254,4 +255,38 @@
     assertThat(orderedFor("m0").stream().filter(FleetOrder.LoadAdapter.class::isInstance).toList())
         .hasSize(loads);
   }
+
+  /**
+   * Rare models are on the disks of all engines, and the model that most ask for on few: each of
+   * its further replicas kept an engine from the rare models for nine seconds.
+   */
+  @ParameterizedTest
+  @CsvSource({"24, 0", "60, 1"})
+  void replicaFromTheStoreIsLoadedOnlyForFullEngines(int requests, int loads) {
+    for (int i = 0; i < 2; i++) {
+      held[i].put("m1", Set.of());
+      running[i].put("m1", requests / 2);
+    }
+    needs.put("m1", new PlanInput.ModelNeed(0, 0, Long.MAX_VALUE, 30, requests));
+    assertThat(
+            plan(0).orders().stream()
+                .filter(placed -> placed.order().model().equals("m1"))
+                .toList())
+        .hasSize(loads);
+  }
+
+  @Test
+  void loadFromTheStoreBlocksTheEngineThatHasLeastToBringBack() {
+    onEveryDisk = Set.of();
+    for (int i = 0; i < ENGINES; i++) {
+      onDisk.put("e" + i, i == 4 ? Set.of("m20") : Set.of("m" + (2 * i + 5), "m" + (2 * i + 6)));
+    }
+    needs.put("m29", new PlanInput.ModelNeed(1, 1, 4_000, 0.1, 0));
+    assertThat(
+            plan(0).orders().stream()
+                .filter(placed -> placed.order().model().equals("m29"))
+                .map(Plan.Placed::runner)
+                .toList())
+        .containsExactly("e4");
+  }
 }
