--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -38,6 +38,9 @@
   /** Arrivals a second that one replica takes: about half of what its prompts cost to read. */
   private static final double RATE_PER_REPLICA = 6;
 
+  /** Arrivals a second at which reading their prompts leaves a replica little time for answers. */
+  private static final double FULL_RATE_PER_REPLICA = 2 * RATE_PER_REPLICA;
+
   /** Share of an engine's slots that the requests of one model may take before it is full. */
   private static final double FULL_SHARE = 0.5;
 
@@ -393,8 +396,9 @@
     private int neededReplicas(String model) {
       PlanInput.ModelNeed need = input.need(model);
       double bySlots = Math.ceil((need.running() + need.waiting()) / (spec.slots() * FULL_SHARE));
+      double byRate = Math.ceil(need.perSecond() / FULL_RATE_PER_REPLICA);
       double least = need.perSecond() >= SPARE_REPLICA_RATE ? 2 : 1;
-      return (int) Math.min(wantedReplicas(model), Math.max(least, bySlots));
+      return (int) Math.min(wantedReplicas(model), Math.max(least, Math.max(bySlots, byRate)));
     }
 
     private int replicasWithLoading(String model) {
--- a/src/main/java/dev/wisteriarail/core/gateway/ForwardEnds.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardEnds.java
@@ -48,24 +48,44 @@
    * @param returnAfter when its caller should come back, if it has not run
    */
   void endWaiting(PendingForward forward, ResultCode code, Duration returnAfter, GatewayStep step) {
-    if (forward.answerBegun()) {
-      cut(forward, "no runner to go on with", step);
-    } else if (forward.mayHaveRun()) {
-      refuse(forward, ResultCode.OUTCOME_UNKNOWN, Optional.empty(), step);
-    } else {
+    endWaiting(forward, "no runner to go on with", code, returnAfter, step);
+  }
+
+  private void endWaiting(
+      PendingForward forward,
+      String reason,
+      ResultCode code,
+      Duration returnAfter,
+      GatewayStep step) {
+    if (forward.isUntouched()) {
       tally.countReturn(forward, step.now().plus(returnAfter));
-      refuse(forward, code, Optional.of(returnAfter), step);
     }
+    end(forward, reason, code, returnAfter, step);
   }
 
   /** Ends a request that no runner is asked for again. */
   void giveUp(PendingForward forward, String reason, GatewayStep step) {
+    end(forward, reason, ResultCode.NO_CAPACITY, SHORT_RETURN, step);
+  }
+
+  /**
+   * Ends a request that no runner has.
+   *
+   * @param reason why, if its answer has begun
+   * @param code why, if it has not run
+   */
+  private void end(
+      PendingForward forward,
+      String reason,
+      ResultCode code,
+      Duration returnAfter,
+      GatewayStep step) {
     if (forward.answerBegun()) {
       cut(forward, reason, step);
     } else if (forward.mayHaveRun()) {
       refuse(forward, ResultCode.OUTCOME_UNKNOWN, Optional.empty(), step);
     } else {
-      refuse(forward, ResultCode.NO_CAPACITY, Optional.of(SHORT_RETURN), step);
+      refuse(forward, code, Optional.of(returnAfter), step);
     }
   }
 
@@ -91,11 +111,7 @@
         forward.markMayHaveRun();
       }
       release(forward, step);
-      if (forward.answerBegun()) {
-        cut(forward, "the node ends", step);
-      } else {
-        endWaiting(forward, ResultCode.DRAINING, DrainPlan.RETURN, step);
-      }
+      endWaiting(forward, "the node ends", ResultCode.DRAINING, DrainPlan.RETURN, step);
     }
     return left.size();
   }
--- a/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -261,13 +261,13 @@
    * its further replicas kept an engine from the rare models for nine seconds.
    */
   @ParameterizedTest
-  @CsvSource({"24, 0", "60, 1"})
-  void replicaFromTheStoreIsLoadedOnlyForFullEngines(int requests, int loads) {
+  @CsvSource({"24, 20, 0", "60, 20, 1", "24, 30, 1"})
+  void replicaFromTheStoreIsLoadedOnlyForFullEngines(int requests, double perSecond, int loads) {
     for (int i = 0; i < 2; i++) {
       held[i].put("m1", Set.of());
       running[i].put("m1", requests / 2);
     }
-    needs.put("m1", new PlanInput.ModelNeed(0, 0, Long.MAX_VALUE, 30, requests));
+    needs.put("m1", new PlanInput.ModelNeed(0, 0, Long.MAX_VALUE, perSecond, requests));
     assertThat(
             plan(0).orders().stream()
                 .filter(placed -> placed.order().model().equals("m1"))
