One raw runner for the tests that write answers byte by byte

Cause: four tests had the same accepting loop, head reader and directory entry. Change: RawRunner; no check changed. Ruled out: the stand-in of runners, which speaks through Jetty and cannot write what is no answer.

--- a/src/test/java/dev/wisteriarail/platform/EndlessBytesTest.java
+++ b/src/test/java/dev/wisteriarail/platform/EndlessBytesTest.java
@@ -7,12 +7,8 @@
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
 import dev.wisteriarail.gateway.GatewayHttp;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.time.Duration;
@@ -92,13 +88,12 @@
     AtomicLong written = new AtomicLong();
     AtomicInteger requests = new AtomicInteger();
     try (GatewayFleet fleet = GatewayFleet.start(1, 0, 0);
-        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-      Thread.ofVirtual().start(() -> serveAll(server, place, written, requests));
+        RawRunner runner = RawRunner.start(socket -> pour(socket, place, written, requests))) {
       boolean stream = place == Place.EVENT;
       fleet
           .platform()
           .store()
-          .put("keyed.servers", "raw", entry(server.getLocalPort(), stream ? "engines" : "plain"));
+          .put("keyed.servers", "raw", runner.entry(stream ? "engines" : "plain"));
       long begun = System.nanoTime();
       int status = 503;
       while (status == 503 && requests.get() == 0) {
@@ -134,10 +129,9 @@
     threads.start();
     scheduler.start();
     HttpClient http = GatewayHttp.start(threads, scheduler, MOST_TIME.toMillis(), true);
-    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-      AtomicInteger requests = new AtomicInteger();
-      Thread.ofVirtual().start(() -> serveAll(server, place, written, requests));
-      PlatformCalls calls = PlatformCalls.create(http, "127.0.0.1:" + server.getLocalPort());
+    AtomicInteger requests = new AtomicInteger();
+    try (RawRunner store = RawRunner.start(socket -> pour(socket, place, written, requests))) {
+      PlatformCalls calls = PlatformCalls.create(http, "127.0.0.1:" + store.port());
       CompletableFuture<StoreAnswer> answer = new CompletableFuture<>();
       calls.read(new StoreRead.WholeDirectory(), answer::complete);
       assertThat(answer.get(MOST_TIME.toSeconds(), TimeUnit.SECONDS))
@@ -158,9 +152,8 @@
   void bytesBetweenRequestsEndTheConnection() throws Exception {
     AtomicLong mostWritten = new AtomicLong();
     try (GatewayFleet fleet = GatewayFleet.start(1, 0, 0);
-        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-      Thread.ofVirtual().start(() -> serveThenPour(server, mostWritten));
-      fleet.platform().store().put("keyed.servers", "raw", entry(server.getLocalPort(), "plain"));
+        RawRunner runner = RawRunner.start(socket -> answerThenPour(socket, mostWritten))) {
+      fleet.platform().store().put("keyed.servers", "raw", runner.entry("plain"));
       fleet.await(() -> lookup(fleet) == 200);
       int served = 0;
       for (int i = 0; i < LOOKUPS; i++) {
@@ -185,66 +178,30 @@
     }
   }
 
-  private static String entry(int port, String service) {
-    return String.format(
-        "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,"
-            + "\"state\":\"ready\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],"
-            + "\"sequence\":1,\"born\":1}",
-        service, port);
-  }
-
-  private static void serveAll(
-      ServerSocket server, Place place, AtomicLong written, AtomicInteger requests) {
-    while (!server.isClosed()) {
-      try {
-        Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> pour(socket, place, written, requests));
-      } catch (IOException closed) {
-        return;
-      }
-    }
-  }
-
-  private static void pour(Socket socket, Place place, AtomicLong written, AtomicInteger requests) {
-    try (socket) {
-      String request = readRequest(socket);
-      requests.addAndGet(request.isEmpty() ? 0 : 1);
-      OutputStream out = socket.getOutputStream();
-      out.write(place.start(request).getBytes(US_ASCII));
-      pourForever(out, place.repeated, written);
-    } catch (IOException closed) {
-      // The node closed the connection, which is what it has to do.
-    }
+  private static void pour(Socket socket, Place place, AtomicLong written, AtomicInteger requests)
+      throws IOException {
+    String request = RawRunner.readRequest(RawRunner.reader(socket));
+    requests.addAndGet(request.isEmpty() ? 0 : 1);
+    OutputStream out = socket.getOutputStream();
+    out.write(place.start(request).getBytes(US_ASCII));
+    pourForever(out, place.repeated, written);
   }
 
-  private static void serveThenPour(ServerSocket server, AtomicLong mostWritten) {
-    while (!server.isClosed()) {
-      try {
-        Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> answerThenPour(socket, mostWritten));
-      } catch (IOException closed) {
-        return;
-      }
+  private static void answerThenPour(Socket socket, AtomicLong mostWritten) throws IOException {
+    String request = RawRunner.readRequest(RawRunner.reader(socket));
+    if (request.isEmpty()) {
+      return;
     }
-  }
-
-  private static void answerThenPour(Socket socket, AtomicLong mostWritten) {
     AtomicLong written = new AtomicLong();
-    try (socket) {
-      String request = readRequest(socket);
-      if (request.isEmpty()) {
-        return;
-      }
+    try {
       String answer =
           "HTTP/1.1 200 OK\r\nX-Wisteriarail-Request-Id: "
               + request
               + "\r\nX-Wisteriarail-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwhole";
       socket.getOutputStream().write(answer.getBytes(US_ASCII));
       socket.getOutputStream().flush();
-      pourForever(
-          socket.getOutputStream(), "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", written);
-    } catch (IOException closed) {
-      // The node closed the connection, which is what it has to do.
+      String more = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+      pourForever(socket.getOutputStream(), more, written);
     } finally {
       mostWritten.accumulateAndGet(written.get(), Math::max);
     }
@@ -258,19 +215,4 @@
       written.addAndGet(bytes.length);
     }
   }
-
-  /** Returns the identifier of the request; empty text if it is one for control. */
-  private static String readRequest(Socket socket) throws IOException {
-    BufferedReader in =
-        new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
-    String request = "";
-    String line = in.readLine();
-    while (line != null && !line.isEmpty()) {
-      if (line.startsWith("X-Wisteriarail-Request-Id: ")) {
-        request = line.substring(line.indexOf(' ') + 1);
-      }
-      line = in.readLine();
-    }
-    return request;
-  }
 }
--- a/src/test/java/dev/wisteriarail/platform/LateCopyTest.java
+++ b/src/test/java/dev/wisteriarail/platform/LateCopyTest.java
@@ -5,10 +5,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,9 +23,8 @@
   @ValueSource(booleans = {true, false})
   void nextCallerNeverGetsIt(boolean named) throws Exception {
     try (GatewayFleet fleet = GatewayFleet.start(1, 0, 0);
-        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-      Thread.ofVirtual().start(() -> serveAll(server, named));
-      fleet.platform().store().put("keyed.servers", "raw", entry(server.getLocalPort()));
+        RawRunner runner = RawRunner.start(socket -> answerTwice(socket, named))) {
+      fleet.platform().store().put("keyed.servers", "raw", runner.entry("plain"));
       fleet.await(() -> ask(fleet, "first").statusCode() == 200);
       for (int i = 0; i < REQUESTS; i++) {
         HttpResponse<String> answer = ask(fleet, "late" + i);
@@ -49,42 +45,19 @@
     }
   }
 
-  private static String entry(int port) {
-    return String.format(
-        "{\"service\":\"plain\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,"
-            + "\"state\":\"ready\",\"models\":[],\"sequence\":1,\"born\":1}",
-        port);
-  }
-
-  private static void serveAll(ServerSocket server, boolean named) {
-    while (!server.isClosed()) {
-      try {
-        Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> serve(socket, named));
-      } catch (IOException closed) {
-        return;
+  private static void answerTwice(Socket socket, boolean named) throws IOException {
+    BufferedReader in = RawRunner.reader(socket);
+    OutputStream out = socket.getOutputStream();
+    String before = "";
+    String id = RawRunner.readRequest(in);
+    while (!id.isEmpty()) {
+      if (!before.isEmpty()) {
+        out.write(answer(before, named).getBytes(US_ASCII));
       }
-    }
-  }
-
-  private static void serve(Socket socket, boolean named) {
-    try (socket) {
-      BufferedReader in =
-          new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
-      OutputStream out = socket.getOutputStream();
-      String before = "";
-      String id = readRequest(in);
-      while (!id.isEmpty()) {
-        if (!before.isEmpty()) {
-          out.write(answer(before, named).getBytes(US_ASCII));
-        }
-        out.write(answer(id, true).getBytes(US_ASCII));
-        out.flush();
-        before = id;
-        id = readRequest(in);
-      }
-    } catch (IOException closed) {
-      // The node closed the connection.
+      out.write(answer(id, true).getBytes(US_ASCII));
+      out.flush();
+      before = id;
+      id = RawRunner.readRequest(in);
     }
   }
 
@@ -97,16 +70,4 @@
         + "\r\n\r\n"
         + body;
   }
-
-  private static String readRequest(BufferedReader in) throws IOException {
-    String id = "";
-    String line = in.readLine();
-    while (line != null && !line.isEmpty()) {
-      if (line.startsWith("X-Wisteriarail-Request-Id: ")) {
-        id = line.substring(line.indexOf(' ') + 1);
-      }
-      line = in.readLine();
-    }
-    return id;
-  }
 }
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/platform/RawRunner.java
@@ -0,0 +1,89 @@
+package dev.wisteriarail.platform;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+
+/** A runner on loopback whose answers a test writes byte by byte. */
+final class RawRunner implements AutoCloseable {
+
+  private final ServerSocket server;
+
+  private RawRunner(ServerSocket server) {
+    this.server = server;
+  }
+
+  /** What the runner does on one connection, which is closed afterwards. */
+  interface Talk {
+    void on(Socket socket) throws IOException, InterruptedException;
+  }
+
+  /** Starts a runner that serves any number of connections at a time. */
+  static RawRunner start(Talk talk) throws IOException {
+    RawRunner runner = new RawRunner(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+    Thread.ofVirtual().start(() -> runner.serveAll(talk));
+    return runner;
+  }
+
+  private void serveAll(Talk talk) {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        Thread.ofVirtual().start(() -> serve(socket, talk));
+      } catch (IOException closed) {
+        return;
+      }
+    }
+  }
+
+  private static void serve(Socket socket, Talk talk) {
+    try (socket) {
+      talk.on(socket);
+    } catch (IOException closed) {
+      // The test has ended, or the node closed the connection.
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Returns what the directory says of it: it is ready and, as an engine, holds model m0. */
+  String entry(String service) {
+    String models =
+        service.equals("engines") ? "{\"name\":\"m0\",\"version\":1,\"adapters\":[]}" : "";
+    return String.format(
+        "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,"
+            + "\"state\":\"ready\",\"models\":[%s],\"sequence\":1,\"born\":1}",
+        service, port(), models);
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  static BufferedReader reader(Socket socket) throws IOException {
+    return new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
+  }
+
+  /** Reads a head; returns the identifier of the request, empty text if there is none. */
+  static String readRequest(BufferedReader in) throws IOException {
+    String request = "";
+    String line = in.readLine();
+    while (line != null && !line.isEmpty()) {
+      if (line.startsWith("X-Wisteriarail-Request-Id: ")) {
+        request = line.substring(line.indexOf(' ') + 1);
+      }
+      line = in.readLine();
+    }
+    return request;
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
--- a/src/test/java/dev/wisteriarail/platform/StreamPaceTest.java
+++ b/src/test/java/dev/wisteriarail/platform/StreamPaceTest.java
@@ -3,12 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.time.Duration;
@@ -32,9 +28,8 @@
   @CsvSource({"/report/1, false", "/chat/1, false", "/report/1, true", "/chat/1, true"})
   void slowStreamIsWholeAndStalledOneEnds(String path, boolean stalls) throws Exception {
     try (GatewayFleet fleet = GatewayFleet.start(1, 0, 0);
-        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-      Thread.ofVirtual().start(() -> serveAll(server, stalls));
-      fleet.platform().store().put("keyed.servers", "raw", entry(server.getLocalPort()));
+        RawRunner runner = RawRunner.start(socket -> stream(socket, stalls))) {
+      fleet.platform().store().put("keyed.servers", "raw", runner.entry("engines"));
       long begun = System.nanoTime();
       int status = 503;
       String body = "";
@@ -70,58 +65,25 @@
     return "id: " + number + "\ndata: x\n\n";
   }
 
-  private static String entry(int port) {
-    return String.format(
-        "{\"service\":\"engines\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,"
-            + "\"state\":\"ready\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],"
-            + "\"sequence\":1,\"born\":1}",
-        port);
-  }
-
-  private static void serveAll(ServerSocket server, boolean stalls) {
-    while (!server.isClosed()) {
-      try {
-        Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> serve(socket, stalls));
-      } catch (IOException closed) {
-        return;
-      }
+  private static void stream(Socket socket, boolean stalls)
+      throws IOException, InterruptedException {
+    String id = RawRunner.readRequest(RawRunner.reader(socket));
+    if (id.isEmpty()) {
+      return;
     }
-  }
-
-  private static void serve(Socket socket, boolean stalls) {
-    try (socket) {
-      BufferedReader in =
-          new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
-      String id = "";
-      String line = in.readLine();
-      while (line != null && !line.isEmpty()) {
-        if (line.startsWith("X-Wisteriarail-Request-Id: ")) {
-          id = line.substring(line.indexOf(' ') + 1);
-        }
-        line = in.readLine();
-      }
-      if (id.isEmpty()) {
-        return;
-      }
-      OutputStream out = socket.getOutputStream();
-      out.write(
-          ("HTTP/1.1 200 OK\r\nX-Wisteriarail-Request-Id: "
-                  + id
-                  + "\r\nX-Wisteriarail-Response-Signature: s\r\nConnection: close\r\n\r\n")
-              .getBytes(US_ASCII));
-      if (stalls) {
-        drip(out);
-      }
-      for (int i = 1; i <= EVENTS; i++) {
-        out.write(event(i).getBytes(US_ASCII));
-        out.flush();
-        Thread.sleep(EVENT_PAUSE_MILLIS);
-      }
-    } catch (IOException closed) {
-      // The node closed the connection.
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
+    OutputStream out = socket.getOutputStream();
+    out.write(
+        ("HTTP/1.1 200 OK\r\nX-Wisteriarail-Request-Id: "
+                + id
+                + "\r\nX-Wisteriarail-Response-Signature: s\r\nConnection: close\r\n\r\n")
+            .getBytes(US_ASCII));
+    if (stalls) {
+      drip(out);
+    }
+    for (int i = 1; i <= EVENTS; i++) {
+      out.write(event(i).getBytes(US_ASCII));
+      out.flush();
+      Thread.sleep(EVENT_PAUSE_MILLIS);
     }
   }
 
--- a/src/test/java/dev/wisteriarail/platform/UnframedAnswerTest.java
+++ b/src/test/java/dev/wisteriarail/platform/UnframedAnswerTest.java
@@ -5,9 +5,6 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,9 +17,8 @@
   @CsvSource({"false, 200", "true, 502"})
   void answerThatIsResetOnTheWayIsNotWhole(boolean reset, int status) throws Exception {
     try (GatewayFleet fleet = GatewayFleet.start(1, 0, 0);
-        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-      Thread.ofVirtual().start(() -> serveAll(server, reset));
-      fleet.platform().store().put("keyed.servers", "raw", entry(server.getLocalPort()));
+        RawRunner runner = RawRunner.start(socket -> serve(socket, reset))) {
+      fleet.platform().store().put("keyed.servers", "raw", runner.entry("plain"));
       HttpResponse<String>[] answer = newHolder();
       fleet.await(
           () -> {
@@ -49,34 +45,9 @@
     }
   }
 
-  private static String entry(int port) {
-    return String.format(
-        "{\"service\":\"plain\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,"
-            + "\"state\":\"ready\",\"models\":[],\"sequence\":1,\"born\":1}",
-        port);
-  }
-
-  private static void serveAll(ServerSocket server, boolean reset) {
-    while (!server.isClosed()) {
-      try (Socket socket = server.accept()) {
-        serve(socket, reset);
-      } catch (IOException closed) {
-        // The test has ended, or the node closed the connection.
-      }
-    }
-  }
-
   private static void serve(Socket socket, boolean reset) throws IOException {
-    BufferedReader in =
-        new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
-    String id = "";
-    String line = in.readLine();
-    while (line != null && !line.isEmpty()) {
-      if (line.startsWith("X-Wisteriarail-Request-Id: ")) {
-        id = line.substring(line.indexOf(' ') + 1);
-      }
-      line = in.readLine();
-    }
+    BufferedReader in = RawRunner.reader(socket);
+    String id = RawRunner.readRequest(in);
     in.skip("body".length());
     String head =
         "HTTP/1.1 200 OK\r\nX-Wisteriarail-Request-Id: "
