One conditional log of the lease for the fuzz and the tests

Cause: FakeMetadata, LeaseStore and RollingFleet each carried out lease calls on a list of records with the same switch; eight cases of OrderLeaseTest began with the same four lines. Change: LeaseLog; heldByFirst in the test. Ruled out: FakeMetadata itself in the tests, which keeps directory and configuration too.

--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeMetadata.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeMetadata.java
@@ -3,7 +3,6 @@
 import dev.wisteriarail.core.fleet.DirectoryChange;
 import dev.wisteriarail.core.fleet.LeaseAnswer;
 import dev.wisteriarail.core.fleet.LeaseCall;
-import dev.wisteriarail.core.fleet.LeaseRecord;
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.gateway.StoreAnswer;
@@ -21,7 +20,7 @@
   private final List<GatewayConfiguration> configurations = new ArrayList<>();
   private final List<Entry> directory = new ArrayList<>();
   private final Map<String, RunnerEntry> newest = new LinkedHashMap<>();
-  private final List<LeaseRecord> lease = new ArrayList<>();
+  private final LeaseLog lease = LeaseLog.create();
   private final Map<String, NodeAddress> nodes = new LinkedHashMap<>();
   private long directoryFirst;
 
@@ -97,20 +96,7 @@
   }
 
   LeaseAnswer call(LeaseCall call) {
-    return switch (call) {
-      case LeaseCall.Read read -> {
-        int from = (int) Math.min(read.from(), lease.size());
-        yield new LeaseAnswer.Records(
-            lease.size(), 0, read.from(), lease.subList(from, lease.size()));
-      }
-      case LeaseCall.Append append -> {
-        if (append.at() != lease.size()) {
-          yield new LeaseAnswer.Overtaken(lease.size());
-        }
-        lease.add(append.record());
-        yield new LeaseAnswer.Appended(lease.size() - 1);
-      }
-    };
+    return lease.call(call);
   }
 
   private long directoryEnd() {
--- a/src/test/java/dev/wisteriarail/core/fleet/LeaseStore.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/LeaseStore.java
@@ -1,10 +1,9 @@
 package dev.wisteriarail.core.fleet;
 
+import dev.wisteriarail.fuzz.gateway.LeaseLog;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.List;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
@@ -13,7 +12,7 @@
 /** A store for leases in virtual time: answers are delayed, lost, or follow late effects. */
 final class LeaseStore {
 
-  private final List<LeaseRecord> records = new ArrayList<>();
+  private final LeaseLog log = LeaseLog.create();
   private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparing(Due::at));
   private final SplittableRandom random;
   private final double lossShare;
@@ -31,30 +30,13 @@
       due.add(new Due(back, () -> told.accept(new LeaseAnswer.Failed("down"))));
     } else if (call instanceof LeaseCall.Append append && random.nextDouble() < lossShare) {
       Instant effect = now.plusMillis(random.nextInt(5_000));
-      due.add(new Due(effect, () -> execute(append)));
+      due.add(new Due(effect, () -> log.call(append)));
       due.add(new Due(now.plusMillis(900), () -> told.accept(new LeaseAnswer.Failed("no answer"))));
     } else {
-      due.add(new Due(back, () -> told.accept(execute(call))));
+      due.add(new Due(back, () -> told.accept(log.call(call))));
     }
   }
 
-  private LeaseAnswer execute(LeaseCall call) {
-    return switch (call) {
-      case LeaseCall.Read read -> {
-        int from = (int) Math.min(read.from(), records.size());
-        yield new LeaseAnswer.Records(
-            records.size(), 0, read.from(), records.subList(from, records.size()));
-      }
-      case LeaseCall.Append append -> {
-        if (append.at() != records.size()) {
-          yield new LeaseAnswer.Overtaken(records.size());
-        }
-        records.add(append.record());
-        yield new LeaseAnswer.Appended(records.size() - 1);
-      }
-    };
-  }
-
   /** Delivers what is due. */
   void advance(Instant now) {
     Optional<Due> next = Optional.ofNullable(due.peek());
--- a/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
@@ -33,10 +33,7 @@
 
   @Test
   void successorOfSilentHolderWaitsOutItsLeaseAndTheHandover() {
-    LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a", "b");
-    run.wanted[1] = false;
-    run.steps(100);
+    Run run = heldByFirst(100);
     run.frozen[0] = true;
     final Instant stopped = run.now;
     run.wanted[1] = true;
@@ -62,10 +59,7 @@
 
   @Test
   void holderThatRestartsSoonAfterItsClaimWaitsOutTheOneBefore() {
-    LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a", "b");
-    run.wanted[1] = false;
-    run.steps(600);
+    Run run = heldByFirst(600);
     run.frozen[0] = true;
     run.wanted[1] = true;
     run.steps(250);
@@ -98,10 +92,7 @@
 
   @Test
   void releaseThatComesWhileItsSuccessorWaitsIsSeenSoon() {
-    LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a", "b");
-    run.wanted[1] = false;
-    run.steps(100);
+    Run run = heldByFirst(100);
     run.wanted[1] = true;
     run.steps(20);
     run.wanted[0] = false;
@@ -133,10 +124,7 @@
 
   @Test
   void onlyTheWordOnThePredecessorsLastClaimCounts() {
-    LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a", "b");
-    run.wanted[1] = false;
-    run.steps(100);
+    Run run = heldByFirst(100);
     final long fence = run.leases.getFirst().fence();
     run.frozen[0] = true;
     run.wanted[1] = true;
@@ -151,10 +139,7 @@
   /** The store was away, the holder stopped and said so; its successor began five seconds late. */
   @Test
   void wordThatCameBeforeTheClaimCounts() {
-    LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a", "b");
-    run.wanted[1] = false;
-    run.steps(100);
+    Run run = heldByFirst(100);
     final long fence = run.leases.getFirst().fence();
     run.frozen[0] = true;
     run.steps(600);
@@ -168,10 +153,7 @@
   @ParameterizedTest
   @CsvSource({"130, false", "560, true"})
   void ownRenewalsCountAgainstTheWaitAfterOneRestart(int steps, boolean soon) {
-    LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a", "b");
-    run.wanted[1] = false;
-    run.steps(600);
+    Run run = heldByFirst(600);
     run.frozen[0] = true;
     run.wanted[1] = true;
     run.steps(250);
@@ -193,10 +175,7 @@
   }
 
   private static Duration firstOrderAfterLoss(boolean heard) {
-    LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a", "b");
-    run.wanted[1] = false;
-    run.steps(100);
+    Run run = heldByFirst(100);
     run.frozen[0] = true;
     final Instant lost = run.now;
     if (heard) {
@@ -295,6 +274,14 @@
     run.checkTurns();
   }
 
+  /** Returns two nodes of which the first has held the lease and the second does not want it. */
+  private static Run heldByFirst(int steps) {
+    Run run = new Run(new LeaseStore(1, 0), TIMINGS, "a", "b");
+    run.wanted[1] = false;
+    run.steps(steps);
+    return run;
+  }
+
   private record Order(Instant at, int node, long fence, String runner) {}
 
   /**
--- a/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
@@ -28,6 +28,7 @@
 import dev.wisteriarail.core.route.ServicePool;
 import dev.wisteriarail.core.route.ServiceShare;
 import dev.wisteriarail.fuzz.VirtualScheduler;
+import dev.wisteriarail.fuzz.gateway.LeaseLog;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -67,7 +68,7 @@
   private final SplittableRandom random;
   private final List<Member> members = new ArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
-  private final List<LeaseRecord> records = new ArrayList<>();
+  private final LeaseLog leaseLog = LeaseLog.create();
   private final List<Instant> claims = new ArrayList<>();
   private final Map<String, NodeAddress> registered = new LinkedHashMap<>();
   private final List<Order> orders = new ArrayList<>();
@@ -209,23 +210,13 @@
   }
 
   private LeaseAnswer lease(LeaseCall call) {
-    return switch (call) {
-      case LeaseCall.Read read -> {
-        int from = (int) Math.min(read.from(), records.size());
-        yield new LeaseAnswer.Records(
-            records.size(), 0, read.from(), records.subList(from, records.size()));
-      }
-      case LeaseCall.Append append -> {
-        if (append.at() != records.size()) {
-          yield new LeaseAnswer.Overtaken(records.size());
-        }
-        records.add(append.record());
-        if (append.record().kind() == LeaseRecord.Kind.CLAIM) {
-          claims.add(time.now());
-        }
-        yield new LeaseAnswer.Appended(records.size() - 1);
-      }
-    };
+    LeaseAnswer answer = leaseLog.call(call);
+    if (answer instanceof LeaseAnswer.Appended
+        && call instanceof LeaseCall.Append append
+        && append.record().kind() == LeaseRecord.Kind.CLAIM) {
+      claims.add(time.now());
+    }
+    return answer;
   }
 
   private static GatewayConfiguration configuration() {
