Planner, lease and stop: each thing computed once

Cause: read again: what an engine would be kept from was worked out anew for each pair of model and engine of a plan; the handover with its margin and the time for a successor stood in three and two places; names of adapters were split only to be joined again; awaitAnswers took a point of System.nanoTime where closeAll takes a Duration. Change: kept for a plan, one field, one method, the joined name, a Duration.

--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -266,10 +266,7 @@
     if (engine == null) {
       return;
     }
-    for (String adapter : load.adapters()) {
-      int slash = adapter.indexOf('/');
-      engine.touchAdapter(adapter.substring(0, slash), adapter.substring(slash + 1), now);
-    }
+    load.adapters().forEach(adapter -> engine.touchAdapter(adapter, now));
   }
 
   private NumberedOrder begin(Plan.Placed placed, EngineSpec spec, UseBook.Load use, Instant now) {
--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -305,9 +305,9 @@
     }
   }
 
-  /** Notes that requests use an adapter. */
-  void touchAdapter(String model, String adapter, Instant now) {
-    adapterUsedAt.put(model + "/" + adapter, now);
+  /** Notes that requests use an adapter, named by its model and itself with a slash between. */
+  void touchAdapter(String adapter, Instant now) {
+    adapterUsedAt.put(adapter, now);
   }
 
   /** Gives the view a new number. */
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -94,6 +94,7 @@
     private final Map<String, Long> startsIn = new HashMap<>();
     private final Map<String, Set<String>> placedNow = new HashMap<>();
     private final Copies copies;
+    private final Map<String, Double> blocked = new HashMap<>();
     private final List<Plan.Placed> orders = new ArrayList<>();
     private int storeLoads;
 
@@ -318,7 +319,10 @@
     private double cost(PlanInput.Engine engine, String model, List<String> victims) {
       double cost = loadMillis(engine, model);
       if (engine.source(model) == LoadSource.STORE) {
-        cost += cost * BLOCKED_SHARE * blockedBy(engine);
+        cost +=
+            cost
+                * BLOCKED_SHARE
+                * blocked.computeIfAbsent(engine.runner(), runner -> blockedBy(engine));
       }
       for (String victim : victims) {
         cost += CLEARING_MILLIS + 1000 * keepValue(engine, victim);
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -48,6 +48,7 @@
   private final String self;
   private final long incarnation;
   private final FleetTimings timings;
+  private final Duration handover;
   private final OrderPauses pauses;
   private Phase phase = Phase.IDLE;
   private boolean calling;
@@ -83,7 +84,8 @@
     this.self = self;
     this.incarnation = incarnation;
     this.timings = timings;
-    pauses = new OrderPauses(timings.handover().plus(TRANSIT_MARGIN));
+    handover = timings.handover().plus(TRANSIT_MARGIN);
+    pauses = new OrderPauses(handover);
   }
 
   /** Returns a lease that is not held. */
@@ -292,7 +294,7 @@
       pauses.begin(left.get(), leftReadAt);
     } else {
       pauses.begin(ordersFrom(now));
-      pauses.noteEarlierRun(now.plus(timings.handover()).plus(TRANSIT_MARGIN));
+      pauses.noteEarlierRun(now.plus(handover));
       Instant stopped = stoppedUntil.get(predecessorFence);
       if (stopped != null) {
         pauses.shorten(stopped);
@@ -307,13 +309,10 @@
    * so one record of this VM does not shorten the wait.
    */
   private Instant ordersFrom(Instant now) {
-    Duration handover = timings.handover().plus(TRANSIT_MARGIN);
-    Instant afterLease = predecessorSeenAt.plus(timings.lease()).plus(handover);
-    Instant afterRenewal = now.plus(timings.renew()).plus(handover);
-    if (othersQuiet.isPositive()) {
-      afterRenewal = now.plus(handover).minus(othersQuiet);
-    }
-    return afterLease.isBefore(afterRenewal) ? afterLease : afterRenewal;
+    Instant lastOrder =
+        othersQuiet.isPositive() ? now.minus(othersQuiet) : now.plus(timings.renew());
+    Instant leaseEnd = predecessorSeenAt.plus(timings.lease());
+    return (leaseEnd.isBefore(lastOrder) ? leaseEnd : lastOrder).plus(handover);
   }
 
   // News from elsewhere
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
@@ -78,7 +78,7 @@
 
   /** Returns when a successor may order every runner. */
   Instant end() {
-    Instant end = all.isAfter(earlierRun) ? all : earlierRun;
+    Instant end = allForSuccessor();
     for (Instant until : untilByRunner().values()) {
       end = until.isAfter(end) ? until : end;
     }
@@ -95,11 +95,15 @@
                 quiet.put(runner, Duration.between(now, until).toMillis());
               }
             });
-    Instant forAll = all.isAfter(earlierRun) ? all : earlierRun;
+    Instant forAll = allForSuccessor();
     long allMillis = forAll.isAfter(now) ? Duration.between(now, forAll).toMillis() : 0;
     return new Handover(allMillis, quiet, loads);
   }
 
+  private Instant allForSuccessor() {
+    return all.isAfter(earlierRun) ? all : earlierRun;
+  }
+
   private Map<String, Instant> untilByRunner() {
     Map<String, Instant> until = new HashMap<>(inherited);
     ordered.forEach((runner, at) -> until.put(runner, at.plus(handover)));
--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -353,9 +353,10 @@
   /**
    * Waits until callers have taken the answers that are on the way.
    *
-   * @param until latest time, on the clock of {@link System#nanoTime}
+   * @param limit for how long at most; not at all if it is negative
    */
-  void awaitAnswers(long until) throws InterruptedException {
+  void awaitAnswers(Duration limit) throws InterruptedException {
+    long until = System.nanoTime() + limit.toNanos();
     while (!exchanges.isEmpty() && System.nanoTime() < until) {
       Thread.sleep(CLOSE_PAUSE);
     }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -227,7 +227,7 @@
     Duration limit = file.drainLimit().minus(EXIT_RESERVE).minus(LAST_REFUSALS);
     long until = System.nanoTime() + limit.toNanos();
     final boolean drained = runtime.drain(limit);
-    callers.awaitAnswers(until);
+    callers.awaitAnswers(Duration.ofNanos(until - System.nanoTime()));
     // The core ends what it took; a core that stood still until now did not.
     callers.endAll();
     callers.closeAll(LAST_REFUSALS);
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -102,7 +102,7 @@
   /** Ends the callers' side as a node does. */
   private static void end(CallerFront front, Duration wait) {
     try {
-      front.awaitAnswers(System.nanoTime() + wait.toNanos());
+      front.awaitAnswers(wait);
       front.endAll();
       front.closeAll(LIMIT);
       front.close();
