--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -139,6 +139,8 @@
   LOG_UNREACHABLE(500, "log unreachable"),
   /** The log service can be read again. */
   LOG_REACHABLE(501, "log reachable"),
+  /** The store came back from an older copy of itself. */
+  STORE_ERA_CHANGED(502, "store's era changed"),
   /** A peer was seen for the first time or under a new incarnation. */
   PEER_SEEN(510, "peer seen"),
   /** A peer's heartbeats stopped. */
--- a/src/main/java/dev/wisteriarail/core/fleet/DirectoryChange.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/DirectoryChange.java
@@ -1,18 +1,19 @@
 package dev.wisteriarail.core.fleet;
 
+import dev.wisteriarail.core.id.LogPlace;
 import java.util.List;
 
 /**
  * A change of the directory of runners.
  *
  * @param whole whether the entries are all that there are
- * @param from offset of the first record that the change covers
- * @param to offset after the last record that it covers
+ * @param from place of the first record that the change covers
+ * @param to place after the last record that it covers
  * @param entries the newest entry of each runner that changed
  * @param removed runners whose entry was removed
  */
 public record DirectoryChange(
-    boolean whole, long from, long to, List<RunnerEntry> entries, List<String> removed) {
+    boolean whole, LogPlace from, LogPlace to, List<RunnerEntry> entries, List<String> removed) {
 
   /** Copies the lists. */
   public DirectoryChange {
--- a/src/main/java/dev/wisteriarail/core/fleet/LeaseAnswer.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/LeaseAnswer.java
@@ -1,19 +1,30 @@
 package dev.wisteriarail.core.fleet;
 
+import dev.wisteriarail.core.id.LogPlace;
 import java.util.List;
 
 /** What became of a call for the lease on orders. */
 public sealed interface LeaseAnswer {
 
+  /** Returns the era of the store that answered; -1 if none is known. */
+  default long era() {
+    return switch (this) {
+      case Records records -> records.end().era();
+      case Appended appended -> appended.place().era();
+      case Overtaken overtaken -> overtaken.end().era();
+      case Failed failed -> LogPlace.NONE.era();
+    };
+  }
+
   /**
    * Records were read.
    *
-   * @param end offset after the last record that the store holds
+   * @param end place after the last record that the store holds
    * @param first offset of the first record that the store still holds
    * @param from offset of the first record in the list
    * @param records the records, oldest first; unreadable ones are left out
    */
-  record Records(long end, long first, long from, List<LeaseRecord> records)
+  record Records(LogPlace end, long first, long from, List<LeaseRecord> records)
       implements LeaseAnswer {
 
     /** Copies the list. */
@@ -25,16 +36,16 @@
   /**
    * The record was appended.
    *
-   * @param offset its offset
+   * @param place its place
    */
-  record Appended(long offset) implements LeaseAnswer {}
+  record Appended(LogPlace place) implements LeaseAnswer {}
 
   /**
    * Another record was appended before.
    *
-   * @param end offset after the last record
+   * @param end place after the last record
    */
-  record Overtaken(long end) implements LeaseAnswer {}
+  record Overtaken(LogPlace end) implements LeaseAnswer {}
 
   /**
    * Nothing was done, or it is not known.
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -1,10 +1,9 @@
 package dev.wisteriarail.core.fleet;
 
+import dev.wisteriarail.core.id.LogPlace;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -21,6 +20,11 @@
  * <p>While the store is away nobody can claim. Where runners check fencing numbers the holder then
  * goes on; where they do not, it stops when its lease has run out.
  *
+ * <p>A store that comes back from an older copy begins a new era: claims and releases may be lost,
+ * and their places are given out again. A holder then claims anew before its next order, under a
+ * number that the era makes higher. Any other node takes a record of an earlier era for one that a
+ * lost claim may have followed: it waits for a lease and the handover from when it saw the era.
+ *
  * <p>Life cycle: one per run of a node. Not thread-safe.
  */
 public final class OrderLease {
@@ -33,9 +37,6 @@
   /** Time for which a release without an answer is kept from the peers. */
   private static final Duration RELEASE_PATIENCE = Duration.ofMillis(200);
 
-  /** Claims whose holder said that it stopped that are remembered. */
-  private static final int MOST_WORDS = 16;
-
   private enum Phase {
     IDLE,
     LOOKING,
@@ -50,11 +51,12 @@
   private final FleetTimings timings;
   private final Duration handover;
   private final OrderPauses pauses;
+  private final LostClaims lostClaims;
   private Phase phase = Phase.IDLE;
   private boolean calling;
   private boolean verifying;
   private boolean unsure;
-  private long end;
+  private LogPlace end = LogPlace.NONE;
   private long lookFrom;
   private Instant endSeenAt = Instant.MIN;
   private Instant callStartedAt = Instant.MIN;
@@ -65,20 +67,16 @@
   private Instant claimedAt = Instant.MIN;
   private long predecessorFence;
   private Instant predecessorSeenAt = Instant.MIN;
-  private long heardEnd = -1;
+  private LogPlace heardEnd = LogPlace.NONE;
   private Instant heardEndAt = Instant.MIN;
-  private final Map<Long, Instant> stoppedUntil =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Instant> eldest) {
-          return size() > MOST_WORDS;
-        }
-      };
+  private final StopWords stopWords = new StopWords();
   private Optional<Handover> left = Optional.empty();
   private Instant leftReadAt = Instant.MIN;
   private Instant quietUntil = Instant.MIN;
   private long fence;
   private long lastFence;
+  private boolean regaining;
+  private long calledIn = -1;
 
   private OrderLease(String self, long incarnation, FleetTimings timings) {
     this.self = self;
@@ -86,6 +84,7 @@
     this.timings = timings;
     handover = timings.handover().plus(TRANSIT_MARGIN);
     pauses = new OrderPauses(handover);
+    lostClaims = new LostClaims(timings.lease(), handover);
   }
 
   /** Returns a lease that is not held. */
@@ -105,11 +104,14 @@
     if (phase == Phase.RELEASING && !now.isBefore(callStartedAt.plus(RELEASE_PATIENCE))) {
       endRelease();
     }
+    if (regaining && (!wanted || lostClaims.isOver(now))) {
+      lose();
+    }
     if (calling || now.isBefore(nextCallAt)) {
       return Optional.empty();
     }
     if (phase == Phase.HOLDING || phase == Phase.CLAIMING) {
-      return verifying ? call(new LeaseCall.Read(end), now) : hold(wanted, loads, now);
+      return verifying ? call(new LeaseCall.Read(end.offset()), now) : hold(wanted, loads, now);
     }
     if (!wanted) {
       phase = Phase.IDLE;
@@ -121,9 +123,9 @@
         yield call(new LeaseCall.Read(lookFrom), now);
       }
       case WAITING -> {
-        if (stoppedUntil.containsKey(predecessorFence)
+        if (stopWords.of(predecessorFence).isPresent()
             || !now.isBefore(endSeenAt.plus(timings.lease()))) {
-          yield claim(now);
+          yield claim(loads, now);
         }
         if (now.isBefore(callStartedAt.plus(RETRY))) {
           yield Optional.empty();
@@ -138,7 +140,7 @@
   private Optional<LeaseCall> hold(boolean wanted, Supplier<LoadHistory> loads, Instant now) {
     if (phase == Phase.CLAIMING) {
       if (wanted) {
-        return claim(now);
+        return claim(loads, now);
       }
       phase = Phase.IDLE;
       return Optional.empty();
@@ -147,23 +149,26 @@
       phase = Phase.RELEASING;
       quietUntil = pauses.end();
       Handover handover = pauses.leave(loads.get(), now);
-      return append(LeaseRecord.release(self, incarnation, fence, handover), now);
+      return append(LeaseRecord.release(self, incarnation, fence, end.era(), handover), now);
     }
     if (!unsure && now.isBefore(renewedAt.plus(timings.renew()))) {
       return Optional.empty();
     }
-    return append(
-        LeaseRecord.renewal(self, incarnation, fence, Duration.between(claimedAt, now)), now);
+    Duration held = Duration.between(claimedAt, now);
+    return append(LeaseRecord.renewal(self, incarnation, fence, end.era(), held), now);
   }
 
-  private Optional<LeaseCall> claim(Instant now) {
+  private Optional<LeaseCall> claim(Supplier<LoadHistory> loads, Instant now) {
     phase = Phase.CLAIMING;
-    return append(LeaseRecord.claim(self, incarnation), now);
+    if (regaining) {
+      left = Optional.of(pauses.leave(loads.get(), now));
+    }
+    return append(LeaseRecord.claim(self, incarnation, end.era()), now);
   }
 
   private Optional<LeaseCall> append(LeaseRecord record, Instant now) {
     firstTriedAt = firstTriedAt.isBefore(now) ? firstTriedAt : now;
-    return call(new LeaseCall.Append(end, record), now);
+    return call(new LeaseCall.Append(end.offset(), record), now);
   }
 
   /** Lets the peers know of a release: its record is in the store, or no answer came. */
@@ -174,6 +179,7 @@
 
   private Optional<LeaseCall> call(LeaseCall call, Instant now) {
     calling = true;
+    calledIn = end.era();
     callStartedAt = now;
     return Optional.of(call);
   }
@@ -186,15 +192,25 @@
     if (phase == Phase.RELEASING) {
       endRelease();
     }
+    boolean answered = answer.era() >= 0;
+    if (answered && answer.era() < end.era()) {
+      nextCallAt = now.plus(RETRY);
+      return;
+    }
+    acceptEra(answer.era(), now);
+    if (calledIn >= 0 && calledIn != end.era()) {
+      // The call named a place of the era before.
+      return;
+    }
     switch (answer) {
       case LeaseAnswer.Records records when verifying -> verify(records, now);
       case LeaseAnswer.Records records -> look(records, now);
       case LeaseAnswer.Appended appended -> {
-        end = appended.offset() + 1;
+        end = appended.place().plus(1);
         endSeenAt = now;
         firstTriedAt = Instant.MAX;
         if (phase == Phase.CLAIMING) {
-          gain(appended.offset(), callStartedAt, now);
+          gain(appended.place(), callStartedAt, now);
         } else if (phase == Phase.HOLDING) {
           renew(callStartedAt);
         }
@@ -209,19 +225,21 @@
       return;
     }
     final long next = records.from() + records.records().size();
-    if (records.end() != end || endSeenAt.equals(Instant.MIN)) {
+    if (!records.end().equals(end) || endSeenAt.equals(Instant.MIN)) {
       end = records.end();
       firstTriedAt = Instant.MAX;
-      endSeenAt = end == heardEnd ? heardEndAt : now;
+      endSeenAt = end.equals(heardEnd) ? heardEndAt : now;
     }
-    if (end == 0) {
+    if (end.offset() == 0) {
       left = Optional.empty();
-      phase = Phase.CLAIMING;
+      lostClaims.acceptNewest(0, end.era());
+      phase = regaining || !lostClaims.mayBeHeld(now) ? Phase.CLAIMING : Phase.LOOKING;
+      nextCallAt = phase == Phase.LOOKING ? now.plus(RETRY) : now;
       return;
     }
-    if (next < end || records.records().isEmpty()) {
-      nextCallAt = lookFrom == end - 1 ? now.plus(RETRY) : now;
-      lookFrom = end - 1;
+    if (next < end.offset() || records.records().isEmpty()) {
+      nextCallAt = lookFrom == end.offset() - 1 ? now.plus(RETRY) : now;
+      lookFrom = end.offset() - 1;
     } else {
       acceptLast(records.records().getLast(), now);
     }
@@ -233,15 +251,35 @@
    * lease had run out. A release may follow its claim at once.
    */
   private void acceptLast(LeaseRecord last, Instant now) {
+    if (regaining) {
+      if (last.era() < end.era()) {
+        phase = Phase.CLAIMING;
+      } else {
+        lose();
+      }
+      return;
+    }
+    lostClaims.acceptNewest(last.era(), end.era());
+    predecessorSeenAt = endSeenAt;
+    leftReadAt = now;
+    if (lostClaims.mayBind(now)) {
+      othersQuiet = Duration.ZERO;
+      predecessorFence = 0;
+      left = Optional.empty();
+      boolean free = isOver(last) && !lostClaims.mayBeHeld(now);
+      phase = free ? Phase.CLAIMING : Phase.WAITING;
+      return;
+    }
     boolean ownRenewal = last.holder().equals(self) && last.kind() == LeaseRecord.Kind.RENEW;
     othersQuiet =
         ownRenewal ? Duration.ofMillis(last.heldMillis()).minus(timings.lease()) : Duration.ZERO;
-    predecessorSeenAt = endSeenAt;
-    predecessorFence = last.kind() == LeaseRecord.Kind.CLAIM ? end : last.fence();
+    predecessorFence = last.kind() == LeaseRecord.Kind.CLAIM ? end.plus(-1).fence() : last.fence();
     left = last.handover();
-    leftReadAt = now;
-    boolean over = last.holder().equals(self) || last.kind() == LeaseRecord.Kind.RELEASE;
-    phase = over ? Phase.CLAIMING : Phase.WAITING;
+    phase = isOver(last) ? Phase.CLAIMING : Phase.WAITING;
+  }
+
+  private boolean isOver(LeaseRecord last) {
+    return last.holder().equals(self) || last.kind() == LeaseRecord.Kind.RELEASE;
   }
 
   /** Finds out whether a record of this run stands where another was refused. */
@@ -251,7 +289,7 @@
     // A release whose answer was lost may lie where this node claims again.
     LeaseRecord.Kind expected =
         phase == Phase.CLAIMING ? LeaseRecord.Kind.CLAIM : LeaseRecord.Kind.RENEW;
-    boolean whole = records.from() == end && end + since.size() == records.end();
+    boolean whole = records.from() == end.offset() && end.plus(since.size()).equals(records.end());
     boolean own =
         whole
             && !since.isEmpty()
@@ -263,7 +301,7 @@
       return;
     }
     final Instant writtenFrom = firstTriedAt;
-    long firstOwn = end;
+    LogPlace firstOwn = end;
     end = records.end();
     firstTriedAt = Instant.MAX;
     if (phase == Phase.CLAIMING) {
@@ -282,24 +320,26 @@
     unsure = false;
   }
 
-  private void gain(long claimOffset, Instant writtenFrom, Instant now) {
+  private void gain(LogPlace claimed, Instant writtenFrom, Instant now) {
     phase = Phase.HOLDING;
-    fence = claimOffset + 1;
+    fence = claimed.fence();
     lastFence = fence;
     renew(writtenFrom);
     claimedAt = now;
-    if (claimOffset == 0) {
+    if (regaining) {
+      regaining = false;
+      return;
+    }
+    if (claimed.offset() == 0) {
       pauses.begin(now);
     } else if (left.isPresent()) {
       pauses.begin(left.get(), leftReadAt);
     } else {
       pauses.begin(ordersFrom(now));
       pauses.noteEarlierRun(now.plus(handover));
-      Instant stopped = stoppedUntil.get(predecessorFence);
-      if (stopped != null) {
-        pauses.shorten(stopped);
-      }
+      stopWords.of(predecessorFence).ifPresent(pauses::shorten);
     }
+    pauses.extend(lostClaims.ordersFrom());
   }
 
   /**
@@ -321,18 +361,46 @@
    * Takes from the holder's heartbeat how far the log of the lease reached: nothing was written
    * before it that is not known by now.
    */
-  public void acceptEnd(long holdersEnd, Instant now) {
-    if (holdersEnd > heardEnd) {
+  public void acceptEnd(LogPlace holdersEnd, Instant now) {
+    acceptEra(holdersEnd.era(), now);
+    if (heardEnd.before(holdersEnd)) {
       heardEnd = holdersEnd;
       heardEndAt = now;
     }
   }
 
+  /**
+   * Takes the store's era, from an answer or a peer.
+   *
+   * @return whether it is a new one
+   */
+  public boolean acceptEra(long era, Instant now) {
+    if (era <= end.era()) {
+      return false;
+    }
+    boolean held = phase == Phase.HOLDING && isSafe(now);
+    if (phase == Phase.HOLDING && !held) {
+      lose();
+    }
+    regaining |= held;
+    end = LogPlace.of(era, -1);
+    lostClaims.acceptEra(now);
+    endSeenAt = Instant.MIN;
+    firstTriedAt = Instant.MAX;
+    lookFrom = 0;
+    verifying = false;
+    if (phase != Phase.IDLE && phase != Phase.RELEASING) {
+      phase = Phase.LOOKING;
+    }
+    return true;
+  }
+
   /** Gives the lease up because a higher fencing number is in use. */
   public void lose() {
-    if (phase == Phase.HOLDING) {
+    if (isHeld()) {
       quietUntil = pauses.end();
     }
+    regaining = false;
     phase = Phase.IDLE;
     verifying = false;
     fence = 0;
@@ -348,7 +416,7 @@
    */
   public void acceptStopped(long itsFence, long quietMillis, Instant now) {
     Instant until = now.plusMillis(quietMillis);
-    stoppedUntil.merge(itsFence, until, (a, b) -> a.isBefore(b) ? a : b);
+    stopWords.accept(itsFence, until);
     if (phase == Phase.HOLDING && itsFence == predecessorFence) {
       pauses.shorten(until);
     }
@@ -368,7 +436,7 @@
 
   /** Returns whether this node holds the lease, as far as it knows. */
   public boolean isHeld() {
-    return phase == Phase.HOLDING;
+    return phase == Phase.HOLDING || regaining;
   }
 
   /** Returns whether orders may go out now to runners that are not kept for the predecessor. */
@@ -398,7 +466,7 @@
   }
 
   /** Returns how far the log of the lease reaches, as far as this node knows. */
-  public long end() {
+  public LogPlace end() {
     return end;
   }
 
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
@@ -61,6 +61,13 @@
     }
   }
 
+  /** Extends the wait for all runners. */
+  void extend(Instant from) {
+    if (from.isAfter(all)) {
+      all = from;
+    }
+  }
+
   /** Notes an order that goes out now. */
   void note(String runner, Instant now) {
     ordered.put(runner, now);
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
@@ -1,5 +1,7 @@
 package dev.wisteriarail.core.fleet;
 
+import dev.wisteriarail.core.id.LogPlace;
+
 /**
  * What a node says of itself in each heartbeat.
  *
@@ -12,25 +14,25 @@
  * @param settled whether it has listened long enough since its start to take duties
  * @param draining whether it is shutting down
  * @param configurationVersion version of the configuration in force on it; 0 if there is none
- * @param directoryOffset offset up to which it knows the directory of runners; negative if it knows
- *     nothing of it
- * @param directoryChange offset after the last change of the directory that matters to others
+ * @param directoryOffset place up to which it knows the directory of runners
+ * @param directoryChange place after the last change of the directory that matters to others
  * @param directoryAgeMillis time since its knowledge of the directory was last known to be current
  */
 public record PeerStatus(
     long fence,
     long lastFence,
     long quietMillis,
-    long leaseEnd,
+    LogPlace leaseEnd,
     boolean storeReachable,
     boolean settled,
     boolean draining,
     long configurationVersion,
-    long directoryOffset,
-    long directoryChange,
+    LogPlace directoryOffset,
+    LogPlace directoryChange,
     long directoryAgeMillis) {
 
   /** What is assumed of a node that has said nothing yet. */
   public static final PeerStatus UNKNOWN =
-      new PeerStatus(0, 0, 0, -1, false, false, false, 0, -1, -1, 0);
+      new PeerStatus(
+          0, 0, 0, LogPlace.NONE, false, false, false, 0, LogPlace.NONE, LogPlace.NONE, 0);
 }
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -206,6 +206,17 @@
     return 1 + (isLarge() ? peers.size() : live.size());
   }
 
+  /**
+   * Returns how long this node waits where all nodes do something one after the other, in the order
+   * of a hash of their names.
+   *
+   * @param pause the time for each node
+   */
+  public Duration shareOf(Duration pause) {
+    long window = pause.multipliedBy(1L + peers.size()).toNanos();
+    return Duration.ofNanos(Math.floorMod(self.node().spread(), window));
+  }
+
   /** Returns the peers that were heard lately, in the order of their identifiers. */
   public List<Peer> live(Instant now) {
     List<Peer> live = new ArrayList<>();
--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.fleet;
 
+import dev.wisteriarail.core.id.LogPlace;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -18,6 +19,11 @@
  * an earlier run never replaces that of a later one, and a run that drains never comes back. A run
  * that says in its answers that it leaves counts as draining, whatever its entry still says.
  *
+ * <p>The first whole directory of a new era of the store comes from a copy that is some seconds
+ * old, and what runners wrote since is written again. So an entry of the copy undoes nothing that
+ * was known to be later, and a runner that the copy lacks stays in use until the store would have
+ * taken a silent one out.
+ *
  * <p>Life cycle: one per run of a node. Not thread-safe.
  */
 public final class RunnerDirectory {
@@ -32,15 +38,22 @@
   /** Entries of a service that vanish at once before a lapse is suspected: this or more. */
   private static final int MASS_REMOVAL_COUNT = 3;
 
+  /** Time after which the store takes out a runner that wrote nothing: three of its heartbeats. */
+  private static final Duration REWRITTEN_WITHIN = Duration.ofSeconds(4);
+
+  /** Age of the copies from which the store may come back. */
+  private static final Duration OLDEST_COPY = Duration.ofMinutes(1);
+
   /** Stands for the age of a directory that was never known to be current. */
   private static final Duration UNKNOWN_AGE = Duration.ofDays(1);
 
   private final Map<String, RunnerEntry> entries = new LinkedHashMap<>();
   private final Map<String, Lapsed> lapsed = new LinkedHashMap<>();
+  private final Map<String, Lapsed> removedLately = new LinkedHashMap<>();
   private final Map<String, Long> drained = new LinkedHashMap<>();
   private final Set<RunnerRun> unconfirmed = new LinkedHashSet<>();
-  private long offset = -1;
-  private long materialOffset = -1;
+  private LogPlace offset = LogPlace.NONE;
+  private LogPlace materialOffset = LogPlace.NONE;
   private long changes;
   private Instant currentAt = Instant.MIN;
 
@@ -65,29 +78,39 @@
   public List<RunnerTurn> accept(DirectoryChange change, Instant asOf, Instant now) {
     boolean news =
         change.whole()
-            ? change.to() >= offset
-            : offset >= 0 && change.from() <= offset && change.to() >= offset;
+            ? !change.to().before(offset)
+            : offset.known()
+                && offset.sameEra(change.to())
+                && !offset.before(change.from())
+                && !change.to().before(offset);
     if (!news) {
       return List.of();
     }
     final boolean isMaterial = !material(change).isEmpty();
     List<RunnerTurn> turns = new ArrayList<>();
+    final boolean fromCopy = offset.known() && !offset.sameEra(change.to());
     Set<String> removed = new HashSet<>(change.removed());
     if (change.whole()) {
       removed.addAll(entries.keySet());
       change.entries().forEach(entry -> removed.remove(entry.id()));
     }
     for (RunnerEntry entry : change.entries()) {
-      put(entry).ifPresent(turns::add);
+      if (!(change.whole() && isUndone(entry, fromCopy))) {
+        put(entry).ifPresent(turns::add);
+      }
+    }
+    if (fromCopy) {
+      removed.forEach(id -> lapse(entries.remove(id), now.plus(REWRITTEN_WITHIN)));
+    } else {
+      remove(removed, now, turns);
     }
-    remove(removed, now, turns);
     if (isMaterial || !turns.isEmpty()) {
       changes++;
     }
     if (isMaterial) {
-      materialOffset = Math.max(offset, change.to());
+      materialOffset = LogPlace.later(offset, change.to());
     }
-    offset = Math.max(offset, change.to());
+    offset = LogPlace.later(offset, change.to());
     confirm(asOf);
     return turns;
   }
@@ -99,10 +122,11 @@
   public DirectoryChange material(DirectoryChange change) {
     List<RunnerEntry> changed =
         change.entries().stream()
-            .filter(entry -> !withLeaving(entry).equals(entries.get(entry.id())))
+            .filter(entry -> !withLeaving(entry).saysSameAs(entries.get(entry.id())))
             .toList();
     List<String> removed = change.removed().stream().filter(entries::containsKey).toList();
-    long from = offset < 0 ? change.from() : Math.min(change.from(), materialOffset);
+    LogPlace from =
+        offset.known() && materialOffset.before(change.from()) ? materialOffset : change.from();
     return new DirectoryChange(change.whole(), from, change.to(), changed, removed);
   }
 
@@ -127,11 +151,26 @@
     if (known == null || known.bornMillis() != run.bornMillis() || known.draining()) {
       return Optional.empty();
     }
-    RunnerEntry leaving = asDraining(known);
+    RunnerEntry leaving = known.asDraining();
     entries.put(run.id(), leaving);
     return Optional.of(new RunnerTurn(leaving, RunnerTurn.Kind.DRAINING));
   }
 
+  /** Returns whether something later is known than an entry, in a copy at least. */
+  private boolean isUndone(RunnerEntry entry, boolean inCopy) {
+    Lapsed gone = removedLately.get(entry.id());
+    if (gone != null) {
+      RunnerEntry last = gone.entry();
+      boolean sameWord = inCopy && entry.saysSameAs(last);
+      return entry.bornMillis() < last.bornMillis()
+          || entry.isOlderThan(last)
+          || (entry.bornMillis() == last.bornMillis() && entry.sequence() == last.sequence())
+          || sameWord;
+    }
+    RunnerEntry known = entries.get(entry.id());
+    return inCopy && known != null && entry.isOlderThan(known);
+  }
+
   private Optional<RunnerTurn> put(RunnerEntry entry) {
     RunnerEntry known = entries.get(entry.id());
     if (known != null && entry.bornMillis() != 0 && entry.bornMillis() < known.bornMillis()) {
@@ -146,6 +185,7 @@
     }
     entries.put(entry.id(), newest);
     lapsed.remove(entry.id());
+    removedLately.remove(entry.id());
     if (known == null || known.bornMillis() != newest.bornMillis()) {
       return Optional.of(new RunnerTurn(newest, RunnerTurn.Kind.JOINED));
     }
@@ -158,22 +198,7 @@
   /** Returns an entry as it counts here: a run that left never comes back. */
   private RunnerEntry withLeaving(RunnerEntry entry) {
     boolean left = drained.getOrDefault(entry.id(), -1L) == entry.bornMillis();
-    return left && !entry.draining() ? asDraining(entry) : entry;
-  }
-
-  private static RunnerEntry asDraining(RunnerEntry entry) {
-    return new RunnerEntry(
-        entry.id(),
-        entry.service(),
-        entry.host(),
-        entry.port(),
-        entry.domain(),
-        entry.slots(),
-        true,
-        entry.bornMillis(),
-        entry.models(),
-        entry.inHostMemory(),
-        entry.onDisk());
+    return left && !entry.draining() ? entry.asDraining() : entry;
   }
 
   private void remove(Set<String> ids, Instant now, List<RunnerTurn> turns) {
@@ -183,16 +208,24 @@
       if (gone == null) {
         continue;
       }
-      if (mass && !gone.draining()) {
-        lapsed.put(id, new Lapsed(gone, now.plus(MASS_REMOVAL_GRACE)));
+      if (mass) {
+        lapse(gone, now.plus(MASS_REMOVAL_GRACE));
       }
+      removedLately.put(id, new Lapsed(gone, now.plus(OLDEST_COPY)));
       turns.add(new RunnerTurn(gone, RunnerTurn.Kind.REMOVED));
     }
   }
 
+  /** Keeps a runner without an entry in use for a while, unless it leaves. */
+  private void lapse(RunnerEntry entry, Instant until) {
+    if (!entry.draining()) {
+      lapsed.put(entry.id(), new Lapsed(entry, until));
+    }
+  }
+
   /** Notes that nothing that is not known here had changed by a time. */
   public void confirm(Instant asOf) {
-    if (offset >= 0 && asOf.isAfter(currentAt)) {
+    if (offset.known() && asOf.isAfter(currentAt)) {
       currentAt = asOf;
     }
   }
@@ -204,6 +237,7 @@
           RunnerEntry entry = entries.get(run.id());
           return entry == null || entry.bornMillis() > run.bornMillis();
         });
+    removedLately.values().removeIf(entry -> !now.isBefore(entry.until()));
     if (lapsed.values().removeIf(entry -> !now.isBefore(entry.until()))) {
       changes++;
     }
@@ -247,13 +281,13 @@
     return changes;
   }
 
-  /** Returns the offset after the last known record; negative if nothing is known. */
-  public long offset() {
+  /** Returns the place after the last known record. */
+  public LogPlace offset() {
     return offset;
   }
 
-  /** Returns the offset after the last change that other nodes have to know. */
-  public long materialOffset() {
+  /** Returns the place after the last change that other nodes have to know. */
+  public LogPlace materialOffset() {
     return materialOffset;
   }
 
@@ -264,14 +298,15 @@
 
   /** Returns the whole directory as a change for a node that knows less. */
   public DirectoryChange whole() {
-    return new DirectoryChange(true, 0, offset, List.copyOf(entries.values()), List.of());
+    return new DirectoryChange(
+        true, LogPlace.of(offset.era(), 0), offset, List.copyOf(entries.values()), List.of());
   }
 
   /**
-   * An entry that vanished together with many others.
+   * An entry that is not in the directory.
    *
    * @param entry the entry
-   * @param until when it is given up
+   * @param until when it is given up or forgotten
    */
   private record Lapsed(RunnerEntry entry, Instant until) {}
 }
--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerEntry.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerEntry.java
@@ -14,6 +14,7 @@
  * @param slots requests that it serves at a time
  * @param draining whether it leaves and takes no new request
  * @param bornMillis time of its start, in Unix milliseconds; 0 if unknown
+ * @param sequence its count of what it wrote in this run; 0 if unknown
  * @param models the models that it holds
  * @param inHostMemory models whose weights its host memory holds
  * @param onDisk models whose weights its disk holds
@@ -27,6 +28,7 @@
     int slots,
     boolean draining,
     long bornMillis,
+    long sequence,
     List<LoadedModel> models,
     Set<String> inHostMemory,
     Set<String> onDisk) {
@@ -38,6 +40,37 @@
     onDisk = Set.copyOf(onDisk);
   }
 
+  /** Returns whether another entry says the same, whatever their places in the count are. */
+  public boolean saysSameAs(RunnerEntry other) {
+    return equals(other) || (other != null && equals(other.with(other.draining, sequence)));
+  }
+
+  /** Returns whether this entry was written before another one of the same run. */
+  public boolean isOlderThan(RunnerEntry other) {
+    return bornMillis == other.bornMillis && sequence > 0 && sequence < other.sequence;
+  }
+
+  /** Returns the same entry of a runner that leaves. */
+  public RunnerEntry asDraining() {
+    return with(true, sequence);
+  }
+
+  private RunnerEntry with(boolean newDraining, long newSequence) {
+    return new RunnerEntry(
+        id,
+        service,
+        host,
+        port,
+        domain,
+        slots,
+        newDraining,
+        bornMillis,
+        newSequence,
+        models,
+        inHostMemory,
+        onDisk);
+  }
+
   /** Returns the address as host and port. */
   public String address() {
     return host + ":" + port;
--- a/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -29,8 +29,11 @@
  */
 final class EngineDuty {
 
-  /** Leaves a million revisions of views to each holder of the lease. */
-  private static final int REVISION_BITS = 20;
+  /**
+   * Leaves 65,536 revisions of views to each holder of the lease, and as many more for each record
+   * of the lease that it writes.
+   */
+  private static final int REVISION_BITS = 16;
 
   /** Least time between two plans; the fastest load takes some hundred milliseconds. */
   private static final long PLAN_MILLIS = 15;
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -13,6 +13,7 @@
 import dev.wisteriarail.core.fleet.RunnerDirectory;
 import dev.wisteriarail.core.fleet.RunnerUse;
 import dev.wisteriarail.core.forward.RunnerBoard;
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
@@ -47,6 +48,9 @@
 
   private static final Duration LARGE_FLEET_TICK = Duration.ofMillis(100);
 
+  /** Pause between two nodes that write their addresses again, as the store may have lost them. */
+  private static final Duration REGISTRATION_PAUSE = Duration.ofMillis(50);
+
   private static final String SOURCE_STORE = "store";
 
   private final GatewaySettings settings;
@@ -71,6 +75,7 @@
   private int sharers = 1;
   private StoreWatch.Registration registration = StoreWatch.Registration.PENDING;
   private boolean registering;
+  private Instant registerAgainAt = Instant.MAX;
   private boolean ready;
   private boolean storeLost;
   private boolean relaying;
@@ -143,6 +148,7 @@
       case GatewayEvent.LeaseTold told -> {
         store.noteCall(!(told.answer() instanceof LeaseAnswer.Failed), now);
         lease.accept(told.answer(), now);
+        acceptEra(told.answer().era(), SOURCE_STORE, step);
       }
       case GatewayEvent.RegistrationTold told -> {
         registering = false;
@@ -178,7 +184,11 @@
   }
 
   private void acceptStore(GatewayEvent.StoreTold told, GatewayStep step) {
+    acceptEra(told.answer().era(), SOURCE_STORE, step);
     store.accept(told.call(), told.answer(), step.now());
+    if (store.isOutdated(told.answer())) {
+      return;
+    }
     switch (told.answer()) {
       case StoreAnswer.ConfigurationRead read ->
           read.configuration().ifPresent(newer -> apply(newer, SOURCE_STORE, step));
@@ -201,6 +211,31 @@
     }
   }
 
+  /** Takes the store's era, whoever tells it: records of this node may be lost with the last. */
+  private void acceptEra(long era, String source, GatewayStep step) {
+    final long before = store.era();
+    final LogPlace leaseBefore = lease.end();
+    lease.acceptEra(era, step.now());
+    if (!store.acceptEra(era, step.now())) {
+      return;
+    }
+    registerAgainAt = step.now().plus(peers.shareOf(REGISTRATION_PAUSE));
+    step.log(
+        EventCode.STORE_ERA_CHANGED,
+        "era",
+        era,
+        "before",
+        before,
+        "source",
+        source,
+        "directory",
+        directory.offset(),
+        "lease",
+        leaseBefore,
+        "version",
+        configuration.map(GatewayConfiguration::version).orElse(0L));
+  }
+
   private void apply(GatewayConfiguration newer, String source, GatewayStep step) {
     if (configuration.isPresent() && newer.version() <= configuration.get().version()) {
       return;
@@ -242,8 +277,10 @@
       case FleetMessage.ConfigurationTold configured ->
           apply(configured.configuration(), told.from().value(), step);
       case FleetMessage.CrashTold crash -> forwarder.acceptCrash(crash.fingerprint(), step.now());
-      case FleetMessage.DirectoryTold directed ->
-          apply(directed.change(), Instant.MIN, told.from().value(), step);
+      case FleetMessage.DirectoryTold directed -> {
+        acceptEra(directed.change().to().era(), told.from().value(), step);
+        apply(directed.change(), Instant.MIN, told.from().value(), step);
+      }
     }
   }
 
@@ -255,7 +292,9 @@
     beat.known().forEach(address -> peers.learn(address, now));
     news.acceptLeaving(beat.leaving(), beat.self().node().value(), step);
     PeerStatus status = beat.status();
-    if (status.directoryChange() >= 0 && status.directoryChange() <= directory.offset()) {
+    long era = Math.max(status.directoryOffset().era(), status.leaseEnd().era());
+    acceptEra(era, beat.self().node().value(), step);
+    if (status.directoryChange().known() && !directory.offset().before(status.directoryChange())) {
       directory.confirm(now.minusMillis(status.directoryAgeMillis()));
     }
     if (status.fence() > 0) {
@@ -284,7 +323,8 @@
           new GatewayEffect.SendPeer(
               beat.self(), new FleetMessage.ConfigurationTold(configuration.get())));
     }
-    if (directory.offset() >= 0 && beat.status().directoryOffset() < directory.materialOffset()) {
+    if (directory.offset().known()
+        && beat.status().directoryOffset().before(directory.materialOffset())) {
       told = true;
       step.emit(
           new GatewayEffect.SendPeer(
@@ -379,10 +419,14 @@
         store.advance(watching, directory.offset(), registration, live.isEmpty(), now)) {
       step.emit(new GatewayEffect.ReadStore(read));
     }
+    if (!now.isBefore(registerAgainAt)) {
+      registerAgainAt = Instant.MAX;
+      registration = StoreWatch.Registration.PENDING;
+    }
     if (registration != StoreWatch.Registration.DONE
         && !registering
         && store.isReachable()
-        && directory.offset() >= 0) {
+        && directory.offset().known()) {
       registering = true;
       step.emit(new GatewayEffect.RegisterNode(settings.self()));
     }
@@ -393,7 +437,7 @@
         lease.fence(),
         lease.lastFence(),
         lease.quietFor(now).toMillis(),
-        lease.isHeld() ? lease.end() : -1,
+        lease.isHeld() ? lease.end() : LogPlace.NONE,
         store.isReachable() && !store.answeredAt().equals(Instant.MIN),
         !now.isBefore(startedAt.plus(timings.settle())),
         drain.isDraining(),
@@ -458,7 +502,7 @@
   }
 
   private void updateReadiness(GatewayStep step) {
-    boolean now = !drain.isDraining() && configuration.isPresent() && directory.offset() >= 0;
+    boolean now = !drain.isDraining() && configuration.isPresent() && directory.offset().known();
     if (now != ready) {
       ready = now;
       step.emit(new GatewayEffect.SetReady(ready));
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreRead.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreRead.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.gateway;
 
+import dev.wisteriarail.core.id.LogPlace;
 import java.time.Duration;
 
 /** A read of the platform's store. */
@@ -11,10 +12,10 @@
   /**
    * Waits for a later configuration.
    *
-   * @param from offset of the first record not known yet
+   * @param from place of the first record not known yet
    * @param patience how long to wait for it
    */
-  record NextConfiguration(long from, Duration patience) implements StoreRead {}
+  record NextConfiguration(LogPlace from, Duration patience) implements StoreRead {}
 
   /** Reads the whole directory of runners. */
   record WholeDirectory() implements StoreRead {}
@@ -22,9 +23,9 @@
   /**
    * Reads what changed in the directory of runners.
    *
-   * @param from offset of the first record not known yet
+   * @param from place of the first record not known yet
    */
-  record DirectoryChanges(long from) implements StoreRead {}
+  record DirectoryChanges(LogPlace from) implements StoreRead {}
 
   /** Reads the addresses of nodes. */
   record Nodes() implements StoreRead {}
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.gateway;
 
+import dev.wisteriarail.core.id.LogPlace;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -46,7 +47,8 @@
   private boolean readingConfiguration;
   private boolean readingDirectory;
   private boolean readingNodes;
-  private long nextConfiguration = -1;
+  private long era = LogPlace.NONE.era();
+  private LogPlace nextConfiguration = LogPlace.NONE;
   private boolean directoryGap = true;
   private boolean nodesRead;
   private Instant configurationAt = Instant.MIN;
@@ -71,30 +73,30 @@
    * Returns the reads to start now.
    *
    * @param watching whether this node follows the store, for itself or for all
-   * @param directoryOffset offset up to which it knows the directory; negative if it knows nothing
+   * @param directoryOffset place up to which it knows the directory
    * @param registration how far this node's own address got into the store
    * @param lonely whether no peer is heard
    */
   List<StoreRead> advance(
       boolean watching,
-      long directoryOffset,
+      LogPlace directoryOffset,
       Registration registration,
       boolean lonely,
       Instant now) {
     List<StoreRead> reads = new ArrayList<>();
-    boolean first = !configurationRead || directoryOffset < 0;
+    boolean first = !configurationRead || !directoryOffset.known();
     if (!readingConfiguration && !now.isBefore(configurationAt) && (watching || first)) {
       readingConfiguration = true;
       reads.add(
-          nextConfiguration < 0
-              ? new StoreRead.NewestConfiguration()
-              : new StoreRead.NextConfiguration(nextConfiguration, CONFIGURATION_WAIT));
+          nextConfiguration.known()
+              ? new StoreRead.NextConfiguration(nextConfiguration, CONFIGURATION_WAIT)
+              : new StoreRead.NewestConfiguration());
     }
-    if (!readingDirectory && !now.isBefore(directoryAt) && (watching || directoryOffset < 0)) {
+    if (!readingDirectory && !now.isBefore(directoryAt) && (watching || !directoryOffset.known())) {
       readingDirectory = true;
       directoryAskedAt = now;
       reads.add(
-          directoryGap || directoryOffset < 0
+          directoryGap || !directoryOffset.known()
               ? new StoreRead.WholeDirectory()
               : new StoreRead.DirectoryChanges(directoryOffset));
     }
@@ -122,10 +124,45 @@
 
   // Answers
 
+  /**
+   * Takes the store's era, from an answer or a peer. What was read in an earlier one is read anew.
+   *
+   * @return whether it follows another one
+   */
+  boolean acceptEra(long newEra, Instant now) {
+    if (newEra <= era) {
+      return false;
+    }
+    boolean follows = era >= 0;
+    era = newEra;
+    if (follows) {
+      nextConfiguration = LogPlace.NONE;
+      directoryGap = true;
+      nodesRead = false;
+      configurationAt = now;
+      directoryAt = now;
+    }
+    return follows;
+  }
+
+  /** Returns whether an answer tells nothing, as it comes from an era that is over. */
+  boolean isOutdated(StoreAnswer answer) {
+    return answer.era() >= 0 && answer.era() < era;
+  }
+
+  /** Returns whether the places of a call and its answer belong to one era. */
+  private static boolean sameEra(StoreRead call, StoreAnswer answer) {
+    return switch (call) {
+      case StoreRead.NextConfiguration next -> next.from().era() == answer.era();
+      case StoreRead.DirectoryChanges changes -> changes.from().era() == answer.era();
+      default -> true;
+    };
+  }
+
   /** Takes the end of a read. */
   void accept(StoreRead call, StoreAnswer answer, Instant now) {
-    boolean failed = answer instanceof StoreAnswer.Failed;
-    noteCall(!failed, now);
+    noteCall(!(answer instanceof StoreAnswer.Failed), now);
+    boolean failed = answer instanceof StoreAnswer.Failed || isOutdated(answer);
     Instant next = failed ? now.plus(RETRY) : now;
     switch (call) {
       case StoreRead.NewestConfiguration newest -> {
@@ -150,9 +187,12 @@
         nodesAt = now.plus(starting || failed ? NODES_RETRY : NODES_RETRY_ALONE);
       }
     }
+    if (failed || !sameEra(call, answer)) {
+      return;
+    }
     switch (answer) {
       case StoreAnswer.ConfigurationRead read -> {
-        nextConfiguration = Math.max(nextConfiguration, read.next());
+        nextConfiguration = LogPlace.later(nextConfiguration, read.next());
         configurationRead |= read.configuration().isPresent();
       }
       case StoreAnswer.DirectoryRead read -> directoryGap = false;
@@ -161,7 +201,7 @@
           directoryGap = true;
           directoryAt = now;
         } else {
-          nextConfiguration = -1;
+          nextConfiguration = LogPlace.NONE;
         }
       }
       case StoreAnswer.NodesRead read -> nodesRead = true;
@@ -191,6 +231,11 @@
     return failingSince.equals(Instant.MAX);
   }
 
+  /** Returns the store's era; -1 if none is known. */
+  long era() {
+    return era;
+  }
+
   /** Returns when the last read of the directory began: its answer is at least as new. */
   Instant directoryAskedAt() {
     return directoryAskedAt;
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
@@ -29,6 +29,7 @@
   private final Map<String, Set<String>> models = new TreeMap<>();
   private final Set<String> disk = new TreeSet<>();
   private long born = 1;
+  private long written;
   private long orders;
   private long fence;
   private String holder = "";
@@ -147,6 +148,7 @@
         GatewayFuzzPlan.SLOTS,
         draining,
         born,
+        ++written,
         held(),
         Set.of(),
         Set.copyOf(disk));
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeMetadata.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeMetadata.java
@@ -7,48 +7,63 @@
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-/** What the platform's store holds, and its answers to calls that reach it. Not thread-safe. */
+/**
+ * What the platform's store holds, and its answers to calls that reach it.
+ *
+ * <p>It may come back from an older copy of itself: then a new era begins, and what was written
+ * since the copy is gone. Not thread-safe.
+ */
 final class FakeMetadata {
 
-  private final List<GatewayConfiguration> configurations = new ArrayList<>();
-  private final List<Entry> directory = new ArrayList<>();
-  private final Map<String, RunnerEntry> newest = new LinkedHashMap<>();
+  private final List<Timed<GatewayConfiguration>> configurations = new ArrayList<>();
+  private final List<Timed<Entry>> directory = new ArrayList<>();
+  private final List<Timed<NodeAddress>> nodes = new ArrayList<>();
   private final LeaseLog lease = LeaseLog.create();
-  private final Map<String, NodeAddress> nodes = new LinkedHashMap<>();
+  private long era;
   private long directoryFirst;
 
   // Writers
 
-  void publish(GatewayConfiguration configuration) {
-    configurations.add(configuration);
+  void publish(GatewayConfiguration configuration, Instant now) {
+    configurations.add(new Timed<>(now, configuration));
   }
 
-  void put(RunnerEntry entry) {
-    newest.put(entry.id(), entry);
-    directory.add(new Entry(entry.id(), Optional.of(entry)));
+  void put(RunnerEntry entry, Instant now) {
+    directory.add(new Timed<>(now, new Entry(entry.id(), Optional.of(entry))));
   }
 
-  void remove(String runner) {
-    if (newest.remove(runner) != null) {
-      directory.add(new Entry(runner, Optional.empty()));
-    }
-  }
-
-  void register(NodeAddress address) {
-    nodes.put(address.node().value(), address);
+  void register(NodeAddress address, Instant now) {
+    nodes.add(new Timed<>(now, address));
   }
 
   /** Drops the history of the directory; the newest entries stay. */
   void compact() {
-    directoryFirst += directory.size();
-    directory.clear();
+    directoryFirst = directory.size();
+  }
+
+  /** Begins a new era from a copy: what was written after a time is lost. */
+  void restore(Instant copied) {
+    era++;
+    cut(configurations, copied);
+    cut(directory, copied);
+    cut(nodes, copied);
+    directoryFirst = Math.min(directoryFirst, directory.size());
+    lease.restore(era, copied);
+  }
+
+  private static <T> void cut(List<Timed<T>> records, Instant copied) {
+    while (records.size() > 1 && records.getLast().at().isAfter(copied)) {
+      records.removeLast();
+    }
   }
 
   // Calls
@@ -56,56 +71,74 @@
   StoreAnswer read(StoreRead call) {
     return switch (call) {
       case StoreRead.NewestConfiguration whole -> configurations(0);
-      case StoreRead.NextConfiguration next -> configurations(next.from());
+      case StoreRead.NextConfiguration next -> configurations(next.from().offset());
       case StoreRead.WholeDirectory whole ->
           new StoreAnswer.DirectoryRead(
-              new DirectoryChange(
-                  true, 0, directoryEnd(), List.copyOf(newest.values()), List.of()));
-      case StoreRead.DirectoryChanges changes -> changes(changes.from());
-      case StoreRead.Nodes all -> new StoreAnswer.NodesRead(List.copyOf(nodes.values()));
+              new DirectoryChange(true, place(0), directoryEnd(), changed(0).entries(), List.of()));
+      case StoreRead.DirectoryChanges changes -> changes(changes.from().offset());
+      case StoreRead.Nodes all -> {
+        Map<String, NodeAddress> newest = new LinkedHashMap<>();
+        nodes.forEach(each -> newest.put(each.value().node().value(), each.value()));
+        yield new StoreAnswer.NodesRead(List.copyOf(newest.values()), era);
+      }
     };
   }
 
   /** Returns whether a waiting read has something to return. */
   boolean hasNews(StoreRead call) {
     return !(call instanceof StoreRead.NextConfiguration next)
-        || next.from() < configurations.size();
+        || next.from().offset() != configurations.size();
   }
 
   private StoreAnswer configurations(long from) {
+    if (from > configurations.size()) {
+      return new StoreAnswer.RecordsDropped(era);
+    }
     boolean news = from < configurations.size();
     return new StoreAnswer.ConfigurationRead(
-        news ? Optional.of(configurations.getLast()) : Optional.empty(), configurations.size());
+        news ? Optional.of(configurations.getLast().value()) : Optional.empty(),
+        place(configurations.size()));
   }
 
   private StoreAnswer changes(long from) {
-    if (from < directoryFirst) {
-      return new StoreAnswer.RecordsDropped();
+    if (from < directoryFirst || from > directory.size()) {
+      return new StoreAnswer.RecordsDropped(era);
     }
+    Changed changed = changed((int) from);
+    return new StoreAnswer.DirectoryRead(
+        new DirectoryChange(
+            false, place(from), directoryEnd(), changed.entries(), changed.removed()));
+  }
+
+  private Changed changed(int from) {
     Map<String, Entry> last = new LinkedHashMap<>();
-    for (Entry entry : directory.subList((int) (from - directoryFirst), directory.size())) {
-      last.put(entry.runner(), entry);
+    for (Timed<Entry> each : directory.subList(from, directory.size())) {
+      last.put(each.value().runner(), each.value());
     }
     List<RunnerEntry> entries = new ArrayList<>();
     List<String> removed = new ArrayList<>();
     for (Entry entry : last.values()) {
       entry.value().ifPresentOrElse(entries::add, () -> removed.add(entry.runner()));
     }
-    return new StoreAnswer.DirectoryRead(
-        new DirectoryChange(false, from, directoryEnd(), entries, removed));
+    return new Changed(entries, removed);
   }
 
-  LeaseAnswer call(LeaseCall call) {
-    return lease.call(call);
+  LeaseAnswer call(LeaseCall call, Instant now) {
+    return lease.call(call, now);
   }
 
-  private long directoryEnd() {
-    return directoryFirst + directory.size();
+  private LogPlace directoryEnd() {
+    return place(directory.size());
   }
 
-  GatewayConfiguration configuration() {
-    return configurations.getLast();
+  private LogPlace place(long offset) {
+    return LogPlace.of(era, offset);
   }
 
   private record Entry(String runner, Optional<RunnerEntry> value) {}
+
+  private record Changed(List<RunnerEntry> entries, List<String> removed) {}
+
+  /** A record and when it was written. */
+  record Timed<T>(Instant at, T value) {}
 }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
@@ -41,6 +41,7 @@
   private Instant stopsSince = Instant.MAX;
   private boolean storeCut;
   private boolean peersCut;
+  private long version;
 
   FuzzedNode(int number, GatewayDefect defect) {
     this.number = number;
@@ -54,6 +55,7 @@
     paused = false;
     ready = false;
     wasReady = false;
+    version = 0;
     stopsSince = Instant.MAX;
     backlog.clear();
     exchanges.clear();
@@ -104,6 +106,13 @@
     return effects;
   }
 
+  /** Notes the version of a configuration that comes into force; returns whether it is later. */
+  boolean applies(long newVersion) {
+    boolean later = newVersion > version;
+    version = newVersion;
+    return later;
+  }
+
   /** Returns whether it takes events now. */
   boolean runs() {
     return up && !paused;
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
@@ -25,6 +25,9 @@
   private static final double ALL_RUNNERS_STRUCK = 0.4;
   private static final int BURST = 30;
 
+  /** Share of the returns from a copy that are followed by the next one within five seconds. */
+  private static final double SOON_AGAIN = 0.3;
+
   /** Share of the runners that say something and leave; the others want a pause. */
   private static final double LEAVING = 0.4;
 
@@ -32,6 +35,7 @@
   private final VirtualScheduler time;
   private final Chance chance;
   private final Chance words;
+  private final Chance copies;
   private final FakeMetadata store;
   private final List<FuzzedNode> nodes;
   private final List<FakeBackend> backends;
@@ -45,6 +49,7 @@
       VirtualScheduler time,
       Chance chance,
       Chance words,
+      Chance copies,
       FakeMetadata store,
       List<FuzzedNode> nodes,
       List<FakeBackend> backends) {
@@ -52,6 +57,7 @@
     this.time = time;
     this.chance = chance;
     this.words = words;
+    this.copies = copies;
     this.store = store;
     this.nodes = nodes;
     this.backends = backends;
@@ -129,6 +135,26 @@
     time.after(words.millis(500, 4_000), this::speak);
   }
 
+  /** Lets the store be away for a moment and come back from a copy, and then again. */
+  void restoreStore() {
+    if (time.now().isAfter(Instant.EPOCH.plus(GatewayFuzz.FAULTS))) {
+      return;
+    }
+    Duration away = copies.millis(0, 800);
+    storeDown = true;
+    time.after(
+        away,
+        () -> {
+          storeDown = false;
+          store.restore(time.now().minus(copies.millis(200, 5_000)));
+          time.after(copies.millis(100, 2_000), world::publishAgain);
+          disturb(Duration.ofSeconds(2));
+        });
+    disturb(away);
+    boolean soon = copies.happens(SOON_AGAIN);
+    time.after(copies.millis(soon ? 1_000 : 4_000, soon ? 5_000 : 14_000), this::restoreStore);
+  }
+
   /** Notes that a node starts, which disturbs what it and others know. */
   void noteStart() {
     disturb(Duration.ZERO);
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -1,5 +1,7 @@
 package dev.wisteriarail.fuzz.gateway;
 
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.event.NodeEvent;
 import dev.wisteriarail.core.fleet.LeaseAnswer;
 import dev.wisteriarail.core.fleet.LeaseCall;
 import dev.wisteriarail.core.forward.ForwardRequest;
@@ -70,7 +72,15 @@
     network = Chance.of(seed, "network");
     calls = new BackendCalls(this, time, oracle, network, backends);
     faults =
-        new GatewayFaults(this, time, chance, Chance.of(seed, "words"), store, nodes, backends);
+        new GatewayFaults(
+            this,
+            time,
+            chance,
+            Chance.of(seed, "words"),
+            Chance.of(seed, "copies"),
+            store,
+            nodes,
+            backends);
     end = time.now().plus(FAULTS).plus(RECOVERY).plus(Duration.ofSeconds(10));
     for (int i = 0; i < GatewayFuzzPlan.NODES; i++) {
       nodes.add(new FuzzedNode(i, defect));
@@ -113,6 +123,7 @@
     if (faulty) {
       time.after(Duration.ofSeconds(3), faults::disturb);
       time.after(Duration.ofSeconds(4), faults::speak);
+      time.after(Duration.ofSeconds(5), faults::restoreStore);
     }
     time.after(Duration.ofSeconds(8), this::changeWhatOperatorsChange);
     time.at(Instant.EPOCH.plus(FAULTS).plus(RECOVERY), this::checkRecovery);
@@ -121,14 +132,20 @@
   // Platform
 
   void publish() {
-    store.publish(GatewayFuzzPlan.configuration(++version));
+    version++;
+    publishAgain();
     publishedAt = time.now();
   }
 
+  /** Writes the newest configuration again, as the store may have lost it. */
+  void publishAgain() {
+    store.publish(GatewayFuzzPlan.configuration(version), time.now());
+  }
+
   private void writeEntries() {
     for (FakeBackend backend : backends) {
       if (backend.isUp()) {
-        store.put(backend.entry(time.now()));
+        store.put(backend.entry(time.now()), time.now());
       }
     }
     time.after(ENTRY_PAUSE, this::writeEntries);
@@ -138,7 +155,7 @@
     publish();
     FakeBackend leaver = backends.getLast();
     leaver.drain();
-    store.put(leaver.entry(time.now()));
+    store.put(leaver.entry(time.now()), time.now());
     drainedAt.put(leaver.id(), time.now());
   }
 
@@ -201,14 +218,14 @@
       case GatewayEffect.RegisterNode register -> {
         boolean done = reaches(node);
         if (done) {
-          store.register(register.address());
+          store.register(register.address(), time.now());
         }
         later(network.millis(2, 20), node, run, new GatewayEvent.RegistrationTold(done));
       }
       case GatewayEffect.SendPeer send -> sendPeer(node, send);
       case GatewayEffect.SetReady ready -> node.setReady(ready.ready());
       case GatewayEffect.DrainCompleted completed -> endNode(node);
-      case GatewayEffect.Emit emit -> {}
+      case GatewayEffect.Emit emit -> checkVersion(node, emit.event());
       case GatewayEffect.ApplyBounds bounds -> {}
       case GatewayEffect.CloseIdleCallers close -> {}
     }
@@ -256,6 +273,15 @@
     }
   }
 
+  /** Complains of a node that goes back to an older configuration. */
+  private void checkVersion(FuzzedNode node, NodeEvent event) {
+    if (event.code() == EventCode.CONFIGURATION_APPLIED
+        && !node.applies(Long.parseLong(event.fields().get("version")))) {
+      oracle.complain(
+          "rollback", "n" + node.number() + " went back: " + event.fields(), time.now());
+    }
+  }
+
   private void sendPeer(FuzzedNode node, GatewayEffect.SendPeer send) {
     int to = Integer.parseInt(send.to().host().substring("10.0.0.".length()));
     FuzzedNode peer = nodes.get(to);
@@ -300,12 +326,12 @@
           run,
           new GatewayEvent.LeaseTold(new LeaseAnswer.Failed("no answer")));
       if (call instanceof LeaseCall.Append && network.happens(faults.lostAnswers())) {
-        time.after(network.millis(0, 3_000), () -> store.call(call));
+        time.after(network.millis(0, 3_000), () -> store.call(call, time.now()));
       }
       return;
     }
     if (call instanceof LeaseCall.Append && network.happens(faults.lostAnswers())) {
-      time.after(network.millis(0, 3_000), () -> store.call(call));
+      time.after(network.millis(0, 3_000), () -> store.call(call, time.now()));
       later(
           STORE_SILENCE,
           node,
@@ -316,7 +342,11 @@
     time.after(
         network.millis(1, 10),
         () ->
-            later(network.millis(1, 10), node, run, new GatewayEvent.LeaseTold(store.call(call))));
+            later(
+                network.millis(1, 10),
+                node,
+                run,
+                new GatewayEvent.LeaseTold(store.call(call, time.now()))));
   }
 
   // Callers
@@ -342,7 +372,9 @@
     long exchange = ++exchanges;
     String request = kind + "#" + exchange + "~" + model + "~" + adapter + "~";
     RouteSpec route =
-        store.configuration().route(GatewayFuzzPlan.HOST, "/" + kind + "/1").orElseThrow();
+        GatewayFuzzPlan.configuration(version)
+            .route(GatewayFuzzPlan.HOST, "/" + kind + "/1")
+            .orElseThrow();
     node.open(exchange, request);
     oracle.ask(request, route, node.number(), time.now());
     deliver(
--- a/src/main/java/dev/wisteriarail/platform/Names.java
+++ b/src/main/java/dev/wisteriarail/platform/Names.java
@@ -18,6 +18,7 @@
   static final String RUNNER = "X-Wisteriarail-Instance-Id";
   static final String LEAVING = "Server-Leaving";
   static final String LAST_EVENT = "Last-Event-Id";
+  static final String STORE_ERA = "Store-Era";
 
   static final String READINESS = "/wisteriarail/readiness";
   static final String ORDER = "/wisteriarail/order";
--- a/src/main/java/dev/wisteriarail/platform/PlatformCalls.java
+++ b/src/main/java/dev/wisteriarail/platform/PlatformCalls.java
@@ -16,6 +16,7 @@
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.gateway.GatewayHttp;
 import dev.wisteriarail.gateway.PlatformClient;
@@ -70,19 +71,21 @@
   public void read(StoreRead call, Consumer<StoreAnswer> told) {
     switch (call) {
       case StoreRead.NewestConfiguration newest ->
-          store.newest(Names.OPERATOR_TOPIC, outcome -> told.accept(configuration(outcome, 0)));
+          store.newest(
+              Names.OPERATOR_TOPIC, outcome -> told.accept(configuration(outcome, LogPlace.NONE)));
       case StoreRead.NextConfiguration next ->
           store.read(
               Names.OPERATOR_TOPIC,
-              next.from(),
+              next.from().offset(),
               next.patience().toMillis(),
               outcome -> told.accept(configuration(outcome, next.from())));
       case StoreRead.WholeDirectory whole ->
-          store.newest(Names.RUNNERS_TOPIC, outcome -> told.accept(directory(outcome, 0)));
+          store.newest(
+              Names.RUNNERS_TOPIC, outcome -> told.accept(directory(outcome, LogPlace.NONE)));
       case StoreRead.DirectoryChanges changes ->
           store.read(
               Names.RUNNERS_TOPIC,
-              changes.from(),
+              changes.from().offset(),
               0,
               outcome -> told.accept(directory(outcome, changes.from())));
       case StoreRead.Nodes nodes ->
@@ -90,9 +93,9 @@
     }
   }
 
-  private static StoreAnswer configuration(StoreCalls.Outcome outcome, long from) {
+  private static StoreAnswer configuration(StoreCalls.Outcome outcome, LogPlace from) {
     List<WireRecords.Keyed> records = new ArrayList<>();
-    long next;
+    LogPlace next;
     switch (outcome) {
       case StoreCalls.Outcome.Newest newest -> {
         records.addAll(newest.records());
@@ -100,7 +103,7 @@
       }
       case StoreCalls.Outcome.Read read -> {
         read.batch().records().forEach(content -> addKeyed(content, records));
-        next = from + read.batch().records().size();
+        next = LogPlace.of(read.era(), from.offset() + read.batch().records().size());
       }
       default -> {
         return failure(outcome);
@@ -119,14 +122,15 @@
     return new StoreAnswer.ConfigurationRead(newest, next);
   }
 
-  private static StoreAnswer directory(StoreCalls.Outcome outcome, long from) {
+  private static StoreAnswer directory(StoreCalls.Outcome outcome, LogPlace from) {
     return switch (outcome) {
       case StoreCalls.Outcome.Newest newest ->
-          new StoreAnswer.DirectoryRead(change(true, 0, newest.end(), newest.records()));
+          new StoreAnswer.DirectoryRead(
+              change(true, LogPlace.of(newest.end().era(), 0), newest.end(), newest.records()));
       case StoreCalls.Outcome.Read read -> {
         List<WireRecords.Keyed> records = new ArrayList<>();
         read.batch().records().forEach(content -> addKeyed(content, records));
-        long to = from + read.batch().records().size();
+        LogPlace to = LogPlace.of(read.era(), from.offset() + read.batch().records().size());
         yield new StoreAnswer.DirectoryRead(change(false, from, to, records));
       }
       default -> failure(outcome);
@@ -135,7 +139,7 @@
 
   /** Of several records of a runner only the last one counts. */
   private static DirectoryChange change(
-      boolean whole, long from, long to, List<WireRecords.Keyed> records) {
+      boolean whole, LogPlace from, LogPlace to, List<WireRecords.Keyed> records) {
     Map<String, RunnerEntry> entries = new LinkedHashMap<>();
     Map<String, Boolean> removed = new LinkedHashMap<>();
     for (WireRecords.Keyed each : records) {
@@ -175,12 +179,13 @@
         LOGGER.warn("the address of node {} cannot be read", each.key(), malformed);
       }
     }
-    return new StoreAnswer.NodesRead(nodes);
+    return new StoreAnswer.NodesRead(nodes, newest.end().era());
   }
 
   private static StoreAnswer failure(StoreCalls.Outcome outcome) {
     return switch (outcome) {
-      case StoreCalls.Outcome.Dropped dropped -> new StoreAnswer.RecordsDropped();
+      case StoreCalls.Outcome.Dropped dropped ->
+          new StoreAnswer.RecordsDropped(dropped.first().era());
       case StoreCalls.Outcome.Failed failed -> new StoreAnswer.Failed(failed.reason());
       default -> new StoreAnswer.Failed("unexpected answer");
     };
@@ -224,11 +229,15 @@
             records.add(LeaseRecord.UNREADABLE);
           }
         }
-        yield new LeaseAnswer.Records(read.batch().end(), read.batch().first(), from, records);
+        yield new LeaseAnswer.Records(
+            LogPlace.of(read.era(), read.batch().end()), read.batch().first(), from, records);
       }
       case StoreCalls.Outcome.Dropped dropped ->
           new LeaseAnswer.Records(
-              Math.max(from + 1, dropped.first() + 1), dropped.first(), from, List.of());
+              LogPlace.of(dropped.first().era(), Math.max(from + 1, dropped.first().offset() + 1)),
+              dropped.first().offset(),
+              from,
+              List.of());
       case StoreCalls.Outcome.Failed failed -> new LeaseAnswer.Failed(failed.reason());
       default -> new LeaseAnswer.Failed("unexpected answer");
     };
@@ -236,7 +245,7 @@
 
   private static LeaseAnswer leaseAppended(StoreCalls.Outcome outcome) {
     return switch (outcome) {
-      case StoreCalls.Outcome.Appended appended -> new LeaseAnswer.Appended(appended.offset());
+      case StoreCalls.Outcome.Appended appended -> new LeaseAnswer.Appended(appended.place());
       case StoreCalls.Outcome.Overtaken overtaken -> new LeaseAnswer.Overtaken(overtaken.end());
       case StoreCalls.Outcome.Failed failed -> new LeaseAnswer.Failed(failed.reason());
       default -> new LeaseAnswer.Failed("unexpected answer");
--- a/src/main/java/dev/wisteriarail/platform/StoreCalls.java
+++ b/src/main/java/dev/wisteriarail/platform/StoreCalls.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.wisteriarail.codec.Codecs;
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.gateway.GatewayHttp;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -15,6 +16,7 @@
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 
 /**
@@ -31,6 +33,9 @@
   /** The store answers in milliseconds; a slow one in some hundred. */
   private static final long TIMEOUT_MILLIS = 900;
 
+  /** The era of a store that names none. */
+  private static final long NO_ERA = 0;
+
   private static final int STATUS_OK = 200;
   private static final int STATUS_GONE = 410;
   private static final int STATUS_CONDITION_FAILED = 412;
@@ -52,13 +57,12 @@
         request,
         TIMEOUT_MILLIS + waitMillis,
         answer ->
-            told.accept(
-                answer.status() == STATUS_OK ? decodeBatch(answer.body()) : failure(answer)));
+            told.accept(answer.status() == STATUS_OK ? decodeBatch(answer) : failure(answer)));
   }
 
-  private static Outcome decodeBatch(byte[] body) {
+  private static Outcome decodeBatch(Answer answer) {
     try {
-      return new Outcome.Read(WireRecords.decode(body));
+      return new Outcome.Read(WireRecords.decode(answer.body()), answer.era());
     } catch (IOException malformed) {
       return new Outcome.Failed("malformed answer: " + malformed.getMessage());
     }
@@ -66,14 +70,14 @@
 
   /** Reads the newest record of each key, page by page. */
   void newest(String topic, Consumer<Outcome> told) {
-    newestPage(topic, "", new ArrayList<>(), Long.MAX_VALUE, told);
+    newestPage(topic, "", new ArrayList<>(), LogPlace.NONE, told);
   }
 
   private void newestPage(
       String topic,
       String after,
       List<WireRecords.Keyed> found,
-      long firstEnd,
+      LogPlace firstEnd,
       Consumer<Outcome> told) {
     String query = "?topic=" + topic + "&part=0" + (after.isEmpty() ? "" : "&after=" + after);
     Request request = http.newRequest("http://" + address + Names.NEWEST + query);
@@ -93,8 +97,13 @@
               byte[] value = Base64.getDecoder().decode(item.path("value").asText());
               found.add(new WireRecords.Keyed(last, new String(value, UTF_8)));
             }
+            LogPlace pageEnd = LogPlace.of(answer.era(), page.path("end_offset").asLong());
+            if (firstEnd.known() && !firstEnd.sameEra(pageEnd)) {
+              told.accept(new Outcome.Failed("the store's era changed between two pages"));
+              return;
+            }
             // Pages are no snapshot: what changed since the first one is read again.
-            long end = Math.min(firstEnd, page.path("end_offset").asLong());
+            LogPlace end = firstEnd.known() && firstEnd.before(pageEnd) ? firstEnd : pageEnd;
             if (page.path("has_more").asBoolean() && !last.isEmpty()) {
               newestPage(topic, last, found, end, told);
             } else {
@@ -119,12 +128,8 @@
           try {
             told.accept(
                 switch (answer.status()) {
-                  case STATUS_OK ->
-                      new Outcome.Appended(
-                          Codecs.json().readTree(answer.body()).path("offset").asLong());
-                  case STATUS_CONDITION_FAILED ->
-                      new Outcome.Overtaken(
-                          Codecs.json().readTree(answer.body()).path("end_offset").asLong());
+                  case STATUS_OK -> new Outcome.Appended(answer.place("offset"));
+                  case STATUS_CONDITION_FAILED -> new Outcome.Overtaken(answer.place("end_offset"));
                   default -> failure(answer);
                 });
           } catch (IOException malformed) {
@@ -135,17 +140,17 @@
 
   private static Outcome failure(Answer answer) {
     return answer.status() == STATUS_GONE
-        ? new Outcome.Dropped(firstOffset(answer.body()))
+        ? new Outcome.Dropped(firstOffset(answer))
         : new Outcome.Failed(
             answer.status() == 0 ? new String(answer.body(), UTF_8) : "status " + answer.status());
   }
 
-  private static long firstOffset(byte[] body) {
+  private static LogPlace firstOffset(Answer answer) {
     try {
-      return Codecs.json().readTree(body).path("first_offset").asLong();
+      return answer.place("first_offset");
     } catch (IOException malformed) {
       // The caller then starts from the oldest record, which the store names in every read.
-      return 0;
+      return LogPlace.of(answer.era(), 0);
     }
   }
 
@@ -160,12 +165,9 @@
               public void onComplete(Result result) {
                 if (result.isFailed()) {
                   String reason = String.valueOf(result.getFailure().getMessage());
-                  told.accept(new Answer(0, reason.getBytes(UTF_8)));
+                  told.accept(new Answer(0, reason.getBytes(UTF_8), NO_ERA));
                 } else {
-                  byte[] body = getContent();
-                  told.accept(
-                      new Answer(
-                          result.getResponse().getStatus(), body == null ? new byte[0] : body));
+                  told.accept(Answer.of(result.getResponse(), getContent()));
                 }
               }
             });
@@ -176,10 +178,39 @@
 
     private final int status;
     private final byte[] body;
+    private final long era;
 
-    Answer(int status, byte[] body) {
+    Answer(int status, byte[] body, long era) {
       this.status = status;
       this.body = body;
+      this.era = era;
+    }
+
+    /** An answer whose era cannot be read says nothing of places and counts as none. */
+    static Answer of(Response response, byte[] content) {
+      String text = response.getHeaders().get(Names.STORE_ERA);
+      byte[] body = content == null ? new byte[0] : content;
+      if (text == null) {
+        return new Answer(response.getStatus(), body, NO_ERA);
+      }
+      try {
+        long era = Long.parseLong(text.trim());
+        if (era >= 0 && era <= LogPlace.MAX_ERA) {
+          return new Answer(response.getStatus(), body, era);
+        }
+      } catch (NumberFormatException malformed) {
+        // The same as a number out of bounds.
+      }
+      return new Answer(0, ("unusable era of the store: " + text).getBytes(UTF_8), NO_ERA);
+    }
+
+    long era() {
+      return era;
+    }
+
+    /** Returns the place whose offset the answer gives in a field. */
+    LogPlace place(String field) throws IOException {
+      return LogPlace.of(era, Codecs.json().readTree(body).path(field).asLong());
     }
 
     int status() {
@@ -195,19 +226,19 @@
   sealed interface Outcome {
 
     /** Records were read. */
-    record Read(WireRecords.Batch batch) implements Outcome {}
+    record Read(WireRecords.Batch batch, long era) implements Outcome {}
 
     /** The newest record of each key was read; later ones start at {@code end}. */
-    record Newest(List<WireRecords.Keyed> records, long end) implements Outcome {}
+    record Newest(List<WireRecords.Keyed> records, LogPlace end) implements Outcome {}
 
     /** A record was appended. */
-    record Appended(long offset) implements Outcome {}
+    record Appended(LogPlace place) implements Outcome {}
 
     /** The condition of an append did not hold. */
-    record Overtaken(long end) implements Outcome {}
+    record Overtaken(LogPlace end) implements Outcome {}
 
     /** The records asked for are gone. */
-    record Dropped(long first) implements Outcome {}
+    record Dropped(LogPlace first) implements Outcome {}
 
     /** Nothing was done, or it is not known. */
     record Failed(String reason) implements Outcome {}
--- a/src/main/java/dev/wisteriarail/platform/WireDocuments.java
+++ b/src/main/java/dev/wisteriarail/platform/WireDocuments.java
@@ -162,6 +162,7 @@
               root.path("slots").asInt(),
               draining,
               root.path("born").asLong(),
+              root.path("sequence").asLong(),
               models(root.path("models")),
               texts(root.path("available").path("in_memory")),
               texts(root.path("available").path("on_disk"))));
--- a/src/main/java/dev/wisteriarail/standin/MetadataStoreStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/MetadataStoreStandin.java
@@ -7,6 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.LinkedHashMap;
@@ -18,6 +19,9 @@
  * A stand-in of the users' metadata store: topics of records with conditional appends, and the
  * newest record of each key.
  *
+ * <p>It may come back from an older copy of itself: then a new era begins, and what was written
+ * since the copy is gone.
+ *
  * <p>Life cycle: {@link #start}, then {@link #close}. Thread-safe.
  */
 public final class MetadataStoreStandin implements AutoCloseable {
@@ -25,10 +29,12 @@
   private static final int GONE = 410;
   private static final int CONDITION_FAILED = 412;
   private static final int PAGE = 50;
+  private static final String ERA_HEADER = "Store-Era";
 
   private final Map<String, Topic> topics = new TreeMap<>();
   private StandinServer server;
   private long calls;
+  private long era;
 
   private MetadataStoreStandin() {}
 
@@ -70,6 +76,18 @@
     topic(topic).compact();
   }
 
+  /**
+   * Comes back from a copy in a new era. Operators and runners have to write again what is lost.
+   *
+   * @param age age of the copy
+   */
+  public synchronized void restore(Duration age) {
+    era++;
+    long copiedAt = System.nanoTime() - age.toNanos();
+    topics.values().forEach(topic -> topic.restore(copiedAt));
+    notifyAll();
+  }
+
   /** Returns the number of records that were ever appended to a topic. */
   public synchronized long end(String topic) {
     return topic(topic).end();
@@ -88,6 +106,7 @@
 
   private synchronized void handle(Call call) throws IOException, InterruptedException {
     calls++;
+    call.setHeader(ERA_HEADER, Long.toString(era));
     Topic topic = topic(call.query("topic", ""));
     switch (call.path()) {
       case "/wisteriarail/log-append" -> append(call, topic);
@@ -120,10 +139,12 @@
     long from = call.query("from", 0);
     long waitMillis = call.query("wait_ms", 0);
     long until = System.nanoTime() + waitMillis * 1_000_000;
-    while (topic.end() <= from && System.nanoTime() < until) {
+    long begunIn = era;
+    while (topic.end() <= from && era == begunIn && System.nanoTime() < until) {
       wait(1 + (until - System.nanoTime()) / 1_000_000);
     }
-    if (from < topic.first) {
+    call.setHeader(ERA_HEADER, Long.toString(era));
+    if (from < topic.first || from > topic.end()) {
       call.replyJson(GONE, Map.of("first_offset", topic.first));
       return;
     }
@@ -183,6 +204,8 @@
 
     private final boolean keyed;
     private final List<byte[]> records = new ArrayList<>();
+    private final List<Long> writtenNanos = new ArrayList<>();
+    private final Map<String, Item> compacted = new TreeMap<>();
     private final Map<String, Item> newest = new TreeMap<>();
     private long first;
 
@@ -193,19 +216,37 @@
     long append(byte[] content) {
       long offset = end();
       records.add(content);
-      if (keyed) {
-        int length = content[0];
-        String key = new String(content, 1, length, UTF_8);
-        String value = new String(content, 1 + length, content.length - 1 - length, UTF_8);
-        if (value.isEmpty()) {
-          newest.remove(key);
-        } else {
-          newest.put(key, new Item(value, offset));
-        }
-      }
+      writtenNanos.add(System.nanoTime());
+      note(content, offset);
       return offset;
     }
 
+    private void note(byte[] content, long offset) {
+      if (!keyed) {
+        return;
+      }
+      int length = content[0];
+      String key = new String(content, 1, length, UTF_8);
+      String value = new String(content, 1 + length, content.length - 1 - length, UTF_8);
+      if (value.isEmpty()) {
+        newest.remove(key);
+      } else {
+        newest.put(key, new Item(value, offset));
+      }
+    }
+
+    void restore(long copiedAt) {
+      while (!records.isEmpty() && writtenNanos.getLast() > copiedAt) {
+        records.removeLast();
+        writtenNanos.removeLast();
+      }
+      newest.clear();
+      newest.putAll(compacted);
+      for (int i = 0; i < records.size(); i++) {
+        note(records.get(i), first + i);
+      }
+    }
+
     long end() {
       return first + records.size();
     }
@@ -213,6 +254,9 @@
     void compact() {
       first = end();
       records.clear();
+      writtenNanos.clear();
+      compacted.clear();
+      compacted.putAll(newest);
     }
   }
 }
--- a/src/test/java/dev/wisteriarail/core/fleet/CoordinationTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/CoordinationTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.id.NodeId;
 import java.time.Instant;
 import java.util.List;
@@ -22,7 +23,18 @@
   }
 
   private static PeerStatus status(long fence, boolean settled, boolean draining) {
-    return new PeerStatus(fence, 0, 0, -1, true, settled, draining, 1, 1, 1, 0);
+    return new PeerStatus(
+        fence,
+        0,
+        0,
+        LogPlace.NONE,
+        true,
+        settled,
+        draining,
+        1,
+        LogPlace.of(0, 1),
+        LogPlace.of(0, 1),
+        0);
   }
 
   private static PeerTable.Peer peer(NodeAddress address, PeerStatus status) {
--- a/src/test/java/dev/wisteriarail/core/fleet/CoordinatorForecastTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/CoordinatorForecastTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.route.CallerBounds;
 import dev.wisteriarail.core.route.EngineSpec;
 import dev.wisteriarail.core.route.GatewayConfiguration;
@@ -51,10 +52,14 @@
             6,
             false,
             1,
+            0,
             List.of(new LoadedModel("m0", List.of("a1"))),
             Set.of(),
             Set.of());
-    directory.accept(new DirectoryChange(true, 0, 1, List.of(entry), List.of()), NOW, NOW);
+    directory.accept(
+        new DirectoryChange(true, LogPlace.of(0, 0), LogPlace.of(0, 1), List.of(entry), List.of()),
+        NOW,
+        NOW);
     coordinator.sync(configuration, directory, NOW);
   }
 
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/fleet/LeaseRun.java
@@ -0,0 +1,130 @@
+package dev.wisteriarail.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import dev.wisteriarail.core.id.LogPlace;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** Steps the leases of several nodes over one store; each orders whenever it may. */
+final class LeaseRun {
+
+  record Order(Instant at, int node, long fence, String runner) {}
+
+  /**
+   * A node's word that it gives no orders, or how far its log reaches, on its way to the others.
+   */
+  private record Word(Instant at, long fence, long quietMillis, LogPlace end) {}
+
+  private final LeaseStore store;
+  final List<OrderLease> leases = new ArrayList<>();
+  final List<Order> orders = new ArrayList<>();
+  private final List<List<Runnable>> held = new ArrayList<>();
+  final boolean[] wanted;
+  final boolean[] frozen;
+  private final String[] names;
+  private final List<Word> underWay = new ArrayList<>();
+  List<String> targets = List.of("r0", "r1", "r2");
+  SplittableRandom words;
+  private int steps;
+  private final FleetTimings timings;
+  Instant now = Instant.EPOCH;
+  private long incarnation = 1;
+
+  LeaseRun(LeaseStore store, FleetTimings timings, String... names) {
+    this.store = store;
+    this.names = names;
+    this.timings = timings;
+    wanted = new boolean[names.length];
+    frozen = new boolean[names.length];
+    for (int i = 0; i < names.length; i++) {
+      leases.add(OrderLease.create(names[i], 1, timings));
+      held.add(new ArrayList<>());
+      wanted[i] = true;
+    }
+  }
+
+  /** Replaces a node's process; answers to the old one are lost. */
+  void restart(int node) {
+    leases.set(node, OrderLease.create(names[node], ++incarnation, timings));
+    held.set(node, new ArrayList<>());
+    frozen[node] = false;
+  }
+
+  void steps(int count) {
+    for (int i = 0; i < count; i++) {
+      now = now.plus(LeaseStore.step());
+      steps++;
+      store.advance(now);
+      tellWords();
+      for (int node = 0; node < leases.size(); node++) {
+        step(node);
+      }
+    }
+  }
+
+  private void step(int node) {
+    if (frozen[node]) {
+      return;
+    }
+    OrderLease lease = leases.get(node);
+    List<Runnable> waiting = held.get(node);
+    waiting.forEach(Runnable::run);
+    waiting.clear();
+    lease
+        .advance(wanted[node], () -> LoadHistory.NONE, now)
+        .ifPresent(
+            call -> store.call(call, now, answer -> waiting.add(() -> lease.accept(answer, now))));
+    String target = targets.get(steps / 40 % targets.size());
+    if (lease.mayOrder(target, now)) {
+      lease.noteOrder(target, now);
+      orders.add(new Order(now, node, lease.fence(), target));
+    }
+    boolean speaks = words != null && words.nextInt(20) == 0;
+    if (speaks && lease.fence() == 0 && lease.lastFence() > 0) {
+      Instant at = now.plusMillis(words.nextInt(2_000));
+      underWay.add(new Word(at, lease.lastFence(), lease.quietFor(now).toMillis(), LogPlace.NONE));
+    }
+    if (speaks && lease.isHeld()) {
+      Instant at = now.plusMillis(words.nextInt(2_000));
+      underWay.add(new Word(at, 0, 0, lease.end()));
+    }
+  }
+
+  private void tellWords() {
+    List<Word> due = underWay.stream().filter(word -> !word.at().isAfter(now)).toList();
+    underWay.removeAll(due);
+    for (Word word : due) {
+      for (int node = 0; node < leases.size(); node++) {
+        if (!frozen[node]) {
+          leases.get(node).acceptEnd(word.end(), now);
+          if (word.fence() > 0) {
+            leases.get(node).acceptStopped(word.fence(), word.quietMillis(), now);
+          }
+        }
+      }
+    }
+  }
+
+  /** Checks that each fencing number has one holder, and each runner one within the handover. */
+  void checkTurns() {
+    Map<Long, Integer> holderOf = new HashMap<>();
+    Map<String, Order> lastOf = new HashMap<>();
+    for (Order order : orders) {
+      Integer holder = holderOf.putIfAbsent(order.fence(), order.node());
+      assertThat(holder == null || holder == order.node()).isTrue();
+      Order before = lastOf.put(order.runner(), order);
+      if (before != null && before.node() != order.node()) {
+        assertWithMessage("orders %s and %s", before, order)
+            .that(Duration.between(before.at(), order.at()))
+            .isAtLeast(timings.handover());
+      }
+    }
+  }
+}
--- a/src/test/java/dev/wisteriarail/core/fleet/LeaseStore.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/LeaseStore.java
@@ -30,13 +30,18 @@
       due.add(new Due(back, () -> told.accept(new LeaseAnswer.Failed("down"))));
     } else if (call instanceof LeaseCall.Append append && random.nextDouble() < lossShare) {
       Instant effect = now.plusMillis(random.nextInt(5_000));
-      due.add(new Due(effect, () -> log.call(append)));
+      due.add(new Due(effect, () -> log.call(append, effect)));
       due.add(new Due(now.plusMillis(900), () -> told.accept(new LeaseAnswer.Failed("no answer"))));
     } else {
-      due.add(new Due(back, () -> told.accept(log.call(call))));
+      due.add(new Due(back, () -> told.accept(log.call(call, now))));
     }
   }
 
+  /** Comes back from a copy of some time ago, in a new era. */
+  void restore(Instant copied) {
+    log.restore(log.era() + 1, copied);
+  }
+
   /** Delivers what is due. */
   void advance(Instant now) {
     Optional<Due> next = Optional.ofNullable(due.peek());
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseEraTest.java
@@ -0,0 +1,179 @@
+package dev.wisteriarail.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.id.LogPlace;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Leases over a store that comes back from an older copy of itself. */
+class OrderLeaseEraTest {
+
+  private static final FleetTimings TIMINGS = OrderLeaseTest.TIMINGS;
+
+  private final LeaseStore store = new LeaseStore(1, 0);
+
+  private LeaseRun fleet(String... names) {
+    LeaseRun run = new LeaseRun(store, TIMINGS, names);
+    for (int node = 1; node < names.length; node++) {
+      run.wanted[node] = false;
+    }
+    return run;
+  }
+
+  /** The claim is lost; the next one stands before the place that the first one had. */
+  @ParameterizedTest
+  @ValueSource(ints = {1_000, 4_000, 20_000})
+  void fencingNumbersRiseOverEras(int lostMillis) {
+    LeaseRun run = fleet("a", "b");
+    run.steps(500);
+    final long before = run.leases.getFirst().fence();
+    store.restore(run.now.minusMillis(lostMillis));
+    run.wanted[0] = false;
+    run.wanted[1] = true;
+    run.steps(1_000);
+    assertThat(run.leases.get(1).fence()).isGreaterThan(before);
+    run.checkTurns();
+  }
+
+  @Test
+  void holderGoesOnUnderNewNumberAtOnce() {
+    LeaseRun run = fleet("a");
+    run.steps(500);
+    final long before = run.leases.getFirst().fence();
+    store.restore(run.now.minusSeconds(4));
+    run.steps(100);
+    assertThat(run.leases.getFirst().fence()).isGreaterThan(before);
+    assertThat(run.leases.getFirst().mayOrder(run.now)).isTrue();
+  }
+
+  @Test
+  void holderTellsItselfTheLoadsItBegan() {
+    OrderLease lease = OrderLease.create("a", 1, TIMINGS);
+    LoadHistory loads = new LoadHistory(List.of(), List.of(700L));
+    Instant now = Instant.EPOCH;
+    lease.advance(true, () -> loads, now);
+    lease.accept(new LeaseAnswer.Records(LogPlace.of(0, 0), 0, 0, List.of()), now);
+    lease.advance(true, () -> loads, now);
+    lease.accept(new LeaseAnswer.Appended(LogPlace.of(0, 0)), now);
+    lease.acceptEra(1, now);
+    assertThat(lease.isHeld()).isTrue();
+    assertThat(lease.mayOrder(now)).isFalse();
+    lease.advance(true, () -> loads, now);
+    lease.accept(new LeaseAnswer.Records(LogPlace.of(1, 0), 0, 0, List.of()), now);
+    lease.advance(true, () -> loads, now);
+    lease.accept(new LeaseAnswer.Appended(LogPlace.of(1, 0)), now);
+    assertThat(lease.mayOrder(now)).isTrue();
+    assertThat(lease.leftLoads()).isEqualTo(loads);
+  }
+
+  /** The log says that nobody holds the lease, as the claim of the one that orders is lost. */
+  @Test
+  void releaseThatIsNewestAgainIsNotTrusted() {
+    LeaseRun run = fleet("a", "b", "c");
+    run.steps(300);
+    run.wanted[0] = false;
+    run.steps(100);
+    final Instant released = run.now;
+    run.wanted[1] = true;
+    run.steps(300);
+    assertThat(run.leases.get(1).mayOrder(run.now)).isTrue();
+    run.frozen[1] = true;
+    final Instant lastOrder = run.orders.getLast().at();
+    store.restore(released);
+    run.wanted[2] = true;
+    run.steps(1_000);
+    Instant first =
+        run.orders.stream().filter(order -> order.node() == 2).findFirst().orElseThrow().at();
+    assertThat(Duration.between(lastOrder, first)).isAtLeast(TIMINGS.handover());
+    run.checkTurns();
+  }
+
+  @Test
+  void emptyLogOfLaterEraIsNotTrusted() {
+    LeaseRun run = fleet("a", "b");
+    run.steps(300);
+    run.frozen[0] = true;
+    store.restore(Instant.EPOCH.minusSeconds(1));
+    run.wanted[1] = true;
+    run.steps(100);
+    assertThat(run.leases.get(1).mayOrder(run.now)).isFalse();
+    run.steps(900);
+    assertThat(run.leases.get(1).mayOrder(run.now)).isTrue();
+    run.checkTurns();
+  }
+
+  /** A claim sent in one era takes effect in the next, at a place that was used before. */
+  @Test
+  void claimThatTakesEffectInNextEraGivesNoOrders() {
+    OrderLease lease = OrderLease.create("a", 1, TIMINGS);
+    Instant now = Instant.EPOCH;
+    lease.advance(true, () -> LoadHistory.NONE, now);
+    LeaseRecord release =
+        LeaseRecord.release("b", 1, 1, 0, new Handover(0, java.util.Map.of(), LoadHistory.NONE));
+    lease.accept(new LeaseAnswer.Records(LogPlace.of(0, 1), 0, 0, List.of(release)), now);
+    assertThat(lease.advance(true, () -> LoadHistory.NONE, now).orElseThrow())
+        .isInstanceOf(LeaseCall.Append.class);
+    lease.accept(new LeaseAnswer.Appended(LogPlace.of(1, 1)), now);
+    assertThat(lease.isHeld()).isFalse();
+    assertThat(lease.fence()).isEqualTo(0);
+  }
+
+  @Test
+  void answerOfAnEarlierEraIsPassedOver() {
+    OrderLease lease = OrderLease.create("a", 1, TIMINGS);
+    Instant now = Instant.EPOCH;
+    lease.acceptEra(3, now);
+    lease.advance(true, () -> LoadHistory.NONE, now);
+    lease.accept(new LeaseAnswer.Records(LogPlace.of(2, 0), 0, 0, List.of()), now);
+    assertThat(lease.end().era()).isEqualTo(3);
+    assertThat(lease.advance(true, () -> LoadHistory.NONE, now.plusSeconds(1)).orElseThrow())
+        .isEqualTo(new LeaseCall.Read(0));
+  }
+
+  /** Where runners check fencing numbers, a holder that the store left alone for long goes on. */
+  @Test
+  void outageBeforeTheChangeDoesNotStopFencedHolder() {
+    LeaseRun run = new LeaseRun(store, TIMINGS.withOrders(TIMINGS.handover(), true), "a");
+    run.steps(500);
+    store.setDown(true);
+    run.steps(400);
+    store.restore(run.now.minusSeconds(6));
+    store.setDown(false);
+    run.steps(100);
+    assertThat(run.leases.getFirst().mayOrder(run.now)).isTrue();
+  }
+
+  static LongStream seeds() {
+    return LongStream.rangeClosed(1, 60);
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void twoHoldersNeverOrderOneRunnerWithinTheHandover(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    LeaseStore faulty = new LeaseStore(seed, 0.2);
+    LeaseRun run = new LeaseRun(faulty, TIMINGS, "a", "b", "c");
+    run.words = new SplittableRandom(seed);
+    for (int round = 0; round < 200; round++) {
+      int node = random.nextInt(3);
+      switch (random.nextInt(8)) {
+        case 0 -> run.wanted[node] = !run.wanted[node];
+        case 1 -> run.frozen[node] = !run.frozen[node];
+        case 2 -> faulty.setDown(random.nextBoolean());
+        case 3 -> run.restart(node);
+        case 4, 5 -> faulty.restore(run.now.minusMillis(random.nextInt(6_000)));
+        default -> faulty.setDown(false);
+      }
+      run.steps(random.nextInt(100));
+    }
+    run.checkTurns();
+  }
+}
--- a/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
@@ -1,14 +1,11 @@
 package dev.wisteriarail.core.fleet;
 
 import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
 
+import dev.wisteriarail.core.id.LogPlace;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -19,13 +16,12 @@
 class OrderLeaseTest {
 
   private static final Instant START = Instant.EPOCH;
-  private static final FleetTimings TIMINGS =
-      FleetTimings.DEFAULT.withOrders(Duration.ofSeconds(3), false);
+  static final FleetTimings TIMINGS = FleetTimings.DEFAULT.withOrders(Duration.ofSeconds(3), false);
 
   @Test
   void firstHolderOrdersAtOnce() {
     LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a");
+    LeaseRun run = new LeaseRun(store, TIMINGS, "a");
     run.steps(50);
     assertThat(run.leases.getFirst().mayOrder(run.now)).isTrue();
     assertThat(run.leases.getFirst().fence()).isEqualTo(1);
@@ -33,7 +29,7 @@
 
   @Test
   void successorOfSilentHolderWaitsOutItsLeaseAndTheHandover() {
-    Run run = heldByFirst(100);
+    LeaseRun run = heldByFirst(100);
     run.frozen[0] = true;
     final Instant stopped = run.now;
     run.wanted[1] = true;
@@ -50,7 +46,7 @@
   @Test
   void restartedHolderGoesOnAtOnceIfNobodyElseHeldTheLeaseLately() {
     LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a");
+    LeaseRun run = new LeaseRun(store, TIMINGS, "a");
     run.steps(1_000);
     run.restart(0);
     run.steps(30);
@@ -59,7 +55,7 @@
 
   @Test
   void holderThatRestartsSoonAfterItsClaimWaitsOutTheOneBefore() {
-    Run run = heldByFirst(600);
+    LeaseRun run = heldByFirst(600);
     run.frozen[0] = true;
     run.wanted[1] = true;
     run.steps(250);
@@ -72,7 +68,7 @@
   @Test
   void releasedLeaseIsTakenWithoutWaitingForItsEnd() {
     LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a", "b");
+    LeaseRun run = new LeaseRun(store, TIMINGS, "a", "b");
     run.targets = List.of("r0");
     run.wanted[1] = false;
     run.steps(100);
@@ -92,7 +88,7 @@
 
   @Test
   void releaseThatComesWhileItsSuccessorWaitsIsSeenSoon() {
-    Run run = heldByFirst(100);
+    LeaseRun run = heldByFirst(100);
     run.wanted[1] = true;
     run.steps(20);
     run.wanted[0] = false;
@@ -103,7 +99,7 @@
   @Test
   void holderWithoutOrdersPassesOnWhatItWaitsFor() {
     LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a", "b", "c");
+    LeaseRun run = new LeaseRun(store, TIMINGS, "a", "b", "c");
     run.targets = List.of("r0");
     run.wanted[1] = false;
     run.wanted[2] = false;
@@ -124,7 +120,7 @@
 
   @Test
   void onlyTheWordOnThePredecessorsLastClaimCounts() {
-    Run run = heldByFirst(100);
+    LeaseRun run = heldByFirst(100);
     final long fence = run.leases.getFirst().fence();
     run.frozen[0] = true;
     run.wanted[1] = true;
@@ -139,7 +135,7 @@
   /** The store was away, the holder stopped and said so; its successor began five seconds late. */
   @Test
   void wordThatCameBeforeTheClaimCounts() {
-    Run run = heldByFirst(100);
+    LeaseRun run = heldByFirst(100);
     final long fence = run.leases.getFirst().fence();
     run.frozen[0] = true;
     run.steps(600);
@@ -153,7 +149,7 @@
   @ParameterizedTest
   @CsvSource({"130, false", "560, true"})
   void ownRenewalsCountAgainstTheWaitAfterOneRestart(int steps, boolean soon) {
-    Run run = heldByFirst(600);
+    LeaseRun run = heldByFirst(600);
     run.frozen[0] = true;
     run.wanted[1] = true;
     run.steps(250);
@@ -175,7 +171,7 @@
   }
 
   private static Duration firstOrderAfterLoss(boolean heard) {
-    Run run = heldByFirst(100);
+    LeaseRun run = heldByFirst(100);
     run.frozen[0] = true;
     final Instant lost = run.now;
     if (heard) {
@@ -194,18 +190,18 @@
     OrderLease lease = OrderLease.create("a", 1, TIMINGS);
     Instant now = START;
     assertThat(advance(lease, true, now)).isInstanceOf(LeaseCall.Read.class);
-    lease.accept(new LeaseAnswer.Records(0, 0, 0, List.of()), now);
+    lease.accept(new LeaseAnswer.Records(LogPlace.of(0, 0), 0, 0, List.of()), now);
     final LeaseRecord claim = ((LeaseCall.Append) advance(lease, true, now)).record();
-    lease.accept(new LeaseAnswer.Appended(0), now);
+    lease.accept(new LeaseAnswer.Appended(LogPlace.of(0, 0)), now);
     final LeaseRecord release = ((LeaseCall.Append) advance(lease, false, now)).record();
     lease.accept(new LeaseAnswer.Failed("no answer"), now);
     now = now.plusSeconds(1);
     assertThat(advance(lease, true, now)).isInstanceOf(LeaseCall.Read.class);
-    lease.accept(new LeaseAnswer.Records(1, 0, 0, List.of(claim)), now);
+    lease.accept(new LeaseAnswer.Records(LogPlace.of(0, 1), 0, 0, List.of(claim)), now);
     assertThat(advance(lease, true, now)).isInstanceOf(LeaseCall.Append.class);
-    lease.accept(new LeaseAnswer.Overtaken(2), now);
+    lease.accept(new LeaseAnswer.Overtaken(LogPlace.of(0, 2)), now);
     assertThat(advance(lease, true, now)).isEqualTo(new LeaseCall.Read(1));
-    lease.accept(new LeaseAnswer.Records(2, 0, 1, List.of(release)), now);
+    lease.accept(new LeaseAnswer.Records(LogPlace.of(0, 2), 0, 1, List.of(release)), now);
     assertThat(lease.isHeld()).isFalse();
   }
 
@@ -216,7 +212,7 @@
   @Test
   void releaseWithoutAnswerIsKeptFromPeersForShortTime() {
     LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a");
+    LeaseRun run = new LeaseRun(store, TIMINGS, "a");
     run.steps(100);
     OrderLease lease = run.leases.getFirst();
     advance(lease, false, run.now.plusSeconds(1));
@@ -230,7 +226,7 @@
   void holderGoesOnInAnOutageOnlyWhereRunnersCheckFences() {
     for (boolean enforced : new boolean[] {true, false}) {
       LeaseStore store = new LeaseStore(1, 0);
-      Run run = new Run(store, TIMINGS.withOrders(TIMINGS.handover(), enforced), "a");
+      LeaseRun run = new LeaseRun(store, TIMINGS.withOrders(TIMINGS.handover(), enforced), "a");
       run.steps(100);
       store.setDown(true);
       run.steps(500);
@@ -241,7 +237,7 @@
   @Test
   void holderThatStoodStillRenewsBeforeItsNextOrder() {
     LeaseStore store = new LeaseStore(1, 0);
-    Run run = new Run(store, TIMINGS, "a");
+    LeaseRun run = new LeaseRun(store, TIMINGS, "a");
     run.steps(100);
     run.leases.getFirst().suspect();
     assertThat(run.leases.getFirst().mayOrder(run.now)).isFalse();
@@ -258,7 +254,7 @@
   void twoHoldersNeverOrderOneRunnerWithinTheHandover(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
     LeaseStore store = new LeaseStore(seed, 0.2);
-    Run run = new Run(store, TIMINGS, "a", "b", "c");
+    LeaseRun run = new LeaseRun(store, TIMINGS, "a", "b", "c");
     run.words = new SplittableRandom(seed);
     for (int round = 0; round < 200; round++) {
       int node = random.nextInt(3);
@@ -275,128 +271,10 @@
   }
 
   /** Returns two nodes of which the first has held the lease and the second does not want it. */
-  private static Run heldByFirst(int steps) {
-    Run run = new Run(new LeaseStore(1, 0), TIMINGS, "a", "b");
+  static LeaseRun heldByFirst(int steps) {
+    LeaseRun run = new LeaseRun(new LeaseStore(1, 0), TIMINGS, "a", "b");
     run.wanted[1] = false;
     run.steps(steps);
     return run;
   }
-
-  private record Order(Instant at, int node, long fence, String runner) {}
-
-  /**
-   * A node's word that it gives no orders, or how far its log reaches, on its way to the others.
-   */
-  private record Word(Instant at, long fence, long quietMillis, long end) {}
-
-  /** Steps several nodes; each orders whenever it may. */
-  private static final class Run {
-
-    private final LeaseStore store;
-    private final List<OrderLease> leases = new ArrayList<>();
-    private final List<Order> orders = new ArrayList<>();
-    private final List<List<Runnable>> held = new ArrayList<>();
-    private final boolean[] wanted;
-    private final boolean[] frozen;
-    private final String[] names;
-    private final List<Word> underWay = new ArrayList<>();
-    private List<String> targets = List.of("r0", "r1", "r2");
-    private SplittableRandom words;
-    private int steps;
-    private final FleetTimings timings;
-    private Instant now = START;
-    private long incarnation = 1;
-
-    Run(LeaseStore store, FleetTimings timings, String... names) {
-      this.store = store;
-      this.names = names;
-      this.timings = timings;
-      wanted = new boolean[names.length];
-      frozen = new boolean[names.length];
-      for (int i = 0; i < names.length; i++) {
-        leases.add(OrderLease.create(names[i], 1, timings));
-        held.add(new ArrayList<>());
-        wanted[i] = true;
-      }
-    }
-
-    /** Replaces a node's process; answers to the old one are lost. */
-    void restart(int node) {
-      leases.set(node, OrderLease.create(names[node], ++incarnation, timings));
-      held.set(node, new ArrayList<>());
-      frozen[node] = false;
-    }
-
-    void steps(int count) {
-      for (int i = 0; i < count; i++) {
-        now = now.plus(LeaseStore.step());
-        steps++;
-        store.advance(now);
-        tellWords();
-        for (int node = 0; node < leases.size(); node++) {
-          step(node);
-        }
-      }
-    }
-
-    private void step(int node) {
-      if (frozen[node]) {
-        return;
-      }
-      OrderLease lease = leases.get(node);
-      List<Runnable> waiting = held.get(node);
-      waiting.forEach(Runnable::run);
-      waiting.clear();
-      lease
-          .advance(wanted[node], () -> LoadHistory.NONE, now)
-          .ifPresent(
-              call ->
-                  store.call(call, now, answer -> waiting.add(() -> lease.accept(answer, now))));
-      String target = targets.get(steps / 40 % targets.size());
-      if (lease.mayOrder(target, now)) {
-        lease.noteOrder(target, now);
-        orders.add(new Order(now, node, lease.fence(), target));
-      }
-      boolean speaks = words != null && words.nextInt(20) == 0;
-      if (speaks && lease.fence() == 0 && lease.lastFence() > 0) {
-        Instant at = now.plusMillis(words.nextInt(2_000));
-        underWay.add(new Word(at, lease.lastFence(), lease.quietFor(now).toMillis(), -1));
-      }
-      if (speaks && lease.isHeld()) {
-        Instant at = now.plusMillis(words.nextInt(2_000));
-        underWay.add(new Word(at, 0, 0, lease.end()));
-      }
-    }
-
-    private void tellWords() {
-      List<Word> due = underWay.stream().filter(word -> !word.at().isAfter(now)).toList();
-      underWay.removeAll(due);
-      for (Word word : due) {
-        for (int node = 0; node < leases.size(); node++) {
-          if (!frozen[node]) {
-            leases.get(node).acceptEnd(word.end(), now);
-            if (word.fence() > 0) {
-              leases.get(node).acceptStopped(word.fence(), word.quietMillis(), now);
-            }
-          }
-        }
-      }
-    }
-
-    /** Checks that each fencing number has one holder, and each runner one within the handover. */
-    void checkTurns() {
-      Map<Long, Integer> holderOf = new HashMap<>();
-      Map<String, Order> lastOf = new HashMap<>();
-      for (Order order : orders) {
-        Integer holder = holderOf.putIfAbsent(order.fence(), order.node());
-        assertThat(holder == null || holder == order.node()).isTrue();
-        Order before = lastOf.put(order.runner(), order);
-        if (before != null && before.node() != order.node()) {
-          assertWithMessage("orders %s and %s", before, order)
-              .that(Duration.between(before.at(), order.at()))
-              .isAtLeast(timings.handover());
-        }
-      }
-    }
-  }
 }
--- a/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.id.NodeId;
 import java.time.Duration;
 import java.time.Instant;
@@ -17,6 +18,32 @@
 /** Heartbeats of fleets of several sizes, in virtual time. */
 final class PeerTableTest {
 
+  /** What all nodes have to write again comes over several seconds, and each has its own time. */
+  @Test
+  void nodesTakeTurnsInOrderOfHashes() {
+    Duration pause = Duration.ofMillis(50);
+    List<Duration> shares = new ArrayList<>();
+    for (int node = 0; node < 330; node++) {
+      PeerTable table =
+          PeerTable.create(
+              new NodeAddress(NodeId.of("n" + node), Incarnation.of(1), "10.0.0.1", node, 100),
+              Duration.ofMillis(900));
+      for (int peer = 0; peer < 330; peer++) {
+        table.learn(
+            new NodeAddress(NodeId.of("n" + peer), Incarnation.of(1), "10.0.0.1", peer, 100),
+            Instant.EPOCH);
+      }
+      shares.add(table.shareOf(pause));
+    }
+    for (int second = 0; second < 17; second++) {
+      int from = second;
+      long inSecond = shares.stream().filter(share -> share.toSeconds() == from).count();
+      assertThat(inSecond).isLessThan(45);
+    }
+    assertThat(shares.stream().max(Duration::compareTo).orElseThrow())
+        .isLessThan(Duration.ofSeconds(17));
+  }
+
   private static final Duration SILENCE = Duration.ofMillis(900);
   private static final Duration BEAT = Duration.ofMillis(300);
   private static final int FAST_LINKS = 8;
@@ -57,7 +84,9 @@
   }
 
   private void beat(int node) {
-    PeerStatus status = new PeerStatus(0, 0, 0, -1, true, true, false, 1, 1, 1, 0);
+    PeerStatus status =
+        new PeerStatus(
+            0, 0, 0, LogPlace.NONE, true, true, false, 1, LogPlace.of(0, 1), LogPlace.of(0, 1), 0);
     for (NodeAddress target : tables.get(node).beatTargets(false, now)) {
       sent++;
       int to = addresses.indexOf(target);
--- a/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.wisteriarail.core.id.LogPlace;
 import java.time.Instant;
 import java.util.List;
 import java.util.Set;
@@ -15,15 +16,17 @@
 
   static RunnerEntry entry(String id, boolean draining, long born) {
     return new RunnerEntry(
-        id, "s", "10.0.0.1", 80, "a", 8, draining, born, List.of(), Set.of(), Set.of());
+        id, "s", "10.0.0.1", 80, "a", 8, draining, born, 0, List.of(), Set.of(), Set.of());
   }
 
   private static DirectoryChange delta(long from, long to, RunnerEntry... entries) {
-    return new DirectoryChange(false, from, to, List.of(entries), List.of());
+    return new DirectoryChange(
+        false, LogPlace.of(0, from), LogPlace.of(0, to), List.of(entries), List.of());
   }
 
   private static DirectoryChange whole(long to, RunnerEntry... entries) {
-    return new DirectoryChange(true, 0, to, List.of(entries), List.of());
+    return new DirectoryChange(
+        true, LogPlace.of(0, 0), LogPlace.of(0, to), List.of(entries), List.of());
   }
 
   private static List<String> usable(RunnerDirectory directory) {
@@ -55,7 +58,7 @@
     RunnerDirectory directory = RunnerDirectory.create();
     directory.accept(whole(5, entry("r", false, 1)), START, START);
     assertThat(directory.accept(delta(7, 8, entry("x", false, 1)), START, START)).isEmpty();
-    assertThat(directory.offset()).isEqualTo(5);
+    assertThat(directory.offset()).isEqualTo(LogPlace.of(0, 5));
   }
 
   @Test
@@ -91,7 +94,10 @@
   void singleEntryThatVanishesIsOutAtOnce() {
     RunnerDirectory directory = RunnerDirectory.create();
     directory.accept(whole(5, entry("r", false, 1), entry("x", false, 1)), START, START);
-    directory.accept(new DirectoryChange(false, 5, 6, List.of(), List.of("r")), START, START);
+    directory.accept(
+        new DirectoryChange(false, LogPlace.of(0, 5), LogPlace.of(0, 6), List.of(), List.of("r")),
+        START,
+        START);
     assertThat(usable(directory)).containsExactly("x");
   }
 
--- a/src/test/java/dev/wisteriarail/core/forward/RunnerBoardTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/RunnerBoardTest.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.id.LogPlace;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -21,12 +22,16 @@
   private final RunnerBoard board = RunnerBoard.create(directory);
 
   private void setRunners(long offset, RunnerEntry... runners) {
-    directory.accept(new DirectoryChange(true, 0, offset, List.of(runners), List.of()), NOW, NOW);
+    directory.accept(
+        new DirectoryChange(
+            true, LogPlace.of(0, 0), LogPlace.of(0, offset), List.of(runners), List.of()),
+        NOW,
+        NOW);
   }
 
   private static RunnerEntry runner(String id) {
     return new RunnerEntry(
-        id, "engines", "10.1.0.1", 80, "a", 6, false, 1, List.of(), Set.of(), Set.of());
+        id, "engines", "10.1.0.1", 80, "a", 6, false, 1, 0, List.of(), Set.of(), Set.of());
   }
 
   @Test
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -14,6 +14,7 @@
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.route.CallerBounds;
@@ -54,7 +55,7 @@
     harness.handle(
         new GatewayEvent.StoreTold(
             new StoreRead.NewestConfiguration(),
-            new StoreAnswer.ConfigurationRead(Optional.of(configuration(1)), 1)));
+            new StoreAnswer.ConfigurationRead(Optional.of(configuration(1)), LogPlace.of(0, 1))));
     harness.directory(
         5,
         runner("p1", PLAIN, false),
@@ -130,12 +131,12 @@
     List<LoadedModel> models =
         service.equals(ENGINES) ? List.of(new LoadedModel("m0", List.of())) : List.of();
     return new RunnerEntry(
-        id, service, "10.0.1.1", 80, "a", 6, draining, 1, models, Set.of(), Set.of());
+        id, service, "10.0.1.1", 80, "a", 6, draining, 1, 0, models, Set.of(), Set.of());
   }
 
   static RunnerEntry emptyEngine(String id) {
     return new RunnerEntry(
-        id, ENGINES, "10.0.1.1", 80, "a", 6, false, 1, List.of(), Set.of(), Set.of());
+        id, ENGINES, "10.0.1.1", 80, "a", 6, false, 1, 0, List.of(), Set.of(), Set.of());
   }
 
   // Events
@@ -145,7 +146,8 @@
     handle(
         new GatewayEvent.StoreTold(
             new StoreRead.NewestConfiguration(),
-            new StoreAnswer.ConfigurationRead(Optional.of(configuration(2, timeout)), 2)));
+            new StoreAnswer.ConfigurationRead(
+                Optional.of(configuration(2, timeout)), LogPlace.of(0, 2))));
   }
 
   /** Lets the coordinator tell when it expects m0 to be ready. */
@@ -174,7 +176,8 @@
         new GatewayEvent.StoreTold(
             new StoreRead.WholeDirectory(),
             new StoreAnswer.DirectoryRead(
-                new DirectoryChange(true, 0, to, List.of(entries), List.of()))));
+                new DirectoryChange(
+                    true, LogPlace.of(0, 0), LogPlace.of(0, to), List.of(entries), List.of()))));
   }
 
   /** Lets a request arrive; returns its exchange. */
@@ -218,7 +221,9 @@
   void hearCoordinator(String name) {
     NodeAddress address =
         new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.0.2", 7000, 1000);
-    PeerStatus status = new PeerStatus(9, 9, 0, -1, true, true, false, 1, 5, 5, 0);
+    PeerStatus status =
+        new PeerStatus(
+            9, 9, 0, LogPlace.NONE, true, true, false, 1, LogPlace.of(0, 5), LogPlace.of(0, 5), 0);
     handle(
         new GatewayEvent.PeerTold(
             NodeId.of(name),
--- a/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
@@ -18,6 +18,7 @@
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.route.CallerBounds;
 import dev.wisteriarail.core.route.EngineSpec;
@@ -193,24 +194,30 @@
     StoreAnswer answer =
         switch (call) {
           case StoreRead.NewestConfiguration whole ->
-              new StoreAnswer.ConfigurationRead(Optional.of(configuration()), 1);
+              new StoreAnswer.ConfigurationRead(Optional.of(configuration()), LogPlace.of(0, 1));
           case StoreRead.NextConfiguration next ->
-              new StoreAnswer.ConfigurationRead(Optional.empty(), 1);
+              new StoreAnswer.ConfigurationRead(Optional.empty(), LogPlace.of(0, 1));
           case StoreRead.WholeDirectory whole ->
               new StoreAnswer.DirectoryRead(
                   new DirectoryChange(
-                      true, 0, 1, engines.stream().map(Engine::entry).toList(), List.of()));
+                      true,
+                      LogPlace.of(0, 0),
+                      LogPlace.of(0, 1),
+                      engines.stream().map(Engine::entry).toList(),
+                      List.of()));
           case StoreRead.DirectoryChanges changes ->
               new StoreAnswer.DirectoryRead(
-                  new DirectoryChange(false, changes.from(), 1, List.of(), List.of()));
-          case StoreRead.Nodes all -> new StoreAnswer.NodesRead(List.copyOf(registered.values()));
+                  new DirectoryChange(
+                      false, changes.from(), LogPlace.of(0, 1), List.of(), List.of()));
+          case StoreRead.Nodes all ->
+              new StoreAnswer.NodesRead(List.copyOf(registered.values()), 0);
         };
     int pause = call instanceof StoreRead.NextConfiguration ? 1_000 : 2;
     later(pause, pause + 10, member, run, new GatewayEvent.StoreTold(call, answer));
   }
 
   private LeaseAnswer lease(LeaseCall call) {
-    LeaseAnswer answer = leaseLog.call(call);
+    LeaseAnswer answer = leaseLog.call(call, time.now());
     if (answer instanceof LeaseAnswer.Appended
         && call instanceof LeaseCall.Append append
         && append.record().kind() == LeaseRecord.Kind.CLAIM) {
@@ -441,7 +448,7 @@
 
     RunnerEntry entry() {
       return new RunnerEntry(
-          id, SERVICE, "10.1.0.1", port, "a", 32, false, 1, held(), Set.of(), disk());
+          id, SERVICE, "10.1.0.1", port, "a", 32, false, 1, 0, held(), Set.of(), disk());
     }
 
     private List<LoadedModel> held() {
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoreEraTest.java
@@ -0,0 +1,143 @@
+package dev.wisteriarail.core.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.fleet.DirectoryChange;
+import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.fleet.PeerStatus;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.LogPlace;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.peer.FleetMessage;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A node whose store comes back from an older copy of itself. */
+class StoreEraTest {
+
+  private final CoreHarness node = CoreHarness.ready();
+
+  private void readConfiguration(StoreRead call, long version, LogPlace next) {
+    node.handle(
+        new GatewayEvent.StoreTold(
+            call,
+            new StoreAnswer.ConfigurationRead(
+                version == 0 ? Optional.empty() : Optional.of(CoreHarness.configuration(version)),
+                next)));
+  }
+
+  private List<StoreRead> readsDuring(Duration time) {
+    node.take(GatewayEffect.class);
+    node.pass(time);
+    return node.take(GatewayEffect.ReadStore.class).stream()
+        .map(GatewayEffect.ReadStore::call)
+        .toList();
+  }
+
+  private static StoreRead.NextConfiguration next(long era, long offset) {
+    return new StoreRead.NextConfiguration(LogPlace.of(era, offset), Duration.ofSeconds(1));
+  }
+
+  /** The read waited across the change; the records before its end were never read. */
+  @Test
+  void configurationIsReadAnewThoughTheLogPassedItsOldEnd() {
+    readConfiguration(next(0, 1), 0, LogPlace.of(1, 4));
+    assertThat(readsDuring(Duration.ofSeconds(2)))
+        .containsAtLeast(new StoreRead.NewestConfiguration(), new StoreRead.WholeDirectory());
+  }
+
+  @Test
+  void versionNeverGoesBackToThatOfTheCopy() {
+    readConfiguration(next(0, 1), 9, LogPlace.of(0, 2));
+    readConfiguration(new StoreRead.NewestConfiguration(), 4, LogPlace.of(1, 1));
+    node.take(GatewayEffect.class);
+    readConfiguration(next(1, 1), 9, LogPlace.of(1, 2));
+    assertThat(node.take(GatewayEffect.ApplyBounds.class)).isEmpty();
+    readConfiguration(next(1, 2), 10, LogPlace.of(1, 3));
+    assertThat(node.take(GatewayEffect.ApplyBounds.class)).hasSize(1);
+  }
+
+  /** An answer that was long under way tells nothing of the store as it is now. */
+  @Test
+  void answerOfAnEarlierEraIsPassedOver() {
+    readConfiguration(next(0, 1), 0, LogPlace.of(1, 1));
+    node.take(GatewayEffect.class);
+    node.handle(
+        new GatewayEvent.StoreTold(
+            new StoreRead.DirectoryChanges(LogPlace.of(0, 5)),
+            new StoreAnswer.DirectoryRead(
+                new DirectoryChange(
+                    false,
+                    LogPlace.of(0, 5),
+                    LogPlace.of(0, 6),
+                    List.of(CoreHarness.runner("e1", CoreHarness.ENGINES, true)),
+                    List.of()))));
+    boolean drained =
+        node.take(GatewayEffect.Emit.class).stream()
+            .anyMatch(emit -> emit.event().code() == EventCode.RUNNER_DRAINING);
+    assertThat(drained).isFalse();
+  }
+
+  /** The node itself does not reach the store and hears of the era from a peer. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void eraIsHeardFromPeers(boolean ofHolder) {
+    LogPlace place = LogPlace.of(2, 7);
+    PeerStatus status =
+        new PeerStatus(
+            0,
+            0,
+            0,
+            ofHolder ? place : LogPlace.NONE,
+            true,
+            true,
+            false,
+            1,
+            ofHolder ? LogPlace.of(0, 5) : place,
+            LogPlace.of(0, 5),
+            0);
+    NodeAddress address =
+        new NodeAddress(NodeId.of("n2"), Incarnation.of(1), "10.0.0.2", 7000, 1000);
+    node.take(GatewayEffect.class);
+    node.handle(
+        new GatewayEvent.PeerTold(
+            NodeId.of("n2"),
+            Incarnation.of(1),
+            new FleetMessage.Beat(address, List.of(), status, List.of())));
+    long changes =
+        node.take(GatewayEffect.Emit.class).stream()
+            .filter(emit -> emit.event().code() == EventCode.STORE_ERA_CHANGED)
+            .count();
+    assertThat(changes).isEqualTo(1);
+  }
+
+  @Test
+  void nodeWritesItsAddressAgain() {
+    node.handle(new GatewayEvent.RegistrationTold(true));
+    node.take(GatewayEffect.class);
+    node.pass(Duration.ofSeconds(2));
+    assertThat(node.take(GatewayEffect.RegisterNode.class)).isEmpty();
+    readConfiguration(next(0, 1), 0, LogPlace.of(1, 1));
+    node.pass(Duration.ofSeconds(2));
+    assertThat(node.take(GatewayEffect.RegisterNode.class)).hasSize(1);
+  }
+
+  @Test
+  void firstEraThatIsHeardIsNoChange() {
+    CoreHarness started = CoreHarness.unready();
+    started.handle(
+        new GatewayEvent.StoreTold(
+            new StoreRead.NewestConfiguration(),
+            new StoreAnswer.ConfigurationRead(
+                Optional.of(CoreHarness.configuration(1)), LogPlace.of(3, 1))));
+    boolean told =
+        started.take(GatewayEffect.Emit.class).stream()
+            .anyMatch(emit -> emit.event().code() == EventCode.STORE_ERA_CHANGED);
+    assertThat(told).isFalse();
+  }
+}
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -1,7 +1,9 @@
 package dev.wisteriarail.fuzz;
 
 import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.event.NodeEvent;
 import dev.wisteriarail.core.fleet.FleetOrder;
+import dev.wisteriarail.core.fleet.LeaseAnswer;
 import dev.wisteriarail.core.fleet.LoadSource;
 import dev.wisteriarail.core.fleet.NumberedOrder;
 import dev.wisteriarail.core.forward.RetryLimits;
@@ -9,6 +11,7 @@
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.core.gateway.GatewaySettings;
 import dev.wisteriarail.core.gateway.StoreAnswer;
+import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.fuzz.gateway.GatewayDefect;
@@ -86,6 +89,45 @@
               : effect);
     }
   },
+  IGNORES_ERAS {
+    @Override
+    public List<GatewayEvent> alter(GatewayEvent event) {
+      return List.of(
+          event instanceof GatewayEvent.LeaseTold told
+              ? new GatewayEvent.LeaseTold(withoutEra(told.answer()))
+              : event);
+    }
+
+    private static LeaseAnswer withoutEra(LeaseAnswer answer) {
+      return switch (answer) {
+        case LeaseAnswer.Records records ->
+            new LeaseAnswer.Records(
+                withoutEra(records.end()), records.first(), records.from(), records.records());
+        case LeaseAnswer.Appended appended ->
+            new LeaseAnswer.Appended(withoutEra(appended.place()));
+        case LeaseAnswer.Overtaken overtaken ->
+            new LeaseAnswer.Overtaken(withoutEra(overtaken.end()));
+        case LeaseAnswer.Failed failed -> failed;
+      };
+    }
+
+    private static LogPlace withoutEra(LogPlace place) {
+      return LogPlace.of(0, place.offset());
+    }
+  },
+  TELLS_VERSIONS_BACKWARDS {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      if (effect instanceof GatewayEffect.Emit emit
+          && emit.event().code() == EventCode.CONFIGURATION_APPLIED) {
+        long version = Long.parseLong(emit.event().fields().get("version"));
+        return List.of(
+            new GatewayEffect.Emit(
+                NodeEvent.of(EventCode.CONFIGURATION_APPLIED, "version", -version)));
+      }
+      return List.of(effect);
+    }
+  },
   ORDERS_BEYOND_MEMORY {
     @Override
     public List<GatewayEffect> alter(GatewayEffect effect) {
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
@@ -62,6 +62,8 @@
     "final-answer, ENDS_AT_ONCE, true",
     "denied, DENIES_ROUTES, true",
     "one-holder, SHARES_A_FENCE, false",
+    "recovery, IGNORES_ERAS, true",
+    "rollback, TELLS_VERSIONS_BACKWARDS, true",
     "memory, ORDERS_BEYOND_MEMORY, false",
     "retry-budget, SPENDS_ANY_BUDGET, true",
     "drain, MISSES_CHANGES, false",
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/platform/StoreEraPathTest.java
@@ -0,0 +1,95 @@
+package dev.wisteriarail.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.fleet.LeaseAnswer;
+import dev.wisteriarail.core.fleet.LeaseCall;
+import dev.wisteriarail.core.fleet.LeaseRecord;
+import dev.wisteriarail.core.gateway.StoreAnswer;
+import dev.wisteriarail.core.gateway.StoreRead;
+import dev.wisteriarail.core.id.LogPlace;
+import dev.wisteriarail.gateway.GatewayHttp;
+import dev.wisteriarail.settings.Endpoint;
+import dev.wisteriarail.standin.MetadataStoreStandin;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Places of both sides of a store's return from an older copy, over HTTP. */
+class StoreEraPathTest {
+
+  private static final Duration MOST_TIME = Duration.ofSeconds(10);
+  private static final Duration NOTHING_KEPT = Duration.ofHours(1);
+
+  private MetadataStoreStandin store;
+  private final QueuedThreadPool threads = new QueuedThreadPool();
+  private final Scheduler scheduler = new ScheduledExecutorScheduler();
+  private HttpClient http;
+  private PlatformCalls calls;
+
+  @BeforeEach
+  void start() throws Exception {
+    store = MetadataStoreStandin.start(new Endpoint("127.0.0.1", 0));
+    threads.start();
+    scheduler.start();
+    http = GatewayHttp.start(threads, scheduler, MOST_TIME.toMillis(), true);
+    calls = PlatformCalls.create(http, store.address());
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    http.stop();
+    scheduler.stop();
+    threads.stop();
+    store.close();
+  }
+
+  private static <T> T answer(Consumer<Consumer<T>> call) throws Exception {
+    CompletableFuture<T> told = new CompletableFuture<>();
+    call.accept(told::complete);
+    return told.get(MOST_TIME.toSeconds(), TimeUnit.SECONDS);
+  }
+
+  private LeaseAnswer claim(long at) throws Exception {
+    LeaseRecord record = LeaseRecord.claim("n1", 1, 0);
+    return answer(told -> calls.lease(new LeaseCall.Append(at, record), told));
+  }
+
+  @Test
+  void placesCarryTheErasOfTheirAnswers() throws Exception {
+    assertThat(claim(0)).isEqualTo(new LeaseAnswer.Appended(LogPlace.of(0, 0)));
+    store.restore(NOTHING_KEPT);
+    assertThat(claim(1)).isEqualTo(new LeaseAnswer.Overtaken(LogPlace.of(1, 0)));
+    assertThat(claim(0)).isEqualTo(new LeaseAnswer.Appended(LogPlace.of(1, 0)));
+  }
+
+  @Test
+  void readFromPlaceThatIsNoMoreTellsTheEra() throws Exception {
+    store.put("keyed.servers", "r1", "{}");
+    store.put("keyed.servers", "r2", "{}");
+    store.restore(NOTHING_KEPT);
+    StoreRead read = new StoreRead.DirectoryChanges(LogPlace.of(0, 2));
+    StoreAnswer answer = answer(told -> calls.read(read, told));
+    assertThat(answer).isEqualTo(new StoreAnswer.RecordsDropped(1));
+  }
+
+  @Test
+  void readThatWaitedAcrossTheChangeTellsTheEra() throws Exception {
+    StoreRead read = new StoreRead.NextConfiguration(LogPlace.of(0, 0), Duration.ofSeconds(8));
+    CompletableFuture<StoreAnswer> told = new CompletableFuture<>();
+    calls.read(read, told::complete);
+    while (store.calls() == 0) {
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+    store.restore(NOTHING_KEPT);
+    assertThat(told.get(MOST_TIME.toSeconds(), TimeUnit.SECONDS).era()).isEqualTo(1);
+  }
+}
