Messages between nodes go by the smallest VM's processor

The logs show all nodes at 0.0715 to 0.0872 of 0.12 of a core with 1.8 requests a second each: heartbeats of all to all and what they carry fill the processors. Version 7 left its reader at 4.41 s and came to the nodes in the order of their names from 7.65 to 8.79 s, one every 30 to 150 ms: the sender's processor, not the link or a cut. Change: FleetPace: twenty peers at full pace hold for three quarters of a core, fewer for smaller VMs; settings name the processor, addresses carry it. Unchanged where VMs have 0.75 of a core; fleets beyond 20 nodes were at the slowest already.

--- a/src/main/java/dev/wisteriarail/core/fleet/NodeAddress.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/NodeAddress.java
@@ -12,9 +12,10 @@
  * @param host its IP number
  * @param port its port for peers
  * @param linkMbps bandwidth of its VM's link in Mbit/s; 0 if unknown
+ * @param milliCores what its VM's processor gives it, in thousandths of a core; 0 if unknown
  */
 public record NodeAddress(
-    NodeId node, Incarnation incarnation, String host, int port, int linkMbps) {
+    NodeId node, Incarnation incarnation, String host, int port, int linkMbps, int milliCores) {
 
   /** The order in which nodes are asked to serve others: the fastest link first, then by name. */
   public static final Comparator<NodeAddress> BY_RANK =
@@ -39,6 +40,7 @@
         Incarnation.NONE,
         seed.substring(0, colon),
         Integer.parseInt(seed.substring(colon + 1)),
+        0,
         0);
   }
 
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -22,25 +22,18 @@
   /** Heartbeats go on to a silent peer for this long, in case only the way back is cut. */
   private static final Duration FORGET_AFTER = Duration.ofMinutes(1);
 
-  /**
-   * Peers up to which each node sends heartbeats to all others, at full pace. Among 64 nodes that
-   * took 140 messages a second and node; beyond, only hubs do so, and more slowly.
-   */
-  private static final int PEERS_AT_FULL_PACE = 20;
-
   /** Hubs of a large fleet: the next coordinator, and spares in case several are lost at once. */
   private static final int HUBS = 4;
 
-  /** Heartbeats slow down to this part of their pace at most. */
-  private static final int SLOWEST = 3;
-
   private final NodeAddress self;
   private final Duration silence;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
+  private FleetPace pace;
 
   private PeerTable(NodeAddress self, Duration silence) {
     this.self = self;
     this.silence = silence;
+    pace = FleetPace.of(self, List.of());
   }
 
   /**
@@ -63,11 +56,17 @@
     Peer known = peers.get(address.node());
     if (known == null) {
       peers.put(address.node(), Peer.learnt(address, now));
+      updatePace();
     } else if (address.incarnation().compareTo(known.address().incarnation()) > 0) {
       peers.put(address.node(), known.withAddress(address));
+      updatePace();
     }
   }
 
+  private void updatePace() {
+    pace = FleetPace.of(self, addresses());
+  }
+
   private boolean isSelf(NodeAddress address) {
     return address.host().equals(self.host()) && address.port() == self.port();
   }
@@ -89,6 +88,9 @@
     peers.values().removeIf(peer -> isReplaced(peer, from));
     Instant expectedSince = known == null ? Instant.MAX : known.expectedSince();
     peers.put(from.node(), new Peer(from, status, now, now, expectedSince));
+    if (returned) {
+      updatePace();
+    }
     return returned;
   }
 
@@ -115,9 +117,13 @@
 
   /** Forgets peers that were silent for long. */
   public void advance(Instant now) {
-    peers
-        .values()
-        .removeIf(peer -> now.isAfter(later(peer.heardAt(), peer.learntAt()).plus(FORGET_AFTER)));
+    if (peers.values().removeIf(peer -> now.isAfter(lastTold(peer).plus(FORGET_AFTER)))) {
+      updatePace();
+    }
+  }
+
+  private static Instant lastTold(Peer peer) {
+    return later(peer.heardAt(), peer.learntAt());
   }
 
   private static Instant later(Instant a, Instant b) {
@@ -186,7 +192,7 @@
       return false;
     }
     Instant since = later(peer.expectedSince(), peer.heardAt());
-    return Duration.between(since, now).toMillis() >= silence.toMillis() * SLOWEST;
+    return Duration.between(since, now).toMillis() >= silence.toMillis() * FleetPace.SLOWEST;
   }
 
   // Accessors
@@ -235,12 +241,12 @@
 
   /** Returns whether there are so many nodes that messages are spared. */
   public boolean isLarge() {
-    return peers.size() > PEERS_AT_FULL_PACE;
+    return pace.isLarge();
   }
 
   /** Returns by how much heartbeats are slowed down, so that they stay cheap in a large fleet. */
   public double pace() {
-    return Math.clamp((double) peers.size() / PEERS_AT_FULL_PACE, 1, SLOWEST);
+    return pace.slowness();
   }
 
   /** A coordinator is heard all the time, whatever the pace of heartbeats is. */
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
@@ -75,7 +75,7 @@
 
   private NodeAddress address() {
     return new NodeAddress(
-        NodeId.of("n" + number), Incarnation.of(run), "10.0.0." + number, 7000, 1_000);
+        NodeId.of("n" + number), Incarnation.of(run), "10.0.0." + number, 7000, 1_000, 0);
   }
 
   void stop() {
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -16,6 +16,7 @@
  * docs/SETTINGS.md describes each key.
  *
  * @param node the node's name
+ * @param milliCores what its VM's processor gives it, in thousandths of a core; 0 if not set
  * @param linkMbps bandwidth of its VM's link in Mbit/s; nodes with faster links coordinate first
  * @param failureDomain where it stands
  * @param callers where it listens for callers
@@ -32,6 +33,7 @@
 public record GatewayFile(
     NodeId node,
     int linkMbps,
+    int milliCores,
     FailureDomain failureDomain,
     Endpoint callers,
     Endpoint balancer,
@@ -76,6 +78,7 @@
         new GatewayFile(
             NodeId.of(toml.text("node.id")),
             (int) toml.number("node.link_mbps", 0, 1_000_000, 1_000),
+            milliCores(toml),
             FailureDomain.of(toml.text("node.failure_domain")),
             endpoint(toml, "gateway.callers"),
             endpoint(toml, "gateway.balancer"),
@@ -97,6 +100,12 @@
     return file;
   }
 
+  private static int milliCores(TomlDocument toml) {
+    double share = toml.number("node.processor_share", 0, 1_000, 0);
+    double speed = toml.number("node.processor_cores", 0, 1_000, 1);
+    return (int) Math.round(share * speed * 1_000);
+  }
+
   /** Returns the keys of settings that differ from those of another file and may change at once. */
   public List<String> changedAtOnce(GatewayFile other) {
     List<String> keys = new ArrayList<>();
@@ -115,6 +124,7 @@
         "node",
         !node.equals(other.node)
             || linkMbps != other.linkMbps
+            || milliCores != other.milliCores
             || !failureDomain.equals(other.failureDomain));
     boolean sameAddresses =
         callers.equals(other.callers)
--- a/src/test/java/dev/wisteriarail/core/fleet/CoordinationTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/CoordinationTest.java
@@ -19,7 +19,7 @@
   private static final NodeAddress SELF = address("n2", STARTED);
 
   private static NodeAddress address(String name, long incarnation) {
-    return new NodeAddress(NodeId.of(name), Incarnation.of(incarnation), name, 7000, 1000);
+    return new NodeAddress(NodeId.of(name), Incarnation.of(incarnation), name, 7000, 1000, 0);
   }
 
   private static PeerStatus status(long fence, boolean settled, boolean draining) {
--- a/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
@@ -26,11 +26,11 @@
     for (int node = 0; node < 330; node++) {
       PeerTable table =
           PeerTable.create(
-              new NodeAddress(NodeId.of("n" + node), Incarnation.of(1), "10.0.0.1", node, 100),
+              new NodeAddress(NodeId.of("n" + node), Incarnation.of(1), "10.0.0.1", node, 100, 0),
               Duration.ofMillis(900));
       for (int peer = 0; peer < 330; peer++) {
         table.learn(
-            new NodeAddress(NodeId.of("n" + peer), Incarnation.of(1), "10.0.0.1", peer, 100),
+            new NodeAddress(NodeId.of("n" + peer), Incarnation.of(1), "10.0.0.1", peer, 100, 0),
             Instant.EPOCH);
       }
       shares.add(table.shareOf(pause));
@@ -55,6 +55,10 @@
   private int sent;
 
   private void start(int nodes) {
+    start(nodes, 750);
+  }
+
+  private void start(int nodes, int milliCores) {
     for (int i = 0; i < nodes; i++) {
       addresses.add(
           new NodeAddress(
@@ -62,7 +66,8 @@
               Incarnation.of(1),
               "10.0.0." + i,
               7000,
-              i < FAST_LINKS ? 200 : 10));
+              i < FAST_LINKS ? 200 : 10,
+              milliCores));
     }
     for (NodeAddress address : addresses) {
       PeerTable table = PeerTable.create(address, SILENCE);
@@ -137,6 +142,29 @@
     assertThat(sent).isAtMost(10 * nodes);
   }
 
+  /**
+   * Among 18 VMs with an eighth of a core, heartbeats of all to all took half of each processor.
+   */
+  @Test
+  void smallVmsSpareHeartbeatsAsLargeFleetsDo() {
+    start(18, 120);
+    rounds(5);
+    assertThat(sent).isAtMost(8 * 18);
+    assertAllHearHubs(4);
+  }
+
+  /** One small VM among large ones has to take what all others send. */
+  @Test
+  void theSmallestVmSetsThePaceOfAll() {
+    start(18, 750);
+    NodeAddress small =
+        new NodeAddress(NodeId.of("small"), Incarnation.of(1), "10.0.0.99", 7000, 10, 120);
+    assertThat(tables.getFirst().isLarge()).isFalse();
+    tables.getFirst().learn(small, now);
+    assertThat(tables.getFirst().isLarge()).isTrue();
+    assertThat(tables.getFirst().pace()).isGreaterThan(2.0);
+  }
+
   @Test
   void theFastestLinksHearAllOthers() {
     start(64);
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -67,7 +67,7 @@
 
   static GatewaySettings settings(Duration grace) {
     return new GatewaySettings(
-        new NodeAddress(NodeId.of("n1"), Incarnation.of(1), "10.0.0.1", 7000, 1000),
+        new NodeAddress(NodeId.of("n1"), Incarnation.of(1), "10.0.0.1", 7000, 1000, 0),
         "a",
         List.of(),
         FleetTimings.DEFAULT,
@@ -220,7 +220,7 @@
   /** Lets a heartbeat of a node that holds the lease on orders arrive. */
   void hearCoordinator(String name) {
     NodeAddress address =
-        new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.0.2", 7000, 1000);
+        new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
     PeerStatus status =
         new PeerStatus(
             9, 9, 0, LogPlace.NONE, true, true, false, 1, LogPlace.of(0, 5), LogPlace.of(0, 5), 0);
@@ -239,7 +239,7 @@
   /** Lets a heartbeat of a peer arrive that names runners which said that they leave. */
   void hearLeaving(String peer, RunnerRun... leaving) {
     NodeAddress address =
-        new NodeAddress(NodeId.of(peer), Incarnation.of(1), "10.0.0.2", 7000, 1000);
+        new NodeAddress(NodeId.of(peer), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
     handle(
         new GatewayEvent.PeerTold(
             NodeId.of(peer),
--- a/src/test/java/dev/wisteriarail/core/gateway/StoreEraTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoreEraTest.java
@@ -102,7 +102,7 @@
             LogPlace.of(0, 5),
             0);
     NodeAddress address =
-        new NodeAddress(NodeId.of("n2"), Incarnation.of(1), "10.0.0.2", 7000, 1000);
+        new NodeAddress(NodeId.of("n2"), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
     node.take(GatewayEffect.class);
     node.handle(
         new GatewayEvent.PeerTold(
--- a/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
@@ -31,7 +31,7 @@
   private static final long SEND_PAUSE_MILLIS = 10;
 
   private static FleetMessage.Beat beat() {
-    NodeAddress address = new NodeAddress(SELF, Incarnation.of(1), "127.0.0.1", 1, 1_000);
+    NodeAddress address = new NodeAddress(SELF, Incarnation.of(1), "127.0.0.1", 1, 1_000, 0);
     return new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN, List.of());
   }
 
--- a/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
+++ b/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
@@ -20,6 +20,8 @@
       failure_domain = "a"
       drain_limit_s = 8
       link_mbps = 200.0
+      processor_share = 0.75
+      processor_cores = 2
       [gateway]
       callers = "10.0.0.1:8149"
       balancer = "10.0.0.1:8141"
@@ -41,11 +43,18 @@
     assertThat(parse(other).announced()).isEqualTo(new Endpoint("10.0.0.2", 1));
   }
 
+  @Test
+  void processorIsItsShareTimesItsSpeed() throws Exception {
+    assertThat(parse(TOML).milliCores()).isEqualTo(1_500);
+    assertThat(parse(TOML.replace("processor_share = 0.75", "")).milliCores()).isEqualTo(0);
+  }
+
   @ParameterizedTest
   @CsvSource({
     "ratio = 0.2, ratio = 0.3, retries.ratio, ''",
     "drain_limit_s = 8, drain_limit_s = 9, node.drain_limit_s, ''",
     "link_mbps = 200.0, link_mbps = 10.0, '', node",
+    "processor_cores = 2, processor_cores = 1, '', node",
     "10.0.0.9:80, 10.0.0.9:81, '', store",
     "10.0.0.1:8149, 10.0.0.1:8150, '', gateway",
   })
