Long messages between nodes are compressed, configurations go first

Cause: a configuration of 191 models is 29.6 KB as MessagePack and goes to every node (95.9 KB for 621 models); a directory of 43 runners 15.2 KB, all views 7.1 KB (measured with generated names of the platform's form, beside the code). PeerFrame.VERSION is 2, as places and forms changed: nodes of the version before don't hear these. Ruled out: deltas of configurations (the operator writes whole ones; a tenth of the bytes needs no second form).

--- a/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
@@ -86,7 +86,13 @@
    *
    * @param configuration the configuration
    */
-  record ConfigurationTold(GatewayConfiguration configuration) implements FleetMessage {}
+  record ConfigurationTold(GatewayConfiguration configuration) implements FleetMessage {
+
+    @Override
+    public boolean urgent() {
+      return true;
+    }
+  }
 
   /**
    * Passes on a change of the directory of runners.
--- a/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/PeerMessage.java
@@ -28,6 +28,11 @@
     return false;
   }
 
+  /** Returns whether the message goes before others that wait for the same peer. */
+  default boolean urgent() {
+    return false;
+  }
+
   /**
    * Shows that the sender lives, and what it knows.
    *
--- a/src/main/java/dev/wisteriarail/peer/FrameCodec.java
+++ b/src/main/java/dev/wisteriarail/peer/FrameCodec.java
@@ -3,13 +3,23 @@
 import dev.wisteriarail.codec.Codecs;
 import dev.wisteriarail.core.result.PeerException;
 import dev.wisteriarail.core.result.ResultCode;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import java.util.zip.Deflater;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.Inflater;
+import java.util.zip.InflaterInputStream;
 
 /**
- * Reads and writes frames: a length of four bytes, big endian, then that many bytes of MessagePack.
+ * Reads and writes frames: a length of four bytes, big endian, then that many bytes. The first one
+ * names the form of the others: MessagePack, or the same compressed (RFC 1951).
+ *
+ * <p>Long messages repeat names of fields, models and runners: a configuration of 191 models takes
+ * a tenth of its length compressed. They go to every node, and zones charge for their bytes.
  *
  * <p>Stateless and thread-safe.
  */
@@ -18,11 +28,31 @@
   /** The longest frame accepted, in bytes. */
   static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
+  /** Length from which content is compressed, in bytes; a shorter one gains little. */
+  private static final int COMPRESSED_FROM_BYTES = 600;
+
+  private static final byte PLAIN = 0;
+  private static final byte COMPRESSED = 1;
+
   private FrameCodec() {}
 
   /** Encodes the content of a frame. */
   static byte[] encode(PeerFrame frame) throws IOException {
-    return Codecs.messagePack().writeValueAsBytes(frame);
+    byte[] content = Codecs.messagePack().writeValueAsBytes(frame);
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(content.length + 1);
+    if (content.length < COMPRESSED_FROM_BYTES) {
+      bytes.write(PLAIN);
+      bytes.write(content);
+      return bytes.toByteArray();
+    }
+    bytes.write(COMPRESSED);
+    Deflater deflater = new Deflater(Deflater.BEST_SPEED, true);
+    try (DeflaterOutputStream out = new DeflaterOutputStream(bytes, deflater)) {
+      out.write(content);
+    } finally {
+      deflater.end();
+    }
+    return bytes.toByteArray();
   }
 
   static void write(DataOutputStream out, byte[] bytes) throws IOException {
@@ -49,9 +79,32 @@
     return frame;
   }
 
+  /** Returns the content of a frame; one that would grow beyond the bound of frames is an error. */
+  private static byte[] content(byte[] bytes) throws IOException {
+    ByteArrayInputStream rest = new ByteArrayInputStream(bytes, 1, bytes.length - 1);
+    switch (bytes[0]) {
+      case PLAIN -> {
+        return rest.readAllBytes();
+      }
+      case COMPRESSED -> {
+        Inflater inflater = new Inflater(true);
+        try (InflaterInputStream in = new InflaterInputStream(rest, inflater)) {
+          byte[] content = in.readNBytes(MAX_FRAME_BYTES + 1);
+          if (content.length > MAX_FRAME_BYTES) {
+            throw new IOException("the content is longer than " + MAX_FRAME_BYTES + " bytes");
+          }
+          return content;
+        } finally {
+          inflater.end();
+        }
+      }
+      default -> throw new IOException("form " + bytes[0] + " is unknown");
+    }
+  }
+
   private static PeerFrame decode(byte[] bytes) throws PeerException {
     try {
-      return Codecs.messagePack().readValue(bytes, PeerFrame.class);
+      return Codecs.messagePack().readValue(content(bytes), PeerFrame.class);
     } catch (IOException malformed) {
       throw new PeerException(
           ResultCode.PEER_FRAME_INVALID, "frame", "content is malformed", malformed);
--- a/src/main/java/dev/wisteriarail/peer/PeerFrame.java
+++ b/src/main/java/dev/wisteriarail/peer/PeerFrame.java
@@ -15,5 +15,5 @@
 public record PeerFrame(int version, NodeId from, Incarnation incarnation, PeerMessage message) {
 
   /** The version that this program writes and reads. */
-  public static final int VERSION = 1;
+  public static final int VERSION = 2;
 }
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -19,9 +19,9 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.BlockingDeque;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingDeque;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -85,7 +85,7 @@
             (node, known) -> known != null && known.leadsTo(peer) ? known : replace(known, peer));
     try {
       if (!message.isRepeated() || link.takesRepeated()) {
-        link.offer(encode(message));
+        link.offer(encode(message), message.urgent());
       }
     } catch (IOException failure) {
       log.write(
@@ -142,7 +142,7 @@
     private final VmEntry peer;
     private final Optional<PeerTls> tls;
     private final EventLog log;
-    private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(QUEUE_LIMIT);
+    private final BlockingDeque<byte[]> queue = new LinkedBlockingDeque<>(QUEUE_LIMIT);
     private final Thread thread;
 
     /** Frames of the present connection that the peer did not acknowledge; 0 once it ended. */
@@ -171,8 +171,13 @@
       return queue.size() + unacknowledged.get() < REPEATED_LIMIT;
     }
 
-    void offer(byte[] frame) {
-      if (!queue.offer(frame)) {
+    void offer(byte[] frame, boolean urgent) {
+      if (urgent) {
+        if (!queue.offerFirst(frame)) {
+          queue.pollLast();
+          queue.offerFirst(frame);
+        }
+      } else if (!queue.offer(frame)) {
         queue.poll();
         queue.offer(frame);
       }
