--- a/src/main/java/dev/wisteriarail/soak/Disturbance.java
+++ b/src/main/java/dev/wisteriarail/soak/Disturbance.java
@@ -64,6 +64,10 @@
   /** The store forgets its history. */
   record StoreCompacted() implements Disturbance {}
 
+  /** The store is away for a moment and comes back from a copy; operators write again later. */
+  record StoreRestored(long awayMillis, long copyMillis, long rewriteMillis)
+      implements Disturbance {}
+
   /** A runner ends and comes back empty under its identifier. */
   record RunnerCrashed(int runner, long downMillis) implements Disturbance {}
 
--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -173,6 +173,14 @@
         fleet.platform().store().server().setFaults(Faults.NONE);
       }
       case Disturbance.StoreCompacted compacted -> fleet.platform().forgetHistory();
+      case Disturbance.StoreRestored restored -> {
+        fleet.platform().store().server().setFaults(Faults.NONE.withDown(true));
+        Thread.sleep(restored.awayMillis());
+        fleet.platform().store().restore(Duration.ofMillis(restored.copyMillis()));
+        fleet.platform().store().server().setFaults(Faults.NONE);
+        Thread.sleep(restored.rewriteMillis());
+        fleet.platform().publishAgain();
+      }
       case Disturbance.RunnerCrashed crashed -> crash(crashed);
       case Disturbance.RunnerLeaves leaves -> {
         sayLeaving(leaves.runner());
--- a/src/main/java/dev/wisteriarail/soak/SoakPlan.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakPlan.java
@@ -51,6 +51,12 @@
   /** Mean pause between two runners that say something of themselves, in milliseconds. */
   private static final int WORD_PAUSE_MILLIS = 3_000;
 
+  /** Mean pause between two returns of the store from a copy. */
+  private static final int COPY_PAUSE_MILLIS = 3_000;
+
+  /** Parts the draws of these from those of the other steps. */
+  private static final long COPY_SEED = 1L << 40;
+
   /** Longest time for which one disturbance lasts. */
   private static final int LONGEST_MILLIS = 3_000;
 
@@ -114,6 +120,7 @@
     }
     if (work == Work.FAULTS) {
       steps.addAll(runnersWords(new SplittableRandom(~seed), length, runners));
+      steps.addAll(returnsFromCopies(new SplittableRandom(seed + COPY_SEED), length));
     }
     steps.sort(Comparator.comparing(Step::at));
     return new SoakPlan(work, stopLimit, steps);
@@ -136,6 +143,22 @@
     return steps;
   }
 
+  /** Drawn beside the other steps, for the same reason; two may follow within five seconds. */
+  private static List<Step> returnsFromCopies(SplittableRandom random, Duration length) {
+    List<Step> steps = new ArrayList<>();
+    long at = random.nextInt(COPY_PAUSE_MILLIS);
+    while (at < length.toMillis()) {
+      Disturbance what =
+          new Disturbance.StoreRestored(
+              random.nextLong(LONGEST_MILLIS / 4),
+              random.nextLong(200, 2 * LONGEST_MILLIS),
+              random.nextLong(100, LONGEST_MILLIS / 2));
+      steps.add(new Step(Duration.ofMillis(at), what));
+      at += random.nextInt(1_000, 2 * COPY_PAUSE_MILLIS);
+    }
+    return steps;
+  }
+
   private static Work drawWork(SplittableRandom random) {
     if (random.nextInt(PLANNED_ONE_IN) == 0) {
       return Work.PLANNED;
--- a/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
@@ -52,6 +52,7 @@
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private long beat;
   private long version;
+  private String published = "";
 
   private PlatformStandin(MetadataStoreStandin store) {
     this.store = store;
@@ -157,10 +158,16 @@
     limits.putAll(otherLimits);
     configuration.put("limits", limits);
     try {
-      store.put(OPERATOR_TOPIC, "config", Codecs.json().writeValueAsString(configuration));
+      published = Codecs.json().writeValueAsString(configuration);
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
     }
+    publishAgain();
+  }
+
+  /** Writes the newest configuration again, as the store may have lost it. */
+  public synchronized void publishAgain() {
+    store.put(OPERATOR_TOPIC, "config", published);
   }
 
   private static Map<String, Object> route(
