--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -19,9 +19,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.BlockingDeque;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.LinkedBlockingDeque;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -153,7 +151,7 @@
     private final VmEntry peer;
     private final Optional<PeerTls> tls;
     private final EventLog log;
-    private final BlockingDeque<byte[]> queue = new LinkedBlockingDeque<>(QUEUE_LIMIT);
+    private final FrameQueue queue = FrameQueue.create(QUEUE_LIMIT);
     private final Thread thread;
 
     /** Frames of the present connection that the peer did not acknowledge; 0 once it ended. */
@@ -183,15 +181,7 @@
     }
 
     void offer(byte[] frame, boolean urgent) {
-      if (urgent) {
-        if (!queue.offerFirst(frame)) {
-          queue.pollLast();
-          queue.offerFirst(frame);
-        }
-      } else if (!queue.offer(frame)) {
-        queue.poll();
-        queue.offer(frame);
-      }
+      queue.offer(frame, urgent);
     }
 
     void stop() {
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/peer/FrameQueueTest.java
@@ -0,0 +1,57 @@
+package dev.wisteriarail.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.wisteriarail.core.peer.FleetMessage;
+import dev.wisteriarail.core.route.CallerBounds;
+import dev.wisteriarail.core.route.GatewayConfiguration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Frames that wait for a peer which reads slowly. */
+final class FrameQueueTest {
+
+  private static final int LIMIT = 4;
+
+  private final FrameQueue queue = FrameQueue.create(LIMIT);
+
+  private void offer(int frame, boolean urgent) {
+    queue.offer(new byte[] {(byte) frame}, urgent);
+  }
+
+  private List<Integer> takeAll() throws InterruptedException {
+    List<Integer> frames = new ArrayList<>();
+    while (!queue.isEmpty()) {
+      frames.add((int) queue.take()[0]);
+    }
+    return frames;
+  }
+
+  @Test
+  void urgentFrameGoesBeforeWhatWaits() throws Exception {
+    offer(1, false);
+    offer(2, false);
+    offer(9, true);
+    assertThat(takeAll()).containsExactly(9, 1, 2).inOrder();
+  }
+
+  @Test
+  void fullQueueKeepsTheNewestAndWhatIsUrgent() throws Exception {
+    for (int frame = 1; frame <= 6; frame++) {
+      offer(frame, false);
+    }
+    offer(9, true);
+    assertThat(queue.size()).isEqualTo(LIMIT);
+    assertThat(takeAll()).containsExactly(9, 3, 4, 5).inOrder();
+  }
+
+  @Test
+  void configurationsAreUrgent() {
+    GatewayConfiguration configuration =
+        new GatewayConfiguration(7, List.of(), Map.of(), CallerBounds.DEFAULT);
+    assertThat(new FleetMessage.ConfigurationTold(configuration).urgent()).isTrue();
+    assertThat(new FleetMessage.CrashTold(1).urgent()).isFalse();
+  }
+}
--- a/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
@@ -2,18 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import dev.wisteriarail.core.fleet.DirectoryChange;
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.PeerStatus;
 import dev.wisteriarail.core.id.FailureDomain;
 import dev.wisteriarail.core.id.Incarnation;
-import dev.wisteriarail.core.id.LogPlace;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.membership.VmEntry;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.peer.PeerMessage;
-import dev.wisteriarail.core.route.CallerBounds;
-import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.runtime.EventLog;
 import java.io.DataInputStream;
 import java.net.InetAddress;
@@ -21,10 +17,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.SplittableRandom;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Messages to a peer that reads slowly. */
@@ -95,46 +88,6 @@
     }
   }
 
-  @Test
-  void configurationGoesBeforeWhatWaits() throws Exception {
-    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        EventLog log = EventLog.forNode(SELF)) {
-      VmEntry peer =
-          new VmEntry(
-              NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
-      TcpPeerTransport transport =
-          TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log);
-      // More than socket buffers hold, so that the peer's queue is not empty.
-      FleetMessage bulk = new FleetMessage.DirectoryTold(directory());
-      for (int i = 0; i < 200; i++) {
-        transport.send(peer, bulk);
-      }
-      transport.send(
-          peer,
-          new FleetMessage.ConfigurationTold(
-              new GatewayConfiguration(7, List.of(), Map.of(), CallerBounds.DEFAULT)));
-      transport.send(peer, new FleetMessage.CrashTold(7));
-      try (Socket socket = listener.accept()) {
-        List<PeerMessage> received = readUntilCrash(socket);
-        int place =
-            IntStream.range(0, received.size())
-                .filter(i -> received.get(i) instanceof FleetMessage.ConfigurationTold)
-                .findFirst()
-                .orElseThrow();
-        assertThat(place).isLessThan(received.size() / 2);
-      }
-      transport.close();
-    }
-  }
-
-  /** Returns a directory whose names hardly compress. */
-  private static DirectoryChange directory() {
-    SplittableRandom random = new SplittableRandom(1);
-    List<String> removed =
-        IntStream.range(0, 8_000).mapToObj(i -> Long.toHexString(random.nextLong())).toList();
-    return new DirectoryChange(false, LogPlace.of(0, 1), LogPlace.of(0, 2), List.of(), removed);
-  }
-
   private static List<PeerMessage> readUntilCrash(Socket socket) throws Exception {
     List<PeerMessage> received = new ArrayList<>();
     DataInputStream in = new DataInputStream(socket.getInputStream());
