A coordinator is missed when its lease can have run out, not before

Change: where heartbeats are slow (FleetPace), a holder is heard for as long as its lease holds, 1.8 s. Its successor waits for that lease anyway, counted from the last heartbeat, so it gives its first order no later. At full pace (small fleets of large VMs) nothing changes. Ruled out: three times the silence as for other peers (2.7 s, later than the lease).

--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -27,12 +27,14 @@
 
   private final NodeAddress self;
   private final Duration silence;
+  private final Duration lease;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
   private FleetPace pace;
 
-  private PeerTable(NodeAddress self, Duration silence) {
+  private PeerTable(NodeAddress self, Duration silence, Duration lease) {
     this.self = self;
     this.silence = silence;
+    this.lease = lease;
     pace = FleetPace.of(self, List.of());
   }
 
@@ -40,10 +42,11 @@
    * Returns a table without peers.
    *
    * @param self this node's own address
-   * @param silence after which a silent peer counts as lost
+   * @param silence after which a silent peer counts as lost, at full pace
+   * @param lease time for which a lease on orders holds without a renewal
    */
-  public static PeerTable create(NodeAddress self, Duration silence) {
-    return new PeerTable(self, silence);
+  public static PeerTable create(NodeAddress self, Duration silence, Duration lease) {
+    return new PeerTable(self, silence, lease);
   }
 
   // Changes
@@ -249,11 +252,17 @@
     return pace.slowness();
   }
 
-  /** A coordinator is heard all the time, whatever the pace of heartbeats is. */
+  /**
+   * Returns whether a peer was heard lately, at the pace of heartbeats. A coordinator is heard more
+   * often, and is missed at the latest when its lease runs out: before, nobody can take its place.
+   */
   private boolean isLive(Peer peer, Instant now) {
-    double slowness = peer.status().fence() > 0 ? 1 : pace();
+    long patience = Math.round(silence.toMillis() * pace());
+    if (peer.status().fence() > 0) {
+      patience = Math.min(patience, Math.max(silence.toMillis(), lease.toMillis()));
+    }
     return !peer.heardAt().equals(Instant.MIN)
-        && Duration.between(peer.heardAt(), now).toMillis() < silence.toMillis() * slowness;
+        && Duration.between(peer.heardAt(), now).toMillis() < patience;
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -84,7 +84,7 @@
     this.settings = settings;
     timings = settings.timings();
     self = settings.self().node();
-    peers = PeerTable.create(settings.self(), timings.silence());
+    peers = PeerTable.create(settings.self(), timings.silence(), timings.lease());
     store = StoreWatch.create(timings.directoryRead());
     lease = OrderLease.create(self.value(), settings.self().incarnation().value(), timings);
     board = RunnerBoard.create(directory);
--- a/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Heartbeats of fleets of several sizes, in virtual time. */
@@ -27,7 +28,8 @@
       PeerTable table =
           PeerTable.create(
               new NodeAddress(NodeId.of("n" + node), Incarnation.of(1), "10.0.0.1", node, 100, 0),
-              Duration.ofMillis(900));
+              Duration.ofMillis(900),
+              Duration.ofMillis(1_800));
       for (int peer = 0; peer < 330; peer++) {
         table.learn(
             new NodeAddress(NodeId.of("n" + peer), Incarnation.of(1), "10.0.0.1", peer, 100, 0),
@@ -48,6 +50,8 @@
   private static final Duration BEAT = Duration.ofMillis(300);
   private static final int FAST_LINKS = 8;
 
+  private static final Duration LEASE = Duration.ofMillis(1_800);
+
   private final List<NodeAddress> addresses = new ArrayList<>();
   private final List<PeerTable> tables = new ArrayList<>();
   private final Set<Integer> down = new HashSet<>();
@@ -70,7 +74,7 @@
               milliCores));
     }
     for (NodeAddress address : addresses) {
-      PeerTable table = PeerTable.create(address, SILENCE);
+      PeerTable table = PeerTable.create(address, SILENCE, LEASE);
       addresses.forEach(other -> table.learn(other, now));
       tables.add(table);
     }
@@ -165,6 +169,24 @@
     assertThat(tables.getFirst().pace()).isGreaterThan(2.0);
   }
 
+  /**
+   * On small VMs a coordinator falls silent for a second now and then, while it plans or passes on
+   * a configuration. Its peers then took it for lost, 368 times in 15 s on 18 nodes.
+   */
+  @ParameterizedTest
+  @CsvSource({"120, 1500, true", "120, 1900, false", "750, 850, true", "750, 950, false"})
+  void coordinatorIsMissedWhenItsLeaseCanHaveRunOutAtTheLatest(
+      int milliCores, long silentMillis, boolean live) {
+    start(18, milliCores);
+    PeerStatus coordinates =
+        new PeerStatus(
+            9, 9, 0, LogPlace.NONE, true, true, false, 1, LogPlace.of(0, 1), LogPlace.of(0, 1), 0);
+    PeerTable table = tables.getFirst();
+    table.heard(addresses.getLast(), coordinates, now);
+    now = now.plusMillis(silentMillis);
+    assertThat(table.live(addresses.getLast().node(), now).isPresent()).isEqualTo(live);
+  }
+
   @Test
   void theFastestLinksHearAllOthers() {
     start(64);
