A runner that comes back in the era in which it was taken out is not taken for one of a copy

Test failed first (RunnerDirectoryEraTest). Change: what was taken out keeps the era in which that was learnt; only a later era's copy is compared with it. Run: 61 tests of the directory, eras, the gateway fuzz and rolling restarts.

--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
@@ -49,7 +49,7 @@
 
   private final Map<String, RunnerEntry> entries = new LinkedHashMap<>();
   private final Map<String, Lapsed> lapsed = new LinkedHashMap<>();
-  private final Map<String, Lapsed> removedLately = new LinkedHashMap<>();
+  private final Map<String, Gone> removedLately = new LinkedHashMap<>();
   private final Map<String, Long> drained = new LinkedHashMap<>();
   private final Set<RunnerRun> unconfirmed = new LinkedHashSet<>();
   private LogPlace offset = LogPlace.NONE;
@@ -95,7 +95,7 @@
       change.entries().forEach(entry -> removed.remove(entry.id()));
     }
     for (RunnerEntry entry : change.entries()) {
-      if (!(change.whole() && isUndone(entry, fromCopy))) {
+      if (!(change.whole() && isUndone(entry, change.to().era(), fromCopy))) {
         put(entry).ifPresent(turns::add);
       }
     }
@@ -156,19 +156,19 @@
     return Optional.of(new RunnerTurn(leaving, RunnerTurn.Kind.DRAINING));
   }
 
-  /** Returns whether something later is known than an entry, in a copy at least. */
-  private boolean isUndone(RunnerEntry entry, boolean inCopy) {
-    Lapsed gone = removedLately.get(entry.id());
-    if (gone != null) {
-      RunnerEntry last = gone.entry();
-      boolean sameWord = inCopy && entry.saysSameAs(last);
-      return entry.bornMillis() < last.bornMillis()
-          || entry.isOlderThan(last)
-          || (entry.bornMillis() == last.bornMillis() && entry.sequence() == last.sequence())
-          || sameWord;
+  /**
+   * Returns whether something later is known than an entry of a copy: a later word of the run, or
+   * that the store took it out, in an earlier era, after a word no older than this one.
+   */
+  private boolean isUndone(RunnerEntry entry, long era, boolean fromCopy) {
+    Gone gone = removedLately.get(entry.id());
+    if (gone != null && gone.era() < era) {
+      return entry.bornMillis() < gone.entry().bornMillis()
+          || entry.isOlderThan(gone.entry())
+          || (entry.sequence() == gone.entry().sequence() && entry.saysSameAs(gone.entry()));
     }
     RunnerEntry known = entries.get(entry.id());
-    return inCopy && known != null && entry.isOlderThan(known);
+    return fromCopy && known != null && entry.isOlderThan(known);
   }
 
   private Optional<RunnerTurn> put(RunnerEntry entry) {
@@ -211,7 +211,7 @@
       if (mass) {
         lapse(gone, now.plus(MASS_REMOVAL_GRACE));
       }
-      removedLately.put(id, new Lapsed(gone, now.plus(OLDEST_COPY)));
+      removedLately.put(id, new Gone(gone, offset.era(), now.plus(OLDEST_COPY)));
       turns.add(new RunnerTurn(gone, RunnerTurn.Kind.REMOVED));
     }
   }
@@ -237,7 +237,7 @@
           RunnerEntry entry = entries.get(run.id());
           return entry == null || entry.bornMillis() > run.bornMillis();
         });
-    removedLately.values().removeIf(entry -> !now.isBefore(entry.until()));
+    removedLately.values().removeIf(gone -> !now.isBefore(gone.until()));
     if (lapsed.values().removeIf(entry -> !now.isBefore(entry.until()))) {
       changes++;
     }
@@ -303,10 +303,19 @@
   }
 
   /**
-   * An entry that is not in the directory.
+   * A runner that the store took out.
+   *
+   * @param entry its last entry
+   * @param era the store's era in which that was learnt
+   * @param until when no copy can be so old as to list it again
+   */
+  private record Gone(RunnerEntry entry, long era, Instant until) {}
+
+  /**
+   * An entry that is not in the directory, of a runner that is still used.
    *
    * @param entry the entry
-   * @param until when it is given up or forgotten
+   * @param until when it is given up
    */
   private record Lapsed(RunnerEntry entry, Instant until) {}
 }
--- a/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryEraTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryEraTest.java
@@ -112,6 +112,15 @@
     assertThat(usable()).containsExactly("r", "x");
   }
 
+  /** The store lapsed it in an outage and has it back; runners need not count their words. */
+  @Test
+  void runnerThatComesBackInTheSameEraIsTakenWhateverItsCount() {
+    whole(0, 5, entry("r", false, 1, 0), entry("x", false, 1, 0));
+    remove(0, 5, "x");
+    whole(0, 9, entry("r", false, 1, 0), entry("x", false, 1, 0));
+    assertThat(usable()).containsExactly("r", "x");
+  }
+
   @Test
   void runnerThatLeavesStaysOutThoughTheCopyIsOlder() {
     whole(0, 5, entry("r", false, 1, 1));
