One way to take entries out of the directory, also where a copy lacks them

Cause: the first whole directory of a new era had a removal of its own beside remove(), without its check for unknown runners; a copy that names one as removed ended in a null pointer out of the core. Test failed first. Change: remove() knows whether it takes from a copy. Nothing else behaves differently. Run: RunnerDirectory*Test.

--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
@@ -99,11 +99,7 @@
         put(entry).ifPresent(turns::add);
       }
     }
-    if (fromCopy) {
-      removed.forEach(id -> lapse(entries.remove(id), now.plus(REWRITTEN_WITHIN)));
-    } else {
-      remove(removed, now, turns);
-    }
+    remove(removed, fromCopy, now, turns);
     if (isMaterial || !turns.isEmpty()) {
       changes++;
     }
@@ -201,13 +197,18 @@
     return left && !entry.draining() ? entry.asDraining() : entry;
   }
 
-  private void remove(Set<String> ids, Instant now, List<RunnerTurn> turns) {
+  /** Takes entries out; what a copy lacks is not gone by that alone. */
+  private void remove(Set<String> ids, boolean fromCopy, Instant now, List<RunnerTurn> turns) {
     boolean mass = ids.stream().filter(entries::containsKey).count() >= MASS_REMOVAL_COUNT;
     for (String id : ids) {
       RunnerEntry gone = entries.remove(id);
       if (gone == null) {
         continue;
       }
+      if (fromCopy) {
+        lapse(gone, now.plus(REWRITTEN_WITHIN));
+        continue;
+      }
       if (mass) {
         lapse(gone, now.plus(MASS_REMOVAL_GRACE));
       }
--- a/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryEraTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryEraTest.java
@@ -82,6 +82,15 @@
     assertThat(usable()).containsExactly("r");
   }
 
+  @Test
+  void copyMayNameRunnersAsRemovedThatWereNeverKnown() {
+    whole(0, 5, entry("r", false, 1, 1));
+    accept(
+        new DirectoryChange(
+            true, at(1, 0), at(1, 3), List.of(entry("r", false, 1, 1)), List.of("unknown")));
+    assertThat(usable()).containsExactly("r");
+  }
+
   @Test
   void runnerThatIsWrittenAgainStays() {
     whole(0, 5, entry("r", false, 1, 1), entry("x", false, 1, 1));
