Nodes read each other's addresses after they wrote their own again, not all at once with the era

Cause: a new era let every node read all addresses at once, while their own writes are spread at one every 50 ms; so each read before its own write, and not after it, and 330 nodes read within one second. Of two nodes that write again together none was sure to learn of the other. Test failed first (StoreEraTest). Change: a written address asks for the read, as the comment of wantsNodes says; a new era does not.

--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -148,7 +148,12 @@
         lease.accept(told.answer(), now);
         acceptEra(told.answer().era(), SOURCE_STORE, step);
       }
-      case GatewayEvent.RegistrationTold told -> registration.accept(told.done());
+      case GatewayEvent.RegistrationTold told -> {
+        registration.accept(told.done());
+        if (told.done()) {
+          store.noteRegistration();
+        }
+      }
       case GatewayEvent.OrderTold told -> duty.acceptOrder(told, step);
       case GatewayEvent.ReportRead read ->
           configuration.ifPresent(known -> duty.acceptReport(read, known, now));
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreWatch.java
@@ -128,7 +128,6 @@
     if (follows) {
       nextConfiguration = LogPlace.NONE;
       directoryGap = true;
-      nodesRead = false;
       configurationAt = now;
       directoryAt = now;
     }
@@ -199,6 +198,11 @@
     }
   }
 
+  /** Notes that this node's own address was written: other nodes may have started meanwhile. */
+  void noteRegistration() {
+    nodesRead = false;
+  }
+
   /** Notes that a configuration came from a peer. */
   void noteConfiguration() {
     configurationRead = true;
--- a/src/test/java/dev/wisteriarail/core/gateway/StoreEraTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoreEraTest.java
@@ -127,6 +127,27 @@
     assertThat(node.take(GatewayEffect.RegisterNode.class)).hasSize(1);
   }
 
+  /** Of two nodes that write again together, the one that reads after both learns of the other. */
+  @Test
+  void nodeReadsOtherAddressesOnceAfterItWroteItsOwnAgain() {
+    node.hearCoordinator("n2");
+    node.handle(new GatewayEvent.RegistrationTold(true));
+    node.handle(
+        new GatewayEvent.StoreTold(new StoreRead.Nodes(), new StoreAnswer.NodesRead(List.of(), 0)));
+    assertThat(readsDuring(Duration.ofMillis(600))).doesNotContain(new StoreRead.Nodes());
+    node.hearCoordinator("n2");
+    node.take(GatewayEffect.class);
+    readConfiguration(next(0, 1), 0, LogPlace.of(1, 1));
+    assertThat(readsDuring(Duration.ofMillis(600))).doesNotContain(new StoreRead.Nodes());
+    node.hearCoordinator("n2");
+    node.handle(new GatewayEvent.RegistrationTold(true));
+    List<StoreRead> reads =
+        node.take(GatewayEffect.ReadStore.class).stream()
+            .map(GatewayEffect.ReadStore::call)
+            .toList();
+    assertThat(reads).contains(new StoreRead.Nodes());
+  }
+
   @Test
   void firstEraThatIsHeardIsNoChange() {
     CoreHarness started = CoreHarness.unready();
