Pace of a fleet counted when it is asked for; a figure in Rehearsal's description mended

Cause: each learnt peer counted the pace of all peers anew, the square of the fleet at a node's start. And Rehearsal said that a first message costs fifty times as much as later ones; measured were 55 to 7 and 62 to 4 ms, about ten times. Change: the pace is counted at the next question after peers came or went. Run: PeerTableTest, Coordination*, GatewayCoreTest, RollingRestartTest, GatewayFuzzTest, 89 tests.

--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -29,13 +29,12 @@
   private final Duration silence;
   private final Duration lease;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
-  private FleetPace pace;
+  private Optional<FleetPace> pace = Optional.empty();
 
   private PeerTable(NodeAddress self, Duration silence, Duration lease) {
     this.self = self;
     this.silence = silence;
     this.lease = lease;
-    pace = FleetPace.of(self, List.of());
   }
 
   /**
@@ -59,17 +58,13 @@
     Peer known = peers.get(address.node());
     if (known == null) {
       peers.put(address.node(), Peer.learnt(address, now));
-      updatePace();
+      pace = Optional.empty();
     } else if (address.incarnation().compareTo(known.address().incarnation()) > 0) {
       peers.put(address.node(), known.withAddress(address));
-      updatePace();
+      pace = Optional.empty();
     }
   }
 
-  private void updatePace() {
-    pace = FleetPace.of(self, addresses());
-  }
-
   private boolean isSelf(NodeAddress address) {
     return address.host().equals(self.host()) && address.port() == self.port();
   }
@@ -92,7 +87,7 @@
     Instant expectedSince = known == null ? Instant.MAX : known.expectedSince();
     peers.put(from.node(), new Peer(from, status, now, now, expectedSince));
     if (returned) {
-      updatePace();
+      pace = Optional.empty();
     }
     return returned;
   }
@@ -121,7 +116,7 @@
   /** Forgets peers that were silent for long. */
   public void advance(Instant now) {
     if (peers.values().removeIf(peer -> now.isAfter(lastTold(peer).plus(FORGET_AFTER)))) {
-      updatePace();
+      pace = Optional.empty();
     }
   }
 
@@ -244,12 +239,22 @@
 
   /** Returns whether there are so many nodes that messages are spared. */
   public boolean isLarge() {
-    return pace.isLarge();
+    return fleetPace().isLarge();
   }
 
   /** Returns by how much heartbeats are slowed down, so that they stay cheap in a large fleet. */
   public double pace() {
-    return pace.slowness();
+    return fleetPace().slowness();
+  }
+
+  /**
+   * Returns the pace, counted anew after peers came or went: at the start they come in hundreds.
+   */
+  private FleetPace fleetPace() {
+    if (pace.isEmpty()) {
+      pace = Optional.of(FleetPace.of(self, addresses()));
+    }
+    return pace.get();
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/core/gateway/Rehearsal.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Rehearsal.java
@@ -11,7 +11,7 @@
  * Has the long messages between nodes encoded and decoded once, some time after a node is ready.
  *
  * <p>The load pattern that it answers: the first change of the configuration after a start. The
- * first message of its kind costs fifty times as much as the later ones, more than a tenth of a
+ * first message of its kind costs about ten times as much as the later ones, more than a tenth of a
  * second of a core; on a small VM the coordinator then falls silent for longer than its peers wait.
  *
  * <p>Life cycle: one per run of a node. Not thread-safe.
