Orders are logged beside the book and the report that they were decided from

Change: line 250 has places booked, and age, count of orders, places and adapters in transit of the last report; line 252 tells when a report changes the book. The adapter reads 'incoming'. No decision is changed.

--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -76,6 +76,8 @@
   RUNNER_ORDERED(250, "order sent"),
   /** The call of an order returned. */
   RUNNER_ORDER_ANSWERED(251, "order answered"),
+  /** A report changed what the book says of an engine, or lists adapters in transit. */
+  RUNNER_BOOK_CHANGED(252, "book of an engine changed"),
 
   // Coordination
   /** The node holds the lease on orders. */
--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -275,6 +275,7 @@
         use == null || use.byModel().getOrDefault(placed.order().model(), 0) == 0);
     long number = nextOrder++;
     final long expected = engine.orders();
+    final OrderBasis basis = engine.basis(now);
     engine.begin(number, placed.order(), expectedTime(placed.order(), spec), now);
     reviseHeld(engine);
     if (placed.order() instanceof FleetOrder.LoadModel load && load.source() == LoadSource.STORE) {
@@ -282,7 +283,13 @@
       storeLoadsAtBegin.put(number, (long) countStoreLoads(serviceOf.get(placed.runner()), now));
     }
     return new NumberedOrder(
-        number, placed.runner(), engine.bornMillis(), expected, placed.order(), placed.reason());
+        number,
+        placed.runner(),
+        engine.bornMillis(),
+        expected,
+        placed.order(),
+        placed.reason(),
+        basis);
   }
 
   private static Duration expectedTime(FleetOrder order, EngineSpec spec) {
@@ -424,6 +431,12 @@
     return questions;
   }
 
+  /** Returns the models and adapters that an engine holds, as known here. */
+  public Map<String, Set<String>> held(String runner) {
+    EngineState engine = engines.get(runner);
+    return engine == null ? Map.of() : engine.modelsAndComing();
+  }
+
   private void reviseHeld(EngineState engine) {
     engine.revise(++revision);
     heldRevision = revision;
--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -57,6 +57,8 @@
   private Instant notBefore = Instant.MIN;
   private Instant unansweredSince = Instant.MAX;
   private long revision;
+  private Optional<RunnerReport> lastReport = Optional.empty();
+  private Instant lastReportAskedAt = Instant.MIN;
 
   private EngineState(RunnerEntry entry, Instant now) {
     runner = entry.id();
@@ -96,6 +98,10 @@
       return false;
     }
     unansweredSince = Instant.MAX;
+    if (askedAt.isAfter(lastReportAskedAt)) {
+      lastReport = Optional.of(report);
+      lastReportAskedAt = askedAt;
+    }
     boolean settled = askedAt.isAfter(changedAt.plus(REPORT_LAG));
     if (open.isPresent()) {
       return settle(open.get(), report, settled, now);
@@ -345,6 +351,19 @@
     return all;
   }
 
+  /** Returns what an order given now is decided from. */
+  OrderBasis basis(Instant now) {
+    return new OrderBasis(
+        modelsAndComing().values().stream().mapToInt(Set::size).sum(),
+        lastReport.isEmpty() ? -1 : Duration.between(lastReportAskedAt, now).toMillis(),
+        lastReport.map(RunnerReport::orders).orElse(-1L),
+        lastReport.stream()
+            .flatMap(report -> report.models().stream())
+            .mapToInt(model -> model.adapters().size())
+            .sum(),
+        lastReport.map(RunnerReport::incoming).orElse(Set.of()));
+  }
+
   Set<String> inHostMemory() {
     return inHostMemory;
   }
--- a/src/main/java/dev/wisteriarail/core/fleet/NumberedOrder.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/NumberedOrder.java
@@ -9,6 +9,13 @@
  * @param expected number of orders that the runner accepted before it
  * @param order the order
  * @param reason why, for the log
+ * @param basis what it was decided from, for the log
  */
 public record NumberedOrder(
-    long number, String runner, long bornMillis, long expected, FleetOrder order, String reason) {}
+    long number,
+    String runner,
+    long bornMillis,
+    long expected,
+    FleetOrder order,
+    String reason,
+    OrderBasis basis) {}
--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerReport.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerReport.java
@@ -11,6 +11,8 @@
  * @param orders number of orders that it accepted since its start
  * @param busy whether an order is being carried out
  * @param models the models that it holds
+ * @param incoming adapters on their way to it, as model and adapter joined by a slash; they take
+ *     their places already
  * @param inHostMemory models whose weights its host memory holds
  * @param onDisk models whose weights its disk holds
  * @param waiting requests in its queue
@@ -23,6 +25,7 @@
     long orders,
     boolean busy,
     List<LoadedModel> models,
+    Set<String> incoming,
     Set<String> inHostMemory,
     Set<String> onDisk,
     int waiting,
@@ -32,6 +35,7 @@
   /** Copies the collections. */
   public RunnerReport {
     models = List.copyOf(models);
+    incoming = Set.copyOf(incoming);
     inHostMemory = Set.copyOf(inHostMemory);
     onDisk = Set.copyOf(onDisk);
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.fleet.OrderLease;
 import dev.wisteriarail.core.fleet.PeerTable;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
+import dev.wisteriarail.core.fleet.RunnerReport;
 import dev.wisteriarail.core.forward.RunnerBoard;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * What a node does while it holds the lease on orders: it plans, gives orders, and tells the other
@@ -108,8 +110,27 @@
   }
 
   /** Takes an engine's report. */
-  void acceptReport(GatewayEvent.ReportRead read, GatewayConfiguration known, Instant now) {
-    coordinator.acceptReport(read.report(), read.askedAt(), known, now);
+  void acceptReport(GatewayEvent.ReportRead read, GatewayConfiguration known, GatewayStep step) {
+    RunnerReport report = read.report();
+    final Map<String, Set<String>> before = coordinator.held(report.runner());
+    coordinator.acceptReport(report, read.askedAt(), known, step.now());
+    Map<String, Set<String>> after = coordinator.held(report.runner());
+    if (!before.equals(after) || !report.incoming().isEmpty()) {
+      step.log(
+          EventCode.RUNNER_BOOK_CHANGED,
+          "runner",
+          report.runner(),
+          "orders",
+          report.orders(),
+          "age_ms",
+          Duration.between(read.askedAt(), step.now()).toMillis(),
+          "before",
+          before,
+          "after",
+          after,
+          "incoming",
+          report.incoming());
+    }
   }
 
   /** Takes the outcome of an order. */
@@ -188,7 +209,17 @@
           "fence",
           lease.fence(),
           "reason",
-          order.reason());
+          order.reason(),
+          "places_booked",
+          order.basis().placesBooked(),
+          "report_age_ms",
+          order.basis().reportAgeMillis(),
+          "report_orders",
+          order.basis().reportOrders(),
+          "report_places",
+          order.basis().reportPlaces(),
+          "report_incoming",
+          order.basis().reportIncoming());
       directory
           .usable(order.runner())
           .ifPresent(
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -156,7 +156,7 @@
       }
       case GatewayEvent.OrderTold told -> duty.acceptOrder(told, step);
       case GatewayEvent.ReportRead read ->
-          configuration.ifPresent(known -> duty.acceptReport(read, known, now));
+          configuration.ifPresent(known -> duty.acceptReport(read, known, step));
       case GatewayEvent.PeerTold told -> acceptPeer(told, step);
       case GatewayEvent.Tick tick -> {
         if (tick.stoodStill()) {
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
@@ -134,7 +134,17 @@
   RunnerReport report(Instant now) {
     settle(now);
     return new RunnerReport(
-        id, born, orders, now.isBefore(busyUntil), held(), Set.of(), Set.copyOf(disk), 0, 0, 0);
+        id,
+        born,
+        orders,
+        now.isBefore(busyUntil),
+        held(),
+        Set.of(),
+        Set.of(),
+        Set.copyOf(disk),
+        0,
+        0,
+        0);
   }
 
   RunnerEntry entry(Instant now) {
--- a/src/main/java/dev/wisteriarail/platform/WireDocuments.java
+++ b/src/main/java/dev/wisteriarail/platform/WireDocuments.java
@@ -181,6 +181,7 @@
         root.path("sequence").asLong(),
         root.path("busy").asBoolean(),
         models(root.path("models")),
+        incoming(root.path("incoming")),
         texts(root.path("available").path("in_memory")),
         texts(root.path("available").path("on_disk")),
         root.path("waiting").asInt(),
@@ -197,6 +198,16 @@
     return models;
   }
 
+  /** Adapters in transit come as MODEL/NAME@VERSION. */
+  private static Set<String> incoming(JsonNode list) {
+    Set<String> adapters = new HashSet<>();
+    for (String each : texts(list)) {
+      int version = each.lastIndexOf('@');
+      adapters.add(version < 0 ? each : each.substring(0, version));
+    }
+    return adapters;
+  }
+
   private static Set<String> texts(JsonNode list) {
     Set<String> texts = new HashSet<>();
     list.forEach(text -> texts.add(text.asText()));
--- a/src/test/java/dev/wisteriarail/core/fleet/EngineStateTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/EngineStateTest.java
@@ -29,6 +29,7 @@
         Arrays.stream(models).map(name -> new LoadedModel(name, List.of())).toList(),
         Set.of(),
         Set.of(),
+        Set.of(),
         0,
         0,
         0);
@@ -130,6 +131,7 @@
             List.of(new LoadedModel("m", List.of("a1", "a2"))),
             Set.of(),
             Set.of(),
+            Set.of(),
             0,
             0,
             0);
@@ -178,7 +180,8 @@
   void hostMemoryIsBelievedOnlyOfTheLastLoadUntilTheNextReport() {
     Instant now = START.plusSeconds(1);
     RunnerReport held =
-        new RunnerReport("r", 1, 4, false, List.of(), Set.of("a", "b"), Set.of("m"), 0, 0, 0);
+        new RunnerReport(
+            "r", 1, 4, false, List.of(), Set.of(), Set.of("a", "b"), Set.of("m"), 0, 0, 0);
     engine.acceptReport(held, now, now);
     assertThat(engine.source("a")).isEqualTo(LoadSource.MEMORY);
     engine.begin(1, new FleetOrder.LoadModel("m", LoadSource.DISK), Duration.ofMillis(840), now);
--- a/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
@@ -444,7 +444,7 @@
     RunnerReport report(Instant now) {
       settle(now);
       return new RunnerReport(
-          id, 1, accepted, now.isBefore(busyUntil), held(), Set.of(), disk(), 0, 0, 0);
+          id, 1, accepted, now.isBefore(busyUntil), held(), Set.of(), Set.of(), disk(), 0, 0, 0);
     }
 
     RunnerEntry entry() {
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -148,7 +148,8 @@
                   known.bornMillis(),
                   known.expected(),
                   new FleetOrder.LoadModel("m6", LoadSource.STORE),
-                  known.reason()),
+                  known.reason(),
+                  known.basis()),
               order.holder(),
               order.fence()));
     }
