Gateway fuzz: engines whose adapters are in transit, in use, and whose reports are old

Why: the fake engine loaded an adapter at once and dropped it at once, whatever ran, and its reports were of the moment, so no check could see LIMIT.

Change: FakeEngine holds adapters in transit (5 to 12 ms, three in ten 200 to 1,500 ms), lists them apart, keeps what requests use until they end, models and adapters alike, and reports what was so 250 ms ago.

--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -28,10 +28,14 @@
   /** Share of what is sent to a dark runner that reaches it in the end, as from a send buffer. */
   private static final double LATE_ARRIVALS = 0.5;
 
+  /** Share of the adapters that are long in transit, as when many are fetched at once. */
+  private static final double SLOW_ADAPTERS = 0.3;
+
   private final GatewayFuzz world;
   private final VirtualScheduler time;
   private final GatewayOracle oracle;
   private final Chance network;
+  private final Chance adapters;
   private final List<FakeBackend> backends;
 
   BackendCalls(
@@ -39,11 +43,13 @@
       VirtualScheduler time,
       GatewayOracle oracle,
       Chance network,
+      Chance adapters,
       List<FakeBackend> backends) {
     this.world = world;
     this.time = time;
     this.oracle = oracle;
     this.network = network;
+    this.adapters = adapters;
     this.backends = backends;
   }
 
@@ -63,13 +69,14 @@
       return;
     }
     boolean lost = network.happens(world.faults().lostAnswers());
+    Duration transit = transit();
     Duration delay = lost ? network.millis(1, 3_000) : network.millis(1, 5);
     time.after(
         delay,
         () -> {
           FleetOrderOutcome outcome =
               backend.isUp()
-                  ? backend.order(order, oracle, time.now())
+                  ? backend.order(order, transit, oracle, time.now())
                   : FleetOrderOutcome.UNREACHABLE;
           if (!lost) {
             world.later(
@@ -88,6 +95,10 @@
     }
   }
 
+  private Duration transit() {
+    return adapters.happens(SLOW_ADAPTERS) ? adapters.millis(200, 1_500) : adapters.millis(5, 12);
+  }
+
   void report(FuzzedNode node, long run, GatewayEffect.AskReport ask) {
     FakeBackend backend = backend(ask.runner().id());
     Instant askedAt = time.now();
@@ -164,7 +175,7 @@
       tell(node, run, send, soon, new AttemptResult.Answered(421, true, true));
     } else {
       oracle.run(request, backend.id(), time.now());
-      answer(node, run, send, backend);
+      answer(node, run, send, backend, backend.begin(model, adapter));
     }
   }
 
@@ -181,13 +192,18 @@
   }
 
   private void answer(
-      FuzzedNode node, long run, GatewayEffect.SendAttempt send, FakeBackend backend) {
+      FuzzedNode node,
+      long run,
+      GatewayEffect.SendAttempt send,
+      FakeBackend backend,
+      Runnable ended) {
     Duration first =
         backend.mood() == FakeBackend.Mood.SLOW
             ? network.millis(1_000, 5_000)
             : network.millis(10, 80);
     Duration whole = first.plus(send.streaming() ? streamLength(backend) : Duration.ZERO);
     long born = backend.born();
+    time.after(whole, ended);
     time.after(
         whole,
         () -> {
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
@@ -1,8 +1,6 @@
 package dev.wisteriarail.fuzz.gateway;
 
-import dev.wisteriarail.core.fleet.FleetOrder;
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
-import dev.wisteriarail.core.fleet.LoadedModel;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerReport;
 import dev.wisteriarail.core.fleet.RunnerWord;
@@ -12,29 +10,20 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
 
 /** One runner: an engine that takes orders, or a plain one. Not thread-safe. */
 final class FakeBackend {
 
-  private static final Duration LOAD = Duration.ofMillis(900);
-
   private final String id;
   private final String service;
   private final boolean engine;
   private final int port;
-  private final Map<String, Set<String>> models = new TreeMap<>();
-  private final Set<String> disk = new TreeSet<>();
+  private FakeEngine contents = FakeEngine.withDisk(Set.of());
   private long born = 1;
   private long written;
-  private long orders;
   private long fence;
   private String holder = "";
-  private Instant busyUntil = Instant.EPOCH;
-  private String loading = "";
   private boolean up = true;
   private boolean draining;
   private boolean saysLeaving;
@@ -67,9 +56,13 @@
 
   // Orders
 
-  /** Takes an order; tells the oracle of what no node may order. */
-  FleetOrderOutcome order(GatewayEffect.GiveOrder order, GatewayOracle oracle, Instant now) {
-    settle(now);
+  /**
+   * Takes an order; tells the oracle of what no node may order.
+   *
+   * @param transit time that an adapter needs to arrive
+   */
+  FleetOrderOutcome order(
+      GatewayEffect.GiveOrder order, Duration transit, GatewayOracle oracle, Instant now) {
     if (order.order().bornMillis() != born) {
       return FleetOrderOutcome.CONFLICT;
     }
@@ -81,74 +74,32 @@
     }
     fence = order.fence();
     holder = order.holder();
-    if (now.isBefore(busyUntil) || order.order().expected() != orders) {
-      return FleetOrderOutcome.CONFLICT;
-    }
-    orders++;
-    return carryOut(order.order().order(), oracle, now);
-  }
-
-  private FleetOrderOutcome carryOut(FleetOrder order, GatewayOracle oracle, Instant now) {
-    return switch (order) {
-      case FleetOrder.LoadModel load -> {
-        loading = load.model();
-        busyUntil = now.plus(LOAD);
-        if (models.size() + 1 > GatewayFuzzPlan.MODELS_THAT_FIT) {
-          oracle.complain("memory", id + " is told to hold " + loading + " besides " + models, now);
-        }
-        yield FleetOrderOutcome.ACCEPTED;
-      }
-      case FleetOrder.UnloadModel unload -> {
-        models.remove(unload.model());
-        yield FleetOrderOutcome.ACCEPTED;
-      }
-      case FleetOrder.LoadAdapter load -> loadAdapter(load, oracle, now);
-      case FleetOrder.UnloadAdapter unload -> {
-        models.getOrDefault(unload.model(), new TreeSet<>()).remove(unload.adapter());
-        yield FleetOrderOutcome.HOLDS;
-      }
-    };
-  }
-
-  private FleetOrderOutcome loadAdapter(
-      FleetOrder.LoadAdapter load, GatewayOracle oracle, Instant now) {
-    if (!models.containsKey(load.model())) {
-      return FleetOrderOutcome.REFUSED;
-    }
-    models.get(load.model()).add(load.adapter());
-    int held = models.values().stream().mapToInt(Set::size).sum();
-    if (held > GatewayFuzzPlan.ADAPTER_SLOTS) {
-      oracle.complain("memory", id + " is told to hold " + held + " adapters", now);
-    }
-    return FleetOrderOutcome.HOLDS;
-  }
-
-  private void settle(Instant now) {
-    if (!loading.isEmpty() && !now.isBefore(busyUntil)) {
-      models.put(loading, new TreeSet<>());
-      disk.add(loading);
-      loading = "";
-    }
+    return contents.order(
+        order.order().order(),
+        order.order().expected(),
+        transit,
+        detail -> oracle.complain("memory", id + " " + detail, now),
+        now);
   }
 
   RunnerReport report(Instant now) {
-    settle(now);
+    FakeEngine.State state = contents.report(now);
     return new RunnerReport(
         id,
         born,
-        orders,
-        now.isBefore(busyUntil),
-        held(),
-        Set.of(),
+        state.orders(),
+        state.busy(),
+        state.held(),
+        state.incoming(),
         Set.of(),
-        Set.copyOf(disk),
+        state.disk(),
         0,
         0,
         0);
   }
 
   RunnerEntry entry(Instant now) {
-    settle(now);
+    FakeEngine.State state = contents.report(now);
     return new RunnerEntry(
         id,
         service,
@@ -159,38 +110,37 @@
         draining,
         born,
         ++written,
-        held(),
+        state.held(),
         Set.of(),
-        Set.copyOf(disk));
-  }
-
-  private List<LoadedModel> held() {
-    List<LoadedModel> held = new ArrayList<>();
-    models.forEach((name, adapters) -> held.add(new LoadedModel(name, List.copyOf(adapters))));
-    return held;
+        state.disk());
   }
 
   // Requests
 
   boolean holds(String model, String adapter, Instant now) {
-    settle(now);
-    return !engine
-        || (models.containsKey(model)
-            && (adapter.isEmpty() || models.get(model).contains(adapter)));
+    return !engine || contents.holds(model, adapter, now);
+  }
+
+  /**
+   * Notes that a request begins to run.
+   *
+   * @return what notes that it has ended
+   */
+  Runnable begin(String model, String adapter) {
+    FakeEngine run = contents;
+    run.begin(model, adapter);
+    return () -> run.end(model, adapter);
   }
 
   // Control
 
   void hold(String model) {
-    models.put(model, new TreeSet<>());
-    disk.add(model);
+    contents.hold(model);
   }
 
   void crash() {
     up = false;
-    models.clear();
-    loading = "";
-    busyUntil = Instant.EPOCH;
+    contents = FakeEngine.withDisk(contents.disk());
   }
 
   void restart() {
@@ -199,7 +149,6 @@
       saysLeaving = false;
       pausesUntil = Instant.EPOCH;
       born++;
-      orders = 0;
       fence = 0;
       holder = "";
     }
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeEngine.java
@@ -0,0 +1,241 @@
+package dev.wisteriarail.fuzz.gateway;
+
+import dev.wisteriarail.core.fleet.FleetOrder;
+import dev.wisteriarail.core.fleet.FleetOrderOutcome;
+import dev.wisteriarail.core.fleet.LoadedModel;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * What one run of an engine holds, and what takes room in it: models and adapters that serve, those
+ * on their way, and those that requests still use after they were unloaded. Its reports show it as
+ * it was a moment ago. Not thread-safe.
+ */
+final class FakeEngine {
+
+  /** Age of what a report says. */
+  static final Duration REPORT_AGE = Duration.ofMillis(250);
+
+  private static final Duration LOAD = Duration.ofMillis(900);
+
+  private final Map<String, Set<String>> models = new TreeMap<>();
+  private final Map<String, Instant> incoming = new TreeMap<>();
+  private final Set<String> leaving = new TreeSet<>();
+  private final Map<String, Integer> running = new HashMap<>();
+  private final Set<String> disk = new TreeSet<>();
+  private final List<State> history = new ArrayList<>();
+  private long orders;
+  private String loading = "";
+  private Instant loadedAt = Instant.EPOCH;
+
+  /**
+   * What a report shows.
+   *
+   * @param at from when it was so
+   */
+  record State(
+      Instant at,
+      long orders,
+      boolean busy,
+      List<LoadedModel> held,
+      Set<String> incoming,
+      Set<String> disk) {}
+
+  /** Returns an engine with models on its disk alone. */
+  static FakeEngine withDisk(Set<String> disk) {
+    FakeEngine engine = new FakeEngine();
+    engine.disk.addAll(disk);
+    engine.remember(Instant.EPOCH);
+    return engine;
+  }
+
+  // Orders
+
+  /**
+   * Takes an order.
+   *
+   * @param expected number of orders that it must have accepted before
+   * @param transit time that an adapter needs to arrive
+   * @param overfull takes what is said if the engine is told to hold more than fits
+   */
+  FleetOrderOutcome order(
+      FleetOrder order, long expected, Duration transit, Consumer<String> overfull, Instant now) {
+    settle(now);
+    if (isBusy() || expected != orders) {
+      return FleetOrderOutcome.CONFLICT;
+    }
+    if (order instanceof FleetOrder.LoadAdapter load && !models.containsKey(load.model())) {
+      return FleetOrderOutcome.REFUSED;
+    }
+    orders++;
+    FleetOrderOutcome outcome =
+        switch (order) {
+          case FleetOrder.LoadModel load -> {
+            loading = load.model();
+            loadedAt = now.plus(LOAD);
+            if (models.size() + 1 > GatewayFuzzPlan.MODELS_THAT_FIT) {
+              overfull.accept("is told to hold " + loading + " besides " + models);
+            }
+            yield FleetOrderOutcome.ACCEPTED;
+          }
+          case FleetOrder.UnloadModel unload -> {
+            leaving.add(unload.model());
+            yield FleetOrderOutcome.ACCEPTED;
+          }
+          case FleetOrder.LoadAdapter load -> {
+            loadAdapter(load, now.plus(transit), overfull);
+            yield FleetOrderOutcome.ACCEPTED;
+          }
+          case FleetOrder.UnloadAdapter unload -> {
+            String name = unload.model() + "/" + unload.adapter();
+            leaving.add(name);
+            yield isUsed(name) ? FleetOrderOutcome.ACCEPTED : FleetOrderOutcome.HOLDS;
+          }
+        };
+    release();
+    remember(now);
+    return outcome;
+  }
+
+  private void loadAdapter(FleetOrder.LoadAdapter load, Instant arrival, Consumer<String> full) {
+    leaving.remove(load.model() + "/" + load.adapter());
+    if (!models.get(load.model()).contains(load.adapter())) {
+      incoming.putIfAbsent(load.model() + "/" + load.adapter(), arrival);
+    }
+    int places = incoming.size() + models.values().stream().mapToInt(Set::size).sum();
+    if (places > GatewayFuzzPlan.ADAPTER_SLOTS) {
+      full.accept(
+          "is told to hold " + places + " adapters: " + models + ", incoming " + incoming.keySet());
+    }
+  }
+
+  /** Brings it to a time: what is done by then is there, and what nobody uses any more is gone. */
+  private void settle(Instant now) {
+    if (!loading.isEmpty() && !now.isBefore(loadedAt)) {
+      models.put(loading, new TreeSet<>());
+      disk.add(loading);
+      loading = "";
+      remember(loadedAt);
+    }
+    for (Map.Entry<String, Instant> each : List.copyOf(incoming.entrySet())) {
+      if (!now.isBefore(each.getValue())) {
+        incoming.remove(each.getKey());
+        models.getOrDefault(modelOf(each.getKey()), new TreeSet<>()).add(adapterOf(each.getKey()));
+        remember(each.getValue());
+      }
+    }
+    if (release()) {
+      remember(now);
+    }
+  }
+
+  private boolean release() {
+    boolean changed = false;
+    for (String name : List.copyOf(leaving)) {
+      if (isUsed(name) || incoming.containsKey(name)) {
+        continue;
+      }
+      changed = true;
+      leaving.remove(name);
+      if (name.contains("/")) {
+        models.getOrDefault(modelOf(name), new TreeSet<>()).remove(adapterOf(name));
+      } else {
+        models.remove(name);
+        incoming.keySet().removeIf(adapter -> modelOf(adapter).equals(name));
+        leaving.removeIf(adapter -> modelOf(adapter).equals(name));
+      }
+    }
+    return changed;
+  }
+
+  private boolean isBusy() {
+    return !loading.isEmpty() || leaving.stream().anyMatch(name -> !name.contains("/"));
+  }
+
+  private boolean isUsed(String name) {
+    return running.getOrDefault(name, 0) > 0;
+  }
+
+  private static String modelOf(String name) {
+    int slash = name.indexOf('/');
+    return slash < 0 ? name : name.substring(0, slash);
+  }
+
+  private static String adapterOf(String name) {
+    return name.substring(name.indexOf('/') + 1);
+  }
+
+  // Reports
+
+  private void remember(Instant at) {
+    Instant oldest = at.minus(REPORT_AGE);
+    while (history.size() > 1 && !history.get(1).at().isAfter(oldest)) {
+      history.removeFirst();
+    }
+    history.addLast(
+        new State(at, orders, isBusy(), held(), Set.copyOf(incoming.keySet()), Set.copyOf(disk)));
+  }
+
+  /** Returns what a report that is asked for now shows. */
+  State report(Instant now) {
+    settle(now);
+    Instant shown = now.minus(REPORT_AGE);
+    State state = history.getFirst();
+    for (State each : history) {
+      if (!each.at().isAfter(shown)) {
+        state = each;
+      }
+    }
+    return state;
+  }
+
+  private List<LoadedModel> held() {
+    List<LoadedModel> held = new ArrayList<>();
+    models.forEach((name, adapters) -> held.add(new LoadedModel(name, List.copyOf(adapters))));
+    return held;
+  }
+
+  // Requests
+
+  /** Returns whether a request may run now; an adapter in transit and what leaves may not serve. */
+  boolean holds(String model, String adapter, Instant now) {
+    settle(now);
+    return models.containsKey(model)
+        && !leaving.contains(model)
+        && (adapter.isEmpty()
+            || (models.get(model).contains(adapter) && !leaving.contains(model + "/" + adapter)));
+  }
+
+  /** Notes that a request begins to run. */
+  void begin(String model, String adapter) {
+    running.merge(model, 1, Integer::sum);
+    running.merge(model + "/" + adapter, 1, Integer::sum);
+  }
+
+  /** Notes that a request has ended. */
+  void end(String model, String adapter) {
+    running.merge(model, -1, Integer::sum);
+    running.merge(model + "/" + adapter, -1, Integer::sum);
+  }
+
+  // Control
+
+  /** Puts a model in at the start of the run. */
+  void hold(String model) {
+    models.put(model, new TreeSet<>());
+    disk.add(model);
+    remember(Instant.EPOCH);
+  }
+
+  Set<String> disk() {
+    return Set.copyOf(disk);
+  }
+}
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -70,7 +70,7 @@
   private GatewayFuzz(long seed, GatewayDefect defect) {
     chance = Chance.of(seed, "faults");
     network = Chance.of(seed, "network");
-    calls = new BackendCalls(this, time, oracle, network, backends);
+    calls = new BackendCalls(this, time, oracle, network, Chance.of(seed, "adapters"), backends);
     faults =
         new GatewayFaults(
             this,
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import dev.wisteriarail.KnownRedCondition;
 import dev.wisteriarail.fuzz.gateway.GatewayDefect;
 import dev.wisteriarail.fuzz.gateway.GatewayFuzz;
 import dev.wisteriarail.fuzz.oracle.Violation;
@@ -11,6 +12,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -19,6 +21,7 @@
  * Gateway nodes under faults in virtual time, and what each check is for. A run may break just what
  * KNOWN-RED.txt lists for it, and has to.
  */
+@ExtendWith(KnownRedCondition.class)
 final class GatewayFuzzTest {
 
   private static final long SEED = 3;
