An engine gets one order a plan: the answer of an unloading was dropped

Cause: ModelPlanner.keepPromises gave the model that an engine was cleared for without a look at whether serveAdapters had just given that engine an order. EngineState has one open order, so the second replaced the first and the answer of the first was dropped. A refused UnloadAdapter was not taken back: its adapter was off the book while it was loaded, and its place was given away. An accepted LoadAdapter was never counted, and all later orders went out under a count that the engine had left behind.

Change: keepPromises leaves engines that have an order. The test fails before: LoadAdapter and LoadModel for e0 in one plan.

--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -90,7 +90,10 @@
     private final EngineSpec spec;
     private final Map<String, HostedModel> hosted;
     private final Map<String, PlanInput.Engine> engines = new LinkedHashMap<>();
+
+    /** Engines that got an order or wait for one: each gets one order at a time. */
     private final Set<String> taken = new HashSet<>();
+
     private final Map<String, Long> startsIn = new HashMap<>();
     private final Map<String, Set<String>> placedNow = new HashMap<>();
     private final Copies copies;
@@ -150,7 +153,7 @@
                 || engine.loading().equals(model);
         if (needless) {
           clearedFor.remove(promise.getKey());
-        } else if (engine.free()) {
+        } else if (engine.free() && !taken.contains(engine.runner())) {
           place(engine, model, "cleared for it");
         } else {
           taken.add(engine.runner());
--- a/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -156,6 +156,32 @@
                 "cleared for it"));
   }
 
+  /** The answer to the first of two orders was dropped, and a refused unloading counted as done. */
+  @Test
+  void clearedEngineGetsOneOrderWhenAnAdapterIsWantedToo() {
+    hold(0, "m0", "m20");
+    running[0].put("m0", 1);
+    for (int i = 1; i < ENGINES; i++) {
+      hold(i, "m" + (10 + i), "m" + (20 + i));
+      running[i].putAll(Map.of("m" + (10 + i), 1, "m" + (20 + i), 1));
+    }
+    onEveryDisk = Set.of("m5");
+    needs.put("m5", waiting(1));
+    assertThat(plan(4).orders())
+        .containsExactly(
+            new Plan.Placed("e0", new FleetOrder.UnloadModel("m20"), "makes room for m5"));
+    held[0].remove("m20");
+    adapterWants.add(new PlanInput.AdapterWant("m0", "a1", 1, 400));
+    assertThat(plan(4).orders())
+        .containsExactly(
+            new Plan.Placed("e0", new FleetOrder.LoadAdapter("m0", "a1"), "requests wait"));
+    adapterWants.clear();
+    assertThat(plan(4).orders())
+        .containsExactly(
+            new Plan.Placed(
+                "e0", new FleetOrder.LoadModel("m5", LoadSource.DISK), "cleared for it"));
+  }
+
   @Test
   void modelWithManyRequestsGetsMoreReplicas() {
     hold(0, "m0");
