One book of an engine's room: places in transit or in use were given away

Callers saw: engines were ordered to load more than they have room for (LIMIT), crashed, and took the requests on them along.

Cause: EngineState had one list for what serves, what can be dropped and what room is left. Class of fault: room was freed by what was last observed or assumed, not by the proven end of what takes it. (1) A report lists adapters in transit apart from loaded ones; nothing read that, so such an adapter dropped out of the list. (2) An adapter whose unloading was accepted (202) while requests use it was taken off at once. (3) A refused or lost unloading was off the list until somebody took it back.

Change: EngineRoom counts what was ordered from the moment it is sent, until the engine says that nothing uses it or a report that is newer than the order does not list it. RoomRules is the one place that counts megabytes and places; the coordinator withholds an order beyond them, or a second one to an engine, and logs it (253). Only adapters that a report showed are unloaded. A new holder counts what reports list as on its way.

EngineState loses OpenOrder, Coordinator its arithmetic of needs to DemandBook.

--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -78,6 +78,8 @@
   RUNNER_ORDER_ANSWERED(251, "order answered"),
   /** A report changed what the book says of an engine, or lists adapters in transit. */
   RUNNER_BOOK_CHANGED(252, "book of an engine changed"),
+  /** A planned order was not given: the engine has no room for it, or has an order already. */
+  RUNNER_ORDER_WITHHELD(253, "order withheld"),
 
   // Coordination
   /** The node holds the lease on orders. */
--- a/src/main/java/dev/wisteriarail/core/fleet/AdapterPlacement.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/AdapterPlacement.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -26,16 +25,13 @@
 
   private final PlanInput input;
   private final Map<String, HostedModel> hosted;
-  private final ToDoubleFunction<PlanInput.Engine> freeMegabytes;
+  private final RoomRules rules;
   private final Set<String> wanted;
 
-  private AdapterPlacement(
-      PlanInput input,
-      Map<String, HostedModel> hosted,
-      ToDoubleFunction<PlanInput.Engine> freeMegabytes) {
+  private AdapterPlacement(PlanInput input, RoomRules rules) {
     this.input = input;
-    this.hosted = hosted;
-    this.freeMegabytes = freeMegabytes;
+    this.rules = rules;
+    hosted = rules.hosted();
     wanted =
         input.adapterWants().stream()
             .map(want -> want.model() + "/" + want.adapter())
@@ -45,14 +41,10 @@
   /**
    * Returns the orders for adapters that requests wait for, at most one an engine.
    *
-   * @param hosted the models of the service by name
-   * @param freeMegabytes tells the memory that an engine has left
+   * @param rules what takes how much room
    */
-  static List<Plan.Placed> orders(
-      PlanInput input,
-      Map<String, HostedModel> hosted,
-      ToDoubleFunction<PlanInput.Engine> freeMegabytes) {
-    return new AdapterPlacement(input, hosted, freeMegabytes).orders();
+  static List<Plan.Placed> orders(PlanInput input, RoomRules rules) {
+    return new AdapterPlacement(input, rules).orders();
   }
 
   private List<Plan.Placed> orders() {
@@ -90,12 +82,11 @@
   }
 
   private boolean isFull(PlanInput.Engine engine, PlanInput.AdapterWant want) {
-    return adapterCount(engine) >= input.spec().adapterSlots()
-        || freeMegabytes.applyAsDouble(engine) < hosted.get(want.model()).adapterMegabytes();
+    return !rules.allow(new FleetOrder.LoadAdapter(want.model(), want.adapter()), engine.room());
   }
 
   private static int adapterCount(PlanInput.Engine engine) {
-    return engine.models().values().stream().mapToInt(Set::size).sum();
+    return engine.room().values().stream().mapToInt(Set::size).sum();
   }
 
   /** Adapters that were loaded a moment ago are kept until their requests came. */
--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -61,6 +61,7 @@
   private final Map<String, Integer> toldRunning = new HashMap<>();
   private final Map<String, Set<String>> leaving = new HashMap<>();
   private List<ModelForecast> forecasts = List.of();
+  private List<Plan.Placed> withheld = List.of();
   private long nextOrder = 1;
   private long revision;
   private long heldRevision;
@@ -154,7 +155,7 @@
     if (engine == null) {
       return;
     }
-    Optional<EngineState.OpenOrder> before = engine.open();
+    Optional<OpenOrder> before = engine.open();
     if (engine.acceptReport(report, asked, now)) {
       reviseHeld(engine);
     }
@@ -164,10 +165,7 @@
   }
 
   private void learnLoad(
-      EngineState engine,
-      EngineState.OpenOrder order,
-      GatewayConfiguration configuration,
-      Instant now) {
+      EngineState engine, OpenOrder order, GatewayConfiguration configuration, Instant now) {
     Long atOnce = storeLoadsAtBegin.remove(order.number());
     boolean done = engine.models().containsKey(order.body().model());
     if (atOnce == null || !done) {
@@ -213,6 +211,7 @@
     Map<String, UseBook.Load> loads = uses.loads();
     loads.forEach((runner, load) -> touchAdapters(runner, load, now));
     List<NumberedOrder> orders = new ArrayList<>();
+    List<Plan.Placed> beyondRoom = new ArrayList<>();
     List<ModelForecast> planned = new ArrayList<>();
     for (ServicePool service : configuration.services().values()) {
       if (service.engine().isEmpty()) {
@@ -221,8 +220,14 @@
       PlanInput input = input(service.name(), service.engine().get(), wants, loads, now);
       Plan plan =
           planners.computeIfAbsent(service.name(), name -> ModelPlanner.create()).plan(input);
+      RoomRules rules = RoomRules.of(input.spec());
       for (Plan.Placed placed : plan.orders()) {
-        orders.add(begin(placed, service.engine().get(), loads.get(placed.runner()), now));
+        EngineState engine = engines.get(placed.runner());
+        if (engine.open().isPresent() || !rules.allow(placed.order(), engine.room())) {
+          beyondRoom.add(placed);
+        } else {
+          orders.add(begin(placed, service.engine().get(), loads.get(placed.runner()), now));
+        }
       }
       for (Plan.Forecast forecast : plan.forecasts()) {
         planned.add(
@@ -230,6 +235,7 @@
       }
     }
     forecasts = planned;
+    withheld = beyondRoom;
     return orders;
   }
 
@@ -321,7 +327,7 @@
     return new PlanInput(
         spec,
         known,
-        needs(service, spec, wants, known, now),
+        demand.needs(service, spec, wants, known, now),
         DemandBook.adapterWants(service, wants),
         countStoreLoads(service, now),
         storeLoads.limit(),
@@ -336,6 +342,7 @@
         engine.domain(),
         engine.isFree(now) && orderable.test(engine.runner()),
         engine.modelsAndComing(),
+        engine.room(),
         loading.map(LoadHistory.Loading::model).orElse(""),
         loading.map(LoadHistory.Loading::source).orElse(LoadSource.MEMORY),
         loading.map(LoadHistory.Loading::leftMillis).orElse(0L),
@@ -365,32 +372,6 @@
         storeLoads.agesMillis(now));
   }
 
-  private Map<String, PlanInput.ModelNeed> needs(
-      String service,
-      EngineSpec spec,
-      Map<DemandKey, DemandBook.Want> wants,
-      List<PlanInput.Engine> known,
-      Instant now) {
-    Map<String, PlanInput.ModelNeed> needs = new HashMap<>();
-    for (HostedModel model : spec.models()) {
-      DemandBook.Want want = wants.get(DemandKey.of(service, model.name()));
-      double rate = demand.rate(service, model.name(), "", now);
-      int running =
-          known.stream().mapToInt(each -> each.running().getOrDefault(model.name(), 0)).sum();
-      if (want != null || rate > 0 || running > 0) {
-        needs.put(
-            model.name(),
-            new PlanInput.ModelNeed(
-                want == null ? 0 : want.waiting(),
-                want == null ? 0 : want.worth(),
-                want == null ? Long.MAX_VALUE : want.leastLeftMillis(),
-                rate,
-                running));
-      }
-    }
-    return needs;
-  }
-
   private int countStoreLoads(String service, Instant now) {
     int count = 0;
     for (EngineState engine : engines.values()) {
@@ -431,10 +412,10 @@
     return questions;
   }
 
-  /** Returns the models and adapters that an engine holds, as known here. */
-  public Map<String, Set<String>> held(String runner) {
+  /** Returns the models and adapters that take room in an engine, as known here. */
+  public Map<String, Set<String>> room(String runner) {
     EngineState engine = engines.get(runner);
-    return engine == null ? Map.of() : engine.modelsAndComing();
+    return engine == null ? Map.of() : engine.room();
   }
 
   private void reviseHeld(EngineState engine) {
@@ -484,6 +465,11 @@
     return heldRevision;
   }
 
+  /** Returns the orders of the last plan that were not given: the engine has no room for them. */
+  public List<Plan.Placed> withheld() {
+    return withheld;
+  }
+
   /** Returns when models that are waited for can serve. */
   public List<ModelForecast> forecasts() {
     return forecasts;
--- a/src/main/java/dev/wisteriarail/core/fleet/DemandBook.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/DemandBook.java
@@ -1,5 +1,7 @@
 package dev.wisteriarail.core.fleet;
 
+import dev.wisteriarail.core.route.EngineSpec;
+import dev.wisteriarail.core.route.HostedModel;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -80,6 +82,38 @@
     return wants;
   }
 
+  /**
+   * Returns what is wanted of each model of a service that is asked for, waited for or running.
+   *
+   * @param wants what all callers wait for, from {@link #wants}
+   * @param known the engines of the service, which tell what runs
+   */
+  Map<String, PlanInput.ModelNeed> needs(
+      String service,
+      EngineSpec spec,
+      Map<DemandKey, Want> wants,
+      List<PlanInput.Engine> known,
+      Instant now) {
+    Map<String, PlanInput.ModelNeed> needs = new HashMap<>();
+    for (HostedModel model : spec.models()) {
+      Want want = wants.get(DemandKey.of(service, model.name()));
+      double rate = rate(service, model.name(), "", now);
+      int running =
+          known.stream().mapToInt(each -> each.running().getOrDefault(model.name(), 0)).sum();
+      if (want != null || rate > 0 || running > 0) {
+        needs.put(
+            model.name(),
+            new PlanInput.ModelNeed(
+                want == null ? 0 : want.waiting(),
+                want == null ? 0 : want.worth(),
+                want == null ? Long.MAX_VALUE : want.leastLeftMillis(),
+                rate,
+                running));
+      }
+    }
+    return needs;
+  }
+
   /** Returns the adapters of a service that requests wait for, the most urgent first. */
   static List<PlanInput.AdapterWant> adapterWants(String service, Map<DemandKey, Want> wants) {
     List<PlanInput.AdapterWant> adapterWants = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineRoom.java
@@ -0,0 +1,138 @@
+package dev.wisteriarail.core.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * All that may take room in an engine: what it serves, what is on its way, and what was unloaded
+ * and may still be in use.
+ *
+ * <p>What was ordered counts from the moment at which the order is sent. It stops to count when the
+ * engine says that nothing uses it, or when a report that must be newer than the order does not
+ * list it. So the room that is left is never more than the engine has, whatever answers are lost
+ * and however old reports are.
+ *
+ * <p>Adapters are named by their model and themselves with a slash between. Life cycle: one per run
+ * of an engine. Not thread-safe.
+ */
+final class EngineRoom {
+
+  /** Reports are some hundred milliseconds old; after this long they include what was done. */
+  static final Duration REPORT_LAG = Duration.ofMillis(450);
+
+  /** The time at which each model and adapter last changed; the least if a report showed it. */
+  private final Map<String, Instant> taken = new TreeMap<>();
+
+  private final Set<String> leaving = new HashSet<>();
+
+  /** Notes a load that is sent now; returns whether it takes room that was not taken before. */
+  boolean load(FleetOrder order, Instant now) {
+    leaving.remove(nameOf(order));
+    return taken.put(nameOf(order), now) == null;
+  }
+
+  /** Notes that an unloading was accepted and waits for requests, as far as is known. */
+  void unload(FleetOrder order, Instant now) {
+    String name = nameOf(order);
+    if (taken.replace(name, now) != null) {
+      leaving.add(name);
+    }
+  }
+
+  /** Notes that what an order named is not there, nor on its way. */
+  void release(FleetOrder order) {
+    String name = nameOf(order);
+    String adapters = name + "/";
+    taken.keySet().removeIf(each -> each.equals(name) || each.startsWith(adapters));
+    leaving.removeIf(each -> each.equals(name) || each.startsWith(adapters));
+  }
+
+  /** Notes what a directory entry lists; any report that is newer than the orders corrects it. */
+  void add(Collection<LoadedModel> models) {
+    namesOf(models).forEach(name -> taken.putIfAbsent(name, Instant.MIN));
+  }
+
+  /**
+   * Takes a report.
+   *
+   * @param whole whether what it does not list and was not ordered lately is not there
+   */
+  void accept(RunnerReport report, Instant askedAt, boolean whole) {
+    Instant shown = askedAt.minus(REPORT_LAG);
+    Set<String> loaded = namesOf(report.models());
+    for (String name : loaded) {
+      Instant changed = taken.get(name);
+      if (changed == null ? whole : changed.isBefore(shown)) {
+        taken.put(name, Instant.MIN);
+      }
+    }
+    if (whole) {
+      report.incoming().forEach(name -> taken.putIfAbsent(name, askedAt));
+      taken
+          .entrySet()
+          .removeIf(
+              each ->
+                  each.getValue().isBefore(shown)
+                      && !loaded.contains(each.getKey())
+                      && !report.incoming().contains(each.getKey()));
+      leaving.retainAll(taken.keySet());
+    }
+  }
+
+  /** Returns whether a report is needed to know what of it is there, and can tell by now. */
+  boolean wantsReport(Instant now) {
+    Instant shown = now.minus(REPORT_LAG);
+    return taken.values().stream()
+            .anyMatch(changed -> !changed.equals(Instant.MIN) && changed.isBefore(shown))
+        || !leaving.isEmpty();
+  }
+
+  /** Returns whether a report showed that an adapter is loaded, and it was not unloaded since. */
+  boolean isLoaded(String name) {
+    return Instant.MIN.equals(taken.get(name)) && !leaving.contains(name);
+  }
+
+  /** Returns whether a model or adapter was unloaded and may still take room. */
+  boolean isLeaving(String name) {
+    return leaving.contains(name);
+  }
+
+  /** Returns the models that take room, with the adapters that do. */
+  Map<String, Set<String>> contents() {
+    Map<String, Set<String>> contents = new HashMap<>();
+    for (String name : taken.keySet()) {
+      int slash = name.indexOf('/');
+      String model = slash < 0 ? name : name.substring(0, slash);
+      Set<String> adapters = contents.computeIfAbsent(model, each -> new TreeSet<>());
+      if (slash >= 0) {
+        adapters.add(name.substring(slash + 1));
+      }
+    }
+    return contents;
+  }
+
+  private static String nameOf(FleetOrder order) {
+    return switch (order) {
+      case FleetOrder.LoadModel load -> load.model();
+      case FleetOrder.UnloadModel unload -> unload.model();
+      case FleetOrder.LoadAdapter load -> load.model() + "/" + load.adapter();
+      case FleetOrder.UnloadAdapter unload -> unload.model() + "/" + unload.adapter();
+    };
+  }
+
+  private static Set<String> namesOf(Collection<LoadedModel> models) {
+    Set<String> names = new HashSet<>();
+    for (LoadedModel model : models) {
+      names.add(model.name());
+      model.adapters().forEach(adapter -> names.add(model.name() + "/" + adapter));
+    }
+    return names;
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineState.java
@@ -25,7 +25,7 @@
 final class EngineState {
 
   /** Reports are some hundred milliseconds old; after this long they include what was done. */
-  static final Duration REPORT_LAG = Duration.ofMillis(450);
+  static final Duration REPORT_LAG = EngineRoom.REPORT_LAG;
 
   /** Time by which an order that was taken as done is done in truth, at most. */
   private static final Duration ASSUMED_LIMIT = Duration.ofMillis(1_200);
@@ -40,6 +40,7 @@
   private final long bornMillis;
   private final String domain;
   private final Map<String, Set<String>> models = new TreeMap<>();
+  private final EngineRoom room = new EngineRoom();
   private final Map<String, Instant> adapterUsedAt = new HashMap<>();
   private Set<String> inHostMemory = new HashSet<>();
   private Set<String> onDisk = new HashSet<>();
@@ -65,6 +66,7 @@
     bornMillis = entry.bornMillis();
     domain = entry.domain();
     changedAt = now;
+    room.add(entry.models());
     adopt(entry.models(), entry.inHostMemory(), entry.onDisk());
   }
 
@@ -80,7 +82,11 @@
 
   private void adopt(List<LoadedModel> held, Set<String> memory, Set<String> disk) {
     models.clear();
-    held.forEach(model -> models.put(model.name(), new TreeSet<>(model.adapters())));
+    for (LoadedModel model : held) {
+      Set<String> adapters = new TreeSet<>(model.adapters());
+      adapters.removeIf(adapter -> room.isLeaving(model.name() + "/" + adapter));
+      models.put(model.name(), adapters);
+    }
     inHostMemory = new HashSet<>(memory);
     onDisk = new HashSet<>(disk);
   }
@@ -102,11 +108,12 @@
       lastReport = Optional.of(report);
       lastReportAskedAt = askedAt;
     }
-    boolean settled = askedAt.isAfter(changedAt.plus(REPORT_LAG));
     if (open.isPresent()) {
-      return settle(open.get(), report, settled, now);
+      return settle(open.get(), report, askedAt, now);
     }
+    boolean settled = askedAt.isAfter(changedAt.plus(REPORT_LAG));
     if (!settled || (ordersSure && report.orders() < orders)) {
+      room.accept(report, askedAt, false);
       return false;
     }
     busy = report.busy();
@@ -114,16 +121,18 @@
     ordersSure = true;
     confirmed = true;
     endDoubt();
-    return adoptIfChanged(report);
+    return adoptIfChanged(report, askedAt);
   }
 
-  private boolean adoptIfChanged(RunnerReport report) {
+  private boolean adoptIfChanged(RunnerReport report, Instant askedAt) {
+    room.accept(report, askedAt, true);
     Map<String, Set<String>> before = new TreeMap<>(models);
     adopt(report.models(), report.inHostMemory(), report.onDisk());
     return !before.equals(models);
   }
 
-  private boolean settle(OpenOrder order, RunnerReport report, boolean late, Instant now) {
+  private boolean settle(OpenOrder order, RunnerReport report, Instant askedAt, Instant now) {
+    final boolean late = askedAt.isAfter(changedAt.plus(REPORT_LAG));
     boolean holds = report.models().stream().anyMatch(m -> m.name().equals(order.body().model()));
     boolean counted = report.orders() > order.expected();
     boolean done =
@@ -137,13 +146,18 @@
     if (!done && !dropped) {
       return false;
     }
+    if (counted && order.body() instanceof FleetOrder.UnloadAdapter) {
+      room.unload(order.body(), now);
+    } else if (done && order.body() instanceof FleetOrder.UnloadModel) {
+      room.release(order.body());
+    }
     open = Optional.empty();
     busy = report.busy();
     orders = report.orders();
     ordersSure = true;
     confirmed = true;
     endDoubt();
-    adoptIfChanged(report);
+    adoptIfChanged(report, askedAt);
     changedAt = now;
     return true;
   }
@@ -158,6 +172,7 @@
       return false;
     }
     Map<String, Set<String>> before = new TreeMap<>(models);
+    room.add(entry.models());
     adopt(entry.models(), entry.inHostMemory(), entry.onDisk());
     return !before.equals(models);
   }
@@ -166,7 +181,9 @@
 
   /** Notes an order that goes out now. */
   void begin(long number, FleetOrder body, Duration expected, Instant now) {
-    open = Optional.of(new OpenOrder(number, body, orders, now, now.plus(expected), false));
+    boolean takesRoom = isLoad(body) && room.load(body, now);
+    open =
+        Optional.of(new OpenOrder(number, body, orders, now, now.plus(expected), false, takesRoom));
     changedAt = now;
     if (body instanceof FleetOrder.UnloadModel unload) {
       droppedAdapters = models.getOrDefault(unload.model(), Set.of());
@@ -195,6 +212,8 @@
         yield true;
       }
       case FleetOrder.UnloadModel unload when idleUnload -> {
+        // The engine takes no order before the unloading is done.
+        room.release(unload);
         assumeDone(now);
         yield true;
       }
@@ -252,12 +271,16 @@
         } else {
           open = Optional.empty();
           apply(order.body(), now);
+          if (order.body() instanceof FleetOrder.UnloadAdapter) {
+            room.unload(order.body(), now);
+          }
         }
       }
       case HOLDS -> {
         open = Optional.empty();
         apply(order.body(), now);
         if (order.body() instanceof FleetOrder.UnloadAdapter) {
+          room.release(order.body());
           orders++;
         } else {
           ordersSure = false;
@@ -266,7 +289,7 @@
       case UNKNOWN -> ordersSure = false;
       case CONFLICT -> {
         open = Optional.empty();
-        undo(order.body());
+        undo(order);
         if (now.isBefore(assumedAt.plus(ASSUMED_LIMIT))) {
           // The order before it was taken as done too early: nothing is sent to its model yet.
           notBefore = now.plus(ASSUMED_RETRY);
@@ -279,11 +302,15 @@
       default -> {
         open = Optional.empty();
         ordersSure = false;
-        undo(order.body());
+        undo(order);
       }
     }
   }
 
+  private static boolean isLoad(FleetOrder body) {
+    return body instanceof FleetOrder.LoadModel || body instanceof FleetOrder.LoadAdapter;
+  }
+
   private static boolean isLong(FleetOrder body) {
     return body instanceof FleetOrder.LoadModel || body instanceof FleetOrder.UnloadModel;
   }
@@ -294,6 +321,7 @@
       case FleetOrder.UnloadModel unload -> models.remove(unload.model());
       case FleetOrder.LoadAdapter load -> {
         models.computeIfAbsent(load.model(), name -> new TreeSet<>()).add(load.adapter());
+        room.load(load, now);
         adapterUsedAt.put(load.model() + "/" + load.adapter(), now);
       }
       case FleetOrder.UnloadAdapter unload ->
@@ -301,8 +329,12 @@
     }
   }
 
-  /** Counts again what a refused order would have dropped: it still takes room. */
-  private void undo(FleetOrder body) {
+  /** Takes back what a refused order would have changed. */
+  private void undo(OpenOrder order) {
+    FleetOrder body = order.body();
+    if (order.takesRoom()) {
+      room.release(body);
+    }
     if (body instanceof FleetOrder.UnloadModel unload) {
       models.putIfAbsent(unload.model(), new TreeSet<>(droppedAdapters));
     } else if (body instanceof FleetOrder.UnloadAdapter unload
@@ -339,22 +371,31 @@
     return models;
   }
 
-  /** Returns the models that it serves, with their adapters and the one that is being loaded. */
+  /** Returns the models that it serves, with their adapters and those that are on their way. */
   Map<String, Set<String>> modelsAndComing() {
     Map<String, Set<String>> all = new TreeMap<>();
     models.forEach((name, adapters) -> all.put(name, new TreeSet<>(adapters)));
-    if (open.isPresent()
-        && open.get().body() instanceof FleetOrder.LoadAdapter load
-        && all.containsKey(load.model())) {
-      all.get(load.model()).add(load.adapter());
-    }
+    room.contents()
+        .forEach(
+            (name, adapters) -> {
+              if (all.containsKey(name)) {
+                adapters.stream()
+                    .filter(adapter -> !room.isLeaving(name + "/" + adapter))
+                    .forEach(all.get(name)::add);
+              }
+            });
     return all;
   }
 
+  /** Returns the models that take room in it, with the adapters that do. */
+  Map<String, Set<String>> room() {
+    return room.contents();
+  }
+
   /** Returns what an order given now is decided from. */
   OrderBasis basis(Instant now) {
     return new OrderBasis(
-        modelsAndComing().values().stream().mapToInt(Set::size).sum(),
+        room().values().stream().mapToInt(Set::size).sum(),
         lastReport.isEmpty() ? -1 : Duration.between(lastReportAskedAt, now).toMillis(),
         lastReport.map(RunnerReport::orders).orElse(-1L),
         lastReport.stream()
@@ -401,7 +442,7 @@
       OpenOrder order = open.get();
       return !order.accepted() || !now.isBefore(order.expectedAt());
     }
-    return !ordersSure || busy || !confirmed;
+    return !ordersSure || busy || !confirmed || room.wantsReport(now);
   }
 
   /** Notes that the engine is asked for a report. */
@@ -416,11 +457,11 @@
     return !unansweredSince.equals(Instant.MAX) && now.isAfter(unansweredSince.plus(SILENCE));
   }
 
-  /** Returns the adapters that no request used since a time, the longest unused first. */
+  /** Returns the loaded adapters that no request used since a time, the longest unused first. */
   List<String> idleAdapters(Instant since) {
     List<String> idle = new ArrayList<>();
     models.forEach((name, adapters) -> adapters.forEach(each -> idle.add(name + "/" + each)));
-    idle.removeIf(adapter -> adapterUsedAt(adapter).isAfter(since));
+    idle.removeIf(adapter -> adapterUsedAt(adapter).isAfter(since) || !room.isLoaded(adapter));
     idle.sort(Comparator.comparing(this::adapterUsedAt));
     return idle;
   }
@@ -436,32 +477,4 @@
     }
     return onDisk.contains(model) ? LoadSource.DISK : LoadSource.STORE;
   }
-
-  /**
-   * An order whose end is not known.
-   *
-   * @param number the coordinator's number of it
-   * @param body what was ordered
-   * @param expected number of orders that the engine had accepted before
-   * @param sentAt when it was sent
-   * @param expectedAt when it should be done
-   * @param accepted whether the engine said that it carries it out
-   */
-  record OpenOrder(
-      long number,
-      FleetOrder body,
-      long expected,
-      Instant sentAt,
-      Instant expectedAt,
-      boolean accepted) {
-
-    /** Returns the time until it should be done, in milliseconds. */
-    long leftMillis(Instant now) {
-      return Math.max(0, Duration.between(now, expectedAt).toMillis());
-    }
-
-    OpenOrder withAccepted() {
-      return new OpenOrder(number, body, expected, sentAt, expectedAt, true);
-    }
-  }
 }
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 
 /**
  * Decides which model is loaded where, for one service.
@@ -88,6 +87,7 @@
 
     private final PlanInput input;
     private final EngineSpec spec;
+    private final RoomRules rules;
     private final Map<String, HostedModel> hosted;
     private final Map<String, PlanInput.Engine> engines = new LinkedHashMap<>();
 
@@ -104,9 +104,8 @@
     Round(PlanInput input) {
       this.input = input;
       spec = input.spec();
-      hosted =
-          spec.models().stream()
-              .collect(Collectors.toMap(HostedModel::name, Function.identity(), (a, b) -> a));
+      rules = RoomRules.of(spec);
+      hosted = rules.hosted();
       input.engines().forEach(engine -> engines.put(engine.runner(), engine));
       copies = Copies.count(input.engines());
       clearedFor.keySet().retainAll(engines.keySet());
@@ -136,7 +135,7 @@
     // Steps
 
     void serveAdapters() {
-      for (Plan.Placed placed : AdapterPlacement.orders(input, hosted, this::freeMegabytes)) {
+      for (Plan.Placed placed : AdapterPlacement.orders(input, rules)) {
         taken.add(placed.runner());
         orders.add(placed);
       }
@@ -362,7 +361,7 @@
               .toList();
       for (String candidate : candidates) {
         victims.add(candidate);
-        missing -= megabytes(candidate);
+        missing -= rules.megabytes(candidate);
         if (missing <= 0) {
           return Optional.of(victims);
         }
@@ -462,20 +461,8 @@
     }
 
     private double freeMegabytes(PlanInput.Engine engine) {
-      double used = 0;
-      for (Map.Entry<String, Set<String>> held : engine.models().entrySet()) {
-        used += megabytes(held.getKey());
-        HostedModel model = hosted.get(held.getKey());
-        used += model == null ? 0 : held.getValue().size() * model.adapterMegabytes();
-      }
-      used += engine.loading().isEmpty() ? 0 : megabytes(engine.loading());
-      return spec.weightMegabytes() - used;
-    }
-
-    /** A model that the configuration no longer names counts as a whole engine. */
-    private double megabytes(String model) {
-      HostedModel known = hosted.get(model);
-      return known == null ? spec.weightMegabytes() : known.megabytes();
+      boolean counted = engine.loading().isEmpty() || engine.room().containsKey(engine.loading());
+      return rules.freeMegabytes(engine.room()) - (counted ? 0 : rules.megabytes(engine.loading()));
     }
   }
 }
--- a/src/main/java/dev/wisteriarail/core/fleet/PlanInput.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PlanInput.java
@@ -33,7 +33,9 @@
    * @param runner its runner
    * @param domain its failure domain
    * @param free whether it takes an order now
-   * @param models the models that it holds, with their adapters
+   * @param models the models that it holds, with their adapters and those that are on their way
+   * @param room the models that take room in it, with the adapters that do; they include what was
+   *     unloaded and may still be in use
    * @param loading the model that is being loaded; empty text if none
    * @param loadingSource where that comes from
    * @param loadingLeftMillis time until that is done, in milliseconds
@@ -49,6 +51,7 @@
       String domain,
       boolean free,
       Map<String, Set<String>> models,
+      Map<String, Set<String>> room,
       String loading,
       LoadSource loadingSource,
       long loadingLeftMillis,
--- a/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/EngineDuty.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.fleet.NumberedOrder;
 import dev.wisteriarail.core.fleet.OrderLease;
 import dev.wisteriarail.core.fleet.PeerTable;
+import dev.wisteriarail.core.fleet.Plan;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
 import dev.wisteriarail.core.fleet.RunnerReport;
 import dev.wisteriarail.core.forward.RunnerBoard;
@@ -112,9 +113,9 @@
   /** Takes an engine's report. */
   void acceptReport(GatewayEvent.ReportRead read, GatewayConfiguration known, GatewayStep step) {
     RunnerReport report = read.report();
-    final Map<String, Set<String>> before = coordinator.held(report.runner());
+    final Map<String, Set<String>> before = coordinator.room(report.runner());
     coordinator.acceptReport(report, read.askedAt(), known, step.now());
-    Map<String, Set<String>> after = coordinator.held(report.runner());
+    Map<String, Set<String>> after = coordinator.room(report.runner());
     if (!before.equals(after) || !report.incoming().isEmpty()) {
       step.log(
           EventCode.RUNNER_BOOK_CHANGED,
@@ -228,6 +229,22 @@
                       new GatewayEffect.GiveOrder(
                           entry, order, settings.self().node().value(), lease.fence())));
     }
+    logWithheld(step);
+  }
+
+  private void logWithheld(GatewayStep step) {
+    for (Plan.Placed placed : coordinator.withheld()) {
+      step.log(
+          EventCode.RUNNER_ORDER_WITHHELD,
+          "runner",
+          placed.runner(),
+          "body",
+          placed.order(),
+          "reason",
+          placed.reason(),
+          "room",
+          coordinator.room(placed.runner()));
+    }
   }
 
   private boolean wantsCalls(String runner, Instant now) {
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/fleet/EngineRoomTest.java
@@ -0,0 +1,147 @@
+package dev.wisteriarail.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Places that were given away while they were taken: an engine got more than it has room for. */
+class EngineRoomTest {
+
+  private static final FleetOrder LOAD = new FleetOrder.LoadAdapter("m", "a2");
+  private static final FleetOrder UNLOAD = new FleetOrder.UnloadAdapter("m", "a1");
+  private static final Instant START = Instant.EPOCH.plusSeconds(10);
+
+  private final EngineState engine = known();
+
+  private static EngineState known() {
+    EngineState engine = EngineState.of(RunnerDirectoryTest.entry("r", false, 1), Instant.EPOCH);
+    engine.acceptReport(report(4, Set.of(), "a1"), START, START);
+    return engine;
+  }
+
+  private static RunnerReport report(long orders, Set<String> incoming, String... adapters) {
+    return new RunnerReport(
+        "r",
+        1,
+        orders,
+        false,
+        List.of(new LoadedModel("m", List.of(adapters))),
+        incoming,
+        Set.of(),
+        Set.of(),
+        0,
+        0,
+        0);
+  }
+
+  private void order(FleetOrder order, FleetOrderOutcome outcome) {
+    engine.begin(1, order, Duration.ofMillis(12), START);
+    engine.finish(1, outcome, START.plusMillis(5));
+  }
+
+  private void report(long askedMillis, RunnerReport report) {
+    Instant asked = START.plusMillis(askedMillis);
+    engine.acceptReport(report, asked, asked);
+  }
+
+  private Set<String> places() {
+    return engine.room().get("m");
+  }
+
+  @ParameterizedTest
+  @CsvSource({"100, m/a2", "600, m/a2", "100, ''"})
+  void adapterInTransitKeepsItsPlaceWhateverReportsList(long askedMillis, String incoming) {
+    order(LOAD, FleetOrderOutcome.ACCEPTED);
+    report(askedMillis, report(5, incoming.isEmpty() ? Set.of() : Set.of(incoming), "a1"));
+    assertThat(places()).containsExactly("a1", "a2");
+    assertThat(engine.modelsAndComing().get("m")).containsExactly("a1", "a2");
+    report(1_200, report(5, Set.of(), "a1", "a2"));
+    assertThat(engine.models().get("m")).containsExactly("a1", "a2");
+  }
+
+  @Test
+  void adapterThatDidNotArriveGivesItsPlaceBackByOneLaterReport() {
+    order(LOAD, FleetOrderOutcome.ACCEPTED);
+    report(1_200, report(5, Set.of(), "a1"));
+    assertThat(places()).containsExactly("a1");
+  }
+
+  @Test
+  void adapterInUseKeepsItsPlaceAfterItsUnloadingIsAccepted() {
+    order(UNLOAD, FleetOrderOutcome.ACCEPTED);
+    assertThat(engine.models().get("m")).isEmpty();
+    report(1_200, report(5, Set.of(), "a1"));
+    assertThat(places()).containsExactly("a1");
+    assertThat(engine.models().get("m")).isEmpty();
+    report(2_400, report(5, Set.of()));
+    assertThat(places()).isEmpty();
+  }
+
+  @Test
+  void adapterThatNobodyUsesGivesItsPlaceBackAtOnce() {
+    order(UNLOAD, FleetOrderOutcome.HOLDS);
+    assertThat(places()).isEmpty();
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FleetOrderOutcome.class,
+      names = {"CONFLICT", "FENCED", "REFUSED", "UNREACHABLE", "UNKNOWN"})
+  void refusedUnloadingKeepsThePlace(FleetOrderOutcome outcome) {
+    order(UNLOAD, outcome);
+    assertThat(places()).containsExactly("a1");
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FleetOrderOutcome.class,
+      names = {"CONFLICT", "FENCED", "REFUSED", "UNREACHABLE"})
+  void refusedLoadTakesNoPlace(FleetOrderOutcome outcome) {
+    order(LOAD, outcome);
+    assertThat(places()).containsExactly("a1");
+  }
+
+  /** Its report counts the order and was taken before the adapter came into sight. */
+  @Test
+  void loadWithoutAnswerKeepsItsPlaceUntilOneLaterReport() {
+    order(LOAD, FleetOrderOutcome.UNKNOWN);
+    report(100, report(5, Set.of(), "a1"));
+    assertThat(engine.open()).isEmpty();
+    assertThat(places()).containsExactly("a1", "a2");
+    report(1_200, report(5, Set.of(), "a1"));
+    assertThat(places()).containsExactly("a1");
+  }
+
+  @Test
+  void unloadingWithoutAnswerThatWasCountedKeepsThePlaceWhileItIsListed() {
+    order(UNLOAD, FleetOrderOutcome.UNKNOWN);
+    report(100, report(5, Set.of(), "a1"));
+    assertThat(engine.open()).isEmpty();
+    assertThat(places()).containsExactly("a1");
+    assertThat(engine.models().get("m")).isEmpty();
+  }
+
+  @Test
+  void newHolderCountsWhatIsOnItsWay() {
+    EngineState inherited = EngineState.quiet(RunnerDirectoryTest.entry("r", false, 1), START);
+    inherited.acceptReport(report(7, Set.of("m/a2"), "a1"), START, START);
+    assertThat(inherited.isFree(START)).isTrue();
+    assertThat(inherited.room().get("m")).containsExactly("a1", "a2");
+  }
+
+  @Test
+  void onlyAnAdapterThatOneReportShowedIsUnloaded() {
+    order(LOAD, FleetOrderOutcome.ACCEPTED);
+    Instant later = START.plusSeconds(1);
+    assertThat(engine.idleAdapters(later)).containsExactly("m/a1");
+    report(1_200, report(5, Set.of(), "a1", "a2"));
+    assertThat(engine.idleAdapters(later)).containsExactly("m/a1", "m/a2");
+  }
+}
--- a/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -76,6 +76,7 @@
               "a",
               true,
               held[i],
+              held[i],
               "",
               LoadSource.MEMORY,
               0,
