--- a/src/test/java/dev/wisteriarail/core/fleet/EngineRoomTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/EngineRoomTest.java
@@ -46,7 +46,7 @@
     engine.finish(1, outcome, START.plusMillis(5));
   }
 
-  private void report(long askedMillis, RunnerReport report) {
+  private void accept(long askedMillis, RunnerReport report) {
     Instant asked = START.plusMillis(askedMillis);
     engine.acceptReport(report, asked, asked);
   }
@@ -59,17 +59,17 @@
   @CsvSource({"100, m/a2", "600, m/a2", "100, ''"})
   void adapterInTransitKeepsItsPlaceWhateverReportsList(long askedMillis, String incoming) {
     order(LOAD, FleetOrderOutcome.ACCEPTED);
-    report(askedMillis, report(5, incoming.isEmpty() ? Set.of() : Set.of(incoming), "a1"));
+    accept(askedMillis, report(5, incoming.isEmpty() ? Set.of() : Set.of(incoming), "a1"));
     assertThat(places()).containsExactly("a1", "a2");
     assertThat(engine.modelsAndComing().get("m")).containsExactly("a1", "a2");
-    report(1_200, report(5, Set.of(), "a1", "a2"));
+    accept(1_200, report(5, Set.of(), "a1", "a2"));
     assertThat(engine.models().get("m")).containsExactly("a1", "a2");
   }
 
   @Test
   void adapterThatDidNotArriveGivesItsPlaceBackByOneLaterReport() {
     order(LOAD, FleetOrderOutcome.ACCEPTED);
-    report(1_200, report(5, Set.of(), "a1"));
+    accept(1_200, report(5, Set.of(), "a1"));
     assertThat(places()).containsExactly("a1");
   }
 
@@ -77,10 +77,10 @@
   void adapterInUseKeepsItsPlaceAfterItsUnloadingIsAccepted() {
     order(UNLOAD, FleetOrderOutcome.ACCEPTED);
     assertThat(engine.models().get("m")).isEmpty();
-    report(1_200, report(5, Set.of(), "a1"));
+    accept(1_200, report(5, Set.of(), "a1"));
     assertThat(places()).containsExactly("a1");
     assertThat(engine.models().get("m")).isEmpty();
-    report(2_400, report(5, Set.of()));
+    accept(2_400, report(5, Set.of()));
     assertThat(places()).isEmpty();
   }
 
@@ -112,17 +112,17 @@
   @Test
   void loadWithoutAnswerKeepsItsPlaceUntilOneLaterReport() {
     order(LOAD, FleetOrderOutcome.UNKNOWN);
-    report(100, report(5, Set.of(), "a1"));
+    accept(100, report(5, Set.of(), "a1"));
     assertThat(engine.open()).isEmpty();
     assertThat(places()).containsExactly("a1", "a2");
-    report(1_200, report(5, Set.of(), "a1"));
+    accept(1_200, report(5, Set.of(), "a1"));
     assertThat(places()).containsExactly("a1");
   }
 
   @Test
   void unloadingWithoutAnswerThatWasCountedKeepsThePlaceWhileItIsListed() {
     order(UNLOAD, FleetOrderOutcome.UNKNOWN);
-    report(100, report(5, Set.of(), "a1"));
+    accept(100, report(5, Set.of(), "a1"));
     assertThat(engine.open()).isEmpty();
     assertThat(places()).containsExactly("a1");
     assertThat(engine.models().get("m")).isEmpty();
@@ -141,7 +141,7 @@
     order(LOAD, FleetOrderOutcome.ACCEPTED);
     Instant later = START.plusSeconds(1);
     assertThat(engine.idleAdapters(later)).containsExactly("m/a1");
-    report(1_200, report(5, Set.of(), "a1", "a2"));
+    accept(1_200, report(5, Set.of(), "a1", "a2"));
     assertThat(engine.idleAdapters(later)).containsExactly("m/a1", "m/a2");
   }
 }
