A cleared engine gets its model after two orders for adapters

Cause: with one order an engine a plan, adapters go first; where a model's adapters are traded all the time an engine that was cleared for a model would never get it.

Test fails before: the third and fourth plan order adapters again.

--- a/src/main/java/dev/wisteriarail/core/fleet/AdapterPlacement.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/AdapterPlacement.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -26,11 +27,13 @@
   private final PlanInput input;
   private final Map<String, HostedModel> hosted;
   private final RoomRules rules;
+  private final Predicate<PlanInput.Engine> mayOrder;
   private final Set<String> wanted;
 
-  private AdapterPlacement(PlanInput input, RoomRules rules) {
+  private AdapterPlacement(PlanInput input, RoomRules rules, Predicate<PlanInput.Engine> mayOrder) {
     this.input = input;
     this.rules = rules;
+    this.mayOrder = mayOrder;
     hosted = rules.hosted();
     wanted =
         input.adapterWants().stream()
@@ -42,9 +45,11 @@
    * Returns the orders for adapters that requests wait for, at most one an engine.
    *
    * @param rules what takes how much room
+   * @param mayOrder tells engines that may get such an order now
    */
-  static List<Plan.Placed> orders(PlanInput input, RoomRules rules) {
-    return new AdapterPlacement(input, rules).orders();
+  static List<Plan.Placed> orders(
+      PlanInput input, RoomRules rules, Predicate<PlanInput.Engine> mayOrder) {
+    return new AdapterPlacement(input, rules, mayOrder).orders();
   }
 
   private List<Plan.Placed> orders() {
@@ -56,6 +61,7 @@
       }
       input.engines().stream()
           .filter(engine -> engine.free() && !taken.contains(engine.runner()))
+          .filter(mayOrder)
           .filter(engine -> engine.models().containsKey(want.model()))
           .filter(engine -> !holds(engine, want))
           .filter(engine -> !isFull(engine, want) || dispensable(engine).isPresent())
--- a/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/ModelPlanner.java
@@ -61,7 +61,11 @@
   /** Time that clearing a place adds to a load, in milliseconds. */
   private static final long CLEARING_MILLIS = 400;
 
+  /** Orders for adapters that an engine gets before the model that it was cleared for. */
+  private static final int ADAPTER_ORDERS_BEFORE_MODEL = 2;
+
   private final Map<String, String> clearedFor = new HashMap<>();
+  private final Map<String, Integer> adapterOrdersSinceClearing = new HashMap<>();
 
   private ModelPlanner() {}
 
@@ -109,6 +113,7 @@
       input.engines().forEach(engine -> engines.put(engine.runner(), engine));
       copies = Copies.count(input.engines());
       clearedFor.keySet().retainAll(engines.keySet());
+      adapterOrdersSinceClearing.keySet().retainAll(clearedFor.keySet());
       storeLoads = input.storeLoads();
       for (PlanInput.Engine engine : input.engines()) {
         if (!engine.loading().isEmpty()) {
@@ -135,12 +140,23 @@
     // Steps
 
     void serveAdapters() {
-      for (Plan.Placed placed : AdapterPlacement.orders(input, rules)) {
+      for (Plan.Placed placed : AdapterPlacement.orders(input, rules, this::mayServeAdapters)) {
         taken.add(placed.runner());
         orders.add(placed);
+        if (clearedFor.containsKey(placed.runner())) {
+          adapterOrdersSinceClearing.merge(placed.runner(), 1, Integer::sum);
+        }
       }
     }
 
+    /**
+     * Adapters that are traded all the time would keep a cleared engine from its model for good.
+     */
+    private boolean mayServeAdapters(PlanInput.Engine engine) {
+      return adapterOrdersSinceClearing.getOrDefault(engine.runner(), 0)
+          < ADAPTER_ORDERS_BEFORE_MODEL;
+    }
+
     /** Goes on with engines that were being cleared for a model. */
     void keepPromises() {
       for (Map.Entry<String, String> promise : List.copyOf(clearedFor.entrySet())) {
--- a/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -183,6 +183,34 @@
                 "e0", new FleetOrder.LoadModel("m5", LoadSource.DISK), "cleared for it"));
   }
 
+  /** Adapters of a model with many of them are traded without end. */
+  @Test
+  void clearedEngineGetsItsModelAfterTwoOrdersForAdapters() {
+    hold(0, "m0", "m20");
+    running[0].put("m0", 1);
+    for (int i = 1; i < ENGINES; i++) {
+      hold(i, "m" + (10 + i), "m" + (20 + i));
+      running[i].putAll(Map.of("m" + (10 + i), 1, "m" + (20 + i), 1));
+    }
+    onEveryDisk = Set.of("m5");
+    needs.put("m5", waiting(1));
+    assertThat(plan(4).orders().getFirst().order()).isEqualTo(new FleetOrder.UnloadModel("m20"));
+    held[0].remove("m20");
+    List<FleetOrder> ordered = new ArrayList<>();
+    for (int i = 1; i <= 4; i++) {
+      adapterWants.clear();
+      adapterWants.add(new PlanInput.AdapterWant("m0", "a" + i, 1, 400));
+      plan(4).orders().forEach(placed -> ordered.add(placed.order()));
+    }
+    assertThat(ordered)
+        .containsExactly(
+            new FleetOrder.LoadAdapter("m0", "a1"),
+            new FleetOrder.LoadAdapter("m0", "a2"),
+            new FleetOrder.LoadModel("m5", LoadSource.DISK),
+            new FleetOrder.LoadModel("m5", LoadSource.DISK))
+        .inOrder();
+  }
+
   @Test
   void modelWithManyRequestsGetsMoreReplicas() {
     hold(0, "m0");
