Stand-in runner: adapters in transit, listed apart, and in use when they are unloaded

Cause: like the fuzz's engine it loaded and dropped adapters at once, so the soak could not see LIMIT either.

Change: 8 ms in transit, each fourth 700 ms; 'incoming' in its report; an adapter in use is unloaded with 202 and goes with its last request. Its own check of places counts both.

--- a/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -29,6 +29,12 @@
   private static final long LOAD_MILLIS = 120;
   private static final long LARGE_LOAD_MILLIS = 4_000;
 
+  /** Time that an adapter is in transit, and that of each fourth one. */
+  private static final long TRANSIT_MILLIS = 8;
+
+  private static final long LONG_TRANSIT_MILLIS = 700;
+  private static final int LONG_TRANSIT_EACH = 4;
+
   /** Pauses of a slow runner: before its answer, and between two events. */
   private static final long SLOW_START_MILLIS = 1_500;
 
@@ -53,6 +59,9 @@
   private final boolean engine;
   private final long born;
   private final Map<String, Set<String>> models = new TreeMap<>();
+  private final Map<String, Long> incoming = new TreeMap<>();
+  private final Map<String, Integer> runningBy = new TreeMap<>();
+  private final Set<String> leaving = new TreeSet<>();
   private final Set<String> disk = new TreeSet<>();
   private final List<String> ran = new ArrayList<>();
   private final List<String> wrongOrders = new ArrayList<>();
@@ -150,6 +159,7 @@
   private synchronized Map<String, Object> report() {
     Map<String, Object> report = new LinkedHashMap<>(description());
     report.put("busy", isBusy());
+    report.put("incoming", incoming.keySet().stream().map(name -> name + "@1").toList());
     report.put("sequence", orders);
     report.put("waiting", 0);
     report.put("running_count", running);
@@ -158,6 +168,7 @@
   }
 
   private Map<String, Object> description() {
+    settleAdapters();
     List<Map<String, Object>> held = new ArrayList<>();
     models.forEach(
         (name, adapters) -> {
@@ -208,10 +219,7 @@
     String adapter = (String) order.get("adapter");
     boolean load = "model_load".equals(order.get("operation"));
     if (adapter != null) {
-      Set<String> adapters = models.getOrDefault(model, new TreeSet<>());
-      boolean unused = load ? adapters.add(adapter) : adapters.remove(adapter);
-      noteHeld();
-      call.reply(load ? 202 : 200, unused ? "" : "holds");
+      call.reply(load ? loadAdapter(model, adapter) : unloadAdapter(model, adapter), "");
       return;
     }
     if (load) {
@@ -222,15 +230,55 @@
       noteHeld();
     } else {
       models.remove(model);
+      incoming.keySet().removeIf(name -> name.startsWith(model + "/"));
     }
     call.reply(202, "");
   }
 
+  private int loadAdapter(String model, String adapter) {
+    settleAdapters();
+    String name = model + "/" + adapter;
+    leaving.remove(name);
+    if (models.getOrDefault(model, Set.of()).contains(adapter) || !models.containsKey(model)) {
+      return 200;
+    }
+    boolean slow = orders % LONG_TRANSIT_EACH == 0;
+    long millis = slow ? LONG_TRANSIT_MILLIS : TRANSIT_MILLIS;
+    incoming.putIfAbsent(name, System.nanoTime() + millis * 1_000_000);
+    noteHeld();
+    return 202;
+  }
+
+  /** An adapter that requests use goes when they have ended. */
+  private int unloadAdapter(String model, String adapter) {
+    settleAdapters();
+    String name = model + "/" + adapter;
+    if (runningBy.getOrDefault(name, 0) > 0) {
+      leaving.add(name);
+      return 202;
+    }
+    models.getOrDefault(model, new TreeSet<>()).remove(adapter);
+    return 200;
+  }
+
+  private void settleAdapters() {
+    long now = System.nanoTime();
+    for (String name : List.copyOf(incoming.keySet())) {
+      if (now - incoming.get(name) >= 0) {
+        incoming.remove(name);
+        int slash = name.indexOf('/');
+        models
+            .getOrDefault(name.substring(0, slash), new TreeSet<>())
+            .add(name.substring(slash + 1));
+      }
+    }
+  }
+
   private void noteHeld() {
     if (models.size() > MODEL_PLACES) {
       wrongOrders.add("told to hold " + models.keySet());
     }
-    int adapters = models.values().stream().mapToInt(Set::size).sum();
+    int adapters = incoming.size() + models.values().stream().mapToInt(Set::size).sum();
     if (adapters > ADAPTER_PLACES) {
       wrongOrders.add("told to hold " + adapters + " adapters");
     }
@@ -250,7 +298,7 @@
     try {
       answer(call, request, now);
     } finally {
-      finish();
+      finish(named(call));
     }
   }
 
@@ -263,28 +311,39 @@
         call.setHeader("Retry-After", PAUSE_SECONDS);
       }
       call.reply(503, "full");
-    } else if (engine && !holds(call.header("X-Wisteriarail-Model").orElse(""))) {
+    } else if (engine && !holds(named(call))) {
       call.setHeader(NOT_RUN, "1");
       call.reply(421, "not loaded");
-    } else if (behaviour == Behaviour.SILENT) {
-      running++;
     } else {
-      ran.add(request);
+      if (behaviour != Behaviour.SILENT) {
+        ran.add(request);
+      }
       running++;
+      runningBy.merge(named(call), 1, Integer::sum);
     }
     return behaviour;
   }
 
+  private static String named(Call call) {
+    return call.header("X-Wisteriarail-Model").orElse("");
+  }
+
   private boolean holds(String named) {
+    settleAdapters();
     int slash = named.indexOf('/');
     String model = slash < 0 ? named : named.substring(0, slash);
     return !isLoading(model)
         && models.containsKey(model)
+        && !leaving.contains(named)
         && (slash < 0 || models.get(model).contains(named.substring(slash + 1)));
   }
 
-  private synchronized void finish() {
+  private synchronized void finish(String named) {
     running--;
+    if (runningBy.merge(named, -1, Integer::sum) == 0 && leaving.remove(named)) {
+      unloadAdapter(
+          named.substring(0, named.indexOf('/')), named.substring(named.indexOf('/') + 1));
+    }
   }
 
   private void answer(Call call, String request, Behaviour how)
