--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.fleet.LeaseAnswer;
 import dev.wisteriarail.core.fleet.LoadSource;
 import dev.wisteriarail.core.fleet.NumberedOrder;
+import dev.wisteriarail.core.fleet.RunnerReport;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
@@ -18,6 +19,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Deliberate defects of gateway nodes, one for each check. */
 enum GatewayDefects implements GatewayDefect {
@@ -154,6 +156,30 @@
               order.fence()));
     }
   },
+  MISSES_TRANSIT {
+    @Override
+    public List<GatewayEvent> alter(GatewayEvent event) {
+      if (!(event instanceof GatewayEvent.ReportRead read)) {
+        return List.of(event);
+      }
+      RunnerReport known = read.report();
+      return List.of(
+          new GatewayEvent.ReportRead(
+              new RunnerReport(
+                  known.runner(),
+                  known.bornMillis(),
+                  known.orders(),
+                  known.busy(),
+                  known.models(),
+                  Set.of(),
+                  known.inHostMemory(),
+                  known.onDisk(),
+                  known.waiting(),
+                  known.running(),
+                  known.tokensUsed()),
+              read.askedAt()));
+    }
+  },
   SPENDS_ANY_BUDGET {
     @Override
     public GatewaySettings alter(GatewaySettings settings) {
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
@@ -68,6 +68,7 @@
     "recovery, IGNORES_ERAS, true",
     "rollback, TELLS_VERSIONS_BACKWARDS, true",
     "memory, ORDERS_BEYOND_MEMORY, false",
+    "memory, MISSES_TRANSIT, true",
     "retry-budget, SPENDS_ANY_BUDGET, true",
     "drain, MISSES_CHANGES, false",
     "configuration, MISSES_CHANGES, false",
