Bytes and messages to peers by kind, as metrics

Change: TcpPeerTransport tells PeerTraffic what it wrote and what it left out; the gateway counts both by kind of message. Frames in the queue carry their kind. No message or order of messages is changed.

--- a/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.event.NodeEvent;
+import dev.wisteriarail.peer.PeerTraffic;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -13,14 +14,18 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Counters of every numbered event, and histograms of how long requests took by their end.
+ * Counters of every numbered event and of what goes to peers, and histograms of how long requests
+ * took by their end.
  *
- * <p>Labels are names of events and numbered result codes, so their number is bounded. Thread-safe.
+ * <p>Labels are names of events, kinds of messages and numbered result codes, so their number is
+ * bounded. Thread-safe.
  */
-final class GatewayMetrics {
+final class GatewayMetrics implements PeerTraffic {
 
   private static final String EVENTS = "wisteriarail.events";
   private static final String REQUESTS = "wisteriarail.forward";
+  private static final String PEER_MESSAGES = "wisteriarail.peer.messages";
+  private static final String PEER_BYTES = "wisteriarail.peer.sent";
 
   /** Fields of the log that hold how long a request was on the node. */
   private static final Map<EventCode, String> DURATIONS =
@@ -35,6 +40,7 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<EventCode, Counter> counters = new ConcurrentHashMap<>();
   private final Map<String, Timer> timers = new ConcurrentHashMap<>();
+  private final Map<String, Counter> peerCounters = new ConcurrentHashMap<>();
 
   private GatewayMetrics() {}
 
@@ -72,6 +78,34 @@
         .record(Duration.ofMillis(millis));
   }
 
+  @Override
+  public void sent(String kind, int bytes) {
+    countMessage(kind, "sent");
+    peerCounters
+        .computeIfAbsent(
+            kind,
+            name ->
+                Counter.builder(PEER_BYTES).baseUnit("bytes").tag("kind", name).register(registry))
+        .increment(bytes);
+  }
+
+  @Override
+  public void leftOut(String kind) {
+    countMessage(kind, "left_out");
+  }
+
+  private void countMessage(String kind, String outcome) {
+    peerCounters
+        .computeIfAbsent(
+            kind + " " + outcome,
+            name ->
+                Counter.builder(PEER_MESSAGES)
+                    .tag("kind", kind)
+                    .tag("outcome", outcome)
+                    .register(registry))
+        .increment();
+  }
+
   /** Returns all metrics as text. */
   String scrape() {
     return registry.scrape();
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -146,7 +146,7 @@
     RunnerClient runners = new RunnerClient(pooled, fresh, runnerProtocol);
     PlatformClient platform = platformClients.apply(control, file.storeAddress());
     TcpPeerTransport peers =
-        TcpPeerTransport.create(file.node(), incarnation, Optional.empty(), log);
+        TcpPeerTransport.create(file.node(), incarnation, Optional.empty(), log, metrics);
     GatewayRuntime runtime =
         new GatewayRuntime(
             GatewayCore.create(settings(file, incarnation)),
--- a/src/main/java/dev/wisteriarail/node/Node.java
+++ b/src/main/java/dev/wisteriarail/node/Node.java
@@ -17,6 +17,7 @@
 import dev.wisteriarail.logservice.HttpLogService;
 import dev.wisteriarail.logservice.HttpVmList;
 import dev.wisteriarail.peer.PeerTls;
+import dev.wisteriarail.peer.PeerTraffic;
 import dev.wisteriarail.peer.TcpPeerServer;
 import dev.wisteriarail.peer.TcpPeerTransport;
 import dev.wisteriarail.runtime.EventLog;
@@ -97,7 +98,8 @@
                 http, id -> Optional.ofNullable(runtime.get().configuration().runners().get(id))),
             HttpLogService.create(http, file.logAddress()),
             HttpVmList.create(http, file.vmListAddress()),
-            TcpPeerTransport.create(file.node(), settings.incarnation(), tls, events),
+            TcpPeerTransport.create(
+                file.node(), settings.incarnation(), tls, events, PeerTraffic.NONE),
             exchanges,
             events);
     NodeCore core = NodeCore.create(settings, file.placement().planner());
--- a/src/main/java/dev/wisteriarail/peer/FrameQueue.java
+++ b/src/main/java/dev/wisteriarail/peer/FrameQueue.java
@@ -11,7 +11,7 @@
  */
 final class FrameQueue {
 
-  private final BlockingDeque<byte[]> frames;
+  private final BlockingDeque<OutgoingFrame> frames;
 
   private FrameQueue(int limit) {
     frames = new LinkedBlockingDeque<>(limit);
@@ -22,7 +22,7 @@
     return new FrameQueue(limit);
   }
 
-  void offer(byte[] frame, boolean urgent) {
+  void offer(OutgoingFrame frame, boolean urgent) {
     if (urgent) {
       while (!frames.offerFirst(frame)) {
         frames.pollLast();
@@ -35,7 +35,7 @@
   }
 
   /** Takes the next frame; waits for one. */
-  byte[] take() throws InterruptedException {
+  OutgoingFrame take() throws InterruptedException {
     return frames.take();
   }
 
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/peer/PeerTraffic.java
@@ -0,0 +1,30 @@
+package dev.wisteriarail.peer;
+
+/** Takes what a transport sends to peers, by kind of message. Thread-safe. */
+public interface PeerTraffic {
+
+  /** Counts nothing. */
+  PeerTraffic NONE =
+      new PeerTraffic() {
+        @Override
+        public void sent(String kind, int bytes) {}
+
+        @Override
+        public void leftOut(String kind) {}
+      };
+
+  /**
+   * Notes a frame that was written to a connection.
+   *
+   * @param kind the kind of its message
+   * @param bytes its length, the four bytes of the length included
+   */
+  void sent(String kind, int bytes);
+
+  /**
+   * Notes a repeated message that was left out, as too many frames were on their way to the peer.
+   *
+   * @param kind the kind of the message
+   */
+  void leftOut(String kind);
+}
--- a/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
+++ b/src/main/java/dev/wisteriarail/peer/TcpPeerTransport.java
@@ -53,15 +53,21 @@
   private final Incarnation incarnation;
   private final Optional<PeerTls> tls;
   private final EventLog log;
+  private final PeerTraffic traffic;
   private final Map<NodeId, Link> links = new ConcurrentHashMap<>();
   private volatile Encoded lastEncoded;
 
   private TcpPeerTransport(
-      NodeId self, Incarnation incarnation, Optional<PeerTls> tls, EventLog log) {
+      NodeId self,
+      Incarnation incarnation,
+      Optional<PeerTls> tls,
+      EventLog log,
+      PeerTraffic traffic) {
     this.self = self;
     this.incarnation = incarnation;
     this.tls = tls;
     this.log = log;
+    this.traffic = traffic;
   }
 
   /**
@@ -69,10 +75,15 @@
    *
    * @param tls checks and encrypts the connections; empty to do neither
    * @param log the node's event log
+   * @param traffic takes what is sent
    */
   public static TcpPeerTransport create(
-      NodeId self, Incarnation incarnation, Optional<PeerTls> tls, EventLog log) {
-    return new TcpPeerTransport(self, incarnation, tls, log);
+      NodeId self,
+      Incarnation incarnation,
+      Optional<PeerTls> tls,
+      EventLog log,
+      PeerTraffic traffic) {
+    return new TcpPeerTransport(self, incarnation, tls, log, traffic);
   }
 
   @Override
@@ -84,6 +95,8 @@
     try {
       if (!message.isRepeated() || link.takesRepeated()) {
         link.offer(encode(message), message.urgent());
+      } else {
+        traffic.leftOut(kind(message));
       }
     } catch (IOException failure) {
       log.write(
@@ -109,23 +122,29 @@
 
   /** Encodes a message; one that goes to many peers in a row is encoded once. */
   @SuppressWarnings("ReferenceEquality") // The same object; comparing its content costs more.
-  private byte[] encode(PeerMessage message) throws IOException {
+  private OutgoingFrame encode(PeerMessage message) throws IOException {
     Encoded known = lastEncoded;
     if (known == null || known.message != message) {
       known =
           new Encoded(
               message,
-              FrameCodec.encode(new PeerFrame(PeerFrame.VERSION, self, incarnation, message)));
+              OutgoingFrame.of(
+                  kind(message),
+                  FrameCodec.encode(new PeerFrame(PeerFrame.VERSION, self, incarnation, message))));
       lastEncoded = known;
     }
-    return known.bytes;
+    return known.frame;
+  }
+
+  private static String kind(PeerMessage message) {
+    return message.getClass().getSimpleName();
   }
 
   private Link replace(Link known, VmEntry peer) {
     if (known != null) {
       known.stop();
     }
-    return Link.start(peer, tls, log);
+    return Link.start(peer, tls, log, traffic);
   }
 
   @Override
@@ -133,15 +152,15 @@
     links.values().forEach(Link::finish);
   }
 
-  /** A message and the content of its frame. */
+  /** A message and its frame. */
   private static final class Encoded {
 
     private final PeerMessage message;
-    private final byte[] bytes;
+    private final OutgoingFrame frame;
 
-    Encoded(PeerMessage message, byte[] bytes) {
+    Encoded(PeerMessage message, OutgoingFrame frame) {
       this.message = message;
-      this.bytes = bytes;
+      this.frame = frame;
     }
   }
 
@@ -151,6 +170,7 @@
     private final VmEntry peer;
     private final Optional<PeerTls> tls;
     private final EventLog log;
+    private final PeerTraffic traffic;
     private final FrameQueue queue = FrameQueue.create(QUEUE_LIMIT);
     private final Thread thread;
 
@@ -159,15 +179,16 @@
 
     private volatile boolean finishing;
 
-    private Link(VmEntry peer, Optional<PeerTls> tls, EventLog log) {
+    private Link(VmEntry peer, Optional<PeerTls> tls, EventLog log, PeerTraffic traffic) {
       this.peer = peer;
       this.tls = tls;
       this.log = log;
+      this.traffic = traffic;
       thread = Thread.ofVirtual().name("peer-" + peer.node()).unstarted(this::run);
     }
 
-    static Link start(VmEntry peer, Optional<PeerTls> tls, EventLog log) {
-      Link link = new Link(peer, tls, log);
+    static Link start(VmEntry peer, Optional<PeerTls> tls, EventLog log, PeerTraffic traffic) {
+      Link link = new Link(peer, tls, log, traffic);
       link.thread.start();
       return link;
     }
@@ -180,7 +201,7 @@
       return queue.size() + unacknowledged.get() < REPEATED_LIMIT;
     }
 
-    void offer(byte[] frame, boolean urgent) {
+    void offer(OutgoingFrame frame, boolean urgent) {
       queue.offer(frame, urgent);
     }
 
@@ -241,9 +262,10 @@
       try (DataOutputStream out =
           new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()))) {
         while ((!finishing || !queue.isEmpty()) && generation == generation()) {
-          byte[] frame = queue.take();
+          OutgoingFrame frame = queue.take();
           sent.incrementAndGet();
-          FrameCodec.write(out, frame);
+          FrameCodec.write(out, frame.bytes());
+          traffic.sent(frame.kind(), Integer.BYTES + frame.bytes().length);
         }
       }
     }
--- a/src/test/java/dev/wisteriarail/peer/FrameQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/FrameQueueTest.java
@@ -18,13 +18,13 @@
   private final FrameQueue queue = FrameQueue.create(LIMIT);
 
   private void offer(int frame, boolean urgent) {
-    queue.offer(new byte[] {(byte) frame}, urgent);
+    queue.offer(OutgoingFrame.of("Beat", new byte[] {(byte) frame}), urgent);
   }
 
   private List<Integer> takeAll() throws InterruptedException {
     List<Integer> frames = new ArrayList<>();
     while (!queue.isEmpty()) {
-      frames.add((int) queue.take()[0]);
+      frames.add((int) queue.take().bytes()[0]);
     }
     return frames;
   }
--- a/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
@@ -17,7 +17,9 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.Test;
 
 /** Messages to a peer that reads slowly. */
@@ -41,7 +43,7 @@
         EventLog log = EventLog.forNode(SELF)) {
       listener.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
       TcpPeerTransport transport =
-          TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log);
+          TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log, PeerTraffic.NONE);
       VmEntry peer =
           new VmEntry(
               NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
@@ -72,7 +74,7 @@
     try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         EventLog log = EventLog.forNode(SELF)) {
       TcpPeerTransport transport =
-          TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log);
+          TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log, PeerTraffic.NONE);
       VmEntry peer =
           new VmEntry(
               NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
@@ -88,6 +90,48 @@
     }
   }
 
+  @Test
+  void trafficTellsWhatWasSentAndWhatWasLeftOut() throws Exception {
+    Recorder traffic = new Recorder();
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        EventLog log = EventLog.forNode(SELF)) {
+      TcpPeerTransport transport =
+          TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log, traffic);
+      VmEntry peer =
+          new VmEntry(
+              NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
+      for (int i = 0; i < 100; i++) {
+        transport.send(peer, beat());
+      }
+      transport.send(peer, new FleetMessage.CrashTold(7));
+      try (Socket socket = listener.accept()) {
+        int beats = readUntilCrash(socket).size() - 1;
+        assertThat(traffic.leftOut.get("Beat")).isEqualTo(100 - beats);
+        assertThat(traffic.sent.get("Beat")).isEqualTo(beats);
+        assertThat(traffic.bytes.get("Beat")).isAtLeast(beats * Integer.BYTES);
+      }
+      transport.close();
+    }
+  }
+
+  private static final class Recorder implements PeerTraffic {
+
+    private final Map<String, Integer> sent = new ConcurrentHashMap<>();
+    private final Map<String, Integer> bytes = new ConcurrentHashMap<>();
+    private final Map<String, Integer> leftOut = new ConcurrentHashMap<>();
+
+    @Override
+    public void sent(String kind, int length) {
+      sent.merge(kind, 1, Integer::sum);
+      bytes.merge(kind, length, Integer::sum);
+    }
+
+    @Override
+    public void leftOut(String kind) {
+      leftOut.merge(kind, 1, Integer::sum);
+    }
+  }
+
   private static List<PeerMessage> readUntilCrash(Socket socket) throws Exception {
     List<PeerMessage> received = new ArrayList<>();
     DataInputStream in = new DataInputStream(socket.getInputStream());
