A refusal of a long body is not lost to a reset

Cause: the node answered and closed the connection while the caller still sent; the reset for the unread bytes overtook the answer.

Ruled out: a kept connection that was closed; the answer says that it closes.

--- a/src/main/java/dev/wisteriarail/gateway/CallerFront.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerFront.java
@@ -275,7 +275,11 @@
     if (closing || unread || code.httpStatus() == 400) {
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
-    callback.succeeded();
+    if (unread) {
+      response.write(true, ByteBuffer.allocate(0), UnreadBody.discardThen(request, callback));
+    } else {
+      callback.succeeded();
+    }
   }
 
   // Answers
--- a/src/test/java/dev/wisteriarail/platform/BadCallerTest.java
+++ b/src/test/java/dev/wisteriarail/platform/BadCallerTest.java
@@ -144,6 +144,31 @@
     assertThat(ran()).doesNotContain("huge");
   }
 
+  /** A reset by a connection that was closed on an unread body overtook the refusal. */
+  @Test
+  void refusalOfHugeBodyReachesOneCallerThatSendsAllOfItFirst() throws Exception {
+    byte[] part = new byte[64 * 1024];
+    int parts = 64;
+    try (Socket socket = connect()) {
+      write(socket, head("eager", "Content-Length: " + part.length * parts + "\r\n"));
+      for (int i = 0; i < parts; i++) {
+        socket.getOutputStream().write(part);
+      }
+      String answer = new String(socket.getInputStream().readAllBytes(), UTF_8);
+      assertThat(answer).startsWith("HTTP/1.1 413");
+      assertThat(ran()).doesNotContain("eager");
+    }
+  }
+
+  /** Two in 1,500 callers got no byte of the refusal before. */
+  @Test
+  void refusalOfHugeBodyReachesManyCallersInTurn() throws Exception {
+    String huge = "x".repeat(200_000);
+    for (int i = 0; i < 500; i++) {
+      assertThat(fleet.send(0, "POST", "/order/1", "", "huge", huge).statusCode()).isEqualTo(413);
+    }
+  }
+
   @Test
   void hugeHeadersAreRefusedAndReachNoRunner() throws Exception {
     try (Socket socket = connect()) {
