Gateway fuzz: the links of VMs have a bandwidth, one of them is slow

Cause: messages between nodes took 1 to 5 ms whatever their length, so no run could show what a small VM's link does to control.

Each run tells bytes to peers by kind of message.

--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -58,6 +58,7 @@
   private final List<FuzzedNode> nodes = new ArrayList<>();
   private final List<FakeBackend> backends = new ArrayList<>();
   private final Map<String, Instant> drainedAt = new TreeMap<>();
+  private final List<FakeLink> links = new ArrayList<>();
   private final BackendCalls calls;
   private final GatewayFaults faults;
   private final Chance chance;
@@ -82,8 +83,11 @@
             nodes,
             backends);
     end = time.now().plus(FAULTS).plus(RECOVERY).plus(Duration.ofSeconds(10));
+    int slow = Chance.of(seed, "links").below(GatewayFuzzPlan.NODES);
     for (int i = 0; i < GatewayFuzzPlan.NODES; i++) {
       nodes.add(new FuzzedNode(i, defect));
+      links.add(
+          new FakeLink(time, i == slow ? GatewayFuzzPlan.SLOW_LINK : GatewayFuzzPlan.FAST_LINK));
     }
     for (int i = 0; i < GatewayFuzzPlan.ENGINE_COUNT; i++) {
       backends.add(new FakeBackend("e" + i, GatewayFuzzPlan.ENGINES, true, 100 + i));
@@ -111,9 +115,17 @@
         run.faults.count(),
         run.oracle.takenAndCut(),
         run.oracle.endings(),
+        run.sentBytes(),
         run.oracle.violations());
   }
 
+  private Map<String, Long> sentBytes() {
+    Map<String, Long> all = new TreeMap<>();
+    links.forEach(
+        link -> link.sentBytes().forEach((kind, bytes) -> all.merge(kind, bytes, Long::sum)));
+    return all;
+  }
+
   private void prepare(boolean faulty) {
     backends.getFirst().hold("m0");
     publish();
@@ -166,6 +178,7 @@
   // Nodes
 
   void startNode(FuzzedNode node) {
+    links.get(node.number()).clear();
     long run = node.start();
     faults.noteStart();
     tick(node, run);
@@ -289,12 +302,11 @@
     if (node.isPeersCut() || peer.isPeersCut() || !peer.isUp()) {
       return;
     }
-    later(
-        network.millis(1, 5),
-        peer,
-        peer.run(),
+    GatewayEvent told =
         new GatewayEvent.PeerTold(
-            NodeId.of("n" + node.number()), Incarnation.of(node.run()), send.message()));
+            NodeId.of("n" + node.number()), Incarnation.of(node.run()), send.message());
+    Duration delay = network.millis(1, 5);
+    links.get(node.number()).send(send.message(), () -> later(delay, peer, peer.run(), told));
   }
 
   // Store
@@ -427,6 +439,7 @@
    * @param faults number of faults
    * @param takenAndCut streams that a node took while it stopped and cut when it ended
    * @param endings how the requests ended, by name
+   * @param sentBytes bytes that nodes sent to each other, by kind of message
    * @param violations broken promises
    */
   public record Result(
@@ -435,11 +448,13 @@
       int faults,
       int takenAndCut,
       Map<String, Integer> endings,
+      Map<String, Long> sentBytes,
       List<Violation> violations) {
 
     /** Copies the collections. */
     public Result {
       endings = Map.copyOf(endings);
+      sentBytes = Map.copyOf(sentBytes);
       violations = List.copyOf(violations);
     }
 
@@ -449,6 +464,7 @@
       text.append("seed ").append(seed).append(": ").append(requests).append(" requests, ");
       text.append(faults).append(" faults, ").append(new TreeMap<>(endings)).append(", ");
       text.append(takenAndCut).append(" streams taken by a stopping node and cut, ");
+      text.append("bytes to peers ").append(new TreeMap<>(sentBytes)).append(", ");
       text.append(violations.size()).append(" violations");
       violations.forEach(each -> text.append("\n  ").append(each));
       return text.toString();
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzzPlan.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzzPlan.java
@@ -37,6 +37,11 @@
   /** Models that an engine's memory holds. */
   static final int MODELS_THAT_FIT = 2;
 
+  /** Bytes that a VM's link carries in a millisecond, and those of the one slow VM. */
+  static final long FAST_LINK = 1_000;
+
+  static final long SLOW_LINK = 60;
+
   static final RetryLimits RETRIES = new RetryLimits(Duration.ofSeconds(10), 0.2, 5);
 
   private static final double MODEL_MEGABYTES = 60;
