--- a/src/main/java/dev/wisteriarail/core/fleet/EngineRoom.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/EngineRoom.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -32,9 +33,13 @@
 
   private final Set<String> leaving = new HashSet<>();
 
+  /** What {@link #contents} returns; empty after a change, as every plan asks for it. */
+  private Optional<Map<String, Set<String>>> contents = Optional.empty();
+
   /** Notes a load that is sent now; returns whether it takes room that was not taken before. */
   boolean load(FleetOrder order, Instant now) {
     leaving.remove(nameOf(order));
+    contents = Optional.empty();
     return taken.put(nameOf(order), now) == null;
   }
 
@@ -51,12 +56,14 @@
     String name = nameOf(order);
     String adapters = name + "/";
     taken.keySet().removeIf(each -> each.equals(name) || each.startsWith(adapters));
+    contents = Optional.empty();
     leaving.removeIf(each -> each.equals(name) || each.startsWith(adapters));
   }
 
   /** Notes what a directory entry lists; any report that is newer than the orders corrects it. */
   void add(Collection<LoadedModel> models) {
     namesOf(models).forEach(name -> taken.putIfAbsent(name, Instant.MIN));
+    contents = Optional.empty();
   }
 
   /**
@@ -84,6 +91,7 @@
                       && !report.incoming().contains(each.getKey()));
       leaving.retainAll(taken.keySet());
     }
+    contents = Optional.empty();
   }
 
   /** Returns whether a report is needed to know what of it is there, and can tell by now. */
@@ -106,16 +114,23 @@
 
   /** Returns the models that take room, with the adapters that do. */
   Map<String, Set<String>> contents() {
-    Map<String, Set<String>> contents = new HashMap<>();
+    if (contents.isEmpty()) {
+      contents = Optional.of(group());
+    }
+    return contents.get();
+  }
+
+  private Map<String, Set<String>> group() {
+    Map<String, Set<String>> models = new HashMap<>();
     for (String name : taken.keySet()) {
       int slash = name.indexOf('/');
       String model = slash < 0 ? name : name.substring(0, slash);
-      Set<String> adapters = contents.computeIfAbsent(model, each -> new TreeSet<>());
+      Set<String> adapters = models.computeIfAbsent(model, each -> new TreeSet<>());
       if (slash >= 0) {
         adapters.add(name.substring(slash + 1));
       }
     }
-    return contents;
+    return models;
   }
 
   private static String nameOf(FleetOrder order) {
