--- a/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/ModelPlannerTest.java
@@ -160,14 +160,7 @@
   /** The answer to the first of two orders was dropped, and a refused unloading counted as done. */
   @Test
   void clearedEngineGetsOneOrderWhenAnAdapterIsWantedToo() {
-    hold(0, "m0", "m20");
-    running[0].put("m0", 1);
-    for (int i = 1; i < ENGINES; i++) {
-      hold(i, "m" + (10 + i), "m" + (20 + i));
-      running[i].putAll(Map.of("m" + (10 + i), 1, "m" + (20 + i), 1));
-    }
-    onEveryDisk = Set.of("m5");
-    needs.put("m5", waiting(1));
+    letOnlyTheFirstEngineMakeRoomForM5();
     assertThat(plan(4).orders())
         .containsExactly(
             new Plan.Placed("e0", new FleetOrder.UnloadModel("m20"), "makes room for m5"));
@@ -186,14 +179,7 @@
   /** Adapters of a model with many of them are traded without end. */
   @Test
   void clearedEngineGetsItsModelAfterTwoOrdersForAdapters() {
-    hold(0, "m0", "m20");
-    running[0].put("m0", 1);
-    for (int i = 1; i < ENGINES; i++) {
-      hold(i, "m" + (10 + i), "m" + (20 + i));
-      running[i].putAll(Map.of("m" + (10 + i), 1, "m" + (20 + i), 1));
-    }
-    onEveryDisk = Set.of("m5");
-    needs.put("m5", waiting(1));
+    letOnlyTheFirstEngineMakeRoomForM5();
     assertThat(plan(4).orders().getFirst().order()).isEqualTo(new FleetOrder.UnloadModel("m20"));
     held[0].remove("m20");
     List<FleetOrder> ordered = new ArrayList<>();
@@ -211,6 +197,17 @@
         .inOrder();
   }
 
+  private void letOnlyTheFirstEngineMakeRoomForM5() {
+    hold(0, "m0", "m20");
+    running[0].put("m0", 1);
+    for (int i = 1; i < ENGINES; i++) {
+      hold(i, "m" + (10 + i), "m" + (20 + i));
+      running[i].putAll(Map.of("m" + (10 + i), 1, "m" + (20 + i), 1));
+    }
+    onEveryDisk = Set.of("m5");
+    needs.put("m5", waiting(1));
+  }
+
   @Test
   void modelWithManyRequestsGetsMoreReplicas() {
     hold(0, "m0");
