--- a/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/Coordinator.java
@@ -220,13 +220,15 @@
       PlanInput input = input(service.name(), service.engine().get(), wants, loads, now);
       Plan plan =
           planners.computeIfAbsent(service.name(), name -> ModelPlanner.create()).plan(input);
-      RoomRules rules = RoomRules.of(input.spec());
-      for (Plan.Placed placed : plan.orders()) {
-        EngineState engine = engines.get(placed.runner());
-        if (engine.open().isPresent() || !rules.allow(placed.order(), engine.room())) {
-          beyondRoom.add(placed);
-        } else {
-          orders.add(begin(placed, service.engine().get(), loads.get(placed.runner()), now));
+      if (!plan.orders().isEmpty()) {
+        RoomRules rules = RoomRules.of(input.spec());
+        for (Plan.Placed placed : plan.orders()) {
+          EngineState engine = engines.get(placed.runner());
+          if (engine.open().isPresent() || !rules.allow(placed.order(), engine.room())) {
+            beyondRoom.add(placed);
+          } else {
+            orders.add(begin(placed, service.engine().get(), loads.get(placed.runner()), now));
+          }
         }
       }
       for (Plan.Forecast forecast : plan.forecasts()) {
--- a/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
@@ -75,13 +75,7 @@
         EventLog log = EventLog.forNode(SELF)) {
       TcpPeerTransport transport =
           TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log, PeerTraffic.NONE);
-      VmEntry peer =
-          new VmEntry(
-              NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
-      for (int i = 0; i < 100; i++) {
-        transport.send(peer, beat());
-      }
-      transport.send(peer, new FleetMessage.CrashTold(7));
+      sendBeatsThenCrash(transport, listener);
       try (Socket socket = listener.accept()) {
         List<PeerMessage> received = readUntilCrash(socket);
         assertThat(received.size()).isAtMost(20);
@@ -97,13 +91,7 @@
         EventLog log = EventLog.forNode(SELF)) {
       TcpPeerTransport transport =
           TcpPeerTransport.create(SELF, Incarnation.of(1), Optional.empty(), log, traffic);
-      VmEntry peer =
-          new VmEntry(
-              NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
-      for (int i = 0; i < 100; i++) {
-        transport.send(peer, beat());
-      }
-      transport.send(peer, new FleetMessage.CrashTold(7));
+      sendBeatsThenCrash(transport, listener);
       try (Socket socket = listener.accept()) {
         int beats = readUntilCrash(socket).size() - 1;
         assertThat(traffic.leftOut.get("Beat")).isEqualTo(100 - beats);
@@ -132,6 +120,16 @@
     }
   }
 
+  private static void sendBeatsThenCrash(TcpPeerTransport transport, ServerSocket listener) {
+    VmEntry peer =
+        new VmEntry(
+            NodeId.of("n2"), "127.0.0.1", listener.getLocalPort(), FailureDomain.of("a"), false);
+    for (int i = 0; i < 100; i++) {
+      transport.send(peer, beat());
+    }
+    transport.send(peer, new FleetMessage.CrashTold(7));
+  }
+
   private static List<PeerMessage> readUntilCrash(Socket socket) throws Exception {
     List<PeerMessage> received = new ArrayList<>();
     DataInputStream in = new DataInputStream(socket.getInputStream());
