--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -12,6 +12,7 @@
 import dev.wisteriarail.core.fleet.RunnerView;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.forward.PromptPart;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.LogPosition;
@@ -191,15 +192,29 @@
   }
 
   long arrive(String route, Duration callerTimeout) {
-    return arrive(route, Optional.empty(), ++exchanges, callerTimeout);
+    return arrive(route, Optional.empty(), ++exchanges, callerTimeout, List.of());
   }
 
   long arrive(String route, long fingerprint) {
-    return arrive(route, Optional.empty(), fingerprint, Duration.ofSeconds(5));
+    return arrive(route, Optional.empty(), fingerprint, Duration.ofSeconds(5), List.of());
+  }
+
+  /** Delivers a request with the given parts in its prompt. */
+  long arrive(String route, List<String> parts) {
+    return arrive(route, Optional.empty(), ++exchanges, Duration.ofSeconds(5), parts);
+  }
+
+  /** Delivers a request with the given content and parts in its prompt. */
+  long arrive(String route, long fingerprint, List<String> parts) {
+    return arrive(route, Optional.empty(), fingerprint, Duration.ofSeconds(5), parts);
   }
 
   private long arrive(
-      String route, Optional<String> adapter, long fingerprint, Duration callerTimeout) {
+      String route,
+      Optional<String> adapter,
+      long fingerprint,
+      Duration callerTimeout,
+      List<String> parts) {
     boolean model = route.equals("chat") || route.equals("report");
     long exchange = ++exchanges;
     handle(
@@ -214,13 +229,13 @@
                 adapter,
                 10,
                 10,
-                List.of(),
+                parts.stream().map(part -> new PromptPart(part, 10)).toList(),
                 fingerprint)));
     return exchange;
   }
 
   long arriveForAdapter(String route, String adapter) {
-    return arrive(route, Optional.of(adapter), ++exchanges, Duration.ofSeconds(5));
+    return arrive(route, Optional.of(adapter), ++exchanges, Duration.ofSeconds(5), List.of());
   }
 
   /** Delivers a heartbeat of a node that holds the order lease. */
