--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -60,6 +60,12 @@
   FORWARD_LEFT(227, "caller left"),
   /** The connection of a request ended, as it does when its runner crashes; a node counts it. */
   CRASH_RECORDED(228, "crash recorded"),
+  /** Requests with some traits are found to crash runners and are refused. */
+  CRASH_CAUSE_FOUND(229, "cause of crashes found"),
+  /** A loss that looked like a crash was none: the runner is alive. */
+  CRASH_REFUTED(230, "crash refuted"),
+  /** Suspected parts of prompts do not crash runners. */
+  CRASH_SUSPECT_CLEARED(231, "suspect cleared"),
 
   // Runners
   /** A run of a runner was seen for the first time. */
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
@@ -0,0 +1,208 @@
+package dev.wisteriarail.core.forward;
+
+import dev.wisteriarail.core.fleet.RunnerRun;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * The recent crashes of runners, and the traits of the requests that each runner had not begun to
+ * answer when it crashed.
+ *
+ * <p>One of these requests made the runner crash, unless it crashed for another reason; the others
+ * were waiting or running beside it. What all crashes of a trait have in common tells them apart: a
+ * trait is found to crash runners after several crashes, at least one of them on a request that was
+ * sent after another of these crashes. Runners that crash at the same moment for a reason of their
+ * own do not meet this condition, whatever their requests have in common.
+ *
+ * <p>Bounded in crashes, traits and time. Not thread-safe.
+ */
+final class CrashEvidence {
+
+  /** Number of crashes after which a trait is found to be the cause. */
+  static final int CRASHES_TO_FIND = 3;
+
+  /** Time for which a crash is remembered. */
+  private static final Duration RETENTION = Duration.ofMinutes(2);
+
+  /**
+   * Losses on one run within this time belong to one crash. A runner that starts again takes
+   * longer, and may do so before its new start time is known.
+   */
+  private static final Duration SAME_CRASH = Duration.ofSeconds(1);
+
+  /** Bytes of a crashed runner may still be processed for this time after its loss is noticed. */
+  private static final Duration ARRIVAL_SLACK = Duration.ofMillis(250);
+
+  private static final int MAX_CRASHES = 128;
+  private static final int MAX_TRAITS_PER_CRASH = 512;
+
+  private final List<Crash> crashes = new ArrayList<>();
+  private final Map<RequestTrait, List<Crash>> crashesByTrait = new HashMap<>();
+
+  private CrashEvidence() {}
+
+  static CrashEvidence create() {
+    return new CrashEvidence();
+  }
+
+  // Changes
+
+  /** Adds a report of a request that was lost at a runner. */
+  void add(CrashReport report, List<RequestTrait> traits, Instant now) {
+    expire(now);
+    Instant lostAt = now.minusMillis(report.loss().ageMillis());
+    Crash crash =
+        find(report.loss().run(), lostAt)
+            .orElseGet(
+                () -> {
+                  Crash added = new Crash(report.loss().run(), lostAt);
+                  crashes.add(added);
+                  return added;
+                });
+    Instant sentAt = now.minusMillis(report.sentAgeMillis());
+    for (RequestTrait trait : traits) {
+      if (crash.sentAt.size() >= MAX_TRAITS_PER_CRASH && !crash.sentAt.containsKey(trait)) {
+        break;
+      }
+      if (crash.sentAt.put(trait, sentAt) == null) {
+        crashesByTrait.computeIfAbsent(trait, key -> new ArrayList<>()).add(crash);
+      }
+    }
+    if (crashes.size() > MAX_CRASHES) {
+      remove(crashes.getFirst());
+    }
+  }
+
+  private void expire(Instant now) {
+    while (!crashes.isEmpty() && now.isAfter(crashes.getFirst().at.plus(RETENTION))) {
+      remove(crashes.getFirst());
+    }
+  }
+
+  private void remove(Crash crash) {
+    crashes.remove(crash);
+    crash.sentAt.keySet().forEach(trait -> removeFrom(trait, crash));
+  }
+
+  private void removeFrom(RequestTrait trait, Crash crash) {
+    List<Crash> known = crashesByTrait.get(trait);
+    known.remove(crash);
+    if (known.isEmpty()) {
+      crashesByTrait.remove(trait);
+    }
+  }
+
+  /** Removes a trait that is sound. Returns whether there was evidence against it. */
+  boolean clear(RequestTrait trait) {
+    List<Crash> known = crashesByTrait.remove(trait);
+    if (known == null) {
+      return false;
+    }
+    known.forEach(crash -> crash.sentAt.remove(trait));
+    return true;
+  }
+
+  /** Removes a crash from which other traits than the given ones were thought to be the cause. */
+  void explain(Set<RequestTrait> cause) {
+    for (Crash crash : crashes) {
+      if (crash.sentAt.keySet().containsAll(cause)) {
+        Set<RequestTrait> others = new HashSet<>(crash.sentAt.keySet());
+        others.removeAll(cause);
+        others.forEach(
+            trait -> {
+              crash.sentAt.remove(trait);
+              removeFrom(trait, crash);
+            });
+      }
+    }
+  }
+
+  /**
+   * Handles a sign of life of a run.
+   *
+   * @param sentAt when the request was sent that the runner goes on with or has answered
+   * @return the loss that was no crash, if there is one
+   */
+  Optional<RunnerLoss> refute(RunnerRun run, Instant sentAt, Instant now) {
+    for (Crash crash : List.copyOf(crashes)) {
+      boolean sentBeforeRestart = sentAt.isBefore(crash.at.plus(SAME_CRASH));
+      if (crash.run.equals(run) && sentBeforeRestart && now.isAfter(crash.at.plus(ARRIVAL_SLACK))) {
+        remove(crash);
+        return Optional.of(new RunnerLoss(run, Duration.between(crash.at, now).toMillis()));
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Handles the word of a peer that a loss was no crash. */
+  void refute(RunnerLoss loss, Instant now) {
+    find(loss.run(), now.minusMillis(loss.ageMillis())).ifPresent(this::remove);
+  }
+
+  private Optional<Crash> find(RunnerRun run, Instant at) {
+    return crashes.stream()
+        .filter(crash -> crash.run.equals(run))
+        .filter(crash -> Duration.between(crash.at, at).abs().compareTo(SAME_CRASH) <= 0)
+        .findFirst();
+  }
+
+  // Accessors
+
+  boolean isEmpty() {
+    return crashes.isEmpty();
+  }
+
+  /** Returns the number of crashes at which a request with a trait was lost. */
+  int count(RequestTrait trait) {
+    return crashesByTrait.getOrDefault(trait, List.of()).size();
+  }
+
+  /** Returns whether a trait is found to crash runners. */
+  boolean isFound(RequestTrait trait) {
+    List<Crash> known = crashesByTrait.getOrDefault(trait, List.of());
+    return known.size() >= CRASHES_TO_FIND
+        && known.stream()
+            .anyMatch(
+                later ->
+                    known.stream()
+                        .anyMatch(earlier -> later.sentAt.get(trait).isAfter(earlier.at)));
+  }
+
+  /**
+   * Returns the traits that all crashes of a trait have in common. They can't be told apart from
+   * it; only a request with all of them is known to crash runners.
+   */
+  Set<RequestTrait> commonTraits(RequestTrait trait) {
+    Set<RequestTrait> common = null;
+    for (Crash crash : crashesByTrait.getOrDefault(trait, List.of())) {
+      if (common == null) {
+        common = new TreeSet<>(crash.sentAt.keySet());
+      } else {
+        common.retainAll(crash.sentAt.keySet());
+      }
+    }
+    return common == null ? Set.of(trait) : common;
+  }
+
+  /** A crash, and for each trait when the last request with it was sent to the runner. */
+  private static final class Crash {
+
+    private final RunnerRun run;
+    private final Instant at;
+    private final Map<RequestTrait, Instant> sentAt = new LinkedHashMap<>();
+
+    Crash(RunnerRun run, Instant at) {
+      this.run = run;
+      this.at = at;
+    }
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
@@ -1,65 +1,155 @@
 package dev.wisteriarail.core.forward;
 
-import java.time.Duration;
+import dev.wisteriarail.core.fleet.RunnerRun;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.Collection;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 /**
- * Remembers requests on which runners crashed, by their fingerprints, across all nodes and
- * attempts.
+ * Finds out which requests crash runners: by their whole content, or by one part of their prompt.
  *
- * <p>A request may crash every runner that starts to execute it, while its caller sends it again to
- * any node, until no runner is left. After several crashes it is refused on all nodes for a while.
- * Not thread-safe.
+ * <p>A request is evidence against its traits if its connection was lost before any part of the
+ * response arrived; it clears them if a part of the response arrived. From the first crash on, a
+ * trait that nothing has cleared is suspected, and the caller of this class sends requests with it
+ * one at a time. Requests with a trait that is found to crash runners are refused.
+ *
+ * <p>The load pattern: one request that is sent again and again, or many different requests with
+ * one part in common, beside sound requests that share all other parts with them.
+ *
+ * <p>Life cycle: one per run of a node. Not thread-safe.
  */
 public final class CrashHistory {
 
+  private final SoundTraits sound = SoundTraits.create();
+  private final CrashEvidence evidence = CrashEvidence.create();
+  private final CrashRefusals refusals = CrashRefusals.create();
+
+  private CrashHistory() {}
+
+  /** Creates an empty history. */
+  public static CrashHistory create() {
+    return new CrashHistory();
+  }
+
+  // Evidence
+
   /**
-   * Number of crashes after which a request is refused; the rules of the platform apply from the
-   * third crash on.
+   * Adds a request that was lost at a runner, at this node or a peer.
+   *
+   * @return the refusals that the crash adds
    */
-  private static final int REFUSAL_THRESHOLD = 3;
+  public List<CrashRefusal> recordCrash(CrashReport report, Instant now) {
+    List<RequestTrait> suspects = unproven(report.traits(), now);
+    evidence.add(report, suspects, now);
+    List<CrashRefusal> added = new ArrayList<>();
+    refusals
+        .findEnded(report.traits(), now)
+        .ifPresent(traits -> refuse(traits, CrashEvidence.CRASHES_TO_FIND + 1, now, added));
+    for (RequestTrait trait : suspects) {
+      if (evidence.isFound(trait) && refusals.find(report.traits(), now).isEmpty()) {
+        refuse(evidence.commonTraits(trait), evidence.count(trait), now, added);
+      }
+    }
+    refusals.inForce(now).forEach(refusal -> evidence.explain(refusal.traits()));
+    return added;
+  }
 
-  /** Time for which a crash is remembered. */
-  private static final Duration RETENTION = Duration.ofMinutes(2);
+  private void refuse(
+      Set<RequestTrait> traits, int crashes, Instant now, List<CrashRefusal> added) {
+    if (refusals.add(traits, crashes, now)) {
+      refusals.find(traits, now).ifPresent(added::add);
+    }
+  }
 
-  /** Maximum number of remembered requests; the oldest is removed first. */
-  private static final int MAX_REQUESTS = 2_048;
+  /**
+   * Records that a part of the response to a request with some parts in its prompt arrived.
+   *
+   * @return the parts that were suspected and are cleared now
+   */
+  public List<RequestTrait> recordSound(Collection<RequestTrait> parts, Instant now) {
+    sound.confirm(parts, now);
+    if (evidence.isEmpty() && refusals.isEmpty()) {
+      return List.of();
+    }
+    return parts.stream().filter(this::clear).toList();
+  }
 
-  private final Map<Long, List<Instant>> crashes =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, List<Instant>> eldest) {
-          return size() > MAX_REQUESTS;
-        }
-      };
+  private boolean clear(RequestTrait trait) {
+    boolean suspected = evidence.clear(trait);
+    return refusals.clear(trait) || suspected;
+  }
 
-  private CrashHistory() {}
+  /**
+   * Records a sign of life of a run, which refutes a loss on it that looked like a crash.
+   *
+   * @param sentAt when the request was sent that the runner goes on with or has answered
+   * @return the loss that is refuted, if there is one
+   */
+  public Optional<RunnerLoss> recordSignOfLife(RunnerRun run, Instant sentAt, Instant now) {
+    return evidence.isEmpty() ? Optional.empty() : evidence.refute(run, sentAt, now);
+  }
 
-  /** Creates an empty history. */
-  public static CrashHistory create() {
-    return new CrashHistory();
+  /** Handles the word of a peer that a loss was no crash. */
+  public void acceptRefutation(RunnerLoss loss, Instant now) {
+    evidence.refute(loss, now);
+  }
+
+  /**
+   * Applies a refusal of a peer or of the store, without the traits that are known to be sound.
+   *
+   * @return whether it is new
+   */
+  public boolean acceptRefusal(CrashRefusal refusal, Instant now) {
+    List<RequestTrait> traits = unproven(refusal.traits(), now);
+    if (traits.isEmpty() || !refusals.merge(refusal, Set.copyOf(traits), now)) {
+      return false;
+    }
+    evidence.explain(Set.copyOf(traits));
+    return true;
+  }
+
+  /** Drops what has expired. */
+  public void advance(Instant now) {
+    refusals.advance(now);
+  }
+
+  // Accessors
+
+  /** Returns those of the traits that are not known to be sound. */
+  public List<RequestTrait> unproven(Collection<RequestTrait> traits, Instant now) {
+    return sound.unproven(traits, now);
+  }
+
+  /** Returns those of the traits that are known to be sound. */
+  public List<RequestTrait> proven(Collection<RequestTrait> traits, Instant now) {
+    return traits.stream().filter(trait -> sound.contains(trait, now)).toList();
+  }
+
+  /** Returns the refusal of a request with the given traits, if it is refused. */
+  public Optional<CrashRefusal> refusal(Collection<RequestTrait> traits, Instant now) {
+    return refusals.isEmpty() ? Optional.empty() : refusals.find(traits, now);
   }
 
-  /** Records that a connection ended while a runner was executing a request. */
-  public void recordCrash(long fingerprint, Instant now) {
-    List<Instant> times = crashes.computeIfAbsent(fingerprint, key -> new ArrayList<>());
-    times.removeIf(time -> now.isAfter(time.plus(RETENTION)));
-    times.add(now);
+  /** Returns those of the traits that are suspected to crash runners. */
+  public List<RequestTrait> suspects(Collection<RequestTrait> traits) {
+    if (evidence.isEmpty() && refusals.isEmpty()) {
+      return List.of();
+    }
+    return traits.stream()
+        .filter(trait -> evidence.count(trait) > 0 || refusals.contains(trait))
+        .toList();
   }
 
-  /** Returns whether a request is refused. */
-  public boolean isRefused(long fingerprint, Instant now) {
-    return count(fingerprint, now) >= REFUSAL_THRESHOLD;
+  /** Returns the number of crashes at which a request with a trait was lost. */
+  public int count(RequestTrait trait) {
+    return evidence.count(trait);
   }
 
-  /** Returns the number of crashes that are counted for a request. */
-  public long count(long fingerprint, Instant now) {
-    return crashes.getOrDefault(fingerprint, List.of()).stream()
-        .filter(time -> !now.isAfter(time.plus(RETENTION)))
-        .count();
+  /** Returns the refusals that are in force. */
+  public List<CrashRefusal> refusals(Instant now) {
+    return refusals.inForce(now);
   }
 }
--- a/src/main/java/dev/wisteriarail/core/forward/ForwardRequest.java
+++ b/src/main/java/dev/wisteriarail/core/forward/ForwardRequest.java
@@ -18,7 +18,7 @@
  * @param promptTokens number of tokens of the prompt; 0 if the caller does not say
  * @param answerTokens maximum number of tokens of the response; 0 if the caller does not say
  * @param parts the parts of the prompt in order
- * @param fingerprint identifies method, path, caller and body across all attempts
+ * @param fingerprint identifies method, target and body across all attempts, whoever sends them
  */
 public record ForwardRequest(
     long exchange,
@@ -38,6 +38,17 @@
     parts = List.copyOf(parts);
   }
 
+  /** Returns the parts of the prompt that other requests may share: all but the last. */
+  public List<RequestTrait> sharedParts() {
+    List<PromptPart> shared = parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    return shared.stream().map(part -> RequestTrait.ofPart(part.id())).distinct().toList();
+  }
+
+  /** Returns the content of the request as a trait. */
+  public RequestTrait content() {
+    return RequestTrait.ofContent(fingerprint);
+  }
+
   /**
    * Returns the part of the prompt that identifies the session: the last but one. Empty with fewer
    * than two parts.
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
@@ -0,0 +1,296 @@
+package dev.wisteriarail.core.gateway;
+
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.fleet.PeerTable;
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.fleet.RunnerRun;
+import dev.wisteriarail.core.forward.CrashHistory;
+import dev.wisteriarail.core.forward.CrashRefusal;
+import dev.wisteriarail.core.forward.CrashReport;
+import dev.wisteriarail.core.forward.RequestTrait;
+import dev.wisteriarail.core.forward.RunnerLoss;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.peer.FleetMessage;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Protects runners from requests that crash them, in the whole fleet.
+ *
+ * <p>Each node tells all others at once what it lost, what turned out to be sound, and which losses
+ * were no crashes, so that all nodes come to the same decision. Decisions are also part of
+ * heartbeats and are kept in the store, for nodes that missed a message or start later.
+ *
+ * <p>A request with a suspected trait is sent only while no other request of this node with that
+ * trait waits for its response, and not to a runner at which another suspected one waits. So a
+ * crash accuses few requests, and one response clears the others.
+ *
+ * <p>Life cycle: one per run of a node. Not thread-safe.
+ */
+final class CrashGuard {
+
+  private static final String SOURCE_ATTEMPT = "attempt";
+
+  private static final String SOURCE_STORE = "store";
+
+  private final PeerTable peers;
+  private final CrashHistory history = CrashHistory.create();
+  private final RefusalSaver saver = RefusalSaver.create();
+  private final Map<Long, Probe> probes = new HashMap<>();
+  private boolean refusalAdded;
+  private boolean refusalsToTell;
+  private boolean refusalsToSave;
+
+  private CrashGuard(PeerTable peers) {
+    this.peers = peers;
+  }
+
+  static CrashGuard create(PeerTable peers) {
+    return new CrashGuard(peers);
+  }
+
+  // Requests
+
+  /** Returns the refusal of a request, if it is known to crash runners. */
+  Optional<CrashRefusal> refusal(List<RequestTrait> traits, Instant now) {
+    return history.refusal(traits, now);
+  }
+
+  /** Returns whether a request may be sent now, as far as suspected traits are concerned. */
+  boolean maySend(PendingForward forward, PendingForwardTable pending) {
+    List<RequestTrait> suspects = history.suspects(forward.traits());
+    if (suspects.isEmpty()) {
+      return true;
+    }
+    probes.values().removeIf(probe -> !probe.isOpen(pending));
+    return probes.values().stream()
+        .noneMatch(probe -> suspects.stream().anyMatch(probe.suspects()::contains));
+  }
+
+  /** Returns whether a suspected request is not sent to a runner for now. */
+  boolean avoids(PendingForward forward, String runner) {
+    return !probes.isEmpty()
+        && !history.suspects(forward.traits()).isEmpty()
+        && probes.values().stream().anyMatch(probe -> probe.runner().equals(runner));
+  }
+
+  /** Records that a request was sent to a runner. */
+  void recordSent(PendingForward forward, RunnerEntry runner) {
+    List<RequestTrait> suspects = history.suspects(forward.traits());
+    if (!suspects.isEmpty() && !forward.answerStarted()) {
+      probes.put(
+          forward.exchange(),
+          new Probe(forward.exchange(), forward.attempts(), runner.id(), suspects));
+    }
+  }
+
+  // Evidence of this node
+
+  /** Handles the loss of a connection on which no part of the response had arrived. */
+  void recordLoss(PendingForward forward, RunnerEntry runner, GatewayStep step) {
+    CrashReport report =
+        new CrashReport(
+            new RunnerLoss(RunnerRun.of(runner), 0),
+            Duration.between(forward.attemptSentAt(), step.now()).toMillis(),
+            history.unproven(forward.traits(), step.now()));
+    List<CrashRefusal> added = history.recordCrash(report, step.now());
+    ForwardLog.crashRecorded(forward, runner, report, counts(report), step);
+    added.forEach(refusal -> recordRefusal(refusal, SOURCE_ATTEMPT, step));
+    added.forEach(saver::add);
+    tellAll(FleetMessage.CrashTold.ofLost(forward.request().fingerprint(), report), step);
+  }
+
+  /** Handles a part of a response, which clears the parts of the request. */
+  void recordResponse(PendingForward forward, GatewayStep step) {
+    List<RequestTrait> cleared = history.recordSound(forward.request().sharedParts(), step.now());
+    if (!cleared.isEmpty()) {
+      logCleared(cleared, forward.request().id(), step);
+      tellAll(FleetMessage.CrashTold.ofSound(cleared), step);
+    }
+  }
+
+  /** Handles a sign of life of a runner: progress of a request, or a response to it. */
+  void recordSignOfLife(RunnerEntry runner, Instant sentAt, GatewayStep step) {
+    refute(RunnerRun.of(runner), sentAt, step);
+  }
+
+  /** Handles an engine's report; its start time shows whether the engine has crashed. */
+  void recordReport(RunnerReport report, Instant requestedAt, GatewayStep step) {
+    refute(new RunnerRun(report.runner(), report.bornMillis()), requestedAt, step);
+  }
+
+  private void refute(RunnerRun run, Instant sentAt, GatewayStep step) {
+    history
+        .recordSignOfLife(run, sentAt, step.now())
+        .ifPresent(
+            loss -> {
+              step.log(EventCode.CRASH_REFUTED, "runner", run.id(), "born", run.bornMillis());
+              tellAll(FleetMessage.CrashTold.ofRefuted(loss), step);
+            });
+  }
+
+  // Evidence of peers
+
+  /** Handles evidence of a peer. */
+  void accept(FleetMessage.CrashTold told, NodeId from, GatewayStep step) {
+    Instant now = step.now();
+    if (told.isOfEarlierVersion()) {
+      RunnerRun unknown = new RunnerRun("unknown, told by " + from.value(), 0);
+      RequestTrait content = RequestTrait.ofContent(told.fingerprint());
+      acceptLoss(new CrashReport(new RunnerLoss(unknown, 0), 0, List.of(content)), from, step);
+    }
+    told.lost().ifPresent(report -> acceptLoss(report, from, step));
+    told.refuted().ifPresent(loss -> history.acceptRefutation(loss, now));
+    List<RequestTrait> cleared = history.recordSound(told.sound(), now);
+    if (!cleared.isEmpty()) {
+      logCleared(cleared, from.value(), step);
+    }
+  }
+
+  private void acceptLoss(CrashReport report, NodeId from, GatewayStep step) {
+    List<RequestTrait> sound = history.proven(report.traits(), step.now());
+    if (!sound.isEmpty()) {
+      tellSound(sound, from, step);
+    }
+    List<CrashRefusal> added = history.recordCrash(report, step.now());
+    ForwardLog.crashReceived(report, from.value(), counts(report), step);
+    added.forEach(refusal -> recordRefusal(refusal, from.value(), step));
+  }
+
+  /** In a large fleet only the accuser is told, as all nodes may know that a part is sound. */
+  private void tellSound(List<RequestTrait> sound, NodeId accuser, GatewayStep step) {
+    FleetMessage.CrashTold message = FleetMessage.CrashTold.ofSound(sound);
+    if (!peers.isLarge()) {
+      tellAll(message, step);
+      return;
+    }
+    peers.addresses().stream()
+        .filter(address -> address.node().equals(accuser))
+        .forEach(address -> step.emit(new GatewayEffect.SendPeer(address, message)));
+  }
+
+  /** Applies refusals from a peer's heartbeat. */
+  void acceptRefusals(List<CrashRefusal> refusals, String source, GatewayStep step) {
+    for (CrashRefusal refusal : refusals) {
+      if (history.acceptRefusal(refusal, step.now())) {
+        recordRefusal(refusal, source, step);
+      }
+    }
+  }
+
+  /** Applies refusals that were read from the store. */
+  void acceptStored(List<CrashRefusal> refusals, GatewayStep step) {
+    acceptRefusals(refusals, SOURCE_STORE, step);
+  }
+
+  // Progress
+
+  /** Handles the result of a write to the store. */
+  void acceptSaved(boolean succeeded, GatewayStep step) {
+    saver.accept(succeeded, step.now());
+  }
+
+  /**
+   * Writes refusals to the store, and drops what has expired.
+   *
+   * @param coordinator whether this node writes refusals that it learned from peers, too
+   */
+  void advance(boolean storeReachable, boolean coordinator, GatewayStep step) {
+    history.advance(step.now());
+    List<CrashRefusal> inForce = history.refusals(step.now());
+    if (coordinator && refusalsToSave) {
+      inForce.forEach(saver::add);
+    }
+    refusalsToSave = false;
+    saver
+        .next(inForce, storeReachable, step.now())
+        .ifPresent(refusal -> step.emit(new GatewayEffect.SaveRefusal(refusal)));
+  }
+
+  /** Includes the refusals in the next heartbeat, as a node has started. */
+  void tellRefusals() {
+    refusalsToTell = true;
+  }
+
+  /** Lets the coordinator write the refusals again, as the store may have lost them. */
+  void saveRefusals() {
+    refusalsToSave = true;
+  }
+
+  /** Returns whether a refusal was added since the last call. */
+  boolean takeRefusalAdded() {
+    boolean added = refusalAdded;
+    refusalAdded = false;
+    return added;
+  }
+
+  /**
+   * Returns the refusals to include in a heartbeat.
+   *
+   * @param all whether to include them even if they have not changed
+   */
+  List<CrashRefusal> takeRefusals(boolean all, Instant now) {
+    boolean included = all || refusalsToTell;
+    refusalsToTell = false;
+    return included ? history.refusals(now) : List.of();
+  }
+
+  private void recordRefusal(CrashRefusal refusal, String source, GatewayStep step) {
+    refusalAdded = true;
+    refusalsToTell = true;
+    refusalsToSave |= !source.equals(SOURCE_STORE);
+    step.log(
+        EventCode.CRASH_CAUSE_FOUND,
+        "traits",
+        refusal.traits(),
+        "crashes",
+        refusal.crashes(),
+        "refused_for_ms",
+        refusal.remainingMillis(),
+        "source",
+        source);
+  }
+
+  private void logCleared(List<RequestTrait> cleared, String source, GatewayStep step) {
+    step.log(EventCode.CRASH_SUSPECT_CLEARED, "traits", cleared, "source", source);
+  }
+
+  private Map<RequestTrait, Integer> counts(CrashReport report) {
+    Map<RequestTrait, Integer> counts = new HashMap<>();
+    report.traits().forEach(trait -> counts.put(trait, history.count(trait)));
+    return counts;
+  }
+
+  /** Also tells nodes that exchange no heartbeats with this one. */
+  private void tellAll(FleetMessage message, GatewayStep step) {
+    for (NodeAddress peer : peers.addresses()) {
+      step.emit(new GatewayEffect.SendPeer(peer, message));
+    }
+  }
+
+  /**
+   * A suspected request at a runner.
+   *
+   * @param exchange the request
+   * @param attempt number of the attempt
+   * @param runner identifier of the runner
+   * @param suspects its suspected traits when it was sent
+   */
+  private record Probe(long exchange, int attempt, String runner, List<RequestTrait> suspects) {
+
+    /** Returns whether the response has not begun. */
+    boolean isOpen(PendingForwardTable pending) {
+      return pending
+          .get(exchange)
+          .filter(forward -> forward.attempts() == attempt)
+          .filter(forward -> forward.state() == PendingForward.State.SENT)
+          .isPresent();
+    }
+  }
+}
--- a/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
@@ -2,11 +2,14 @@
 
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.forward.CrashRefusal;
+import dev.wisteriarail.core.forward.CrashReport;
 import dev.wisteriarail.core.forward.ForwardRequest;
-import dev.wisteriarail.core.forward.PromptPart;
+import dev.wisteriarail.core.forward.RequestTrait;
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import dev.wisteriarail.core.result.ResultCode;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -159,7 +162,11 @@
   }
 
   static void crashRecorded(
-      PendingForward forward, RunnerEntry runner, boolean begun, long counted, GatewayStep step) {
+      PendingForward forward,
+      RunnerEntry runner,
+      CrashReport report,
+      Map<RequestTrait, Integer> counts,
+      GatewayStep step) {
     step.log(
         EventCode.CRASH_RECORDED,
         "request",
@@ -168,29 +175,50 @@
         runner.id(),
         "born",
         runner.bornMillis(),
-        "answer_begun",
-        begun,
-        "content",
-        Long.toHexString(forward.request().fingerprint()),
-        "parts",
-        forward.request().parts().stream().map(PromptPart::id).toList(),
-        "counted",
-        counted,
+        "traits",
+        forward.traits(),
+        "suspects",
+        counts,
+        "sent_ms_ago",
+        report.sentAgeMillis(),
         "source",
         "attempt");
   }
 
-  static void crashReceived(long content, String peer, long counted, GatewayStep step) {
+  static void crashReceived(
+      CrashReport report, String peer, Map<RequestTrait, Integer> counts, GatewayStep step) {
     step.log(
         EventCode.CRASH_RECORDED,
-        "content",
-        Long.toHexString(content),
-        "counted",
-        counted,
+        "runner",
+        report.loss().run().id(),
+        "born",
+        report.loss().run().bornMillis(),
+        "suspects",
+        counts,
+        "sent_ms_ago",
+        report.sentAgeMillis(),
         "source",
         peer);
   }
 
+  static void refusedAsCrashing(
+      ForwardRequest request, String state, CrashRefusal refusal, GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_REFUSED,
+        "request",
+        request.id(),
+        "code",
+        ResultCode.CRASHING_REQUEST.label(),
+        "state",
+        state,
+        "traits",
+        refusal.traits(),
+        "crashes",
+        refusal.crashes(),
+        "return_after_ms",
+        refusal.remainingMillis());
+  }
+
   static void callerDisconnected(PendingForward forward, GatewayStep step) {
     step.log(
         EventCode.FORWARD_LEFT,
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -4,7 +4,7 @@
 import dev.wisteriarail.core.fleet.ModelDemand;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.AttemptResult;
-import dev.wisteriarail.core.forward.CrashHistory;
+import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RetryBudget;
 import dev.wisteriarail.core.forward.RetryLimits;
@@ -46,9 +46,6 @@
   /** Number of rejections after which a request is refused. */
   private static final int MAX_REJECTIONS = 6;
 
-  /** Retry-after time for a request that crashes runners. */
-  private static final Duration CRASH_RETRY_AFTER = Duration.ofSeconds(30);
-
   /**
    * Time until another node has taken over the lease and sent its first order: the peer timeout of
    * the coordinator, the lease, the handover delay and a load from disk.
@@ -64,7 +61,7 @@
   private RetryLimits retryLimits;
   private final RunnerStateTable runnerStates;
   private final RunnerPicker picker;
-  private final CrashHistory crashHistory = CrashHistory.create();
+  private final CrashGuard crashGuard;
   private final DemandCounter demandCounter = DemandCounter.create();
   private final PendingForwardTable pending;
   private final CompletionEstimator completionEstimator;
@@ -72,16 +69,19 @@
   private int sharingNodes = 1;
   private boolean hasCoordinator;
 
-  private Forwarder(GatewaySettings settings, RunnerStateTable runnerStates) {
+  private Forwarder(
+      GatewaySettings settings, RunnerStateTable runnerStates, CrashGuard crashGuard) {
     retryLimits = settings.retries();
+    this.crashGuard = crashGuard;
     this.runnerStates = runnerStates;
     picker = RunnerPicker.create(settings.domain(), runnerStates);
     pending = PendingForwardTable.create(runnerStates, demandCounter);
     completionEstimator = CompletionEstimator.create(pending, this::startsIn);
   }
 
-  static Forwarder create(GatewaySettings settings, RunnerStateTable runnerStates) {
-    return new Forwarder(settings, runnerStates);
+  static Forwarder create(
+      GatewaySettings settings, RunnerStateTable runnerStates, CrashGuard crashGuard) {
+    return new Forwarder(settings, runnerStates, crashGuard);
   }
 
   /** Applies changed retry limits. */
@@ -109,13 +109,18 @@
           new GatewayEffect.Refuse(request.exchange(), ResultCode.NOT_FOUND, Optional.empty()));
       return;
     }
-    if (crashHistory.isRefused(request.fingerprint(), step.now())) {
-      step.log(EventCode.POISON_FOUND, "request", request.id(), "path", request.path());
-      refuse(request, ResultCode.CRASHING_REQUEST, Optional.of(CRASH_RETRY_AFTER), step);
-      return;
-    }
     String service = RunnerPicker.chooseService(route.get(), request);
     PendingForward forward = PendingForward.of(request, route.get(), service, step.now());
+    Optional<CrashRefusal> refusal = crashGuard.refusal(forward.traits(), step.now());
+    if (refusal.isPresent()) {
+      ForwardLog.refusedAsCrashing(request, "ARRIVED", refusal.get(), step);
+      step.emit(
+          new GatewayEffect.Refuse(
+              request.exchange(),
+              ResultCode.CRASHING_REQUEST,
+              Optional.of(Duration.ofMillis(refusal.get().remainingMillis()))));
+      return;
+    }
     pending.add(forward);
     retryBudget(service).countRequest(step.now());
     demandCounter.countArrival(forward);
@@ -190,7 +195,12 @@
     if (step.now().isBefore(forward.notBefore())) {
       return true;
     }
-    Optional<RunnerEntry> runner = picker.choose(forward, configuration, step.now());
+    if (!crashGuard.maySend(forward, pending)) {
+      checkWait(forward, step);
+      return true;
+    }
+    Optional<RunnerEntry> runner =
+        picker.choose(forward, configuration, id -> crashGuard.avoids(forward, id), step.now());
     if (runner.isEmpty()) {
       checkWait(forward, step);
       return false;
@@ -208,6 +218,7 @@
     final int attempt = forward.send(runner, step.now());
     runnerStates.requestSent(runner.id(), forward.model(), forward.adapter(), forward.tokens());
     picker.recordSession(forward, runner);
+    crashGuard.recordSent(forward, runner);
     ForwardLog.sent(forward, runner, runnerStates, step);
     step.emit(
         new GatewayEffect.SendAttempt(
@@ -220,6 +231,22 @@
             forward.route().repeatable()));
   }
 
+  /** Ends the requests that are known to crash runners and whose response has not begun. */
+  void refuseCrashing(GatewayStep step) {
+    for (PendingForward forward : pending.all()) {
+      if (!forward.answerStarted()) {
+        crashGuard
+            .refusal(forward.traits(), step.now())
+            .ifPresent(
+                refusal -> {
+                  ForwardLog.refusedAsCrashing(
+                      forward.request(), forward.state().name(), refusal, step);
+                  pending.endCrashing(forward, Duration.ofMillis(refusal.remainingMillis()), step);
+                });
+      }
+    }
+  }
+
   // Timeouts
 
   private void checkWait(PendingForward forward, GatewayStep step) {
@@ -335,40 +362,42 @@
 
   // Results
 
-  /**
-   * Handles the progress or the result of an attempt.
-   *
-   * @return the fingerprint of the request if its runner may have crashed on it
-   */
-  Optional<Long> acceptResult(GatewayEvent.AttemptUpdated update, GatewayStep step) {
-    Optional<PendingForward> found =
-        pending
-            .get(update.exchange())
-            .filter(forward -> forward.attempts() == update.attempt())
-            .filter(forward -> forward.state() != PendingForward.State.WAITING);
-    if (found.isEmpty()) {
-      return Optional.empty();
-    }
-    PendingForward forward = found.get();
-    boolean crashed =
-        update.result() instanceof AttemptResult.Broken broken && broken.connectionLost();
-    final Optional<RunnerEntry> runner = forward.runner();
-    final boolean begun = forward.answerStarted();
-    apply(forward, update.result(), step);
-    if (!crashed) {
-      return Optional.empty();
-    }
-    long fingerprint = forward.request().fingerprint();
-    crashHistory.recordCrash(fingerprint, step.now());
-    ForwardLog.crashRecorded(
-        forward, runner.orElseThrow(), begun, crashHistory.count(fingerprint, step.now()), step);
-    return Optional.of(fingerprint);
+  /** Handles the progress or the result of an attempt. */
+  void acceptResult(GatewayEvent.AttemptUpdated update, GatewayStep step) {
+    pending
+        .get(update.exchange())
+        .filter(forward -> forward.attempts() == update.attempt())
+        .filter(forward -> forward.state() != PendingForward.State.WAITING)
+        .ifPresent(
+            forward -> {
+              recordEvidence(forward, update.result(), step);
+              apply(forward, update.result(), step);
+            });
   }
 
-  /** Records that a runner may have crashed on a request of a peer. */
-  void acceptCrash(long fingerprint, String peer, GatewayStep step) {
-    crashHistory.recordCrash(fingerprint, step.now());
-    ForwardLog.crashReceived(fingerprint, peer, crashHistory.count(fingerprint, step.now()), step);
+  /** Records what a result tells about crashes of runners and requests that cause them. */
+  private void recordEvidence(PendingForward forward, AttemptResult result, GatewayStep step) {
+    RunnerEntry runner = forward.runner().orElseThrow();
+    switch (result) {
+      case AttemptResult.Started started -> {
+        crashGuard.recordSignOfLife(runner, forward.attemptSentAt(), step);
+        crashGuard.recordResponse(forward, step);
+      }
+      case AttemptResult.Finished finished -> {
+        crashGuard.recordSignOfLife(runner, forward.attemptSentAt(), step);
+        crashGuard.recordResponse(forward, step);
+      }
+      case AttemptResult.Progressed progressed ->
+          crashGuard.recordSignOfLife(runner, forward.attemptSentAt(), step);
+      case AttemptResult.Answered answered ->
+          crashGuard.recordSignOfLife(runner, forward.attemptSentAt(), step);
+      case AttemptResult.NotSent notSent -> {}
+      case AttemptResult.Broken broken -> {
+        if (broken.connectionLost() && !broken.started() && !forward.answerStarted()) {
+          crashGuard.recordLoss(forward, runner, step);
+        }
+      }
+    }
   }
 
   private void apply(PendingForward forward, AttemptResult result, GatewayStep step) {
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -66,6 +66,7 @@
   private final OrderLease lease;
   private final RunnerStateTable runnerStates;
   private final RunnerNotificationHandler runnerNotifications;
+  private final CrashGuard crashGuard;
   private final Forwarder forwarder;
   private final DrainPlan drain;
   private final CoordinatorRole coordinatorRole;
@@ -95,7 +96,8 @@
     lease = OrderLease.create(self.value(), settings.self().incarnation().value(), timings);
     runnerStates = RunnerStateTable.create(directory);
     runnerNotifications = RunnerNotificationHandler.create(directory, runnerStates);
-    forwarder = Forwarder.create(settings, runnerStates);
+    crashGuard = CrashGuard.create(peers);
+    forwarder = Forwarder.create(settings, runnerStates, crashGuard);
     drain = DrainPlan.create(settings.drainGrace());
     peerSynchronizer = PeerSynchronizer.create(timings.maxDirectoryAge());
     coordinatorRole = CoordinatorRole.create(settings, lease, directory, runnerStates);
@@ -137,13 +139,7 @@
       }
       case GatewayEvent.CallerDisconnected disconnected ->
           forwarder.acceptDisconnect(disconnected.exchange(), step);
-      case GatewayEvent.AttemptUpdated update ->
-          // Also sent to nodes that exchange no heartbeats with this one.
-          forwarder
-              .acceptResult(update, step)
-              .ifPresent(
-                  fingerprint ->
-                      send(peers.addresses(), new FleetMessage.CrashTold(fingerprint), step));
+      case GatewayEvent.AttemptUpdated update -> forwarder.acceptResult(update, step);
       case GatewayEvent.RunnerNotified notified -> {
         if (runnerNotifications.accept(notified, step)) {
           nextHeartbeat = now;
@@ -161,10 +157,13 @@
           store.recordRegistration();
         }
       }
+      case GatewayEvent.RefusalSaved saved -> crashGuard.acceptSaved(saved.succeeded(), step);
       case GatewayEvent.OrderCompleted completed ->
           coordinatorRole.acceptOrderOutcome(completed, step);
-      case GatewayEvent.ReportReceived received ->
-          configuration.ifPresent(known -> coordinatorRole.acceptReport(received, known, step));
+      case GatewayEvent.ReportReceived received -> {
+        configuration.ifPresent(known -> coordinatorRole.acceptReport(received, known, step));
+        crashGuard.recordReport(received.report(), received.requestedAt(), step);
+      }
       case GatewayEvent.PeerMessageReceived received -> acceptPeerMessage(received, step);
       case GatewayEvent.Tick tick -> {
         if (tick.afterPause()) {
@@ -204,6 +203,7 @@
           apply(read.change(), store.directoryReadStartedAt(), SOURCE_STORE, step);
       case StoreAnswer.NodesRead read ->
           read.nodes().forEach(address -> peers.addAddress(address, step.now()));
+      case StoreAnswer.CrashRefusalsRead read -> crashGuard.acceptStored(read.refusals(), step);
       case StoreAnswer.RecordsDropped dropped ->
           step.log(EventCode.LOG_GAP, "read", completed.call().getClass().getSimpleName());
       case StoreAnswer.Failed failed -> {
@@ -230,6 +230,7 @@
     if (!store.acceptEra(era, step.now())) {
       return;
     }
+    crashGuard.saveRefusals();
     registration.scheduleRewrite(step.now().plus(peers.staggeredDelay(REGISTRATION_SPACING)));
     step.log(
         EventCode.STORE_ERA_CHANGED,
@@ -289,8 +290,7 @@
           runnerStates.accept(fleet.views(), fleet.forecasts(), step.now());
       case FleetMessage.ConfigurationTold configurationUpdate ->
           apply(configurationUpdate.configuration(), received.from().value(), step);
-      case FleetMessage.CrashTold crash ->
-          forwarder.acceptCrash(crash.fingerprint(), received.from().value(), step);
+      case FleetMessage.CrashTold crash -> crashGuard.accept(crash, received.from(), step);
       case FleetMessage.DirectoryTold directoryUpdate -> {
         acceptEra(directoryUpdate.change().to().era(), received.from().value(), step);
         apply(directoryUpdate.change(), Instant.MIN, received.from().value(), step);
@@ -303,9 +303,11 @@
     if (peers.acceptHeartbeat(heartbeat.self(), heartbeat.status(), now)) {
       step.log(
           EventCode.PEER_SEEN, "peer", heartbeat.self().node(), "host", heartbeat.self().host());
+      crashGuard.tellRefusals();
     }
     heartbeat.known().forEach(address -> peers.addAddress(address, now));
     runnerNotifications.acceptLeaving(heartbeat.leaving(), heartbeat.self().node().value(), step);
+    crashGuard.acceptRefusals(heartbeat.refusals(), heartbeat.self().node().value(), step);
     PeerStatus status = heartbeat.status();
     long era = Math.max(status.directoryOffset().era(), status.leaseEnd().era());
     acceptEra(era, heartbeat.self().node().value(), step);
@@ -333,6 +335,10 @@
     if (!requestEvent) {
       advanceFleet(event instanceof GatewayEvent.Tick, step);
     }
+    if (crashGuard.takeRefusalAdded()) {
+      forwarder.refuseCrashing(step);
+      nextHeartbeat = step.now();
+    }
     reportDemand(step);
     boolean hasCoordinator = coordinatorNode.isPresent() || !coordinatorSeen;
     forwarder.advance(configuration, sharingNodes, hasCoordinator, step);
@@ -359,6 +365,7 @@
     sharingNodes = peers.sharerCount(live);
     updateCoordination(live, step);
     readStore(live, step);
+    crashGuard.advance(store.isReachable(), lease.isHeld(), step);
     sendHeartbeat(step);
     coordinatorRole.advance(configuration, live, peers.heartbeatSlowdown(), step);
   }
@@ -441,7 +448,11 @@
     List<NodeAddress> knownPeers = includesPeers ? liveAddresses(step.now()) : List.of();
     FleetMessage.Beat heartbeat =
         new FleetMessage.Beat(
-            settings.self(), knownPeers, status(step.now()), directory.unconfirmedLeaves());
+            settings.self(),
+            knownPeers,
+            status(step.now()),
+            directory.unconfirmedLeaves(),
+            crashGuard.takeRefusals(includesPeers, step.now()));
     send(peers.heartbeatTargets(lease.isHeld(), step.now()), heartbeat, step);
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.NumberedOrder;
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.CallerBounds;
@@ -116,6 +117,14 @@
    */
   record RegisterNode(NodeAddress address) implements GatewayEffect {}
 
+  /**
+   * Writes to the store which requests are refused because they crash runners. The result is
+   * returned as {@link GatewayEvent.RefusalSaved}.
+   *
+   * @param refusal the refusal
+   */
+  record SaveRefusal(CrashRefusal refusal) implements GatewayEffect {}
+
   /**
    * Sends a message to a peer; the message may be lost.
    *
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEvent.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEvent.java
@@ -70,6 +70,13 @@
    */
   record RegistrationCompleted(boolean succeeded) implements GatewayEvent {}
 
+  /**
+   * The write of a refusal to the store completed.
+   *
+   * @param succeeded whether the refusal was written
+   */
+  record RefusalSaved(boolean succeeded) implements GatewayEvent {}
+
   /**
    * The call that sent an order to a runner completed.
    *
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -2,10 +2,13 @@
 
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.forward.RequestTrait;
 import dev.wisteriarail.core.route.RouteSpec;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -31,6 +34,7 @@
   private final String service;
   private final Instant arrivedAt;
   private final Instant deadline;
+  private final List<RequestTrait> traits = new ArrayList<>();
   private final Set<String> runnersThatMayHaveRun = new HashSet<>();
   private State state = State.WAITING;
   private int attempts;
@@ -41,6 +45,7 @@
   private boolean answerStarted;
   private Instant notBefore = Instant.MIN;
   private Instant sentAt = Instant.MIN;
+  private Instant attemptSentAt = Instant.MIN;
   private Instant lastProgressAt = Instant.MIN;
   private Instant waitingSince;
   private boolean waitLogged;
@@ -53,6 +58,8 @@
     this.service = service;
     this.arrivedAt = arrivedAt;
     waitingSince = arrivedAt;
+    traits.add(request.content());
+    traits.addAll(request.sharedParts());
     Duration callerTimeout = request.callerTimeout().orElse(route.timeout());
     deadline =
         arrivedAt.plus(
@@ -71,6 +78,7 @@
     state = answerStarted ? State.ANSWERING : State.SENT;
     runner = Optional.of(target);
     sentAt = answerStarted ? sentAt : now;
+    attemptSentAt = now;
     lastProgressAt = now;
     stallIgnored = false;
     return ++attempts;
@@ -206,6 +214,16 @@
     return notBefore;
   }
 
+  /** Returns the content and the shared parts of the request. */
+  List<RequestTrait> traits() {
+    return traits;
+  }
+
+  /** Returns when the current attempt was sent. */
+  Instant attemptSentAt() {
+    return attemptSentAt;
+  }
+
   /** Returns when the request was sent or when the last byte of the response arrived. */
   Instant lastProgressAt() {
     return lastProgressAt;
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
@@ -63,6 +63,18 @@
     end(forward, reason, code, retryAfter, step);
   }
 
+  /**
+   * Ends a request whose response has not begun and that is known to crash runners. Its attempt is
+   * cancelled, so that its runner may drop it before it begins to write.
+   */
+  void endCrashing(PendingForward forward, Duration retryAfter, GatewayStep step) {
+    if (forward.state() != PendingForward.State.WAITING) {
+      forward.markMayHaveRun();
+      cancelAttempt(forward, step);
+    }
+    end(forward, "it crashes runners", ResultCode.CRASHING_REQUEST, retryAfter, step);
+  }
+
   /** Ends a request that is not sent to a runner again. */
   void giveUp(PendingForward forward, String reason, GatewayStep step) {
     end(forward, reason, ResultCode.NO_CAPACITY, SHORT_RETRY_AFTER, step);
--- a/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Collects the runners that could serve a request and selects one by {@link RunnerScoring}.
@@ -65,9 +66,16 @@
         .ifPresent(session -> sessions.assign(forward.model(), session, runner.id()));
   }
 
-  /** Returns the runner to send the request to now, or empty if the request has to wait. */
+  /**
+   * Returns the runner to send the request to now, or empty if the request has to wait.
+   *
+   * @param avoided tells whether a runner is not to be used for this request
+   */
   Optional<RunnerEntry> choose(
-      PendingForward forward, GatewayConfiguration configuration, Instant now) {
+      PendingForward forward,
+      GatewayConfiguration configuration,
+      Predicate<String> avoided,
+      Instant now) {
     Optional<EngineSpec> engine = configuration.engineOf(forward.service());
     List<RunnerScoring.Candidate> candidates = new ArrayList<>();
     Map<String, RunnerEntry> entries = new HashMap<>();
@@ -77,6 +85,7 @@
     for (RunnerEntry entry : holders(forward, engine.isPresent())) {
       boolean eligible =
           runnerStates.isAvailable(entry, now)
+              && !avoided.test(entry.id())
               && !(mayHaveRunBefore && forward.runnersThatMayHaveRun().contains(entry.id()))
               && engine
                   .map(
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreAnswer.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreAnswer.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.fleet.DirectoryChange;
 import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.id.LogPosition;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import java.util.List;
@@ -16,6 +17,7 @@
       case ConfigurationRead read -> read.next().era();
       case DirectoryRead read -> read.change().to().era();
       case NodesRead read -> read.era();
+      case CrashRefusalsRead read -> read.era();
       case RecordsDropped dropped -> dropped.era();
       case Failed failed -> LogPosition.NONE.era();
     };
@@ -52,6 +54,20 @@
     }
   }
 
+  /**
+   * The refusals of requests that crash runners were read.
+   *
+   * @param refusals the refusals that are in force
+   * @param era the store's era
+   */
+  record CrashRefusalsRead(List<CrashRefusal> refusals, long era) implements StoreAnswer {
+
+    /** Copies the list. */
+    public CrashRefusalsRead {
+      refusals = List.copyOf(refusals);
+    }
+  }
+
   /**
    * The store no longer has the requested records; the newest ones have to be read.
    *
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreRead.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreRead.java
@@ -29,4 +29,7 @@
 
   /** Reads the addresses of nodes. */
   record Nodes() implements StoreRead {}
+
+  /** Reads which requests are refused because they crash runners. */
+  record CrashRefusals() implements StoreRead {}
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
@@ -37,14 +37,17 @@
   private boolean readingConfiguration;
   private boolean readingDirectory;
   private boolean readingNodes;
+  private boolean readingRefusals;
   private long era = LogPosition.NONE.era();
   private LogPosition nextConfigurationOffset = LogPosition.NONE;
   private boolean directoryGap = true;
   private boolean nodesRead;
+  private boolean refusalsRead;
   private Instant nextConfigurationReadAt = Instant.MIN;
   private Instant nextDirectoryReadAt = Instant.MIN;
   private Instant directoryReadStartedAt = Instant.MIN;
   private Instant nextNodesReadAt = Instant.MIN;
+  private Instant nextRefusalsReadAt = Instant.MIN;
   private Instant lastAnswerAt = Instant.MIN;
   private Instant failingSince = Instant.MAX;
   private Instant firstCallAt = Instant.MAX;
@@ -98,6 +101,10 @@
       readingNodes = true;
       reads.add(new StoreRead.Nodes());
     }
+    if (!readingRefusals && (isolated || !refusalsRead) && !now.isBefore(nextRefusalsReadAt)) {
+      readingRefusals = true;
+      reads.add(new StoreRead.CrashRefusals());
+    }
     if (!reads.isEmpty() && firstCallAt.equals(Instant.MAX)) {
       firstCallAt = now;
     }
@@ -182,6 +189,10 @@
         nextNodesReadAt =
             now.plus(starting || failed ? NODES_READ_INTERVAL : ISOLATED_NODES_READ_INTERVAL);
       }
+      case StoreRead.CrashRefusals refusals -> {
+        readingRefusals = false;
+        nextRefusalsReadAt = now.plus(failed ? RETRY_DELAY : ISOLATED_NODES_READ_INTERVAL);
+      }
     }
     if (failed || !sameEra(call, answer)) {
       return;
@@ -201,6 +212,7 @@
         }
       }
       case StoreAnswer.NodesRead read -> nodesRead = true;
+      case StoreAnswer.CrashRefusalsRead read -> refusalsRead = true;
       case StoreAnswer.Failed failure -> {}
     }
   }
--- a/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
@@ -8,8 +8,13 @@
 import dev.wisteriarail.core.fleet.RunnerRun;
 import dev.wisteriarail.core.fleet.RunnerUse;
 import dev.wisteriarail.core.fleet.RunnerView;
+import dev.wisteriarail.core.forward.CrashRefusal;
+import dev.wisteriarail.core.forward.CrashReport;
+import dev.wisteriarail.core.forward.RequestTrait;
+import dev.wisteriarail.core.forward.RunnerLoss;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import java.util.List;
+import java.util.Optional;
 
 /** A message between two gateway nodes, which forward opaque requests. */
 public sealed interface FleetMessage extends PeerMessage {
@@ -22,8 +27,15 @@
    * @param status the sender's status
    * @param leaving runs of runners that announced that they are leaving, while the directory does
    *     not show it yet
+   * @param refusals which requests the sender refuses because they crash runners; empty in most
+   *     heartbeats
    */
-  record Beat(NodeAddress self, List<NodeAddress> known, PeerStatus status, List<RunnerRun> leaving)
+  record Beat(
+      NodeAddress self,
+      List<NodeAddress> known,
+      PeerStatus status,
+      List<RunnerRun> leaving,
+      List<CrashRefusal> refusals)
       implements FleetMessage {
 
     @Override
@@ -31,10 +43,11 @@
       return true;
     }
 
-    /** Copies the lists; messages of earlier versions have no list of leaving runners. */
+    /** Copies the lists; messages of earlier versions lack the last ones. */
     public Beat {
       known = List.copyOf(known);
       leaving = leaving == null ? List.of() : List.copyOf(leaving);
+      refusals = refusals == null ? List.of() : List.copyOf(refusals);
     }
   }
 
@@ -103,9 +116,46 @@
   record DirectoryTold(DirectoryChange change) implements FleetMessage {}
 
   /**
-   * Reports that a runner's connection was lost while it was serving a request.
+   * Evidence about requests that crash runners.
    *
-   * @param fingerprint identifies the content of the request
+   * @param fingerprint identifies the content of a lost request, for earlier versions, which know
+   *     nothing else; 0 if no request was lost
+   * @param lost a request that was lost at a runner
+   * @param refuted a loss that was no crash
+   * @param sound parts of prompts that were suspected and do not crash runners
    */
-  record CrashTold(long fingerprint) implements FleetMessage {}
+  record CrashTold(
+      long fingerprint,
+      Optional<CrashReport> lost,
+      Optional<RunnerLoss> refuted,
+      List<RequestTrait> sound)
+      implements FleetMessage {
+
+    /** Copies the list; messages of earlier versions have a fingerprint only. */
+    public CrashTold {
+      lost = lost == null ? Optional.empty() : lost;
+      refuted = refuted == null ? Optional.empty() : refuted;
+      sound = sound == null ? List.of() : List.copyOf(sound);
+    }
+
+    /** Returns whether the sender knows nothing but the fingerprint. */
+    public boolean isOfEarlierVersion() {
+      return lost.isEmpty() && refuted.isEmpty() && sound.isEmpty();
+    }
+
+    /** Returns the report of a lost request. */
+    public static CrashTold ofLost(long fingerprint, CrashReport report) {
+      return new CrashTold(fingerprint, Optional.of(report), Optional.empty(), List.of());
+    }
+
+    /** Returns the report of a loss that was no crash. */
+    public static CrashTold ofRefuted(RunnerLoss loss) {
+      return new CrashTold(0, Optional.empty(), Optional.of(loss), List.of());
+    }
+
+    /** Returns the report of parts that do not crash runners. */
+    public static CrashTold ofSound(List<RequestTrait> parts) {
+      return new CrashTold(0, Optional.empty(), Optional.empty(), parts);
+    }
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -53,8 +53,8 @@
   POISON_REQUEST(1208, 422, "the request crashed several backend servers"),
   /** No controller can decide on loading the model. */
   NO_CONTROLLER(1209, 503, "no controller can decide on loading the model"),
-  /** Runners crashed on the same request before. */
-  CRASHING_REQUEST(1211, 503, "runners crashed on the same request before"),
+  /** Requests with this content, or with a part of this prompt, crash runners. */
+  CRASHING_REQUEST(1211, 503, "runners crash on such requests"),
   /** The node has no configuration yet. */
   CONFIGURATION_UNKNOWN(1210, 503, "the node knows no configuration yet"),
   /** A request of this kind needs an Idempotency-Key header. */
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeMetadataStore.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeMetadataStore.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.fleet.LeaseCall;
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
 import dev.wisteriarail.core.id.LogPosition;
@@ -27,6 +28,7 @@
   private final List<Timed<GatewayConfiguration>> configurations = new ArrayList<>();
   private final List<Timed<DirectoryRecord>> directory = new ArrayList<>();
   private final List<Timed<NodeAddress>> nodes = new ArrayList<>();
+  private final List<Timed<CrashRefusal>> refusals = new ArrayList<>();
   private final LeaseLog lease = LeaseLog.create();
   private long era;
   private long firstDirectoryOffset;
@@ -45,6 +47,10 @@
     nodes.add(new Timed<>(now, address));
   }
 
+  void save(CrashRefusal refusal, Instant now) {
+    refusals.add(new Timed<>(now, refusal));
+  }
+
   /** Drops the history of the directory and keeps its newest entries. */
   void compact() {
     firstDirectoryOffset = directory.size();
@@ -56,6 +62,7 @@
     truncate(configurations, copiedAt);
     truncate(directory, copiedAt);
     truncate(nodes, copiedAt);
+    truncate(refusals, copiedAt);
     firstDirectoryOffset = Math.min(firstDirectoryOffset, directory.size());
     lease.restore(era, copiedAt);
   }
@@ -82,6 +89,9 @@
         nodes.forEach(each -> newest.put(each.value().node().value(), each.value()));
         yield new StoreAnswer.NodesRead(List.copyOf(newest.values()), era);
       }
+      case StoreRead.CrashRefusals all ->
+          new StoreAnswer.CrashRefusalsRead(
+              refusals.stream().map(Timed::value).distinct().toList(), era);
     };
   }
 
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -244,6 +244,14 @@
             incarnation,
             new GatewayEvent.RegistrationCompleted(done));
       }
+      case GatewayEffect.SaveRefusal save -> {
+        boolean done = reachesStore(node);
+        if (done) {
+          store.save(save.refusal(), time.now());
+        }
+        deliverAfter(
+            network.nextDuration(2, 20), node, incarnation, new GatewayEvent.RefusalSaved(done));
+      }
       case GatewayEffect.SendPeer send -> sendPeer(node, send);
       case GatewayEffect.WarmUpCodec rehearse -> {}
       case GatewayEffect.SetReady ready -> node.setReady(ready.ready());
--- a/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
@@ -217,6 +217,9 @@
           platform.registerNode(
               register.address(),
               succeeded -> submit(new GatewayEvent.RegistrationCompleted(succeeded)));
+      case GatewayEffect.SaveRefusal save ->
+          platform.saveRefusal(
+              save.refusal(), succeeded -> submit(new GatewayEvent.RefusalSaved(succeeded)));
       case GatewayEffect.SendPeer send -> peers.send(send.to(), send.message());
       case GatewayEffect.WarmUpCodec warmUp -> peers.warmUpCodec(warmUp.message());
       case GatewayEffect.LogEvent logEvent -> {
--- a/src/main/java/dev/wisteriarail/gateway/PlatformClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/PlatformClient.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerNotification;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
@@ -30,6 +31,9 @@
   /** Writes a node's address to the store; the callback receives whether it was written. */
   void registerNode(NodeAddress address, Consumer<Boolean> callback);
 
+  /** Writes a refusal to the store; the callback receives whether it was written. */
+  void saveRefusal(CrashRefusal refusal, Consumer<Boolean> callback);
+
   /**
    * Sends an order to a runner.
    *
--- a/src/main/java/dev/wisteriarail/platform/HttpPlatformClient.java
+++ b/src/main/java/dev/wisteriarail/platform/HttpPlatformClient.java
@@ -13,6 +13,7 @@
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerNotification;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
@@ -21,6 +22,7 @@
 import dev.wisteriarail.gateway.GatewayHttp;
 import dev.wisteriarail.gateway.PlatformClient;
 import java.io.IOException;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -52,6 +54,7 @@
 
   private final StoreClient store;
   private final HttpClient http;
+  private final InstantSource wallClock = InstantSource.system();
 
   private HttpPlatformClient(HttpClient http, String storeAddress) {
     this.http = http;
@@ -96,6 +99,9 @@
       case StoreRead.Nodes nodes ->
           store.readNewest(
               WireNames.NODES_TOPIC, outcome -> callback.accept(toNodesAnswer(outcome)));
+      case StoreRead.CrashRefusals refusals ->
+          store.readNewest(
+              WireNames.REFUSALS_TOPIC, outcome -> callback.accept(toRefusalsAnswer(outcome)));
     }
   }
 
@@ -190,6 +196,27 @@
     return new StoreAnswer.NodesRead(nodes, newest.end().era());
   }
 
+  private StoreAnswer toRefusalsAnswer(StoreClient.Outcome outcome) {
+    if (!(outcome instanceof StoreClient.Outcome.Newest newest)) {
+      return failure(outcome);
+    }
+    List<CrashRefusal> refusals = new ArrayList<>();
+    for (WireRecords.KeyedRecord each : newest.records()) {
+      try {
+        CrashRefusal refusal =
+            Codecs.json()
+                .readValue(each.value(), StoredRefusal.class)
+                .toRefusal(wallClock.instant());
+        if (refusal.remainingMillis() > 0) {
+          refusals.add(refusal);
+        }
+      } catch (IOException malformed) {
+        LOGGER.warn("ignoring the refusal {}, which cannot be decoded", each.key(), malformed);
+      }
+    }
+    return new StoreAnswer.CrashRefusalsRead(refusals, newest.end().era());
+  }
+
   private static StoreAnswer failure(StoreClient.Outcome outcome) {
     return switch (outcome) {
       case StoreClient.Outcome.Dropped dropped ->
@@ -266,16 +293,26 @@
 
   @Override
   public void registerNode(NodeAddress address, Consumer<Boolean> callback) {
+    writeKeyed(WireNames.NODES_TOPIC, address.node().value(), address, callback);
+  }
+
+  @Override
+  public void saveRefusal(CrashRefusal refusal, Consumer<Boolean> callback) {
+    StoredRefusal stored = StoredRefusal.of(refusal, wallClock.instant());
+    writeKeyed(WireNames.REFUSALS_TOPIC, stored.key(), stored, callback);
+  }
+
+  private void writeKeyed(String topic, String key, Object value, Consumer<Boolean> callback) {
     try {
-      byte[] value = Codecs.json().writeValueAsBytes(address);
-      byte[] content = WireRecords.encodeKeyed(address.node().value().getBytes(UTF_8), value);
+      byte[] content =
+          WireRecords.encodeKeyed(key.getBytes(UTF_8), Codecs.json().writeValueAsBytes(value));
       store.append(
-          WireNames.NODES_TOPIC,
+          topic,
           -1,
           content,
           outcome -> callback.accept(outcome instanceof StoreClient.Outcome.Appended));
     } catch (IOException failure) {
-      LOGGER.error("the node's address cannot be encoded", failure);
+      LOGGER.error("the record {} of {} cannot be encoded", key, topic, failure);
       callback.accept(false);
     }
   }
--- a/src/main/java/dev/wisteriarail/platform/WireNames.java
+++ b/src/main/java/dev/wisteriarail/platform/WireNames.java
@@ -30,6 +30,7 @@
   static final String OPERATOR_TOPIC = "keyed.op";
   static final String CONFIGURATION_KEY = "config";
   static final String RUNNERS_TOPIC = "keyed.servers";
+  static final String REFUSALS_TOPIC = "keyed.wisteriarail-refusals";
   static final String NODES_TOPIC = "keyed.wisteriarail-nodes";
   static final String LEASE_TOPIC = "wisteriarail-orders";
 
--- a/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import dev.wisteriarail.core.fleet.RunnerRun;
 import dev.wisteriarail.core.route.RouteKind;
 import dev.wisteriarail.core.route.RouteSpec;
 import dev.wisteriarail.core.route.ServiceShare;
@@ -168,13 +169,24 @@
   @Test
   void requestThatCrashedThreeRunnersIsRefusedForOneWhile() {
     CrashHistory history = CrashHistory.create();
-    history.recordCrash(7, START);
-    history.recordCrash(7, START.plusSeconds(1));
-    assertThat(history.isRefused(7, START.plusSeconds(2))).isFalse();
-    history.recordCrash(7, START.plusSeconds(2));
-    assertThat(history.isRefused(7, START.plusSeconds(3))).isTrue();
-    assertThat(history.isRefused(8, START.plusSeconds(3))).isFalse();
-    assertThat(history.isRefused(7, START.plusSeconds(400))).isFalse();
+    recordCrash(history, 7, "e1", START);
+    recordCrash(history, 7, "e2", START.plusSeconds(1));
+    assertThat(isRefused(history, 7, START.plusSeconds(2))).isFalse();
+    recordCrash(history, 7, "e3", START.plusSeconds(2));
+    assertThat(isRefused(history, 7, START.plusSeconds(3))).isTrue();
+    assertThat(isRefused(history, 8, START.plusSeconds(3))).isFalse();
+    assertThat(isRefused(history, 7, START.plusSeconds(400))).isFalse();
+  }
+
+  private static void recordCrash(
+      CrashHistory history, long fingerprint, String runner, Instant now) {
+    RunnerLoss loss = new RunnerLoss(new RunnerRun(runner, 1), 0);
+    List<RequestTrait> traits = List.of(RequestTrait.ofContent(fingerprint));
+    history.recordCrash(new CrashReport(loss, 50, traits), now);
+  }
+
+  private static boolean isRefused(CrashHistory history, long fingerprint, Instant now) {
+    return history.refusal(List.of(RequestTrait.ofContent(fingerprint)), now).isPresent();
   }
 
   // Selection
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -259,7 +259,7 @@
         new GatewayEvent.PeerMessageReceived(
             NodeId.of(name),
             Incarnation.of(1),
-            new FleetMessage.Beat(address, List.of(), status, List.of())));
+            new FleetMessage.Beat(address, List.of(), status, List.of(), List.of())));
   }
 
   /** Delivers a notification from a runner. */
@@ -275,7 +275,8 @@
         new GatewayEvent.PeerMessageReceived(
             NodeId.of(peer),
             Incarnation.of(1),
-            new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN, List.of(leaving))));
+            new FleetMessage.Beat(
+                address, List.of(), PeerStatus.UNKNOWN, List.of(leaving), List.of())));
   }
 
   void updateAttempt(long exchange, int attempt, AttemptResult result) {
--- a/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
@@ -217,6 +217,7 @@
                       false, changes.from(), LogPosition.of(0, 1), List.of(), List.of()));
           case StoreRead.Nodes nodes ->
               new StoreAnswer.NodesRead(List.copyOf(registered.values()), 0);
+          case StoreRead.CrashRefusals refusals -> new StoreAnswer.CrashRefusalsRead(List.of(), 0);
         };
     int delayMillis = call instanceof StoreRead.NextConfiguration ? 1_000 : 2;
     later(
--- a/src/test/java/dev/wisteriarail/peer/FrameCodecTest.java
+++ b/src/test/java/dev/wisteriarail/peer/FrameCodecTest.java
@@ -95,7 +95,7 @@
 
   @Test
   void shortMessagesAreNotCompressed() throws Exception {
-    assertThat(FrameCodec.encode(frame(new FleetMessage.CrashTold(7)))[0]).isEqualTo(0);
+    assertThat(FrameCodec.encode(frame(FleetMessage.CrashTold.ofSound(List.of())))[0]).isEqualTo(0);
   }
 
   /** A small compressed frame that expands beyond the limit must be rejected, not buffered. */
--- a/src/test/java/dev/wisteriarail/peer/FrameQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/FrameQueueTest.java
@@ -52,6 +52,6 @@
     GatewayConfiguration configuration =
         new GatewayConfiguration(7, List.of(), Map.of(), CallerBounds.DEFAULT);
     assertThat(new FleetMessage.ConfigurationTold(configuration).urgent()).isTrue();
-    assertThat(new FleetMessage.CrashTold(1).urgent()).isFalse();
+    assertThat(FleetMessage.CrashTold.ofSound(List.of()).urgent()).isFalse();
   }
 }
--- a/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
@@ -34,7 +34,7 @@
 
   private static FleetMessage.Beat heartbeat() {
     NodeAddress address = new NodeAddress(SELF, Incarnation.of(1), "127.0.0.1", 1, 1_000, 0);
-    return new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN, List.of());
+    return new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN, List.of(), List.of());
   }
 
   @Test
@@ -129,7 +129,7 @@
     for (int i = 0; i < 100; i++) {
       transport.send(peer, heartbeat());
     }
-    transport.send(peer, new FleetMessage.CrashTold(7));
+    transport.send(peer, FleetMessage.CrashTold.ofSound(List.of()));
   }
 
   private static List<PeerMessage> readUntilCrash(Socket socket) throws Exception {
--- a/src/test/java/dev/wisteriarail/platform/RuntimeFaultTest.java
+++ b/src/test/java/dev/wisteriarail/platform/RuntimeFaultTest.java
@@ -9,6 +9,7 @@
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerNotification;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
@@ -50,6 +51,11 @@
       throw new IllegalStateException("a deliberate fault");
     }
 
+    @Override
+    public void saveRefusal(CrashRefusal refusal, Consumer<Boolean> callback) {
+      delegate.saveRefusal(refusal, callback);
+    }
+
     @Override
     public void sendOrder(
         GatewayEffect.SendOrder order,
