Do not believe a refusal that a runner repeats on a kept connection

It could happen here: a refusal without an id was taken for the answer to whatever was asked next on its connection, and one with an id for that of a further attempt of the same request, which bears the same id.

A refusal without the request's id is now believed only as the first response on its connection, and further attempts of a request use connections of their own. Ruled out: closing each connection after a refusal, which costs every caller a new one.

--- a/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
@@ -88,6 +88,12 @@
     }
   }
 
+  /** Returns whether a response is the first one on its connection. */
+  public static boolean isFirstOnConnection(Response response) {
+    return response.getRequest().getConnection() instanceof Connection connection
+        && connection.getMessagesIn() == 0;
+  }
+
   /**
    * Opens connections without TLS on which a reset is an error rather than the end of a response.
    */
--- a/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
@@ -16,7 +16,9 @@
  * Sends requests to runners.
  *
  * <p>A request that must not run twice uses a new connection: a runner may close a pooled one just
- * as the request is sent, which would leave the request's outcome unknown. Thread-safe.
+ * as the request is sent, which would leave the request's outcome unknown. So does each further
+ * attempt of a request: a faulty runner may repeat its refusal of an earlier attempt, which bears
+ * the same id, on the connection on which it sent it. Thread-safe.
  */
 final class RunnerClient {
 
@@ -62,7 +64,8 @@
             notifications,
             result -> results.accept(attempt.attempt(), result));
     relays.put(attempt.exchange(), relay);
-    HttpClient http = attempt.repeatable() ? pooled : unpooled;
+    boolean first = attempt.attempt() == 1;
+    HttpClient http = attempt.repeatable() && first ? pooled : unpooled;
     Request request =
         http.newRequest(attempt.runner().host(), attempt.runner().port())
             .method(exchange.request().getMethod())
--- a/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.core.fleet.RunnerNotification;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.gateway.CallerExchange;
+import dev.wisteriarail.gateway.GatewayHttp;
 import dev.wisteriarail.gateway.RunnerProtocol;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -85,16 +86,19 @@
       }
     }
     List<String> echoedIds = headers.getValuesList(WireNames.REQUEST_ID);
-    // A delayed duplicate of an earlier response may carry no request id, so a response without
-    // one is accepted only if it is a failure.
+    boolean named = echoedIds.contains(exchange.forward().id());
+    boolean refused =
+        headers.contains(WireNames.NOT_EXECUTED) || response.getStatus() == STATUS_MISDIRECTED;
+    // A duplicate of an earlier response may carry no request id. So a response without one is
+    // accepted only if it is a failure, and believed not to have run the request only as the first
+    // on its connection.
     boolean matchesRequest =
-        echoedIds.contains(exchange.forward().id())
-            || (echoedIds.isEmpty() && !HttpStatus.isSuccess(response.getStatus()));
+        named || (echoedIds.isEmpty() && !HttpStatus.isSuccess(response.getStatus()));
     return new ResponseHead(
         response.getStatus(),
         matchesRequest,
         headers.contains(WireNames.SIGNATURE),
-        headers.contains(WireNames.NOT_EXECUTED) || response.getStatus() == STATUS_MISDIRECTED,
+        refused && (named || GatewayHttp.isFirstOnConnection(response)),
         relayed,
         notifications(attempt.runner().id(), response));
   }
