Repeat evidence of crashes in heartbeats; deadly requests in the gateway fuzz

The gateway fuzz now sends requests that crash each engine that begins to answer them, one content or one part, beside sound ones that share all other parts. Its oracle counts crashes and arrivals by itself (crashing-request) and sees each sound request that is refused as crashing (sound-refused); both are seen to fail on a defect (FORGETS_CRASHES, ACCUSES_THE_SOUND).

One heartbeat in eight, and the next one after a new peer, now repeats the newest evidence beside the refusals. A repeated report merges with any known crash of the run, as it may be delayed. Losses of one run within 2 s are one crash.

--- a/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -37,11 +38,14 @@
    * Losses on one run within this time belong to one crash. A runner that starts again takes
    * longer, and may do so before its new start time is known.
    */
-  private static final Duration SAME_CRASH = Duration.ofSeconds(1);
+  private static final Duration SAME_CRASH = Duration.ofSeconds(2);
 
   /** Bytes of a crashed runner may still be processed for this time after its loss is noticed. */
   private static final Duration ARRIVAL_SLACK = Duration.ofMillis(250);
 
+  /** Maximum number of reports that are repeated to peers. */
+  private static final int MAX_REPEATED_REPORTS = 16;
+
   private static final int MAX_CRASHES = 128;
   private static final int MAX_TRAITS_PER_CRASH = 512;
 
@@ -56,19 +60,28 @@
 
   // Changes
 
-  /** Adds a report of a request that was lost at a runner. */
-  void add(CrashReport report, List<RequestTrait> traits, Instant now) {
+  /**
+   * Adds a report of a request that was lost at a runner.
+   *
+   * @param traits the traits to add
+   * @param repeated whether the report may be about any known crash of the run: its age is not
+   *     exact, as it may have been delayed
+   */
+  void add(CrashReport report, List<RequestTrait> traits, boolean repeated, Instant now) {
     expire(now);
     Instant lostAt = now.minusMillis(report.loss().ageMillis());
+    Optional<Crash> known =
+        repeated
+            ? crashes.stream().filter(c -> c.run.equals(report.loss().run())).findFirst()
+            : find(report.loss().run(), lostAt);
     Crash crash =
-        find(report.loss().run(), lostAt)
-            .orElseGet(
-                () -> {
-                  Crash added = new Crash(report.loss().run(), lostAt);
-                  crashes.add(added);
-                  return added;
-                });
-    Instant sentAt = now.minusMillis(report.sentAgeMillis());
+        known.orElseGet(
+            () -> {
+              Crash added = new Crash(report.loss().run(), lostAt);
+              crashes.add(added);
+              return added;
+            });
+    Instant sentAt = crash.at.minusMillis(report.sentAgeMillis() - report.loss().ageMillis());
     for (RequestTrait trait : traits) {
       if (crash.sentAt.size() >= MAX_TRAITS_PER_CRASH && !crash.sentAt.containsKey(trait)) {
         break;
@@ -157,6 +170,24 @@
 
   // Accessors
 
+  /** Returns the newest evidence, to be repeated to peers that may have missed it. */
+  List<CrashReport> reports(Instant now) {
+    List<CrashReport> reports = new ArrayList<>();
+    for (Crash crash : crashes.reversed()) {
+      RunnerLoss loss = new RunnerLoss(crash.run, Duration.between(crash.at, now).toMillis());
+      Map<Instant, List<RequestTrait>> traitsBySending = new TreeMap<>();
+      crash.sentAt.forEach(
+          (trait, at) -> traitsBySending.computeIfAbsent(at, key -> new ArrayList<>()).add(trait));
+      traitsBySending.forEach(
+          (at, traits) ->
+              reports.add(new CrashReport(loss, Duration.between(at, now).toMillis(), traits)));
+      if (reports.size() >= MAX_REPEATED_REPORTS) {
+        return reports.subList(0, MAX_REPEATED_REPORTS);
+      }
+    }
+    return reports;
+  }
+
   boolean isEmpty() {
     return crashes.isEmpty();
   }
--- a/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
@@ -42,11 +42,25 @@
    * @return the refusals that the crash adds
    */
   public List<CrashRefusal> recordCrash(CrashReport report, Instant now) {
+    return record(report, false, now);
+  }
+
+  /**
+   * Adds a report that a peer repeats, for nodes that missed it.
+   *
+   * @return the refusals that it adds
+   */
+  public List<CrashRefusal> recordRepeated(CrashReport report, Instant now) {
+    return record(report, true, now);
+  }
+
+  private List<CrashRefusal> record(CrashReport report, boolean repeated, Instant now) {
     List<RequestTrait> suspects = unproven(report.traits(), now);
-    evidence.add(report, suspects, now);
+    evidence.add(report, suspects, repeated, now);
     List<CrashRefusal> added = new ArrayList<>();
     refusals
         .findEnded(report.traits(), now)
+        .filter(traits -> !repeated)
         .ifPresent(traits -> refuse(traits, CrashEvidence.CRASHES_TO_FIND + 1, now, added));
     for (RequestTrait trait : suspects) {
       if (evidence.isFound(trait) && refusals.find(report.traits(), now).isEmpty()) {
@@ -148,6 +162,11 @@
     return evidence.count(trait);
   }
 
+  /** Returns the newest evidence, to be repeated to peers that may have missed it. */
+  public List<CrashReport> reports(Instant now) {
+    return evidence.reports(now);
+  }
+
   /** Returns the refusals that are in force. */
   public List<CrashRefusal> refusals(Instant now) {
     return refusals.inForce(now);
--- a/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
@@ -175,8 +175,18 @@
         .forEach(address -> step.emit(new GatewayEffect.SendPeer(address, message)));
   }
 
-  /** Applies refusals from a peer's heartbeat. */
-  void acceptRefusals(List<CrashRefusal> refusals, String source, GatewayStep step) {
+  /** Handles what a peer's heartbeat repeats for nodes that missed it. */
+  void acceptHeartbeat(FleetMessage.Beat heartbeat, GatewayStep step) {
+    String peer = heartbeat.self().node().value();
+    acceptRefusals(heartbeat.refusals(), peer, step);
+    for (CrashReport report : heartbeat.crashes()) {
+      history
+          .recordRepeated(report, step.now())
+          .forEach(refusal -> recordRefusal(refusal, peer, step));
+    }
+  }
+
+  private void acceptRefusals(List<CrashRefusal> refusals, String source, GatewayStep step) {
     for (CrashRefusal refusal : refusals) {
       if (history.acceptRefusal(refusal, step.now())) {
         recordRefusal(refusal, source, step);
@@ -231,14 +241,16 @@
   }
 
   /**
-   * Returns the refusals to include in a heartbeat.
+   * Returns a heartbeat with what it repeats for nodes that missed it.
    *
-   * @param all whether to include them even if they have not changed
+   * @param all whether to repeat what has not changed
    */
-  List<CrashRefusal> takeRefusals(boolean all, Instant now) {
-    boolean included = all || refusalsToTell;
+  FleetMessage.Beat complete(FleetMessage.Beat heartbeat, boolean all, Instant now) {
+    if (!all && !refusalsToTell) {
+      return heartbeat;
+    }
     refusalsToTell = false;
-    return included ? history.refusals(now) : List.of();
+    return heartbeat.with(history.refusals(now), history.reports(now));
   }
 
   private void recordRefusal(CrashRefusal refusal, String source, GatewayStep step) {
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -307,7 +307,7 @@
     }
     heartbeat.known().forEach(address -> peers.addAddress(address, now));
     runnerNotifications.acceptLeaving(heartbeat.leaving(), heartbeat.self().node().value(), step);
-    crashGuard.acceptRefusals(heartbeat.refusals(), heartbeat.self().node().value(), step);
+    crashGuard.acceptHeartbeat(heartbeat, step);
     PeerStatus status = heartbeat.status();
     long era = Math.max(status.directoryOffset().era(), status.leaseEnd().era());
     acceptEra(era, heartbeat.self().node().value(), step);
@@ -447,12 +447,9 @@
     boolean includesPeers = heartbeatCount++ % HEARTBEATS_PER_PEER_LIST == 0;
     List<NodeAddress> knownPeers = includesPeers ? liveAddresses(step.now()) : List.of();
     FleetMessage.Beat heartbeat =
-        new FleetMessage.Beat(
-            settings.self(),
-            knownPeers,
-            status(step.now()),
-            directory.unconfirmedLeaves(),
-            crashGuard.takeRefusals(includesPeers, step.now()));
+        FleetMessage.Beat.of(
+            settings.self(), knownPeers, status(step.now()), directory.unconfirmedLeaves());
+    heartbeat = crashGuard.complete(heartbeat, includesPeers, step.now());
     send(peers.heartbeatTargets(lease.isHeld(), step.now()), heartbeat, step);
   }
 
--- a/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
@@ -29,15 +29,28 @@
    *     not show it yet
    * @param refusals which requests the sender refuses because they crash runners; empty in most
    *     heartbeats
+   * @param crashes the newest evidence about such requests; empty in most heartbeats
    */
   record Beat(
       NodeAddress self,
       List<NodeAddress> known,
       PeerStatus status,
       List<RunnerRun> leaving,
-      List<CrashRefusal> refusals)
+      List<CrashRefusal> refusals,
+      List<CrashReport> crashes)
       implements FleetMessage {
 
+    /** Returns a heartbeat without refusals and crashes. */
+    public static Beat of(
+        NodeAddress self, List<NodeAddress> known, PeerStatus status, List<RunnerRun> leaving) {
+      return new Beat(self, known, status, leaving, List.of(), List.of());
+    }
+
+    /** Returns this heartbeat with refusals and crashes. */
+    public Beat with(List<CrashRefusal> newRefusals, List<CrashReport> newCrashes) {
+      return new Beat(self, known, status, leaving, newRefusals, newCrashes);
+    }
+
     @Override
     public boolean isRepeated() {
       return true;
@@ -48,6 +61,7 @@
       known = List.copyOf(known);
       leaving = leaving == null ? List.of() : List.copyOf(leaving);
       refusals = refusals == null ? List.of() : List.copyOf(refusals);
+      crashes = crashes == null ? List.of() : List.copyOf(crashes);
     }
   }
 
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -172,6 +172,7 @@
       FakeBackend backend,
       String request) {
     oracle.recordArrival(request, time.now());
+    oracle.recordCrashingArrival(request, simulation.faults().isNodeCalm(node), time.now());
     String[] parts = request.split("~", -1);
     String model = parts[1];
     String adapter = parts[2];
@@ -191,10 +192,31 @@
       deliverResult(node, incarnation, send, soon, new AttemptResult.Answered(421, true, true));
     } else {
       oracle.recordRun(request, backend.id(), time.now());
+      if (parts[3].startsWith(GatewayOracle.CRASHING)) {
+        backend.startRequest(model, adapter);
+        time.after(network.nextDuration(10, 80), () -> crash(node, incarnation, send, backend));
+        return;
+      }
       answer(node, incarnation, send, backend, backend.startRequest(model, adapter));
     }
   }
 
+  /** Lets a runner crash as it begins to write the response to a request. */
+  private void crash(
+      FuzzedNode node, long incarnation, GatewayEffect.SendAttempt send, FakeBackend backend) {
+    if (backend.isUp() && node.isCurrent(send.exchange(), send.attempt())) {
+      oracle.recordCrash(node.request(send.exchange()), time.now());
+      backend.crash();
+      time.after(network.nextDuration(2_000, 4_000), backend::restart);
+    }
+    deliverResult(
+        node,
+        incarnation,
+        send,
+        Duration.ofMillis(1),
+        new AttemptResult.Broken("reset", false, "", true));
+  }
+
   private void notifyNode(
       FuzzedNode node,
       long incarnation,
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
@@ -237,6 +237,11 @@
     return disturbedUntil.isBefore(time.now().minus(SETTLING_TIME));
   }
 
+  /** Returns whether a node reaches its peers. */
+  boolean isNodeCalm(FuzzedNode node) {
+    return !node.isPeersCut();
+  }
+
   boolean isStoreDown() {
     return storeDown;
   }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.fleet.LeaseAnswer;
 import dev.wisteriarail.core.fleet.LeaseCall;
 import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.forward.PromptPart;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.core.gateway.StoreAnswer;
@@ -48,8 +49,14 @@
   /** Requests of each kind to each node for the recovery check, besides the usual load. */
   private static final int RECOVERY_REQUESTS = 5;
 
+  /** Interval of requests that crash runners. */
+  private static final int CRASHING_REQUEST_MILLIS = 200;
+
   static final List<String> STREAMS = List.of("chat", "report", "survey");
 
+  /** Number of sessions, each with a part of its own in the prompts of its requests. */
+  private static final int SESSIONS = 12;
+
   private static final List<String> KINDS = List.of("chat", "report", "survey", "lookup", "order");
 
   private final VirtualScheduler time = new VirtualScheduler();
@@ -63,6 +70,7 @@
   private final GatewayFaults faults;
   private final SeededRandom random;
   private final SeededRandom network;
+  private final SeededRandom crashes;
   private final Instant end;
   private Instant publishedAt = Instant.EPOCH;
   private long version;
@@ -71,6 +79,7 @@
   private GatewayFuzz(long seed, GatewayDefect defect) {
     random = SeededRandom.of(seed, "faults");
     network = SeededRandom.of(seed, "network");
+    crashes = SeededRandom.of(seed, "crashes");
     calls =
         new BackendCalls(this, time, oracle, network, SeededRandom.of(seed, "adapters"), backends);
     faults =
@@ -141,6 +150,7 @@
       time.after(Duration.ofSeconds(3), faults::disturb);
       time.after(Duration.ofSeconds(4), faults::announceFromRunner);
       time.after(Duration.ofSeconds(5), faults::restoreStore);
+      time.after(crashes.nextDuration(3_000, 6_000), this::sendCrashingRequest);
     }
     time.after(Duration.ofSeconds(8), this::applyOperatorChanges);
     time.at(Instant.EPOCH.plus(FAULT_PERIOD).plus(RECOVERY_PERIOD), this::checkRecovery);
@@ -409,6 +419,22 @@
     String adapter = stream && random.nextBoolean(0.2) ? "a" + random.nextInt(2) : "";
     long exchange = ++lastExchange;
     String request = kind + "#" + exchange + "~" + model + "~" + adapter + "~";
+    List<String> parts =
+        stream ? List.of("first", "session-" + exchange % SESSIONS, "own-" + exchange) : List.of();
+    sendRequest(node, kind, request, exchange, exchange, parts);
+    if (random.nextBoolean(0.03)) {
+      time.after(random.nextDuration(1, 500), () -> disconnectCaller(node, exchange));
+    }
+  }
+
+  private void sendRequest(
+      FuzzedNode node,
+      String kind,
+      String request,
+      long exchange,
+      long fingerprint,
+      List<String> parts) {
+    String[] names = request.split("~", -1);
     RouteSpec route =
         GatewayFuzzDeployment.configuration(version)
             .route(GatewayFuzzDeployment.HOST, "/" + kind + "/1")
@@ -425,15 +451,39 @@
                 GatewayFuzzDeployment.HOST,
                 "/" + kind + "/1",
                 Optional.of(route.timeout()),
-                model.isEmpty() ? Optional.empty() : Optional.of(model),
-                adapter.isEmpty() ? Optional.empty() : Optional.of(adapter),
+                Optional.of(names[1]).filter(name -> !name.isEmpty()),
+                Optional.of(names[2]).filter(name -> !name.isEmpty()),
                 100,
                 100,
-                List.of(),
-                exchange)));
-    if (random.nextBoolean(0.03)) {
-      time.after(random.nextDuration(1, 500), () -> disconnectCaller(node, exchange));
+                parts.stream().map(part -> new PromptPart(part, 10)).toList(),
+                fingerprint)));
+  }
+
+  /**
+   * Sends one of the requests that crash runners to any node: the same one again, or one of many
+   * different ones with one part in common. Their other parts are those of usual requests.
+   */
+  private void sendCrashingRequest() {
+    if (time.now().isAfter(Instant.EPOCH.plus(FAULT_PERIOD))) {
+      return;
     }
+    List<FuzzedNode> open = nodes.stream().filter(FuzzedNode::acceptsRequests).toList();
+    if (!open.isEmpty()) {
+      boolean wholeContent = crashes.nextBoolean(0.4);
+      long exchange = ++lastExchange;
+      String trait = wholeContent ? "content" : "part";
+      String model = "m" + crashes.nextInt(GatewayFuzzDeployment.MODEL_COUNT);
+      String request = "chat#" + exchange + "~" + model + "~~crashing-" + trait;
+      List<String> parts =
+          wholeContent
+              ? List.of("first", "session-1", "own")
+              : List.of("first", "session-" + crashes.nextInt(SESSIONS), "crashing", "own");
+      sendRequest(
+          crashes.pick(open), "chat", request, exchange, wholeContent ? -1 : exchange, parts);
+    }
+    time.after(
+        crashes.nextDuration(CRASHING_REQUEST_MILLIS / 2, 2 * CRASHING_REQUEST_MILLIS),
+        this::sendCrashingRequest);
   }
 
   private void disconnectCaller(FuzzedNode node, long exchange) {
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
@@ -44,6 +44,18 @@
   /** Requests that a node may send to a runner during its pause by the platform's rules. */
   private static final int MAX_REQUESTS_IN_PAUSE = 2;
 
+  /** Prefix of the last name of a request that crashes runners, followed by its trait. */
+  static final String CRASHING = "crashing-";
+
+  /** Requests with one trait that may reach runners after {@link #CRASH_SETTLING_TIME}. */
+  private static final int MAX_CRASHING_REQUESTS = 3;
+
+  /** Time after the last crash that counts, in which requests may still reach runners. */
+  private static final Duration CRASH_SETTLING_TIME = Duration.ofSeconds(3);
+
+  /** Crashes by one trait after which requests with it are to be kept from runners. */
+  private static final Map<String, Integer> CRASHES_ALLOWED = Map.of("content", 3, "part", 5);
+
   private static final int FIRST_CLIENT_ERROR = 400;
   private static final int FIRST_SERVER_ERROR = 500;
 
@@ -54,6 +66,9 @@
   private final List<Violation> violations = new ArrayList<>();
   private final Set<NotificationKey> leavingRunners = new HashSet<>();
   private final Map<NotificationKey, Pause> requestedPauses = new HashMap<>();
+  private final Map<String, List<Instant>> crashTimes = new HashMap<>();
+  private final Map<String, Integer> lateCrashingRequests = new HashMap<>();
+  private int refusedAsCrashing;
   private int streamsCutByDrain;
 
   void reportViolation(String check, String detail, Instant now) {
@@ -75,6 +90,12 @@
     }
     RequestState request = requests.get(id);
     int status = code.httpStatus();
+    if (code == ResultCode.CRASHING_REQUEST) {
+      refusedAsCrashing++;
+      if (crashingTrait(id).isEmpty()) {
+        reportViolation("sound-refused", id + " is sound and was refused as crashing", now);
+      }
+    }
     boolean denied = status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR;
     if (denied && !NOT_RUN.contains(status) && !GatewayFuzzDeployment.isAdded(request.route)) {
       reportViolation("denied", id + " is valid and was refused with " + code, now);
@@ -177,6 +198,37 @@
     }
   }
 
+  /** Returns the trait by which a request crashes runners, or an empty string. */
+  private static String crashingTrait(String id) {
+    int at = id.indexOf(CRASHING);
+    return at < 0 ? "" : id.substring(at + CRASHING.length());
+  }
+
+  /** Records that a runner crashed on a request. */
+  void recordCrash(String id, Instant now) {
+    if (!id.isEmpty()) {
+      crashTimes.computeIfAbsent(crashingTrait(id), trait -> new ArrayList<>()).add(now);
+    }
+  }
+
+  /** Checks that requests that crash runners are kept from them after some crashes. */
+  void recordCrashingArrival(String id, boolean nodeCalm, Instant now) {
+    String trait = crashingTrait(id);
+    if (trait.isEmpty()) {
+      return;
+    }
+    List<Instant> times = crashTimes.getOrDefault(trait, List.of());
+    int allowed = CRASHES_ALLOWED.get(trait);
+    boolean late =
+        times.size() >= allowed
+            && requests.get(id).sentAt.isAfter(times.get(allowed - 1).plus(CRASH_SETTLING_TIME));
+    if (late
+        && nodeCalm
+        && lateCrashingRequests.merge(trait, 1, Integer::sum) > MAX_CRASHING_REQUESTS) {
+      reportViolation("crashing-request", id + " reaches a runner after " + times, now);
+    }
+  }
+
   void recordRun(String id, String runner, Instant now) {
     RequestState request = requests.get(id);
     request.runs++;
@@ -258,6 +310,11 @@
     return requests.size();
   }
 
+  /** Returns the number of requests that were refused because such requests crash runners. */
+  int refusedAsCrashing() {
+    return refusedAsCrashing;
+  }
+
   /** Returns the number of streams that nodes accepted while draining and cut when they stopped. */
   int streamsCutByDrain() {
     return streamsCutByDrain;
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -259,7 +259,7 @@
         new GatewayEvent.PeerMessageReceived(
             NodeId.of(name),
             Incarnation.of(1),
-            new FleetMessage.Beat(address, List.of(), status, List.of(), List.of())));
+            FleetMessage.Beat.of(address, List.of(), status, List.of())));
   }
 
   /** Delivers a notification from a runner. */
@@ -275,8 +275,7 @@
         new GatewayEvent.PeerMessageReceived(
             NodeId.of(peer),
             Incarnation.of(1),
-            new FleetMessage.Beat(
-                address, List.of(), PeerStatus.UNKNOWN, List.of(leaving), List.of())));
+            FleetMessage.Beat.of(address, List.of(), PeerStatus.UNKNOWN, List.of(leaving))));
   }
 
   void updateAttempt(long exchange, int attempt, AttemptResult result) {
--- a/src/test/java/dev/wisteriarail/core/gateway/StoreEraTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoreEraTest.java
@@ -108,7 +108,7 @@
         new GatewayEvent.PeerMessageReceived(
             NodeId.of("n2"),
             Incarnation.of(1),
-            new FleetMessage.Beat(address, List.of(), status, List.of(), List.of())));
+            FleetMessage.Beat.of(address, List.of(), status, List.of())));
     long changes =
         node.take(GatewayEffect.LogEvent.class).stream()
             .filter(emit -> emit.event().code() == EventCode.STORE_ERA_CHANGED)
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.fleet.LoadSource;
 import dev.wisteriarail.core.fleet.NumberedOrder;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
@@ -215,6 +216,36 @@
       return event instanceof GatewayEvent.RunnerNotified ? List.of() : List.of(event);
     }
   },
+  FORGETS_CRASHES {
+    @Override
+    public List<GatewayEvent> alter(GatewayEvent event) {
+      boolean crash =
+          event instanceof GatewayEvent.AttemptUpdated update
+              && update.result() instanceof AttemptResult.Broken broken
+              && broken.connectionLost();
+      if (!crash) {
+        return List.of(event);
+      }
+      GatewayEvent.AttemptUpdated update = (GatewayEvent.AttemptUpdated) event;
+      AttemptResult.Broken broken = (AttemptResult.Broken) update.result();
+      return List.of(
+          new GatewayEvent.AttemptUpdated(
+              update.exchange(),
+              update.attempt(),
+              new AttemptResult.Broken(
+                  broken.reason(), broken.started(), broken.lastEvent(), false)));
+    }
+  },
+  ACCUSES_THE_SOUND {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      return List.of(
+          effect instanceof GatewayEffect.Refuse refuse && refuse.code() == ResultCode.NO_CAPACITY
+              ? new GatewayEffect.Refuse(
+                  refuse.exchange(), ResultCode.CRASHING_REQUEST, Optional.empty())
+              : effect);
+    }
+  },
   REFUSES_EVERYTHING {
     @Override
     public List<GatewayEffect> alter(GatewayEffect effect) {
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
@@ -74,6 +74,8 @@
     "configuration, MISSES_CHANGES, false",
     "leaving-word, IGNORES_WORDS, true",
     "pause, IGNORES_WORDS, true",
+    "crashing-request, FORGETS_CRASHES, true",
+    "sound-refused, ACCUSES_THE_SOUND, true",
     "recovery, REFUSES_EVERYTHING, false",
     "core-fault, FAILS_INSIDE, false",
   })
--- a/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/PeerQueueTest.java
@@ -34,7 +34,7 @@
 
   private static FleetMessage.Beat heartbeat() {
     NodeAddress address = new NodeAddress(SELF, Incarnation.of(1), "127.0.0.1", 1, 1_000, 0);
-    return new FleetMessage.Beat(address, List.of(), PeerStatus.UNKNOWN, List.of(), List.of());
+    return FleetMessage.Beat.of(address, List.of(), PeerStatus.UNKNOWN, List.of());
   }
 
   @Test
