Tests of the evidence about crashes; stand-in and soak with requests that crash runners

CrashingPartTest: peers, a heartbeat after missed messages, the store after all restarted, one at a time while suspected, begun responses, requests that wait when the cause is found, a message of an earlier build.

The stand-in runner has a part on which it crashes. One soak plan in five of those with faults sends such requests beside sound ones with the same first part, kills nodes and restarts them in turn; the oracle counts crashes and arrivals at the stand-ins (BUDGET). Steps of other seeds stay as they were.

--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -44,12 +44,18 @@
   private static final double LOST_ANSWER_SHARE = 0.3;
   private static final long SLOW_STORE_DELAY_MILLIS = 400;
 
+  /** Time for which a runner is down after a request crashed it. */
+  private static final long CRASH_DOWN_MILLIS = 1_000;
+
+  private static final long CRASH_POLL_MILLIS = 5;
+
   private final SoakFleet fleet;
   private final PrintStream out;
   private final ScheduledThreadPoolExecutor timer;
   private final List<String> routes = new ArrayList<>();
   private final List<String> recordedViolations = new ArrayList<>();
 
+  private volatile boolean ended;
   private SoakCallers callers;
 
   private Soak(SoakFleet fleet, SoakPlan plan, PrintStream out) {
@@ -81,6 +87,10 @@
     List<String> addresses =
         fleet.members().stream().map(member -> member.callers().address()).toList();
     callers = SoakCallers.start(seed, addresses);
+    if (plan.planType() == SoakPlan.PlanType.CRASHING_REQUESTS) {
+      callers.startCrashingCaller(seed, addresses);
+      Thread.ofVirtual().start(this::endCrashingRunners);
+    }
     awaitRecovery(addresses, "after the start");
     for (SoakPlan.Step step : plan.steps()) {
       ScheduledFuture<?> _ =
@@ -95,6 +105,7 @@
     endFaults();
     awaitRecovery(addresses, "after the faults");
     List<SoakCallers.Outcome> outcomes = callers.stop();
+    ended = true;
     stopAll();
     List<String> violations = new ArrayList<>(recordedViolations);
     violations.addAll(
@@ -220,6 +231,23 @@
     fleet.restartRunner(crashed.runner());
   }
 
+  /** Ends and restarts runners that a request crashes, until the soak ends. */
+  private void endCrashingRunners() {
+    try {
+      while (!ended) {
+        for (int i = 0; i < SoakFleet.ENGINE_COUNT; i++) {
+          if (fleet.isRunning(i) && fleet.platform().runner(SoakFleet.runnerId(i)).isCrashing()) {
+            Disturbance crash = new Disturbance.RunnerCrashed(i, CRASH_DOWN_MILLIS);
+            Thread.ofVirtual().start(() -> perform(new SoakPlan.Step(Duration.ZERO, crash)));
+          }
+        }
+        Thread.sleep(CRASH_POLL_MILLIS);
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private synchronized void setBehaviour(int runner, RunnerStandin.Behaviour behaviour) {
     if (fleet.isRunning(runner)) {
       fleet.platform().runner(SoakFleet.runnerId(runner)).setBehaviour(behaviour);
--- a/src/main/java/dev/wisteriarail/soak/SoakCallers.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakCallers.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.logservice.HttpClients;
 import dev.wisteriarail.standin.CallerRequests;
+import dev.wisteriarail.standin.RunnerStandin;
 import java.time.Duration;
 import java.util.List;
 import java.util.Queue;
@@ -46,6 +47,9 @@
   private static final Duration SURVEY_DEADLINE = Duration.ofSeconds(20);
   private static final int MODELS = 4;
 
+  /** Mean pause between two requests that crash runners. */
+  private static final int MEAN_CRASHING_INTERVAL_MILLIS = 250;
+
   /** Interval at which stalls of this process are measured. */
   private static final long STALL_POLL_MILLIS = 20;
 
@@ -94,6 +98,26 @@
     }
   }
 
+  /**
+   * Starts a caller whose requests crash each engine that begins to answer them. They differ from
+   * each other and share their first part with all streams.
+   */
+  void startCrashingCaller(long seed, List<String> addresses) {
+    SplittableRandom random = new SplittableRandom(seed);
+    startThread(
+        () -> {
+          try {
+            while (!stopping) {
+              String address = addresses.get(random.nextInt(addresses.size()));
+              send(address, Kind.CHAT, random.nextInt(MODELS), RunnerStandin.CRASHING_PART);
+              Thread.sleep(random.nextInt(2 * MEAN_CRASHING_INTERVAL_MILLIS));
+            }
+          } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+          }
+        });
+  }
+
   /** Measures the longest stall of this process, which delays the callers' time measurements. */
   private void measureStalls() {
     try {
@@ -116,6 +140,11 @@
    * @param model number of the model for streams
    */
   Outcome send(String address, Kind kind, int model) throws InterruptedException {
+    return send(address, kind, model, "session-" + model);
+  }
+
+  private Outcome send(String address, Kind kind, int model, String part)
+      throws InterruptedException {
     String id = "soak-" + requests.incrementAndGet();
     String modelHeader =
         switch (kind) {
@@ -127,6 +156,9 @@
         CallerRequests.create(
                 http, address, kind.method(), kind.path() + id, modelHeader, id, kind.deadline())
             .timeout(kind.deadline().plus(CLIENT_TIMEOUT_MARGIN).toMillis(), TimeUnit.MILLISECONDS);
+    if (kind.isStream()) {
+      CallerRequests.withPrompt(request, List.of("first", part, id));
+    }
     Outcome outcome = sendAndAwait(id, kind, request);
     outcomes.add(outcome);
     return outcome;
--- a/src/main/java/dev/wisteriarail/soak/SoakFleet.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakFleet.java
@@ -18,7 +18,7 @@
  */
 final class SoakFleet implements AutoCloseable {
 
-  private static final int ENGINE_COUNT = 3;
+  static final int ENGINE_COUNT = 3;
   private static final int PLAIN_COUNT = 2;
 
   /** Number of runners of all kinds. */
--- a/src/main/java/dev/wisteriarail/soak/SoakOracle.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakOracle.java
@@ -29,6 +29,15 @@
   private static final int FIRST_NON_SUCCESS = 300;
   private static final int FIRST_SERVER_ERROR = 500;
 
+  /** Crashes of runners after which requests of the kind that caused them are to be refused. */
+  private static final int CRASHES_ALLOWED = 5;
+
+  /** Time after the last of these crashes in which such requests may still reach runners. */
+  private static final Duration CRASH_SETTLING_TIME = Duration.ofSeconds(3);
+
+  /** Such requests that may reach runners after that. */
+  private static final int MAX_LATE_CRASHING_REQUESTS = 3;
+
   private SoakOracle() {}
 
   /**
@@ -52,6 +61,7 @@
           .invalidOrders()
           .forEach(order -> violations.add("ORDERS " + runner.id() + ": " + order));
     }
+    checkCrashingRequests(runners).ifPresent(violations::add);
     Set<String> sent = new HashSet<>();
     for (SoakCallers.Outcome outcome : outcomes) {
       sent.add(outcome.id());
@@ -67,6 +77,27 @@
     return violations;
   }
 
+  /** Checks that requests that crash runners are kept from them after some crashes. */
+  private static Optional<String> checkCrashingRequests(List<RunnerStandin> runners) {
+    List<Long> crashes =
+        runners.stream()
+            .flatMap(runner -> runner.crashingArrivals().stream().limit(1))
+            .sorted()
+            .toList();
+    if (crashes.size() < CRASHES_ALLOWED) {
+      return Optional.empty();
+    }
+    long settled = crashes.get(CRASHES_ALLOWED - 1) + CRASH_SETTLING_TIME.toNanos();
+    long late =
+        runners.stream()
+            .flatMap(runner -> runner.crashingArrivals().stream())
+            .filter(arrival -> arrival - settled > 0)
+            .count();
+    return late > MAX_LATE_CRASHING_REQUESTS
+        ? Optional.of("BUDGET " + late + " requests crashed runners after " + crashes.size())
+        : Optional.empty();
+  }
+
   private static void check(SoakCallers.Outcome outcome, int runs, List<String> violations) {
     String request = outcome.id() + " (" + outcome.kind() + ")";
     boolean atMostOnce = !outcome.kind().isRepeatable();
@@ -94,7 +125,9 @@
     if (planType == SoakPlan.PlanType.PLANNED && runs > 0) {
       return Optional.of(request + " ran and got no answer: " + outcome.body());
     }
-    if (planType != SoakPlan.PlanType.FAULTS && outcome.closedAfter().compareTo(slack) > 0) {
+    boolean excused =
+        planType == SoakPlan.PlanType.FAULTS || planType == SoakPlan.PlanType.CRASHING_REQUESTS;
+    if (!excused && outcome.closedAfter().compareTo(slack) > 0) {
       return Optional.of(request + " got no byte in " + outcome.closedAfter().toMillis() + " ms");
     }
     return Optional.empty();
--- a/src/main/java/dev/wisteriarail/soak/SoakPlan.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakPlan.java
@@ -25,6 +25,9 @@
   /** Of the other seeds, one in this many has planned operations and slow or full runners. */
   private static final int SLOW_RUNNERS_ONE_IN = 3;
 
+  /** Of the remaining seeds, one in this many has requests that crash runners. */
+  private static final int CRASHING_ONE_IN = 5;
+
   /** Stop limits of nodes: a short one and the users' grace period. */
   private static final List<Duration> STOP_LIMITS =
       List.of(Duration.ofSeconds(4), Duration.ofSeconds(8));
@@ -90,6 +93,11 @@
     FAULTS,
     /** Only planned operations, so that no request may be lost. */
     PLANNED,
+    /**
+     * Requests that crash runners, beside planned operations, killed nodes and other crashes. All
+     * nodes reach each other, so that they share what they know.
+     */
+    CRASHING_REQUESTS,
     /** Planned operations, and runners that are full, silent or slow. */
     PLANNED_WITH_SLOW_RUNNERS
   }
@@ -109,7 +117,11 @@
    */
   public static SoakPlan draw(long seed, Duration length, int nodes, int runners) {
     SplittableRandom random = new SplittableRandom(seed);
-    PlanType planType = drawPlanType(random);
+    PlanType drawn = drawPlanType(random);
+    PlanType planType =
+        drawn == PlanType.FAULTS && Math.floorMod(seed, CRASHING_ONE_IN) == 0
+            ? PlanType.CRASHING_REQUESTS
+            : drawn;
     final Duration stopLimit = STOP_LIMITS.get(random.nextInt(STOP_LIMITS.size()));
     List<Step> steps = new ArrayList<>();
     long at = random.nextInt(MEAN_INTERVAL_MILLIS);
@@ -185,6 +197,10 @@
     return switch (planType) {
       case FAULTS -> true;
       case PLANNED -> disturbance.isPlanned();
+      case CRASHING_REQUESTS ->
+          disturbance.isPlanned()
+              || disturbance instanceof Disturbance.NodeKilled
+              || disturbance instanceof Disturbance.RunnerCrashed;
       case PLANNED_WITH_SLOW_RUNNERS ->
           disturbance.isPlanned()
               || (disturbance instanceof Disturbance.RunnerMisbehaves bad && bad.isLossless());
--- a/src/main/java/dev/wisteriarail/standin/CallerRequests.java
+++ b/src/main/java/dev/wisteriarail/standin/CallerRequests.java
@@ -1,6 +1,8 @@
 package dev.wisteriarail.standin;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.StringRequestContent;
@@ -53,6 +55,16 @@
                     headers.put("X-Wisteriarail-Model", model);
                   }
                 });
+    return withBody(request, method);
+  }
+
+  /** Returns a request with the given parts in its prompt; none has tokens worth counting. */
+  public static Request withPrompt(Request request, List<String> parts) {
+    String prefix = parts.stream().map(part -> part + ":1").collect(Collectors.joining(","));
+    return request.headers(headers -> headers.put("X-Wisteriarail-Prompt-Prefix", prefix));
+  }
+
+  private static Request withBody(Request request, String method) {
     return method.equals("POST")
         ? request.body(new StringRequestContent("text/plain", "question"))
         : request;
--- a/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -54,6 +54,9 @@
   /** Number of the stand-in's models that fit into the memory of one engine. */
   static final int MODEL_CAPACITY = 2;
 
+  /** Part of a prompt on which an engine crashes as it begins to write the response. */
+  public static final String CRASHING_PART = "crashing";
+
   /** Maximum number of adapters on an engine. */
   static final int ADAPTER_SLOTS = 4;
 
@@ -67,11 +70,13 @@
   private final Set<String> unloadingAdapters = new TreeSet<>();
   private final Set<String> modelsOnDisk = new TreeSet<>();
   private final List<String> executedRequests = new ArrayList<>();
+  private final List<Long> crashingArrivals = new ArrayList<>();
   private final List<String> invalidOrders = new ArrayList<>();
   private StandinServer server;
   private Behaviour behaviour = Behaviour.SOUND;
   private boolean draining;
   private volatile boolean announcesLeaving;
+  private volatile boolean crashing;
   private long orderCount;
   private long fence;
   private String fenceHolder = "";
@@ -301,6 +306,10 @@
     if (call.isAnswered()) {
       return;
     }
+    if (hasCrashingPart(call)) {
+      recordCrashingArrival();
+      return;
+    }
     try {
       answer(call, request, requestBehaviour);
     } finally {
@@ -308,6 +317,16 @@
     }
   }
 
+  private boolean hasCrashingPart(Call call) {
+    String parts = call.header("X-Wisteriarail-Prompt-Prefix").orElse("");
+    return engine && parts.contains(CRASHING_PART + ":");
+  }
+
+  private synchronized void recordCrashingArrival() {
+    crashingArrivals.add(System.nanoTime());
+    crashing = true;
+  }
+
   private synchronized Behaviour beginRequest(Call call, String request) throws IOException {
     call.setHeader("X-Wisteriarail-Request-Id", request);
     arrivedRequests++;
@@ -446,6 +465,16 @@
     announcesLeaving = true;
   }
 
+  /** Returns whether a request made the runner crash, so that its process is to be ended. */
+  public boolean isCrashing() {
+    return crashing;
+  }
+
+  /** Returns when requests that crash the runner began to run, in nanoseconds. */
+  public synchronized List<Long> crashingArrivals() {
+    return List.copyOf(crashingArrivals);
+  }
+
   /** Returns the number of requests that reached the runner, including refused ones. */
   public synchronized int arrivedRequests() {
     return arrivedRequests;
--- a/src/test/java/dev/wisteriarail/core/gateway/CrashingPartTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CrashingPartTest.java
@@ -3,12 +3,29 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.wisteriarail.KnownRedCondition;
+import dev.wisteriarail.codec.Codecs;
+import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.fleet.PeerStatus;
+import dev.wisteriarail.core.fleet.RunnerRun;
 import dev.wisteriarail.core.forward.AttemptResult;
+import dev.wisteriarail.core.forward.CrashRefusal;
+import dev.wisteriarail.core.forward.CrashReport;
+import dev.wisteriarail.core.forward.RequestTrait;
+import dev.wisteriarail.core.forward.RunnerLoss;
+import dev.wisteriarail.core.id.Incarnation;
+import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.peer.FleetMessage;
+import dev.wisteriarail.core.peer.PeerMessage;
 import dev.wisteriarail.core.result.ResultCode;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** BUDGET: different requests with one part in common crashed one runner after the other. */
 @ExtendWith(KnownRedCondition.class)
@@ -47,4 +64,142 @@
     assertThat(refusal.code()).isEqualTo(ResultCode.CRASHING_REQUEST);
     assertThat(refusal.retryAfter()).isPresent();
   }
+
+  private GatewayEffect.Refuse onlyRefusal(String... parts) {
+    node.take(GatewayEffect.class);
+    node.arrive("report", List.of(parts));
+    return node.take(GatewayEffect.Refuse.class).getFirst();
+  }
+
+  private static CrashReport report(String runner, String... parts) {
+    return new CrashReport(
+        new RunnerLoss(new RunnerRun(runner, 1), 0),
+        40,
+        Arrays.stream(parts).map(RequestTrait::ofPart).toList());
+  }
+
+  private void receive(String peer, FleetMessage message) {
+    node.handle(new GatewayEvent.PeerMessageReceived(NodeId.of(peer), Incarnation.of(1), message));
+  }
+
+  @Test
+  void crashesThatPeersTellCountLikeOwnOnes() {
+    for (int i = 0; i < 3; i++) {
+      receive("n" + (i + 2), FleetMessage.CrashTold.ofLost(i, report("x" + i, "deadly")));
+      node.pass(Duration.ofMillis(500));
+    }
+    assertThat(onlyRefusal("shared", "deadly", "own").code())
+        .isEqualTo(ResultCode.CRASHING_REQUEST);
+  }
+
+  /** A node that starts in the middle, or missed the messages, learns from one heartbeat. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void heartbeatTellsOneNodeThatMissedIt(boolean refusal) {
+    NodeAddress peer =
+        new NodeAddress(NodeId.of("n2"), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
+    FleetMessage.Beat beat = FleetMessage.Beat.of(peer, List.of(), PeerStatus.UNKNOWN, List.of());
+    CrashRefusal refused =
+        new CrashRefusal(Set.of(RequestTrait.ofPart("deadly")), 3, 60_000, 300_000);
+    List<CrashReport> reports =
+        List.of(reportOfAge("x1", 9_000), reportOfAge("x2", 6_000), reportOfAge("x3", 3_000));
+    receive("n2", refusal ? beat.with(List.of(refused), List.of()) : beat.with(List.of(), reports));
+    assertThat(onlyRefusal("shared", "deadly", "own").code())
+        .isEqualTo(ResultCode.CRASHING_REQUEST);
+  }
+
+  private static CrashReport reportOfAge(String runner, long ageMillis) {
+    return new CrashReport(
+        new RunnerLoss(new RunnerRun(runner, 1), ageMillis),
+        ageMillis + 40,
+        List.of(RequestTrait.ofPart("deadly")));
+  }
+
+  /** After all nodes have restarted at once, the store is all that knows. */
+  @Test
+  void storeTellsOneNodeAfterAllRestarted() {
+    CrashRefusal refused =
+        new CrashRefusal(Set.of(RequestTrait.ofPart("deadly")), 3, 60_000, 300_000);
+    node.handle(
+        new GatewayEvent.StoreReadCompleted(
+            new StoreRead.CrashRefusals(), new StoreAnswer.CrashRefusalsRead(List.of(refused), 0)));
+    GatewayEffect.Refuse refusal = onlyRefusal("shared", "deadly", "own");
+    assertThat(refusal.code()).isEqualTo(ResultCode.CRASHING_REQUEST);
+    assertThat(refusal.retryAfter().orElseThrow()).isAtMost(Duration.ofMinutes(1));
+  }
+
+  @Test
+  void refusalIsWrittenToTheStore() {
+    List<GatewayEffect.SaveRefusal> saved = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      long exchange = node.arrive("report", List.of("shared", "deadly", "own-" + i));
+      List<GatewayEffect.SendAttempt> sends = node.take(GatewayEffect.SendAttempt.class);
+      if (!sends.isEmpty()) {
+        node.updateAttempt(exchange, sends.getLast().attempt(), CRASH);
+      }
+      node.pass(Duration.ofSeconds(4));
+      saved.addAll(node.take(GatewayEffect.SaveRefusal.class));
+    }
+    assertThat(saved).isNotEmpty();
+    assertThat(saved.getFirst().refusal().traits()).contains(RequestTrait.ofPart("deadly"));
+  }
+
+  /** From the first crash on, requests with a suspected part go one at a time. */
+  @Test
+  void suspectedPartIsSentOnceAtOneTimeUntilItsResponseBegins() {
+    crash("report", "shared", "suspect", "own-1");
+    final long first = node.arrive("report", List.of("shared", "suspect", "own-2"));
+    assertThat(node.take(GatewayEffect.SendAttempt.class)).hasSize(1);
+    node.arrive("report", List.of("shared", "suspect", "own-3"));
+    assertThat(node.take(GatewayEffect.SendAttempt.class)).isEmpty();
+    node.arrive("report", List.of("other", "own-4"));
+    assertThat(node.take(GatewayEffect.SendAttempt.class)).hasSize(1);
+    node.updateAttempt(first, 1, new AttemptResult.Started());
+    assertThat(node.take(GatewayEffect.SendAttempt.class)).hasSize(1);
+  }
+
+  /** A stream whose response has begun did not crash its runner. */
+  @Test
+  void crashAccusesNoRequestWhoseResponseHasBegun() {
+    for (int i = 0; i < 5; i++) {
+      long exchange = node.arrive("report", List.of("shared", "session", "own-" + i));
+      node.updateAttempt(exchange, 1, new AttemptResult.Started());
+      node.updateAttempt(exchange, 1, new AttemptResult.Broken("reset", true, "2", true));
+      node.pass(Duration.ofSeconds(4));
+    }
+    node.take(GatewayEffect.class);
+    node.arrive("report", List.of("shared", "session", "own-9"));
+    assertThat(node.take(GatewayEffect.SendAttempt.class)).hasSize(1);
+  }
+
+  /** What waits or runs without a response when the cause is found ends at once. */
+  @Test
+  void requestAtOneRunnerIsCancelledWhenItsPartIsFound() {
+    node.arrive("report", List.of("shared", "deadly", "own-1"));
+    for (int i = 0; i < 3; i++) {
+      receive("n2", FleetMessage.CrashTold.ofLost(i, report("x" + i, "deadly")));
+      node.pass(Duration.ofMillis(500));
+    }
+    List<GatewayEffect> effects = node.take(GatewayEffect.class);
+    assertThat(effects.stream().filter(GatewayEffect.CancelAttempt.class::isInstance).toList())
+        .hasSize(1);
+    assertThat(
+            effects.stream()
+                .filter(GatewayEffect.Refuse.class::isInstance)
+                .map(effect -> ((GatewayEffect.Refuse) effect).code()))
+        .containsExactly(ResultCode.OUTCOME_UNKNOWN);
+  }
+
+  /** A build that knows only whole requests sends a fingerprint and nothing else. */
+  @Test
+  void messageOfOneEarlierVersionCountsForItsContent() throws Exception {
+    String earlier = "{\"type\":\"CrashTold\",\"fingerprint\":77}";
+    for (int i = 0; i < 3; i++) {
+      receive("n2", (FleetMessage) Codecs.json().readValue(earlier, PeerMessage.class));
+      node.pass(Duration.ofSeconds(3));
+    }
+    node.take(GatewayEffect.class);
+    node.arrive("report", 77L);
+    assertThat(node.take(GatewayEffect.Refuse.class)).hasSize(1);
+  }
 }
