Two causes at a time, and losses at one moment, do not accuse a part that requests share

Crashes that have another trait in common, which the rest lacks, now count as one for a trait (independentCrashes), and one crash has to be on a request sent a second or more after another one, by when a loss that was no crash is refuted. The fake engine's streams end with its crash.

--- a/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
@@ -21,8 +21,9 @@
  * <p>One of these requests made the runner crash, unless it crashed for another reason; the others
  * were waiting or running beside it. What all crashes of a trait have in common tells them apart: a
  * trait is found to crash runners after several crashes, at least one of them on a request that was
- * sent after another of these crashes. Runners that crash at the same moment for a reason of their
- * own do not meet this condition, whatever their requests have in common.
+ * sent some time after another of these crashes. Runners that crash or lose their connections at
+ * the same moment for a reason of their own do not meet this condition, whatever their requests
+ * have in common.
  *
  * <p>Bounded in crashes, traits and time. Not thread-safe.
  */
@@ -40,12 +41,18 @@
    */
   private static final Duration SAME_CRASH = Duration.ofSeconds(2);
 
+  /** A loss that was no crash is mostly refuted within this time. */
+  private static final Duration REFUTATION_TIME = Duration.ofSeconds(1);
+
   /** Bytes of a crashed runner may still be processed for this time after its loss is noticed. */
   private static final Duration ARRIVAL_SLACK = Duration.ofMillis(250);
 
   /** Maximum number of reports that are repeated to peers. */
   private static final int MAX_REPEATED_REPORTS = 16;
 
+  /** Maximum number of crashes of a trait that are compared with each other. */
+  private static final int MAX_COMPARED_CRASHES = 12;
+
   private static final int MAX_CRASHES = 128;
   private static final int MAX_TRAITS_PER_CRASH = 512;
 
@@ -201,11 +208,49 @@
   boolean isFound(RequestTrait trait) {
     List<Crash> known = crashesByTrait.getOrDefault(trait, List.of());
     return known.size() >= CRASHES_TO_FIND
+        && independentCrashes(trait, known) >= CRASHES_TO_FIND
         && known.stream()
             .anyMatch(
                 later ->
                     known.stream()
-                        .anyMatch(earlier -> later.sentAt.get(trait).isAfter(earlier.at)));
+                        .anyMatch(
+                            earlier ->
+                                later.sentAt.get(trait).isAfter(earlier.at.plus(REFUTATION_TIME))));
+  }
+
+  /**
+   * Returns the number of crashes of a trait, where those that have another trait in common, which
+   * the rest lacks, count as one: that trait may be their cause. So two causes at a time do not
+   * accuse what their requests share.
+   */
+  private int independentCrashes(RequestTrait trait, List<Crash> known) {
+    Set<RequestTrait> common = commonTraits(trait);
+    List<Crash> remaining =
+        new ArrayList<>(
+            known.subList(Math.max(0, known.size() - MAX_COMPARED_CRASHES), known.size()));
+    int count = 0;
+    while (!remaining.isEmpty()) {
+      List<Crash> group = largestGroup(remaining, common);
+      remaining.removeAll(group);
+      count++;
+    }
+    return count;
+  }
+
+  /** Returns the crashes with the trait, other than the given ones, that most crashes have. */
+  private static List<Crash> largestGroup(List<Crash> crashes, Set<RequestTrait> except) {
+    Map<RequestTrait, List<Crash>> groups = new LinkedHashMap<>();
+    List<Crash> largest = List.of(crashes.getFirst());
+    for (Crash crash : crashes) {
+      for (RequestTrait trait : crash.sentAt.keySet()) {
+        if (!except.contains(trait)) {
+          List<Crash> group = groups.computeIfAbsent(trait, key -> new ArrayList<>());
+          group.add(crash);
+          largest = group.size() > largest.size() ? group : largest;
+        }
+      }
+    }
+    return largest;
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -280,11 +280,18 @@
       }
       case SILENT -> {}
       default -> {
-        deliverResult(node, incarnation, send, first, new AttemptResult.Started());
+        Runnable started =
+            () ->
+                deliverResult(node, incarnation, send, Duration.ZERO, new AttemptResult.Started());
+        time.after(first, () -> runIfAlive(backend, bornMillis, started));
         for (Duration at = first.plus(PROGRESS_INTERVAL);
             at.compareTo(total) < 0;
             at = at.plus(PROGRESS_INTERVAL)) {
-          deliverResult(node, incarnation, send, at, new AttemptResult.Progressed());
+          Runnable progressed =
+              () ->
+                  deliverResult(
+                      node, incarnation, send, Duration.ZERO, new AttemptResult.Progressed());
+          time.after(at, () -> runIfAlive(backend, bornMillis, progressed));
         }
         time.after(
             total,
@@ -298,6 +305,13 @@
     }
   }
 
+  /** Performs an action of a run of a backend unless it has crashed. */
+  private static void runIfAlive(FakeBackend backend, long bornMillis, Runnable action) {
+    if (backend.isUp() && backend.bornMillis() == bornMillis) {
+      action.run();
+    }
+  }
+
   private Duration streamLength(FakeBackend backend) {
     return backend.behavior() == FakeBackend.Behavior.LONG_STREAMS
         ? network.nextDuration(3_000, 8_000)
