--- a/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
@@ -131,7 +131,7 @@
     return true;
   }
 
-  /** Removes a crash from which other traits than the given ones were thought to be the cause. */
+  /** Removes all traits but the cause from the crashes that the cause explains. */
   void explain(Set<RequestTrait> cause) {
     for (Crash crash : crashes) {
       if (crash.sentAt.keySet().containsAll(cause)) {
