--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
@@ -68,7 +68,6 @@
   private final Map<NotificationKey, Pause> requestedPauses = new HashMap<>();
   private final Map<String, List<Instant>> crashTimes = new HashMap<>();
   private final Map<String, Integer> lateCrashingRequests = new HashMap<>();
-  private int refusedAsCrashing;
   private int streamsCutByDrain;
 
   void reportViolation(String check, String detail, Instant now) {
@@ -90,11 +89,8 @@
     }
     RequestState request = requests.get(id);
     int status = code.httpStatus();
-    if (code == ResultCode.CRASHING_REQUEST) {
-      refusedAsCrashing++;
-      if (crashingTrait(id).isEmpty()) {
-        reportViolation("sound-refused", id + " is sound and was refused as crashing", now);
-      }
+    if (code == ResultCode.CRASHING_REQUEST && crashingTrait(id).isEmpty()) {
+      reportViolation("sound-refused", id + " is sound and was refused as crashing", now);
     }
     boolean denied = status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR;
     if (denied && !NOT_RUN.contains(status) && !GatewayFuzzDeployment.isAdded(request.route)) {
@@ -310,11 +306,6 @@
     return requests.size();
   }
 
-  /** Returns the number of requests that were refused because such requests crash runners. */
-  int refusedAsCrashing() {
-    return refusedAsCrashing;
-  }
-
   /** Returns the number of streams that nodes accepted while draining and cut when they stopped. */
   int streamsCutByDrain() {
     return streamsCutByDrain;
