Accept late in the grace period only what ends before the node by its time limit

Callers of a node that was stopped in calm sent requests late in its grace period; the node passed them on and ended them when it exited, among them requests that may not be repeated. (Here such a caller got 502, outcome unknown, or a visibly cut answer.)

Cause: non-streamed requests were accepted until 0.8 s before the exit by the 0.9 quantile of earlier run times. One request in ten is slower, and a sound runner may be silent for a second. A request that a runner rejected late was sent again at its next event before the check of each tick saw it.

Now, from 2.8 s after the stop request (until now the cutoff for streams), a request is accepted, kept waiting or sent again only if its time limit passes before the exit; an unexecuted one is refused at once with the same Retry-After. Streams stay refused from then on. Before that, the expected time decides as before; for requests that may run once it is the 0.95 quantile, which covers one slow request in ten, plus 1.3 s for a silence.

Cost: a late request with a long time limit is refused and needs another node. By then the load balancer sends callers elsewhere and each answer closes its connection. Lookups of 600 ms are accepted until 6.4 s, as before.

--- a/src/main/java/dev/wisteriarail/core/forward/RunTimes.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunTimes.java
@@ -24,9 +24,6 @@
   /** Maximum number of run times kept for a route, newest first. */
   private static final int MAX_SAMPLES = 32;
 
-  /** Quantile of the run times that is expected of the next request. */
-  private static final double QUANTILE = 0.9;
-
   private final Map<String, Deque<Duration>> byRoute = new HashMap<>();
 
   private RunTimes() {}
@@ -50,13 +47,14 @@
    *
    * @param route the route
    * @param running elapsed run times of the requests of the route that have not ended
+   * @param quantile the quantile of the run times that is returned, between 0 and 1
    */
-  public Optional<Duration> expected(String route, Collection<Duration> running) {
+  public Optional<Duration> expected(String route, Collection<Duration> running, double quantile) {
     Collection<Duration> ended = byRoute.getOrDefault(route, new ArrayDeque<>());
     if (ended.isEmpty()) {
       return Optional.empty();
     }
     List<Duration> sorted = Stream.concat(ended.stream(), running.stream()).sorted().toList();
-    return Optional.of(sorted.get((int) Math.ceil(sorted.size() * QUANTILE) - 1));
+    return Optional.of(sorted.get((int) Math.ceil(sorted.size() * quantile) - 1));
   }
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/CompletionEstimator.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CompletionEstimator.java
@@ -21,6 +21,18 @@
  */
 final class CompletionEstimator {
 
+  /** Quantile of the run times that is expected of a request that may be executed again. */
+  private static final double QUANTILE = 0.9;
+
+  /** Quantile of the run times that is expected of a request that may be executed only once. */
+  private static final double CAUTIOUS_QUANTILE = 0.95;
+
+  /**
+   * Time for which a sound runner may send nothing. It is added for a request that may be executed
+   * only once, since no other runner can continue it.
+   */
+  private static final Duration SILENCE_ALLOWANCE = Duration.ofMillis(1300);
+
   private final RunTimes runTimes = RunTimes.create();
   private final PendingForwardTable pending;
   private final BiFunction<PendingForward, Instant, Optional<Duration>> startsIn;
@@ -52,7 +64,7 @@
   }
 
   /** Returns the elapsed run times of the requests at runners, by route. */
-  Map<String, List<Duration>> elapsedByRoute(Instant now) {
+  private Map<String, List<Duration>> elapsedByRoute(Instant now) {
     Map<String, List<Duration>> elapsed = new HashMap<>();
     for (PendingForward forward : pending.all()) {
       if (forward.state() != PendingForward.State.WAITING) {
@@ -65,16 +77,41 @@
   }
 
   /** Returns the time that a request needs from now on. */
-  Duration timeNeeded(
+  private Duration timeNeeded(
       PendingForward forward, Map<String, List<Duration>> elapsedByRoute, Instant now) {
     String route = forward.route().name();
+    boolean repeatable = forward.route().repeatable();
     Duration timeLeft = forward.timeLeft(now);
     Duration expectedRunTime =
-        runTimes.expected(route, elapsedByRoute.getOrDefault(route, List.of())).orElse(timeLeft);
+        runTimes
+            .expected(
+                route,
+                elapsedByRoute.getOrDefault(route, List.of()),
+                repeatable ? QUANTILE : CAUTIOUS_QUANTILE)
+            .map(expected -> repeatable ? expected : expected.plus(SILENCE_ALLOWANCE))
+            .orElse(timeLeft);
     Duration needed = startsIn.apply(forward, now).orElse(Duration.ZERO).plus(expectedRunTime);
     return needed.compareTo(timeLeft) < 0 ? needed : timeLeft;
   }
 
+  /**
+   * Returns the waiting requests that a draining node refuses, so that another node can serve them.
+   * A request that may have been executed cannot be served elsewhere and is not among them.
+   */
+  List<PendingForward> tooLate(DrainPlan drain, Instant now) {
+    List<PendingForward> waiting =
+        pending.all().stream()
+            .filter(forward -> forward.state() == PendingForward.State.WAITING)
+            .filter(PendingForward::isUnexecuted)
+            .toList();
+    if (waiting.isEmpty()) {
+      return waiting;
+    }
+    Map<String, List<Duration>> elapsed =
+        drain.requiresCertainty(now) ? Map.of() : elapsedByRoute(now);
+    return waiting.stream().filter(forward -> refuses(drain, forward, elapsed, now)).toList();
+  }
+
   /** Returns whether a draining node refuses a request that arrives now. */
   boolean isTooLate(
       ForwardRequest request,
@@ -84,11 +121,22 @@
     Optional<RouteSpec> route =
         configuration.flatMap(current -> current.route(request.host(), request.path()));
     if (route.isEmpty()) {
-      return drain.refuses(false, Duration.ZERO, now);
+      return drain.refuses(false, Duration.ZERO, Duration.ZERO, now);
     }
     String service = RunnerPicker.chooseService(route.get(), request);
     PendingForward forward = PendingForward.of(request, route.get(), service, now);
+    return refuses(drain, forward, elapsedByRoute(now), now);
+  }
+
+  private boolean refuses(
+      DrainPlan drain,
+      PendingForward forward,
+      Map<String, List<Duration>> elapsedByRoute,
+      Instant now) {
     return drain.refuses(
-        route.get().streaming(), timeNeeded(forward, elapsedByRoute(now), now), now);
+        forward.route().streaming(),
+        timeNeeded(forward, elapsedByRoute, now),
+        forward.timeLeft(now),
+        now);
   }
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
@@ -12,6 +12,10 @@
  * send on them until the load balancer reacts or the connections are closed. A draining node
  * accepts only requests that can complete before it exits; another node can serve the others.
  *
+ * <p>While the load balancer still sends callers to this node, the expected time of a request
+ * decides. After that, few requests arrive, and a refusal costs them less than the end of the
+ * process would, so only the time limit of a request decides: the node ends it by then.
+ *
  * <p>Life cycle: one per run of a node. Not thread-safe.
  */
 final class DrainPlan {
@@ -23,10 +27,11 @@
   private static final Duration BALANCER_NOTICE_TIME = Duration.ofMillis(2500);
 
   /**
-   * Time after a stop request from which no new stream is accepted. By then the load balancer sends
-   * callers elsewhere, and one stream in ten runs longer than its expected time.
+   * Time after a stop request from which a request needs a time limit that passes before the
+   * process exits, and from which no stream is accepted. By then the load balancer sends callers
+   * elsewhere.
    */
-  private static final Duration STREAM_CUTOFF = Duration.ofMillis(2800);
+  private static final Duration ESTIMATE_CUTOFF = Duration.ofMillis(2800);
 
   /** Time before the process exits in which no request is accepted, however short it is. */
   private static final Duration MIN_TIME_BEFORE_EXIT = Duration.ofMillis(800);
@@ -76,23 +81,26 @@
     return !startedAt.equals(Instant.MAX);
   }
 
+  /** Returns whether only requests are accepted that end before the process exits in any case. */
+  boolean requiresCertainty(Instant now) {
+    return isDraining() && now.isAfter(startedAt.plus(ESTIMATE_CUTOFF));
+  }
+
   /**
-   * Returns whether a request that arrives now is refused.
+   * Returns whether a request that arrives or waits now is refused.
    *
    * @param stream whether the response is a stream
-   * @param needed time that the request needs from now on
+   * @param expected time that the request is expected to need from now on
+   * @param limit time from now on after which the request ends in any case
    */
-  boolean refuses(boolean stream, Duration needed, Instant now) {
-    boolean afterStreamCutoff = isDraining() && now.isAfter(startedAt.plus(STREAM_CUTOFF));
-    return completed || (stream && afterStreamCutoff) || cannotComplete(needed, now);
+  boolean refuses(boolean stream, Duration expected, Duration limit, Instant now) {
+    if (completed) {
+      return true;
+    }
+    return requiresCertainty(now) ? stream || isTooLong(limit, now) : isTooLong(expected, now);
   }
 
-  /**
-   * Returns whether a request cannot complete before the process exits.
-   *
-   * @param needed time that the request needs from now on
-   */
-  boolean cannotComplete(Duration needed, Instant now) {
+  private boolean isTooLong(Duration needed, Instant now) {
     Duration reserve = needed.compareTo(MIN_TIME_BEFORE_EXIT) > 0 ? needed : MIN_TIME_BEFORE_EXIT;
     return isDraining() && now.plus(reserve).isAfter(deadline());
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -294,23 +294,10 @@
     return drain.isDraining() && completionEstimator.isTooLate(request, configuration, drain, now);
   }
 
-  /**
-   * Refuses the waiting requests that were not executed and cannot complete before a draining node
-   * exits, so that another node can serve them. A request that may have been executed cannot be
-   * served elsewhere, so it is retried until the node exits.
-   */
+  /** Refuses the waiting requests that another node can serve and that may not end in time here. */
   void refuseUnfinishable(DrainPlan drain, GatewayStep step) {
-    if (!pending.hasWaiting()) {
-      return;
-    }
-    Map<String, List<Duration>> elapsedByRoute = completionEstimator.elapsedByRoute(step.now());
-    for (PendingForward forward : pending.all()) {
-      boolean waits = forward.state() == PendingForward.State.WAITING && forward.isUnexecuted();
-      if (waits
-          && drain.cannotComplete(
-              completionEstimator.timeNeeded(forward, elapsedByRoute, step.now()), step.now())) {
-        pending.endWaiting(forward, ResultCode.DRAINING, DrainPlan.RETRY_AFTER, step);
-      }
+    for (PendingForward forward : completionEstimator.tooLate(drain, step.now())) {
+      pending.endWaiting(forward, ResultCode.DRAINING, DrainPlan.RETRY_AFTER, step);
     }
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -340,14 +340,14 @@
       nextHeartbeat = step.now();
     }
     reportDemand(step);
+    if (drain.isDraining() && (!requestEvent || drain.requiresCertainty(step.now()))) {
+      forwarder.refuseUnfinishable(drain, step);
+    }
     boolean hasCoordinator = coordinatorNode.isPresent() || !coordinatorSeen;
     forwarder.advance(configuration, sharingNodes, hasCoordinator, step);
     if (!requestEvent) {
       updateReadiness(step);
       codecWarmUp.advance(configuration, directory, step);
-      if (drain.isDraining()) {
-        forwarder.refuseUnfinishable(drain, step);
-      }
       int endedAtDeadline = drain.isDeadlineReached(step.now()) ? forwarder.endAll(step) : 0;
       drain.advance(forwarder.size(), endedAtDeadline, step);
     }
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -145,11 +145,16 @@
 
   /** Applies a newer configuration in which all routes have the given timeout. */
   void configure(Duration timeout) {
+    configure(2, timeout);
+  }
+
+  /** Delivers a version of the configuration in which all routes have the given timeout. */
+  void configure(long version, Duration timeout) {
     handle(
         new GatewayEvent.StoreReadCompleted(
             new StoreRead.NewestConfiguration(),
             new StoreAnswer.ConfigurationRead(
-                Optional.of(configuration(2, timeout)), LogPosition.of(0, 2))));
+                Optional.of(configuration(version, timeout)), LogPosition.of(0, version))));
   }
 
   /** Delivers a forecast from the coordinator of when m0 is ready. */
--- a/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
@@ -82,24 +82,30 @@
 
   @ParameterizedTest
   @CsvSource({
-    // run time of earlier requests, time after the stop request, accepted
-    "400, 1000, true",
-    "400, 2700, true",
-    "400, 2900, false",
-    "5000, 1000, true",
-    "5000, 2100, true",
-    "5000, 2300, false",
-    "7500, 100, false",
+    // route, run time of earlier requests, time after the stop request, accepted
+    "chat, 400, 1000, true",
+    "chat, 400, 2700, true",
+    "chat, 400, 2900, false",
+    "chat, 5000, 1000, true",
+    "chat, 5000, 2100, true",
+    "chat, 5000, 2300, false",
+    "chat, 7500, 100, false",
+    "report, 400, 1000, true",
+    "report, 400, 2700, true",
+    "report, 400, 2900, false",
+    "report, 5000, 800, true",
+    "report, 5000, 1000, false",
+    "report, 7500, 100, false",
   })
   void stoppingNodeTakesOnlyStreamsThatCanEndBeforeIt(
-      long runMillis, long afterMillis, boolean accepted) {
+      String route, long runMillis, long afterMillis, boolean accepted) {
     node.configure(LONG_LIMIT);
-    runToEnd("report", Duration.ofMillis(runMillis));
+    runToEnd(route, Duration.ofMillis(runMillis));
     node.arrive("order", LONG_LIMIT);
     node.handle(new GatewayEvent.DrainRequested());
     node.pass(Duration.ofMillis(afterMillis));
     node.take(GatewayEffect.class);
-    node.arrive("report", LONG_LIMIT);
+    node.arrive(route, LONG_LIMIT);
     List<GatewayEffect> all = node.take(GatewayEffect.class);
     assertThat(only(all, GatewayEffect.SendAttempt.class)).hasSize(accepted ? 1 : 0);
     List<GatewayEffect.Refuse> refusals = only(all, GatewayEffect.Refuse.class);
@@ -228,31 +234,43 @@
     node.receiveCoordinatorHeartbeat("n2");
   }
 
-  @Test
-  void waitingRequestIsRefusedOnceItCannotCompleteInTime() {
+  @ParameterizedTest
+  @CsvSource({
+    // route, run time of earlier requests, time after the stop request of its arrival and refusal
+    "chat, 5000, 1200, 2250",
+    "report, 4000, 900, 1950",
+    "chat, 400, 1800, 2850",
+    "report, 400, 1800, 2850",
+  })
+  void waitingRequestIsRefusedOnceItMayNotCompleteInTime(
+      String route, long runMillis, long arrivalMillis, long refusalMillis) {
     node.configure(LONG_LIMIT);
-    runToEnd("report", Duration.ofSeconds(4));
+    runToEnd(route, Duration.ofMillis(runMillis));
     forgetModel();
     node.handle(new GatewayEvent.DrainRequested());
-    node.pass(Duration.ofMillis(2_200));
+    node.pass(Duration.ofMillis(arrivalMillis));
     node.receiveCoordinatorHeartbeat("n2");
-    node.arrive("report", LONG_LIMIT);
+    node.arrive(route, LONG_LIMIT);
     assertThat(node.take(GatewayEffect.Refuse.class)).isEmpty();
-    for (int i = 0; i < 4; i++) {
-      node.pass(Duration.ofMillis(200));
+    for (long passed = arrivalMillis; passed < refusalMillis - 50; passed += 50) {
+      node.pass(Duration.ofMillis(50));
       node.receiveCoordinatorHeartbeat("n2");
     }
     assertThat(node.take(GatewayEffect.Refuse.class)).isEmpty();
-    node.pass(Duration.ofMillis(250));
+    node.pass(Duration.ofMillis(50));
     List<GatewayEffect.Refuse> refusals = node.take(GatewayEffect.Refuse.class);
     assertThat(refusals).hasSize(1);
     assertThat(refusals.getFirst().code()).isEqualTo(ResultCode.DRAINING);
   }
 
+  /** Runs one request; a stream sends an event every 50 ms. */
   private void runToEnd(String route, Duration time) {
     long exchange = node.arrive(route, LONG_LIMIT);
     node.updateAttempt(exchange, 1, new AttemptResult.Started());
-    node.pass(time);
+    for (long passed = 0; passed < time.toMillis(); passed += 50) {
+      node.pass(Duration.ofMillis(50));
+      node.updateAttempt(exchange, 1, new AttemptResult.Progressed());
+    }
     node.updateAttempt(exchange, 1, new AttemptResult.Finished(200));
     node.take(GatewayEffect.class);
   }
