Refuse requests that are read after the core of a stopping node has ended

Callers whose request was read completely in the last quarter of a second of a node, while its core stood still, got a closed connection and no answer. The node had ended what was pending, and left what was read after that to the core.

Cause: CallerServer.failPending ends the exchanges of that moment only; a request whose body was complete later was submitted to a core that might not handle it.

Now the front refuses it itself (503, the status that the core gives after its drain) and does not submit it, so "not run" is true. An exchange is entered before the flag is read, and the flag is set before the exchanges are ended, so each request is ended by one of the two.

Evidence: CallerFrontTest.requestReadAfterItsCoreEndedIsRefused, with nothing, half a head, a head and a head with half of its body sent before.

--- a/src/main/java/dev/wisteriarail/gateway/CallerServer.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerServer.java
@@ -87,6 +87,9 @@
   private volatile boolean ready;
   private volatile boolean closing;
 
+  /** Whether new requests are refused here, because the core may not handle them any more. */
+  private volatile boolean refusing;
+
   private CallerServer(
       Server server,
       CallerProtocol protocol,
@@ -259,8 +262,13 @@
     if (closing) {
       exchange.closeAfterAnswer();
     }
+    // The order matters: failPending ends a request that does not see the flag.
     exchanges.put(exchangeNumber, exchange);
-    events.accept(new GatewayEvent.RequestArrived(forward));
+    if (refusing) {
+      refuse(exchangeNumber, ResultCode.DRAINING, Optional.of(Duration.ZERO));
+    } else {
+      events.accept(new GatewayEvent.RequestArrived(forward));
+    }
   }
 
   private void refuseEarly(
@@ -303,8 +311,12 @@
     }
   }
 
-  /** Ends every pending exchange with {@link ResultCode#OUTCOME_UNKNOWN}. */
+  /**
+   * Ends every pending exchange with {@link ResultCode#OUTCOME_UNKNOWN}. Requests that are read
+   * later are refused and not submitted to the core.
+   */
   void failPending() {
+    refusing = true;
     exchanges.keySet().forEach(each -> refuse(each, ResultCode.OUTCOME_UNKNOWN, Optional.empty()));
   }
 
@@ -367,7 +379,7 @@
 
   /**
    * Closes callers' connections as they become idle, and waits until all are closed or the limit is
-   * reached. The core refuses requests that still arrive.
+   * reached. Requests that still arrive are refused.
    */
   void closeConnections(Duration limit) throws InterruptedException {
     long until = System.nanoTime() + limit.toNanos();
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -24,6 +24,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests which responses callers receive while a node stops. */
 final class CallerFrontTest {
@@ -32,6 +34,15 @@
   private static final int RECEIVE_BYTES = 4_096;
   private static final int READ_BYTES = 64 * 1024;
   private static final long READ_PAUSE_NANOS = 10_000_000;
+  private static final int ANSWER_TIMEOUT_MILLIS = 10_000;
+  private static final String POST_HEAD =
+      """
+      POST /order/1 HTTP/1.1\r
+      Host: a\r
+      X-Wisteriarail-Request-Id: r1\r
+      Content-Length: 4\r
+      \r
+      """;
   private static final Duration LIMIT = Duration.ofSeconds(60);
 
   private final BlockingQueue<GatewayEvent> events = new LinkedBlockingQueue<>();
@@ -91,6 +102,27 @@
     }
   }
 
+  /**
+   * Guards against a request left unanswered because it is read completely after its core stalled
+   * or ended.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "POST /order/1 HTTP/1.1\r\nHost", POST_HEAD, POST_HEAD + "bo"})
+  void requestReadAfterItsCoreEndedIsRefused(String sentBefore) throws Exception {
+    byte[] post = (POST_HEAD + "body").getBytes(UTF_8);
+    int bytesBefore = sentBefore.length();
+    try (Socket caller = connect()) {
+      caller.setSoTimeout(ANSWER_TIMEOUT_MILLIS);
+      caller.getOutputStream().write(post, 0, bytesBefore);
+      server.closeAfterAnswers();
+      server.failPending();
+      caller.getOutputStream().write(post, bytesBefore, post.length - bytesBefore);
+      String answer = new String(caller.getInputStream().readAllBytes(), UTF_8);
+      assertThat(answer).startsWith("HTTP/1.1 503 ");
+      assertThat(events).isEmpty();
+    }
+  }
+
   private Socket connect() throws IOException {
     Socket caller = new Socket();
     caller.setReceiveBufferSize(RECEIVE_BYTES);
