--- a/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
@@ -52,8 +52,22 @@
     return fleet;
   }
 
+  /** Starts one node without runners that ends within the given time after its stop request. */
+  static GatewayFleet startOne(Duration stopLimit) throws Exception {
+    GatewayFleet fleet = new GatewayFleet(PlatformStandin.start(0, 0), UnaryOperator.identity());
+    fleet.startNode(
+        LoopbackSettings.of("n0", fleet.platform.store().address()).withStopLimit(stopLimit));
+    fleet.await(() -> fleet.allReady());
+    return fleet;
+  }
+
   private void startNode(String name) throws SettingsException {
-    String toml = LoopbackSettings.of(name, platform.store().address()).toml();
+    startNode(LoopbackSettings.of(name, platform.store().address()));
+  }
+
+  private void startNode(LoopbackSettings settings) throws SettingsException {
+    String name = settings.name();
+    String toml = settings.toml();
     nodes.add(
         GatewayNode.start(
             GatewayFile.from(TomlDocument.parse(name, toml)),
