--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -66,6 +66,8 @@
   CRASH_REFUTED(230, "crash refuted"),
   /** Suspected parts of prompts do not crash runners. */
   CRASH_SUSPECT_CLEARED(231, "suspect cleared"),
+  /** An attempt failed while another attempt of its request is live. */
+  FORWARD_KEPT(232, "request goes on at its other runner"),
 
   // Runners
   /** A run of a runner was seen for the first time. */
--- a/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
+++ b/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
@@ -9,6 +9,14 @@
   /** More of the response was relayed to the caller; reported at most a few times a second. */
   record Progressed() implements AttemptResult {}
 
+  /**
+   * More of the response was relayed to the caller, so that the other live attempts of the request
+   * may no longer write.
+   *
+   * @param over number of the newest attempt that may no longer write
+   */
+  record Prevailed(int over) implements AttemptResult {}
+
   /**
    * The complete response was relayed to the caller.
    *
--- a/src/main/java/dev/wisteriarail/core/forward/EventAssembler.java
+++ b/src/main/java/dev/wisteriarail/core/forward/EventAssembler.java
@@ -8,8 +8,7 @@
  * Splits a stream of server-sent events at event boundaries, so that only complete events are
  * relayed.
  *
- * <p>After a resumed attempt, events that the caller already has are dropped. Life cycle: one per
- * response, across all its attempts. Not thread-safe.
+ * <p>Events that the caller already has are dropped. Life cycle: one per attempt. Not thread-safe.
  */
 public final class EventAssembler {
 
@@ -21,19 +20,25 @@
   private static final int MAX_EVENT_BYTES = 256 * 1024;
 
   private byte[] partial = new byte[0];
-  private String lastEvent = "";
+  private String lastEvent;
   private boolean gap;
 
-  private EventAssembler() {}
+  private EventAssembler(String lastEvent) {
+    this.lastEvent = lastEvent;
+  }
 
-  /** Creates an assembler that has relayed nothing. */
+  /** Creates an assembler for the first attempt of a request. */
   public static EventAssembler create() {
-    return new EventAssembler();
+    return after("");
   }
 
-  /** Discards an incomplete event before another attempt continues the stream. */
-  public void discardPartial() {
-    partial = new byte[0];
+  /**
+   * Creates an assembler for an attempt that continues a stream.
+   *
+   * @param lastEvent identifier of the last event that the caller has; empty if there is none
+   */
+  public static EventAssembler after(String lastEvent) {
+    return new EventAssembler(lastEvent);
   }
 
   /**
@@ -142,7 +147,7 @@
 
   // Accessors
 
-  /** Returns the identifier of the last complete event, or an empty string if there was none. */
+  /** Returns the identifier of the last event that the caller has; empty if there is none. */
   public String lastEvent() {
     return lastEvent;
   }
--- a/src/main/java/dev/wisteriarail/core/forward/RunnerHealth.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunnerHealth.java
@@ -30,6 +30,7 @@
   private static final double EJECTION_THRESHOLD = 0.4;
 
   private double failureRate;
+  private boolean silent;
   private Duration nextEjection = FIRST_EJECTION;
   private Instant ejectedUntil = Instant.MIN;
   private boolean onProbation;
@@ -51,6 +52,20 @@
       nextEjection = FIRST_EJECTION;
     }
     probing = false;
+    silent = false;
+  }
+
+  /**
+   * Records that a request has waited too long for its next byte. A runner that is only slow goes
+   * on, so until the request has ended this weighs as one failure and ejects no runner.
+   */
+  public void recordSilence() {
+    silent = true;
+  }
+
+  /** Records that a request has received more of its response. */
+  public void recordProgress() {
+    silent = false;
   }
 
   /**
@@ -63,6 +78,7 @@
   public boolean recordFailure(boolean conclusive, Instant now) {
     failureRate = failureRate * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
     probing = false;
+    silent = false;
     boolean notEjected = !now.isBefore(ejectedUntil);
     if (notEjected && (conclusive || onProbation || failureRate >= EJECTION_THRESHOLD)) {
       ejectedUntil = now.plus(nextEjection);
@@ -79,6 +95,7 @@
   /** Records that a probe ended without a conclusive result. */
   public void releaseProbe() {
     probing = false;
+    silent = false;
   }
 
   /** Records that a request is sent to the runner. */
@@ -91,8 +108,8 @@
     return !now.isBefore(ejectedUntil) && !(onProbation && probing);
   }
 
-  /** Returns the failure rate of recent requests, from 0 to 1. */
+  /** Returns the failure rate of recent requests, from 0 to 1; higher while it is silent. */
   public double failureRate() {
-    return failureRate;
+    return silent ? Math.max(failureRate, NEWEST_WEIGHT) : failureRate;
   }
 }
--- a/src/main/java/dev/wisteriarail/core/forward/StallRule.java
+++ b/src/main/java/dev/wisteriarail/core/forward/StallRule.java
@@ -4,12 +4,12 @@
 import java.time.Duration;
 
 /**
- * Decides when an attempt at a runner that does not respond is ended, for a request that may be
+ * Decides when a request whose runner does not respond is sent to another runner, too, if it may be
  * executed again.
  *
  * <p>A runner may stop responding, or not answer a part of its requests while it serves the others.
- * A nearly full runner is slow rather than stalled, and ending its attempts would only add load, so
- * its requests keep waiting.
+ * A nearly full runner is slow rather than stalled, and sending its requests to others would only
+ * add load, so they keep waiting.
  */
 public final class StallRule {
 
@@ -31,7 +31,7 @@
   private StallRule() {}
 
   /**
-   * Returns whether an attempt is ended.
+   * Returns whether an attempt has stalled.
    *
    * @param route the route of the request
    * @param answerStarted whether the caller has received a part of the response
--- a/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
@@ -15,6 +15,7 @@
 import dev.wisteriarail.core.peer.FleetMessage;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,7 +43,7 @@
   private final PeerTable peers;
   private final CrashHistory history = CrashHistory.create();
   private final RefusalSaver saver = RefusalSaver.create();
-  private final Map<Long, Probe> probes = new HashMap<>();
+  private final List<Probe> probes = new ArrayList<>();
   private boolean refusalAdded;
   private boolean refusalsToTell;
   private boolean refusalsToSave;
@@ -68,8 +69,9 @@
     if (suspects.isEmpty()) {
       return true;
     }
-    probes.values().removeIf(probe -> !probe.isOpen(pending));
-    return probes.values().stream()
+    probes.removeIf(probe -> !probe.isOpen(pending));
+    return probes.stream()
+        .filter(probe -> probe.exchange() != forward.exchange())
         .noneMatch(probe -> suspects.stream().anyMatch(probe.suspects()::contains));
   }
 
@@ -77,30 +79,28 @@
   boolean avoids(PendingForward forward, String runner) {
     return !probes.isEmpty()
         && !history.suspects(forward.traits()).isEmpty()
-        && probes.values().stream().anyMatch(probe -> probe.runner().equals(runner));
+        && probes.stream().anyMatch(probe -> probe.runner().equals(runner));
   }
 
   /** Records that a request was sent to a runner. */
-  void recordSent(PendingForward forward, RunnerEntry runner) {
+  void recordSent(PendingForward forward, LiveAttempt attempt) {
     List<RequestTrait> suspects = history.suspects(forward.traits());
     if (!suspects.isEmpty() && !forward.answerStarted()) {
-      probes.put(
-          forward.exchange(),
-          new Probe(forward.exchange(), forward.attempts(), runner.id(), suspects));
+      probes.add(new Probe(forward.exchange(), attempt.number(), attempt.runner().id(), suspects));
     }
   }
 
   // Evidence of this node
 
   /** Handles the loss of a connection on which no part of the response had arrived. */
-  void recordLoss(PendingForward forward, RunnerEntry runner, GatewayStep step) {
+  void recordLoss(PendingForward forward, LiveAttempt attempt, GatewayStep step) {
     CrashReport report =
         new CrashReport(
-            new RunnerLoss(RunnerRun.of(runner), 0),
-            Duration.between(forward.attemptSentAt(), step.now()).toMillis(),
+            new RunnerLoss(RunnerRun.of(attempt.runner()), 0),
+            Duration.between(attempt.sentAt(), step.now()).toMillis(),
             history.unproven(forward.traits(), step.now()));
     List<CrashRefusal> added = history.recordCrash(report, step.now());
-    ForwardLog.crashRecorded(forward, runner, report, counts(report), step);
+    ForwardLog.crashRecorded(forward, attempt.runner(), report, counts(report), step);
     added.forEach(refusal -> recordRefusal(refusal, SOURCE_ATTEMPT, step));
     added.forEach(saver::add);
     tellAll(FleetMessage.CrashTold.ofLost(forward.request().fingerprint(), report), step);
@@ -300,8 +300,8 @@
     boolean isOpen(PendingForwardTable pending) {
       return pending
           .get(exchange)
-          .filter(forward -> forward.attempts() == attempt)
           .filter(forward -> forward.state() == PendingForward.State.SENT)
+          .flatMap(forward -> forward.live(attempt))
           .isPresent();
     }
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
@@ -107,6 +107,21 @@
         forward.lastEvent().orElse(""));
   }
 
+  static void kept(PendingForward forward, LiveAttempt ended, String reason, GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_KEPT,
+        "request",
+        forward.request().id(),
+        "attempt",
+        ended.number(),
+        "failed_runner",
+        ended.runner().id(),
+        "reason",
+        reason,
+        "runner",
+        forward.runner().map(RunnerEntry::id).orElse(""));
+  }
+
   static void refused(
       PendingForward forward,
       ResultCode code,
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -3,23 +3,18 @@
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.fleet.ModelDemand;
 import dev.wisteriarail.core.fleet.RunnerEntry;
-import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.forward.ForwardRequest;
-import dev.wisteriarail.core.forward.RetryBudget;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.forward.RunnerStateTable;
-import dev.wisteriarail.core.forward.StallRule;
 import dev.wisteriarail.core.forward.WaitRule;
 import dev.wisteriarail.core.result.ResultCode;
-import dev.wisteriarail.core.route.EngineSpec;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.core.route.RouteSpec;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -36,47 +31,34 @@
  */
 final class Forwarder {
 
-  /**
-   * Delay after the first rejection by a runner that is full or changing its models. It doubles
-   * with each further rejection, so that the last retry comes after the slowest of the runner's
-   * reports.
-   */
-  private static final Duration REJECTION_PAUSE = Duration.ofMillis(60);
-
-  /** Number of rejections after which a request is refused. */
-  private static final int MAX_REJECTIONS = 6;
-
   /**
    * Time until another node has taken over the lease and sent its first order: the peer timeout of
    * the coordinator, the lease, the handover delay and a load from disk.
    */
   private static final Duration TAKEOVER_TIME = Duration.ofSeconds(6);
 
-  /** Minimum time until its deadline with which a request is sent to a runner. */
-  private static final Duration MIN_TIME_LEFT = Duration.ofMillis(15);
-
-  private static final int STATUS_MISDIRECTED = 421;
-  private static final int STATUS_SERVER_ERROR = 500;
-
-  private RetryLimits retryLimits;
   private final RunnerStateTable runnerStates;
-  private final RunnerPicker picker;
   private final CrashGuard crashGuard;
   private final DemandCounter demandCounter = DemandCounter.create();
   private final PendingForwardTable pending;
   private final CompletionEstimator completionEstimator;
-  private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
-  private int sharingNodes = 1;
+  private final AttemptSender sender;
+  private final StallHandler stalls;
+  private final AttemptResultHandler results;
   private boolean hasCoordinator;
 
   private Forwarder(
       GatewaySettings settings, RunnerStateTable runnerStates, CrashGuard crashGuard) {
-    retryLimits = settings.retries();
     this.crashGuard = crashGuard;
     this.runnerStates = runnerStates;
-    picker = RunnerPicker.create(settings.domain(), runnerStates);
     pending = PendingForwardTable.create(runnerStates, demandCounter);
     completionEstimator = CompletionEstimator.create(pending, this::startsIn);
+    RunnerPicker picker = RunnerPicker.create(settings.domain(), runnerStates);
+    sender = AttemptSender.create(settings.retries(), runnerStates, picker, crashGuard, pending);
+    stalls = StallHandler.create(runnerStates, sender);
+    results =
+        AttemptResultHandler.create(
+            runnerStates, picker, crashGuard, pending, completionEstimator, sender);
   }
 
   static Forwarder create(
@@ -86,8 +68,7 @@
 
   /** Applies changed retry limits. */
   void accept(RetryLimits newLimits) {
-    retryLimits = newLimits;
-    retryBudgets.values().forEach(budget -> budget.setLimits(newLimits));
+    sender.accept(newLimits);
   }
 
   // Arrival
@@ -122,7 +103,7 @@
       return;
     }
     pending.add(forward);
-    retryBudget(service).countRequest(step.now());
+    sender.countRequest(service, step.now());
     demandCounter.countArrival(forward);
     tryToSend(forward, configuration.get(), step);
   }
@@ -154,7 +135,7 @@
       int newSharingNodes,
       boolean newHasCoordinator,
       GatewayStep step) {
-    sharingNodes = newSharingNodes;
+    sender.setSharingNodes(newSharingNodes);
     hasCoordinator = newHasCoordinator;
     if (configuration.isEmpty() || pending.size() == 0) {
       return;
@@ -187,7 +168,7 @@
    */
   private boolean tryToSend(
       PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
-    if (forward.timeLeft(step.now()).compareTo(MIN_TIME_LEFT) < 0) {
+    if (AttemptSender.isTooLate(forward, step.now())) {
       pending.endWaiting(
           forward, ResultCode.DEADLINE_UNREACHABLE, PendingForwardTable.SHORT_RETRY_AFTER, step);
       return true;
@@ -195,42 +176,23 @@
     if (step.now().isBefore(forward.notBefore())) {
       return true;
     }
-    if (!crashGuard.maySend(forward, pending)) {
+    if (!sender.maySend(forward)) {
       checkWait(forward, step);
       return true;
     }
-    Optional<RunnerEntry> runner =
-        picker.choose(forward, configuration, id -> crashGuard.avoids(forward, id), step.now());
+    Optional<RunnerEntry> runner = sender.choose(forward, configuration, step.now());
     if (runner.isEmpty()) {
       checkWait(forward, step);
       return false;
     }
-    if (forward.attempts() > 0
-        && !retryBudget(forward.service()).tryAcquire(sharingNodes, step.now())) {
+    if (forward.attempts() > 0 && !sender.tryAcquireRetry(forward, step.now())) {
       pending.giveUp(forward, "the retry budget is exhausted", step);
       return true;
     }
-    send(forward, runner.get(), step);
+    sender.send(forward, runner.get(), step);
     return true;
   }
 
-  private void send(PendingForward forward, RunnerEntry runner, GatewayStep step) {
-    final int attempt = forward.send(runner, step.now());
-    runnerStates.requestSent(runner.id(), forward.model(), forward.adapter(), forward.tokens());
-    picker.recordSession(forward, runner);
-    crashGuard.recordSent(forward, runner);
-    ForwardLog.sent(forward, runner, runnerStates, step);
-    step.emit(
-        new GatewayEffect.SendAttempt(
-            forward.exchange(),
-            attempt,
-            runner,
-            forward.timeLeft(step.now()),
-            forward.route().rank(),
-            forward.route().streaming(),
-            forward.route().repeatable()));
-  }
-
   /** Ends the requests that are known to crash runners and whose response has not begun. */
   void refuseCrashing(GatewayStep step) {
     for (PendingForward forward : pending.all()) {
@@ -326,190 +288,21 @@
   private void checkDeadline(
       PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
     if (step.now().isBefore(forward.deadline())) {
-      checkStall(forward, configuration, step);
+      stalls.check(forward, configuration, step);
       return;
     }
-    forward.runner().ifPresent(runner -> recordFailure(runner, "no response in time", false, step));
+    forward
+        .runner()
+        .ifPresent(runner -> results.recordFailure(runner, "no response in time", false, step));
     completionEstimator.recordEnd(forward, step.now());
     pending.expire(forward, step);
   }
 
-  /** Ends an attempt whose runner has stalled, if another runner may continue. */
-  private void checkStall(
-      PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
-    RunnerEntry runner = forward.runner().orElseThrow();
-    int slots =
-        configuration.engineOf(forward.service()).map(EngineSpec::slots).orElse(runner.slots());
-    boolean stalled =
-        StallRule.isStalled(
-            forward.route(),
-            forward.answerStarted(),
-            Duration.between(forward.lastProgressAt(), step.now()),
-            runnerStates.totalRunning(runner),
-            slots);
-    if (!stalled || !forward.canStall()) {
-      return;
-    }
-    forward.markMayHaveRun();
-    if (mayRetry(forward, false) && picker.hasAlternative(forward, step.now())) {
-      pending.cancelAttempt(forward, step);
-      recordFailure(runner, "silent", false, step);
-      retry(forward, "silent", Duration.ZERO, step);
-    } else {
-      forward.markStallIgnored();
-    }
-  }
-
   // Results
 
   /** Handles the progress or the result of an attempt. */
   void acceptResult(GatewayEvent.AttemptUpdated update, GatewayStep step) {
-    pending
-        .get(update.exchange())
-        .filter(forward -> forward.attempts() == update.attempt())
-        .filter(forward -> forward.state() != PendingForward.State.WAITING)
-        .ifPresent(
-            forward -> {
-              recordEvidence(forward, update.result(), step);
-              apply(forward, update.result(), step);
-            });
-  }
-
-  /** Records what a result tells about crashes of runners and requests that cause them. */
-  private void recordEvidence(PendingForward forward, AttemptResult result, GatewayStep step) {
-    RunnerEntry runner = forward.runner().orElseThrow();
-    switch (result) {
-      case AttemptResult.Started started -> {
-        crashGuard.recordSignOfLife(runner, forward.attemptSentAt(), step);
-        crashGuard.recordResponse(forward, step);
-      }
-      case AttemptResult.Finished finished -> {
-        crashGuard.recordSignOfLife(runner, forward.attemptSentAt(), step);
-        crashGuard.recordResponse(forward, step);
-      }
-      case AttemptResult.Progressed progressed ->
-          crashGuard.recordSignOfLife(runner, forward.attemptSentAt(), step);
-      case AttemptResult.Answered answered ->
-          crashGuard.recordSignOfLife(runner, forward.attemptSentAt(), step);
-      case AttemptResult.NotSent notSent -> {}
-      case AttemptResult.Broken broken -> {
-        if (broken.connectionLost() && !broken.started() && !forward.answerStarted()) {
-          crashGuard.recordLoss(forward, runner, step);
-        }
-      }
-    }
-  }
-
-  private void apply(PendingForward forward, AttemptResult result, GatewayStep step) {
-    RunnerEntry runner = forward.runner().orElseThrow();
-    switch (result) {
-      case AttemptResult.Started started -> {
-        runnerStates.health(runner.id()).recordSuccess();
-        forward.markMayHaveRun();
-        forward.markStarted(step.now());
-      }
-      case AttemptResult.Progressed progressed -> forward.markProgress(step.now());
-      case AttemptResult.Finished finished -> {
-        pending.endOnRunner(forward, runner);
-        runnerStates.health(runner.id()).recordSuccess();
-        completionEstimator.recordEnd(forward, step.now());
-        ForwardLog.answered(forward, runner, finished.status(), step);
-        pending.remove(forward);
-      }
-      case AttemptResult.Answered answered -> {
-        pending.endOnRunner(forward, runner);
-        acceptFailure(forward, runner, answered, step);
-      }
-      case AttemptResult.NotSent notSent -> {
-        pending.endOnRunner(forward, runner);
-        forward.markRejected();
-        recordFailure(runner, notSent.reason(), true, step);
-        retryOrEnd(forward, notSent.reason(), true, step);
-      }
-      case AttemptResult.Broken broken -> {
-        pending.endOnRunner(forward, runner);
-        forward.markMayHaveRun();
-        forward.updateLastEvent(broken.lastEvent());
-        recordFailure(runner, broken.reason(), false, step);
-        retryOrEnd(forward, broken.reason(), false, step);
-      }
-    }
-  }
-
-  private void acceptFailure(
-      PendingForward forward,
-      RunnerEntry runner,
-      AttemptResult.Answered answered,
-      GatewayStep step) {
-    String reason = "status " + answered.status() + (answered.notRun() ? ", not run" : "");
-    if (answered.notRun()) {
-      runnerStates.health(runner.id()).releaseProbe();
-      forward.markRejected();
-      if (!forward.model().isEmpty() && answered.status() == STATUS_MISDIRECTED) {
-        runnerStates.markMissing(runner.id(), forward.model(), forward.adapter());
-      }
-      retryOrEnd(forward, reason, true, step);
-      return;
-    }
-    forward.markMayHaveRun();
-    boolean failed = answered.status() >= STATUS_SERVER_ERROR;
-    if (!runnerStates.remainingPause(runner, step.now()).isZero()) {
-      runnerStates.health(runner.id()).releaseProbe();
-    } else if (failed) {
-      recordFailure(runner, reason, false, step);
-    } else {
-      runnerStates.health(runner.id()).recordSuccess();
-    }
-    if (failed && mayRetry(forward, false) && picker.hasAlternative(forward, step.now())) {
-      retry(forward, reason, Duration.ZERO, step);
-    } else if (answered.relayable() && !forward.answerStarted()) {
-      ForwardLog.answered(forward, runner, answered.status(), step);
-      step.emit(new GatewayEffect.RelayAnswer(forward.exchange(), forward.attempts()));
-      pending.remove(forward);
-    } else {
-      pending.giveUp(forward, reason, step);
-    }
-  }
-
-  /** Returns whether the request may be sent to another runner. */
-  private boolean mayRetry(PendingForward forward, boolean notRun) {
-    if (notRun && !forward.mayHaveRun()) {
-      return forward.rejections() < MAX_REJECTIONS;
-    }
-    return forward.route().repeatable()
-        && forward.runnersThatMayHaveRun().size() < forward.route().maxRunners()
-        && forward.rejections() < MAX_REJECTIONS;
-  }
-
-  private void retryOrEnd(PendingForward forward, String reason, boolean notRun, GatewayStep step) {
-    if (mayRetry(forward, notRun)) {
-      Duration pause =
-          notRun ? REJECTION_PAUSE.multipliedBy(1L << (forward.rejections() - 1)) : Duration.ZERO;
-      retry(forward, reason, pause, step);
-    } else {
-      pending.giveUp(forward, reason, step);
-    }
-  }
-
-  private void retry(PendingForward forward, String reason, Duration pause, GatewayStep step) {
-    ForwardLog.retried(forward, reason, step);
-    forward.requeue(step.now().plus(pause), step.now());
-  }
-
-  private void recordFailure(
-      RunnerEntry runner, String reason, boolean conclusive, GatewayStep step) {
-    if (runnerStates.health(runner.id()).recordFailure(conclusive, step.now())) {
-      step.log(
-          EventCode.RUNNER_EJECTED,
-          "runner",
-          runner.id(),
-          "service",
-          runner.service(),
-          "reason",
-          reason,
-          "failures",
-          runnerStates.health(runner.id()).failureRate());
-    }
+    results.accept(update, step);
   }
 
   void acceptDisconnect(long exchange, GatewayStep step) {
@@ -518,16 +311,12 @@
         .ifPresent(
             forward -> {
               completionEstimator.recordEnd(forward, step.now());
-              pending.cancelAttempt(forward, step);
+              pending.cancelAttempts(forward, step);
               ForwardLog.callerDisconnected(forward, step);
               pending.remove(forward);
             });
   }
 
-  private RetryBudget retryBudget(String service) {
-    return retryBudgets.computeIfAbsent(service, name -> RetryBudget.create(retryLimits));
-  }
-
   // Accessors
 
   /** Returns the current demand of this node's callers. */
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -40,16 +40,15 @@
   private int attempts;
   private int rejections;
   private boolean mayHaveRun;
-  private Optional<RunnerEntry> runner = Optional.empty();
+  private final List<LiveAttempt> live = new ArrayList<>();
+  private Optional<RunnerEntry> lastRunner = Optional.empty();
   private Optional<String> lastEvent = Optional.empty();
   private boolean answerStarted;
   private Instant notBefore = Instant.MIN;
   private Instant sentAt = Instant.MIN;
-  private Instant attemptSentAt = Instant.MIN;
   private Instant lastProgressAt = Instant.MIN;
   private Instant waitingSince;
   private boolean waitLogged;
-  private boolean stallIgnored;
 
   private PendingForward(
       ForwardRequest request, RouteSpec route, String service, Instant arrivedAt) {
@@ -73,15 +72,29 @@
 
   // Changes
 
-  /** Records that the request is sent to a runner. Returns the number of the attempt. */
-  int send(RunnerEntry target, Instant now) {
-    state = answerStarted ? State.ANSWERING : State.SENT;
-    runner = Optional.of(target);
-    sentAt = answerStarted ? sentAt : now;
-    attemptSentAt = now;
-    lastProgressAt = now;
-    stallIgnored = false;
-    return ++attempts;
+  /**
+   * Records that the request is sent to a runner. Earlier attempts stay live.
+   *
+   * @return the new attempt
+   */
+  LiveAttempt send(RunnerEntry target, Instant now) {
+    if (live.isEmpty()) {
+      state = answerStarted ? State.ANSWERING : State.SENT;
+      sentAt = answerStarted ? sentAt : now;
+      lastProgressAt = now;
+    }
+    LiveAttempt attempt = new LiveAttempt(++attempts, target, now);
+    live.add(attempt);
+    return attempt;
+  }
+
+  /** Records that an attempt has ended. The request may be requeued or ended afterwards. */
+  void endAttempt(LiveAttempt attempt) {
+    live.remove(attempt);
+    lastRunner = Optional.of(attempt.runner());
+    if (!live.isEmpty() && !answerStarted) {
+      sentAt = live.getFirst().sentAt();
+    }
   }
 
   void markStarted(Instant now) {
@@ -94,20 +107,20 @@
     lastProgressAt = now;
   }
 
-  /** Records that the current runner may have executed the request. */
-  void markMayHaveRun() {
+  /** Records that a runner may have executed the request. */
+  void markMayHaveRun(RunnerEntry runner) {
     mayHaveRun = true;
-    runner.ifPresent(entry -> runnersThatMayHaveRun.add(entry.id()));
+    runnersThatMayHaveRun.add(runner.id());
   }
 
-  /** Records that no other runner could continue when the current one stalled. */
-  void markStallIgnored() {
-    stallIgnored = true;
+  /** Records that the runners of all live attempts may have executed the request. */
+  void markLiveMayHaveRun() {
+    live.forEach(attempt -> markMayHaveRun(attempt.runner()));
   }
 
-  /** Returns whether the attempt may still be ended because its runner stalled. */
-  boolean canStall() {
-    return !stallIgnored;
+  /** Sets the time before which the request is not sent to another runner. */
+  void postpone(Instant newNotBefore) {
+    notBefore = newNotBefore;
   }
 
   /** Records that a runner did not execute the request. */
@@ -122,7 +135,7 @@
    */
   void requeue(Instant newNotBefore, Instant now) {
     state = State.WAITING;
-    runner = Optional.empty();
+    lastRunner = Optional.empty();
     notBefore = newNotBefore;
     waitingSince = now;
   }
@@ -190,8 +203,27 @@
     return answerStarted;
   }
 
+  /** Returns the attempts that have not ended, the oldest first. */
+  List<LiveAttempt> live() {
+    return List.copyOf(live);
+  }
+
+  /** Returns the attempt with a number if it has not ended. */
+  Optional<LiveAttempt> live(int number) {
+    return live.stream().filter(attempt -> attempt.number() == number).findFirst();
+  }
+
+  /** Returns whether a runner has the request. */
+  boolean isLive() {
+    return !live.isEmpty();
+  }
+
+  /**
+   * Returns the runner of the oldest live attempt, or that of the attempt that ended last if the
+   * request has not been requeued.
+   */
   Optional<RunnerEntry> runner() {
-    return runner;
+    return isLive() ? Optional.of(live.getFirst().runner()) : lastRunner;
   }
 
   Optional<String> lastEvent() {
@@ -219,14 +251,11 @@
     return traits;
   }
 
-  /** Returns when the current attempt was sent. */
-  Instant attemptSentAt() {
-    return attemptSentAt;
-  }
-
-  /** Returns when the request was sent or when the last byte of the response arrived. */
-  Instant lastProgressAt() {
-    return lastProgressAt;
+  /** Returns the time since the last byte of the response or since the newest live attempt. */
+  Duration silence(Instant now) {
+    Instant newestSentAt = live.getLast().sentAt();
+    return Duration.between(
+        lastProgressAt.isAfter(newestSentAt) ? lastProgressAt : newestSentAt, now);
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
@@ -1,6 +1,5 @@
 package dev.wisteriarail.core.gateway;
 
-import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import dev.wisteriarail.core.result.ResultCode;
 import java.time.Duration;
@@ -64,14 +63,12 @@
   }
 
   /**
-   * Ends a request whose response has not begun and that is known to crash runners. Its attempt is
-   * cancelled, so that its runner may drop it before it begins to write.
+   * Ends a request whose response has not begun and that is known to crash runners. Its attempts
+   * are cancelled, so that their runners may drop it before they begin to write.
    */
   void endCrashing(PendingForward forward, Duration retryAfter, GatewayStep step) {
-    if (forward.state() != PendingForward.State.WAITING) {
-      forward.markMayHaveRun();
-      cancelAttempt(forward, step);
-    }
+    forward.markLiveMayHaveRun();
+    cancelAttempts(forward, step);
     end(forward, "it crashes runners", ResultCode.CRASHING_REQUEST, retryAfter, step);
   }
 
@@ -104,7 +101,7 @@
 
   /** Ends a request whose deadline has passed; it may be at a runner. */
   void expire(PendingForward forward, GatewayStep step) {
-    cancelAttempt(forward, step);
+    cancelAttempts(forward, step);
     if (forward.answerStarted()) {
       abort(forward, "the time limit passed", step);
     } else {
@@ -120,10 +117,8 @@
   int endAll(GatewayStep step) {
     List<PendingForward> remaining = List.copyOf(pending.values());
     for (PendingForward forward : remaining) {
-      if (forward.state() != PendingForward.State.WAITING) {
-        forward.markMayHaveRun();
-      }
-      cancelAttempt(forward, step);
+      forward.markLiveMayHaveRun();
+      cancelAttempts(forward, step);
       endWaiting(forward, "the node ends", ResultCode.DRAINING, DrainPlan.RETRY_AFTER, step);
     }
     return remaining.size();
@@ -149,19 +144,23 @@
 
   // Runners
 
-  /** Records that a request is no longer at a runner. */
-  void endOnRunner(PendingForward forward, RunnerEntry runner) {
-    runnerStates.requestEnded(runner.id(), forward.model(), forward.adapter(), forward.tokens());
+  /** Records that an attempt has ended and its request is no longer at the runner. */
+  void endAttempt(PendingForward forward, LiveAttempt attempt) {
+    runnerStates.requestEnded(
+        attempt.runner().id(), forward.model(), forward.adapter(), forward.tokens());
+    forward.endAttempt(attempt);
   }
 
-  /** Cancels the current attempt of a request, if there is one. */
-  void cancelAttempt(PendingForward forward, GatewayStep step) {
-    if (forward.state() != PendingForward.State.WAITING) {
-      RunnerEntry runner = forward.runner().orElseThrow();
-      endOnRunner(forward, runner);
-      runnerStates.health(runner.id()).releaseProbe();
-      step.emit(new GatewayEffect.CancelAttempt(forward.exchange(), forward.attempts()));
-    }
+  /** Cancels an attempt. */
+  void cancel(PendingForward forward, LiveAttempt attempt, GatewayStep step) {
+    endAttempt(forward, attempt);
+    runnerStates.health(attempt.runner().id()).releaseProbe();
+    step.emit(new GatewayEffect.CancelAttempt(forward.exchange(), attempt.number()));
+  }
+
+  /** Cancels all live attempts of a request. */
+  void cancelAttempts(PendingForward forward, GatewayStep step) {
+    forward.live().forEach(attempt -> cancel(forward, attempt, step));
   }
 
   // Accessors
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/gateway/StallHandler.java
@@ -0,0 +1,75 @@
+package dev.wisteriarail.core.gateway;
+
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.forward.RunnerStateTable;
+import dev.wisteriarail.core.forward.StallRule;
+import dev.wisteriarail.core.route.EngineSpec;
+import dev.wisteriarail.core.route.GatewayConfiguration;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Sends a request whose runner is silent to another runner as well.
+ *
+ * <p>A silent runner may be down, or only slow and go on, so its attempt stays live until another
+ * one has prevailed. While no other runner can take the request, this is checked again.
+ *
+ * <p>Life cycle: one per run of a node. Not thread-safe.
+ */
+final class StallHandler {
+
+  /** Interval between two searches for a runner for the same request. */
+  private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
+
+  private final RunnerStateTable runnerStates;
+  private final AttemptSender sender;
+
+  private StallHandler(RunnerStateTable runnerStates, AttemptSender sender) {
+    this.runnerStates = runnerStates;
+    this.sender = sender;
+  }
+
+  static StallHandler create(RunnerStateTable runnerStates, AttemptSender sender) {
+    return new StallHandler(runnerStates, sender);
+  }
+
+  /** Sends a request that is at a runner to another one, too, if its newest attempt has stalled. */
+  void check(PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
+    LiveAttempt newest = forward.live().getLast();
+    if (step.now().isBefore(forward.notBefore())
+        || AttemptSender.isTooLate(forward, step.now())
+        || !isStalled(forward, newest.runner(), configuration, step)) {
+      return;
+    }
+    runnerStates.health(newest.runner().id()).recordSilence();
+    forward.markLiveMayHaveRun();
+    if (!sender.mayRetry(forward, false)) {
+      return;
+    }
+    Optional<RunnerEntry> next =
+        sender.maySend(forward)
+            ? sender.choose(forward, configuration, step.now())
+            : Optional.empty();
+    if (next.isEmpty() || !sender.tryAcquireRetry(forward, step.now())) {
+      forward.postpone(step.now().plus(SEARCH_INTERVAL));
+      return;
+    }
+    ForwardLog.retried(forward, "silent", step);
+    sender.send(forward, next.get(), step);
+  }
+
+  private boolean isStalled(
+      PendingForward forward,
+      RunnerEntry runner,
+      GatewayConfiguration configuration,
+      GatewayStep step) {
+    int slots =
+        configuration.engineOf(forward.service()).map(EngineSpec::slots).orElse(runner.slots());
+    return StallRule.isStalled(
+        forward.route(),
+        forward.answerStarted(),
+        forward.silence(step.now()),
+        runnerStates.totalRunning(runner),
+        slots);
+  }
+}
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -151,20 +151,34 @@
     time.after(
         delay,
         () -> {
-          if (node.incarnation() != incarnation
-              || !node.isCurrent(send.exchange(), send.attempt())) {
+          if (node.incarnation() != incarnation || !node.isLive(send.exchange(), send.attempt())) {
             return;
           }
-          if (result instanceof AttemptResult.Finished) {
-            simulation.finish(node, send.exchange(), GatewayOracle.SERVED);
+          int dropped = 0;
+          switch (result) {
+            case AttemptResult.Started started ->
+                dropped = node.keepOnlyAttempt(send.exchange(), send.attempt());
+            case AttemptResult.Progressed progressed ->
+                dropped = node.keepOnlyAttempt(send.exchange(), send.attempt());
+            case AttemptResult.Finished finished ->
+                simulation.finish(node, send.exchange(), GatewayOracle.SERVED);
+            default -> {}
+          }
+          update(node, incarnation, send, result);
+          if (dropped > 0) {
+            update(node, incarnation, send, new AttemptResult.Prevailed(dropped));
           }
-          simulation.deliver(
-              node,
-              incarnation,
-              new GatewayEvent.AttemptUpdated(send.exchange(), send.attempt(), result));
         });
   }
 
+  private void update(
+      FuzzedNode node, long incarnation, GatewayEffect.SendAttempt send, AttemptResult result) {
+    simulation.deliver(
+        node,
+        incarnation,
+        new GatewayEvent.AttemptUpdated(send.exchange(), send.attempt(), result));
+  }
+
   private void serve(
       FuzzedNode node,
       long incarnation,
@@ -204,7 +218,7 @@
   /** Lets a runner crash as it begins to write the response to a request. */
   private void crash(
       FuzzedNode node, long incarnation, GatewayEffect.SendAttempt send, FakeBackend backend) {
-    if (backend.isUp() && node.isCurrent(send.exchange(), send.attempt())) {
+    if (backend.isUp() && node.isLive(send.exchange(), send.attempt())) {
       oracle.recordCrash(node.request(send.exchange()), time.now());
       backend.crash();
       time.after(network.nextDuration(2_000, 4_000), backend::restart);
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
@@ -31,7 +31,7 @@
   private final Deque<GatewayEvent> backlog = new ArrayDeque<>();
   private final Map<Long, String> requestsByExchange = new HashMap<>();
   private final Set<Long> openExchanges = new HashSet<>();
-  private final Map<Long, Integer> currentAttempts = new HashMap<>();
+  private final Map<Long, Set<Integer>> liveAttempts = new HashMap<>();
   private GatewayCore core;
   private long incarnation;
   private boolean up;
@@ -62,7 +62,7 @@
     backlog.clear();
     requestsByExchange.clear();
     openExchanges.clear();
-    currentAttempts.clear();
+    liveAttempts.clear();
     GatewaySettings settings =
         new GatewaySettings(
             address(),
@@ -154,7 +154,7 @@
 
   void close(long exchange) {
     openExchanges.remove(exchange);
-    currentAttempts.remove(exchange);
+    liveAttempts.remove(exchange);
   }
 
   /** Records that a caller disconnected; no outcome is expected any more. */
@@ -164,15 +164,30 @@
   }
 
   void beginAttempt(long exchange, int attempt) {
-    currentAttempts.put(exchange, attempt);
+    liveAttempts.computeIfAbsent(exchange, number -> new HashSet<>()).add(attempt);
   }
 
-  void cancelAttempt(long exchange) {
-    currentAttempts.remove(exchange);
+  void cancelAttempt(long exchange, int attempt) {
+    liveAttempts.getOrDefault(exchange, new HashSet<>()).remove(attempt);
   }
 
-  boolean isCurrent(long exchange, int attempt) {
-    return currentAttempts.getOrDefault(exchange, -1) == attempt;
+  /** Returns whether an attempt may write to its caller. */
+  boolean isLive(long exchange, int attempt) {
+    return liveAttempts.getOrDefault(exchange, Set.of()).contains(attempt);
+  }
+
+  /**
+   * Lets only the given attempt write to its caller from now on.
+   *
+   * @return the number of the newest other attempt that could write; 0 if there is none
+   */
+  int keepOnlyAttempt(long exchange, int attempt) {
+    Set<Integer> live = liveAttempts.getOrDefault(exchange, new HashSet<>());
+    live.remove(attempt);
+    int newest = live.stream().mapToInt(Integer::intValue).max().orElse(0);
+    live.clear();
+    live.add(attempt);
+    return newest;
   }
 
   // State
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -238,7 +238,8 @@
       case GatewayEffect.RelayAnswer pass -> finish(node, pass.exchange(), "answer passed on");
       case GatewayEffect.AbortAnswer cut -> finish(node, cut.exchange(), GatewayOracle.CUT);
       case GatewayEffect.SendAttempt send -> calls.sendAttempt(node, incarnation, send);
-      case GatewayEffect.CancelAttempt cancel -> node.cancelAttempt(cancel.exchange());
+      case GatewayEffect.CancelAttempt cancel ->
+          node.cancelAttempt(cancel.exchange(), cancel.attempt());
       case GatewayEffect.SendOrder order -> calls.sendOrder(node, incarnation, order);
       case GatewayEffect.RequestReport ask -> calls.requestReport(node, incarnation, ask);
       case GatewayEffect.ReadStore read -> readStore(node, incarnation, read.call(), time.now());
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -39,6 +39,7 @@
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   private volatile boolean requestBegun;
   private volatile Request request;
+  private volatile boolean completed;
   private RunnerProtocol.ResponseHead head;
   private boolean startReported;
   private long lastReportNanos;
@@ -62,10 +63,11 @@
     prepared.onRequestBegin(started -> requestBegun = true).send(this);
   }
 
-  /** Aborts the attempt, which closes its connection. */
+  /** Aborts the attempt, which closes its connection. Its output is refused from now on. */
   void cancel() {
+    exchange.dropAttempt(attempt.attempt());
     Request sent = request;
-    if (sent != null) {
+    if (sent != null && !completed) {
       CompletableFuture<Boolean> _ =
           sent.abort(new LocalAbortException("the attempt is cancelled"));
     }
@@ -109,7 +111,7 @@
       case NO_EVENT -> demander.run();
       case GAP -> abort(response, "events are missing");
       case TOO_LONG -> abort(response, "an event is too long to be buffered");
-      default -> abort(response, "the attempt was cancelled");
+      default -> abort(response, "the attempt may no longer write");
     }
   }
 
@@ -119,6 +121,11 @@
       startReported = true;
       results.accept(new AttemptResult.Started());
       lastReportNanos = now;
+    }
+    int dropped = exchange.takeNewestDropped(attempt.attempt());
+    if (dropped > 0) {
+      results.accept(new AttemptResult.Prevailed(dropped));
+      lastReportNanos = now;
     } else if (now - lastReportNanos > PROGRESS_INTERVAL_NANOS) {
       results.accept(new AttemptResult.Progressed());
       lastReportNanos = now;
@@ -127,14 +134,16 @@
 
   @Override
   public void onComplete(Result result) {
+    completed = true;
     if (result.isFailed()) {
       fail(result.getFailure());
     } else if (isEventStream()) {
-      if (exchange.hasPartialEvent()) {
+      if (exchange.hasPartialEvent(attempt.attempt())) {
         fail(new LocalAbortException("the stream ends inside an event"));
-      } else {
-        exchange.finish(attempt.attempt(), head.status(), head.headers());
+      } else if (exchange.finish(attempt.attempt(), head.status(), head.headers())) {
         results.accept(new AttemptResult.Finished(head.status()));
+      } else {
+        fail(new LocalAbortException("the attempt may no longer write"));
       }
     } else if (head.isSuccess() && head.signed()) {
       exchange.sendAnswer(head.status(), head.headers(), bufferedBody.toByteArray());
--- a/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
@@ -4,6 +4,9 @@
 import dev.wisteriarail.core.forward.ForwardRequest;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
@@ -16,8 +19,9 @@
 /**
  * A caller's request and the response that is written to it.
  *
- * <p>Only the current attempt may write stream events; output of earlier attempts is discarded. The
- * response is ended exactly once. Thread-safe.
+ * <p>Several attempts may be live at a time. When one of them writes stream events, all others are
+ * dropped and their output is refused, so that the events of a stream have one order and none is
+ * missing or repeated. The response is ended exactly once. Thread-safe.
  */
 public final class CallerExchange {
 
@@ -26,8 +30,13 @@
   private final Response response;
   private final Callback callback;
   private final byte[] body;
-  private final EventAssembler events = EventAssembler.create();
-  private int currentAttempt;
+  private final Map<Integer, EventAssembler> liveAttempts = new HashMap<>();
+  private String lastEvent = "";
+  private int newestDropped;
+
+  /** The attempt whose events are being written; 0 if there is none. */
+  private int writer;
+
   private boolean headSent;
   private boolean ended;
   private boolean closeAfterAnswer;
@@ -43,10 +52,14 @@
 
   // Response
 
-  /** Makes the attempt with this number the only one that may write, and drops partial events. */
-  synchronized void setCurrentAttempt(int number) {
-    currentAttempt = number;
-    events.discardPartial();
+  /** Lets an attempt write that was sent with the current {@link #lastEvent()}. */
+  synchronized void addAttempt(int number) {
+    liveAttempts.put(number, EventAssembler.after(lastEvent));
+  }
+
+  /** Refuses further output of an attempt. */
+  synchronized void dropAttempt(int number) {
+    liveAttempts.remove(number);
   }
 
   /** Closes the connection after the response. */
@@ -55,15 +68,16 @@
   }
 
   /**
-   * Relays the complete events contained in a part of a streamed response. The response head is
-   * sent with the first event.
+   * Relays the complete events contained in a part of a streamed response, and drops the other
+   * attempts. The response head is sent with the first event.
    *
    * @param done completed when the events are written; not called unless the result is {@code
    *     WRITTEN}
    */
   synchronized RelayResult relay(
       int attempt, int status, HttpFields headers, byte[] bytes, Callback done) {
-    if (attempt != currentAttempt || ended) {
+    EventAssembler events = liveAttempts.get(attempt);
+    if (events == null || ended) {
       return RelayResult.REFUSED;
     }
     byte[] completeEvents = events.accept(bytes);
@@ -76,14 +90,50 @@
     if (completeEvents.length == 0) {
       return RelayResult.NO_EVENT;
     }
+    if (isOtherWriting(attempt)) {
+      return RelayResult.REFUSED;
+    }
+    dropOthers(attempt);
+    lastEvent = events.lastEvent();
     if (!headSent) {
       headSent = true;
       putStreamHead(status, headers);
     }
-    response.write(false, ByteBuffer.wrap(completeEvents), done);
+    writer = attempt;
+    response.write(false, ByteBuffer.wrap(completeEvents), Callback.from(this::endWrite, done));
     return RelayResult.WRITTEN;
   }
 
+  private void dropOthers(int attempt) {
+    for (int number : liveAttempts.keySet()) {
+      newestDropped = number == attempt ? newestDropped : Math.max(newestDropped, number);
+    }
+    liveAttempts.keySet().retainAll(Set.of(attempt));
+  }
+
+  private synchronized void endWrite() {
+    writer = 0;
+  }
+
+  /** Returns whether events of another attempt are still being written to a slow caller. */
+  private boolean isOtherWriting(int attempt) {
+    return writer != 0 && writer != attempt;
+  }
+
+  /**
+   * Returns the number of the newest attempt that was dropped, at most once; 0 if there is none.
+   *
+   * @param attempt the attempt that wrote events
+   */
+  synchronized int takeNewestDropped(int attempt) {
+    if (!liveAttempts.containsKey(attempt)) {
+      return 0;
+    }
+    int number = newestDropped;
+    newestDropped = 0;
+    return number;
+  }
+
   /** Result of relaying a part of a streamed response. */
   enum RelayResult {
     /** Its complete events are being written. */
@@ -104,7 +154,7 @@
    * @return whether it was ended; false if the attempt may no longer write
    */
   synchronized boolean finish(int attempt, int status, HttpFields headers) {
-    if (attempt != currentAttempt || ended) {
+    if (!liveAttempts.containsKey(attempt) || ended || isOtherWriting(attempt)) {
       return false;
     }
     ended = true;
@@ -199,12 +249,13 @@
 
   /** Returns the identifier of the last event that was relayed; empty if there is none. */
   public synchronized String lastEvent() {
-    return events.lastEvent();
+    return lastEvent;
   }
 
-  /** Returns whether the received part of the stream ends inside an event. */
-  synchronized boolean hasPartialEvent() {
-    return events.hasPartial();
+  /** Returns whether the part of the stream that an attempt has received ends inside an event. */
+  synchronized boolean hasPartialEvent(int attempt) {
+    EventAssembler events = liveAttempts.get(attempt);
+    return events != null && events.hasPartial();
   }
 
   synchronized boolean isHeadSent() {
--- a/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
@@ -169,6 +169,9 @@
         log.writeFault(fault);
       }
     }
+    if (event instanceof GatewayEvent.CallerDisconnected left) {
+      runners.remove(left.exchange());
+    }
   }
 
   private void perform(GatewayEffect effect) {
@@ -178,7 +181,7 @@
         runners.remove(refuse.exchange());
       }
       case GatewayEffect.RelayAnswer relay -> {
-        if (!runners.relayAnswer(relay.exchange())) {
+        if (!runners.relayAnswer(relay.exchange(), relay.attempt())) {
           callers.exchange(relay.exchange()).ifPresent(CallerExchange::abort);
         }
         runners.remove(relay.exchange());
@@ -188,7 +191,8 @@
         runners.remove(abort.exchange());
       }
       case GatewayEffect.SendAttempt send -> send(send);
-      case GatewayEffect.CancelAttempt cancel -> runners.cancel(cancel.exchange());
+      case GatewayEffect.CancelAttempt cancel ->
+          runners.cancel(cancel.exchange(), cancel.attempt());
       case GatewayEffect.SendOrder order ->
           platform.sendOrder(
               order,
@@ -252,10 +256,10 @@
                     notification ->
                         submit(new GatewayEvent.RunnerNotified(send.runner(), notification)),
                     (attempt, result) -> {
+                      submit(new GatewayEvent.AttemptUpdated(send.exchange(), attempt, result));
                       if (result instanceof AttemptResult.Finished) {
                         runners.remove(send.exchange());
                       }
-                      submit(new GatewayEvent.AttemptUpdated(send.exchange(), attempt, result));
                     }),
             () -> submit(new GatewayEvent.CallerDisconnected(send.exchange())));
   }
--- a/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
@@ -28,7 +28,7 @@
   private final HttpClient pooled;
   private final HttpClient unpooled;
   private final RunnerProtocol protocol;
-  private final Map<Long, AttemptRelay> relays = new ConcurrentHashMap<>();
+  private final Map<Long, Map<Integer, AttemptRelay>> relays = new ConcurrentHashMap<>();
 
   RunnerClient(HttpClient pooled, HttpClient unpooled, RunnerProtocol protocol) {
     this.pooled = pooled;
@@ -55,7 +55,7 @@
       GatewayEffect.SendAttempt attempt,
       Consumer<RunnerNotification> notifications,
       BiConsumer<Integer, AttemptResult> results) {
-    exchange.setCurrentAttempt(attempt.attempt());
+    exchange.addAttempt(attempt.attempt());
     AttemptRelay relay =
         new AttemptRelay(
             exchange,
@@ -63,7 +63,9 @@
             protocol,
             notifications,
             result -> results.accept(attempt.attempt(), result));
-    relays.put(attempt.exchange(), relay);
+    relays
+        .computeIfAbsent(attempt.exchange(), number -> new ConcurrentHashMap<>())
+        .put(attempt.attempt(), relay);
     boolean first = attempt.attempt() == 1;
     HttpClient http = attempt.repeatable() && first ? pooled : unpooled;
     Request request =
@@ -77,26 +79,29 @@
     relay.send(request);
   }
 
-  /** Cancels the attempt of an exchange, which closes its connection. */
-  void cancel(long exchange) {
-    AttemptRelay relay = relays.remove(exchange);
+  /** Cancels an attempt of an exchange, which closes its connection. */
+  void cancel(long exchange, int attempt) {
+    AttemptRelay relay = relays.getOrDefault(exchange, Map.of()).get(attempt);
     if (relay != null) {
       relay.cancel();
     }
   }
 
   /**
-   * Relays the failure response of the last attempt's runner to the caller.
+   * Relays the failure response of an attempt's runner to the caller.
    *
    * @return whether there was one and it was sent
    */
-  boolean relayAnswer(long exchange) {
-    AttemptRelay relay = relays.get(exchange);
+  boolean relayAnswer(long exchange, int attempt) {
+    AttemptRelay relay = relays.getOrDefault(exchange, Map.of()).get(attempt);
     return relay != null && relay.relayAnswer();
   }
 
-  /** Removes the attempt of an exchange that ended. */
+  /** Cancels and removes the attempts of an exchange that has ended. */
   void remove(long exchange) {
-    relays.remove(exchange);
+    Map<Integer, AttemptRelay> attempts = relays.remove(exchange);
+    if (attempts != null) {
+      attempts.values().forEach(AttemptRelay::cancel);
+    }
   }
 }
--- a/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
@@ -144,6 +144,18 @@
     }
   }
 
+  @Test
+  void silentRunnerIsLessPreferredUntilItGoesOnAndNotEjected() {
+    RunnerHealth health = RunnerHealth.create();
+    for (int i = 0; i < 60; i++) {
+      health.recordSilence();
+      assertThat(health.isAvailable(START)).isTrue();
+      assertThat(health.failureRate()).isGreaterThan(0.1);
+    }
+    health.recordProgress();
+    assertThat(health.failureRate()).isEqualTo(0.0);
+  }
+
   @ParameterizedTest
   @CsvSource({
     "STREAMING, true, false, 900, 4, true",
@@ -232,9 +244,9 @@
 
   @Test
   void eventsThatTheCallerHasAreDroppedAfterAnotherAttempt() {
-    EventAssembler events = EventAssembler.create();
-    events.accept("id: 1\n\nid: 2\n\nid: 3\nda".getBytes(UTF_8));
-    events.discardPartial();
+    EventAssembler earlier = EventAssembler.create();
+    earlier.accept("id: 1\n\nid: 2\n\nid: 3\nda".getBytes(UTF_8));
+    EventAssembler events = EventAssembler.after(earlier.lastEvent());
     byte[] relayed = events.accept("id: 2\n\nid: 3\n\n".getBytes(UTF_8));
     assertThat(new String(relayed, UTF_8)).isEqualTo("id: 3\n\n");
     assertThat(events.hasGap()).isFalse();
--- a/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
@@ -9,6 +9,8 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -19,7 +21,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Tests what a caller receives if the node itself ends an exchange. */
+/** Tests what a caller receives if the node ends an exchange or several attempts answer it. */
 final class CallerExchangeTest {
 
   private static final int READ_LIMIT_MILLIS = 10_000;
@@ -38,7 +40,7 @@
           public boolean handle(Request request, Response response, Callback callback) {
             CallerExchange exchange =
                 new CallerExchange(forward(), request, response, callback, new byte[0]);
-            exchange.setCurrentAttempt(1);
+            exchange.addAttempt(1);
             if (started) {
               exchange.relay(
                   1, 200, HttpFields.EMPTY, "id: 1\ndata: x\n\n".getBytes(US_ASCII), Callback.NOOP);
@@ -57,6 +59,71 @@
     }
   }
 
+  /** Guards against events of two runs being mixed while both are live. */
+  @ParameterizedTest
+  @CsvSource({"1, 2", "2, 1"})
+  void attemptThatWritesFirstIsTheOnlyOneThatGoesOn(int winner, int loser) throws Exception {
+    List<Object> results = new CopyOnWriteArrayList<>();
+    Server server = new Server();
+    ServerConnector connector = new ServerConnector(server);
+    server.addConnector(connector);
+    server.setHandler(
+        new Handler.Abstract.NonBlocking() {
+          @Override
+          public boolean handle(Request request, Response response, Callback callback) {
+            CallerExchange exchange =
+                new CallerExchange(forward(), request, response, callback, new byte[0]);
+            exchange.addAttempt(1);
+            results.add(relay(exchange, 1, "id: 1\ndata: x\n\n"));
+            exchange.addAttempt(2);
+            results.add(exchange.takeNewestDropped(1));
+            results.add(relay(exchange, loser, "id: 2\ndata: " + loser));
+            results.add(relay(exchange, winner, "id: 2\ndata: " + winner + "\n\n"));
+            results.add(exchange.takeNewestDropped(winner));
+            results.add(relay(exchange, loser, "\n\n"));
+            results.add(exchange.hasPartialEvent(loser));
+            results.add(exchange.finish(loser, 200, HttpFields.EMPTY));
+            results.add(relay(exchange, winner, "id: 3\ndata: x\n\n"));
+            results.add(exchange.finish(winner, 200, HttpFields.EMPTY));
+            return true;
+          }
+        });
+    server.start();
+    try {
+      String answer = call(connector.getLocalPort());
+      assertThat(results)
+          .containsExactly(
+              CallerExchange.RelayResult.WRITTEN,
+              0,
+              CallerExchange.RelayResult.NO_EVENT,
+              CallerExchange.RelayResult.WRITTEN,
+              loser,
+              CallerExchange.RelayResult.REFUSED,
+              false,
+              false,
+              CallerExchange.RelayResult.WRITTEN,
+              true)
+          .inOrder();
+      assertThat(answer.lines().filter(line -> line.startsWith("data: ")).toList())
+          .containsExactly("data: x", "data: " + winner, "data: x")
+          .inOrder();
+      assertThat(answer).endsWith("\r\n0\r\n\r\n");
+    } finally {
+      server.stop();
+    }
+  }
+
+  private static CallerExchange.RelayResult relay(
+      CallerExchange exchange, int attempt, String bytes) {
+    Callback.Completable written = new Callback.Completable();
+    CallerExchange.RelayResult result =
+        exchange.relay(attempt, 200, HttpFields.EMPTY, bytes.getBytes(US_ASCII), written);
+    if (result == CallerExchange.RelayResult.WRITTEN) {
+      written.orTimeout(READ_LIMIT_MILLIS, TimeUnit.MILLISECONDS).join();
+    }
+    return result;
+  }
+
   /** Returns all bytes until the connection ends; fails if it does not end in time. */
   private static String call(int port) throws IOException {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -68,7 +68,7 @@
     try (Socket caller = connect()) {
       CallerExchange exchange = request(caller);
       server.closeAfterAnswers();
-      exchange.setCurrentAttempt(1);
+      exchange.addAttempt(1);
       assertThat(exchange.sendAnswer(200, HttpFields.EMPTY, new byte[ANSWER_BYTES])).isTrue();
       Thread end = Thread.startVirtualThread(() -> end(server, LIMIT));
       assertThat(readAll(caller.getInputStream())).isAtLeast(ANSWER_BYTES);
