Gateway fuzz: sound runners that fall silent for a second, and an oracle of what ended each request

Cause: no fake of the gateway path knew a runner that is silent for a second and goes on, and no check asked why an answer was cut.

Change: runners fall silent for 1.0 to 1.3 s, before the first byte or between two events, and go on; drawn from a random source of its own. A second plan, PLANNED, has no faults of nodes, links or the store: nodes stopped in turn, configurations in series, runners that are full, failing, leave or have long streams. RunOracle knows from the runners when each run would have ended, and gives each request without its answer a cause. Two causes are violations: silence and late-request (docs/PROMISES.md). In the plan PLANNED a node's process is ended 8 s after its stop request. GatewayFuzz is split into FuzzCallers and StoreCalls.

Tests: checkSeesItsDefect names a plan instead of a flag; promisesHoldUnderFaults plays the planned work of its seeds as well.

--- a/src/main/java/dev/wisteriarail/cli/FuzzCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/FuzzCommand.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.fuzz.gateway.GatewayFuzz;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
+import java.util.List;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
@@ -18,6 +19,10 @@
   private static final int DEFAULT_RUNS = 10;
   private static final int DEFAULT_STEPS = 300;
 
+  /** Plans of the runs of gateway nodes, one run each for each seed. */
+  private static final List<GatewayFuzz.Plan> DISTURBED_PLANS =
+      List.of(GatewayFuzz.Plan.FAULTS, GatewayFuzz.Plan.PLANNED);
+
   @Override
   public String name() {
     return "fuzz";
@@ -78,9 +83,11 @@
     long first = (Long) options.valueOf("seed");
     boolean allPassed = true;
     for (long seed = first; seed < first + (Integer) options.valueOf("runs"); seed++) {
-      GatewayFuzz.Result result = GatewayFuzz.execute(seed, true, GatewayDefect.NONE);
-      out.println(result.describe());
-      allPassed &= result.violations().isEmpty();
+      for (GatewayFuzz.Plan plan : DISTURBED_PLANS) {
+        GatewayFuzz.Result result = GatewayFuzz.execute(seed, plan, GatewayDefect.NONE);
+        out.println(result.describe());
+        allPassed &= result.violations().isEmpty();
+      }
     }
     return allPassed ? ExitCode.SUCCESS : ExitCode.FAILED;
   }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -106,7 +106,7 @@
     Instant requestedAt = time.now();
     if (backend.isUp()) {
       simulation.deliverAfter(
-          network.nextDuration(2, 10),
+          network.nextDuration(2, 10).plus(backend.remainingSilence(requestedAt)),
           node,
           incarnation,
           new GatewayEvent.ReportReceived(backend.report(requestedAt), requestedAt));
@@ -155,6 +155,7 @@
               || !node.isCurrent(send.exchange(), send.attempt())) {
             return;
           }
+          recordResult(node.request(send.exchange()), send.attempt(), result);
           if (result instanceof AttemptResult.Finished) {
             simulation.finish(node, send.exchange(), GatewayOracle.SERVED);
           }
@@ -165,6 +166,15 @@
         });
   }
 
+  private void recordResult(String request, int attempt, AttemptResult result) {
+    switch (result) {
+      case AttemptResult.Started _, AttemptResult.Progressed _, AttemptResult.Finished _ ->
+          oracle.runs().recordProgress(request, attempt, time.now());
+      case AttemptResult.Answered _, AttemptResult.NotSent _, AttemptResult.Broken _ ->
+          oracle.runs().recordFailure(request, attempt);
+    }
+  }
+
   private void serve(
       FuzzedNode node,
       long incarnation,
@@ -176,7 +186,7 @@
     String[] parts = request.split("~", -1);
     String model = parts[1];
     String adapter = parts[2];
-    Duration soon = network.nextDuration(1, 5);
+    Duration soon = network.nextDuration(1, 5).plus(backend.remainingSilence(time.now()));
     if (backend.isUp() && backend.behavior() != FakeBackend.Behavior.SILENT) {
       backend
           .notifications(time.now())
@@ -246,20 +256,23 @@
             ? network.nextDuration(1_000, 5_000)
             : network.nextDuration(10, 80);
     Duration total = first.plus(send.streaming() ? streamLength(backend) : Duration.ZERO);
-    long bornMillis = backend.bornMillis();
+    oracle
+        .runs()
+        .beginRun(node.request(send.exchange()), send.attempt(), backend.isSound(), time.now());
+    if (isAnswered(backend.behavior())) {
+      Answer answer =
+          new Answer(
+              node,
+              incarnation,
+              send,
+              node.request(send.exchange()),
+              backend,
+              backend.bornMillis(),
+              ended);
+      time.after(first, () -> start(answer, total.minus(first)));
+      return;
+    }
     time.after(total, ended);
-    time.after(
-        total,
-        () -> {
-          if (!backend.isUp() || backend.bornMillis() != bornMillis) {
-            deliverResult(
-                node,
-                incarnation,
-                send,
-                Duration.ZERO,
-                new AttemptResult.Broken("reset", send.streaming(), "2", true));
-          }
-        });
     switch (backend.behavior()) {
       case FAILING ->
           deliverResult(
@@ -279,39 +292,91 @@
             new AttemptResult.Broken("cut", send.streaming(), send.streaming() ? "3" : "", false));
       }
       case SILENT -> {}
-      default -> {
-        Runnable started =
-            () ->
-                deliverResult(node, incarnation, send, Duration.ZERO, new AttemptResult.Started());
-        time.after(first, () -> runIfAlive(backend, bornMillis, started));
-        for (Duration at = first.plus(PROGRESS_INTERVAL);
-            at.compareTo(total) < 0;
-            at = at.plus(PROGRESS_INTERVAL)) {
-          Runnable progressed =
-              () ->
-                  deliverResult(
-                      node, incarnation, send, Duration.ZERO, new AttemptResult.Progressed());
-          time.after(at, () -> runIfAlive(backend, bornMillis, progressed));
-        }
-        time.after(
-            total,
-            () -> {
-              if (backend.isUp() && backend.bornMillis() == bornMillis) {
-                deliverResult(
-                    node, incarnation, send, Duration.ZERO, new AttemptResult.Finished(200));
-              }
-            });
-      }
+      default -> throw new IllegalStateException("not a fault: " + backend.behavior());
+    }
+  }
+
+  /** Returns whether a runner with this behavior sends complete answers. */
+  private static boolean isAnswered(FakeBackend.Behavior behavior) {
+    return switch (behavior) {
+      case FAILING, ANSWER_LOST, ANSWER_CUT, SILENT -> false;
+      case HEALTHY, FULL, UNREACHABLE, SLOW, LONG_STREAMS -> true;
+    };
+  }
+
+  /** The complete answer of a runner, which is sent part by part. */
+  private record Answer(
+      FuzzedNode node,
+      long incarnation,
+      GatewayEffect.SendAttempt send,
+      String request,
+      FakeBackend backend,
+      long bornMillis,
+      Runnable ended) {
+
+    boolean isRunnerAlive() {
+      return backend.isUp() && backend.bornMillis() == bornMillis;
     }
   }
 
-  /** Performs an action of a run of a backend unless it has crashed. */
-  private static void runIfAlive(FakeBackend backend, long bornMillis, Runnable action) {
-    if (backend.isUp() && backend.bornMillis() == bornMillis) {
-      action.run();
+  private void start(Answer answer, Duration left) {
+    sendPart(
+        answer,
+        left,
+        () -> {
+          deliverNow(answer, new AttemptResult.Started());
+          scheduleNextPart(answer, left);
+        });
+  }
+
+  private void scheduleNextPart(Answer answer, Duration left) {
+    boolean last = left.compareTo(PROGRESS_INTERVAL) <= 0;
+    Duration delay = last ? left : PROGRESS_INTERVAL;
+    Duration remaining = left.minus(delay);
+    Runnable next =
+        last
+            ? () -> complete(answer)
+            : () -> {
+              deliverNow(answer, new AttemptResult.Progressed());
+              scheduleNextPart(answer, remaining);
+            };
+    time.after(delay, () -> sendPart(answer, remaining, next));
+  }
+
+  /**
+   * Sends a part of an answer once the runner is not silent.
+   *
+   * @param left time for the parts after this one, after which the end of a crashed runner is
+   *     noticed
+   */
+  private void sendPart(Answer answer, Duration left, Runnable part) {
+    Duration silence = answer.backend().remainingSilence(time.now());
+    if (!answer.isRunnerAlive()) {
+      time.after(left, answer.ended());
+      boolean streaming = answer.send().streaming();
+      deliverResult(
+          answer.node(),
+          answer.incarnation(),
+          answer.send(),
+          left,
+          new AttemptResult.Broken("reset", streaming, "2", true));
+    } else if (!silence.isZero()) {
+      time.after(silence, () -> sendPart(answer, left, part));
+    } else {
+      part.run();
     }
   }
 
+  private void complete(Answer answer) {
+    answer.ended().run();
+    oracle.runs().completeRun(answer.request(), answer.send().attempt(), time.now());
+    deliverNow(answer, new AttemptResult.Finished(200));
+  }
+
+  private void deliverNow(Answer answer, AttemptResult result) {
+    deliverResult(answer.node(), answer.incarnation(), answer.send(), Duration.ZERO, result);
+  }
+
   private Duration streamLength(FakeBackend backend) {
     return backend.behavior() == FakeBackend.Behavior.LONG_STREAMS
         ? network.nextDuration(3_000, 8_000)
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
@@ -28,6 +28,7 @@
   private boolean draining;
   private boolean announcesLeaving;
   private Instant pausedUntil = Instant.EPOCH;
+  private Instant silentUntil = Instant.EPOCH;
   private Behavior behavior = Behavior.HEALTHY;
 
   /** How a runner responds to requests. */
@@ -146,6 +147,7 @@
       up = true;
       announcesLeaving = false;
       pausedUntil = Instant.EPOCH;
+      silentUntil = Instant.EPOCH;
       bornMillis++;
       fence = 0;
       holder = "";
@@ -166,6 +168,11 @@
     pausedUntil = until;
   }
 
+  /** Sends nothing until a time, then goes on with all answers where they stopped. */
+  void fallSilentUntil(Instant until) {
+    silentUntil = until;
+  }
+
   void setBehavior(Behavior newMood) {
     behavior = newMood;
   }
@@ -202,6 +209,19 @@
     return now.isBefore(pausedUntil);
   }
 
+  /** Returns the time until the runner sends again; zero if it is not silent. */
+  Duration remainingSilence(Instant now) {
+    return now.isBefore(silentUntil) ? Duration.between(now, silentUntil) : Duration.ZERO;
+  }
+
+  /** Returns whether the runner answers each request that it runs unless it crashes. */
+  boolean isSound() {
+    return switch (behavior) {
+      case HEALTHY, SLOW, LONG_STREAMS -> true;
+      case FULL, FAILING, ANSWER_LOST, ANSWER_CUT, SILENT, UNREACHABLE -> false;
+    };
+  }
+
   Behavior behavior() {
     return behavior;
   }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
@@ -70,7 +70,7 @@
             List.of(),
             FleetTimings.DEFAULT.withOrders(Duration.ofSeconds(3), true),
             GatewayFuzzDeployment.RETRIES,
-            Duration.ofSeconds(8));
+            GatewayFuzzDeployment.GRACE);
     core = GatewayCore.create(defect.alter(settings));
     return incarnation;
   }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
@@ -214,7 +214,7 @@
           random.nextDuration(0, 9_000),
           () -> {
             if (node.acceptsRequests()) {
-              simulation.sendRequest(node, kind, model);
+              simulation.callers().sendRequest(node, kind, model);
             }
           });
     }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -2,17 +2,10 @@
 
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.event.NodeEvent;
-import dev.wisteriarail.core.fleet.LeaseAnswer;
-import dev.wisteriarail.core.fleet.LeaseCall;
-import dev.wisteriarail.core.forward.ForwardRequest;
-import dev.wisteriarail.core.forward.PromptPart;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
-import dev.wisteriarail.core.gateway.StoreAnswer;
-import dev.wisteriarail.core.gateway.StoreRead;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
-import dev.wisteriarail.core.route.RouteSpec;
 import dev.wisteriarail.fuzz.SeededRandom;
 import dev.wisteriarail.fuzz.VirtualScheduler;
 import dev.wisteriarail.fuzz.oracle.Violation;
@@ -21,7 +14,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 
@@ -42,22 +34,14 @@
   private static final Duration CHANGE_BOUND = Duration.ofSeconds(2);
 
   private static final Duration TICK = Duration.ofMillis(50);
-  private static final Duration STORE_TIMEOUT = Duration.ofMillis(900);
-  private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
   private static final Duration ENTRY_INTERVAL = Duration.ofMillis(500);
 
   /** Requests of each kind to each node for the recovery check, besides the usual load. */
   private static final int RECOVERY_REQUESTS = 5;
 
-  /** Interval of requests that crash runners. */
-  private static final int CRASHING_REQUEST_MILLIS = 200;
-
   static final List<String> STREAMS = List.of("chat", "report", "survey");
 
-  /** Number of sessions, each with a part of its own in the prompts of its requests. */
-  private static final int SESSIONS = 12;
-
-  private static final List<String> KINDS = List.of("chat", "report", "survey", "lookup", "order");
+  static final List<String> KINDS = List.of("chat", "report", "survey", "lookup", "order");
 
   private final VirtualScheduler time = new VirtualScheduler();
   private final GatewayOracle oracle = new GatewayOracle();
@@ -67,14 +51,29 @@
   private final Map<String, Instant> drainedAt = new TreeMap<>();
   private final List<FakeLink> links = new ArrayList<>();
   private final BackendCalls calls;
+  private final StoreCalls storeCalls;
+  private final FuzzCallers callers;
   private final GatewayFaults faults;
+  private final PlannedWork plannedWork;
   private final SeededRandom random;
   private final SeededRandom network;
   private final SeededRandom crashes;
   private final Instant end;
   private Instant publishedAt = Instant.EPOCH;
   private long version;
-  private long lastExchange;
+
+  /** What happens in a run besides the callers' requests. */
+  public enum Plan {
+    /** One change of the configuration and one runner that leaves. */
+    CALM,
+    /**
+     * Nodes that are stopped in turn, configurations, and runners that are full, failing or leave,
+     * or that fall silent for about a second and go on.
+     */
+    PLANNED,
+    /** Everything. */
+    FAULTS
+  }
 
   private GatewayFuzz(long seed, GatewayDefect defect) {
     random = SeededRandom.of(seed, "faults");
@@ -82,6 +81,16 @@
     crashes = SeededRandom.of(seed, "crashes");
     calls =
         new BackendCalls(this, time, oracle, network, SeededRandom.of(seed, "adapters"), backends);
+    callers = new FuzzCallers(this, time, oracle, random, crashes, nodes);
+    storeCalls = new StoreCalls(this, time, network, store);
+    plannedWork =
+        new PlannedWork(
+            this,
+            time,
+            SeededRandom.of(seed, "planned"),
+            SeededRandom.of(seed, "silences"),
+            nodes,
+            backends);
     faults =
         new GatewayFaults(
             this,
@@ -115,20 +124,23 @@
    * Executes a run.
    *
    * @param seed determines all random choices
-   * @param faulty whether faults are injected; without faults, time bounds are always checked
+   * @param plan what happens besides the callers' requests
    * @param defect deliberate defect of the nodes
    */
-  public static Result execute(long seed, boolean faulty, GatewayDefect defect) {
+  public static Result execute(long seed, Plan plan, GatewayDefect defect) {
     GatewayFuzz run = new GatewayFuzz(seed, defect);
-    run.prepare(faulty);
+    run.prepare(plan);
     run.time.runUntil(run.end);
     run.oracle.checkDeadlines(run.end);
+    Map<RunOracle.Cause, Integer> causes = run.oracle.judgeUnanswered();
     return new Result(
         seed,
+        plan,
         run.oracle.requestCount(),
         run.faults.count(),
         run.oracle.streamsCutByDrain(),
         run.oracle.outcomes(),
+        causes,
         run.sentBytes(),
         run.oracle.violations());
   }
@@ -140,17 +152,23 @@
     return all;
   }
 
-  private void prepare(boolean faulty) {
+  private void prepare(Plan plan) {
     backends.getFirst().preload("m0");
     publish();
     writeEntries();
     nodes.forEach(this::startNode);
-    time.after(Duration.ofSeconds(2), this::sendRequest);
-    if (faulty) {
+    time.after(Duration.ofSeconds(2), callers::sendRequest);
+    if (plan == Plan.PLANNED) {
+      plannedWork.start();
+    }
+    if (plan != Plan.CALM) {
+      plannedWork.startSilences();
+    }
+    if (plan == Plan.FAULTS) {
       time.after(Duration.ofSeconds(3), faults::disturb);
       time.after(Duration.ofSeconds(4), faults::announceFromRunner);
       time.after(Duration.ofSeconds(5), faults::restoreStore);
-      time.after(crashes.nextDuration(3_000, 6_000), this::sendCrashingRequest);
+      time.after(crashes.nextDuration(3_000, 6_000), callers::sendCrashingRequest);
     }
     time.after(Duration.ofSeconds(8), this::applyOperatorChanges);
     time.at(Instant.EPOCH.plus(FAULT_PERIOD).plus(RECOVERY_PERIOD), this::checkRecovery);
@@ -162,6 +180,7 @@
     version++;
     publishAgain();
     publishedAt = time.now();
+    oracle.runs().recordChange(publishedAt);
   }
 
   /** Writes the newest configuration again, because a restored store may have lost it. */
@@ -186,10 +205,6 @@
     drainedAt.put(leavingBackend.id(), time.now());
   }
 
-  private boolean reachesStore(FuzzedNode node) {
-    return !faults.isStoreDown() && !node.isStoreCut();
-  }
-
   // Nodes
 
   void startNode(FuzzedNode node) {
@@ -235,33 +250,21 @@
           checkRoute(request, refuse);
         }
       }
-      case GatewayEffect.RelayAnswer pass -> finish(node, pass.exchange(), "answer passed on");
+      case GatewayEffect.RelayAnswer pass -> finish(node, pass.exchange(), GatewayOracle.RELAYED);
       case GatewayEffect.AbortAnswer cut -> finish(node, cut.exchange(), GatewayOracle.CUT);
       case GatewayEffect.SendAttempt send -> calls.sendAttempt(node, incarnation, send);
-      case GatewayEffect.CancelAttempt cancel -> node.cancelAttempt(cancel.exchange());
+      case GatewayEffect.CancelAttempt cancel -> {
+        oracle.runs().recordCancel(node.request(cancel.exchange()), cancel.attempt(), time.now());
+        node.cancelAttempt(cancel.exchange());
+      }
       case GatewayEffect.SendOrder order -> calls.sendOrder(node, incarnation, order);
       case GatewayEffect.RequestReport ask -> calls.requestReport(node, incarnation, ask);
-      case GatewayEffect.ReadStore read -> readStore(node, incarnation, read.call(), time.now());
-      case GatewayEffect.CallLease lease -> callLease(node, incarnation, lease.call());
-      case GatewayEffect.RegisterNode register -> {
-        boolean done = reachesStore(node);
-        if (done) {
-          store.register(register.address(), time.now());
-        }
-        deliverAfter(
-            network.nextDuration(2, 20),
-            node,
-            incarnation,
-            new GatewayEvent.RegistrationCompleted(done));
-      }
-      case GatewayEffect.SaveRefusal save -> {
-        boolean done = reachesStore(node);
-        if (done) {
-          store.save(save.refusal(), time.now());
-        }
-        deliverAfter(
-            network.nextDuration(2, 20), node, incarnation, new GatewayEvent.RefusalSaved(done));
-      }
+      case GatewayEffect.ReadStore read ->
+          storeCalls.read(node, incarnation, read.call(), time.now());
+      case GatewayEffect.CallLease lease -> storeCalls.callLease(node, incarnation, lease.call());
+      case GatewayEffect.RegisterNode register ->
+          storeCalls.register(node, incarnation, register.address());
+      case GatewayEffect.SaveRefusal save -> storeCalls.save(node, incarnation, save.refusal());
       case GatewayEffect.SendPeer send -> sendPeer(node, send);
       case GatewayEffect.WarmUpCodec rehearse -> {}
       case GatewayEffect.SetReady ready -> node.setReady(ready.ready());
@@ -272,6 +275,19 @@
     }
   }
 
+  /** Asks a node to stop and ends its process after the grace period if it still runs. */
+  void stopNode(FuzzedNode node) {
+    long incarnation = node.incarnation();
+    deliver(node, incarnation, new GatewayEvent.DrainRequested());
+    time.after(
+        GatewayFuzzDeployment.GRACE,
+        () -> {
+          if (node.incarnation() == incarnation) {
+            endNode(node);
+          }
+        });
+  }
+
   private void endNode(FuzzedNode node) {
     oracle.endNode(node.number(), node.unfinishedRequests(), node.drainRequestedAt(), time.now());
     node.stop();
@@ -301,6 +317,15 @@
     }
   }
 
+  FuzzCallers callers() {
+    return callers;
+  }
+
+  /** Returns the version of the newest configuration. */
+  long version() {
+    return version;
+  }
+
   GatewayFaults faults() {
     return faults;
   }
@@ -340,159 +365,7 @@
         .send(send.message(), () -> deliverAfter(delay, peer, peer.incarnation(), received));
   }
 
-  // Store
-
-  private void readStore(FuzzedNode node, long incarnation, StoreRead call, Instant startedAt) {
-    if (!reachesStore(node)) {
-      deliverAfter(
-          network.nextBoolean(0.5) ? STORE_TIMEOUT : network.nextDuration(2, 10),
-          node,
-          incarnation,
-          new GatewayEvent.StoreReadCompleted(call, new StoreAnswer.Failed("down")));
-      return;
-    }
-    boolean waits =
-        call instanceof StoreRead.NextConfiguration next
-            && time.now().isBefore(startedAt.plus(next.maxWait()));
-    if (waits && !store.hasUpdate(call)) {
-      time.after(POLL_INTERVAL, () -> readStore(node, incarnation, call, startedAt));
-    } else {
-      StoreAnswer answer = store.read(call);
-      deliverAfter(
-          network.nextDuration(2, 20),
-          node,
-          incarnation,
-          new GatewayEvent.StoreReadCompleted(call, answer));
-    }
-  }
-
-  private void callLease(FuzzedNode node, long incarnation, LeaseCall call) {
-    if (!reachesStore(node)) {
-      deliverAfter(
-          STORE_TIMEOUT,
-          node,
-          incarnation,
-          new GatewayEvent.LeaseCallCompleted(new LeaseAnswer.Failed("no answer")));
-      if (call instanceof LeaseCall.Append && network.nextBoolean(faults.lostAnswerShare())) {
-        time.after(network.nextDuration(0, 3_000), () -> store.call(call, time.now()));
-      }
-      return;
-    }
-    if (call instanceof LeaseCall.Append && network.nextBoolean(faults.lostAnswerShare())) {
-      time.after(network.nextDuration(0, 3_000), () -> store.call(call, time.now()));
-      deliverAfter(
-          STORE_TIMEOUT,
-          node,
-          incarnation,
-          new GatewayEvent.LeaseCallCompleted(new LeaseAnswer.Failed("no answer")));
-      return;
-    }
-    time.after(
-        network.nextDuration(1, 10),
-        () ->
-            deliverAfter(
-                network.nextDuration(1, 10),
-                node,
-                incarnation,
-                new GatewayEvent.LeaseCallCompleted(store.call(call, time.now()))));
-  }
-
-  // Callers
-
-  private void sendRequest() {
-    List<FuzzedNode> open = nodes.stream().filter(FuzzedNode::acceptsRequests).toList();
-    if (!open.isEmpty()) {
-      boolean added = version > 1 && random.nextBoolean(0.1);
-      sendRequest(random.pick(open), added ? "added-" + version : random.pick(KINDS));
-    }
-    time.after(random.nextDuration(2, 60), this::sendRequest);
-  }
-
-  private void sendRequest(FuzzedNode node, String kind) {
-    sendRequest(node, kind, "m" + random.nextInt(GatewayFuzzDeployment.MODEL_COUNT));
-  }
-
-  /** Sends a request; only streaming kinds name a model. */
-  void sendRequest(FuzzedNode node, String kind, String named) {
-    boolean stream = STREAMS.contains(kind);
-    String model = stream ? named : "";
-    String adapter = stream && random.nextBoolean(0.2) ? "a" + random.nextInt(2) : "";
-    long exchange = ++lastExchange;
-    String request = kind + "#" + exchange + "~" + model + "~" + adapter + "~";
-    List<String> parts =
-        stream ? List.of("first", "session-" + exchange % SESSIONS, "own-" + exchange) : List.of();
-    sendRequest(node, kind, request, exchange, exchange, parts);
-    if (random.nextBoolean(0.03)) {
-      time.after(random.nextDuration(1, 500), () -> disconnectCaller(node, exchange));
-    }
-  }
-
-  private void sendRequest(
-      FuzzedNode node,
-      String kind,
-      String request,
-      long exchange,
-      long fingerprint,
-      List<String> parts) {
-    String[] names = request.split("~", -1);
-    RouteSpec route =
-        GatewayFuzzDeployment.configuration(version)
-            .route(GatewayFuzzDeployment.HOST, "/" + kind + "/1")
-            .orElseThrow();
-    node.open(exchange, request);
-    oracle.recordRequest(request, route, node.number(), time.now());
-    deliver(
-        node,
-        node.incarnation(),
-        new GatewayEvent.RequestArrived(
-            new ForwardRequest(
-                exchange,
-                request,
-                GatewayFuzzDeployment.HOST,
-                "/" + kind + "/1",
-                Optional.of(route.timeout()),
-                Optional.of(names[1]).filter(name -> !name.isEmpty()),
-                Optional.of(names[2]).filter(name -> !name.isEmpty()),
-                100,
-                100,
-                parts.stream().map(part -> new PromptPart(part, 10)).toList(),
-                fingerprint)));
-  }
-
-  /**
-   * Sends one of the requests that crash runners to any node: the same one again, or one of many
-   * different ones with one part in common. Their other parts are those of usual requests.
-   */
-  private void sendCrashingRequest() {
-    if (time.now().isAfter(Instant.EPOCH.plus(FAULT_PERIOD))) {
-      return;
-    }
-    List<FuzzedNode> open = nodes.stream().filter(FuzzedNode::acceptsRequests).toList();
-    if (!open.isEmpty()) {
-      boolean wholeContent = crashes.nextBoolean(0.4);
-      long exchange = ++lastExchange;
-      String trait = wholeContent ? "content" : "part";
-      String model = "m" + crashes.nextInt(GatewayFuzzDeployment.MODEL_COUNT);
-      String request = "chat#" + exchange + "~" + model + "~~crashing-" + trait;
-      List<String> parts =
-          wholeContent
-              ? List.of("first", "session-1", "own")
-              : List.of("first", "session-" + crashes.nextInt(SESSIONS), "crashing", "own");
-      sendRequest(
-          crashes.pick(open), "chat", request, exchange, wholeContent ? -1 : exchange, parts);
-    }
-    time.after(
-        crashes.nextDuration(CRASHING_REQUEST_MILLIS / 2, 2 * CRASHING_REQUEST_MILLIS),
-        this::sendCrashingRequest);
-  }
-
-  private void disconnectCaller(FuzzedNode node, long exchange) {
-    if (node.isOpen(exchange)) {
-      oracle.waiveOutcome(node.request(exchange));
-      node.disconnect(exchange);
-      deliver(node, node.incarnation(), new GatewayEvent.CallerDisconnected(exchange));
-    }
-  }
+  // Recovery
 
   private void checkRecovery() {
     Instant since = time.now();
@@ -502,7 +375,8 @@
         continue;
       }
       KINDS.forEach(
-          kind -> IntStream.range(0, RECOVERY_REQUESTS).forEach(i -> sendRequest(node, kind)));
+          kind ->
+              IntStream.range(0, RECOVERY_REQUESTS).forEach(i -> callers.sendRequest(node, kind)));
     }
     time.after(Duration.ofSeconds(9), () -> oracle.checkRecovery(since, time.now()));
   }
@@ -511,25 +385,30 @@
    * The result of a run.
    *
    * @param seed its seed
+   * @param plan its plan
    * @param requests number of requests
    * @param faults number of faults
    * @param streamsCutByDrain streams that a node accepted while draining and cut when it stopped
    * @param outcomes number of requests by outcome
+   * @param causes number of requests that ended without their answer, by cause
    * @param sentBytes bytes sent between nodes, by message type
    * @param violations violations in order of time
    */
   public record Result(
       long seed,
+      Plan plan,
       int requests,
       int faults,
       int streamsCutByDrain,
       Map<String, Integer> outcomes,
+      Map<RunOracle.Cause, Integer> causes,
       Map<String, Long> sentBytes,
       List<Violation> violations) {
 
     /** Copies the collections. */
     public Result {
       outcomes = Map.copyOf(outcomes);
+      causes = Map.copyOf(causes);
       sentBytes = Map.copyOf(sentBytes);
       violations = List.copyOf(violations);
     }
@@ -537,8 +416,15 @@
     /** Returns the result as one line, with one more line for each violation. */
     public String describe() {
       StringBuilder text = new StringBuilder();
-      text.append("seed ").append(seed).append(": ").append(requests).append(" requests, ");
+      text.append("seed ")
+          .append(seed)
+          .append(" (")
+          .append(plan)
+          .append("): ")
+          .append(requests)
+          .append(" requests, ");
       text.append(faults).append(" faults, ").append(new TreeMap<>(outcomes)).append(", ");
+      text.append("without answer by cause ").append(new TreeMap<>(causes)).append(", ");
       text.append(streamsCutByDrain).append(" streams taken by a stopping node and cut, ");
       text.append("bytes to peers ").append(new TreeMap<>(sentBytes)).append(", ");
       text.append(violations.size()).append(" violations");
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzzDeployment.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzzDeployment.java
@@ -31,6 +31,9 @@
   /** Further models, which only bursts request. */
   static final int COLD_MODEL_COUNT = 5;
 
+  /** Time from a stop request until the process of a node is ended. */
+  static final Duration GRACE = Duration.ofSeconds(8);
+
   static final int SLOTS = 6;
   static final int ADAPTER_SLOTS = 2;
 
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayOracle.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -26,6 +27,9 @@
   /** Outcome of a request whose complete answer was relayed. */
   static final String SERVED = "served";
 
+  /** Outcome of a request that got the failure of its runner. */
+  static final String RELAYED = "answer passed on";
+
   /** Outcome of a request whose answer had started and was cut off. */
   static final String CUT = "cut";
 
@@ -68,6 +72,7 @@
   private final Map<NotificationKey, Pause> requestedPauses = new HashMap<>();
   private final Map<String, List<Instant>> crashTimes = new HashMap<>();
   private final Map<String, Integer> lateCrashingRequests = new HashMap<>();
+  private final RunOracle runs = new RunOracle();
   private int streamsCutByDrain;
 
   void reportViolation(String check, String detail, Instant now) {
@@ -120,6 +125,7 @@
     request.ended = true;
     request.outcome = outcome;
     request.endedAt = now;
+    request.judged = request.outcomeRequired;
     outcomes.merge(outcome, 1, Integer::sum);
     return true;
   }
@@ -135,8 +141,13 @@
    * @param unfinished requests without an outcome
    */
   void endNode(int node, List<String> unfinished, Instant drainRequestedAt, Instant now) {
-    unfinished.forEach(
-        id -> reportViolation("final-answer", id + " has no outcome when n" + node + " ends", now));
+    for (String id : unfinished) {
+      reportViolation("final-answer", id + " has no outcome when n" + node + " ends", now);
+      RequestState request = requests.get(id);
+      request.judged = request.outcomeRequired;
+      request.endedAt = now;
+    }
+    runs.recordStop(node, drainRequestedAt, now);
     streamsCutByDrain +=
         (int)
             requests.values().stream()
@@ -300,8 +311,41 @@
         });
   }
 
+  /**
+   * Finds the causes of the requests that ended without an answer, and reports those that a sound
+   * runner would have answered in time. Requests at nodes that were killed or paused do not count.
+   *
+   * @return the number of such requests by cause
+   */
+  Map<RunOracle.Cause, Integer> judgeUnanswered() {
+    List<RunOracle.UnansweredRequest> unanswered = new ArrayList<>();
+    requests.forEach(
+        (id, request) -> {
+          if (request.judged
+              && !request.outcome.equals(SERVED)
+              && !request.outcome.equals(RELAYED)
+              && request.runs > 0) {
+            unanswered.add(
+                new RunOracle.UnansweredRequest(
+                    id,
+                    request.node,
+                    request.sentAt,
+                    request.deadline,
+                    request.endedAt,
+                    request.outcome));
+          }
+        });
+    Map<RunOracle.Cause, Integer> causes = runs.judge(unanswered, violations);
+    violations.sort(Comparator.comparing(Violation::at));
+    return causes;
+  }
+
   // Accessors
 
+  RunOracle runs() {
+    return runs;
+  }
+
   int requestCount() {
     return requests.size();
   }
@@ -349,6 +393,7 @@
     private String outcome = "open";
     private boolean reportedNotRun;
     private boolean outcomeRequired = true;
+    private boolean judged;
 
     RequestState(RouteSpec route, int node, Instant askedAt) {
       this.route = route;
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -255,6 +255,26 @@
               : effect);
     }
   },
+  CANCELS_BEFORE_TAKEOVER {
+    @Override
+    public List<GatewayEffect> alter(GatewayEffect effect) {
+      return effect instanceof GatewayEffect.SendAttempt send && send.attempt() > 1
+          ? List.of(new GatewayEffect.CancelAttempt(send.exchange(), send.attempt() - 1), send)
+          : List.of(effect);
+    }
+  },
+  TAKES_TOO_LATE {
+    @Override
+    public GatewaySettings alter(GatewaySettings settings) {
+      return new GatewaySettings(
+          settings.self(),
+          settings.domain(),
+          settings.seeds(),
+          settings.timings(),
+          settings.retries(),
+          settings.drainGrace().multipliedBy(4));
+    }
+  },
   FAILS_INSIDE {
     @Override
     public List<GatewayEvent> alter(GatewayEvent event) {
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayFuzzTest.java
@@ -8,18 +8,21 @@
 import dev.wisteriarail.fuzz.gateway.GatewayFuzz;
 import dev.wisteriarail.fuzz.oracle.Violation;
 import java.io.IOException;
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Fuzzes gateway nodes in virtual time, and shows that each check detects its defect. Each run must
- * violate exactly the checks that KNOWN-RED.txt lists for it.
+ * Fuzzes gateway nodes in virtual time, and shows that each check detects its defect. The runs of
+ * each seed must violate exactly the checks that KNOWN-RED.txt lists for it.
  */
 @ExtendWith(KnownRedCondition.class)
 final class GatewayFuzzTest {
@@ -29,11 +32,16 @@
 
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
-  void promisesHoldUnderFaults(long seed) throws IOException {
-    GatewayFuzz.Result result = GatewayFuzz.execute(seed, true, GatewayDefect.NONE);
-    Set<String> violated =
-        result.violations().stream().map(Violation::check).collect(Collectors.toSet());
-    assertWithMessage(result.describe()).that(violated).isEqualTo(KnownRed.gatewayChecks(seed));
+  void promisesHoldUnderFaultsAndPlannedWork(long seed) throws IOException {
+    List<GatewayFuzz.Result> results =
+        Stream.of(GatewayFuzz.Plan.FAULTS, GatewayFuzz.Plan.PLANNED)
+            .map(plan -> GatewayFuzz.execute(seed, plan, GatewayDefect.NONE))
+            .toList();
+    String description =
+        results.stream().map(GatewayFuzz.Result::describe).collect(Collectors.joining("\n"));
+    assertWithMessage(description)
+        .that(checks(results.stream()))
+        .isEqualTo(KnownRed.gatewayChecks(seed));
   }
 
   @Test
@@ -46,46 +54,56 @@
 
   @Test
   void promisesHoldWithoutFaults() {
-    GatewayFuzz.Result result = GatewayFuzz.execute(SEED, false, GatewayDefect.NONE);
+    GatewayFuzz.Result result =
+        GatewayFuzz.execute(SEED, GatewayFuzz.Plan.CALM, GatewayDefect.NONE);
     assertWithMessage(result.describe()).that(result.violations()).isEmpty();
   }
 
-  @Test
-  void equalSeedsGiveEqualRuns() {
-    assertThat(GatewayFuzz.execute(SEED, true, GatewayDefect.NONE))
-        .isEqualTo(GatewayFuzz.execute(SEED, true, GatewayDefect.NONE));
+  @ParameterizedTest
+  @EnumSource(
+      value = GatewayFuzz.Plan.class,
+      names = {"FAULTS", "PLANNED"})
+  void equalSeedsGiveEqualRuns(GatewayFuzz.Plan plan) {
+    assertThat(GatewayFuzz.execute(SEED, plan, GatewayDefect.NONE))
+        .isEqualTo(GatewayFuzz.execute(SEED, plan, GatewayDefect.NONE));
   }
 
   @ParameterizedTest
   @CsvSource({
-    "at-most-once, SENDS_TWICE, true",
-    "not-run, SAYS_NOT_RUN, true",
-    "one-ending, DROPS_ENDINGS, true",
-    "one-ending, ENDS_TWICE, true",
-    "final-answer, ENDS_AT_ONCE, true",
-    "denied, DENIES_ROUTES, true",
-    "one-holder, SHARES_A_FENCE, false",
-    "recovery, IGNORES_ERAS, true",
-    "rollback, TELLS_VERSIONS_BACKWARDS, true",
-    "memory, ORDERS_BEYOND_MEMORY, false",
-    "memory, MISSES_TRANSIT, true",
-    "retry-budget, SPENDS_ANY_BUDGET, true",
-    "drain, MISSES_CHANGES, false",
-    "configuration, MISSES_CHANGES, false",
-    "leaving-word, IGNORES_WORDS, true",
-    "pause, IGNORES_WORDS, true",
-    "crashing-request, FORGETS_CRASHES, true",
-    "sound-refused, ACCUSES_THE_SOUND, true",
-    "recovery, REFUSES_EVERYTHING, false",
-    "core-fault, FAILS_INSIDE, false",
+    "at-most-once, SENDS_TWICE, FAULTS",
+    "not-run, SAYS_NOT_RUN, FAULTS",
+    "one-ending, DROPS_ENDINGS, FAULTS",
+    "one-ending, ENDS_TWICE, FAULTS",
+    "final-answer, ENDS_AT_ONCE, FAULTS",
+    "denied, DENIES_ROUTES, FAULTS",
+    "one-holder, SHARES_A_FENCE, CALM",
+    "recovery, IGNORES_ERAS, FAULTS",
+    "rollback, TELLS_VERSIONS_BACKWARDS, FAULTS",
+    "memory, ORDERS_BEYOND_MEMORY, CALM",
+    "memory, MISSES_TRANSIT, FAULTS",
+    "retry-budget, SPENDS_ANY_BUDGET, FAULTS",
+    "drain, MISSES_CHANGES, CALM",
+    "configuration, MISSES_CHANGES, CALM",
+    "leaving-word, IGNORES_WORDS, FAULTS",
+    "pause, IGNORES_WORDS, FAULTS",
+    "crashing-request, FORGETS_CRASHES, FAULTS",
+    "sound-refused, ACCUSES_THE_SOUND, FAULTS",
+    "recovery, REFUSES_EVERYTHING, CALM",
+    "core-fault, FAILS_INSIDE, CALM",
+    "silence, CANCELS_BEFORE_TAKEOVER, PLANNED",
+    "late-request, TAKES_TOO_LATE, PLANNED",
   })
-  void checkSeesItsDefect(String check, GatewayDefects defect, boolean faulty) {
-    Set<String> violated =
-        LongStream.rangeClosed(1, faulty ? 8 : 1)
-            .mapToObj(seed -> GatewayFuzz.execute(seed, faulty, defect))
-            .flatMap(result -> result.violations().stream())
-            .map(Violation::check)
-            .collect(Collectors.toSet());
-    assertThat(violated).contains(check);
+  void checkSeesItsDefect(String check, GatewayDefects defect, GatewayFuzz.Plan plan) {
+    Stream<GatewayFuzz.Result> results =
+        LongStream.rangeClosed(1, plan == GatewayFuzz.Plan.CALM ? 1 : 8)
+            .mapToObj(seed -> GatewayFuzz.execute(seed, plan, defect));
+    assertThat(checks(results)).contains(check);
+  }
+
+  private static Set<String> checks(Stream<GatewayFuzz.Result> results) {
+    return results
+        .flatMap(result -> result.violations().stream())
+        .map(Violation::check)
+        .collect(Collectors.toSet());
   }
 }
