Run oracle: the first cancel of an attempt counts

A core that believes an attempt to be live cancels it again at the deadline. The oracle kept that time, so a request whose attempt had been cancelled before looked like one that reached its deadline.

--- a/src/main/java/dev/wisteriarail/fuzz/gateway/RunOracle.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/RunOracle.java
@@ -95,10 +95,11 @@
     attempt(request, attempt).failed = true;
   }
 
-  /** Records that a node cancelled an attempt. */
+  /** Records that a node cancelled an attempt; only the first time counts. */
   void recordCancel(String request, int attempt, Instant now) {
     if (!request.isEmpty()) {
-      attempt(request, attempt).cancelledAt = now;
+      Attempt cancelled = attempt(request, attempt);
+      cancelled.cancelledAt = earlier(cancelled.cancelledAt, now);
     }
   }
 
