Soak: a test that the BUDGET check sees requests that crash runners again and again

It now takes the times at which such requests began to run; the test gives it those of nodes that go on sending them (reported), that send no more than three, that send them before the settling time is over, and of four crashes (not reported).

--- a/src/main/java/dev/wisteriarail/soak/SoakOracle.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakOracle.java
@@ -61,7 +61,8 @@
           .invalidOrders()
           .forEach(order -> violations.add("ORDERS " + runner.id() + ": " + order));
     }
-    checkCrashingRequests(runners).ifPresent(violations::add);
+    checkCrashingRequests(runners.stream().map(RunnerStandin::crashingArrivals).toList())
+        .ifPresent(violations::add);
     Set<String> sent = new HashSet<>();
     for (SoakCallers.Outcome outcome : outcomes) {
       sent.add(outcome.id());
@@ -77,20 +78,22 @@
     return violations;
   }
 
-  /** Checks that requests that crash runners are kept from them after some crashes. */
-  private static Optional<String> checkCrashingRequests(List<RunnerStandin> runners) {
+  /**
+   * Checks that requests that crash runners are kept from them after some crashes.
+   *
+   * @param arrivalsByRunner when such requests began to run on each runner, in nanoseconds; the
+   *     first one crashes the runner
+   */
+  static Optional<String> checkCrashingRequests(List<List<Long>> arrivalsByRunner) {
     List<Long> crashes =
-        runners.stream()
-            .flatMap(runner -> runner.crashingArrivals().stream().limit(1))
-            .sorted()
-            .toList();
+        arrivalsByRunner.stream().flatMap(arrivals -> arrivals.stream().limit(1)).sorted().toList();
     if (crashes.size() < CRASHES_ALLOWED) {
       return Optional.empty();
     }
     long settled = crashes.get(CRASHES_ALLOWED - 1) + CRASH_SETTLING_TIME.toNanos();
     long late =
-        runners.stream()
-            .flatMap(runner -> runner.crashingArrivals().stream())
+        arrivalsByRunner.stream()
+            .flatMap(List::stream)
             .filter(arrival -> arrival - settled > 0)
             .count();
     return late > MAX_LATE_CRASHING_REQUESTS
--- a/src/test/java/dev/wisteriarail/soak/SoakTest.java
+++ b/src/test/java/dev/wisteriarail/soak/SoakTest.java
@@ -9,6 +9,8 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -97,6 +99,27 @@
     assertThat(violations.stream().anyMatch(line -> line.startsWith("LOST"))).isEqualTo(lost);
   }
 
+  /** A node that goes on sending such requests is found; one that stops in time is not. */
+  @ParameterizedTest
+  @CsvSource({
+    "5, 3100, 4, true",
+    "5, 3100, 3, false",
+    "5, 2900, 9, false",
+    "4, 3100, 0, false",
+  })
+  void requestsThatCrashRunnersAgainAndAgainAreFound(
+      int crashes, long laterMillis, int later, boolean found) {
+    long lastCrash = Duration.ofMillis(100L * (crashes - 1)).toNanos();
+    long sentAgain = lastCrash + Duration.ofMillis(laterMillis).toNanos();
+    List<List<Long>> arrivalsByRunner =
+        Stream.concat(
+                IntStream.range(0, crashes).mapToObj(i -> Duration.ofMillis(100L * i).toNanos()),
+                Stream.generate(() -> sentAgain).limit(later))
+            .map(List::of)
+            .toList();
+    assertThat(SoakOracle.checkCrashingRequests(arrivalsByRunner).isPresent()).isEqualTo(found);
+  }
+
   @Test
   void plansHoldRollingRestartsAndSilentRunners() {
     SoakPlan plan = SoakPlan.draw(ROLLING_SEED, Duration.ofSeconds(4), 2, 5);
