Soak: sound runners that fall silent for a second, odd directory entries, exits of processes

Cause: the stand-in runner was either prompt, slow in all its events, or silent for good, and nobody but the runners wrote to the directory.

New checks: EXIT (a process ends that the soak did not tell to end) and RECOVER of a runner that is added after all faults. The report counts requests without a complete answer by cause.

--- a/src/main/java/dev/wisteriarail/soak/Disturbance.java
+++ b/src/main/java/dev/wisteriarail/soak/Disturbance.java
@@ -76,6 +76,36 @@
    */
   record RunnerLeaves(int runner, long millis, long downMillis) implements Disturbance {}
 
+  /**
+   * A sound runner is silent for about a second in each of its answers for a while, and goes on.
+   * This is no fault, so plans with only planned operations have it too.
+   */
+  record RunnerFallsSilent(int runner, long millis) implements Disturbance {
+
+    @Override
+    public boolean isPlanned() {
+      return true;
+    }
+  }
+
+  /**
+   * Another writer puts an odd entry into the directory and later removes it; under a runner's own
+   * identifier the runner's next entry replaces it.
+   *
+   * @param entry number of the odd entry
+   * @param runner the runner whose identifier it has; {@link #NEW_RUNNER} for a new one
+   */
+  record OddEntryWritten(int entry, int runner, long millis) implements Disturbance {
+
+    /** Stands for an identifier that no runner has. */
+    static final int NEW_RUNNER = -1;
+
+    @Override
+    public boolean isPlanned() {
+      return true;
+    }
+  }
+
   /** A runner misbehaves for a while. */
   record RunnerMisbehaves(int runner, RunnerStandin.Behaviour behaviour, long millis)
       implements Disturbance {
@@ -85,7 +115,7 @@
      */
     boolean isLossless() {
       return switch (behaviour) {
-        case SOUND, FULL, SILENT, SLOW, PAUSING -> true;
+        case SOUND, FULL, SILENT, SLOW, SILENT_FOR_A_SECOND, PAUSING -> true;
         case FAILING, ANSWER_LOST, CUT, CROSSED, UNSIGNED -> false;
       };
     }
--- a/src/main/java/dev/wisteriarail/soak/NodeProcess.java
+++ b/src/main/java/dev/wisteriarail/soak/NodeProcess.java
@@ -6,7 +6,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -17,9 +19,20 @@
  */
 final class NodeProcess {
 
+  /** Exit code of a JVM that SIGHUP ended before it handled that signal. */
+  private static final int HANGUP_EXIT_CODE = 129;
+
   private final String name;
   private final Path settingsFile;
   private final Path logFile;
+  private final List<String> ownExits = new ArrayList<>();
+
+  /** The last process that got SIGHUP, which ends a process that has just been started. */
+  private Process reloaded;
+
+  /** The last process that the soak told to end. */
+  private Process signalled;
+
   private volatile Process process;
 
   private NodeProcess(String name, Path settings, Path log) {
@@ -85,18 +98,32 @@
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()));
     try {
       process = builder.start();
+      CompletableFuture<Void> _ = process.onExit().thenAccept(this::recordExit);
     } catch (IOException failure) {
       throw new SettingsException(
           ResultCode.SETTINGS_INVALID, "soak", "cannot start " + name, failure);
     }
   }
 
+  private synchronized void recordExit(Process ended) {
+    boolean hungUp = ended.equals(reloaded) && ended.exitValue() == HANGUP_EXIT_CODE;
+    if (!ended.equals(signalled) && !hungUp) {
+      ownExits.add(name + " ended by itself with code " + ended.exitValue());
+    }
+  }
+
+  /** Returns descriptions of the exits that no signal of the soak caused. */
+  synchronized List<String> ownExits() {
+    return List.copyOf(ownExits);
+  }
+
   boolean isAlive() {
     return process != null && process.isAlive();
   }
 
   /** Sends SIGTERM. */
-  void terminate() {
+  synchronized void terminate() {
+    signalled = process;
     if (isAlive()) {
       process.destroy();
     }
@@ -104,9 +131,14 @@
 
   /** Sends SIGKILL and waits for the process to exit. */
   void kill() throws InterruptedException {
-    if (isAlive()) {
-      process.destroyForcibly();
-      process.waitFor();
+    Process killed;
+    synchronized (this) {
+      signalled = process;
+      killed = process;
+    }
+    if (killed != null && killed.isAlive()) {
+      killed.destroyForcibly();
+      killed.waitFor();
     }
   }
 
@@ -115,6 +147,11 @@
     if (!isAlive()) {
       return;
     }
+    if (signal.equals("HUP")) {
+      synchronized (this) {
+        reloaded = process;
+      }
+    }
     try {
       new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     } catch (IOException failure) {
--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -104,7 +104,11 @@
     }
     endFaults();
     awaitRecovery(addresses, "after the faults");
-    List<SoakCallers.Outcome> outcomes = callers.stop();
+    awaitUseOfAddedRunner(addresses);
+    final List<SoakCallers.Outcome> outcomes = callers.stop();
+    for (SoakFleet.Member member : fleet.members()) {
+      member.process().ownExits().forEach(exit -> addViolation("EXIT " + exit));
+    }
     ended = true;
     stopAll();
     List<String> violations = new ArrayList<>(recordedViolations);
@@ -114,7 +118,13 @@
     Map<Integer, Integer> statuses = new TreeMap<>();
     outcomes.forEach(outcome -> statuses.merge(outcome.status(), 1, Integer::sum));
     return new Report(
-        seed, plan.planType(), plan.steps().size(), statuses, callers.longestStall(), violations);
+        seed,
+        plan.planType(),
+        plan.steps().size(),
+        statuses,
+        SoakOracle.causes(outcomes, fleet.platform().allRunners()),
+        callers.longestStall(),
+        violations);
   }
 
   private synchronized void addViolation(String violation) {
@@ -198,6 +208,20 @@
         Thread.sleep(leaves.millis());
         crash(new Disturbance.RunnerCrashed(leaves.runner(), leaves.downMillis()));
       }
+      case Disturbance.RunnerFallsSilent silent -> {
+        setBehaviour(silent.runner(), RunnerStandin.Behaviour.SILENT_FOR_A_SECOND);
+        Thread.sleep(silent.millis());
+        setBehaviour(silent.runner(), RunnerStandin.Behaviour.SOUND);
+      }
+      case Disturbance.OddEntryWritten odd -> {
+        boolean isNew = odd.runner() == Disturbance.OddEntryWritten.NEW_RUNNER;
+        String id = isNew ? "odd-" + odd.entry() : SoakFleet.runnerId(odd.runner());
+        fleet.platform().writeOddEntry(id, odd.entry());
+        Thread.sleep(odd.millis());
+        if (isNew) {
+          fleet.platform().removeEntry(id);
+        }
+      }
       case Disturbance.RunnerMisbehaves bad -> {
         setBehaviour(bad.runner(), bad.behaviour());
         Thread.sleep(bad.millis());
@@ -314,6 +338,27 @@
     }
   }
 
+  /** Adds a runner and waits until the nodes send requests to it. */
+  private void awaitUseOfAddedRunner(List<String> addresses) throws InterruptedException {
+    RunnerStandin added;
+    try {
+      added = fleet.platform().addPlainRunner("plain-added");
+    } catch (SettingsException failure) {
+      addViolation("a runner could not be added: " + failure.describe());
+      return;
+    }
+    long deadlineNanos = System.nanoTime() + RECOVERY_LIMIT.toNanos();
+    while (added.executedRequests().isEmpty()) {
+      if (System.nanoTime() > deadlineNanos) {
+        addViolation("RECOVER no node uses a runner that was added");
+        return;
+      }
+      for (String address : addresses) {
+        callers.send(address, SoakCallers.Kind.LOOKUP, 0);
+      }
+    }
+  }
+
   private void stopAll() throws InterruptedException {
     fleet.members().forEach(member -> member.process().terminate());
     for (SoakFleet.Member member : fleet.members()) {
@@ -328,6 +373,7 @@
    * @param planType which kinds of disturbances the plan allowed
    * @param disturbances number of disturbances
    * @param statuses number of requests by status of the answer; 0 for no complete answer
+   * @param causes number of requests without a complete answer, by cause
    * @param stall longest stall of the callers' process
    * @param violations the broken promises, one line each
    */
@@ -336,24 +382,28 @@
       SoakPlan.PlanType planType,
       int disturbances,
       Map<Integer, Integer> statuses,
+      Map<String, Integer> causes,
       Duration stall,
       List<String> violations) {
 
     /** Copies the collections. */
     public Report {
       statuses = Map.copyOf(statuses);
+      causes = Map.copyOf(causes);
       violations = List.copyOf(violations);
     }
 
     /** Returns the report as one line, followed by a line for each violation. */
     public String describe() {
       String head =
-          "seed %d (%s): %d disturbances, requests by status %s, late by %d ms, %d violations"
+          ("seed %d (%s): %d disturbances, requests by status %s, "
+                  + "without answer by cause %s, late by %d ms, %d violations")
               .formatted(
                   seed,
                   planType,
                   disturbances,
                   new TreeMap<>(statuses),
+                  new TreeMap<>(causes),
                   stall.toMillis(),
                   violations.size());
       return violations.isEmpty() ? head : head + "\n  " + String.join("\n  ", violations);
--- a/src/main/java/dev/wisteriarail/soak/SoakOracle.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakOracle.java
@@ -101,6 +101,24 @@
         : Optional.empty();
   }
 
+  /**
+   * Returns the number of requests without a complete answer by cause: whether they ran, and what
+   * their caller saw.
+   */
+  static Map<String, Integer> causes(
+      List<SoakCallers.Outcome> outcomes, List<RunnerStandin> runners) {
+    Set<String> executed = new HashSet<>();
+    runners.forEach(runner -> executed.addAll(runner.executedRequests()));
+    Map<String, Integer> causes = new HashMap<>();
+    for (SoakCallers.Outcome outcome : outcomes) {
+      if (outcome.status() == SoakCallers.Outcome.NO_ANSWER) {
+        String prefix = executed.contains(outcome.id()) ? "ran, " : "did not run, ";
+        causes.merge(prefix + outcome.body().split("@", 2)[0], 1, Integer::sum);
+      }
+    }
+    return causes;
+  }
+
   private static void check(SoakCallers.Outcome outcome, int runs, List<String> violations) {
     String request = outcome.id() + " (" + outcome.kind() + ")";
     boolean atMostOnce = !outcome.kind().isRepeatable();
--- a/src/main/java/dev/wisteriarail/soak/SoakPlan.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakPlan.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.soak;
 
+import dev.wisteriarail.standin.OddEntries;
 import dev.wisteriarail.standin.PlatformStandin;
 import dev.wisteriarail.standin.RunnerStandin;
 import java.time.Duration;
@@ -64,6 +65,18 @@
   /** Added to the seed to draw the restores independently of the other steps. */
   private static final long RESTORE_SEED_OFFSET = 1L << 40;
 
+  /** Mean time between the starts of two silences of runners. */
+  private static final int MEAN_SILENCE_INTERVAL_MILLIS = 1_500;
+
+  /** Added to the seed to draw the silences of runners independently of the other steps. */
+  private static final long SILENCE_SEED_OFFSET = 1L << 41;
+
+  /** Mean time between two odd entries in the directory. */
+  private static final int MEAN_ODD_ENTRY_INTERVAL_MILLIS = 1_000;
+
+  /** Added to the seed to draw the odd entries independently of the other steps. */
+  private static final long ENTRY_SEED_OFFSET = 1L << 42;
+
   /** Upper bound of the duration of most disturbances. */
   private static final int MAX_DURATION_MILLIS = 3_000;
 
@@ -79,12 +92,13 @@
   public record Step(Duration at, Disturbance disturbance) {}
 
   /**
-   * Behaviours that {@link #drawDisturbance} draws; {@link #drawRunnerNotifications} draws the
-   * rest.
+   * Behaviours that {@link #drawDisturbance} draws; {@link #drawRunnerNotifications} and {@link
+   * #drawSilences} draw the rest.
    */
   private static final RunnerStandin.Behaviour[] DRAWN_BEHAVIOURS =
       Arrays.stream(RunnerStandin.Behaviour.values())
           .filter(behaviour -> behaviour != RunnerStandin.Behaviour.PAUSING)
+          .filter(behaviour -> behaviour != RunnerStandin.Behaviour.SILENT_FOR_A_SECOND)
           .toArray(RunnerStandin.Behaviour[]::new);
 
   /** The kinds of disturbances that a plan allows. */
@@ -141,6 +155,8 @@
       steps.addAll(drawRunnerNotifications(new SplittableRandom(~seed), length, runners));
       steps.addAll(drawStoreRestores(new SplittableRandom(seed + RESTORE_SEED_OFFSET), length));
     }
+    steps.addAll(drawSilences(new SplittableRandom(seed + SILENCE_SEED_OFFSET), length, runners));
+    steps.addAll(drawOddEntries(new SplittableRandom(seed + ENTRY_SEED_OFFSET), length, runners));
     steps.sort(Comparator.comparing(Step::at));
     return new SoakPlan(planType, stopLimit, steps);
   }
@@ -185,6 +201,38 @@
     return steps;
   }
 
+  /** Draws the silences of sound runners from a separate random source. */
+  private static List<Step> drawSilences(SplittableRandom random, Duration length, int runners) {
+    List<Step> steps = new ArrayList<>();
+    long at = random.nextInt(MEAN_SILENCE_INTERVAL_MILLIS);
+    while (at < length.toMillis()) {
+      Disturbance disturbance =
+          new Disturbance.RunnerFallsSilent(
+              random.nextInt(runners), random.nextLong(100, MAX_DURATION_MILLIS));
+      steps.add(new Step(Duration.ofMillis(at), disturbance));
+      at += random.nextInt(2 * MEAN_SILENCE_INTERVAL_MILLIS);
+    }
+    return steps;
+  }
+
+  /** Draws odd directory entries from a separate random source, half of them under new names. */
+  private static List<Step> drawOddEntries(SplittableRandom random, Duration length, int runners) {
+    List<Step> steps = new ArrayList<>();
+    long at = random.nextInt(MEAN_ODD_ENTRY_INTERVAL_MILLIS);
+    while (at < length.toMillis()) {
+      int runner =
+          random.nextBoolean() ? Disturbance.OddEntryWritten.NEW_RUNNER : random.nextInt(runners);
+      int entry = random.nextInt(OddEntries.count());
+      steps.add(
+          new Step(
+              Duration.ofMillis(at),
+              new Disturbance.OddEntryWritten(
+                  entry, runner, random.nextLong(100, MAX_DURATION_MILLIS))));
+      at += random.nextInt(2 * MEAN_ODD_ENTRY_INTERVAL_MILLIS);
+    }
+    return steps;
+  }
+
   private static PlanType drawPlanType(SplittableRandom random) {
     if (random.nextInt(PLANNED_ONE_IN) == 0) {
       return PlanType.PLANNED;
--- a/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
@@ -94,6 +94,23 @@
     }
   }
 
+  /** Writes an odd entry under a runner's identifier, as another writer may do. */
+  public synchronized void writeOddEntry(String id, int number) {
+    store.put(RUNNERS_TOPIC, id, OddEntries.entry(number));
+  }
+
+  /** Removes an entry from the directory. */
+  public synchronized void removeEntry(String id) {
+    store.put(RUNNERS_TOPIC, id, "");
+  }
+
+  /** Adds a plain runner; its entry follows with the next entries of all runners. */
+  public RunnerStandin addPlainRunner(String id) throws SettingsException {
+    RunnerStandin runner = RunnerStandin.start(id, PLAIN, false, List.of(), 1);
+    add(runner);
+    return runner;
+  }
+
   /** Compacts the topics of the store to the newest directory entries and configuration. */
   public void compactTopics() {
     store.compact(RUNNERS_TOPIC);
--- a/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -10,8 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -26,16 +24,6 @@
   private static final String NOT_EXECUTED_HEADER = "X-Wisteriarail-Not-Executed";
   private static final int EVENTS_PER_STREAM = 6;
   private static final long EVENT_INTERVAL_MILLIS = 3;
-  private static final long LOAD_MILLIS = 120;
-  private static final long LARGE_LOAD_MILLIS = 4_000;
-
-  /** Load time of an adapter. */
-  private static final long ADAPTER_LOAD_MILLIS = 8;
-
-  /** Load time of an adapter for each {@link #ORDERS_PER_SLOW_ADAPTER_LOAD}th order. */
-  private static final long SLOW_ADAPTER_LOAD_MILLIS = 700;
-
-  private static final int ORDERS_PER_SLOW_ADAPTER_LOAD = 4;
 
   /** Delay of a slow runner before its answer. */
   private static final long SLOW_START_DELAY_MILLIS = 1_500;
@@ -43,6 +31,9 @@
   /** Time between two events of a slow runner. */
   private static final long SLOW_EVENT_INTERVAL_MILLIS = 600;
 
+  /** Time for which a runner is silent that goes on with its answer. */
+  private static final long SILENCE_MILLIS = 1_150;
+
   /** Time for which a silent runner keeps a connection open. */
   private static final long SILENT_CONNECTION_MILLIS = 30_000;
 
@@ -64,34 +55,29 @@
   private final String service;
   private final boolean engine;
   private final long bornMillis;
-  private final Map<String, Set<String>> models = new TreeMap<>();
-  private final Map<String, Long> incoming = new TreeMap<>();
-  private final Map<String, Integer> runningByModel = new TreeMap<>();
-  private final Set<String> unloadingAdapters = new TreeSet<>();
-  private final Set<String> modelsOnDisk = new TreeSet<>();
   private final List<String> executedRequests = new ArrayList<>();
   private final List<Long> crashingArrivals = new ArrayList<>();
   private final List<String> invalidOrders = new ArrayList<>();
+  private final RunnerMemory memory;
   private StandinServer server;
   private Behaviour behaviour = Behaviour.SOUND;
   private boolean draining;
   private volatile boolean announcesLeaving;
   private volatile boolean crashing;
-  private long orderCount;
   private long fence;
   private String fenceHolder = "";
   private String announcedAddress = "";
-  private long busyUntilNanos;
-  private String loadingModel = "";
   private volatile boolean closed;
   private int runningCount;
   private int arrivedRequests;
 
-  private RunnerStandin(String id, String service, boolean engine, long born) {
+  private RunnerStandin(
+      String id, String service, boolean engine, List<String> loadedModels, long born) {
     this.id = id;
     this.service = service;
     this.engine = engine;
     this.bornMillis = born;
+    memory = new RunnerMemory(loadedModels, invalidOrders);
   }
 
   /** How a runner treats requests. */
@@ -114,6 +100,8 @@
     SILENT,
     /** Answers correctly after seconds. */
     SLOW,
+    /** Answers correctly; is silent for about a second before the answer or between two events. */
+    SILENT_FOR_A_SECOND,
     /**
      * Refuses requests because it is full, and asks the node to pause with a Retry-After header.
      */
@@ -133,11 +121,7 @@
   public static RunnerStandin start(
       String id, String service, boolean engine, List<String> loadedModels, long born)
       throws SettingsException {
-    RunnerStandin runner = new RunnerStandin(id, service, engine, born);
-    for (String model : loadedModels) {
-      runner.models.put(model, new TreeSet<>());
-      runner.modelsOnDisk.add(model);
-    }
+    RunnerStandin runner = new RunnerStandin(id, service, engine, loadedModels, born);
     runner.server = StandinServer.start(new Endpoint("127.0.0.1", 0), 1, runner::handle);
     return runner;
   }
@@ -168,9 +152,9 @@
 
   private synchronized Map<String, Object> report() {
     Map<String, Object> report = new LinkedHashMap<>(description());
-    report.put("busy", isBusy());
-    report.put("incoming", incoming.keySet().stream().map(name -> name + "@1").toList());
-    report.put("sequence", orderCount);
+    report.put("busy", memory.isBusy());
+    report.put("incoming", memory.incoming().stream().map(name -> name + "@1").toList());
+    report.put("sequence", memory.orderCount());
     report.put("waiting", 0);
     report.put("running_count", runningCount);
     report.put("kv_cache_used", 0);
@@ -178,35 +162,11 @@
   }
 
   private Map<String, Object> description() {
-    completeAdapterLoads();
-    List<Map<String, Object>> loadedModels = new ArrayList<>();
-    models.forEach(
-        (name, adapters) -> {
-          if (!isLoading(name)) {
-            loadedModels.add(Map.of("name", name, "version", 1, "adapters", List.copyOf(adapters)));
-          }
-        });
-    Map<String, Object> description = new LinkedHashMap<>();
-    description.put("models", loadedModels);
-    description.put(
-        "available", Map.of("in_memory", List.of(), "on_disk", List.copyOf(modelsOnDisk)));
+    Map<String, Object> description = memory.description();
     description.put("born", bornMillis);
     return description;
   }
 
-  private boolean isBusy() {
-    return System.nanoTime() < busyUntilNanos;
-  }
-
-  private boolean isLoading(String model) {
-    return isBusy() && model.equals(loadingModel);
-  }
-
-  private static long loadMillis(String model) {
-    boolean large = Integer.parseInt(model.substring(1)) >= PlatformStandin.FIRST_LARGE_MODEL;
-    return large ? LARGE_LOAD_MILLIS : LOAD_MILLIS;
-  }
-
   private synchronized void handleOrder(Call call) throws IOException {
     Map<?, ?> order = Codecs.json().readValue(call.body(), Map.class);
     long token = ((Number) order.get("fencing_token")).longValue();
@@ -221,78 +181,15 @@
     }
     fence = token;
     fenceHolder = holder;
-    if (isBusy() || (expect != null && ((Number) expect).longValue() != orderCount)) {
+    if (memory.isBusy()
+        || (expect != null && ((Number) expect).longValue() != memory.orderCount())) {
       call.reply(409, "another order");
       return;
     }
-    orderCount++;
     String model = (String) order.get("model");
     String adapter = (String) order.get("adapter");
     boolean isLoad = "model_load".equals(order.get("operation"));
-    if (adapter != null) {
-      call.reply(isLoad ? loadAdapter(model, adapter) : unloadAdapter(model, adapter), "");
-      return;
-    }
-    if (isLoad) {
-      models.putIfAbsent(model, new TreeSet<>());
-      modelsOnDisk.add(model);
-      loadingModel = model;
-      busyUntilNanos = System.nanoTime() + loadMillis(model) * 1_000_000;
-      checkCapacity();
-    } else {
-      models.remove(model);
-      incoming.keySet().removeIf(name -> name.startsWith(model + "/"));
-    }
-    call.reply(202, "");
-  }
-
-  private int loadAdapter(String model, String adapter) {
-    completeAdapterLoads();
-    String name = model + "/" + adapter;
-    unloadingAdapters.remove(name);
-    if (models.getOrDefault(model, Set.of()).contains(adapter) || !models.containsKey(model)) {
-      return 200;
-    }
-    boolean slow = orderCount % ORDERS_PER_SLOW_ADAPTER_LOAD == 0;
-    long millis = slow ? SLOW_ADAPTER_LOAD_MILLIS : ADAPTER_LOAD_MILLIS;
-    incoming.putIfAbsent(name, System.nanoTime() + millis * 1_000_000);
-    checkCapacity();
-    return 202;
-  }
-
-  /** Unloads an adapter at once, or after the last request that uses it has ended. */
-  private int unloadAdapter(String model, String adapter) {
-    completeAdapterLoads();
-    String name = model + "/" + adapter;
-    if (runningByModel.getOrDefault(name, 0) > 0) {
-      unloadingAdapters.add(name);
-      return 202;
-    }
-    models.getOrDefault(model, new TreeSet<>()).remove(adapter);
-    return 200;
-  }
-
-  private void completeAdapterLoads() {
-    long now = System.nanoTime();
-    for (String name : List.copyOf(incoming.keySet())) {
-      if (now - incoming.get(name) >= 0) {
-        incoming.remove(name);
-        int slash = name.indexOf('/');
-        models
-            .getOrDefault(name.substring(0, slash), new TreeSet<>())
-            .add(name.substring(slash + 1));
-      }
-    }
-  }
-
-  private void checkCapacity() {
-    if (models.size() > MODEL_CAPACITY) {
-      invalidOrders.add("ordered to hold " + models.keySet());
-    }
-    int adapters = incoming.size() + models.values().stream().mapToInt(Set::size).sum();
-    if (adapters > ADAPTER_SLOTS) {
-      invalidOrders.add("ordered to hold " + adapters + " adapters");
-    }
+    call.reply(memory.acceptOrder(model, adapter, isLoad), "");
   }
 
   private void serve(Call call) throws IOException, InterruptedException {
@@ -336,7 +233,7 @@
         call.setHeader("Retry-After", RETRY_AFTER_SECONDS);
       }
       call.reply(503, "full");
-    } else if (engine && !isLoaded(requestedModel(call))) {
+    } else if (engine && !memory.isLoaded(requestedModel(call))) {
       call.setHeader(NOT_EXECUTED_HEADER, "1");
       call.reply(421, "not loaded");
     } else {
@@ -344,7 +241,7 @@
         executedRequests.add(request);
       }
       runningCount++;
-      runningByModel.merge(requestedModel(call), 1, Integer::sum);
+      memory.beginRequest(requestedModel(call));
     }
     return behaviour;
   }
@@ -353,24 +250,9 @@
     return call.header("X-Wisteriarail-Model").orElse("");
   }
 
-  private boolean isLoaded(String modelHeader) {
-    completeAdapterLoads();
-    int slash = modelHeader.indexOf('/');
-    String model = slash < 0 ? modelHeader : modelHeader.substring(0, slash);
-    return !isLoading(model)
-        && models.containsKey(model)
-        && !unloadingAdapters.contains(modelHeader)
-        && (slash < 0 || models.get(model).contains(modelHeader.substring(slash + 1)));
-  }
-
   private synchronized void finishRequest(String modelHeader) {
     runningCount--;
-    if (runningByModel.merge(modelHeader, -1, Integer::sum) == 0
-        && unloadingAdapters.remove(modelHeader)) {
-      unloadAdapter(
-          modelHeader.substring(0, modelHeader.indexOf('/')),
-          modelHeader.substring(modelHeader.indexOf('/') + 1));
-    }
+    memory.finishRequest(modelHeader);
   }
 
   private void answer(Call call, String request, Behaviour requestBehaviour)
@@ -384,6 +266,13 @@
     if (requestBehaviour == Behaviour.SLOW) {
       sleepUnlessClosed(SLOW_START_DELAY_MILLIS);
     }
+    int silentBefore =
+        requestBehaviour == Behaviour.SILENT_FOR_A_SECOND
+            ? 1 + Math.floorMod(request.hashCode(), EVENTS_PER_STREAM)
+            : 0;
+    if (silentBefore > 0 && !engine) {
+      sleepUnlessClosed(SILENCE_MILLIS);
+    }
     if (requestBehaviour == Behaviour.CROSSED) {
       call.setHeader("X-Wisteriarail-Request-Id", "another-" + request);
     }
@@ -393,7 +282,7 @@
     if (requestBehaviour == Behaviour.FAILING) {
       call.reply(500, "failed");
     } else if (engine) {
-      stream(call, request, requestBehaviour);
+      stream(call, request, requestBehaviour, silentBefore);
     } else {
       String text = plainAnswer(request);
       int half = text.length() / 2;
@@ -413,11 +302,20 @@
     }
   }
 
-  private void stream(Call call, String request, Behaviour requestBehaviour)
+  /**
+   * Streams the events of an answer.
+   *
+   * @param silentBefore number of the event before which the runner is silent for a while; 0 for
+   *     none
+   */
+  private void stream(Call call, String request, Behaviour requestBehaviour, int silentBefore)
       throws IOException, InterruptedException {
     call.setHeader("Content-Type", "text/event-stream");
     int from = Integer.parseInt(call.header("Last-Event-Id").orElse("0")) + 1;
     for (int event = from; event <= EVENTS_PER_STREAM; event++) {
+      if (event == silentBefore) {
+        sleepUnlessClosed(SILENCE_MILLIS);
+      }
       String text = event(request, event);
       if (requestBehaviour == Behaviour.CUT && event == EVENTS_PER_STREAM / 2) {
         call.writePart(text.substring(0, text.length() / 2), false);
@@ -502,7 +400,7 @@
 
   /** Returns the models that are loaded or loading. */
   public synchronized Set<String> models() {
-    return Set.copyOf(models.keySet());
+    return memory.models();
   }
 
   /** Returns the runner's identifier. */
