Remove the relay of a cancelled attempt at once

Callers saw nothing of this. With several attempts of a request at a time, the relay of one that was sent just as another had finished stayed in the map of RunnerClient after it was cancelled, as the request had ended.

A cancelled attempt is now removed with its cancellation, and an attempt is added to the map of its request atomically.

Found by reading.

--- a/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
@@ -63,9 +63,13 @@
             protocol,
             notifications,
             result -> results.accept(attempt.attempt(), result));
-    relays
-        .computeIfAbsent(attempt.exchange(), number -> new ConcurrentHashMap<>())
-        .put(attempt.attempt(), relay);
+    relays.compute(
+        attempt.exchange(),
+        (number, attempts) -> {
+          Map<Integer, AttemptRelay> all = attempts == null ? new ConcurrentHashMap<>() : attempts;
+          all.put(attempt.attempt(), relay);
+          return all;
+        });
     boolean first = attempt.attempt() == 1;
     HttpClient http = attempt.repeatable() && first ? pooled : unpooled;
     Request request =
@@ -79,14 +83,24 @@
     relay.send(request);
   }
 
-  /** Cancels an attempt of an exchange, which closes its connection. */
+  /** Cancels and removes an attempt of an exchange, which closes its connection. */
   void cancel(long exchange, int attempt) {
     AttemptRelay relay = relays.getOrDefault(exchange, Map.of()).get(attempt);
     if (relay != null) {
+      removeAttempt(exchange, attempt);
       relay.cancel();
     }
   }
 
+  private void removeAttempt(long exchange, int attempt) {
+    relays.computeIfPresent(
+        exchange,
+        (number, attempts) -> {
+          attempts.remove(attempt);
+          return attempts.isEmpty() ? null : attempts;
+        });
+  }
+
   /**
    * Relays the failure response of an attempt's runner to the caller.
    *
