A fault in an effect or in the core ends in a result

What callers saw: a request whose sending threw an exception waited for a stall or its time limit (504 after 5 s for one that may run once), with sound runners free. A refusal that could not be written left its caller waiting. A read of the store or a lease call that threw was never made again. An Error ended the core's thread while the node said it was ready.

Cause: GatewayRuntime caught the exception of an effect and only logged it, so the core never got the result; Errors were not caught; an exception in the core's step dropped the effects collected before it.

FaultRecovery maps each effect (a sealed switch without default) to what follows its fault: a failed completion for the core, or the end of the caller's response. SingleResult passes on one result per effect, as a call may throw after its callback was registered. An attempt counts as not sent only if the relay can prevent that it begins later, else as broken. GatewayStepException keeps the effects of a step up to a fault, and the request whose event was handled ends unless it was decided on.

Errors that concern one call (StackOverflowError, LinkageError, AssertionError) are handled like exceptions. All others, such as a lack of memory, end the core: the node becomes unready, ends its requests and the process exits with a failure, as nothing could decide any more. NodeRuntime reports failed effects likewise, and its readers go on.

NodeRuntime has no new test.

--- a/src/main/java/dev/wisteriarail/cli/ServeCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/ServeCommand.java
@@ -11,6 +11,7 @@
 import dev.wisteriarail.settings.TomlDocument;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -67,6 +68,8 @@
             RunnerHeaders.create(),
             HttpPlatformClient::create);
     HangupSignal.handle(() -> node.reload(path));
+    CompletableFuture<Void> _ =
+        node.failure().thenRunAsync(() -> System.exit(ExitCode.FAILED.status()));
     return node::stop;
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -121,9 +121,20 @@
    * @param event the event
    * @param now time of the node's monotonic clock, not before that of the previous event
    * @return the effects, in the order in which they have to be started
+   * @throws GatewayStepException if the event cannot be handled; later events still can
    */
   public List<GatewayEffect> handle(GatewayEvent event, Instant now) {
     GatewayStep step = GatewayStep.at(now);
+    try {
+      handle(event, step);
+    } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError fault) {
+      throw new GatewayStepException(step.effects(), fault);
+    }
+    return step.effects();
+  }
+
+  private void handle(GatewayEvent event, GatewayStep step) {
+    final Instant now = step.now();
     if (startedAt.equals(Instant.MAX)) {
       start(now);
     }
@@ -182,7 +193,6 @@
       }
     }
     advance(event, step);
-    return step.effects();
   }
 
   private void start(Instant now) {
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -37,7 +38,7 @@
   private final Consumer<RunnerNotification> notifications;
   private final Consumer<AttemptResult> results;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
-  private volatile boolean requestBegun;
+  private final AtomicReference<Sending> sending = new AtomicReference<>(Sending.NOT_BEGUN);
   private volatile Request request;
   private RunnerProtocol.ResponseHead head;
   private boolean startReported;
@@ -59,7 +60,33 @@
   /** Sends the request and registers this object as the listener for its response. */
   void send(Request prepared) {
     request = prepared;
-    prepared.onRequestBegin(started -> requestBegun = true).send(this);
+    prepared.onRequestBegin(this::begin).send(this);
+  }
+
+  private void begin(Request started) {
+    if (!sending.compareAndSet(Sending.NOT_BEGUN, Sending.BEGUN)) {
+      CompletableFuture<Boolean> _ =
+          started.abort(new LocalAbortException("the attempt was abandoned"));
+    }
+  }
+
+  /**
+   * Ends the attempt after an exception while sending it. Nothing is sent afterwards if nothing was
+   * sent before.
+   *
+   * @return the result of the attempt
+   */
+  AttemptResult abandon(String reason) {
+    final boolean begun = !sending.compareAndSet(Sending.NOT_BEGUN, Sending.ABANDONED);
+    cancel();
+    return begun
+        ? new AttemptResult.Broken(reason, exchange.isHeadSent(), exchange.lastEvent(), false)
+        : new AttemptResult.NotSent(reason);
+  }
+
+  /** Returns whether this object belongs to an attempt. */
+  boolean isFor(GatewayEffect.SendAttempt other) {
+    return attempt.equals(other);
   }
 
   /** Aborts the attempt, which closes its connection. */
@@ -148,7 +175,7 @@
 
   private void fail(Throwable failure) {
     String reason = failure.getClass().getSimpleName() + ": " + failure.getMessage();
-    if (!requestBegun) {
+    if (sending.get() != Sending.BEGUN) {
       results.accept(new AttemptResult.NotSent(reason));
       return;
     }
@@ -170,6 +197,14 @@
         && exchange.sendAnswer(head.status(), head.headers(), bufferedBody.toByteArray());
   }
 
+  /** Whether a byte of the request may have been sent. */
+  private enum Sending {
+    NOT_BEGUN,
+    BEGUN,
+    /** The attempt ended before it began; nothing may be sent. */
+    ABANDONED
+  }
+
   /** Thrown when this node, not the runner, ends the attempt. */
   private static final class LocalAbortException extends IOException {
 
--- a/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
@@ -157,6 +157,12 @@
     endPoint.close();
   }
 
+  /** Ends the response after a fault, which may have left it unwritten though marked as ended. */
+  synchronized void abortAfterFault() {
+    ended = false;
+    abort();
+  }
+
   /**
    * Sets the head of a streamed response. It is chunked even if the connection closes afterwards:
    * without chunks the close would mark the end, and an aborted response would look complete.
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.component.LifeCycle;
@@ -250,6 +251,11 @@
     return drained;
   }
 
+  /** Returns a future that completes if an error ends the node's core; the process should exit. */
+  public CompletableFuture<Void> failure() {
+    return runtime.failure();
+  }
+
   /** Stops immediately, without waiting for requests in flight. */
   public void kill() {
     runtime.close();
--- a/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
@@ -4,7 +4,7 @@
 import dev.wisteriarail.core.gateway.GatewayCore;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
-import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.gateway.GatewayStepException;
 import dev.wisteriarail.runtime.EventLog;
 import java.time.Duration;
 import java.time.Instant;
@@ -13,9 +13,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Event loop of a gateway's core: a single thread passes events to the core and performs the
@@ -46,7 +48,9 @@
   private final InstantSource wallClock;
   private final BlockingQueue<GatewayEvent> events;
   private final CountDownLatch drained = new CountDownLatch(1);
+  private final CompletableFuture<Void> failure = new CompletableFuture<>();
   private volatile boolean running = true;
+  private volatile boolean failed;
   private Instant lastMonotonicTime;
   private Instant lastWallTime;
   private int ticks;
@@ -97,7 +101,12 @@
    */
   boolean drain(Duration limit) throws InterruptedException {
     submit(new GatewayEvent.DrainRequested());
-    return drained.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+    return drained.await(limit.toMillis(), TimeUnit.MILLISECONDS) && !failed;
+  }
+
+  /** Returns a future that completes if an error ends the core. */
+  CompletableFuture<Void> failure() {
+    return failure;
   }
 
   @Override
@@ -106,7 +115,26 @@
     events.add(new GatewayEvent.Tick(false));
   }
 
+  /**
+   * Runs until the runtime is closed. If an error ends the core before that, such as a lack of
+   * memory, the node can decide nothing any more: it stops being ready and ends its requests.
+   */
   private void runLoop() {
+    try {
+      handleEvents();
+    } finally {
+      if (running) {
+        failed = true;
+        callers.setReady(false);
+        callers.closeAfterAnswers();
+        drained.countDown();
+        failure.complete(null);
+        callers.failPending();
+      }
+    }
+  }
+
+  private void handleEvents() {
     Instant nextTick = monotonicClock.instant();
     List<GatewayEvent> batch = new ArrayList<>();
     while (running) {
@@ -125,7 +153,7 @@
           nextTick = monotonicClock.instant().plus(core.tickInterval());
           step(new GatewayEvent.Tick(clocksJumped()));
           if (++ticks % TICKS_PER_DISCONNECT_CHECK == 0) {
-            callers.reportDisconnected();
+            reportDisconnected();
           }
         }
       } catch (InterruptedException interrupted) {
@@ -135,6 +163,14 @@
     }
   }
 
+  private void reportDisconnected() {
+    try {
+      callers.reportDisconnected();
+    } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError fault) {
+      log.writeFault(fault);
+    }
+  }
+
   private boolean clocksJumped() {
     Instant monotonicTime = monotonicClock.instant();
     Instant wallTime = wallClock.instant();
@@ -149,29 +185,58 @@
 
   /**
    * Handles one event. An exception in the core or in one effect is logged and does not affect the
-   * other effects or later events.
+   * other effects or later events; the core and the callers get a result in any case.
    */
   private void step(GatewayEvent event) {
+    FaultRecovery.Action recovery = new FaultRecovery.Action.None();
     List<GatewayEffect> effects;
     try {
       effects = core.handle(event, monotonicClock.instant());
-    } catch (RuntimeException fault) {
-      log.writeFault(fault);
-      if (event instanceof GatewayEvent.RequestArrived arrived) {
-        callers.refuse(arrived.request().exchange(), ResultCode.INTERNAL, Optional.empty());
-      }
-      return;
+    } catch (GatewayStepException fault) {
+      log.writeFault(fault.getCause());
+      effects = fault.effects();
+      recovery = FaultRecovery.afterEvent(event, effects);
     }
     for (GatewayEffect effect : effects) {
-      try {
-        perform(effect);
-      } catch (RuntimeException fault) {
-        log.writeFault(fault);
+      performOrRecover(effect);
+    }
+    recover(recovery, this::submit);
+  }
+
+  private void performOrRecover(GatewayEffect effect) {
+    SingleResult result = SingleResult.to(this::submit);
+    try {
+      perform(effect, result);
+    } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError fault) {
+      log.writeFault(fault);
+      String reason = fault.toString();
+      recover(
+          FaultRecovery.afterEffect(effect, reason, send -> runners.abandon(send, reason)),
+          result::submit);
+    }
+  }
+
+  private void recover(FaultRecovery.Action action, Consumer<GatewayEvent> events) {
+    try {
+      switch (action) {
+        case FaultRecovery.Action.Report report -> events.accept(report.event());
+        case FaultRecovery.Action.EndResponse end -> {
+          callers.exchange(end.exchange()).ifPresent(CallerExchange::abortAfterFault);
+          runners.remove(end.exchange());
+        }
+        case FaultRecovery.Action.FailRequest fail -> {
+          events.accept(new GatewayEvent.CallerDisconnected(fail.exchange()));
+          performOrRecover(
+              new GatewayEffect.Refuse(fail.exchange(), fail.code(), Optional.empty()));
+        }
+        case FaultRecovery.Action.None none -> {}
       }
+    } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError fault) {
+      log.writeFault(fault);
     }
   }
 
-  private void perform(GatewayEffect effect) {
+  private void perform(GatewayEffect effect, SingleResult result) {
     switch (effect) {
       case GatewayEffect.Refuse refuse -> {
         callers.refuse(refuse.exchange(), refuse.code(), refuse.retryAfter());
@@ -194,7 +259,7 @@
               order,
               notification -> submit(new GatewayEvent.RunnerNotified(order.runner(), notification)),
               (outcome, detail) ->
-                  submit(
+                  result.submit(
                       new GatewayEvent.OrderCompleted(
                           order.runner().id(), order.order().number(), outcome, detail)));
       case GatewayEffect.RequestReport request -> {
@@ -209,17 +274,17 @@
       case GatewayEffect.ReadStore read ->
           platform.readStore(
               read.call(),
-              answer -> submit(new GatewayEvent.StoreReadCompleted(read.call(), answer)));
+              answer -> result.submit(new GatewayEvent.StoreReadCompleted(read.call(), answer)));
       case GatewayEffect.CallLease lease ->
           platform.callLease(
-              lease.call(), answer -> submit(new GatewayEvent.LeaseCallCompleted(answer)));
+              lease.call(), answer -> result.submit(new GatewayEvent.LeaseCallCompleted(answer)));
       case GatewayEffect.RegisterNode register ->
           platform.registerNode(
               register.address(),
-              succeeded -> submit(new GatewayEvent.RegistrationCompleted(succeeded)));
+              succeeded -> result.submit(new GatewayEvent.RegistrationCompleted(succeeded)));
       case GatewayEffect.SaveRefusal save ->
           platform.saveRefusal(
-              save.refusal(), succeeded -> submit(new GatewayEvent.RefusalSaved(succeeded)));
+              save.refusal(), succeeded -> result.submit(new GatewayEvent.RefusalSaved(succeeded)));
       case GatewayEffect.SendPeer send -> peers.send(send.to(), send.message());
       case GatewayEffect.WarmUpCodec warmUp -> peers.warmUpCodec(warmUp.message());
       case GatewayEffect.LogEvent logEvent -> {
--- a/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
@@ -77,6 +77,18 @@
     relay.send(request);
   }
 
+  /**
+   * Ends an attempt whose sending threw an exception.
+   *
+   * @return its result
+   */
+  AttemptResult abandon(GatewayEffect.SendAttempt attempt, String reason) {
+    AttemptRelay relay = relays.get(attempt.exchange());
+    return relay != null && relay.isFor(attempt)
+        ? relay.abandon(reason)
+        : new AttemptResult.NotSent(reason);
+  }
+
   /** Cancels the attempt of an exchange, which closes its connection. */
   void cancel(long exchange) {
     AttemptRelay relay = relays.remove(exchange);
--- a/src/main/java/dev/wisteriarail/runtime/EventLog.java
+++ b/src/main/java/dev/wisteriarail/runtime/EventLog.java
@@ -107,7 +107,7 @@
   }
 
   /** Logs an unexpected exception with the location at which it was thrown. */
-  public void writeFault(RuntimeException fault) {
+  public void writeFault(Throwable fault) {
     StackTraceElement[] trace = fault.getStackTrace();
     write(
         NodeEvent.of(
--- a/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
+++ b/src/main/java/dev/wisteriarail/runtime/NodeRuntime.java
@@ -132,20 +132,57 @@
       } catch (InterruptedException interrupted) {
         Thread.currentThread().interrupt();
         return;
-      } catch (RuntimeException fault) {
-        adapters.events().write(NodeEvent.of(EventCode.NODE_FAULT, "fault", fault));
+      } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError fault) {
+        adapters.events().writeFault(fault);
       }
     }
   }
 
   private void step(Event event) {
     List<Effect> effects = core.handle(event, clock.instant());
-    publishState();
+    try {
+      publishState();
+    } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError fault) {
+      adapters.events().writeFault(fault);
+    }
     for (Effect effect : effects) {
-      perform(effect);
+      guard(effect, () -> perform(effect));
+    }
+  }
+
+  /** Performs a part of an effect; if it throws an exception, the core gets a failure instead. */
+  private void guard(Effect effect, Runnable part) {
+    try {
+      part.run();
+    } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError fault) {
+      adapters.events().writeFault(fault);
+      resultOf(effect, fault.toString()).ifPresent(this::submit);
     }
   }
 
+  /** Returns the result of an effect that failed in an unexpected way, if the core awaits one. */
+  private static Optional<Event> resultOf(Effect effect, String fault) {
+    return switch (effect) {
+      case Effect.Dispatch dispatch ->
+          Optional.of(
+              new Event.AttemptEnded(dispatch.attempt(), new AttemptOutcome.Broken(fault, false)));
+      case Effect.OrderEngine order ->
+          Optional.of(
+              new Event.OrderAnswered(
+                  order.order(), order.runner(), new OrderOutcome.Unknown(fault)));
+      case Effect.Append append ->
+          Optional.of(new Event.AppendAnswered(append.record(), new AppendOutcome.Unknown(fault)));
+      case Effect.RequestReport request ->
+          Optional.of(new Event.EngineUnreachable(request.runner()));
+      case Effect.AnswerChunk chunk -> Optional.of(new Event.CallerLeft(chunk.request()));
+      case Effect.EndRequest end -> Optional.empty();
+      case Effect.CancelAttempt cancel -> Optional.empty();
+      case Effect.SendPeer send -> Optional.empty();
+      case Effect.Emit emit -> Optional.empty();
+      case Effect.DrainCompleted completed -> Optional.empty();
+    };
+  }
+
   private void publishState() {
     statusProvider.completePending(() -> core.status(clock.instant()));
     configuration = core.configuration();
@@ -174,12 +211,16 @@
     switch (effect) {
       case Effect.AnswerChunk chunk -> adapters.callers().sendChunk(chunk);
       case Effect.EndRequest end -> adapters.callers().end(end);
-      case Effect.Dispatch dispatch -> execute(() -> dispatch(dispatch));
+      case Effect.Dispatch dispatch -> execute(() -> guard(effect, () -> dispatch(dispatch)));
       case Effect.CancelAttempt cancel ->
-          execute(() -> adapters.engines().cancel(cancel.attempt(), cancel.runner()));
-      case Effect.OrderEngine order -> execute(() -> sendOrder(order));
-      case Effect.RequestReport request -> execute(() -> requestReport(request.runner()));
-      case Effect.Append append -> execute(() -> appendRecord(append));
+          execute(
+              () ->
+                  guard(
+                      effect, () -> adapters.engines().cancel(cancel.attempt(), cancel.runner())));
+      case Effect.OrderEngine order -> execute(() -> guard(effect, () -> sendOrder(order)));
+      case Effect.RequestReport request ->
+          execute(() -> guard(effect, () -> requestReport(request.runner())));
+      case Effect.Append append -> execute(() -> guard(effect, () -> appendRecord(append)));
       case Effect.SendPeer send -> {
         VmEntry peer = addresses.get(send.to());
         if (peer != null) {
@@ -233,6 +274,9 @@
       submit(new Event.EngineReported(adapters.engines().requestReport(runner)));
     } catch (PlatformException failure) {
       submit(new Event.EngineUnreachable(runner));
+    } catch (RuntimeException fault) {
+      adapters.events().writeFault(fault);
+      submit(new Event.EngineUnreachable(runner));
     }
   }
 
@@ -248,6 +292,10 @@
       } catch (PlatformException failure) {
         submit(new Event.LogReadFailed(failure.describe()));
         sleep(LOG_RETRY_DELAY);
+      } catch (RuntimeException fault) {
+        adapters.events().writeFault(fault);
+        submit(new Event.LogReadFailed(fault.toString()));
+        sleep(LOG_RETRY_DELAY);
       }
     }
   }
@@ -261,6 +309,8 @@
       } catch (PlatformException failure) {
         // The VM list lags anyway, so the previous reading stays in use until the next one
         // succeeds.
+      } catch (RuntimeException fault) {
+        adapters.events().writeFault(fault);
       }
       sleep(VM_LIST_INTERVAL);
     }
--- a/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
@@ -1,8 +1,10 @@
 package dev.wisteriarail.platform;
 
 import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.gateway.CallerProtocol;
 import dev.wisteriarail.gateway.GatewayNode;
 import dev.wisteriarail.gateway.PlatformClient;
+import dev.wisteriarail.gateway.RunnerProtocol;
 import dev.wisteriarail.settings.GatewayFile;
 import dev.wisteriarail.settings.TomlDocument;
 import dev.wisteriarail.standin.LoopbackSettings;
@@ -26,15 +28,31 @@
   private static final long POLL_NANOS = 5_000_000;
 
   private final PlatformStandin platform;
-  private final UnaryOperator<PlatformClient> clients;
+  private final Wrappers wrappers;
   private final List<GatewayNode> nodes = new ArrayList<>();
   private final HttpClient http =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private int requests;
 
-  private GatewayFleet(PlatformStandin platform, UnaryOperator<PlatformClient> clients) {
+  private GatewayFleet(PlatformStandin platform, Wrappers wrappers) {
     this.platform = platform;
-    this.clients = clients;
+    this.wrappers = wrappers;
+  }
+
+  /** Functions that wrap the adapters of nodes, so that a test can make them fail. */
+  record Wrappers(
+      UnaryOperator<PlatformClient> clients,
+      UnaryOperator<CallerProtocol> callers,
+      UnaryOperator<RunnerProtocol> runners) {
+
+    static Wrappers ofClients(UnaryOperator<PlatformClient> clients) {
+      return new Wrappers(clients, UnaryOperator.identity(), UnaryOperator.identity());
+    }
+
+    static Wrappers ofProtocols(
+        UnaryOperator<CallerProtocol> callers, UnaryOperator<RunnerProtocol> runners) {
+      return new Wrappers(UnaryOperator.identity(), callers, runners);
+    }
   }
 
   static GatewayFleet start(int count, int engines, int plain) throws Exception {
@@ -44,7 +62,12 @@
   /** Starts nodes whose platform clients are wrapped by the given function. */
   static GatewayFleet start(
       int count, int engines, int plain, UnaryOperator<PlatformClient> clients) throws Exception {
-    GatewayFleet fleet = new GatewayFleet(PlatformStandin.start(engines, plain), clients);
+    return start(count, engines, plain, Wrappers.ofClients(clients));
+  }
+
+  /** Starts nodes whose adapters are wrapped. */
+  static GatewayFleet start(int count, int engines, int plain, Wrappers wrappers) throws Exception {
+    GatewayFleet fleet = new GatewayFleet(PlatformStandin.start(engines, plain), wrappers);
     for (int i = 0; i < count; i++) {
       fleet.startNode("n" + i);
     }
@@ -57,16 +80,16 @@
     nodes.add(
         GatewayNode.start(
             GatewayFile.from(TomlDocument.parse(name, toml)),
-            CallerHeaders.create(),
-            RunnerHeaders.create(),
-            (http, address) -> clients.apply(HttpPlatformClient.create(http, address))));
+            wrappers.callers().apply(CallerHeaders.create()),
+            wrappers.runners().apply(RunnerHeaders.create()),
+            (http, address) -> wrappers.clients().apply(HttpPlatformClient.create(http, address))));
   }
 
   private boolean allReady() {
     return nodes.stream().allMatch(this::isReady);
   }
 
-  private boolean isReady(GatewayNode node) {
+  boolean isReady(GatewayNode node) {
     var at = node.file().balancer();
     URI uri = URI.create("http://" + at.host() + ":" + at.port() + "/wisteriarail/readiness");
     try {
