--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -17,7 +17,6 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
--- a/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
@@ -83,15 +83,33 @@
     relay.send(request);
   }
 
+  /**
+   * Ends an attempt whose sending threw an exception.
+   *
+   * @return its result
+   */
+  AttemptResult abandon(GatewayEffect.SendAttempt attempt, String reason) {
+    AttemptRelay relay = relay(attempt.exchange(), attempt.attempt());
+    if (relay == null) {
+      return new AttemptResult.NotSent(reason);
+    }
+    removeAttempt(attempt.exchange(), attempt.attempt());
+    return relay.abandon(reason);
+  }
+
   /** Cancels and removes an attempt of an exchange, which closes its connection. */
   void cancel(long exchange, int attempt) {
-    AttemptRelay relay = relays.getOrDefault(exchange, Map.of()).get(attempt);
+    AttemptRelay relay = relay(exchange, attempt);
     if (relay != null) {
       removeAttempt(exchange, attempt);
       relay.cancel();
     }
   }
 
+  private AttemptRelay relay(long exchange, int attempt) {
+    return relays.getOrDefault(exchange, Map.of()).get(attempt);
+  }
+
   private void removeAttempt(long exchange, int attempt) {
     relays.computeIfPresent(
         exchange,
@@ -107,7 +125,7 @@
    * @return whether there was one and it was sent
    */
   boolean relayAnswer(long exchange, int attempt) {
-    AttemptRelay relay = relays.getOrDefault(exchange, Map.of()).get(attempt);
+    AttemptRelay relay = relay(exchange, attempt);
     return relay != null && relay.relayAnswer();
   }
 
