Only usable directory entries, reports and records are accepted

Cause: numbers wrapped or were taken as they were, hosts and types were not checked. By reading: an order lease record or refusal that is "null" threw in a callback, so the call never completed; a release could ask for a pause without end; a refusal without traits matched all requests; an entry with a start time far ahead hid its runner's later entries.

WireValues checks entries and reports (port 1 to 65535, literal IPv4 or bracketed IPv6, whole numbers in range, bounded names and lists), and limits the operators' numbers. Unusable entries are passed over and named in event 246; an unreadable entry under a runner's id removes nothing, also in a complete directory. A run that goes on writing three times replaces one with a later start. StoreAnswers has the decoders, and a fault in one completes the call as failed. An order whose URL cannot be built ends as unreachable.

Evidence: OddDocumentsTest 178 of 178, RunnerDirectoryTest 15 of 15 with three new cases; neither was run on the code before, whose interfaces differ. OddEntryTest 26 of 26, but its 24 parameterised cases also passed on a copy of the code before: it does not wait until the odd entry was read, so it shows no more than that nothing is harmed.

--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -80,6 +80,8 @@
   RUNNER_PAUSED(244, "runner paused"),
   /** A runner sent an invalid retry time, which is ignored. */
   RUNNER_PAUSE_IGNORED(245, "runner's pause ignored"),
+  /** A directory entry that describes no usable runner was ignored. */
+  RUNNER_ENTRY_IGNORED(246, "directory entry ignored"),
   /** An order was sent to a runner. */
   RUNNER_ORDERED(250, "order sent"),
   /** The call of an order returned. */
--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerDirectory.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -17,9 +18,9 @@
  * directory.
  *
  * <p>Knowledge is never rolled back: a change is applied only if it covers unknown records, an
- * entry of an earlier run never replaces one of a later run, and a draining run never becomes
- * usable again. A run that announced in a response that it is leaving counts as draining, even if
- * its entry is not marked as draining.
+ * entry of an earlier run does not replace one of a later run unless the earlier run goes on
+ * writing, and a draining run never becomes usable again. A run that announced in a response that
+ * it is leaving counts as draining, even if its entry is not marked as draining.
  *
  * <p>The first complete directory of a new store era comes from a copy that is some seconds old,
  * and the runners write again what they wrote since. An entry of the copy therefore replaces
@@ -46,6 +47,9 @@
   /** Maximum age of a copy from which the store may be restored. */
   private static final Duration MAX_COPY_AGE = Duration.ofMinutes(1);
 
+  /** Number of entries, one after the other, that show that a run is alive. */
+  private static final int ENTRIES_OF_LIVE_RUN = 3;
+
   /** Age of a directory that was never known to be current. */
   private static final Duration UNKNOWN_AGE = Duration.ofDays(1);
 
@@ -53,6 +57,7 @@
   private final Map<String, RetainedEntry> retained = new LinkedHashMap<>();
   private final Map<String, RemovedRunner> recentlyRemoved = new LinkedHashMap<>();
   private final Map<String, Long> leavingRuns = new LinkedHashMap<>();
+  private final Map<String, EarlierRun> earlierRuns = new LinkedHashMap<>();
   private final Set<RunnerRun> unconfirmedLeaves = new LinkedHashSet<>();
   private LogPosition offset = LogPosition.NONE;
   private LogPosition significantOffset = LogPosition.NONE;
@@ -113,6 +118,24 @@
     return transitions;
   }
 
+  /**
+   * Returns a change of the complete directory to which known entries are added. An entry that
+   * another writer replaced by an unreadable one is not removed: its runner may be running, and
+   * writes again soon or is removed by the store.
+   *
+   * @param unreadable identifiers of the unreadable entries
+   */
+  public DirectoryChange withKnown(DirectoryChange change, Set<String> unreadable) {
+    List<RunnerEntry> known =
+        unreadable.stream().map(entries::get).filter(Objects::nonNull).toList();
+    if (!change.whole() || known.isEmpty()) {
+      return change;
+    }
+    List<RunnerEntry> all = new ArrayList<>(change.entries());
+    all.addAll(known);
+    return new DirectoryChange(true, change.from(), change.to(), all, change.removed());
+  }
+
   /**
    * Returns the part of a change that is relevant to a node that received every significant change
    * so far. Entries without new content are left out, and the change extends back to the last
@@ -176,9 +199,15 @@
 
   private Optional<RunnerTransition> put(RunnerEntry entry) {
     RunnerEntry known = entries.get(entry.id());
-    if (known != null && entry.bornMillis() != 0 && entry.bornMillis() < known.bornMillis()) {
+    boolean earlier =
+        known != null && entry.bornMillis() != 0 && entry.bornMillis() < known.bornMillis();
+    if (earlier && !isAlive(entry)) {
       return Optional.empty();
     }
+    earlierRuns.remove(entry.id());
+    if (earlier) {
+      leavingRuns.remove(entry.id());
+    }
     RunnerEntry effective = withLeaving(entry);
     if (effective.draining()) {
       leavingRuns.put(entry.id(), entry.bornMillis());
@@ -198,6 +227,23 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns whether a run is alive although an entry names a later start. A run that has ended can
+   * leave a delayed entry, but does not go on writing; the later start then comes from another
+   * writer.
+   */
+  private boolean isAlive(RunnerEntry entry) {
+    EarlierRun before = earlierRuns.get(entry.id());
+    EarlierRun seen =
+        before == null || before.entry().bornMillis() != entry.bornMillis()
+            ? new EarlierRun(entry, 1)
+            : before.entry().isOlderThan(entry)
+                ? new EarlierRun(entry, before.entries() + 1)
+                : before;
+    earlierRuns.put(entry.id(), seen);
+    return seen.entries() >= ENTRIES_OF_LIVE_RUN;
+  }
+
   /** Returns the effective entry: a run that announced that it is leaving stays draining. */
   private RunnerEntry withLeaving(RunnerEntry entry) {
     boolean announced = leavingRuns.getOrDefault(entry.id(), -1L) == entry.bornMillis();
@@ -210,6 +256,7 @@
     boolean massRemoval = ids.stream().filter(entries::containsKey).count() >= MASS_REMOVAL_COUNT;
     for (String id : ids) {
       RunnerEntry entry = entries.remove(id);
+      earlierRuns.remove(id);
       if (entry == null) {
         continue;
       }
@@ -320,6 +367,14 @@
    */
   private record RemovedRunner(RunnerEntry entry, long era, Instant until) {}
 
+  /**
+   * A run whose entries are ignored because the known entry names a later start.
+   *
+   * @param entry its newest entry
+   * @param entries number of its entries since that of the later start
+   */
+  private record EarlierRun(RunnerEntry entry, int entries) {}
+
   /**
    * An entry that is missing from the directory while its runner stays in use.
    *
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -209,8 +209,14 @@
     switch (completed.answer()) {
       case StoreAnswer.ConfigurationRead read ->
           read.configuration().ifPresent(newer -> apply(newer, SOURCE_STORE, step));
-      case StoreAnswer.DirectoryRead read ->
-          apply(read.change(), store.directoryReadStartedAt(), SOURCE_STORE, step);
+      case StoreAnswer.DirectoryRead read -> {
+        runnerNotifications.logUnreadable(read.unreadable(), step);
+        apply(
+            directory.withKnown(read.change(), read.unreadable().keySet()),
+            store.directoryReadStartedAt(),
+            SOURCE_STORE,
+            step);
+      }
       case StoreAnswer.NodesRead read ->
           read.nodes().forEach(address -> peers.addAddress(address, step.now()));
       case StoreAnswer.CrashRefusalsRead read -> crashGuard.acceptStored(read.refusals(), step);
--- a/src/main/java/dev/wisteriarail/core/gateway/RunnerNotificationHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/RunnerNotificationHandler.java
@@ -9,6 +9,7 @@
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -23,6 +24,9 @@
  */
 final class RunnerNotificationHandler {
 
+  /** Maximum number of unusable directory entries that are logged for one read. */
+  private static final int MAX_LOGGED_ENTRIES = 8;
+
   private static final String SOURCE_ANSWER = "answer";
 
   private final RunnerDirectory directory;
@@ -59,6 +63,26 @@
     runs.forEach(run -> leave(run, peer, step));
   }
 
+  /**
+   * Logs directory entries that describe no usable runner.
+   *
+   * @param unreadable the reasons by identifier
+   */
+  void logUnreadable(Map<String, String> unreadable, GatewayStep step) {
+    unreadable.entrySet().stream()
+        .limit(MAX_LOGGED_ENTRIES)
+        .forEach(
+            entry ->
+                step.log(
+                    EventCode.RUNNER_ENTRY_IGNORED,
+                    "runner",
+                    entry.getKey(),
+                    "reason",
+                    entry.getValue(),
+                    "entries",
+                    unreadable.size()));
+  }
+
   private boolean leave(RunnerRun run, String source, GatewayStep step) {
     Optional<RunnerTransition> change = directory.markLeaving(run);
     change.ifPresent(runnerChange -> log(runnerChange, source, step));
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreAnswer.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreAnswer.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.id.LogPosition;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Result of a read of the platform's store. */
@@ -37,8 +38,21 @@
    * The directory of runners was read.
    *
    * @param change the entries that were read
+   * @param unreadable the newest entries that name no usable runner: why, by identifier
    */
-  record DirectoryRead(DirectoryChange change) implements StoreAnswer {}
+  record DirectoryRead(DirectoryChange change, Map<String, String> unreadable)
+      implements StoreAnswer {
+
+    /** Copies the map. */
+    public DirectoryRead {
+      unreadable = Map.copyOf(unreadable);
+    }
+
+    /** Creates the result of a read in which every entry was readable. */
+    public DirectoryRead(DirectoryChange change) {
+      this(change, Map.of());
+    }
+  }
 
   /**
    * The addresses of nodes were read.
--- a/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.result.WisteriarailException;
 import dev.wisteriarail.gateway.CallerProtocol;
 import dev.wisteriarail.gateway.RequestException;
+import java.math.BigInteger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,6 +25,9 @@
  */
 public final class CallerHeaders implements CallerProtocol {
 
+  /** Longest time that a caller is believed to wait; above all timeouts of routes. */
+  private static final Duration MAX_CALLER_TIMEOUT = Duration.ofDays(1);
+
   private CallerHeaders() {}
 
   /** Returns the protocol. */
@@ -65,11 +69,12 @@
       return Optional.empty();
     }
     try {
-      long millis = Long.parseLong(value.trim());
-      if (millis < 0) {
+      BigInteger millis = new BigInteger(value.trim());
+      if (millis.signum() < 0) {
         throw malformed(WireNames.DEADLINE, "is negative");
       }
-      return Optional.of(Duration.ofMillis(millis));
+      BigInteger longest = BigInteger.valueOf(MAX_CALLER_TIMEOUT.toMillis());
+      return Optional.of(Duration.ofMillis(millis.min(longest).longValue()));
     } catch (NumberFormatException notNumber) {
       throw malformed(WireNames.DEADLINE, "is not a whole number");
     }
--- a/src/main/java/dev/wisteriarail/platform/HttpPlatformClient.java
+++ b/src/main/java/dev/wisteriarail/platform/HttpPlatformClient.java
@@ -3,12 +3,10 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import dev.wisteriarail.codec.Codecs;
-import dev.wisteriarail.core.fleet.DirectoryChange;
 import dev.wisteriarail.core.fleet.FleetOrder;
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
 import dev.wisteriarail.core.fleet.LeaseAnswer;
 import dev.wisteriarail.core.fleet.LeaseCall;
-import dev.wisteriarail.core.fleet.LeaseRecord;
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerNotification;
@@ -18,25 +16,24 @@
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.gateway.StoreRead;
 import dev.wisteriarail.core.id.LogPosition;
-import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.gateway.GatewayHttp;
 import dev.wisteriarail.gateway.PlatformClient;
 import java.io.IOException;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
 
 /**
@@ -79,150 +76,49 @@
       case StoreRead.NewestConfiguration newest ->
           store.readNewest(
               WireNames.OPERATOR_TOPIC,
-              outcome -> callback.accept(toConfigurationAnswer(outcome, LogPosition.NONE)));
+              reading(outcome -> StoreAnswers.configuration(outcome, LogPosition.NONE), callback));
       case StoreRead.NextConfiguration next ->
           store.read(
               WireNames.OPERATOR_TOPIC,
               next.from().offset(),
               next.maxWait().toMillis(),
-              outcome -> callback.accept(toConfigurationAnswer(outcome, next.from())));
+              reading(outcome -> StoreAnswers.configuration(outcome, next.from()), callback));
       case StoreRead.WholeDirectory whole ->
           store.readNewest(
               WireNames.RUNNERS_TOPIC,
-              outcome -> callback.accept(toDirectoryAnswer(outcome, LogPosition.NONE)));
+              reading(outcome -> StoreAnswers.directory(outcome, LogPosition.NONE), callback));
       case StoreRead.DirectoryChanges changes ->
           store.read(
               WireNames.RUNNERS_TOPIC,
               changes.from().offset(),
               0,
-              outcome -> callback.accept(toDirectoryAnswer(outcome, changes.from())));
+              reading(outcome -> StoreAnswers.directory(outcome, changes.from()), callback));
       case StoreRead.Nodes nodes ->
-          store.readNewest(
-              WireNames.NODES_TOPIC, outcome -> callback.accept(toNodesAnswer(outcome)));
+          store.readNewest(WireNames.NODES_TOPIC, reading(StoreAnswers::nodes, callback));
       case StoreRead.CrashRefusals refusals ->
           store.readNewest(
-              WireNames.REFUSALS_TOPIC, outcome -> callback.accept(toRefusalsAnswer(outcome)));
-    }
-  }
-
-  private static StoreAnswer toConfigurationAnswer(StoreClient.Outcome outcome, LogPosition from) {
-    List<WireRecords.KeyedRecord> records = new ArrayList<>();
-    LogPosition next;
-    switch (outcome) {
-      case StoreClient.Outcome.Newest newest -> {
-        records.addAll(newest.records());
-        next = newest.end();
-      }
-      case StoreClient.Outcome.Read read -> {
-        read.batch().records().forEach(content -> decodeInto(content, records));
-        next = LogPosition.of(read.era(), from.offset() + read.batch().records().size());
-      }
-      default -> {
-        return failure(outcome);
-      }
-    }
-    Optional<GatewayConfiguration> newest = Optional.empty();
-    for (WireRecords.KeyedRecord each : records) {
-      if (each.key().equals(WireNames.CONFIGURATION_KEY) && !each.value().isEmpty()) {
-        try {
-          newest = Optional.of(WireDocuments.configuration(each.value()));
-        } catch (IOException malformed) {
-          LOGGER.warn("ignoring a configuration that cannot be decoded", malformed);
-        }
-      }
-    }
-    return new StoreAnswer.ConfigurationRead(newest, next);
-  }
-
-  private static StoreAnswer toDirectoryAnswer(StoreClient.Outcome outcome, LogPosition from) {
-    return switch (outcome) {
-      case StoreClient.Outcome.Newest newest ->
-          new StoreAnswer.DirectoryRead(
-              toDirectoryChange(
-                  true, LogPosition.of(newest.end().era(), 0), newest.end(), newest.records()));
-      case StoreClient.Outcome.Read read -> {
-        List<WireRecords.KeyedRecord> records = new ArrayList<>();
-        read.batch().records().forEach(content -> decodeInto(content, records));
-        LogPosition to = LogPosition.of(read.era(), from.offset() + read.batch().records().size());
-        yield new StoreAnswer.DirectoryRead(toDirectoryChange(false, from, to, records));
-      }
-      default -> failure(outcome);
-    };
-  }
-
-  /** Builds a directory change in which the last of several records of a runner wins. */
-  private static DirectoryChange toDirectoryChange(
-      boolean whole, LogPosition from, LogPosition to, List<WireRecords.KeyedRecord> records) {
-    Map<String, RunnerEntry> entries = new LinkedHashMap<>();
-    Map<String, Boolean> removed = new LinkedHashMap<>();
-    for (WireRecords.KeyedRecord each : records) {
-      if (each.value().isEmpty()) {
-        entries.remove(each.key());
-        removed.put(each.key(), true);
-        continue;
-      }
-      WireDocuments.runner(each.key(), each.value())
-          .ifPresent(
-              entry -> {
-                entries.put(each.key(), entry);
-                removed.remove(each.key());
-              });
-    }
-    return new DirectoryChange(
-        whole, from, to, List.copyOf(entries.values()), List.copyOf(removed.keySet()));
-  }
-
-  private static void decodeInto(byte[] content, List<WireRecords.KeyedRecord> records) {
-    try {
-      records.add(WireRecords.decodeKeyed(content));
-    } catch (IOException malformed) {
-      LOGGER.warn("ignoring a record whose key cannot be decoded", malformed);
+              WireNames.REFUSALS_TOPIC,
+              reading(outcome -> StoreAnswers.refusals(outcome, wallClock.instant()), callback));
     }
   }
 
-  private static StoreAnswer toNodesAnswer(StoreClient.Outcome outcome) {
-    if (!(outcome instanceof StoreClient.Outcome.Newest newest)) {
-      return failure(outcome);
-    }
-    List<NodeAddress> nodes = new ArrayList<>();
-    for (WireRecords.KeyedRecord each : newest.records()) {
-      try {
-        nodes.add(Codecs.json().readValue(each.value(), NodeAddress.class));
-      } catch (IOException malformed) {
-        LOGGER.warn(
-            "ignoring the address of node {}, which cannot be decoded", each.key(), malformed);
-      }
-    }
-    return new StoreAnswer.NodesRead(nodes, newest.end().era());
+  private static Consumer<StoreClient.Outcome> reading(
+      Function<StoreClient.Outcome, StoreAnswer> decoder, Consumer<StoreAnswer> callback) {
+    return decoding(decoder, StoreAnswer.Failed::new, callback);
   }
 
-  private StoreAnswer toRefusalsAnswer(StoreClient.Outcome outcome) {
-    if (!(outcome instanceof StoreClient.Outcome.Newest newest)) {
-      return failure(outcome);
-    }
-    List<CrashRefusal> refusals = new ArrayList<>();
-    for (WireRecords.KeyedRecord each : newest.records()) {
+  /** Completes a call with the decoded outcome, or as failed if decoding throws an exception. */
+  private static <T> Consumer<StoreClient.Outcome> decoding(
+      Function<StoreClient.Outcome, T> decoder, Function<String, T> failure, Consumer<T> callback) {
+    return outcome -> {
+      T answer;
       try {
-        CrashRefusal refusal =
-            Codecs.json()
-                .readValue(each.value(), StoredRefusal.class)
-                .toRefusal(wallClock.instant());
-        if (refusal.remainingMillis() > 0) {
-          refusals.add(refusal);
-        }
-      } catch (IOException malformed) {
-        LOGGER.warn("ignoring the refusal {}, which cannot be decoded", each.key(), malformed);
+        answer = decoder.apply(outcome);
+      } catch (RuntimeException | StackOverflowError fault) {
+        LOGGER.error("a response of the store cannot be decoded", fault);
+        answer = failure.apply(fault.toString());
       }
-    }
-    return new StoreAnswer.CrashRefusalsRead(refusals, newest.end().era());
-  }
-
-  private static StoreAnswer failure(StoreClient.Outcome outcome) {
-    return switch (outcome) {
-      case StoreClient.Outcome.Dropped dropped ->
-          new StoreAnswer.RecordsDropped(dropped.first().era());
-      case StoreClient.Outcome.Failed failed -> new StoreAnswer.Failed(failed.reason());
-      default -> new StoreAnswer.Failed("unexpected response");
+      callback.accept(answer);
     };
   }
 
@@ -236,7 +132,10 @@
               WireNames.LEASE_TOPIC,
               read.from(),
               0,
-              outcome -> callback.accept(leaseRecords(outcome, read.from())));
+              decoding(
+                  outcome -> StoreAnswers.leaseRecords(outcome, read.from()),
+                  LeaseAnswer.Failed::new,
+                  callback));
       case LeaseCall.Append append -> {
         try {
           byte[] content = Codecs.json().writeValueAsBytes(append.record());
@@ -244,7 +143,7 @@
               WireNames.LEASE_TOPIC,
               append.at(),
               content,
-              outcome -> callback.accept(leaseAppended(outcome)));
+              decoding(StoreAnswers::leaseAppended, LeaseAnswer.Failed::new, callback));
         } catch (IOException failure) {
           callback.accept(new LeaseAnswer.Failed(failure.toString()));
         }
@@ -252,45 +151,6 @@
     }
   }
 
-  private static LeaseAnswer leaseRecords(StoreClient.Outcome outcome, long from) {
-    return switch (outcome) {
-      case StoreClient.Outcome.Read read -> {
-        List<LeaseRecord> records = new ArrayList<>();
-        for (byte[] content : read.batch().records()) {
-          try {
-            records.add(Codecs.json().readValue(content, LeaseRecord.class));
-          } catch (IOException malformed) {
-            LOGGER.warn("a lease record cannot be decoded", malformed);
-            records.add(LeaseRecord.UNREADABLE);
-          }
-        }
-        yield new LeaseAnswer.Records(
-            LogPosition.of(read.era(), read.batch().endOffset()),
-            read.batch().firstOffset(),
-            from,
-            records);
-      }
-      case StoreClient.Outcome.Dropped dropped ->
-          new LeaseAnswer.Records(
-              LogPosition.of(
-                  dropped.first().era(), Math.max(from + 1, dropped.first().offset() + 1)),
-              dropped.first().offset(),
-              from,
-              List.of());
-      case StoreClient.Outcome.Failed failed -> new LeaseAnswer.Failed(failed.reason());
-      default -> new LeaseAnswer.Failed("unexpected response");
-    };
-  }
-
-  private static LeaseAnswer leaseAppended(StoreClient.Outcome outcome) {
-    return switch (outcome) {
-      case StoreClient.Outcome.Appended appended -> new LeaseAnswer.Appended(appended.position());
-      case StoreClient.Outcome.Conflict conflict -> new LeaseAnswer.Conflict(conflict.end());
-      case StoreClient.Outcome.Failed failed -> new LeaseAnswer.Failed(failed.reason());
-      default -> new LeaseAnswer.Failed("unexpected response");
-    };
-  }
-
   @Override
   public void registerNode(NodeAddress address, Consumer<Boolean> callback) {
     writeKeyed(WireNames.NODES_TOPIC, address.node().value(), address, callback);
@@ -331,8 +191,15 @@
       callback.accept(FleetOrderOutcome.UNREACHABLE, failure.toString());
       return;
     }
+    Request request;
+    try {
+      request = http.POST("http://" + order.runner().address() + WireNames.ORDER_PATH);
+    } catch (IllegalArgumentException unusable) {
+      callback.accept(FleetOrderOutcome.UNREACHABLE, unusable.toString());
+      return;
+    }
     AtomicBoolean sent = new AtomicBoolean();
-    http.POST("http://" + order.runner().address() + WireNames.ORDER_PATH)
+    request
         .headers(headers -> headers.put(WireNames.EXPECTED_RUNNER, order.runner().id()))
         .body(new BytesRequestContent("application/json", body))
         .timeout(CONTROL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
--- a/src/main/java/dev/wisteriarail/platform/WireDocuments.java
+++ b/src/main/java/dev/wisteriarail/platform/WireDocuments.java
@@ -26,6 +26,20 @@
 /** Decodes the platform's JSON documents into the core's types. Stateless. */
 final class WireDocuments {
 
+  /** Latest start time of a runner that is believed: the end of the year 2099. */
+  private static final long MAX_BORN_MILLIS = 4_102_444_800_000L;
+
+  /** Limit of a service's share of a route; sums of shares fit into an {@code int}. */
+  private static final int MAX_WEIGHT = 1_000_000;
+
+  private static final int MAX_ATTEMPTS = 1000;
+
+  /** Limit of the number of adapters of a model. */
+  private static final int MAX_ADAPTERS = 100_000;
+
+  /** Limit of the size of a request header, which the HTTP parser allocates, in bytes. */
+  private static final int MAX_HEADER_BYTES = 1024 * 1024;
+
   private WireDocuments() {}
 
   // Configuration
@@ -42,14 +56,21 @@
       ServicePool pool = service(service);
       services.put(pool.name(), pool);
     }
+    JsonNode version = root.path("version");
+    if (!version.isIntegralNumber() || !version.canConvertToLong()) {
+      throw new IOException("the version is not a whole number");
+    }
     return new GatewayConfiguration(
-        root.path("version").asLong(), routes, services, bounds(root.path("limits")));
+        version.longValue(), routes, services, bounds(root.path("limits")));
   }
 
   private static RouteSpec route(JsonNode route) throws IOException {
     List<ServiceShare> shares = new ArrayList<>();
     for (JsonNode share : route.path("split")) {
-      shares.add(new ServiceShare(share.path("service").asText(), share.path("weight").asInt()));
+      shares.add(
+          new ServiceShare(
+              share.path("service").asText(),
+              WireValues.limitedInt(share.path("weight"), 0, MAX_WEIGHT)));
     }
     if (shares.isEmpty()) {
       shares.add(new ServiceShare(route.path("service").asText(), 1));
@@ -59,14 +80,14 @@
         route.path("host").asText(),
         route.path("path_prefix").asText(),
         kind(route.path("kind").asText()),
-        millis(route.path("timeout_ms")),
-        millis(route.path("target_latency_ms")),
-        route.path("priority").asInt(),
+        WireValues.millis(route.path("timeout_ms")),
+        WireValues.millis(route.path("target_latency_ms")),
+        WireValues.limitedInt(route.path("priority"), 0, Integer.MAX_VALUE),
         shares,
-        Math.max(1, route.path("max_attempts").asInt(1)),
+        WireValues.limitedInt(route.path("max_attempts"), 1, MAX_ATTEMPTS),
         route.path("sticky").asBoolean(),
         route.path("resumable").asBoolean(),
-        millis(route.path("gap_target_ms")));
+        WireValues.millis(route.path("gap_target_ms")));
   }
 
   private static RouteKind kind(String name) throws IOException {
@@ -82,136 +103,122 @@
     JsonNode engine = service.path("engine");
     return new ServicePool(
         service.path("name").asText(),
-        service.path("max_connections").asInt(),
+        WireValues.limitedInt(service.path("max_connections"), 0, Integer.MAX_VALUE),
         engine.isObject() ? Optional.of(engine(engine)) : Optional.empty());
   }
 
   private static EngineSpec engine(JsonNode engine) {
     List<HostedModel> models = new ArrayList<>();
     for (JsonNode model : engine.path("models")) {
-      Duration fromStore = seconds(model.path("load_s"));
+      Duration fromStore = WireValues.seconds(model.path("load_s"));
       models.add(
           new HostedModel(
               model.path("name").asText(),
-              model.path("weights_mb").asDouble(),
+              WireValues.amount(model.path("weights_mb")),
               fromStore,
-              model.has("disk_load_s") ? seconds(model.path("disk_load_s")) : fromStore,
-              model.has("warm_s") ? seconds(model.path("warm_s")) : fromStore,
-              model.path("adapters").asInt(),
-              model.path("adapter_mb").asDouble()));
+              model.has("disk_load_s") ? WireValues.seconds(model.path("disk_load_s")) : fromStore,
+              model.has("warm_s") ? WireValues.seconds(model.path("warm_s")) : fromStore,
+              WireValues.limitedInt(model.path("adapters"), 0, MAX_ADAPTERS),
+              WireValues.amount(model.path("adapter_mb"))));
     }
     return new EngineSpec(
-        engine.path("slots").asInt(),
-        engine.path("kv_cache_tokens").asLong(),
-        engine.path("weights_mb").asDouble(),
-        engine.path("adapter_slots").asInt(),
-        engine.path("loads_per_s").asDouble(),
+        WireValues.limitedInt(engine.path("slots"), 1, Integer.MAX_VALUE),
+        WireValues.limited(engine.path("kv_cache_tokens"), 0, 0, Long.MAX_VALUE),
+        WireValues.amount(engine.path("weights_mb")),
+        WireValues.limitedInt(engine.path("adapter_slots"), 0, Integer.MAX_VALUE),
+        WireValues.amount(engine.path("loads_per_s")),
         models);
   }
 
   private static CallerBounds bounds(JsonNode limits) {
     CallerBounds defaults = CallerBounds.DEFAULT;
     return new CallerBounds(
-        limits.path("max_header_bytes").asInt(defaults.maxHeaderBytes()),
-        limits.path("max_body_bytes").asLong(defaults.maxBodyBytes()),
-        Duration.ofMillis(
-            limits.path("header_timeout_ms").asLong(defaults.headerTimeout().toMillis())),
-        Duration.ofMillis(
-            limits.path("idle_timeout_ms").asLong(defaults.idleTimeout().toMillis())));
-  }
-
-  private static Duration millis(JsonNode value) {
-    return Duration.ofMillis(value.asLong());
-  }
-
-  private static Duration seconds(JsonNode value) {
-    return Duration.ofMillis(Math.round(value.asDouble() * 1000));
+        (int)
+            WireValues.positiveOr(
+                limits.path("max_header_bytes"), defaults.maxHeaderBytes(), MAX_HEADER_BYTES),
+        WireValues.positiveOr(
+            limits.path("max_body_bytes"), defaults.maxBodyBytes(), Integer.MAX_VALUE),
+        WireValues.millisOr(limits.path("header_timeout_ms"), defaults.headerTimeout()),
+        WireValues.millisOr(limits.path("idle_timeout_ms"), defaults.idleTimeout()));
   }
 
   // Runners
 
   /**
-   * Decodes a runner's directory entry.
+   * Decodes a runner's directory entry. Other writers may write arbitrary content to the directory.
    *
-   * @return the entry; empty if it describes no usable runner
+   * @throws IOException if it describes no usable runner
    */
-  static Optional<RunnerEntry> runner(String id, String json) {
-    try {
-      JsonNode root = Codecs.json().readTree(json);
-      JsonNode state = root.path("state");
-      boolean ready = state.isTextual() && state.asText().equals("ready");
-      boolean draining = state.isTextual() && state.asText().equals("draining");
-      String address = root.path("address").isTextual() ? root.path("address").asText() : "";
-      int colon = address.lastIndexOf(':');
-      boolean complete =
-          (ready || draining)
-              && root.path("service").isTextual()
-              && root.path("zone").isTextual()
-              && root.path("slots").isIntegralNumber()
-              && colon > 0;
-      if (!complete) {
-        return Optional.empty();
-      }
-      return Optional.of(
-          new RunnerEntry(
-              id,
-              root.path("service").asText(),
-              address.substring(0, colon),
-              Integer.parseInt(address.substring(colon + 1)),
-              root.path("zone").asText(),
-              root.path("slots").asInt(),
-              draining,
-              root.path("born").asLong(),
-              root.path("sequence").asLong(),
-              models(root.path("models")),
-              textValues(root.path("available").path("in_memory")),
-              textValues(root.path("available").path("on_disk"))));
-    } catch (IOException | NumberFormatException malformed) {
-      // Other writers may write arbitrary content to the directory; it is ignored.
-      return Optional.empty();
+  static RunnerEntry runner(String id, String json) throws IOException {
+    JsonNode root = object(json);
+    JsonNode state = root.path("state");
+    boolean draining = state.isTextual() && state.textValue().equals("draining");
+    if (!draining && !(state.isTextual() && state.textValue().equals("ready"))) {
+      throw new IOException("the state is unknown");
+    }
+    if (!root.hasNonNull("slots")) {
+      throw new IOException("'slots' is missing");
     }
+    String address = WireValues.name(root, "address");
+    JsonNode available = root.path("available");
+    return new RunnerEntry(
+        WireValues.identifier(id),
+        WireValues.name(root, "service"),
+        WireValues.host(address),
+        WireValues.port(address),
+        WireValues.name(root, "zone"),
+        (int) WireValues.count(root, "slots", Integer.MAX_VALUE),
+        draining,
+        WireValues.count(root, "born", MAX_BORN_MILLIS),
+        WireValues.count(root, "sequence", Long.MAX_VALUE),
+        models(root),
+        WireValues.namesAmong(available.path("in_memory")),
+        WireValues.namesAmong(available.path("on_disk")));
   }
 
   /** Decodes an engine's report. */
   static RunnerReport report(String runner, String json) throws IOException {
-    JsonNode root = Codecs.json().readTree(json);
+    JsonNode root = object(json);
+    JsonNode available = root.path("available");
     return new RunnerReport(
         runner,
-        root.path("born").asLong(),
-        root.path("sequence").asLong(),
-        root.path("busy").asBoolean(),
-        models(root.path("models")),
-        incoming(root.path("incoming")),
-        textValues(root.path("available").path("in_memory")),
-        textValues(root.path("available").path("on_disk")),
-        root.path("waiting").asInt(),
-        root.path("running_count").asInt(),
-        root.path("kv_cache_used").asLong());
+        WireValues.count(root, "born", MAX_BORN_MILLIS),
+        WireValues.count(root, "sequence", Long.MAX_VALUE),
+        WireValues.flag(root, "busy"),
+        models(root),
+        incoming(root),
+        WireValues.namesAmong(available.path("in_memory")),
+        WireValues.namesAmong(available.path("on_disk")),
+        (int) WireValues.count(root, "waiting", Integer.MAX_VALUE),
+        (int) WireValues.count(root, "running_count", Integer.MAX_VALUE),
+        WireValues.count(root, "kv_cache_used", Long.MAX_VALUE));
   }
 
-  private static List<LoadedModel> models(JsonNode list) {
+  private static JsonNode object(String json) throws IOException {
+    JsonNode root = Codecs.json().readTree(json);
+    if (!root.isObject()) {
+      throw new IOException("the document is not an object");
+    }
+    return root;
+  }
+
+  private static List<LoadedModel> models(JsonNode root) throws IOException {
     List<LoadedModel> models = new ArrayList<>();
-    for (JsonNode model : list) {
+    for (JsonNode model : WireValues.elements(root, "models")) {
       models.add(
           new LoadedModel(
-              model.path("name").asText(), List.copyOf(textValues(model.path("adapters")))));
+              WireValues.name(model, "name"), List.copyOf(WireValues.names(model, "adapters"))));
     }
     return models;
   }
 
   /** Decodes adapters that are being transferred, each given as {@code MODEL/NAME@VERSION}. */
-  private static Set<String> incoming(JsonNode list) {
+  private static Set<String> incoming(JsonNode root) throws IOException {
     Set<String> adapters = new HashSet<>();
-    for (String each : textValues(list)) {
+    for (String each : WireValues.names(root, "incoming")) {
       int version = each.lastIndexOf('@');
       adapters.add(version < 0 ? each : each.substring(0, version));
     }
     return adapters;
   }
-
-  private static Set<String> textValues(JsonNode list) {
-    Set<String> texts = new HashSet<>();
-    list.forEach(text -> texts.add(text.asText()));
-    return texts;
-  }
 }
--- a/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/RunnerDirectoryTest.java
@@ -53,6 +53,47 @@
     assertThat(usable(directory)).containsExactly("r");
   }
 
+  private static RunnerEntry entryOf(long born, long sequence) {
+    return new RunnerEntry(
+        "r", "s", "10.0.0.1", 80, "a", 8, false, born, sequence, List.of(), Set.of(), Set.of());
+  }
+
+  /** Another writer's entry with a later start must not hide a runner that goes on writing. */
+  @Test
+  void runThatGoesOnWritingReplacesOneWithLaterStart() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(snapshot(5, entryOf(3, 10)), START, START);
+    directory.accept(delta(5, 6, entryOf(9, 1)), START, START);
+    directory.accept(delta(6, 7, entryOf(3, 11)), START, START);
+    directory.accept(delta(7, 8, entryOf(3, 12)), START, START);
+    assertThat(directory.usable("r")).hasValue(entryOf(9, 1));
+    directory.accept(delta(8, 9, entryOf(3, 13)), START, START);
+    assertThat(directory.usable("r")).hasValue(entryOf(3, 13));
+  }
+
+  /** Entries of an earlier run that were delayed come between those of the run that goes on. */
+  @Test
+  void delayedEntriesOfAnEarlierRunArePassedOver() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(snapshot(5, entryOf(9, 1)), START, START);
+    for (int i = 0; i < 5; i++) {
+      directory.accept(delta(5, 6 + 3 * i, entryOf(3, 20 + 2 * i)), START, START);
+      directory.accept(delta(5, 7 + 3 * i, entryOf(3, 21 + 2 * i)), START, START);
+      directory.accept(delta(5, 8 + 3 * i, entryOf(9, 2 + i)), START, START);
+    }
+    assertThat(directory.usable("r")).hasValue(entryOf(9, 6));
+  }
+
+  /** An entry that another writer made unreadable is missing from a complete directory. */
+  @Test
+  void runnerWhoseEntryIsUnreadableHolds() {
+    RunnerDirectory directory = RunnerDirectory.create();
+    directory.accept(snapshot(5, entry("r", false, 1), entry("x", false, 1)), START, START);
+    DirectoryChange change = directory.withKnown(snapshot(9), Set.of("r", "unknown"));
+    directory.accept(change, START, START);
+    assertThat(usable(directory)).containsExactly("r");
+  }
+
   @Test
   void changeThatLeavesOneGapIsNotTaken() {
     RunnerDirectory directory = RunnerDirectory.create();
