--- a/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
@@ -78,8 +78,7 @@
   /** Starts one node without runners that ends within the given time after its stop request. */
   static GatewayFleet startOne(Duration stopLimit) throws Exception {
     GatewayFleet fleet =
-        new GatewayFleet(
-            PlatformStandin.start(0, 0), Wrappers.ofClients(UnaryOperator.identity()));
+        new GatewayFleet(PlatformStandin.start(0, 0), Wrappers.ofClients(UnaryOperator.identity()));
     fleet.startNode(
         LoopbackSettings.of("n0", fleet.platform.store().address()).withStopLimit(stopLimit));
     fleet.await(() -> fleet.allReady());
