Leave a new connection open for its first request while a node stops

Now a connection without any request is not idle for its first second, the time within which callers expect to be read.

--- a/src/main/java/dev/wisteriarail/gateway/CallerServer.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerServer.java
@@ -59,6 +59,9 @@
   /** Interval at which the callers' connections are polled while the node stops. */
   private static final Duration CLOSE_POLL_INTERVAL = Duration.ofMillis(10);
 
+  /** Time for which a new connection is not idle: its first request is on its way. */
+  private static final Duration FIRST_REQUEST_TIME = Duration.ofSeconds(1);
+
   /**
    * Minimum size, in bytes, up to which a connection's parser accepts a header. A parser keeps the
    * limit that was set when its connection was opened; it therefore accepts at least this many
@@ -362,7 +365,14 @@
 
   /** Closes the callers' connections without a request in progress. */
   void closeIdle() {
-    callerConnections().forEach(each -> busyConnections.closeIfIdle(each, EndPoint::close));
+    callerConnections().stream()
+        .filter(each -> !awaitsFirstRequest(each))
+        .forEach(each -> busyConnections.closeIfIdle(each, EndPoint::close));
+  }
+
+  private static boolean awaitsFirstRequest(EndPoint connection) {
+    return connection instanceof PeekingEndPoint peeking
+        && peeking.awaitsFirstRequest(FIRST_REQUEST_TIME);
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/gateway/PeekingEndPoint.java
+++ b/src/main/java/dev/wisteriarail/gateway/PeekingEndPoint.java
@@ -5,8 +5,10 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -27,6 +29,7 @@
   private static final int PEEK_BYTES = 512;
 
   private final SocketChannel channel;
+  private final long acceptedNanos = System.nanoTime();
   private ByteBuffer peeked = ByteBuffer.allocate(0);
   private boolean ended;
 
@@ -58,6 +61,13 @@
     return ended;
   }
 
+  /** Returns whether no request has been read, and the connection is younger than a limit. */
+  boolean awaitsFirstRequest(Duration limit) {
+    Connection connection = getConnection();
+    return (connection == null || connection.getMessagesIn() == 0)
+        && System.nanoTime() - acceptedNanos < limit.toNanos();
+  }
+
   /** Makes the next close send a TCP reset, which callers do not mistake for the response's end. */
   void resetOnClose() {
     try {
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.concurrent.TimeUnit.SECONDS;
 
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.platform.CallerHeaders;
@@ -123,6 +124,21 @@
     }
   }
 
+  /** Guards against a new connection that is closed while its first request is on its way. */
+  @Test
+  void newConnectionIsNotClosedBeforeItsFirstRequest() throws Exception {
+    try (Socket caller = connect()) {
+      while (server.openConnections() == 0) {
+        Thread.onSpinWait();
+      }
+      server.closeAfterAnswers();
+      server.closeIdle();
+      caller.getOutputStream().write((POST_HEAD + "body").getBytes(UTF_8));
+      assertThat(events.poll(LIMIT.toSeconds(), SECONDS))
+          .isInstanceOf(GatewayEvent.RequestArrived.class);
+    }
+  }
+
   private Socket connect() throws IOException {
     Socket caller = new Socket();
     caller.setReceiveBufferSize(RECEIVE_BYTES);
