A short grace period ends requests in its last sixth, not before

Cause: the node reserved 0.8 s for its exit in a period of any length. With 2 s the idle connections of callers were also never closed before the end: the load balancer's notice time was longer than the period.

The reserve is now an eighth of the period, at most 0.8 s, and the times of the process's own end are parts of it in proportion, so that the core still ends its requests before the process does. The times before it are shorter in periods of less than 4 s. GracePeriod holds them all. Periods of 6.4 s and more have the times that they had.

Evidence: three new parameterised tests in StoppingNodeTest over 2, 4, 8 and 30 s.

--- a/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
@@ -23,31 +23,15 @@
   /** Retry-after time for a request that a draining node refused; another node can serve it. */
   static final Duration RETRY_AFTER = Duration.ofMillis(50);
 
-  /** Time after a stop request until the load balancer sends no more callers to this node. */
-  private static final Duration BALANCER_NOTICE_TIME = Duration.ofMillis(2500);
-
-  /**
-   * Time after a stop request from which a request needs a time limit that passes before the
-   * process exits, and from which no stream is accepted. By then the load balancer sends callers
-   * elsewhere.
-   */
-  private static final Duration ESTIMATE_CUTOFF = Duration.ofMillis(2800);
-
-  /** Time before the process exits in which no request is accepted, however short it is. */
-  private static final Duration MIN_TIME_BEFORE_EXIT = Duration.ofMillis(800);
-
   /** Interval at which idle connections of callers are closed. */
   private static final Duration IDLE_CLOSE_INTERVAL = Duration.ofMillis(200);
 
-  /** Part of the grace period that is reserved for the exit of the process itself. */
-  private static final Duration EXIT_RESERVE = Duration.ofMillis(800);
-
-  private Duration gracePeriod;
+  private GracePeriod gracePeriod;
   private Instant startedAt = Instant.MAX;
   private Instant nextIdleClose = Instant.MAX;
   private boolean completed;
 
-  private DrainPlan(Duration gracePeriod) {
+  private DrainPlan(GracePeriod gracePeriod) {
     this.gracePeriod = gracePeriod;
   }
 
@@ -57,13 +41,13 @@
    * @param gracePeriod time after a stop request until the process must have exited
    */
   static DrainPlan create(Duration gracePeriod) {
-    return new DrainPlan(gracePeriod);
+    return new DrainPlan(new GracePeriod(gracePeriod));
   }
 
   /** Changes the grace period, unless the node is already draining. */
   void setGracePeriod(Duration newGracePeriod) {
     if (!isDraining()) {
-      gracePeriod = newGracePeriod;
+      gracePeriod = new GracePeriod(newGracePeriod);
     }
   }
 
@@ -73,7 +57,7 @@
       return false;
     }
     startedAt = now;
-    nextIdleClose = now.plus(BALANCER_NOTICE_TIME);
+    nextIdleClose = now.plus(gracePeriod.balancerNoticeTime());
     return true;
   }
 
@@ -83,7 +67,7 @@
 
   /** Returns whether only requests are accepted that end before the process exits in any case. */
   boolean requiresCertainty(Instant now) {
-    return isDraining() && now.isAfter(startedAt.plus(ESTIMATE_CUTOFF));
+    return isDraining() && now.isAfter(startedAt.plus(gracePeriod.estimateCutoff()));
   }
 
   /**
@@ -101,7 +85,8 @@
   }
 
   private boolean isTooLong(Duration needed, Instant now) {
-    Duration reserve = needed.compareTo(MIN_TIME_BEFORE_EXIT) > 0 ? needed : MIN_TIME_BEFORE_EXIT;
+    Duration minimum = gracePeriod.minTimeBeforeExit();
+    Duration reserve = needed.compareTo(minimum) > 0 ? needed : minimum;
     return isDraining() && now.plus(reserve).isAfter(deadline());
   }
 
@@ -111,7 +96,7 @@
   }
 
   private Instant deadline() {
-    return startedAt.plus(gracePeriod).minus(EXIT_RESERVE);
+    return startedAt.plus(gracePeriod.length()).minus(gracePeriod.exitReserve());
   }
 
   /**
@@ -130,7 +115,7 @@
       step.emit(new GatewayEffect.CloseIdleCallers());
     }
     boolean balancerNoticed =
-        !now.isBefore(startedAt.plus(BALANCER_NOTICE_TIME)) || isDeadlineReached(now);
+        !now.isBefore(startedAt.plus(gracePeriod.balancerNoticeTime())) || isDeadlineReached(now);
     if (balancerNoticed && inFlight == 0) {
       completed = true;
       step.log(
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.gateway.GatewayCore;
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.core.gateway.GatewaySettings;
+import dev.wisteriarail.core.gateway.GracePeriod;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
@@ -55,12 +56,6 @@
   /** Idle timeout of connections for the store, orders and reports, which are in constant use. */
   private static final long CONTROL_IDLE_MILLIS = 5_000;
 
-  /** Part of the drain limit that is reserved for closing. */
-  private static final Duration CLOSE_TIME_RESERVE = Duration.ofMillis(300);
-
-  /** Time during which requests that still arrive are refused before the process ends. */
-  private static final Duration FINAL_REFUSAL_TIME = Duration.ofMillis(250);
-
   private final Incarnation incarnation;
   private volatile GatewayFile file;
   private final GatewayRuntime runtime;
@@ -231,13 +226,14 @@
    * @return whether all of them ended within the limit
    */
   public boolean stop() throws InterruptedException {
-    Duration limit = file.drainLimit().minus(CLOSE_TIME_RESERVE).minus(FINAL_REFUSAL_TIME);
+    GracePeriod gracePeriod = new GracePeriod(file.drainLimit());
+    Duration limit = gracePeriod.finalRefusalStart();
     long until = System.nanoTime() + limit.toNanos();
     final boolean drained = runtime.drain(limit);
     callers.awaitAnswers(Duration.ofNanos(until - System.nanoTime()));
     // The core normally ends every request itself; one that was stalled until now has not.
     callers.failPending();
-    callers.closeConnections(FINAL_REFUSAL_TIME);
+    callers.closeConnections(gracePeriod.finalRefusalTime());
     log.write(
         NodeEvent.of(
             EventCode.NODE_ENDED,
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -39,6 +39,7 @@
 
   static final String ENGINES = "engines";
   static final String PLAIN = "plain";
+  private static final Duration GRACE = Duration.ofSeconds(8);
 
   private final GatewayCore core;
   private final List<GatewayEffect> effects = new ArrayList<>();
@@ -52,7 +53,11 @@
 
   /** Returns a core with a configuration, two plain runners and two engines that hold m0. */
   static CoreHarness ready() {
-    CoreHarness harness = unready();
+    return ready(GRACE);
+  }
+
+  static CoreHarness ready(Duration grace) {
+    CoreHarness harness = unready(grace);
     harness.handle(
         new GatewayEvent.StoreReadCompleted(
             new StoreRead.NewestConfiguration(),
@@ -78,7 +83,11 @@
   }
 
   static CoreHarness unready() {
-    CoreHarness harness = new CoreHarness(GatewayCore.create(settings(Duration.ofSeconds(8))));
+    return unready(GRACE);
+  }
+
+  private static CoreHarness unready(Duration grace) {
+    CoreHarness harness = new CoreHarness(GatewayCore.create(settings(grace)));
     harness.tick();
     return harness;
   }
--- a/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoppingNodeTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that a draining node ends each accepted request correctly, in virtual time. */
 @ExtendWith(KnownRedCondition.class)
@@ -21,6 +22,13 @@
   /** Request timeout that exceeds the grace period of a draining node. */
   private static final Duration LONG_LIMIT = Duration.ofSeconds(25);
 
+  /** Request timeout that exceeds all grace periods. */
+  private static final Duration LIMIT_BEYOND_GRACE = Duration.ofSeconds(60);
+
+  private static final Duration SHORT_LIMIT = Duration.ofMillis(200);
+
+  private static final Duration TICK = Duration.ofMillis(50);
+
   private final CoreHarness node = CoreHarness.ready();
 
   /**
@@ -228,6 +236,66 @@
     assertThat(node.take(GatewayEffect.DrainCompleted.class)).hasSize(1);
   }
 
+  /**
+   * Guards against a node that ends a request at a sound runner long before it must have exited.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    // grace period, time after the stop request at which the node ends its requests
+    "2000, 1750",
+    "4000, 3500",
+    "8000, 7200",
+    "30000, 29200",
+  })
+  void requestAtRunnerIsEndedInTheLastSixthOfTheGracePeriod(long graceMillis, long endMillis) {
+    CoreHarness stopping = CoreHarness.ready(Duration.ofMillis(graceMillis));
+    stopping.configure(LIMIT_BEYOND_GRACE);
+    stopping.arrive("order", LIMIT_BEYOND_GRACE);
+    stopping.handle(new GatewayEvent.DrainRequested());
+    long passed = 0;
+    while (stopping.take(GatewayEffect.Refuse.class).isEmpty() && passed < graceMillis) {
+      stopping.pass(TICK);
+      passed += TICK.toMillis();
+    }
+    assertThat(passed).isEqualTo(endMillis);
+    assertThat(6 * passed).isAtLeast(5 * graceMillis);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {2_000, 4_000, 8_000, 30_000})
+  void idleConnectionsAreClosedBeforeTheNodeEnds(long graceMillis) {
+    CoreHarness stopping = CoreHarness.ready(Duration.ofMillis(graceMillis));
+    stopping.configure(LIMIT_BEYOND_GRACE);
+    stopping.arrive("order", LIMIT_BEYOND_GRACE);
+    stopping.handle(new GatewayEvent.DrainRequested());
+    stopping.pass(Duration.ofMillis(graceMillis * 3 / 4));
+    assertThat(stopping.take(GatewayEffect.CloseIdleCallers.class)).isNotEmpty();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    // grace period, time after the stop request, accepted
+    "2000, 1300, true",
+    "2000, 1400, false",
+    "4000, 2700, true",
+    "4000, 2800, false",
+    "8000, 6400, true",
+    "8000, 6450, false",
+    "30000, 28400, true",
+    "30000, 28450, false",
+  })
+  void shortRequestIsAcceptedUntilShortlyBeforeTheNodeEnds(
+      long graceMillis, long afterMillis, boolean accepted) {
+    CoreHarness stopping = CoreHarness.ready(Duration.ofMillis(graceMillis));
+    stopping.configure(LIMIT_BEYOND_GRACE);
+    stopping.arrive("order", LIMIT_BEYOND_GRACE);
+    stopping.handle(new GatewayEvent.DrainRequested());
+    stopping.pass(Duration.ofMillis(afterMillis));
+    stopping.take(GatewayEffect.class);
+    stopping.arrive("lookup", SHORT_LIMIT);
+    assertThat(stopping.take(GatewayEffect.SendAttempt.class)).hasSize(accepted ? 1 : 0);
+  }
+
   /** Removes m0 from all engines; the coordinator has published no forecast for it. */
   private void forgetModel() {
     node.directory(6, CoreHarness.emptyEngine("e1"), CoreHarness.emptyEngine("e2"));
