A fault of the node while sending accuses no runner

Seen by callers: a request whose sending always throws in this node (190, "internal fault") was sent to up to six runners, each of which was ejected by it as if it had refused the connection.

Cause: the result of such an attempt was NotSent (or Broken, if a byte may have been sent), which the core records as a failure of the runner, a conclusive one in the case of NotSent.

Now the result is AttemptResult.LocalFault. It releases a probe, is no failure of the runner and no evidence of a crash. Results that Jetty reports are unchanged.

--- a/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
+++ b/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
@@ -40,6 +40,15 @@
    */
   record NotSent(String reason) implements AttemptResult {}
 
+  /**
+   * This node failed while sending the request, which says nothing about the runner.
+   *
+   * @param reason description of the failure
+   * @param maybeSent whether a byte of the request may have been sent
+   * @param lastEvent identifier of the last complete event that was relayed; empty if there is none
+   */
+  record LocalFault(String reason, boolean maybeSent, String lastEvent) implements AttemptResult {}
+
   /**
    * The request was sent, and no complete response was received.
    *
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
@@ -88,6 +88,7 @@
       case AttemptResult.Answered answered ->
           crashGuard.recordSignOfLife(attempt.runner(), attempt.sentAt(), step);
       case AttemptResult.NotSent notSent -> {}
+      case AttemptResult.LocalFault fault -> {}
       case AttemptResult.Broken broken -> {
         if (broken.connectionLost() && !broken.started() && !forward.answerStarted()) {
           crashGuard.recordLoss(forward, attempt, step);
@@ -141,6 +142,10 @@
         recordFailure(runner, notSent.reason(), true, step);
         goOnOrEnd(forward, attempt, notSent.reason(), true, step);
       }
+      case AttemptResult.LocalFault fault -> {
+        pending.endAttempt(forward, attempt);
+        acceptFault(forward, attempt, fault, step);
+      }
       case AttemptResult.Broken broken -> {
         pending.endAttempt(forward, attempt);
         forward.markMayHaveRun(runner);
@@ -213,12 +218,42 @@
     }
   }
 
+  private void acceptFault(
+      PendingForward forward,
+      LiveAttempt attempt,
+      AttemptResult.LocalFault fault,
+      GatewayStep step) {
+    runnerStates.health(attempt.runner().id()).releaseProbe();
+    forward.markLocalFault();
+    if (fault.maybeSent()) {
+      forward.markMayHaveRun(attempt.runner());
+      forward.updateLastEvent(fault.lastEvent());
+    } else {
+      forward.markRejected();
+    }
+    if (!goOnOrRetry(forward, attempt, fault.reason(), !fault.maybeSent(), step)) {
+      pending.giveUpAfterFault(forward, fault.reason(), step);
+    }
+  }
+
   private void goOnOrEnd(
       PendingForward forward,
       LiveAttempt attempt,
       String reason,
       boolean notRun,
       GatewayStep step) {
+    if (!goOnOrRetry(forward, attempt, reason, notRun, step)) {
+      pending.giveUp(forward, reason, step);
+    }
+  }
+
+  /** Goes on with the other attempts or requeues the request. Returns false if neither may be. */
+  private boolean goOnOrRetry(
+      PendingForward forward,
+      LiveAttempt attempt,
+      String reason,
+      boolean notRun,
+      GatewayStep step) {
     Duration pause =
         notRun ? REJECTION_PAUSE.multipliedBy(1L << (forward.rejections() - 1)) : Duration.ZERO;
     if (forward.isLive()) {
@@ -226,8 +261,9 @@
     } else if (sender.mayRetry(forward, notRun)) {
       retry(forward, reason, pause, step);
     } else {
-      pending.giveUp(forward, reason, step);
+      return false;
     }
+    return true;
   }
 
   /** Goes on with the live attempts of a request; another one may follow after a pause. */
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
@@ -21,6 +21,9 @@
   /** Number of rejections after which a request is refused. */
   private static final int MAX_REJECTIONS = 6;
 
+  /** Number of faults of this node while sending a request after which it is refused. */
+  private static final int MAX_LOCAL_FAULTS = 3;
+
   /** Minimum time until its deadline with which a request is sent to a runner. */
   private static final Duration MIN_TIME_LEFT = Duration.ofMillis(15);
 
@@ -97,12 +100,12 @@
    * @param notRun whether the runner of the attempt that ended did not execute it
    */
   boolean mayRetry(PendingForward forward, boolean notRun) {
-    if (notRun && !forward.mayHaveRun()) {
-      return forward.rejections() < MAX_REJECTIONS;
+    if (forward.rejections() >= MAX_REJECTIONS || forward.localFaults() >= MAX_LOCAL_FAULTS) {
+      return false;
     }
-    return forward.route().repeatable()
-        && forward.runnersThatMayHaveRun().size() < forward.route().maxRunners()
-        && forward.rejections() < MAX_REJECTIONS;
+    return (notRun && !forward.mayHaveRun())
+        || (forward.route().repeatable()
+            && forward.runnersThatMayHaveRun().size() < forward.route().maxRunners());
   }
 
   /** Sends a request to a runner. */
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -39,6 +39,7 @@
   private State state = State.WAITING;
   private int attempts;
   private int rejections;
+  private int localFaults;
   private boolean mayHaveRun;
   private final List<LiveAttempt> live = new ArrayList<>();
   private Optional<RunnerEntry> lastRunner = Optional.empty();
@@ -128,6 +129,11 @@
     rejections++;
   }
 
+  /** Records that this node failed while sending the request. */
+  void markLocalFault() {
+    localFaults++;
+  }
+
   /**
    * Returns the request to the queue.
    *
@@ -195,6 +201,10 @@
     return rejections;
   }
 
+  int localFaults() {
+    return localFaults;
+  }
+
   boolean mayHaveRun() {
     return mayHaveRun;
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
@@ -77,6 +77,11 @@
     end(forward, reason, ResultCode.NO_CAPACITY, SHORT_RETRY_AFTER, step);
   }
 
+  /** Ends a request that this node fails to send. */
+  void giveUpAfterFault(PendingForward forward, String reason, GatewayStep step) {
+    end(forward, reason, ResultCode.SENDING_FAILED, SHORT_RETRY_AFTER, step);
+  }
+
   /**
    * Ends a request that is not at a runner.
    *
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -55,6 +55,8 @@
   NO_CONTROLLER(1209, 503, "no controller can decide on loading the model"),
   /** Requests with this content, or with a part of this prompt, crash runners. */
   CRASHING_REQUEST(1211, 503, "runners crash on such requests"),
+  /** The node failed to send the request to a runner. */
+  SENDING_FAILED(1212, 503, "the node failed to send the request to a runner"),
   /** The node has no configuration yet. */
   CONFIGURATION_UNKNOWN(1210, 503, "the node knows no configuration yet"),
   /** A request of this kind needs an Idempotency-Key header. */
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -187,7 +187,10 @@
           AttemptResult.Prevailed _,
           AttemptResult.Finished _ ->
           oracle.runs().recordProgress(request, attempt, time.now());
-      case AttemptResult.Answered _, AttemptResult.NotSent _, AttemptResult.Broken _ ->
+      case AttemptResult.Answered _,
+          AttemptResult.NotSent _,
+          AttemptResult.LocalFault _,
+          AttemptResult.Broken _ ->
           oracle.runs().recordFailure(request, attempt);
     }
   }
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -80,9 +80,7 @@
   AttemptResult abandon(String reason) {
     final boolean begun = !sending.compareAndSet(Sending.NOT_BEGUN, Sending.ABANDONED);
     cancel();
-    return begun
-        ? new AttemptResult.Broken(reason, exchange.isHeadSent(), exchange.lastEvent(), false)
-        : new AttemptResult.NotSent(reason);
+    return new AttemptResult.LocalFault(reason, begun, begun ? exchange.lastEvent() : "");
   }
 
   /** Aborts the attempt, which closes its connection. Its output is refused from now on. */
--- a/src/main/java/dev/wisteriarail/gateway/FaultRecovery.java
+++ b/src/main/java/dev/wisteriarail/gateway/FaultRecovery.java
@@ -132,6 +132,7 @@
       case AttemptResult.Finished finished -> true;
       case AttemptResult.Answered answered -> true;
       case AttemptResult.NotSent notSent -> true;
+      case AttemptResult.LocalFault fault -> true;
       case AttemptResult.Broken broken -> true;
     };
   }
--- a/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
@@ -91,7 +91,7 @@
   AttemptResult abandon(GatewayEffect.SendAttempt attempt, String reason) {
     AttemptRelay relay = relay(attempt.exchange(), attempt.attempt());
     if (relay == null) {
-      return new AttemptResult.NotSent(reason);
+      return new AttemptResult.LocalFault(reason, false, "");
     }
     removeAttempt(attempt.exchange(), attempt.attempt());
     return relay.abandon(reason);
--- a/src/test/java/dev/wisteriarail/platform/EffectFaultTest.java
+++ b/src/test/java/dev/wisteriarail/platform/EffectFaultTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.gateway.CallerExchange;
 import dev.wisteriarail.gateway.CallerProtocol;
 import dev.wisteriarail.gateway.PlatformClient;
 import dev.wisteriarail.gateway.RunnerProtocol;
@@ -10,9 +12,11 @@
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
+import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
@@ -27,6 +31,11 @@
   /** How long a caller may wait for an answer; far below the requests' time limit of 5 s. */
   private static final Duration ANSWER_LIMIT = Duration.ofSeconds(3);
 
+  /** How long an answer of a free runner may take; far below the first ejection of a runner. */
+  private static final Duration PROMPT_ANSWER = Duration.ofMillis(300);
+
+  private static final String REQUEST_ID = "X-Wisteriarail-Request-Id";
+
   /** Number of calls of each kind that fail. */
   private static final int FAULTS = 2;
 
@@ -99,6 +108,46 @@
     }
   }
 
+  /** A request that no attempt can send is refused, and others get all runners afterwards. */
+  @Test
+  void requestThatCanNeverBeSentHarmsNoOther() throws Exception {
+    Set<String> faulty = Set.of("bad-0", "bad-1", "bad-2");
+    try (GatewayFleet fleet =
+        GatewayFleet.start(
+            1,
+            0,
+            3,
+            GatewayFleet.Wrappers.ofProtocols(
+                UnaryOperator.identity(), protocol -> faultyForRequests(protocol, faulty)))) {
+      fleet.await(() -> fleet.platform().runners().size() == 3);
+      for (String request : faulty) {
+        long start = System.nanoTime();
+        HttpResponse<String> refusal = fleet.send(0, "POST", "/order/1", "", request, "b");
+        assertThat(refusal.statusCode()).isEqualTo(503);
+        assertThat(refusal.headers().firstValue("X-Result-Code"))
+            .hasValue(ResultCode.SENDING_FAILED.label());
+        assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(ANSWER_LIMIT);
+        assertThat(runs(fleet, request)).isEqualTo(0);
+        long next = System.nanoTime();
+        assertThat(fleet.send(0, "POST", "/order/1", "").statusCode()).isEqualTo(200);
+        assertThat(Duration.ofNanos(System.nanoTime() - next)).isLessThan(PROMPT_ANSWER);
+      }
+    }
+  }
+
+  private static RunnerProtocol faultyForRequests(RunnerProtocol delegate, Set<String> requests) {
+    return proxy(
+        RunnerProtocol.class,
+        (proxy, called, arguments) -> {
+          if (called.getName().equals("addHeaders")
+              && requests.contains(
+                  ((CallerExchange) arguments[0]).request().getHeaders().get(REQUEST_ID))) {
+            throw new IllegalStateException("a deliberate fault");
+          }
+          return call(called, delegate, arguments);
+        });
+  }
+
   private static long runs(GatewayFleet fleet, String request) {
     return fleet.platform().runners().stream()
         .flatMap(runner -> runner.executedRequests().stream())
