An overtaken attempt counts for the maximum number of runners

A route allows two runners; while the first one falls silent and goes on again and again, up to three different runners got the request: the further attempt was cancelled without noting that its runner may have begun to work on it.

Found by the review; OvertakenAttemptTest fails on (runners e1, e4, e2, e4, e2). Now each cancelled attempt that was overtaken counts.

--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
@@ -165,6 +165,7 @@
   private void prevail(PendingForward forward, LiveAttempt winner, int newest, GatewayStep step) {
     for (LiveAttempt other : forward.live()) {
       if (other.number() <= newest && !other.equals(winner)) {
+        forward.markMayHaveRun(other.runner());
         pending.cancel(forward, other, step);
         if (other.number() < winner.number()) {
           recordFailure(other.runner(), "silent", false, step);
