--- a/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Handler;
@@ -64,6 +65,7 @@
   @CsvSource({"1, 2", "2, 1"})
   void attemptThatWritesFirstIsTheOnlyOneThatGoesOn(int winner, int loser) throws Exception {
     List<Object> results = new CopyOnWriteArrayList<>();
+    CountDownLatch handled = new CountDownLatch(1);
     Server server = new Server();
     ServerConnector connector = new ServerConnector(server);
     server.addConnector(connector);
@@ -85,12 +87,14 @@
             results.add(exchange.finish(loser, 200, HttpFields.EMPTY));
             results.add(relay(exchange, winner, "id: 3\ndata: x\n\n"));
             results.add(exchange.finish(winner, 200, HttpFields.EMPTY));
+            handled.countDown();
             return true;
           }
         });
     server.start();
     try {
       String answer = call(connector.getLocalPort());
+      assertThat(handled.await(READ_LIMIT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
       assertThat(results)
           .containsExactly(
               CallerExchange.RelayResult.WRITTEN,
