Leave the retry budget to requests without a live attempt

A request with a live attempt now waits 300 ms or more before its next further attempt; it loses nothing by that, as its silent runner may go on meanwhile.

--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
@@ -24,6 +24,12 @@
    */
   private static final Duration REJECTION_PAUSE = Duration.ofMillis(60);
 
+  /**
+   * Minimum delay after a failed attempt while another one is live. A silent runner mostly goes on
+   * within it, and the retry budget is left to requests without a live attempt.
+   */
+  private static final Duration MIN_PAUSE_BESIDE_LIVE_ATTEMPT = Duration.ofMillis(300);
+
   private static final int STATUS_MISDIRECTED = 421;
   private static final int STATUS_SERVER_ERROR = 500;
 
@@ -271,7 +277,8 @@
   private void goOn(
       PendingForward forward, LiveAttempt ended, String reason, Duration pause, GatewayStep step) {
     ForwardLog.kept(forward, ended, reason, step);
-    forward.postpone(step.now().plus(pause));
+    Duration minimum = MIN_PAUSE_BESIDE_LIVE_ATTEMPT;
+    forward.postpone(step.now().plus(pause.compareTo(minimum) > 0 ? pause : minimum));
   }
 
   private void retry(PendingForward forward, String reason, Duration pause, GatewayStep step) {
