Soak: LOST does not count what the users' rule excuses

The soak's LOST counted every request of a plan with planned work that ran and got no whole answer. The users' rule does not count one that was sent no later than 3 s after SIGTERM and on which the runner was still at work in the last sixth of the grace period.

PlannedStops applies the rule: the first SIGTERM of a process, the end of sending and the closing as its caller saw them, and the end of the work as the runner records it. The check is narrower than the rule in that the cut itself must lie in the last sixth or up to 1 s after the period, and that the request must have run. The other cuts count as before.

--- a/src/main/java/dev/wisteriarail/soak/NodeProcess.java
+++ b/src/main/java/dev/wisteriarail/soak/NodeProcess.java
@@ -26,6 +26,7 @@
   private final Path settingsFile;
   private final Path logFile;
   private final List<String> ownExits = new ArrayList<>();
+  private final List<Long> stopTimes = new ArrayList<>();
 
   /** The last process that got SIGHUP, which ends a process that has just been started. */
   private Process reloaded;
@@ -123,12 +124,21 @@
 
   /** Sends SIGTERM. */
   synchronized void terminate() {
+    boolean first = process != null && !process.equals(signalled);
     signalled = process;
     if (isAlive()) {
+      if (first) {
+        stopTimes.add(System.nanoTime());
+      }
       process.destroy();
     }
   }
 
+  /** Returns when processes of this node got their first SIGTERM, in nanoseconds. */
+  synchronized List<Long> stopTimes() {
+    return List.copyOf(stopTimes);
+  }
+
   /** Sends SIGKILL and waits for the process to exit. */
   void kill() throws InterruptedException {
     Process killed;
--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 
 /**
@@ -114,7 +115,11 @@
     List<String> violations = new ArrayList<>(recordedViolations);
     violations.addAll(
         SoakOracle.violations(
-            outcomes, fleet.platform().allRunners(), plan.planType(), callers.longestStall()));
+            outcomes,
+            fleet.platform().allRunners(),
+            plan.planType(),
+            plannedStops(plan.stopLimit()),
+            callers.longestStall()));
     Map<Integer, Integer> statuses = new TreeMap<>();
     outcomes.forEach(outcome -> statuses.merge(outcome.status(), 1, Integer::sum));
     return new Report(
@@ -127,6 +132,15 @@
         violations);
   }
 
+  private PlannedStops plannedStops(Duration gracePeriod) {
+    return new PlannedStops(
+        gracePeriod,
+        fleet.members().stream()
+            .collect(
+                Collectors.toMap(
+                    member -> member.callers().address(), member -> member.process().stopTimes())));
+  }
+
   private synchronized void addViolation(String violation) {
     recordedViolations.add(violation);
   }
--- a/src/main/java/dev/wisteriarail/soak/SoakCallers.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakCallers.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.standin.RunnerStandin;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -159,25 +160,36 @@
     if (kind.isStream()) {
       CallerRequests.withPrompt(request, List.of("first", part, id));
     }
-    Outcome outcome = sendAndAwait(id, kind, request);
+    Outcome outcome = sendAndAwait(address, id, kind, request);
     outcomes.add(outcome);
     return outcome;
   }
 
-  private static Outcome sendAndAwait(String id, Kind kind, Request request)
+  private static Outcome sendAndAwait(String address, String id, Kind kind, Request request)
       throws InterruptedException {
     AtomicLong sentAt = new AtomicLong();
-    request.onRequestSuccess(sent -> sentAt.set(System.nanoTime()));
-    request.onResponseBegin(begun -> sentAt.set(0));
+    AtomicLong waitingSince = new AtomicLong();
+    request.onRequestSuccess(
+        sent -> {
+          sentAt.set(System.nanoTime());
+          waitingSince.set(sentAt.get());
+        });
+    request.onResponseBegin(begun -> waitingSince.set(0));
     try {
       ContentResponse response = request.send();
       return Outcome.answered(id, kind, response.getStatus(), response.getContentAsString());
     } catch (TimeoutException failure) {
       return Outcome.unanswered(id, kind, Duration.ZERO, "time limit");
     } catch (ExecutionException failure) {
-      boolean closed = sentAt.get() != 0 && !(failure.getCause() instanceof TimeoutException);
-      Duration waited = closed ? Duration.ofNanos(System.nanoTime() - sentAt.get()) : Duration.ZERO;
-      return Outcome.unanswered(id, kind, waited, String.valueOf(failure.getMessage()));
+      long now = System.nanoTime();
+      boolean timedOut = failure.getCause() instanceof TimeoutException;
+      boolean closed = waitingSince.get() != 0 && !timedOut;
+      Duration waited = closed ? Duration.ofNanos(now - waitingSince.get()) : Duration.ZERO;
+      Outcome unanswered =
+          Outcome.unanswered(id, kind, waited, String.valueOf(failure.getMessage()));
+      return sentAt.get() == 0 || timedOut
+          ? unanswered
+          : unanswered.withCut(new Cut(address, sentAt.get(), now));
     }
   }
 
@@ -214,6 +226,15 @@
     return Duration.ofNanos(longestStallNanos.get());
   }
 
+  /**
+   * A request whose connection was closed.
+   *
+   * @param address caller address of the node
+   * @param sentAt when the request was sent, in nanoseconds
+   * @param cutAt when the connection was closed, in nanoseconds
+   */
+  record Cut(String address, long sentAt, long cutAt) {}
+
   /** The kinds of requests. */
   enum Kind {
     /** A stream that can be resumed on another runner. */
@@ -268,18 +289,24 @@
    * @param body body of the answer, or the reason why none was received
    * @param closedAfter time from the end of sending the request until its connection was closed
    *     without a byte of an answer; zero for other outcomes
+   * @param cut how the request was cut, if it was sent and its connection was closed
    */
-  record Outcome(String id, Kind kind, int status, String body, Duration closedAfter) {
+  record Outcome(
+      String id, Kind kind, int status, String body, Duration closedAfter, Optional<Cut> cut) {
 
     /** Status of a request without a complete answer. */
     static final int NO_ANSWER = 0;
 
     static Outcome answered(String id, Kind kind, int status, String body) {
-      return new Outcome(id, kind, status, body, Duration.ZERO);
+      return new Outcome(id, kind, status, body, Duration.ZERO, Optional.empty());
     }
 
     static Outcome unanswered(String id, Kind kind, Duration closedAfter, String reason) {
-      return new Outcome(id, kind, NO_ANSWER, reason, closedAfter);
+      return new Outcome(id, kind, NO_ANSWER, reason, closedAfter, Optional.empty());
+    }
+
+    Outcome withCut(Cut newCut) {
+      return new Outcome(id, kind, status, body, closedAfter, Optional.of(newCut));
     }
   }
 }
--- a/src/main/java/dev/wisteriarail/soak/SoakOracle.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakOracle.java
@@ -7,7 +7,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -46,12 +48,14 @@
    * @param outcomes outcomes of the requests of all callers
    * @param runners all runners, including ended ones
    * @param planType type of the plan, which decides which requests may be lost
+   * @param stops when nodes got SIGTERM
    * @param stall longest stall of the callers' process
    */
   static List<String> violations(
       List<SoakCallers.Outcome> outcomes,
       List<RunnerStandin> runners,
       SoakPlan.PlanType planType,
+      PlannedStops stops,
       Duration stall) {
     List<String> violations = new ArrayList<>();
     Map<String, Integer> runs = new HashMap<>();
@@ -68,7 +72,19 @@
       sent.add(outcome.id());
       int count = runs.getOrDefault(outcome.id(), 0);
       check(outcome, count, violations);
-      if (outcome.status() == SoakCallers.Outcome.NO_ANSWER) {
+      boolean excused =
+          count > 0
+              && outcome
+                  .cut()
+                  .filter(
+                      cut ->
+                          stops.excuses(
+                              cut.address(),
+                              cut.sentAt(),
+                              cut.cutAt(),
+                              workEndedAt(outcome.id(), runners)))
+                  .isPresent();
+      if (outcome.status() == SoakCallers.Outcome.NO_ANSWER && !excused) {
         checkLost(outcome, count, planType, LOSS_SLACK.plus(stall)).ifPresent(violations::add);
       }
     }
@@ -140,6 +156,14 @@
     }
   }
 
+  private static OptionalLong workEndedAt(String id, List<RunnerStandin> runners) {
+    return runners.stream()
+        .map(runner -> runner.workEndTimes().get(id))
+        .filter(Objects::nonNull)
+        .mapToLong(Long::longValue)
+        .max();
+  }
+
   private static Optional<String> checkLost(
       SoakCallers.Outcome outcome, int runs, SoakPlan.PlanType planType, Duration slack) {
     String request = "LOST " + outcome.id() + " (" + outcome.kind() + ")";
--- a/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,6 +57,7 @@
   private final boolean engine;
   private final long bornMillis;
   private final List<String> executedRequests = new ArrayList<>();
+  private final Map<String, Long> workEndTimes = new HashMap<>();
   private final List<Long> crashingArrivals = new ArrayList<>();
   private final List<String> invalidOrders = new ArrayList<>();
   private final RunnerMemory memory;
@@ -210,7 +212,7 @@
     try {
       answer(call, request, requestBehaviour);
     } finally {
-      finishRequest(requestedModel(call));
+      finishRequest(request, requestedModel(call));
     }
   }
 
@@ -250,7 +252,8 @@
     return call.header("X-Wisteriarail-Model").orElse("");
   }
 
-  private synchronized void finishRequest(String modelHeader) {
+  private synchronized void finishRequest(String request, String modelHeader) {
+    workEndTimes.put(request, System.nanoTime());
     runningCount--;
     memory.finishRequest(modelHeader);
   }
@@ -393,6 +396,11 @@
     return server.authority();
   }
 
+  /** Returns when the runner last stopped working on each request, in nanoseconds. */
+  public synchronized Map<String, Long> workEndTimes() {
+    return Map.copyOf(workEndTimes);
+  }
+
   /** Returns the identifiers of the executed requests, in order. */
   public synchronized List<String> executedRequests() {
     return List.copyOf(executedRequests);
