OddEntryTest waits until the odd entry was read, and sends orders at once

The test passed on the code before the fix as well: it did not wait until the node had read the odd entry, and its orders went to the sound runners one by one. It now waits for the read and sends four orders at a time, which spread over all runners; an order that is sent to an odd entry is not sent again.

The stand-in of the store takes values that are no text.

--- a/src/main/java/dev/wisteriarail/standin/MetadataStoreStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/MetadataStoreStandin.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,12 +54,17 @@
   // Direct access for operators and runners
 
   /** Appends a record for a key; an empty value deletes the key. */
-  public synchronized long put(String topic, String key, String value) {
+  public long put(String topic, String key, String value) {
+    return put(topic, key, value.getBytes(UTF_8));
+  }
+
+  /** Appends a record whose value need not be text. */
+  public synchronized long put(String topic, String key, byte[] value) {
     byte[] keyBytes = key.getBytes(UTF_8);
     ByteArrayOutputStream content = new ByteArrayOutputStream();
     content.write(keyBytes.length);
     content.writeBytes(keyBytes);
-    content.writeBytes(value.getBytes(UTF_8));
+    content.writeBytes(value);
     long offset = topic(topic).append(content.toByteArray());
     notifyAll();
     return offset;
@@ -67,7 +73,11 @@
   /** Returns the values of the newest records of a topic, by key. */
   public synchronized Map<String, String> newest(String topic) {
     Map<String, String> values = new TreeMap<>();
-    topic(topic).newest.forEach((key, item) -> values.put(key, item.value()));
+    topic(topic)
+        .newest
+        .forEach(
+            (key, item) ->
+                values.put(key, new String(Base64.getDecoder().decode(item.base64()), UTF_8)));
     return values;
   }
 
@@ -174,8 +184,7 @@
       }
       Map<String, Object> item = new LinkedHashMap<>();
       item.put("key", entry.getKey());
-      item.put(
-          "value", Base64.getEncoder().encodeToString(entry.getValue().value().getBytes(UTF_8)));
+      item.put("value", entry.getValue().base64());
       item.put("offset", entry.getValue().offset());
       items.add(item);
     }
@@ -199,7 +208,7 @@
     server.close();
   }
 
-  private record KeyedValue(String value, long offset) {}
+  private record KeyedValue(String base64, long offset) {}
 
   /** One topic with one partition. */
   private static final class Topic {
@@ -229,11 +238,11 @@
       }
       int length = content[0];
       String key = new String(content, 1, length, UTF_8);
-      String value = new String(content, 1 + length, content.length - 1 - length, UTF_8);
-      if (value.isEmpty()) {
+      byte[] value = Arrays.copyOfRange(content, 1 + length, content.length);
+      if (value.length == 0) {
         newest.remove(key);
       } else {
-        newest.put(key, new KeyedValue(value, offset));
+        newest.put(key, new KeyedValue(Base64.getEncoder().encodeToString(value), offset));
       }
     }
 
--- a/src/test/java/dev/wisteriarail/platform/OddEntryTest.java
+++ b/src/test/java/dev/wisteriarail/platform/OddEntryTest.java
@@ -2,12 +2,31 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_16;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
+import dev.wisteriarail.core.gateway.StoreAnswer;
+import dev.wisteriarail.core.gateway.StoreRead;
+import dev.wisteriarail.gateway.PlatformClient;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.nio.charset.Charset;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that directory entries of other writers neither delay requests nor stop the directory. */
@@ -18,9 +37,13 @@
   /** How long a caller may wait for an answer; far below the requests' time limit of 5 s. */
   private static final Duration ANSWER_LIMIT = Duration.ofSeconds(3);
 
-  private static final int REQUESTS = 6;
+  private static final int REQUESTS = 12;
 
-  private int requests;
+  /** Enough for each of three runners, and fewer than two of them serve at a time. */
+  private static final int CONCURRENT_ORDERS = 4;
+
+  private final AtomicLong directoryRead = new AtomicLong();
+  private final AtomicInteger requests = new AtomicInteger();
 
   // One entry
 
@@ -29,9 +52,11 @@
       strings = {
         "port 0",
         "port -1",
+        "port 65536",
         "port 99999",
         "port abc",
         "host no-such-host.invalid",
+        "host localhost",
         "host ::1",
         "born far ahead",
         "slots -1",
@@ -41,8 +66,8 @@
         "not text"
       })
   void entryUnderNewIdIsNotUsed(String name) throws Exception {
-    try (GatewayFleet fleet = GatewayFleet.start(1, 1, 2)) {
-      fleet.platform().store().put(DIRECTORY, "odd", OddEntries.all().get(name));
+    try (GatewayFleet fleet = start(1, 2)) {
+      putAndAwaitRead(fleet, "odd", OddEntries.all().get(name).getBytes(UTF_8));
       checkServed(fleet);
       checkDirectoryIsFollowed(fleet);
     }
@@ -53,9 +78,11 @@
       strings = {
         "port 0",
         "port -1",
+        "port 65536",
         "port 99999",
         "port abc",
         "host no-such-host.invalid",
+        "host localhost",
         "host ::1",
         "born far ahead",
         "slots -1",
@@ -65,14 +92,78 @@
         "not text"
       })
   void entryUnderIdOfRunnerHarmsNothing(String name) throws Exception {
-    try (GatewayFleet fleet = GatewayFleet.start(1, 1, 2)) {
-      fleet.platform().store().put(DIRECTORY, "plain-0", OddEntries.all().get(name));
+    try (GatewayFleet fleet = start(1, 2)) {
+      putAndAwaitRead(fleet, "plain-0", OddEntries.all().get(name).getBytes(UTF_8));
       checkServed(fleet);
       checkDirectoryIsFollowed(fleet);
     }
   }
 
+  static Stream<Arguments> bytes() {
+    return Stream.of("odd", "plain-0")
+        .flatMap(
+            id ->
+                Stream.of(
+                    Arguments.of(id, "", ISO_8859_1),
+                    Arguments.of(id, "ÿþé", ISO_8859_1),
+                    Arguments.of(id, OddEntries.all().get("host é"), ISO_8859_1),
+                    Arguments.of(id, OddEntries.all().get("port 65536"), UTF_16)));
+  }
+
+  /** An empty value removes an entry; other bytes that are not UTF-8 are ignored. */
+  @ParameterizedTest
+  @MethodSource("bytes")
+  void valueThatIsNoTextHarmsNothing(String id, String value, Charset charset) throws Exception {
+    try (GatewayFleet fleet = start(1, 2)) {
+      putAndAwaitRead(fleet, id, value.getBytes(charset));
+      checkServed(fleet);
+      checkDirectoryIsFollowed(fleet);
+    }
+  }
+
+  private GatewayFleet start(int engines, int plain) throws Exception {
+    return GatewayFleet.start(1, engines, plain, this::observed);
+  }
+
+  /** Returns a client that records up to where the node has read the directory. */
+  private PlatformClient observed(PlatformClient client) {
+    return (PlatformClient)
+        Proxy.newProxyInstance(
+            PlatformClient.class.getClassLoader(),
+            new Class<?>[] {PlatformClient.class},
+            (proxy, called, arguments) -> {
+              if (called.getName().equals("readStore")) {
+                client.readStore((StoreRead) arguments[0], recording((Consumer<?>) arguments[1]));
+                return null;
+              }
+              return called.invoke(client, arguments);
+            });
+  }
+
+  private Consumer<StoreAnswer> recording(Consumer<?> callback) {
+    @SuppressWarnings("unchecked")
+    Consumer<StoreAnswer> answers = (Consumer<StoreAnswer>) callback;
+    return answer -> {
+      answers.accept(answer);
+      if (answer instanceof StoreAnswer.DirectoryRead read) {
+        directoryRead.accumulateAndGet(read.change().to().offset(), Math::max);
+      }
+    };
+  }
+
+  private void putAndAwaitRead(GatewayFleet fleet, String id, byte[] value) throws Exception {
+    fleet.platform().store().put(DIRECTORY, id, value);
+    awaitRead(fleet);
+  }
+
+  /** Waits until the node has read the directory up to its present end. */
+  private void awaitRead(GatewayFleet fleet) throws Exception {
+    long end = fleet.platform().store().endOffset(DIRECTORY);
+    fleet.await(() -> directoryRead.get() >= end);
+  }
+
   private void checkServed(GatewayFleet fleet) throws Exception {
+    checkConcurrentOrders(fleet);
     for (int i = 0; i < REQUESTS; i++) {
       check(fleet, "POST", "/order/1", "");
       check(fleet, "GET", "/lookup/1", "");
@@ -80,10 +171,29 @@
     check(fleet, "POST", "/chat/1", "m0");
   }
 
+  /** Orders may run once, so one that is sent to an odd entry is not sent to another runner. */
+  private void checkConcurrentOrders(GatewayFleet fleet) throws Exception {
+    try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+      List<Future<Void>> orders = new ArrayList<>();
+      for (int i = 0; i < CONCURRENT_ORDERS; i++) {
+        orders.add(
+            callers.submit(
+                () -> {
+                  check(fleet, "POST", "/order/1", "");
+                  return null;
+                }));
+      }
+      for (Future<Void> order : orders) {
+        order.get();
+      }
+    }
+  }
+
   private void check(GatewayFleet fleet, String method, String path, String model)
       throws Exception {
     long start = System.nanoTime();
-    int status = fleet.send(0, method, path, model, "odd-" + requests++, "b").statusCode();
+    int status =
+        fleet.send(0, method, path, model, "odd-" + requests.incrementAndGet(), "b").statusCode();
     assertWithMessage("status of %s", path).that(status).isEqualTo(200);
     assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(ANSWER_LIMIT);
   }
@@ -102,11 +212,12 @@
   /** An engine whose address is no address gets no orders, and the others are planned for. */
   @Test
   void ordersGoOnBesideOddEngines() throws Exception {
-    try (GatewayFleet engines = GatewayFleet.start(1, 2, 0)) {
+    try (GatewayFleet engines = start(2, 0)) {
       int count = 0;
       for (Map.Entry<String, String> odd : OddEntries.ofService("engines").entrySet()) {
         engines.platform().store().put(DIRECTORY, "odd-" + count++, odd.getValue());
       }
+      awaitRead(engines);
       engines.await(() -> isServed(engines, "m1"));
       engines.await(() -> isServed(engines, "m2"));
     }
@@ -125,7 +236,7 @@
   /** The complete directory, which is read after a gap, may contain odd entries, too. */
   @Test
   void completeDirectoryWithOddEntriesIsRead() throws Exception {
-    try (GatewayFleet gap = GatewayFleet.start(1, 0, 1)) {
+    try (GatewayFleet gap = start(0, 1)) {
       int count = 0;
       for (String odd : OddEntries.all().values()) {
         gap.platform().store().put(DIRECTORY, "odd-" + count++, odd);
@@ -134,6 +245,7 @@
       gap.platform().crash("plain-0");
       gap.platform().restart("plain-0");
       gap.platform().writeEntries();
+      awaitRead(gap);
       gap.await(() -> isLookupServed(gap));
     }
   }
