Plain words in comments; PauseDetector and LostClaimTracker

Comments and names only; no name on the wire changes. The classes *Crash*, Odd* and Order* of the tests pass.

--- a/src/main/java/dev/wisteriarail/answers/Publisher.java
+++ b/src/main/java/dev/wisteriarail/answers/Publisher.java
@@ -21,7 +21,7 @@
  * Publishes sections by appending them to the log, and reads their outcomes from the log.
  *
  * <p>A section is refused without an append if it has changed since the revision that the operator
- * based the change on. An append whose answer was lost is not sent again, but looked for in the
+ * based the change on. An append whose answer was lost is not sent again, but searched for in the
  * log. Not thread-safe.
  */
 public final class Publisher {
--- a/src/main/java/dev/wisteriarail/core/cell/CellController.java
+++ b/src/main/java/dev/wisteriarail/core/cell/CellController.java
@@ -59,7 +59,7 @@
   private final PlacementDecider placementDecider;
   private final SuccessionManager successionManager;
   private final OutageReplicator outageReplicator;
-  private final PauseGuard pauseGuard;
+  private final PauseDetector pauseDetector;
   private final Set<ReplicaId> readyReplicas = new TreeSet<>();
   private Optional<Instant> nextPlanAt = Optional.empty();
   private Optional<Instant> nextClaimAt = Optional.empty();
@@ -109,7 +109,7 @@
             demandAggregator,
             planner,
             successionManager);
-    pauseGuard = PauseGuard.create(settings.timings().suspectAfter());
+    pauseDetector = PauseDetector.create(settings.timings().suspectAfter());
   }
 
   /** Returns a controller that holds no claim yet. */
@@ -287,10 +287,10 @@
 
   /** Performs what is due: retries appends, claims or releases the cell, or controls it. */
   public void advance(Step step, ControllerContext context) {
-    pauseGuard.recordStep(step.now());
+    pauseDetector.recordStep(step.now());
     nextClaimAt = Optional.empty();
     closedIncarnations.recordMessage(settings.node(), settings.incarnation(), step.now());
-    if (pauseGuard.isStale(context.log(), step.now())) {
+    if (pauseDetector.isStale(context.log(), step.now())) {
       nextPlanAt = Optional.of(step.now().plus(settings.timings().plan()));
       return;
     }
--- a/src/main/java/dev/wisteriarail/core/cell/PauseGuard.java
+++ b/src/main/java/dev/wisteriarail/core/cell/PauseDetector.java
@@ -13,23 +13,23 @@
  *
  * <p>Life cycle: one per node. Not thread-safe; owned by the node's core.
  */
-final class PauseGuard {
+final class PauseDetector {
 
   private final Duration pauseThreshold;
   private Optional<Instant> lastStep = Optional.empty();
   private Optional<Instant> resumedAt = Optional.empty();
 
-  private PauseGuard(Duration pauseThreshold) {
+  private PauseDetector(Duration pauseThreshold) {
     this.pauseThreshold = pauseThreshold;
   }
 
   /**
-   * Returns a guard.
+   * Returns a detector that has recorded no step.
    *
    * @param pauseThreshold time between two steps above which the node counts as paused
    */
-  static PauseGuard create(Duration pauseThreshold) {
-    return new PauseGuard(pauseThreshold);
+  static PauseDetector create(Duration pauseThreshold) {
+    return new PauseDetector(pauseThreshold);
   }
 
   /** Records a step. */
--- a/src/main/java/dev/wisteriarail/core/fleet/LostClaims.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/LostClaimTracker.java
@@ -12,14 +12,14 @@
  *
  * <p>Life cycle: one per node process. Not thread-safe.
  */
-final class LostClaims {
+final class LostClaimTracker {
 
   private final Duration leaseDuration;
   private final Duration handoverDelay;
   private Instant eraSeenAt = Instant.MIN;
   private boolean possible;
 
-  LostClaims(Duration leaseDuration, Duration handoverDelay) {
+  LostClaimTracker(Duration leaseDuration, Duration handoverDelay) {
     this.leaseDuration = leaseDuration;
     this.handoverDelay = handoverDelay;
   }
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -53,7 +53,7 @@
   private final FleetTimings timings;
   private final Duration handoverDelay;
   private final OrderPauses pauses;
-  private final LostClaims lostClaims;
+  private final LostClaimTracker lostClaimTracker;
   private Phase phase = Phase.IDLE;
   private boolean callInProgress;
   private boolean verifying;
@@ -86,7 +86,7 @@
     this.timings = timings;
     handoverDelay = timings.handoverDelay().plus(TRANSIT_MARGIN);
     pauses = new OrderPauses(handoverDelay);
-    lostClaims = new LostClaims(timings.leaseDuration(), handoverDelay);
+    lostClaimTracker = new LostClaimTracker(timings.leaseDuration(), handoverDelay);
   }
 
   /** Returns a lease that is not held. */
@@ -106,7 +106,7 @@
     if (phase == Phase.RELEASING && !now.isBefore(callStartedAt.plus(RELEASE_TIMEOUT))) {
       endRelease();
     }
-    if (reclaiming && (!wanted || lostClaims.isReclaimPeriodOver(now))) {
+    if (reclaiming && (!wanted || lostClaimTracker.isReclaimPeriodOver(now))) {
       lose();
     }
     if (callInProgress || now.isBefore(nextCallAt)) {
@@ -237,8 +237,8 @@
     }
     if (end.offset() == 0) {
       predecessorHandover = Optional.empty();
-      lostClaims.acceptNewestRecord(0, end.era());
-      phase = reclaiming || !lostClaims.mayBeHeld(now) ? Phase.CLAIMING : Phase.READING;
+      lostClaimTracker.acceptNewestRecord(0, end.era());
+      phase = reclaiming || !lostClaimTracker.mayBeHeld(now) ? Phase.CLAIMING : Phase.READING;
       nextCallAt = phase == Phase.READING ? now.plus(RETRY_DELAY) : now;
       return;
     }
@@ -265,14 +265,14 @@
       }
       return;
     }
-    lostClaims.acceptNewestRecord(last.era(), end.era());
+    lostClaimTracker.acceptNewestRecord(last.era(), end.era());
     predecessorSeenAt = endSeenAt;
     handoverReadAt = now;
-    if (lostClaims.mayDelayOrders(now)) {
+    if (lostClaimTracker.mayDelayOrders(now)) {
       quietTimeOfOthers = Duration.ZERO;
       predecessorFence = 0;
       predecessorHandover = Optional.empty();
-      boolean claimable = isEnded(last) && !lostClaims.mayBeHeld(now);
+      boolean claimable = isEnded(last) && !lostClaimTracker.mayBeHeld(now);
       phase = claimable ? Phase.CLAIMING : Phase.WAITING;
       return;
     }
@@ -350,7 +350,7 @@
       pauses.recordEarlierRun(now.plus(handoverDelay));
       stopNotices.of(predecessorFence).ifPresent(pauses::shorten);
     }
-    pauses.extend(lostClaims.ordersFrom());
+    pauses.extend(lostClaimTracker.ordersFrom());
   }
 
   /**
@@ -397,7 +397,7 @@
     }
     reclaiming |= held;
     end = LogPosition.of(era, -1);
-    lostClaims.acceptEra(now);
+    lostClaimTracker.acceptEra(now);
     endSeenAt = Instant.MIN;
     firstAttemptAt = Instant.MAX;
     readFrom = 0;
--- a/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
+++ b/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
@@ -41,7 +41,7 @@
   record NotSent(String reason) implements AttemptResult {}
 
   /**
-   * This node failed while sending the request, which says nothing about the runner.
+   * This node failed while sending the request, which is no evidence against the runner.
    *
    * @param reason description of the failure
    * @param maybeSent whether a byte of the request may have been sent
--- a/src/main/java/dev/wisteriarail/core/forward/CrashRefusal.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashRefusal.java
@@ -3,7 +3,7 @@
 import java.util.Set;
 
 /**
- * The decision to refuse requests that crash runners, as told to peers and kept in the store.
+ * The decision to refuse requests that crash runners, as sent to peers and kept in the store.
  *
  * @param traits requests with all of these traits are refused
  * @param crashes number of crashes that led to the decision
--- a/src/main/java/dev/wisteriarail/core/forward/CrashReport.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashReport.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * A request whose connection ended before any part of its response arrived, as told to peers. Its
+ * A request whose connection ended before any part of its response arrived, as sent to peers. Its
  * runner may have crashed on it.
  *
  * @param loss the loss of the connection
--- a/src/main/java/dev/wisteriarail/core/forward/ForwardRequest.java
+++ b/src/main/java/dev/wisteriarail/core/forward/ForwardRequest.java
@@ -12,11 +12,11 @@
  * @param id the caller's identifier of this attempt
  * @param host the host in the request
  * @param path the path without the query
- * @param callerTimeout how long the caller waits for the complete response, if it says so
+ * @param callerTimeout how long the caller waits for the complete response, if specified
  * @param model the model; empty for a plain service
  * @param adapter the adapter of the model
- * @param promptTokens number of tokens of the prompt; 0 if the caller does not say
- * @param answerTokens maximum number of tokens of the response; 0 if the caller does not say
+ * @param promptTokens number of tokens of the prompt; 0 if unknown
+ * @param answerTokens maximum number of tokens of the response; 0 if unknown
  * @param parts the parts of the prompt in order
  * @param fingerprint identifies method, target and body across all attempts, whoever sends them
  */
--- a/src/main/java/dev/wisteriarail/core/forward/RunTimes.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunTimes.java
@@ -14,7 +14,7 @@
  * Run times of the requests of each route at runners, from sending a request to the end of its
  * response.
  *
- * <p>Streams take several times as long when runners are nearly full, so no fixed time tells
+ * <p>Streams take several times as long when runners are nearly full, so no fixed time determines
  * whether a stream can still complete before its node exits.
  *
  * <p>Life cycle: one per run of a node. Not thread-safe.
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
@@ -36,7 +36,7 @@
   record RelayAnswer(long exchange, int attempt) implements GatewayEffect {}
 
   /**
-   * Aborts a response that was started, so that it does not look complete to the caller.
+   * Aborts a response that was started, so that it does not appear complete to the caller.
    *
    * @param exchange the request
    */
--- a/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
@@ -69,7 +69,7 @@
   /**
    * Returns the runner to send the request to now, or empty if the request has to wait.
    *
-   * @param avoided tells whether a runner is not to be used for this request
+   * @param avoided returns whether a runner is not to be used for this request
    */
   Optional<RunnerEntry> choose(
       PendingForward forward,
--- a/src/main/java/dev/wisteriarail/fuzz/oracle/Observation.java
+++ b/src/main/java/dev/wisteriarail/fuzz/oracle/Observation.java
@@ -116,7 +116,7 @@
 
   // Run
 
-  /** Time has advanced; checks look for overdue requests and drains. */
+  /** Time has advanced; checks search for overdue requests and drains. */
   record Tick() implements Observation {}
 
   /** All faults have ended. */
--- a/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
+++ b/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
@@ -16,8 +16,8 @@
  * that it reads without progress of a response.
  *
  * <p>Jetty reports a reset as the end of the stream. A response without a length ends with its
- * stream, so one that was truncated by a crash would look complete. Jetty also reads without limit
- * while bytes arrive, for example within a chunk's size. Thread-safe.
+ * stream, so one that was truncated by a crash would appear complete. Jetty also reads without
+ * limit while bytes arrive, for example within a chunk's size. Thread-safe.
  */
 final class ResetAwareEndPoint extends SocketChannelEndPoint {
 
--- a/src/test/java/dev/wisteriarail/core/forward/CrashHistoryTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/CrashHistoryTest.java
@@ -58,7 +58,9 @@
     assertThat(isRefused("first", "beside-1")).isFalse();
   }
 
-  /** Parts that always travel together cannot be told apart, so only both together are refused. */
+  /**
+   * Parts that always occur together cannot be distinguished, so only both together are refused.
+   */
   @Test
   void partThatTravelsWithTheCrashingOneIsNotRefusedByItself() {
     for (int i = 0; i < 3; i++) {
--- a/src/test/java/dev/wisteriarail/core/gateway/LateRequests.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/LateRequests.java
@@ -164,7 +164,7 @@
     return select(request -> request.endings.size() != 1);
   }
 
-  /** Returns the requests whose refusal says that they did not run, although they did. */
+  /** Returns the requests that were refused as not executed, although they were executed. */
   List<String> refusedAlthoughRun() {
     return select(
         request ->
--- a/src/test/java/dev/wisteriarail/platform/OddDocumentsTest.java
+++ b/src/test/java/dev/wisteriarail/platform/OddDocumentsTest.java
@@ -69,7 +69,7 @@
         address, slots);
   }
 
-  /** Entries that cannot be used are told to the core, so that it can log them. */
+  /** Unusable entries are passed to the core, so that it can log them. */
   @Test
   void unusableEntriesAreNamed() {
     StoreClient.Outcome outcome =
