A stopping node gives runners no more time than it has

What callers saw: a request that a stopping node had sent to a runner, and that was still in the runner's queue when the node ended its requests, got 502 (outcome unknown). A request that may run once is not sent again after that, although it had not run.

Cause: the runner got the whole time limit of the request. A runner reports a request as not executed when that limit passes in its queue; the report came after the end of the node.

Ruled out: a closed connection (all requests are answered before the node ends: 502, in all states that the tests play); cancelling the attempt earlier (a runner sends nothing after its connection closes, so the outcome stays unknown); the runner's report of its runs (hundreds of ms old, so it proves nothing).

Change: an attempt that a stopping node sends, and that could outlast it, ends 150 ms before the node ends its requests (scaled in short grace periods), which is in the last sixth of the grace period. A runner that has not begun it then answers 503 with the not-executed header, and the caller gets 503 with Retry-After. From then on nothing is sent: it could not end in time and would only use up the retry budget.

Requests sent to runners before the stop request keep their time limit and get 502.

--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
@@ -32,6 +32,7 @@
   private final RunnerPicker picker;
   private final CrashGuard crashGuard;
   private final PendingForwardTable pending;
+  private final DrainPlan drain;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private int sharingNodes = 1;
 
@@ -40,12 +41,14 @@
       RunnerStateTable runnerStates,
       RunnerPicker picker,
       CrashGuard crashGuard,
-      PendingForwardTable pending) {
+      PendingForwardTable pending,
+      DrainPlan drain) {
     this.retryLimits = retryLimits;
     this.runnerStates = runnerStates;
     this.picker = picker;
     this.crashGuard = crashGuard;
     this.pending = pending;
+    this.drain = drain;
   }
 
   static AttemptSender create(
@@ -53,8 +56,9 @@
       RunnerStateTable runnerStates,
       RunnerPicker picker,
       CrashGuard crashGuard,
-      PendingForwardTable pending) {
-    return new AttemptSender(retryLimits, runnerStates, picker, crashGuard, pending);
+      PendingForwardTable pending,
+      DrainPlan drain) {
+    return new AttemptSender(retryLimits, runnerStates, picker, crashGuard, pending, drain);
   }
 
   /** Applies changed retry limits. */
@@ -78,9 +82,12 @@
     return forward.timeLeft(now).compareTo(MIN_TIME_LEFT) < 0;
   }
 
-  /** Returns whether a request may be sent now, as far as suspected traits are concerned. */
-  boolean maySend(PendingForward forward) {
-    return crashGuard.maySend(forward, pending);
+  /**
+   * Returns whether a request may be sent now, as far as suspected traits and the end of a draining
+   * node are concerned.
+   */
+  boolean maySend(PendingForward forward, Instant now) {
+    return !drain.isTooLateToSend(now) && crashGuard.maySend(forward, pending);
   }
 
   /** Returns the runner that can take a request now. */
@@ -122,7 +129,7 @@
             forward.exchange(),
             attempt.number(),
             runner,
-            forward.timeLeft(step.now()),
+            drain.runnerTime(forward.timeLeft(step.now()), step.now()),
             forward.route().rank(),
             forward.route().streaming(),
             forward.route().repeatable()));
--- a/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/DrainPlan.java
@@ -90,6 +90,32 @@
     return isDraining() && now.plus(reserve).isAfter(deadline());
   }
 
+  /**
+   * Returns the time for which a runner may work on a request that is sent to it now.
+   *
+   * <p>Only a runner knows whether a request has left its queue, and it reports this once that time
+   * is over. A request that could outlast this node gets less time, so that the report arrives
+   * while the node can still pass it on.
+   *
+   * @param timeLeft time until the deadline of the request
+   */
+  Duration runnerTime(Duration timeLeft, Instant now) {
+    if (!isDraining() || !now.plus(timeLeft).isAfter(deadline())) {
+      return timeLeft;
+    }
+    Duration untilReport = Duration.between(now, runnerReportTime());
+    return untilReport.isNegative() ? Duration.ZERO : untilReport;
+  }
+
+  /** Returns whether it is too late to send a request to a runner. */
+  boolean isTooLateToSend(Instant now) {
+    return isDraining() && !now.isBefore(runnerReportTime());
+  }
+
+  private Instant runnerReportTime() {
+    return deadline().minus(gracePeriod.runnerReportReserve());
+  }
+
   /** Returns whether the process has to exit now, even with requests in flight. */
   boolean isDeadlineReached(Instant now) {
     return isDraining() && !completed && !now.isBefore(deadline());
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -47,13 +47,17 @@
   private boolean hasCoordinator;
 
   private Forwarder(
-      GatewaySettings settings, RunnerStateTable runnerStates, CrashGuard crashGuard) {
+      GatewaySettings settings,
+      RunnerStateTable runnerStates,
+      CrashGuard crashGuard,
+      DrainPlan drain) {
     this.crashGuard = crashGuard;
     this.runnerStates = runnerStates;
     pending = PendingForwardTable.create(runnerStates, demandCounter);
     completionEstimator = CompletionEstimator.create(pending, this::startsIn);
     RunnerPicker picker = RunnerPicker.create(settings.domain(), runnerStates);
-    sender = AttemptSender.create(settings.retries(), runnerStates, picker, crashGuard, pending);
+    sender =
+        AttemptSender.create(settings.retries(), runnerStates, picker, crashGuard, pending, drain);
     stalls = StallHandler.create(runnerStates, sender);
     results =
         AttemptResultHandler.create(
@@ -61,8 +65,11 @@
   }
 
   static Forwarder create(
-      GatewaySettings settings, RunnerStateTable runnerStates, CrashGuard crashGuard) {
-    return new Forwarder(settings, runnerStates, crashGuard);
+      GatewaySettings settings,
+      RunnerStateTable runnerStates,
+      CrashGuard crashGuard,
+      DrainPlan drain) {
+    return new Forwarder(settings, runnerStates, crashGuard, drain);
   }
 
   /** Applies changed retry limits. */
@@ -175,7 +182,7 @@
     if (step.now().isBefore(forward.notBefore())) {
       return true;
     }
-    if (!sender.maySend(forward)) {
+    if (!sender.maySend(forward, step.now())) {
       checkWait(forward, step);
       return true;
     }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -97,8 +97,8 @@
     runnerStates = RunnerStateTable.create(directory);
     runnerNotifications = RunnerNotificationHandler.create(directory, runnerStates);
     crashGuard = CrashGuard.create(peers);
-    forwarder = Forwarder.create(settings, runnerStates, crashGuard);
     drain = DrainPlan.create(settings.drainGrace());
+    forwarder = Forwarder.create(settings, runnerStates, crashGuard, drain);
     peerSynchronizer = PeerSynchronizer.create(timings.maxDirectoryAge());
     coordinatorRole = CoordinatorRole.create(settings, lease, directory, runnerStates);
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
@@ -50,7 +50,7 @@
    * @param exchange the request
    * @param attempt number of the attempt
    * @param runner the runner
-   * @param timeLeft time until the deadline of the request
+   * @param timeLeft time for which the runner may work on the request
    * @param rank urgency of the route; 0 is the most urgent
    * @param streaming whether the response is a stream of events
    * @param repeatable whether the request may be executed again
--- a/src/main/java/dev/wisteriarail/core/gateway/GracePeriod.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GracePeriod.java
@@ -25,6 +25,9 @@
   /** Maximum of the part of the exit reserve in which the node closes. */
   private static final Duration MAX_CLOSE_TIME = Duration.ofMillis(300);
 
+  /** Maximum of the time that a report of a runner needs to arrive. */
+  private static final Duration MAX_RUNNER_REPORT_RESERVE = Duration.ofMillis(150);
+
   /** Length from which the times before the exit reserve are the longest. */
   private static final Duration FULL_LENGTH = Duration.ofSeconds(4);
 
@@ -58,6 +61,14 @@
     return partOfReserve(MAX_CLOSE_TIME);
   }
 
+  /**
+   * Returns the time before the end of the requests at which runners report the requests that they
+   * have not begun. It is in the last sixth of the period, because runners stop working then.
+   */
+  Duration runnerReportReserve() {
+    return partOfReserve(MAX_RUNNER_REPORT_RESERVE);
+  }
+
   /**
    * Returns the time after the stop request until the load balancer sends no more callers to this
    * node.
--- a/src/main/java/dev/wisteriarail/core/gateway/StallHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StallHandler.java
@@ -47,7 +47,7 @@
       return;
     }
     Optional<RunnerEntry> next =
-        sender.maySend(forward)
+        sender.maySend(forward, step.now())
             ? sender.choose(forward, configuration, step.now())
             : Optional.empty();
     if (next.isEmpty() || !sender.tryAcquireRetry(forward, step.now())) {
