Fuzz: nodes that have just started are not bound by the check crashing-request

Cause: the check counted requests of every node that reaches its peers. By the platform's rules a time bound holds for a node only after stability_window_ms (3 s) without a start, and BUDGET counts requests sent by nodes in touch only.

Change: a node counts once it has run for 3 s.

Ruled out: a refusal that a node failed to apply; each of the four runners was reached before its node had three counted crashes.

CrashingRequestCheckTest: three of its four cases fail if a node counts from its start on.

--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
@@ -42,6 +42,7 @@
   private boolean storeCut;
   private boolean peersCut;
   private long version;
+  private Instant startedAt = Instant.MAX;
 
   FuzzedNode(int number, GatewayDefect defect) {
     this.number = number;
@@ -51,8 +52,9 @@
   /**
    * Starts a new incarnation; returns its number, which identifies late answers to earlier ones.
    */
-  long start() {
+  long start(Instant now) {
     incarnation++;
+    startedAt = now;
     up = true;
     paused = false;
     ready = false;
@@ -228,6 +230,11 @@
     return up && wasReady && !paused;
   }
 
+  /** Returns whether this incarnation has run for a time. */
+  boolean hasRunFor(Duration time, Instant now) {
+    return up && !now.isBefore(startedAt.plus(time));
+  }
+
   /** Returns when this incarnation was asked to drain; {@link Instant#MAX} if it was not. */
   Instant drainRequestedAt() {
     return drainRequestedAt;
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFaults.java
@@ -17,6 +17,9 @@
   /** Time after a fault during which time bounds are not checked. */
   private static final Duration SETTLING_TIME = Duration.ofSeconds(5);
 
+  /** The platform's {@code stability_window_ms}. */
+  private static final Duration STABILITY_WINDOW = Duration.ofSeconds(3);
+
   /** A rolling restart must begin at least this long before the end of the fault period. */
   private static final Duration ROLLING_RESTART_TIME = Duration.ofSeconds(5);
 
@@ -237,9 +240,12 @@
     return disturbedUntil.isBefore(time.now().minus(SETTLING_TIME));
   }
 
-  /** Returns whether a node reaches its peers. */
+  /**
+   * Returns whether a node reaches its peers and has run for the platform's stability window. Rules
+   * with a time bound hold only for nodes that have.
+   */
   boolean isNodeCalm(FuzzedNode node) {
-    return !node.isPeersCut();
+    return !node.isPeersCut() && node.hasRunFor(STABILITY_WINDOW, time.now());
   }
 
   boolean isStoreDown() {
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -209,7 +209,7 @@
 
   void startNode(FuzzedNode node) {
     links.get(node.number()).clear();
-    long incarnation = node.start();
+    long incarnation = node.start(time.now());
     faults.recordStart();
     tick(node, incarnation);
   }
