Fuzz: a runner that crashes while it is silent sends nothing afterwards

Seen: in the gateway fuzz, nodes refuted true crashes and dropped their evidence, so a crashing request reached more runners.

Cause: a silent runner holds its answers back until its silence ends. Reports, refusals, failures and the start of a response that is cut later were delivered at that time even if the runner had crashed meanwhile. No runner can do that; only complete answers had a check for it.

Ruled out: that the core takes a late sign of life for a refutation wrongly.

Change: what a run of a runner sends after a delay is delivered only if that run has not ended; else its connection ends.

--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerNotification;
+import dev.wisteriarail.core.fleet.RunnerReport;
 import dev.wisteriarail.core.fleet.RunnerRun;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.gateway.GatewayEffect;
@@ -105,11 +106,15 @@
     FakeBackend backend = backend(request.runner().id());
     Instant requestedAt = time.now();
     if (backend.isUp()) {
-      simulation.deliverAfter(
+      RunnerReport report = backend.report(requestedAt);
+      time.after(
           network.nextDuration(2, 10).plus(backend.remainingSilence(requestedAt)),
-          node,
-          incarnation,
-          new GatewayEvent.ReportReceived(backend.report(requestedAt), requestedAt));
+          () -> {
+            if (backend.isRunning(report.bornMillis())) {
+              simulation.deliver(
+                  node, incarnation, new GatewayEvent.ReportReceived(report, requestedAt));
+            }
+          });
     }
   }
 
@@ -172,6 +177,22 @@
         });
   }
 
+  /** Delivers what a runner sends after a delay; if it crashes before, its connection ends. */
+  private void deliverFromRunner(
+      FuzzedNode node,
+      long incarnation,
+      GatewayEffect.SendAttempt send,
+      FakeBackend backend,
+      Duration delay,
+      AttemptResult result) {
+    long bornMillis = backend.bornMillis();
+    time.after(
+        delay,
+        () ->
+            deliverResult(
+                node, incarnation, send, Duration.ZERO, backend.resultOf(bornMillis, result)));
+  }
+
   private void update(
       FuzzedNode node, long incarnation, GatewayEffect.SendAttempt send, AttemptResult result) {
     simulation.deliver(
@@ -217,9 +238,11 @@
       deliverResult(
           node, incarnation, send, soon, new AttemptResult.Broken("reset", false, "", true));
     } else if (backend.behavior() == FakeBackend.Behavior.FULL || backend.isPausing(time.now())) {
-      deliverResult(node, incarnation, send, soon, new AttemptResult.Answered(503, true, true));
+      AttemptResult refusal = new AttemptResult.Answered(503, true, true);
+      deliverFromRunner(node, incarnation, send, backend, soon, refusal);
     } else if (!backend.canServe(model, adapter, time.now())) {
-      deliverResult(node, incarnation, send, soon, new AttemptResult.Answered(421, true, true));
+      AttemptResult refusal = new AttemptResult.Answered(421, true, true);
+      deliverFromRunner(node, incarnation, send, backend, soon, refusal);
     } else {
       oracle.recordRun(request, backend.id(), time.now());
       if (parts[3].startsWith(GatewayOracle.CRASHING)) {
@@ -295,14 +318,19 @@
     time.after(total, ended);
     switch (backend.behavior()) {
       case FAILING ->
-          deliverResult(
-              node, incarnation, send, first, new AttemptResult.Answered(500, false, true));
+          deliverFromRunner(
+              node,
+              incarnation,
+              send,
+              backend,
+              first,
+              new AttemptResult.Answered(500, false, true));
       case ANSWER_LOST ->
           deliverResult(
               node, incarnation, send, first, new AttemptResult.Broken("closed", false, "", true));
       case ANSWER_CUT -> {
         if (send.streaming()) {
-          deliverResult(node, incarnation, send, first, new AttemptResult.Started());
+          deliverFromRunner(node, incarnation, send, backend, first, new AttemptResult.Started());
         }
         deliverResult(
             node,
@@ -335,7 +363,7 @@
       Runnable ended) {
 
     boolean isRunnerAlive() {
-      return backend.isUp() && backend.bornMillis() == bornMillis;
+      return backend.isRunning(bornMillis);
     }
   }
 
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeBackend.java
@@ -4,6 +4,7 @@
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerNotification;
 import dev.wisteriarail.core.fleet.RunnerReport;
+import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import java.math.BigDecimal;
 import java.time.Duration;
@@ -187,6 +188,16 @@
     return up;
   }
 
+  /** Returns whether the run with a start time has not ended. */
+  boolean isRunning(long run) {
+    return up && bornMillis == run;
+  }
+
+  /** Returns what a node gets of a result that a run of this runner was about to send. */
+  AttemptResult resultOf(long run, AttemptResult result) {
+    return isRunning(run) ? result : new AttemptResult.Broken("reset", false, "", true);
+  }
+
   long bornMillis() {
     return bornMillis;
   }
