Signals during the start of a node wait for its end

What callers saw: a SIGHUP that arrived while a node started ended its process (exit 129 of n1 in a soak), so the node was missing until it was started again. A SIGTERM at that time ended it without a graceful stop (exit 143).

Cause: ServeCommand installed its handler of SIGHUP and its shutdown hook after the node had started; until then the JVM's default handlers end the process.

Ruled out: a launcher that ignores SIGHUP (trap) would be inherited, but the JVM then refuses a handler for the signal, and settings could not be reloaded at all; -Xrs refuses it, too.

Change: both are installed before the settings are read. Their actions wait for the node, or for the failure of its start. Log4j is initialized before the hook, because it cannot be during a shutdown. A node of the other kind, which reads no settings again, still stops gracefully on SIGHUP.

Evidence: StartSignalTest before the change: 3 of 4 cases failed (SIGHUP and SIGTERM while the settings file, a pipe, is read; SIGHUP after event 100), after it 4 of 4 pass.

The soak's excuse of exit 129 now holds only for a process that has not logged its start.

--- a/src/main/java/dev/wisteriarail/cli/ServeCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/ServeCommand.java
@@ -11,11 +11,13 @@
 import dev.wisteriarail.settings.TomlDocument;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.spi.LoggerContext;
 
 /** Runs one node or gateway node until the process receives a termination signal. */
 final class ServeCommand implements Command {
@@ -44,43 +46,77 @@
   public ExitCode run(OptionSet options, PrintStream out)
       throws WisteriarailException, InterruptedException {
     Path path = Path.of((String) options.valueOf("config"));
-    TomlDocument toml = TomlDocument.read(path);
-    Stoppable server =
-        GatewayFile.isGatewayFile(toml) ? startGateway(path, toml) : startNode(path, out);
+    // A signal can arrive at any moment of the start; its handler waits for the start to end.
+    CompletableFuture<Optional<Server>> started = new CompletableFuture<>();
     CountDownLatch stopped = new CountDownLatch(1);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stopGracefully(server, stopped)));
+    HangupSignal.handle(() -> started.join().ifPresent(Server::hangUp));
+    // Log4j cannot be initialized any more once the process shuts down.
+    LoggerContext _ = LogManager.getContext(false);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(() -> started.join().ifPresent(server -> stopGracefully(server, stopped))));
+    try {
+      TomlDocument toml = TomlDocument.read(path);
+      started.complete(
+          Optional.of(
+              GatewayFile.isGatewayFile(toml) ? startGateway(path, toml) : startNode(path, out)));
+    } finally {
+      started.complete(Optional.empty());
+    }
     stopped.await();
     return ExitCode.SUCCESS;
   }
 
-  private static Stoppable startNode(Path path, PrintStream out) throws WisteriarailException {
+  private static Server startNode(Path path, PrintStream out) throws WisteriarailException {
     Node node = Node.start(NodeFile.read(path));
     out.println("serving callers at " + node.address());
     out.flush();
-    return node::stop;
+    return new Server() {
+      @Override
+      public boolean stop() throws InterruptedException {
+        return node.stop();
+      }
+
+      @Override
+      public void hangUp() {
+        System.exit(ExitCode.SUCCESS.status());
+      }
+    };
   }
 
-  private static Stoppable startGateway(Path path, TomlDocument toml) throws WisteriarailException {
+  private static Server startGateway(Path path, TomlDocument toml) throws WisteriarailException {
     GatewayNode node =
         GatewayNode.start(
             GatewayFile.from(toml),
             CallerHeaders.create(),
             RunnerHeaders.create(),
             HttpPlatformClient::create);
-    HangupSignal.handle(() -> node.reload(path));
     CompletableFuture<Void> _ =
         node.failure().thenRunAsync(() -> System.exit(ExitCode.FAILED.status()));
-    return node::stop;
+    return new Server() {
+      @Override
+      public boolean stop() throws InterruptedException {
+        return node.stop();
+      }
+
+      @Override
+      public void hangUp() {
+        node.reload(path);
+      }
+    };
   }
 
-  /** A node that can be stopped gracefully. */
-  private interface Stoppable {
+  /** A started node. */
+  private interface Server {
 
-    /** Stops the node; returns whether it finished with no request in flight. */
+    /** Stops the node gracefully; returns whether it finished with no request in flight. */
     boolean stop() throws InterruptedException;
+
+    /** Handles SIGHUP: reads the settings again, or ends the process if the node cannot. */
+    void hangUp();
   }
 
-  private static void stopGracefully(Stoppable server, CountDownLatch stopped) {
+  private static void stopGracefully(Server server, CountDownLatch stopped) {
     try {
       boolean drained = server.stop();
       LogManager.shutdown();
--- a/src/main/java/dev/wisteriarail/soak/NodeProcess.java
+++ b/src/main/java/dev/wisteriarail/soak/NodeProcess.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.soak;
 
+import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import java.io.IOException;
@@ -28,18 +29,22 @@
   private final List<String> ownExits = new ArrayList<>();
   private final List<Long> stopTimes = new ArrayList<>();
 
-  /** The last process that got SIGHUP, which ends a process that has just been started. */
-  private Process reloaded;
+  /** The last process that got SIGHUP before it had logged its start. */
+  private Process hungUpEarly;
 
   /** The last process that the soak told to end. */
   private Process signalled;
 
   private volatile Process process;
 
+  /** The part of the log that the process writes. */
+  private volatile NodeLog log;
+
   private NodeProcess(String name, Path settings, Path log) {
     this.name = name;
     this.settingsFile = settings;
     this.logFile = log;
+    this.log = NodeLog.ofFile(log);
   }
 
   /**
@@ -98,6 +103,7 @@
     builder.redirectErrorStream(true);
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()));
     try {
+      log = NodeLog.afterEndOf(logFile);
       process = builder.start();
       CompletableFuture<Void> _ = process.onExit().thenAccept(this::recordExit);
     } catch (IOException failure) {
@@ -107,7 +113,7 @@
   }
 
   private synchronized void recordExit(Process ended) {
-    boolean hungUp = ended.equals(reloaded) && ended.exitValue() == HANGUP_EXIT_CODE;
+    boolean hungUp = ended.equals(hungUpEarly) && ended.exitValue() == HANGUP_EXIT_CODE;
     if (!ended.equals(signalled) && !hungUp) {
       ownExits.add(name + " ended by itself with code " + ended.exitValue());
     }
@@ -118,6 +124,11 @@
     return List.copyOf(ownExits);
   }
 
+  /** Returns the log of the process that was started last. */
+  NodeLog log() {
+    return log;
+  }
+
   boolean isAlive() {
     return process != null && process.isAlive();
   }
@@ -157,12 +168,12 @@
     if (!isAlive()) {
       return;
     }
-    if (signal.equals("HUP")) {
-      synchronized (this) {
-        reloaded = process;
-      }
-    }
     try {
+      if (signal.equals("HUP") && !log.contains(EventCode.NODE_STARTED)) {
+        synchronized (this) {
+          hungUpEarly = process;
+        }
+      }
       new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     } catch (IOException failure) {
       throw new SettingsException(
