A start tries an address that is in use again, and leaves nothing open

What callers saw: a node that could not bind one of its addresses at once ended with code 3 and served nothing until it was started again (a node of a soak, once, beside two other soaks). A start that failed inside a process left open the listeners, threads and clients that it had started before.

Cause: each listener was bound by one attempt; CallerServer named no address in its error. Neither GatewayNode nor Node closed anything when a later part of the start failed.

Change: ListenerBinder opens all listeners (callers, balancer, metrics, peers; http and peer of the other kind of node). Callers' connections are accepted last, and peers' only once all addresses are bound. StartedParts closes what a start opened unless it completes; Jetty's close() leaves open an acceptor channel of a connector that was not started, so the channel itself is closed.

Ruled out: SO_REUSEADDR is set everywhere, so that connections in TIME_WAIT are no cause. That the address of that soak was held by another soak stays an inference; the new event and code will show it.

--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -15,6 +15,8 @@
   NODE_RELOADED(104, "settings reloaded"),
   /** The process is about to exit. */
   NODE_ENDED(105, "process exits"),
+  /** An address to listen on could not be bound and is tried again. */
+  ADDRESS_UNAVAILABLE(106, "address unavailable"),
   /** An external system stopped responding. */
   DEPENDENCY_LOST(110, "dependency lost"),
   /** An external system responds again. */
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -111,6 +111,8 @@
   SETTINGS_INVALID(3002, 400, "the settings are invalid"),
   /** A file cannot be read. */
   FILE_UNREADABLE(3003, 400, "a file cannot be read"),
+  /** An address to listen on cannot be bound. */
+  ADDRESS_UNAVAILABLE(3004, 400, "an address to listen on cannot be bound"),
   /** The answers are invalid. */
   ANSWERS_INVALID(3101, 400, "the answers are invalid"),
   /** The section changed since the revision that the change was based on. */
--- a/src/main/java/dev/wisteriarail/gateway/CallerServer.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerServer.java
@@ -8,10 +8,13 @@
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.core.result.WisteriarailException;
 import dev.wisteriarail.core.route.CallerBounds;
+import dev.wisteriarail.runtime.ListenerBinder;
+import dev.wisteriarail.runtime.StartedParts;
 import dev.wisteriarail.settings.Endpoint;
 import dev.wisteriarail.settings.GatewayFile;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -50,7 +53,9 @@
  */
 final class CallerServer implements AutoCloseable {
 
-  private static final String READY = "ready";
+  // Names of the listeners, which are also the keys of their addresses in the settings.
+  private static final String CALLERS = "callers";
+  private static final String READY = "balancer";
   private static final String METRICS = "metrics";
 
   /** Length of the listen backlog; a burst of new connections must not overflow it. */
@@ -115,13 +120,14 @@
       QueuedThreadPool threads,
       Scheduler scheduler,
       CallerProtocol protocol,
-      Consumer<GatewayEvent> events)
+      Consumer<GatewayEvent> events,
+      ListenerBinder binder)
       throws SettingsException {
     Server server = new Server(threads, scheduler, null);
     final CallerServer callerServer = new CallerServer(server, protocol, metrics, events);
-    server.addConnector(connector(server, file.callers(), "callers"));
-    server.addConnector(connector(server, file.balancer(), READY));
     file.metrics().ifPresent(at -> server.addConnector(connector(server, at, METRICS)));
+    server.addConnector(connector(server, file.balancer(), READY));
+    server.addConnector(connector(server, file.callers(), CALLERS));
     server.setHandler(
         new Handler.Abstract.NonBlocking() {
           @Override
@@ -130,11 +136,19 @@
           }
         });
     server.setStopTimeout(0);
-    try {
-      server.start();
-    } catch (Exception failure) {
-      throw new SettingsException(
-          ResultCode.SETTINGS_INVALID, "http.port", "cannot listen on an address", failure);
+    try (StartedParts parts = StartedParts.create()) {
+      parts.add(server::stop);
+      for (var each : server.getConnectors()) {
+        ServerConnector connector = (ServerConnector) each;
+        binder.open(
+            "gateway." + connector.getName(),
+            connector.getHost(),
+            connector.getPort(),
+            connector::open);
+        parts.add((ServerSocketChannel) connector.getTransport());
+      }
+      GatewayHttp.startOrFail(server);
+      parts.keep();
     }
     return callerServer;
   }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -9,17 +9,15 @@
 import dev.wisteriarail.core.gateway.GracePeriod;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.peer.FleetMessage;
-import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.peer.TcpPeerServer;
 import dev.wisteriarail.peer.TcpPeerTransport;
 import dev.wisteriarail.runtime.EventLog;
+import dev.wisteriarail.runtime.ListenerBinder;
 import dev.wisteriarail.runtime.MonotonicClock;
+import dev.wisteriarail.runtime.StartedParts;
 import dev.wisteriarail.runtime.WallClock;
-import dev.wisteriarail.settings.Endpoint;
 import dev.wisteriarail.settings.GatewayFile;
-import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -29,6 +27,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -102,71 +101,103 @@
       RunnerProtocol runnerProtocol,
       BiFunction<HttpClient, String, PlatformClient> platformClients)
       throws SettingsException {
+    return start(
+        file,
+        callerProtocol,
+        runnerProtocol,
+        platformClients,
+        log -> ListenerBinder.create(log::write));
+  }
+
+  /** Starts a node with a given binder of its listeners. */
+  static GatewayNode start(
+      GatewayFile file,
+      CallerProtocol callerProtocol,
+      RunnerProtocol runnerProtocol,
+      BiFunction<HttpClient, String, PlatformClient> platformClients,
+      Function<EventLog, ListenerBinder> binders)
+      throws SettingsException {
     InstantSource wallClock = WallClock.source();
     MonotonicClock clock = MonotonicClock.start(wallClock);
     Incarnation incarnation = Incarnation.of(clock.instant().toEpochMilli());
-    EventLog log = EventLog.forNode(file.node());
-    log.write(
-        NodeEvent.of(
-            EventCode.NODE_STARTED,
-            "incarnation",
-            incarnation,
-            "failure_domain",
-            file.failureDomain()));
-    QueuedThreadPool threads =
-        new QueuedThreadPool(MAX_THREADS, MIN_THREADS, THREAD_IDLE_MILLIS, 0, null, null);
-    threads.setName("io");
-    threads.setDaemon(true);
-    Scheduler scheduler = new ScheduledExecutorScheduler("timer", true);
-    GatewayHttp.startOrFail(threads);
-    GatewayHttp.startOrFail(scheduler);
-    BlockingQueue<GatewayEvent> events = GatewayRuntime.newQueue();
-    ServerSocket peerSocket = bind(file.peers());
-    TcpPeerServer peerServer =
-        TcpPeerServer.start(
-            peerSocket,
-            Optional.empty(),
-            received -> {
-              if (received.message() instanceof FleetMessage message) {
-                events.add(
-                    new GatewayEvent.PeerMessageReceived(
-                        received.from(), received.incarnation(), message));
-              }
-            },
-            log);
-    GatewayMetrics metrics = GatewayMetrics.create();
-    CallerServer callers =
-        CallerServer.start(file, metrics, threads, scheduler, callerProtocol, events::add);
-    HttpClient pooled = GatewayHttp.start(threads, scheduler, RUNNER_IDLE_MILLIS, true);
-    HttpClient unpooled = GatewayHttp.start(threads, scheduler, RUNNER_IDLE_MILLIS, false);
-    HttpClient control = GatewayHttp.start(threads, scheduler, CONTROL_IDLE_MILLIS, true);
-    RunnerClient runners = new RunnerClient(pooled, unpooled, runnerProtocol);
-    PlatformClient platform = platformClients.apply(control, file.storeAddress());
-    TcpPeerTransport peers =
-        TcpPeerTransport.create(file.node(), incarnation, Optional.empty(), log, metrics);
-    GatewayRuntime runtime =
-        new GatewayRuntime(
-            GatewayCore.create(settings(file, incarnation)),
-            callers,
-            runners,
-            platform,
-            new PeerMessageSender(peers),
-            log,
-            metrics,
-            clock,
-            wallClock,
-            events);
-    runtime.start();
-    return new GatewayNode(
-        file,
-        incarnation,
-        runtime,
-        callers,
-        peerServer,
-        peers,
-        List.of(pooled, unpooled, control),
-        List.of(scheduler, threads),
-        log);
+    try (StartedParts parts = StartedParts.create()) {
+      EventLog log = EventLog.forNode(file.node());
+      parts.add(log);
+      log.write(
+          NodeEvent.of(
+              EventCode.NODE_STARTED,
+              "incarnation",
+              incarnation,
+              "failure_domain",
+              file.failureDomain()));
+      ListenerBinder binder = binders.apply(log);
+      ServerSocket peerSocket =
+          binder.openSocket("gateway.peers", file.peers().host(), file.peers().port());
+      parts.add(peerSocket);
+      QueuedThreadPool threads =
+          new QueuedThreadPool(MAX_THREADS, MIN_THREADS, THREAD_IDLE_MILLIS, 0, null, null);
+      threads.setName("io");
+      threads.setDaemon(true);
+      Scheduler scheduler = new ScheduledExecutorScheduler("timer", true);
+      parts.add(threads::stop);
+      parts.add(scheduler::stop);
+      GatewayHttp.startOrFail(threads);
+      GatewayHttp.startOrFail(scheduler);
+      BlockingQueue<GatewayEvent> events = GatewayRuntime.newQueue();
+      GatewayMetrics metrics = GatewayMetrics.create();
+      CallerServer callers =
+          CallerServer.start(
+              file, metrics, threads, scheduler, callerProtocol, events::add, binder);
+      parts.add(callers);
+      // Peers wait in the backlog until all addresses are bound.
+      TcpPeerServer peerServer =
+          TcpPeerServer.start(
+              peerSocket,
+              Optional.empty(),
+              received -> {
+                if (received.message() instanceof FleetMessage message) {
+                  events.add(
+                      new GatewayEvent.PeerMessageReceived(
+                          received.from(), received.incarnation(), message));
+                }
+              },
+              log);
+      parts.add(peerServer);
+      HttpClient pooled = GatewayHttp.start(threads, scheduler, RUNNER_IDLE_MILLIS, true);
+      parts.add(pooled::stop);
+      HttpClient unpooled = GatewayHttp.start(threads, scheduler, RUNNER_IDLE_MILLIS, false);
+      parts.add(unpooled::stop);
+      HttpClient control = GatewayHttp.start(threads, scheduler, CONTROL_IDLE_MILLIS, true);
+      parts.add(control::stop);
+      RunnerClient runners = new RunnerClient(pooled, unpooled, runnerProtocol);
+      PlatformClient platform = platformClients.apply(control, file.storeAddress());
+      TcpPeerTransport peers =
+          TcpPeerTransport.create(file.node(), incarnation, Optional.empty(), log, metrics);
+      GatewayRuntime runtime =
+          new GatewayRuntime(
+              GatewayCore.create(settings(file, incarnation)),
+              callers,
+              runners,
+              platform,
+              new PeerMessageSender(peers),
+              log,
+              metrics,
+              clock,
+              wallClock,
+              events);
+      runtime.start();
+      parts.keep();
+      return new GatewayNode(
+          file,
+          incarnation,
+          runtime,
+          callers,
+          peerServer,
+          peers,
+          List.of(pooled, unpooled, control),
+          List.of(scheduler, threads),
+          log);
+    }
   }
 
   private static GatewaySettings settings(GatewayFile file, Incarnation incarnation) {
@@ -185,18 +216,6 @@
         file.drainLimit());
   }
 
-  private static ServerSocket bind(Endpoint endpoint) throws SettingsException {
-    try {
-      ServerSocket socket = new ServerSocket();
-      socket.setReuseAddress(true);
-      socket.bind(new InetSocketAddress(endpoint.host(), endpoint.port()));
-      return socket;
-    } catch (IOException failure) {
-      throw new SettingsException(
-          ResultCode.SETTINGS_INVALID, "gateway.peers", "cannot listen on " + endpoint, failure);
-    }
-  }
-
   /**
    * Reloads the settings. Changes of the retry and drain settings apply at once, others at the next
    * start; an invalid file is rejected without effect.
--- a/src/main/java/dev/wisteriarail/http/CallerServer.java
+++ b/src/main/java/dev/wisteriarail/http/CallerServer.java
@@ -2,9 +2,13 @@
 
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.runtime.ListenerBinder;
+import dev.wisteriarail.runtime.StartedParts;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import org.apache.logging.log4j.LogManager;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.handler.GracefulHandler;
 
 /**
@@ -25,6 +29,7 @@
    *
    * @param host IP address to listen on
    * @param port port to listen on; 0 for any free port
+   * @param binder opens the listener
    * @throws SettingsException if the port cannot be bound
    */
   public static CallerServer start(
@@ -33,16 +38,24 @@
       HttpLimits limits,
       NodeContext node,
       ExchangeTable exchanges,
-      NodeMetrics metrics)
+      NodeMetrics metrics,
+      ListenerBinder binder)
       throws SettingsException {
     Server server = JettyServers.create(host, port, limits);
     server.setErrorHandler(new ProblemErrorHandler());
     server.setHandler(new GracefulHandler(new CallerHandler(node, exchanges, limits, metrics)));
-    try {
+    try (StartedParts parts = StartedParts.create()) {
+      parts.add(server::stop);
+      ServerConnector connector = JettyServers.connector(server);
+      binder.open("http.port", host, port, connector::open);
+      parts.add((ServerSocketChannel) connector.getTransport());
       server.start();
+      parts.keep();
+    } catch (SettingsException unavailable) {
+      throw unavailable;
     } catch (Exception failure) {
       throw new SettingsException(
-          ResultCode.SETTINGS_INVALID, "http.port", "cannot listen on " + port, failure);
+          ResultCode.SETTINGS_INVALID, "http", "the server for callers did not start", failure);
     }
     return new CallerServer(server);
   }
--- a/src/main/java/dev/wisteriarail/http/JettyServers.java
+++ b/src/main/java/dev/wisteriarail/http/JettyServers.java
@@ -36,6 +36,11 @@
 
   /** Returns the port on which a started server listens. */
   public static int port(Server server) {
-    return ((ServerConnector) server.getConnectors()[0]).getLocalPort();
+    return connector(server).getLocalPort();
+  }
+
+  /** Returns the listener of a server. */
+  static ServerConnector connector(Server server) {
+    return (ServerConnector) server.getConnectors()[0];
   }
 }
--- a/src/main/java/dev/wisteriarail/node/Node.java
+++ b/src/main/java/dev/wisteriarail/node/Node.java
@@ -5,7 +5,6 @@
 import dev.wisteriarail.core.NodeSettings;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.membership.VmEntry;
-import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.engine.HttpEngineClient;
 import dev.wisteriarail.http.CallerServer;
@@ -21,18 +20,18 @@
 import dev.wisteriarail.peer.TcpPeerServer;
 import dev.wisteriarail.peer.TcpPeerTransport;
 import dev.wisteriarail.runtime.EventLog;
+import dev.wisteriarail.runtime.ListenerBinder;
 import dev.wisteriarail.runtime.MonotonicClock;
 import dev.wisteriarail.runtime.NodeAdapters;
 import dev.wisteriarail.runtime.NodeRuntime;
-import dev.wisteriarail.settings.Endpoint;
+import dev.wisteriarail.runtime.StartedParts;
 import dev.wisteriarail.settings.NodeFile;
-import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.eclipse.jetty.client.HttpClient;
 
 /**
@@ -76,6 +75,12 @@
    * @throws SettingsException if its settings cannot be used, for example a port cannot be bound
    */
   public static Node start(NodeFile file) throws SettingsException {
+    return start(file, log -> ListenerBinder.create(log::write));
+  }
+
+  /** Starts a node with a given binder of its listeners. */
+  static Node start(NodeFile file, Function<EventLog, ListenerBinder> binders)
+      throws SettingsException {
     MonotonicClock clock = MonotonicClock.start();
     NodeSettings settings =
         new NodeSettings(
@@ -86,44 +91,56 @@
             file.seed(),
             file.timings());
     Optional<PeerTls> tls = loadTls(file, clock);
-    EventLog events = EventLog.forNode(file.node());
-    HttpClient http = HttpClients.start();
-    ServerSocket peerSocket = bind(file.peer());
-    AtomicReference<NodeRuntime> runtime = new AtomicReference<>();
-    Consumer<Event> submit = event -> runtime.get().submit(event);
-    ExchangeTable exchanges = ExchangeTable.create(submit);
-    NodeAdapters adapters =
-        new NodeAdapters(
-            HttpEngineClient.create(
-                http, id -> Optional.ofNullable(runtime.get().configuration().runners().get(id))),
-            HttpLogService.create(http, file.logAddress()),
-            HttpVmList.create(http, file.vmListAddress()),
-            TcpPeerTransport.create(
-                file.node(), settings.incarnation(), tls, events, PeerTrafficListener.NONE),
-            exchanges,
-            events);
-    NodeCore core = NodeCore.create(settings, file.placement().planner());
-    runtime.set(NodeRuntime.create(settings, core, adapters, clock));
-    NodeContext context =
-        new NodeContext(
-            file.node(),
-            settings.incarnation(),
-            () -> runtime.get().configuration(),
-            () -> runtime.get().isReady(),
-            submit,
-            clock,
-            StatusPage.create(file.operatorTokenHash(), () -> runtime.get().status()));
-    TcpPeerServer peers = TcpPeerServer.start(peerSocket, tls, submit::accept, events);
-    CallerServer callers =
-        CallerServer.start(
-            file.http().host(),
-            file.http().port(),
-            file.limits(),
-            context,
-            exchanges,
-            NodeMetrics.create());
-    runtime.get().start();
-    return new Node(file, runtime.get(), callers, peers, peerSocket, http);
+    try (StartedParts parts = StartedParts.create()) {
+      EventLog events = EventLog.forNode(file.node());
+      parts.add(events);
+      ListenerBinder binder = binders.apply(events);
+      ServerSocket peerSocket =
+          binder.openSocket("peer.port", file.peer().host(), file.peer().port());
+      parts.add(peerSocket);
+      HttpClient http = HttpClients.start();
+      parts.add(() -> HttpClients.stop(http));
+      AtomicReference<NodeRuntime> runtime = new AtomicReference<>();
+      Consumer<Event> submit = event -> runtime.get().submit(event);
+      ExchangeTable exchanges = ExchangeTable.create(submit);
+      NodeAdapters adapters =
+          new NodeAdapters(
+              HttpEngineClient.create(
+                  http, id -> Optional.ofNullable(runtime.get().configuration().runners().get(id))),
+              HttpLogService.create(http, file.logAddress()),
+              HttpVmList.create(http, file.vmListAddress()),
+              TcpPeerTransport.create(
+                  file.node(), settings.incarnation(), tls, events, PeerTrafficListener.NONE),
+              exchanges,
+              events);
+      NodeCore core = NodeCore.create(settings, file.placement().planner());
+      runtime.set(NodeRuntime.create(settings, core, adapters, clock));
+      NodeContext context =
+          new NodeContext(
+              file.node(),
+              settings.incarnation(),
+              () -> runtime.get().configuration(),
+              () -> runtime.get().isReady(),
+              submit,
+              clock,
+              StatusPage.create(file.operatorTokenHash(), () -> runtime.get().status()));
+      CallerServer callers =
+          CallerServer.start(
+              file.http().host(),
+              file.http().port(),
+              file.limits(),
+              context,
+              exchanges,
+              NodeMetrics.create(),
+              binder);
+      parts.add(callers);
+      // Peers wait in the backlog until all addresses are bound.
+      TcpPeerServer peers = TcpPeerServer.start(peerSocket, tls, submit::accept, events);
+      parts.add(peers);
+      runtime.get().start();
+      parts.keep();
+      return new Node(file, runtime.get(), callers, peers, peerSocket, http);
+    }
   }
 
   /**
@@ -153,18 +170,6 @@
         : Optional.empty();
   }
 
-  private static ServerSocket bind(Endpoint endpoint) throws SettingsException {
-    try {
-      ServerSocket socket = new ServerSocket();
-      socket.setReuseAddress(true);
-      socket.bind(new InetSocketAddress(endpoint.host(), endpoint.port()));
-      return socket;
-    } catch (IOException failure) {
-      throw new SettingsException(
-          ResultCode.SETTINGS_INVALID, "peer.port", "cannot listen on " + endpoint.port(), failure);
-    }
-  }
-
   // Accessors
 
   /** Returns this node's entry for the VM list. */
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -6,6 +6,7 @@
 
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.platform.CallerHeaders;
+import dev.wisteriarail.runtime.ListenerBinder;
 import dev.wisteriarail.settings.GatewayFile;
 import dev.wisteriarail.settings.TomlDocument;
 import dev.wisteriarail.standin.LoopbackSettings;
@@ -61,7 +62,13 @@
     scheduler.start();
     server =
         CallerServer.start(
-            file, GatewayMetrics.create(), threads, scheduler, CallerHeaders.create(), events::add);
+            file,
+            GatewayMetrics.create(),
+            threads,
+            scheduler,
+            CallerHeaders.create(),
+            events::add,
+            ListenerBinder.create(event -> {}));
   }
 
   @AfterEach
--- a/src/test/java/dev/wisteriarail/http/CallerServerTest.java
+++ b/src/test/java/dev/wisteriarail/http/CallerServerTest.java
@@ -20,6 +20,7 @@
 import dev.wisteriarail.core.request.RequestOutcome;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.runtime.ListenerBinder;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -53,7 +54,15 @@
             () -> false,
             this::answerAtOnce,
             InstantSource.fixed(Instant.EPOCH));
-    server = CallerServer.start("127.0.0.1", 0, LIMITS, context, exchanges, NodeMetrics.create());
+    server =
+        CallerServer.start(
+            "127.0.0.1",
+            0,
+            LIMITS,
+            context,
+            exchanges,
+            NodeMetrics.create(),
+            ListenerBinder.create(event -> {}));
   }
 
   @AfterEach
--- a/src/test/java/dev/wisteriarail/soak/StartSignalTest.java
+++ b/src/test/java/dev/wisteriarail/soak/StartSignalTest.java
@@ -7,10 +7,13 @@
 import dev.wisteriarail.standin.LoopbackSettings;
 import dev.wisteriarail.standin.PlatformStandin;
 import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,6 +21,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests that signals during the start of a node process are handled once it has started. */
 @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -74,6 +78,27 @@
     assertSettingsReloaded();
   }
 
+  /** The ports are numbered in the order of {@link LoopbackSettings}. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 2, 3})
+  void hangupWhileAnAddressIsInUseDoesNotEndTheProcess(int listener) throws Exception {
+    List<Integer> ports =
+        List.of(
+            settings.callerPort(),
+            settings.balancerPort(),
+            settings.peerPort(),
+            settings.metricsPort());
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    try (ServerSocket _ = new ServerSocket(ports.get(listener), 1, loopback)) {
+      node.start(Duration.ZERO);
+      NodeEvents.await(node, EventCode.ADDRESS_UNAVAILABLE);
+      changeSettings();
+      node.signal("HUP");
+    }
+    NodeEvents.await(node, EventCode.NODE_READY);
+    assertSettingsReloaded();
+  }
+
   private void assertSettingsReloaded() throws Exception {
     NodeEvents.await(node, EventCode.NODE_RELOADED);
     assertThat(node.log().lines(EventCode.NODE_RELOADED).getFirst()).contains("retries.ratio");
