A runner is not silent while its caller does not read

What callers saw: if a caller stopped reading for more than 0.7 s, its request was sent to a second runner, although the first one was sound. The further attempt could not write and ended; it took a slot and retry budget, and counted as a silence of the sound runner.

Cause: progress is reported when events are relayed, and no more content is demanded from the runner until they are written to the caller. During that time nothing can be received, which StallHandler took for silence.

Ruled out: reading on without waiting for the caller would need memory without a limit. Events written count as received at once, so only the time of a pending write was wrong.

Change: AttemptRelay reports Paused when a write is pending and Resumed when it ends. While an attempt is paused, its request is not sent to another runner; the silence is counted from Resumed. The request's own deadline holds as before, and the end of an attempt ends its pause.

SilentAttemptTest has the rule of the core.

--- a/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
+++ b/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
@@ -17,6 +17,15 @@
    */
   record Prevailed(int over) implements AttemptResult {}
 
+  /**
+   * The caller does not read what was relayed, so no more of the response is received until it
+   * does.
+   */
+  record Paused() implements AttemptResult {}
+
+  /** The caller has read what was relayed since {@link Paused}; the response is received again. */
+  record Resumed() implements AttemptResult {}
+
   /**
    * The complete response was relayed to the caller.
    *
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
@@ -93,6 +93,8 @@
           crashGuard.recordSignOfLife(attempt.runner(), attempt.sentAt(), step);
       case AttemptResult.Answered answered ->
           crashGuard.recordSignOfLife(attempt.runner(), attempt.sentAt(), step);
+      case AttemptResult.Paused paused -> {}
+      case AttemptResult.Resumed resumed -> {}
       case AttemptResult.NotSent notSent -> {}
       case AttemptResult.LocalFault fault -> {}
       case AttemptResult.Broken broken -> {
@@ -130,6 +132,8 @@
         forward.markProgress(step.now());
         prevail(forward, attempt, prevailed.over(), step);
       }
+      case AttemptResult.Paused paused -> forward.pause(attempt);
+      case AttemptResult.Resumed resumed -> forward.resume(attempt, step.now());
       case AttemptResult.Finished finished -> {
         prevail(forward, attempt, forward.attempts(), step);
         pending.endAttempt(forward, attempt);
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -44,6 +44,7 @@
   private final List<LiveAttempt> live = new ArrayList<>();
   private Optional<RunnerEntry> lastRunner = Optional.empty();
   private Optional<String> lastEvent = Optional.empty();
+  private Optional<LiveAttempt> paused = Optional.empty();
   private boolean answerStarted;
   private Instant notBefore = Instant.MIN;
   private Instant sentAt = Instant.MIN;
@@ -92,6 +93,7 @@
   /** Records that an attempt has ended. The request may be requeued or ended afterwards. */
   void endAttempt(LiveAttempt attempt) {
     live.remove(attempt);
+    paused = paused.filter(each -> !each.equals(attempt));
     lastRunner = Optional.of(attempt.runner());
     if (!live.isEmpty() && !answerStarted) {
       sentAt = live.getFirst().sentAt();
@@ -108,6 +110,17 @@
     lastProgressAt = now;
   }
 
+  /** Records that an attempt receives nothing until its caller has read what was relayed. */
+  void pause(LiveAttempt attempt) {
+    paused = Optional.of(attempt);
+  }
+
+  /** Records that a paused attempt receives its response again. */
+  void resume(LiveAttempt attempt, Instant now) {
+    paused = paused.filter(each -> !each.equals(attempt));
+    lastProgressAt = now;
+  }
+
   /** Records that a runner may have executed the request. */
   void markMayHaveRun(RunnerEntry runner) {
     mayHaveRun = true;
@@ -261,6 +274,11 @@
     return traits;
   }
 
+  /** Returns whether an attempt waits for its caller, so that its runner is not silent. */
+  boolean isPaused() {
+    return paused.isPresent();
+  }
+
   /** Returns the time since the last byte of the response or since the newest live attempt. */
   Duration silence(Instant now) {
     Instant newestSentAt = live.getLast().sentAt();
--- a/src/main/java/dev/wisteriarail/core/gateway/StallHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StallHandler.java
@@ -12,7 +12,8 @@
  * Sends a request whose runner is silent to another runner as well.
  *
  * <p>A silent runner may be down, or only slow and go on, so its attempt stays live until another
- * one has prevailed. While no other runner can take the request, this is checked again.
+ * one has prevailed. While no other runner can take the request, this is checked again. A runner is
+ * not silent while its caller does not read, as nothing is received from it then.
  *
  * <p>Life cycle: one per run of a node. Not thread-safe.
  */
@@ -37,6 +38,7 @@
   void check(PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
     LiveAttempt newest = forward.live().getLast();
     if (step.now().isBefore(forward.notBefore())
+        || forward.isPaused()
         || AttemptSender.isTooLate(forward, step.now())
         || !isStalled(forward, newest.runner(), configuration, step)) {
       return;
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/BackendCalls.java
@@ -185,6 +185,8 @@
       case AttemptResult.Started _,
           AttemptResult.Progressed _,
           AttemptResult.Prevailed _,
+          AttemptResult.Paused _,
+          AttemptResult.Resumed _,
           AttemptResult.Finished _ ->
           oracle.runs().recordProgress(request, attempt, time.now());
       case AttemptResult.Answered _,
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -45,6 +45,12 @@
   private boolean startReported;
   private long lastReportNanos;
 
+  /** Whether events are being written to the caller; guarded by this object's lock. */
+  private boolean writing;
+
+  /** Whether {@code Paused} was reported for the current write; guarded by this object's lock. */
+  private boolean paused;
+
   AttemptRelay(
       CallerExchange exchange,
       GatewayEffect.SendAttempt attempt,
@@ -125,9 +131,15 @@
       }
       return;
     }
-    Callback done = Callback.from(demander, failure -> abort(response, "the caller disconnected"));
+    Callback done =
+        Callback.from(
+            () -> endWrite(demander), failure -> abort(response, "the caller disconnected"));
+    beginWrite();
     switch (exchange.relay(attempt.attempt(), head.status(), head.headers(), bytes, done)) {
-      case WRITTEN -> reportProgress();
+      case WRITTEN -> {
+        reportProgress();
+        reportPause();
+      }
       case NO_EVENT -> demander.run();
       case GAP -> abort(response, "events are missing");
       case TOO_LONG -> abort(response, "an event is too long to be buffered");
@@ -135,6 +147,29 @@
     }
   }
 
+  private synchronized void beginWrite() {
+    writing = true;
+  }
+
+  /** Reports that the caller does not read, unless the write has ended. */
+  private synchronized void reportPause() {
+    if (writing) {
+      paused = true;
+      results.accept(new AttemptResult.Paused());
+    }
+  }
+
+  private void endWrite(Runnable demander) {
+    synchronized (this) {
+      writing = false;
+      if (paused) {
+        paused = false;
+        results.accept(new AttemptResult.Resumed());
+      }
+    }
+    demander.run();
+  }
+
   private void reportProgress() {
     long now = System.nanoTime();
     if (!startReported) {
--- a/src/main/java/dev/wisteriarail/gateway/FaultRecovery.java
+++ b/src/main/java/dev/wisteriarail/gateway/FaultRecovery.java
@@ -129,6 +129,8 @@
       case AttemptResult.Started started -> false;
       case AttemptResult.Progressed progressed -> false;
       case AttemptResult.Prevailed prevailed -> false;
+      case AttemptResult.Paused paused -> false;
+      case AttemptResult.Resumed resumed -> false;
       case AttemptResult.Finished finished -> true;
       case AttemptResult.Answered answered -> true;
       case AttemptResult.NotSent notSent -> true;
--- a/src/test/java/dev/wisteriarail/core/gateway/SilentAttemptTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/SilentAttemptTest.java
@@ -126,6 +126,20 @@
     assertNotEnded(node.take(GatewayEffect.class));
   }
 
+  @Test
+  void runnerIsNotSilentWhileItsCallerDoesNotRead() {
+    long exchange = node.arrive("chat");
+    node.updateAttempt(exchange, 1, new AttemptResult.Started());
+    node.updateAttempt(exchange, 1, new AttemptResult.Paused());
+    node.pass(SILENCE.multipliedBy(2));
+    assertThat(node.take(GatewayEffect.SendAttempt.class)).hasSize(1);
+    node.updateAttempt(exchange, 1, new AttemptResult.Resumed());
+    node.pass(Duration.ofMillis(500));
+    assertThat(node.take(GatewayEffect.SendAttempt.class)).isEmpty();
+    node.pass(SILENCE);
+    assertThat(node.take(GatewayEffect.SendAttempt.class)).hasSize(1);
+  }
+
   /** Progress from before the further attempt does not show which one writes on. */
   @Test
   void progressFromBeforeTheFurtherAttemptCancelsNothing() {
