Closing a connection does not reset it because of unread bytes

What callers saw: a caller that reads slowly and had sent more (a part of its next request, a whole one, or an empty line) got "connection reset" in the middle of an answer that the node had written completely.

Cause: a stopping node closes a connection as idle once its answer is written, that is, once the system has buffered it. A close with unread bytes in the receive buffer is a TCP reset, which drops what the caller has not received.

Ruled out: the core (its answer was written whole); the end of the process (the socket outlives it if it is not reset).

Change: PeekingEndPoint reads and discards what was received, up to 1 MiB, before the channel is closed. Bytes that arrive after the close can still reset it.

--- a/src/main/java/dev/wisteriarail/gateway/PeekingEndPoint.java
+++ b/src/main/java/dev/wisteriarail/gateway/PeekingEndPoint.java
@@ -28,6 +28,11 @@
   /** Maximum number of bytes read ahead; once any are buffered, the caller counts as connected. */
   private static final int PEEK_BYTES = 512;
 
+  /** Maximum number of received bytes that are discarded when the connection is closed. */
+  private static final int MAX_DISCARDED_BYTES = 1024 * 1024;
+
+  private static final int DISCARD_BUFFER_BYTES = 16 * 1024;
+
   private final SocketChannel channel;
   private final long acceptedNanos = System.nanoTime();
   private ByteBuffer peeked = ByteBuffer.allocate(0);
@@ -77,6 +82,31 @@
     }
   }
 
+  /**
+   * Closes the connection after discarding what the caller has sent. A close with unread bytes
+   * would reset the connection, and the caller would lose the part of the response that is on its
+   * way.
+   */
+  @Override
+  public void doClose() {
+    discardReceived();
+    super.doClose();
+  }
+
+  private void discardReceived() {
+    ByteBuffer buffer = ByteBuffer.allocate(DISCARD_BUFFER_BYTES);
+    int discarded = 0;
+    try {
+      for (int count = channel.read(buffer);
+          count > 0 && discarded < MAX_DISCARDED_BYTES;
+          count = channel.read(buffer.clear())) {
+        discarded += count;
+      }
+    } catch (IOException closed) {
+      LOGGER.debug("a connection was closed by its caller before the node closed it", closed);
+    }
+  }
+
   @Override
   public synchronized int fill(ByteBuffer buffer) throws IOException {
     if (!peeked.hasRemaining()) {
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -15,6 +15,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.locks.LockSupport;
@@ -32,6 +34,11 @@
 final class CallerFrontTest {
 
   private static final int ANSWER_BYTES = 7 * 1024 * 1024;
+
+  /** Size of an answer that the system buffers while its caller does not read. */
+  private static final int BUFFERED_BYTES = 128 * 1024;
+
+  private static final int CALLERS = 10;
   private static final int RECEIVE_BYTES = 4_096;
   private static final int READ_BYTES = 64 * 1024;
   private static final long READ_PAUSE_NANOS = 10_000_000;
@@ -88,6 +95,33 @@
     }
   }
 
+  /** Guards against an answer that is lost because its connection is closed with unread bytes. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"", "\r\n", "POST /order/1 HTTP/1.1\r\nHost", POST_HEAD, POST_HEAD + "body"})
+  void wholeAnswerIsDeliveredToSlowCallerThatSentMore(String sentAfter) throws Exception {
+    List<Socket> callers = new ArrayList<>();
+    try {
+      for (int i = 0; i < CALLERS; i++) {
+        Socket caller = connect();
+        callers.add(caller);
+        caller.setSoTimeout(ANSWER_TIMEOUT_MILLIS);
+        CallerExchange exchange = request(caller);
+        exchange.closeAfterAnswer();
+        caller.getOutputStream().write(sentAfter.getBytes(UTF_8));
+        assertThat(exchange.sendAnswer(200, HttpFields.EMPTY, new byte[BUFFERED_BYTES])).isTrue();
+        server.closeIdle();
+      }
+      for (Socket caller : callers) {
+        assertThat(readAll(caller.getInputStream())).isAtLeast(BUFFERED_BYTES);
+      }
+    } finally {
+      for (Socket caller : callers) {
+        caller.close();
+      }
+    }
+  }
+
   /**
    * Guards against connections being closed without a response if the core is stalled beyond the
    * drain limit.
