The soak sends SIGHUP also to nodes that start

Until now SIGHUP came at any time, mostly to nodes that had started, and exit 129 was excused for any process that had got one. The new step SettingsChangedInStart stops a node, starts it again, changes its settings file and sends SIGHUP up to 0.4 s after the node's first event. It is planned work and comes in all plans, each 4 s on average, from a random source of its own, so that seeds keep the steps that they had.

A step has no effect if another step ends the node before its first event.

--- a/src/main/java/dev/wisteriarail/soak/Disturbance.java
+++ b/src/main/java/dev/wisteriarail/soak/Disturbance.java
@@ -37,6 +37,20 @@
     }
   }
 
+  /**
+   * A node gets SIGTERM and is restarted; its settings file changes and it gets SIGHUP while it
+   * starts.
+   *
+   * @param afterMillis time from the first event that the node logs until SIGHUP
+   */
+  record SettingsChangedInStart(int node, long afterMillis) implements Disturbance {
+
+    @Override
+    public boolean isPlanned() {
+      return true;
+    }
+  }
+
   /** The operator publishes a configuration with an additional route. */
   record ConfigurationPublished() implements Disturbance {
 
--- a/src/main/java/dev/wisteriarail/soak/NodeProcess.java
+++ b/src/main/java/dev/wisteriarail/soak/NodeProcess.java
@@ -23,6 +23,8 @@
   /** Exit code of a JVM that SIGHUP ended before it handled that signal. */
   private static final int HANGUP_EXIT_CODE = 129;
 
+  private static final Duration LOG_POLL_INTERVAL = Duration.ofMillis(10);
+
   private final String name;
   private final Path settingsFile;
   private final Path logFile;
@@ -181,6 +183,27 @@
     }
   }
 
+  /**
+   * Waits until the process has logged an event; returns whether it did so before it ended and
+   * within the limit.
+   */
+  boolean awaitEvent(EventCode event, Duration limit)
+      throws SettingsException, InterruptedException {
+    long deadline = System.nanoTime() + limit.toNanos();
+    try {
+      while (!log.contains(event)) {
+        if (!isAlive() || System.nanoTime() > deadline) {
+          return log.contains(event);
+        }
+        Thread.sleep(LOG_POLL_INTERVAL);
+      }
+      return true;
+    } catch (IOException failure) {
+      throw new SettingsException(
+          ResultCode.FILE_UNREADABLE, logFile.toString(), "cannot be read", failure);
+    }
+  }
+
   /** Waits for the process to exit; returns whether it exited within the limit. */
   boolean awaitExit(Duration limit) throws InterruptedException {
     return process == null || process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS);
--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.soak;
 
+import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.core.result.WisteriarailException;
 import dev.wisteriarail.standin.Faults;
@@ -184,11 +185,16 @@
         Thread.sleep(paused.millis());
         process(paused.node()).signal("CONT");
       }
-      case Disturbance.SettingsChanged changed -> {
-        SoakFleet.Member member = fleet.members().get(changed.node());
-        double ratio = RETRY_RATIOS.get(changed.node() % RETRY_RATIOS.size());
-        member.process().writeSettings(member.settings().withRetryRatio(ratio).toml());
-        member.process().signal("HUP");
+      case Disturbance.SettingsChanged changed -> changeSettings(changed.node());
+      case Disturbance.SettingsChangedInStart changed -> {
+        NodeProcess process = process(changed.node());
+        process.terminate();
+        awaitExit(process, changed);
+        process.start(Duration.ZERO);
+        if (process.awaitEvent(EventCode.NODE_STARTED, RECOVERY_LIMIT)) {
+          Thread.sleep(changed.afterMillis());
+          changeSettings(changed.node());
+        }
       }
       case Disturbance.ConfigurationPublished published -> publish();
       case Disturbance.Burst burst -> {
@@ -244,6 +250,13 @@
     }
   }
 
+  private void changeSettings(int node) throws SettingsException, InterruptedException {
+    SoakFleet.Member member = fleet.members().get(node);
+    double ratio = RETRY_RATIOS.get(node % RETRY_RATIOS.size());
+    member.process().writeSettings(member.settings().withRetryRatio(ratio).toml());
+    member.process().signal("HUP");
+  }
+
   private static Faults faults(Disturbance.StoreHarm harm) {
     return switch (harm) {
       case DOWN -> Faults.NONE.withDown(true);
--- a/src/main/java/dev/wisteriarail/soak/SoakPlan.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakPlan.java
@@ -77,6 +77,15 @@
   /** Added to the seed to draw the odd entries independently of the other steps. */
   private static final long ENTRY_SEED_OFFSET = 1L << 42;
 
+  /** Mean time between two changes of settings while a node starts. */
+  private static final int MEAN_CHANGE_IN_START_INTERVAL_MILLIS = 4_000;
+
+  /** Maximum time from a starting node's first event until its SIGHUP. */
+  private static final int MAX_CHANGE_DELAY_MILLIS = 400;
+
+  /** Added to the seed to draw the changes in starts independently of the other steps. */
+  private static final long CHANGE_IN_START_SEED_OFFSET = 1L << 43;
+
   /** Upper bound of the duration of most disturbances. */
   private static final int MAX_DURATION_MILLIS = 3_000;
 
@@ -157,6 +166,9 @@
     }
     steps.addAll(drawSilences(new SplittableRandom(seed + SILENCE_SEED_OFFSET), length, runners));
     steps.addAll(drawOddEntries(new SplittableRandom(seed + ENTRY_SEED_OFFSET), length, runners));
+    steps.addAll(
+        drawChangesInStarts(
+            new SplittableRandom(seed + CHANGE_IN_START_SEED_OFFSET), length, nodes));
     steps.sort(Comparator.comparing(Step::at));
     return new SoakPlan(planType, stopLimit, steps);
   }
@@ -233,6 +245,21 @@
     return steps;
   }
 
+  /** Draws changes of settings in starts of nodes from a separate random source. */
+  private static List<Step> drawChangesInStarts(
+      SplittableRandom random, Duration length, int nodes) {
+    List<Step> steps = new ArrayList<>();
+    long at = random.nextInt(MEAN_CHANGE_IN_START_INTERVAL_MILLIS);
+    while (at < length.toMillis()) {
+      Disturbance disturbance =
+          new Disturbance.SettingsChangedInStart(
+              random.nextInt(nodes), random.nextLong(MAX_CHANGE_DELAY_MILLIS));
+      steps.add(new Step(Duration.ofMillis(at), disturbance));
+      at += random.nextInt(2 * MEAN_CHANGE_IN_START_INTERVAL_MILLIS);
+    }
+    return steps;
+  }
+
   private static PlanType drawPlanType(SplittableRandom random) {
     if (random.nextInt(PLANNED_ONE_IN) == 0) {
       return PlanType.PLANNED;
--- a/src/test/java/dev/wisteriarail/soak/SoakTest.java
+++ b/src/test/java/dev/wisteriarail/soak/SoakTest.java
@@ -159,6 +159,18 @@
         .inOrder();
   }
 
+  @ParameterizedTest
+  @EnumSource(SoakPlan.PlanType.class)
+  void plansOfEachTypeHoldHangupsInStarts(SoakPlan.PlanType planType) {
+    boolean held =
+        IntStream.range(0, 40)
+            .mapToObj(seed -> SoakPlan.draw(seed, Duration.ofSeconds(10), 3, 5))
+            .filter(plan -> plan.planType() == planType)
+            .flatMap(plan -> plan.steps().stream())
+            .anyMatch(step -> step.disturbance() instanceof Disturbance.SettingsChangedInStart);
+    assertThat(held).isTrue();
+  }
+
   private static List<String> check(SoakCallers.Outcome outcome) {
     return SoakOracle.violations(
         List.of(outcome),
