--- a/src/test/java/dev/wisteriarail/gateway/FailedStartTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/FailedStartTest.java
@@ -19,8 +19,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Set;
-import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -28,18 +28,24 @@
 /** Tests that a node that cannot bind one of its addresses leaves nothing open. */
 final class FailedStartTest {
 
-  private enum Listener {
-    CALLERS("gateway.callers", LoopbackSettings::callerPort),
-    BALANCER("gateway.balancer", LoopbackSettings::balancerPort),
-    METRICS("gateway.metrics", LoopbackSettings::metricsPort),
-    PEERS("gateway.peers", LoopbackSettings::peerPort);
+  /** A listener of a gateway node; the name in lower case is the key of its address. */
+  enum Listener {
+    CALLERS,
+    BALANCER,
+    METRICS,
+    PEERS;
 
-    private final String key;
-    private final ToIntFunction<LoopbackSettings> port;
+    private String key() {
+      return "gateway." + name().toLowerCase(Locale.ROOT);
+    }
 
-    Listener(String key, ToIntFunction<LoopbackSettings> port) {
-      this.key = key;
-      this.port = port;
+    private int port(LoopbackSettings settings) {
+      return switch (this) {
+        case CALLERS -> settings.callerPort();
+        case BALANCER -> settings.balancerPort();
+        case METRICS -> settings.metricsPort();
+        case PEERS -> settings.peerPort();
+      };
     }
   }
 
@@ -49,14 +55,14 @@
     LoopbackSettings settings = LoopbackSettings.of("n0", "127.0.0.1:1");
     GatewayFile file = GatewayFile.from(TomlDocument.parse("n0", settings.toml()));
     Set<Thread> before = threads();
-    int port = held.port.applyAsInt(settings);
+    int port = held.port(settings);
     try (ServerSocket _ = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
       SettingsException failure = assertThrows(SettingsException.class, () -> start(file));
       assertThat(failure.code()).isEqualTo(ResultCode.ADDRESS_UNAVAILABLE);
-      assertThat(failure.describe()).contains(held.key + ": cannot listen on 127.0.0.1:" + port);
+      assertThat(failure.describe()).contains(held.key() + ": cannot listen on 127.0.0.1:" + port);
     }
     for (Listener listener : Listener.values()) {
-      assertCanBeBound(listener.port.applyAsInt(settings));
+      assertCanBeBound(listener.port(settings));
     }
     Set<Thread> left = new HashSet<>(threads());
     left.removeAll(before);
