A resumed answer is not ended for silence before its deadline

What callers saw (by reading): a streamed answer that was resumed once was cancelled after 30 s without a chunk, also if its engine was sound and its deadline was later; after two resumes it was cut as incomplete.

Cause: the time limit of a resumed attempt was that of silence only. A first attempt kept the later deadline, as chunks never shorten its limit.

Ruled out: an end at the deadline whatever arrives. A deadline bounds the start of an answer; an answer that goes on past it is not cut, as before.

Change: an answer that has begun counts as broken once it was silent for STALL_LIMIT and its deadline has passed. Requests that may run once and whose caller got a refusal still end 30 s after the deadline.

An engine that is silent for good is ended at the deadline (streamThatIsSilentForGoodIsEndedFromItsDeadlineOn, which passed before, too). 50 tests of the request table passed.

--- a/src/main/java/dev/wisteriarail/core/request/PendingRequest.java
+++ b/src/main/java/dev/wisteriarail/core/request/PendingRequest.java
@@ -14,7 +14,10 @@
 /** A request from its arrival until its end. Mutable; owned by the request table. */
 final class PendingRequest {
 
-  /** Time without a new chunk after which an answer that has started counts as broken. */
+  /**
+   * Time without a new chunk after which an answer that has started counts as broken, unless the
+   * request's deadline is later.
+   */
   static final Duration STALL_LIMIT = Duration.ofSeconds(30);
 
   /** The phases of a request. */
@@ -97,7 +100,12 @@
     attempt = Optional.of(newAttempt);
     route = Optional.of(newRoute);
     startedAt = now;
-    timeoutAt = deliveredChunks == 0 && now.isBefore(deadline) ? deadline : now.plus(STALL_LIMIT);
+    timeoutAt = deliveredChunks == 0 && now.isBefore(deadline) ? deadline : stallTimeout(now);
+  }
+
+  private Instant stallTimeout(Instant now) {
+    Instant silentTooLong = now.plus(STALL_LIMIT);
+    return silentTooLong.isBefore(deadline) ? deadline : silentTooLong;
   }
 
   /** Records that the attempt ended without a complete answer. */
@@ -121,7 +129,7 @@
 
   /** Restarts the stall timeout of the current attempt. */
   void restartStallTimeout(Instant now) {
-    timeoutAt = now.plus(STALL_LIMIT);
+    timeoutAt = stallTimeout(now);
   }
 
   /**
--- a/src/test/java/dev/wisteriarail/core/request/AttemptTest.java
+++ b/src/test/java/dev/wisteriarail/core/request/AttemptTest.java
@@ -18,6 +18,7 @@
 class AttemptTest {
 
   private static final Duration SHORT = Duration.ofSeconds(1);
+  private static final Duration LONG_DEADLINE = PendingRequest.STALL_LIMIT.multipliedBy(4);
 
   private final TableFixture fixture = TableFixture.create();
 
@@ -149,6 +150,37 @@
     assertRefused("q1", ResultCode.ANSWER_INCOMPLETE, Execution.MAY_HAVE_RUN);
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void silentStreamIsNeitherCutNorResumedBeforeItsDeadline(boolean resumedBefore) {
+    AttemptId attempt = startStream(LONG_DEADLINE);
+    fixture.progress(attempt, 0, "a");
+    if (resumedBefore) {
+      fixture.end(attempt, new AttemptOutcome.Broken("connection closed", false));
+      attempt = fixture.lastDispatch().attempt();
+    }
+    final int dispatches = fixture.dispatches().size();
+    fixture.advance(PendingRequest.STALL_LIMIT.plus(SHORT));
+    fixture.progress(attempt, 1, "b");
+    fixture.advance(PendingRequest.STALL_LIMIT.plus(SHORT));
+    fixture.complete(attempt);
+    assertThat(fixture.dispatches()).hasSize(dispatches);
+    assertThat(fixture.effectsOfType(Effect.CancelAttempt.class)).isEmpty();
+    assertThat(texts()).containsExactly("a", "b").inOrder();
+    assertThat(fixture.refusal("q1")).isEqualTo(Optional.empty());
+  }
+
+  @Test
+  void streamThatIsSilentForGoodIsEndedFromItsDeadlineOn() {
+    AttemptId first = startStream(LONG_DEADLINE);
+    fixture.progress(first, 0, "a");
+    fixture.advance(LONG_DEADLINE);
+    assertThat(fixture.effectsOfType(Effect.CancelAttempt.class)).hasSize(1);
+    fixture.advance(PendingRequest.STALL_LIMIT.multipliedBy(3));
+    assertRefused("q1", ResultCode.ANSWER_INCOMPLETE, Execution.MAY_HAVE_RUN);
+    assertThat(fixture.table.nextWakeUp()).isEqualTo(Optional.empty());
+  }
+
   @Test
   void callerThatLeavesFreesTheSlot() {
     for (int i = 0; i < 20; i++) {
@@ -176,6 +208,22 @@
     return fixture.lastDispatch().attempt();
   }
 
+  private AttemptId startStream(Duration deadline) {
+    fixture.report("r1", 1, TableFixture.ready("c1", "replica1"));
+    InboundRequest request = TableFixture.model("q1", "c1", "urgent", null);
+    fixture.send(
+        new InboundRequest(
+            request.id(),
+            request.customer(),
+            request.kind(),
+            request.target(),
+            request.key(),
+            request.urgency(),
+            Optional.of(deadline),
+            request.body()));
+    return fixture.lastDispatch().attempt();
+  }
+
   private void disconnect(String id) {
     fixture.step(
         context ->
