An attempt on a silent engine is ended by its deadline only

What callers saw (by reading): on the chat path an attempt whose engine took more than 2 s to its response head counted as a crash of the engine: the request went to another one or was refused, and its content was counted as suspected of crashing engines. An answer with a pause of 30 s between two chunks was ended in the same way.

Cause: HttpEngineClient used the timeout of orders and reports for the response head, and the connection's idle timeout held for attempts, too. CancelAttempt asked the engine to stop but did not end the call, so the call to an engine that was silent for good ended by the idle timeout.

Ruled out: a longer timeout, which would be silence as a reason again. The connect timeout, orders and reports are as before; a report that does not come in time still keeps new requests away from a silent engine.

Change: attempts have no idle timeout and wait for the response head until the core cancels them: at the deadline, when the caller leaves, or when the node ends. The cancellation also aborts the call, which closes its connection. A lost connection still counts as a crash. A repeatable request at an engine that is silent for good now ends as DEADLINE_PASSED at its deadline; before it was tried elsewhere after 2 s.

AttemptTest.answerThatDoesNotStartInTimeIsRefusedAndCancelled shows the end at the deadline.

--- a/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
+++ b/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
@@ -21,7 +21,10 @@
 import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -42,13 +45,19 @@
  */
 public final class HttpEngineClient implements EngineClient {
 
+  /** Timeout of orders and reports. */
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+
+  /** Upper bound of an attempt; the core cancels each attempt at the deadline of its request. */
+  private static final Duration ATTEMPT_TIMEOUT = Duration.ofDays(1);
+
   private static final int STATUS_OK = 200;
   private static final int STATUS_CONFLICT = 409;
   private static final int STATUS_UNAVAILABLE = 503;
 
   private final HttpClient http;
   private final Function<RunnerId, Optional<RunnerSpec>> runners;
+  private final Map<AttemptId, Request> attempts = new ConcurrentHashMap<>();
 
   private HttpEngineClient(HttpClient http, Function<RunnerId, Optional<RunnerSpec>> runners) {
     this.http = http;
@@ -90,10 +99,24 @@
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
       outcome = failed(interrupted, handedOver.get());
+    } finally {
+      attempts.remove(dispatch.attempt());
     }
     listener.ended(outcome);
   }
 
+  /**
+   * Prepares the request of an attempt. A silent engine may be sound, so only {@link #cancel} ends
+   * the attempt while its connection stands.
+   */
+  private Request prepare(Request request, Effect.Dispatch dispatch, AtomicBoolean handedOver) {
+    attempts.put(dispatch.attempt(), request);
+    return request
+        .idleTimeout(0, TimeUnit.MILLISECONDS)
+        .timeout(ATTEMPT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        .onRequestBegin(begun -> handedOver.set(true));
+  }
+
   private AttemptOutcome runModel(
       Effect.Dispatch dispatch,
       Target.ModelTarget target,
@@ -108,12 +131,14 @@
             dispatch.resumeFrom(),
             dispatch.request().body());
     Request request =
-        http.POST(runner.address() + "/attempts/" + dispatch.attempt())
-            .onRequestBegin(begun -> handedOver.set(true))
+        prepare(
+                http.POST(runner.address() + "/attempts/" + dispatch.attempt()),
+                dispatch,
+                handedOver)
             .body(jsonContent(body));
     try (InputStreamResponseListener stream = new InputStreamResponseListener()) {
       request.send(stream);
-      Response response = stream.get(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+      Response response = stream.get(ATTEMPT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
       if (response.getStatus() != STATUS_OK) {
         String reason = new String(stream.getInputStream().readAllBytes(), UTF_8);
         return new AttemptOutcome.Rejected(reason);
@@ -145,9 +170,11 @@
       AttemptListener listener)
       throws InterruptedException, TimeoutException, ExecutionException {
     Request request =
-        http.newRequest(runner.address() + "/services/" + target.service() + target.path())
-            .method(target.method())
-            .onRequestBegin(begun -> handedOver.set(true));
+        prepare(
+                http.newRequest(runner.address() + "/services/" + target.service() + target.path()),
+                dispatch,
+                handedOver)
+            .method(target.method());
     if (!dispatch.request().body().isEmpty()) {
       request.body(new StringRequestContent("application/json", dispatch.request().body()));
     }
@@ -175,6 +202,10 @@
         .ifPresent(
             spec ->
                 http.POST(spec.address() + "/attempts/" + attempt + "/cancel").send(ignored -> {}));
+    Request request = attempts.get(attempt);
+    if (request != null) {
+      CompletableFuture<Boolean> _ = request.abort(new IOException("the attempt is cancelled"));
+    }
   }
 
   // Control
