Test that a waiting request keeps the timeout of its arrival

A request that waits keeps its time limit: it is refused by it after the estimate's cutoff, and a runner gets what is left of it.

--- a/src/test/java/dev/wisteriarail/core/gateway/LateInGraceTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/LateInGraceTest.java
@@ -93,6 +93,39 @@
     assertThat(isAccepted("order", LONG_LIMIT)).isFalse();
   }
 
+  /** A waiting request has one time limit, whatever configuration its node applies meanwhile. */
+  @ParameterizedTest
+  @CsvSource({
+    // timeout on arrival, changed timeout, refused
+    "25000, 4000, true",
+    "4000, 25000, false",
+  })
+  void waitingRequestKeepsTheTimeoutOfItsArrival(
+      long timeoutMillis, long changedMillis, boolean refused) {
+    drainAfterRunTimes("lookup");
+    node.configure(3, Duration.ofMillis(timeoutMillis));
+    node.pass(Duration.ofMillis(1_800));
+    node.directory(
+        6,
+        CoreHarness.runner("p1", CoreHarness.PLAIN, true),
+        CoreHarness.runner("p2", CoreHarness.PLAIN, true));
+    node.take(GatewayEffect.class);
+    long exchange = node.arrive("lookup", LONG_LIMIT);
+    node.configure(4, Duration.ofMillis(changedMillis));
+    node.pass(Duration.ofMillis(1_100));
+    boolean refusedNow =
+        node.take(GatewayEffect.Refuse.class).stream()
+            .anyMatch(refusal -> refusal.exchange() == exchange);
+    assertThat(refusedNow).isEqualTo(refused);
+    node.directory(7, CoreHarness.runner("p3", CoreHarness.PLAIN, false));
+    List<Duration> timesLeft =
+        node.take(GatewayEffect.SendAttempt.class).stream()
+            .map(GatewayEffect.SendAttempt::timeLeft)
+            .toList();
+    assertThat(timesLeft)
+        .isEqualTo(refused ? List.of() : List.of(Duration.ofMillis(timeoutMillis - 1_100)));
+  }
+
   /** Guards against the retry of a request that its node ends before the new runner answers. */
   @ParameterizedTest
   @CsvSource({
