Test that the soak takes the runner's work from the runner

A cut request is excused only if its runner stand-in itself recorded work that ended in the last sixth of the grace period. A runner that refused the request, or whose work had ended before, excuses nothing, whenever the node cut the connection.

--- a/src/test/java/dev/wisteriarail/soak/SoakTest.java
+++ b/src/test/java/dev/wisteriarail/soak/SoakTest.java
@@ -5,6 +5,10 @@
 import dev.wisteriarail.standin.RunnerStandin;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -124,6 +128,46 @@
     assertThat(stops.excuses("n1", nanos(sent), nanos(cut), work)).isFalse();
   }
 
+  /** Only a runner that was at work excuses a cut request, whenever the node cut it. */
+  @ParameterizedTest
+  @CsvSource({
+    // behaviour of the runner, end of its work after SIGTERM in a grace period of 6 s, lost
+    "SOUND, 4900, true",
+    "SOUND, 5100, false",
+    "FULL, 5100, true",
+  })
+  void runnerDecidesWhetherItWasAtWork(
+      RunnerStandin.Behaviour behaviour, long workEndMillis, boolean lost) throws Exception {
+    try (RunnerStandin runner = RunnerStandin.start("p1", "plain", false, List.of(), 1);
+        HttpClient http = HttpClient.newHttpClient()) {
+      runner.setBehaviour(behaviour);
+      http.send(
+          HttpRequest.newBuilder(URI.create("http://" + runner.address() + "/order/1"))
+              .header("X-Wisteriarail-Request-Id", "r1")
+              .build(),
+          HttpResponse.BodyHandlers.discarding());
+      while (behaviour == RunnerStandin.Behaviour.SOUND && runner.workEndTimes().isEmpty()) {
+        Thread.onSpinWait();
+      }
+      long stop =
+          runner.workEndTimes().getOrDefault("r1", System.nanoTime())
+              - Duration.ofMillis(workEndMillis).toNanos();
+      long cut = stop + Duration.ofMillis(5_500).toNanos();
+      SoakCallers.Outcome outcome =
+          SoakCallers.Outcome.unanswered(
+                  "r1", SoakCallers.Kind.ORDER, Duration.ofSeconds(4), "closed")
+              .withCut(new SoakCallers.Cut("n0", stop, cut));
+      List<String> violations =
+          SoakOracle.violations(
+              List.of(outcome),
+              List.of(runner),
+              SoakPlan.PlanType.PLANNED,
+              new PlannedStops(Duration.ofSeconds(6), Map.of("n0", List.of(stop))),
+              Duration.ZERO);
+      assertThat(violations.stream().anyMatch(line -> line.startsWith("LOST"))).isEqualTo(lost);
+    }
+  }
+
   /** Returns the time that is the given time after an arbitrary moment, in nanoseconds. */
   private static long nanos(long millis) {
     return Duration.ofSeconds(100).plusMillis(millis).toNanos();
