A repeated report of a loss is not counted at an older loss on the same run

It had been lost at two runners, once each, at 8.066 and 8.100, and both went on.

Cause: a repeated report, as heartbeats carry it for nodes that missed it, was added to the first known crash of its run. The nodes knew older losses on both runs, from 5.5 s. So each loss was counted twice, and the request appeared to have been sent seconds after the first of "its" crashes, which is what tells crashes apart from a moment at which many runners lose their connections. Two losses were enough to refuse sound requests for five minutes at all nodes.

Ruled out: losses of other requests with this content; the four counts are the two runs, at the older and at the newer loss.

Change: the report belongs to the known crash of its run that is nearest in time. One that was delayed by less than the time between two losses finds its own; with one known loss on the run nothing changes.

Evidence: the new test of CrashHistoryTest counts 4 where 2 is expected without the change, and the part is refused. With it CrashHistoryTest, CrashingPartTest, ForwardRulesTest and GatewayFuzzTest pass (92 tests).

--- a/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -78,9 +79,7 @@
     expire(now);
     Instant lostAt = now.minusMillis(report.loss().ageMillis());
     Optional<Crash> known =
-        repeated
-            ? crashes.stream().filter(c -> c.run.equals(report.loss().run())).findFirst()
-            : find(report.loss().run(), lostAt);
+        repeated ? nearest(report.loss().run(), lostAt) : find(report.loss().run(), lostAt);
     Crash crash =
         known.orElseGet(
             () -> {
@@ -169,10 +168,15 @@
   }
 
   private Optional<Crash> find(RunnerRun run, Instant at) {
+    return nearest(run, at)
+        .filter(crash -> Duration.between(crash.at, at).abs().compareTo(SAME_CRASH) <= 0);
+  }
+
+  /** Returns the crash of a run that is nearest to a time. */
+  private Optional<Crash> nearest(RunnerRun run, Instant at) {
     return crashes.stream()
         .filter(crash -> crash.run.equals(run))
-        .filter(crash -> Duration.between(crash.at, at).abs().compareTo(SAME_CRASH) <= 0)
-        .findFirst();
+        .min(Comparator.comparing(crash -> Duration.between(crash.at, at).abs()));
   }
 
   // Accessors
--- a/src/test/java/dev/wisteriarail/core/forward/CrashHistoryTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/CrashHistoryTest.java
@@ -187,6 +187,31 @@
     assertThat(started.count(RequestTrait.ofPart("part"))).isEqualTo(1);
   }
 
+  /**
+   * A report of the newest loss on a run must not be taken for evidence at an older one, which
+   * would count one loss as two crashes seconds apart.
+   */
+  @Test
+  void repeatedReportIsNotCountedAtAnOlderLossOnItsRun() {
+    List<RunnerLoss> losses =
+        Stream.of("e1", "e2").map(id -> new RunnerLoss(new RunnerRun(id, 1), 0)).toList();
+    for (RunnerLoss loss : losses) {
+      history.recordCrash(new CrashReport(loss, 50, parts("other")), now);
+    }
+    pass(2_500);
+    CrashHistory peer = CrashHistory.create();
+    for (RunnerLoss loss : losses) {
+      CrashReport report = new CrashReport(loss, 50, parts("part"));
+      history.recordCrash(report, now);
+      peer.recordCrash(report, now);
+      pass(30);
+    }
+    pass(100);
+    peer.reports(now).forEach(report -> history.recordRepeated(report, now));
+    assertThat(history.count(RequestTrait.ofPart("part"))).isEqualTo(2);
+    assertThat(isRefused("part")).isFalse();
+  }
+
   /** Prompts of many parts and many crashes must not take unbounded memory or time. */
   @Test
   void memoryIsBoundedWithManyPartsAndCrashes() {
