--- a/src/test/java/dev/wisteriarail/runtime/ListenerBinderTest.java
+++ b/src/test/java/dev/wisteriarail/runtime/ListenerBinderTest.java
@@ -65,7 +65,7 @@
 
   @Test
   void addressThatIsHeldForGoodEndsTheStartWithAnErrorThatNamesIt() throws IOException {
-    try (ServerSocket holder = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+    try (ServerSocket holder = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       SettingsException failure =
           assertThrows(
               SettingsException.class,
