Unusable messages of peers are ignored and named

What callers saw: nothing (by reading). An address with a port out of range or without a host, a heartbeat without a status or a directory entry without an address went into the core as they were.

Cause: decoding neither requires fields nor limits numbers, and messages of peers were not checked like entries of the store. A frame without a sender or a message ended its connection with an exception that nothing logged; null fields threw in the core (event 190).

Change: PeerMessageCheck drops unusable heartbeats, configurations and directory changes, leaves out unusable addresses and runner entries, and names them in event 514. NodeAddress.isUsable is the check that records of the store have, too. FrameCodec refuses incomplete frames (event 513).

Not covered: crash reports and refusals, demand and views, the contents of a configuration, hosts of runners that are no IP text, the messages of the chat path's nodes.

Evidence: FrameCodecTest, 4 of 12 cases failed before.

--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -165,6 +165,8 @@
   PEER_CLOSED(512, "peer closed"),
   /** A connection from a peer was refused. */
   PEER_REFUSED(513, "peer refused"),
+  /** A message of a peer, or a part of it, is unusable and was ignored. */
+  PEER_MESSAGE_IGNORED(514, "peer's message ignored"),
   /** A node was added to the VM list. */
   PEER_LISTED(520, "peer listed"),
   /** A node was removed from the VM list. */
--- a/src/main/java/dev/wisteriarail/core/fleet/NodeAddress.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/NodeAddress.java
@@ -17,6 +17,11 @@
 public record NodeAddress(
     NodeId node, Incarnation incarnation, String host, int port, int linkMbps, int milliCores) {
 
+  /** Longest host name, in characters. */
+  private static final int MAX_HOST_LENGTH = 255;
+
+  static final int MAX_PORT = 65_535;
+
   /** Ranking of nodes for shared tasks: the fastest link first, then by name. */
   public static final Comparator<NodeAddress> BY_RANK =
       Comparator.comparingInt(NodeAddress::linkMbps).reversed().thenComparing(NodeAddress::node);
@@ -46,6 +51,19 @@
         0);
   }
 
+  /** Returns whether the address is complete and connections can be made to it. */
+  public boolean isUsable() {
+    return node != null
+        && incarnation != null
+        && host != null
+        && !host.isBlank()
+        && host.length() <= MAX_HOST_LENGTH
+        && port >= 1
+        && port <= MAX_PORT
+        && linkMbps >= 0
+        && milliCores >= 0;
+  }
+
   /** Returns whether this node ranks before another one. */
   public boolean ranksBefore(NodeAddress other) {
     return BY_RANK.compare(this, other) < 0;
--- a/src/main/java/dev/wisteriarail/core/fleet/RunnerEntry.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/RunnerEntry.java
@@ -71,6 +71,17 @@
         onDisk);
   }
 
+  /** Returns whether the entry names its runner and connections can be made to its address. */
+  public boolean isReachable() {
+    return id != null
+        && service != null
+        && domain != null
+        && host != null
+        && !host.isBlank()
+        && port >= 1
+        && port <= NodeAddress.MAX_PORT;
+  }
+
   /** Returns the address in the form {@code host:port}. */
   public String address() {
     return host + ":" + port;
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -175,7 +175,11 @@
         configuration.ifPresent(known -> coordinatorRole.acceptReport(received, known, step));
         crashGuard.recordReport(received.report(), received.requestedAt(), step);
       }
-      case GatewayEvent.PeerMessageReceived received -> acceptPeerMessage(received, step);
+      case GatewayEvent.PeerMessageReceived received -> {
+        peers.recordMessage(received.from(), now);
+        PeerMessageCheck.usablePart(received, step)
+            .ifPresent(message -> acceptPeerMessage(received, message, step));
+      }
       case GatewayEvent.Tick tick -> {
         if (tick.afterPause()) {
           peers.resetSilence(now);
@@ -296,9 +300,9 @@
     }
   }
 
-  private void acceptPeerMessage(GatewayEvent.PeerMessageReceived received, GatewayStep step) {
-    peers.recordMessage(received.from(), step.now());
-    switch (received.message()) {
+  private void acceptPeerMessage(
+      GatewayEvent.PeerMessageReceived received, FleetMessage message, GatewayStep step) {
+    switch (message) {
       case FleetMessage.Beat beat -> acceptHeartbeat(beat, step);
       case FleetMessage.DemandTold demand ->
           coordinatorRole.acceptDemand(received.from(), received.incarnation(), demand, step.now());
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/gateway/PeerMessageCheck.java
@@ -0,0 +1,79 @@
+package dev.wisteriarail.core.gateway;
+
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.fleet.DirectoryChange;
+import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.fleet.PeerStatus;
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.peer.FleetMessage;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Checks messages of peers, as decoding neither requires fields nor limits numbers. Unusable
+ * addresses are left out, and other unusable messages are dropped. Stateless.
+ */
+final class PeerMessageCheck {
+
+  private PeerMessageCheck() {}
+
+  /** Returns the usable part of a message; empty and logged if it has none. */
+  static Optional<FleetMessage> usablePart(
+      GatewayEvent.PeerMessageReceived received, GatewayStep step) {
+    Optional<FleetMessage> usable =
+        switch (received.message()) {
+          case FleetMessage.Beat beat -> usablePart(beat);
+          case FleetMessage.ConfigurationTold told when told.configuration() == null ->
+              Optional.empty();
+          case FleetMessage.DirectoryTold told -> usablePart(told);
+          default -> Optional.of(received.message());
+        };
+    if (usable.isEmpty() || usable.get() != received.message()) {
+      step.log(
+          EventCode.PEER_MESSAGE_IGNORED,
+          "peer",
+          received.from(),
+          "message",
+          received.message().getClass().getSimpleName(),
+          "whole",
+          usable.isEmpty());
+    }
+    return usable;
+  }
+
+  private static Optional<FleetMessage> usablePart(FleetMessage.Beat beat) {
+    PeerStatus status = beat.status();
+    boolean complete =
+        beat.self() != null
+            && beat.self().isUsable()
+            && status != null
+            && status.leaseEnd() != null
+            && status.directoryOffset() != null
+            && status.directoryChange() != null;
+    if (!complete) {
+      return Optional.empty();
+    }
+    if (beat.known().stream().allMatch(NodeAddress::isUsable)) {
+      return Optional.of(beat);
+    }
+    List<NodeAddress> known = beat.known().stream().filter(NodeAddress::isUsable).toList();
+    return Optional.of(
+        new FleetMessage.Beat(
+            beat.self(), known, status, beat.leaving(), beat.refusals(), beat.crashes()));
+  }
+
+  private static Optional<FleetMessage> usablePart(FleetMessage.DirectoryTold told) {
+    DirectoryChange change = told.change();
+    if (change == null || change.from() == null || change.to() == null) {
+      return Optional.empty();
+    }
+    if (change.entries().stream().allMatch(RunnerEntry::isReachable)) {
+      return Optional.of(told);
+    }
+    List<RunnerEntry> entries = change.entries().stream().filter(RunnerEntry::isReachable).toList();
+    return Optional.of(
+        new FleetMessage.DirectoryTold(
+            new DirectoryChange(
+                change.whole(), change.from(), change.to(), entries, change.removed())));
+  }
+}
--- a/src/main/java/dev/wisteriarail/peer/FrameCodec.java
+++ b/src/main/java/dev/wisteriarail/peer/FrameCodec.java
@@ -111,7 +111,14 @@
 
   private static PeerFrame decode(byte[] bytes) throws PeerException {
     try {
-      return Codecs.messagePack().readValue(uncompressedContent(bytes), PeerFrame.class);
+      PeerFrame frame = Codecs.messagePack().readValue(uncompressedContent(bytes), PeerFrame.class);
+      if (frame == null
+          || frame.from() == null
+          || frame.incarnation() == null
+          || frame.message() == null) {
+        throw new PeerException(ResultCode.PEER_FRAME_INVALID, "frame", "content is incomplete");
+      }
+      return frame;
     } catch (IOException malformed) {
       throw new PeerException(
           ResultCode.PEER_FRAME_INVALID, "frame", "content is malformed", malformed);
--- a/src/main/java/dev/wisteriarail/platform/StoredRecords.java
+++ b/src/main/java/dev/wisteriarail/platform/StoredRecords.java
@@ -23,25 +23,13 @@
   /** Longest time for which a lease or a load counts. */
   private static final long MAX_AGE_MILLIS = Duration.ofDays(365).toMillis();
 
-  private static final int MAX_HOST_LENGTH = 255;
-
   private StoredRecords() {}
 
   /** Returns a node's address if it is complete and connections can be made to it. */
   static NodeAddress checked(NodeAddress address) throws IOException {
-    boolean complete =
-        address != null
-            && address.node() != null
-            && address.incarnation() != null
-            && address.host() != null
-            && !address.host().isBlank()
-            && address.host().length() <= MAX_HOST_LENGTH
-            && address.linkMbps() >= 0
-            && address.milliCores() >= 0;
-    if (!complete) {
-      throw new IOException("the address of a node is incomplete");
+    if (address == null || !address.isUsable()) {
+      throw new IOException("the address of a node is incomplete or out of range");
     }
-    WireValues.port(address.port());
     return address;
   }
 
--- a/src/test/java/dev/wisteriarail/peer/FrameCodecTest.java
+++ b/src/test/java/dev/wisteriarail/peer/FrameCodecTest.java
@@ -24,10 +24,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import java.util.zip.Deflater;
 import java.util.zip.DeflaterOutputStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests frames between nodes, plain and compressed. */
@@ -106,6 +108,22 @@
     assertThrows(PeerException.class, () -> read(bomb));
   }
 
+  @ParameterizedTest
+  @MethodSource("incompleteFrames")
+  void incompleteFrameIsRefused(PeerFrame incomplete) throws Exception {
+    byte[] content = FrameCodec.encode(incomplete);
+    assertThrows(PeerException.class, () -> read(content));
+  }
+
+  static Stream<PeerFrame> incompleteFrames() {
+    FleetMessage message = FleetMessage.CrashTold.ofSound(List.of());
+    return Stream.of(
+        null,
+        new PeerFrame(PeerFrame.VERSION, null, Incarnation.of(1), message),
+        new PeerFrame(PeerFrame.VERSION, NodeId.of("n1"), null, message),
+        new PeerFrame(PeerFrame.VERSION, NodeId.of("n1"), Incarnation.of(1), null));
+  }
+
   @Test
   void contentThatEndsEarlyOrHasAnUnknownFormIsRefused() throws Exception {
     byte[] whole = FrameCodec.encode(frame(configuration(191)));
