--- a/src/main/java/dev/wisteriarail/core/gateway/PeerMessageCheck.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PeerMessageCheck.java
@@ -28,7 +28,7 @@
           case FleetMessage.DirectoryTold told -> usablePart(told);
           default -> Optional.of(received.message());
         };
-    if (usable.isEmpty() || usable.get() != received.message()) {
+    if (usable.isEmpty() || !usable.get().equals(received.message())) {
       step.log(
           EventCode.PEER_MESSAGE_IGNORED,
           "peer",
