Plain words in the comments and private methods of crash evidence

tell, told, look and accuser become send, distinguish and reporter. Names of methods are private; no record on the wire and no event changes.

--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -64,7 +64,7 @@
   CRASH_RECORDED(228, "crash recorded"),
   /** Requests with some traits are found to crash runners and are refused. */
   CRASH_CAUSE_FOUND(229, "cause of crashes found"),
-  /** A loss that looked like a crash was none: the runner is alive. */
+  /** A loss that was taken for a crash was none: the runner is up. */
   CRASH_REFUTED(230, "crash refuted"),
   /** Suspected parts of prompts do not crash runners. */
   CRASH_SUSPECT_CLEARED(231, "suspect cleared"),
--- a/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
@@ -20,10 +20,10 @@
  * answer when it crashed.
  *
  * <p>One of these requests made the runner crash, unless it crashed for another reason; the others
- * were waiting or running beside it. What all crashes of a trait have in common tells them apart: a
- * trait is found to crash runners after several crashes, at least one of them on a request that was
- * sent some time after another of these crashes. Runners that crash or lose their connections at
- * the same moment for a reason of their own do not meet this condition, whatever their requests
+ * were waiting or running beside it. What all crashes of a trait have in common distinguishes them:
+ * a trait is found to crash runners after several crashes, at least one of them on a request that
+ * was sent some time after another of these crashes. Runners that crash or lose their connections
+ * at the same moment for a reason of their own do not meet this condition, whatever their requests
  * have in common.
  *
  * <p>Bounded in crashes, traits and time. Not thread-safe.
@@ -258,8 +258,8 @@
   }
 
   /**
-   * Returns the traits that all crashes of a trait have in common. They can't be told apart from
-   * it; only a request with all of them is known to crash runners.
+   * Returns the traits that all crashes of a trait have in common. They cannot be distinguished
+   * from it; only a request with all of them is known to crash runners.
    */
   Set<RequestTrait> commonTraits(RequestTrait trait) {
     Set<RequestTrait> common = null;
--- a/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
@@ -97,7 +97,7 @@
   }
 
   /**
-   * Records a sign of life of a run, which refutes a loss on it that looked like a crash.
+   * Records a sign of life of a run, which refutes a loss on it that was taken for a crash.
    *
    * @param sentAt when the request was sent that the runner goes on with or has answered
    * @return the loss that is refuted, if there is one
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
@@ -81,7 +81,7 @@
                         }));
   }
 
-  /** Records what a result tells about crashes of runners and requests that cause them. */
+  /** Records the evidence in a result of crashes of runners and of requests that cause them. */
   private void recordEvidence(
       PendingForward forward, LiveAttempt attempt, AttemptResult result, GatewayStep step) {
     switch (result) {
--- a/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
@@ -24,7 +24,7 @@
 /**
  * Protects runners from requests that crash them, in the whole fleet.
  *
- * <p>Each node tells all others at once what it lost, what turned out to be sound, and which losses
+ * <p>Each node sends all others at once what it lost, what turned out to be sound, and which losses
  * were no crashes, so that all nodes come to the same decision. Decisions are also part of
  * heartbeats and are kept in the store, for nodes that missed a message or start later.
  *
@@ -103,7 +103,7 @@
     ForwardLog.crashRecorded(forward, attempt.runner(), report, counts(report), step);
     added.forEach(refusal -> recordRefusal(refusal, SOURCE_ATTEMPT, step));
     added.forEach(saver::add);
-    tellAll(FleetMessage.CrashTold.ofLost(forward.request().fingerprint(), report), step);
+    sendToAllPeers(FleetMessage.CrashTold.ofLost(forward.request().fingerprint(), report), step);
   }
 
   /** Handles a part of a response, which clears the parts of the request. */
@@ -111,7 +111,7 @@
     List<RequestTrait> cleared = history.recordSound(forward.request().sharedParts(), step.now());
     if (!cleared.isEmpty()) {
       logCleared(cleared, forward.request().id(), step);
-      tellAll(FleetMessage.CrashTold.ofSound(cleared), step);
+      sendToAllPeers(FleetMessage.CrashTold.ofSound(cleared), step);
     }
   }
 
@@ -131,7 +131,7 @@
         .ifPresent(
             loss -> {
               step.log(EventCode.CRASH_REFUTED, "runner", run.id(), "born", run.bornMillis());
-              tellAll(FleetMessage.CrashTold.ofRefuted(loss), step);
+              sendToAllPeers(FleetMessage.CrashTold.ofRefuted(loss), step);
             });
   }
 
@@ -156,22 +156,24 @@
   private void acceptLoss(CrashReport report, NodeId from, GatewayStep step) {
     List<RequestTrait> sound = history.proven(report.traits(), step.now());
     if (!sound.isEmpty()) {
-      tellSound(sound, from, step);
+      sendSound(sound, from, step);
     }
     List<CrashRefusal> added = history.recordCrash(report, step.now());
     ForwardLog.crashReceived(report, from.value(), counts(report), step);
     added.forEach(refusal -> recordRefusal(refusal, from.value(), step));
   }
 
-  /** In a large fleet only the accuser is told, as all nodes may know that a part is sound. */
-  private void tellSound(List<RequestTrait> sound, NodeId accuser, GatewayStep step) {
+  /**
+   * In a large fleet only the reporting node gets it, as all nodes may know that a part is sound.
+   */
+  private void sendSound(List<RequestTrait> sound, NodeId reporter, GatewayStep step) {
     FleetMessage.CrashTold message = FleetMessage.CrashTold.ofSound(sound);
     if (!peers.isLarge()) {
-      tellAll(message, step);
+      sendToAllPeers(message, step);
       return;
     }
     peers.addresses().stream()
-        .filter(address -> address.node().equals(accuser))
+        .filter(address -> address.node().equals(reporter))
         .forEach(address -> step.emit(new GatewayEffect.SendPeer(address, message)));
   }
 
@@ -279,8 +281,8 @@
     return counts;
   }
 
-  /** Also tells nodes that exchange no heartbeats with this one. */
-  private void tellAll(FleetMessage message, GatewayStep step) {
+  /** Also sends to nodes that exchange no heartbeats with this one. */
+  private void sendToAllPeers(FleetMessage message, GatewayStep step) {
     for (NodeAddress peer : peers.addresses()) {
       step.emit(new GatewayEffect.SendPeer(peer, message));
     }
--- a/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
@@ -215,7 +215,7 @@
 
   /**
    * Sets the head of a streamed response. It is chunked even if the connection closes afterwards:
-   * without chunks the close would mark the end, and an aborted response would look complete.
+   * without chunks the close would mark the end, and an aborted response would appear complete.
    */
   private void putStreamHead(int status, HttpFields headers) {
     putHead(status, headers);
--- a/src/main/java/dev/wisteriarail/soak/NodeProcess.java
+++ b/src/main/java/dev/wisteriarail/soak/NodeProcess.java
@@ -34,7 +34,7 @@
   /** The last process that got SIGHUP before it had logged its start. */
   private Process hungUpEarly;
 
-  /** The last process that the soak told to end. */
+  /** The last process that the soak asked to end. */
   private Process signalled;
 
   private volatile Process process;
