A cancellation that overtakes its attempt keeps it from beginning

What callers saw: nothing. On the chat path a dispatch and its cancellation run on threads of their own.

--- a/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
+++ b/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
@@ -21,10 +21,8 @@
 import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -57,7 +55,7 @@
 
   private final HttpClient http;
   private final Function<RunnerId, Optional<RunnerSpec>> runners;
-  private final Map<AttemptId, Request> attempts = new ConcurrentHashMap<>();
+  private final AttemptRequests attempts = new AttemptRequests();
 
   private HttpEngineClient(HttpClient http, Function<RunnerId, Optional<RunnerSpec>> runners) {
     this.http = http;
@@ -100,7 +98,7 @@
       Thread.currentThread().interrupt();
       outcome = failed(interrupted, handedOver.get());
     } finally {
-      attempts.remove(dispatch.attempt());
+      attempts.end(dispatch.attempt());
     }
     listener.ended(outcome);
   }
@@ -109,8 +107,11 @@
    * Prepares the request of an attempt. A silent engine may be sound, so only {@link #cancel} ends
    * the attempt while its connection stands.
    */
-  private Request prepare(Request request, Effect.Dispatch dispatch, AtomicBoolean handedOver) {
-    attempts.put(dispatch.attempt(), request);
+  private Request prepare(Request request, Effect.Dispatch dispatch, AtomicBoolean handedOver)
+      throws IOException {
+    if (!attempts.begin(dispatch.attempt(), request)) {
+      throw new IOException("the attempt was cancelled before it began");
+    }
     return request
         .idleTimeout(0, TimeUnit.MILLISECONDS)
         .timeout(ATTEMPT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
@@ -168,7 +169,7 @@
       RunnerSpec runner,
       AtomicBoolean handedOver,
       AttemptListener listener)
-      throws InterruptedException, TimeoutException, ExecutionException {
+      throws IOException, InterruptedException, TimeoutException, ExecutionException {
     Request request =
         prepare(
                 http.newRequest(runner.address() + "/services/" + target.service() + target.path()),
@@ -202,10 +203,11 @@
         .ifPresent(
             spec ->
                 http.POST(spec.address() + "/attempts/" + attempt + "/cancel").send(ignored -> {}));
-    Request request = attempts.get(attempt);
-    if (request != null) {
-      CompletableFuture<Boolean> _ = request.abort(new IOException("the attempt is cancelled"));
-    }
+    attempts.cancel(attempt).ifPresent(HttpEngineClient::abort);
+  }
+
+  private static void abort(Request request) {
+    CompletableFuture<Boolean> _ = request.abort(new IOException("the attempt is cancelled"));
   }
 
   // Control
--- a/src/test/java/dev/wisteriarail/engine/HttpEngineClientTest.java
+++ b/src/test/java/dev/wisteriarail/engine/HttpEngineClientTest.java
@@ -34,9 +34,11 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -129,6 +131,27 @@
         .isInstanceOf(AttemptOutcome.Broken.class);
   }
 
+  /** The threads of a dispatch and its cancellation run in any order. */
+  @Test
+  void attemptThatIsCancelledBeforeItBeginsIsNotSent() throws Exception {
+    AtomicBoolean sent = new AtomicBoolean();
+    engine.createContext(
+        "/attempts/" + ATTEMPT,
+        exchange -> {
+          if (exchange.getRequestURI().getPath().endsWith("/cancel")) {
+            respond(exchange).close();
+          } else {
+            sent.set(true);
+            await(end);
+          }
+        });
+    client.cancel(ATTEMPT, RUNNER);
+    dispatch();
+    assertThat(outcome.get(END_LIMIT_SECONDS, TimeUnit.SECONDS))
+        .isInstanceOf(AttemptOutcome.NotHandedOver.class);
+    assertThat(sent.get()).isFalse();
+  }
+
   private void dispatch() {
     InboundRequest request =
         new InboundRequest(
