A node that is stopped during its start opens no listener

Change: the shutdown hook cancels the start. A start that has opened the callers' listener completes, and the node stops gracefully, as before.

--- a/src/main/java/dev/wisteriarail/cli/ServeCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/ServeCommand.java
@@ -14,6 +14,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.apache.logging.log4j.LogManager;
@@ -49,17 +51,24 @@
     // A signal can arrive at any moment of the start; its handler waits for the start to end.
     CompletableFuture<Optional<Server>> started = new CompletableFuture<>();
     CountDownLatch stopped = new CountDownLatch(1);
+    AtomicBoolean stopRequested = new AtomicBoolean();
     HangupSignal.handle(() -> started.join().ifPresent(Server::hangUp));
     // Log4j cannot be initialized any more once the process shuts down.
     LoggerContext _ = LogManager.getContext(false);
     Runtime.getRuntime()
         .addShutdownHook(
-            new Thread(() -> started.join().ifPresent(server -> stopGracefully(server, stopped))));
+            new Thread(
+                () -> {
+                  stopRequested.set(true);
+                  started.join().ifPresent(server -> stopGracefully(server, stopped));
+                }));
     try {
       TomlDocument toml = TomlDocument.read(path);
       started.complete(
           Optional.of(
-              GatewayFile.isGatewayFile(toml) ? startGateway(path, toml) : startNode(path, out)));
+              GatewayFile.isGatewayFile(toml)
+                  ? startGateway(path, toml, stopRequested::get)
+                  : startNode(path, out, stopRequested::get)));
     } finally {
       started.complete(Optional.empty());
     }
@@ -67,8 +76,9 @@
     return ExitCode.SUCCESS;
   }
 
-  private static Server startNode(Path path, PrintStream out) throws WisteriarailException {
-    Node node = Node.start(NodeFile.read(path));
+  private static Server startNode(Path path, PrintStream out, BooleanSupplier cancelled)
+      throws WisteriarailException {
+    Node node = Node.start(NodeFile.read(path), cancelled);
     out.println("serving callers at " + node.address());
     out.flush();
     return new Server() {
@@ -84,13 +94,15 @@
     };
   }
 
-  private static Server startGateway(Path path, TomlDocument toml) throws WisteriarailException {
+  private static Server startGateway(Path path, TomlDocument toml, BooleanSupplier cancelled)
+      throws WisteriarailException {
     GatewayNode node =
         GatewayNode.start(
             GatewayFile.from(toml),
             CallerHeaders.create(),
             RunnerHeaders.create(),
-            HttpPlatformClient::create);
+            HttpPlatformClient::create,
+            cancelled);
     CompletableFuture<Void> _ =
         node.failure().thenRunAsync(() -> System.exit(ExitCode.FAILED.status()));
     return new Server() {
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -113,6 +113,8 @@
   FILE_UNREADABLE(3003, 400, "a file cannot be read"),
   /** An address to listen on cannot be bound. */
   ADDRESS_UNAVAILABLE(3004, 400, "an address to listen on cannot be bound"),
+  /** The process was asked to stop before its node had started. */
+  START_CANCELLED(3005, 503, "the start was cancelled"),
   /** The answers are invalid. */
   ANSWERS_INVALID(3101, 400, "the answers are invalid"),
   /** The section changed since the revision that the change was based on. */
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.component.LifeCycle;
@@ -101,12 +102,27 @@
       RunnerProtocol runnerProtocol,
       BiFunction<HttpClient, String, PlatformClient> platformClients)
       throws SettingsException {
+    return start(file, callerProtocol, runnerProtocol, platformClients, () -> false);
+  }
+
+  /**
+   * Starts a node unless its start is cancelled.
+   *
+   * @param cancelled returns whether the start is cancelled; has no effect once the node listens
+   */
+  public static GatewayNode start(
+      GatewayFile file,
+      CallerProtocol callerProtocol,
+      RunnerProtocol runnerProtocol,
+      BiFunction<HttpClient, String, PlatformClient> platformClients,
+      BooleanSupplier cancelled)
+      throws SettingsException {
     return start(
         file,
         callerProtocol,
         runnerProtocol,
         platformClients,
-        log -> ListenerBinder.create(log::write));
+        log -> ListenerBinder.create(log::write, cancelled));
   }
 
   /** Starts a node with a given binder of its listeners. */
--- a/src/main/java/dev/wisteriarail/node/Node.java
+++ b/src/main/java/dev/wisteriarail/node/Node.java
@@ -30,6 +30,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.eclipse.jetty.client.HttpClient;
@@ -75,7 +76,16 @@
    * @throws SettingsException if its settings cannot be used, for example a port cannot be bound
    */
   public static Node start(NodeFile file) throws SettingsException {
-    return start(file, log -> ListenerBinder.create(log::write));
+    return start(file, () -> false);
+  }
+
+  /**
+   * Starts a node unless its start is cancelled.
+   *
+   * @param cancelled returns whether the start is cancelled; has no effect once the node listens
+   */
+  public static Node start(NodeFile file, BooleanSupplier cancelled) throws SettingsException {
+    return start(file, log -> ListenerBinder.create(log::write, cancelled));
   }
 
   /** Starts a node with a given binder of its listeners. */
--- a/src/main/java/dev/wisteriarail/runtime/ListenerBinder.java
+++ b/src/main/java/dev/wisteriarail/runtime/ListenerBinder.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -28,12 +29,15 @@
   private final Consumer<NodeEvent> events;
   private final InstantSource clock;
   private final Pause pause;
+  private final BooleanSupplier cancelled;
   private final Instant deadline;
 
-  private ListenerBinder(Consumer<NodeEvent> events, InstantSource clock, Pause pause) {
+  private ListenerBinder(
+      Consumer<NodeEvent> events, InstantSource clock, Pause pause, BooleanSupplier cancelled) {
     this.events = events;
     this.clock = clock;
     this.pause = pause;
+    this.cancelled = cancelled;
     this.deadline = clock.instant().plus(RETRY_LIMIT);
   }
 
@@ -41,15 +45,16 @@
    * Creates a binder whose time limit begins now.
    *
    * @param events receives an event for each failed attempt that is followed by another one
+   * @param cancelled returns whether the start is cancelled, so that no listener is opened any more
    */
-  public static ListenerBinder create(Consumer<NodeEvent> events) {
-    return create(events, MonotonicClock.start(), Thread::sleep);
+  public static ListenerBinder create(Consumer<NodeEvent> events, BooleanSupplier cancelled) {
+    return create(events, MonotonicClock.start(), Thread::sleep, cancelled);
   }
 
   /** Creates a binder with a given clock and pause. */
   public static ListenerBinder create(
-      Consumer<NodeEvent> events, InstantSource clock, Pause pause) {
-    return new ListenerBinder(events, clock, pause);
+      Consumer<NodeEvent> events, InstantSource clock, Pause pause, BooleanSupplier cancelled) {
+    return new ListenerBinder(events, clock, pause, cancelled);
   }
 
   /** Waits between two attempts. */
@@ -95,11 +100,15 @@
    *
    * @param key the setting of the address
    * @param opening opens the listener once
-   * @throws SettingsException if the address cannot be bound
+   * @throws SettingsException if the address cannot be bound or the start is cancelled
    */
   public void open(String key, String host, int port, Opening opening) throws SettingsException {
     String address = host + ":" + port;
     for (int attempt = 1; ; attempt++) {
+      if (cancelled.getAsBoolean()) {
+        throw new SettingsException(
+            ResultCode.START_CANCELLED, key, "the process was asked to stop during its start");
+      }
       try {
         opening.open();
         return;
