An aborted stream without chunks ends with a reset

What callers saw: a caller of HTTP/1.0, which knows no chunks, got a plain close when its stream was aborted, and took it for the end of the stream.

Cause: the reset was set up after the failed callback, in which Jetty had closed the connection.

Change: the reset is set up first. HTTP/1.1 is as before.

CallerFrontTest.abortedStreamWithoutChunksIsReset passes.

--- a/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
@@ -199,11 +199,12 @@
       return;
     }
     ended = true;
-    callback.failed(new IOException("the response was aborted"));
-    EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+    EndPoint endPoint = endPoint();
+    // Before the failed callback, which may close the connection.
     if (!supportsChunking() && endPoint instanceof PeekingEndPoint peeking) {
       peeking.resetOnClose();
     }
+    callback.failed(new IOException("the response was aborted"));
     endPoint.close();
   }
 
@@ -274,7 +275,10 @@
 
   /** Returns whether the caller closed its connection. */
   boolean isCallerDisconnected() {
-    EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-    return endPoint instanceof PeekingEndPoint peeking && peeking.isClosedByPeer();
+    return endPoint() instanceof PeekingEndPoint peeking && peeking.isClosedByPeer();
+  }
+
+  private EndPoint endPoint() {
+    return request.getConnectionMetaData().getConnection().getEndPoint();
   }
 }
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.concurrent.TimeUnit.SECONDS;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.platform.CallerHeaders;
@@ -15,6 +16,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +24,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.locks.LockSupport;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -103,6 +107,23 @@
     }
   }
 
+  /** Guards against an aborted stream whose end looks like that of a complete one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "P", POST_HEAD + "body"})
+  void abortedStreamWithoutChunksIsReset(String sentAfter) throws Exception {
+    try (Socket caller = connect()) {
+      caller.setSoTimeout(ANSWER_TIMEOUT_MILLIS);
+      CallerExchange exchange = request(caller, HttpVersion.HTTP_1_0);
+      exchange.addAttempt(1);
+      byte[] event = "id: 1\ndata: x\n\n".getBytes(UTF_8);
+      assertThat(exchange.relay(1, 200, HttpFields.EMPTY, event, Callback.NOOP))
+          .isEqualTo(CallerExchange.RelayResult.WRITTEN);
+      caller.getOutputStream().write(sentAfter.getBytes(UTF_8));
+      exchange.abort();
+      assertThrows(SocketException.class, () -> readAll(caller.getInputStream()));
+    }
+  }
+
   /** Guards against an answer that is lost because its connection is closed with unread bytes. */
   @ParameterizedTest
   @ValueSource(strings = {"", "P", "POST /order/1 HTTP/1.1\r\nHost", POST_HEAD, POST_HEAD + "body"})
@@ -188,7 +209,13 @@
   }
 
   private CallerExchange request(Socket caller) throws IOException, InterruptedException {
-    String head = "GET /report/1 HTTP/1.1\r\nHost: a\r\nX-Wisteriarail-Request-Id: r1\r\n\r\n";
+    return request(caller, HttpVersion.HTTP_1_1);
+  }
+
+  private CallerExchange request(Socket caller, HttpVersion version)
+      throws IOException, InterruptedException {
+    String head =
+        "GET /report/1 " + version + "\r\nHost: a\r\nX-Wisteriarail-Request-Id: r1\r\n\r\n";
     caller.getOutputStream().write(head.getBytes(UTF_8));
     GatewayEvent.RequestArrived arrived = (GatewayEvent.RequestArrived) events.take();
     return server.exchange(arrived.request().exchange()).orElseThrow();
