--- a/src/main/java/dev/wisteriarail/cli/ServeCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/ServeCommand.java
@@ -52,7 +52,7 @@
     CompletableFuture<Optional<Server>> started = new CompletableFuture<>();
     CountDownLatch stopped = new CountDownLatch(1);
     AtomicBoolean stopRequested = new AtomicBoolean();
-    HangupSignal.handle(() -> started.join().ifPresent(Server::hangUp));
+    HangupSignal.handle(() -> started.join().ifPresent(server -> server.reload().run()));
     // Log4j cannot be initialized any more once the process shuts down.
     LoggerContext _ = LogManager.getContext(false);
     Runtime.getRuntime()
@@ -81,17 +81,7 @@
     Node node = Node.start(NodeFile.read(path), cancelled);
     out.println("serving callers at " + node.address());
     out.flush();
-    return new Server() {
-      @Override
-      public boolean stop() throws InterruptedException {
-        return node.stop();
-      }
-
-      @Override
-      public void hangUp() {
-        System.exit(ExitCode.SUCCESS.status());
-      }
-    };
+    return new Server(node::stop, () -> System.exit(ExitCode.SUCCESS.status()));
   }
 
   private static Server startGateway(Path path, TomlDocument toml, BooleanSupplier cancelled)
@@ -105,32 +95,25 @@
             cancelled);
     CompletableFuture<Void> _ =
         node.failure().thenRunAsync(() -> System.exit(ExitCode.FAILED.status()));
-    return new Server() {
-      @Override
-      public boolean stop() throws InterruptedException {
-        return node.stop();
-      }
-
-      @Override
-      public void hangUp() {
-        node.reload(path);
-      }
-    };
+    return new Server(node::stop, () -> node.reload(path));
   }
 
-  /** A started node. */
-  private interface Server {
-
-    /** Stops the node gracefully; returns whether it finished with no request in flight. */
-    boolean stop() throws InterruptedException;
+  /**
+   * A started node.
+   *
+   * @param stop stops the node gracefully
+   * @param reload handles SIGHUP: reads the settings again, or ends the process if the node cannot
+   */
+  private record Server(GracefulStop stop, Runnable reload) {}
 
-    /** Handles SIGHUP: reads the settings again, or ends the process if the node cannot. */
-    void hangUp();
+  /** Stops a node; returns whether it finished with no request in flight. */
+  private interface GracefulStop {
+    boolean run() throws InterruptedException;
   }
 
   private static void stopGracefully(Server server, CountDownLatch stopped) {
     try {
-      boolean drained = server.stop();
+      boolean drained = server.stop().run();
       LogManager.shutdown();
       Runtime.getRuntime().halt(drained ? ExitCode.SUCCESS.status() : ExitCode.FAILED.status());
     } catch (InterruptedException interrupted) {
