Soak: nodes handle SIGHUP also if the soak was started under nohup

Cause: nohup ignores SIGHUP, child processes inherit that, and a JVM that starts with an ignored SIGHUP installs no handler for it. So the soak's SIGHUP had no effect there, without a sign of it.

--- a/src/main/java/dev/wisteriarail/soak/NodeProcess.java
+++ b/src/main/java/dev/wisteriarail/soak/NodeProcess.java
@@ -86,9 +86,12 @@
       return;
     }
     String java = ProcessHandle.current().info().command().orElse("java");
+    // The JVM handles no SIGHUP if its process inherited an ignored one, as under nohup.
     ProcessBuilder builder =
         new ProcessBuilder(
             List.of(
+                "env",
+                "--default-signal=HUP",
                 java,
                 "-Xmx96m",
                 "-Xss256k",
