--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -463,6 +463,7 @@
     long written;
     boolean busy;
     volatile boolean stopped;
+    private boolean left;
 
     Runner(String id, String service, List<String> loaded, int modelRoom, long loadMillis, long workMillis)
         throws IOException {
@@ -491,8 +492,14 @@
       return modelRoom == 0 ? "" : "\"stage\":\"prefill_decode\",\"models\":[" + list + "],";
     }
 
+    /** Removes the entry; the runner serves on. */
+    synchronized void leave() {
+      left = true;
+      store.put("keyed.servers", id, "");
+    }
+
     synchronized void write() {
-      if (!stopped) {
+      if (!stopped && !left) {
         store.put("keyed.servers", id, "{\"service\":\"" + service + "\",\"address\":\""
             + server.address() + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":16,\"state\":\""
             + state + "\",\"cold_remaining_ms\":0," + described() + "\"born\":" + born
@@ -665,6 +672,7 @@
     final int peers = freePort();
     final int metrics = freePort();
     PeerLink link;
+    StoreLink storeLink;
     Process process;
 
     Node(String name) throws IOException {
@@ -688,7 +696,7 @@
       values.put("listen.frontend", "127.0.0.1:" + callers);
       values.put("listen.ready", "127.0.0.1:" + ready);
       values.put("listen.control_plane", "127.0.0.1:" + peers);
-      values.put("platform.address", store.server.address());
+      values.put("platform.address", storeLink == null ? store.server.address() : storeLink.address());
       values.put("bounds.lease_ms", "3000");
       values.put("bounds.fencing_enforced", "true");
       values.put("bounds.drain_ms", "2000");
@@ -772,6 +780,60 @@
     }
   }
 
+  /** A proxy between one node and the store; holds back what is sent while the node is cut off. */
+  final class StoreLink {
+    volatile boolean cut;
+    final ServerSocket listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+
+    StoreLink() throws IOException {
+      Thread.ofVirtual().start(() -> {
+        while (true) {
+          try {
+            Socket from = listener.accept();
+            Thread.ofVirtual().start(() -> join(from));
+          } catch (IOException ended) {
+            return;
+          }
+        }
+      });
+    }
+
+    String address() {
+      return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private void join(Socket from) {
+      try (from; Socket target = connect("127.0.0.1", store.server.listener.getLocalPort(), 1000)) {
+        Thread back = Thread.ofVirtual().start(() -> copy(target, from));
+        copy(from, target);
+        back.join();
+      } catch (IOException | InterruptedException ended) {
+        // One side has closed the channel.
+      }
+    }
+
+    private void copy(Socket in, Socket out) {
+      byte[] buffer = new byte[65536];
+      try {
+        for (int count = in.getInputStream().read(buffer); count >= 0; count = in.getInputStream().read(buffer)) {
+          while (cut) {
+            sleep(10);
+          }
+          out.getOutputStream().write(buffer, 0, count);
+        }
+      } catch (IOException ended) {
+        // One side has closed the channel.
+      } finally {
+        try {
+          in.close();
+          out.close();
+        } catch (IOException ignored) {
+          // Both are closed.
+        }
+      }
+    }
+  }
+
   /** A proxy before a node's address for other nodes; drops what cut nodes send or are sent. */
   final class PeerLink {
     final ServerSocket listener;
