--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -444,6 +444,11 @@
 
   final List<Arrival> arrivals = java.util.Collections.synchronizedList(new ArrayList<>());
   final List<Run> runs = new CopyOnWriteArrayList<>();
+  /** The arrival of an order at a runner. */
+  record OrderArrival(long nanos, String runner, String holder, long fence) {}
+
+  final List<OrderArrival> orderArrivals = new CopyOnWriteArrayList<>();
+  boolean fencesEnforced = true;
   final List<String> orders = new CopyOnWriteArrayList<>();
 
   /** A runner of a service; with models if it is a language model runner. */
@@ -455,6 +460,7 @@
     final long loadMillis;
     final Server server;
     final TreeSet<String> models = new TreeSet<>();
+    final TreeSet<String> onDisk = new TreeSet<>();
     final TreeMap<String, Integer> running = new TreeMap<>();
     final long born = System.currentTimeMillis();
     String state = "ready";
@@ -464,6 +470,7 @@
     boolean busy;
     volatile boolean stopped;
     private boolean left;
+    volatile RunnerLink link;
 
     Runner(String id, String service, List<String> loaded, int modelRoom, long loadMillis, long workMillis)
         throws IOException {
@@ -473,6 +480,7 @@
       this.loadMillis = loadMillis;
       this.workMillis = workMillis;
       models.addAll(loaded);
+      onDisk.addAll(loaded);
       server = new Server(this::handle);
       runners.add(this);
       Thread.ofVirtual().start(() -> {
@@ -489,7 +497,8 @@
         list.append(list.isEmpty() ? "" : ",").append("{\"name\":\"").append(each)
             .append("\",\"version\":1,\"adapters\":[]}");
       }
-      return modelRoom == 0 ? "" : "\"stage\":\"prefill_decode\",\"models\":[" + list + "],";
+      String disk = "\"" + String.join("\",\"", onDisk) + "\"";
+      return modelRoom == 0 ? "" : "\"available\":{\"in_memory\":[],\"on_disk\":[" + disk + "]},\"stage\":\"prefill_decode\",\"models\":[" + list + "],";
     }
 
     /** Removes the entry; the runner serves on. */
@@ -501,7 +510,7 @@
     synchronized void write() {
       if (!stopped && !left) {
         store.put("keyed.servers", id, "{\"service\":\"" + service + "\",\"address\":\""
-            + server.address() + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":16,\"state\":\""
+            + (link == null ? server.address() : link.address()) + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":16,\"state\":\""
             + state + "\",\"cold_remaining_ms\":0," + described() + "\"born\":" + born
             + ",\"sequence\":" + ++written + "}");
       }
@@ -548,7 +557,8 @@
       String model = text(body, "model");
       boolean load = text(body, "operation").equals("model_load");
       int status;
-      if (token < fence) {
+      orderArrivals.add(new OrderArrival(System.nanoTime(), id, text(body, "holder"), token));
+      if (fencesEnforced && token < fence) {
         status = 412;
       } else if (busy || (!text(body, "expect").isEmpty() && Long.parseLong(text(body, "expect")) != sequence)) {
         status = 409;
@@ -585,6 +595,7 @@
       synchronized (this) {
         if (load) {
           models.add(model);
+          onDisk.add(model);
         }
         busy = false;
       }
@@ -650,6 +661,132 @@
     }
   }
 
+  /**
+   * A proxy before a runner. While a node is cut off, what it sends is held up; it arrives some time
+   * after the cut has healed, unless the node has reset the channel meanwhile.
+   */
+  final class RunnerLink {
+    final ServerSocket listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+    final Runner to;
+    final Set<Node> cut;
+    final long resentAfterMillis;
+
+    RunnerLink(Runner to, Set<Node> cut, long resentAfterMillis) throws IOException {
+      this.to = to;
+      this.cut = cut;
+      this.resentAfterMillis = resentAfterMillis;
+      Thread.ofVirtual().start(() -> {
+        while (true) {
+          try {
+            Socket from = listener.accept();
+            Node sender = sender(from.getPort());
+            Thread.ofVirtual().start(() -> join(from, sender));
+          } catch (IOException ended) {
+            return;
+          }
+        }
+      });
+    }
+
+    String address() {
+      return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private boolean isCut(Node sender) {
+      return sender != null && cut.contains(sender);
+    }
+
+    private void join(Socket from, Node sender) {
+      try (from; Socket target = connect("127.0.0.1", to.server.listener.getLocalPort(), 1000)) {
+        Thread back = Thread.ofVirtual().start(() -> {
+          byte[] buffer = new byte[65536];
+          try {
+            for (int count = target.getInputStream().read(buffer); count >= 0; count = target.getInputStream().read(buffer)) {
+              while (isCut(sender)) {
+                sleep(5);
+              }
+              from.getOutputStream().write(buffer, 0, count);
+            }
+            from.shutdownOutput();
+          } catch (IOException ended) {
+            // One side has closed the channel.
+          }
+        });
+        java.util.concurrent.LinkedBlockingQueue<byte[]> received = new java.util.concurrent.LinkedBlockingQueue<>();
+        java.util.concurrent.atomic.AtomicBoolean reset = new java.util.concurrent.atomic.AtomicBoolean();
+        Thread.ofVirtual().start(() -> {
+          byte[] buffer = new byte[65536];
+          try {
+            for (int count = from.getInputStream().read(buffer); count >= 0; count = from.getInputStream().read(buffer)) {
+              received.add(Arrays.copyOf(buffer, count));
+            }
+          } catch (IOException ended) {
+            reset.set(true);
+          }
+          received.add(new byte[0]);
+        });
+        boolean late = false;
+        for (byte[] each = received.take(); each.length > 0; each = received.take()) {
+          if (isCut(sender)) {
+            note("held up between %s and %s: %s", sender.name, to.id,
+                new String(each, ISO_8859_1).replaceAll("\\s+", " "));
+            while (isCut(sender)) {
+              sleep(5);
+            }
+            if (!late && !reset.get()) {
+              sleep(resentAfterMillis);
+            }
+            late = true;
+          }
+          if (reset.get()) {
+            note("lost between %s and %s: the sender has reset the channel", sender.name, to.id);
+            return;
+          }
+          target.getOutputStream().write(each);
+        }
+        if (late) {
+          sleep(50);
+        }
+        target.shutdownOutput();
+        back.join();
+      } catch (IOException | InterruptedException ended) {
+        // One side has closed the channel.
+      }
+    }
+
+    /** Returns the node whose process has a socket with the given local port. */
+    private Node sender(int port) throws IOException {
+      String local = String.format(":%04X", port);
+      List<String> lines = new ArrayList<>(Files.readAllLines(Path.of("/proc/net/tcp6")));
+      lines.addAll(Files.readAllLines(Path.of("/proc/net/tcp")));
+      for (String line : lines) {
+        String[] words = line.trim().split("\\s+");
+        if (words.length > 9 && words[1].endsWith(local)) {
+          for (Node node : nodes) {
+            if (node.process != null && hasSocket(node.process.pid(), "socket:[" + words[9] + "]")) {
+              return node;
+            }
+          }
+        }
+      }
+      return null;
+    }
+
+    private static boolean hasSocket(long pid, String name) {
+      try (var files = Files.list(Path.of("/proc/" + pid + "/fd"))) {
+        return files.anyMatch(each -> {
+          try {
+            return Files.readSymbolicLink(each).toString().equals(name);
+          } catch (IOException closed) {
+            return false;
+          }
+        });
+      } catch (IOException ended) {
+        return false;
+      }
+    }
+  }
+
   // Nodes
 
   /** Returns a free port below those that the system gives to outgoing channels. */
@@ -698,7 +835,7 @@
       values.put("listen.control_plane", "127.0.0.1:" + peers);
       values.put("platform.address", storeLink == null ? store.server.address() : storeLink.address());
       values.put("bounds.lease_ms", "3000");
-      values.put("bounds.fencing_enforced", "true");
+      values.put("bounds.fencing_enforced", Boolean.toString(fencesEnforced));
       values.put("bounds.drain_ms", "2000");
       values.put("bounds.budget_window_s", "10");
       values.put("bounds.retry_budget_ratio", "0.2");
