--- a/review/standin/DeadlyRequest.java
+++ b/review/standin/DeadlyRequest.java
@@ -27,6 +27,10 @@
     this.afterFirstEvent = afterFirstEvent;
   }
 
+  /**
+   * Plays the case. With the property "before" the runners crash before the first event; with "kills",
+   * too, all nodes are killed several times, and the request comes only while they are in touch.
+   */
   public static void main(String[] args) throws Exception {
     Lab.play(args, 300, (lab, trouble) -> new DeadlyRequest(lab, !Boolean.getBoolean("before")).run(trouble));
   }
@@ -105,6 +109,12 @@
     }
     Lab.sleep(3_000);
     for (int i = 0; Lab.seconds() < until; i++) {
+      if (Boolean.getBoolean("kills") && i % 2 == 0 && i > 0) {
+        lab.killNodes();
+        Lab.sleep(500);
+        lab.restartNodes();
+        Lab.sleep(Math.round(STABILITY_SECONDS * 1000) + 500);
+      }
       if (trouble) {
         int number = i;
         clients.add(Thread.ofVirtual().start(() -> send(number, "deadly-" + number, DEADLY_BODY)));
