Review: case 2 also checks turns within the lease; ports of scripts do not collide

Change: the cut lasts 11 s, within the largest dose; the second half of the rule is checked; each script has a range of ports; the time limit of a script ends it without waiting.

--- a/review/standin/HeldOrders.java
+++ b/review/standin/HeldOrders.java
@@ -13,7 +13,8 @@
 
   private static final int MODELS = 24;
   private static final int RUNNERS = 8;
-  private static final long CUT_MILLIS = 8_000;
+  private static final long CUT_MILLIS = 11_000;
+  private static final long LEASE_MILLIS = 3_000;
   private static final long THAW_MILLIS = 300;
   private static final long RESENT_AFTER_MILLIS = 1_000;
 
@@ -88,20 +89,36 @@
     return isBroken(lab, healed);
   }
 
+  /** Checks, for each runner, for a lower epoch after a higher one and for holders that take turns. */
   private static boolean isBroken(Lab lab, long healed) {
     Map<String, Lab.OrderArrival> highest = new HashMap<>();
+    Map<String, Lab.OrderArrival> last = new HashMap<>();
     boolean broken = false;
     for (Lab.OrderArrival each : lab.orderArrivals) {
-      Lab.OrderArrival before = highest.get(each.runner());
-      boolean excused = each.nanos() >= healed && each.nanos() - healed <= THAW_MILLIS * 1_000_000;
-      if (before != null && each.fence() < before.fence() && !excused) {
+      if (each.nanos() >= healed && each.nanos() - healed <= THAW_MILLIS * 1_000_000) {
+        continue;
+      }
+      Lab.OrderArrival higher = highest.get(each.runner());
+      if (higher != null && each.fence() < higher.fence()) {
         broken = true;
         lab.note("LOWER: at %.3f runner %s got an order of %s with epoch %d, after one of %s with epoch %d",
-            (each.nanos() - Lab.START) / 1e9, each.runner(), each.holder(), each.fence(), before.holder(), before.fence());
-      } else if (before == null || each.fence() > before.fence()) {
+            time(each), each.runner(), each.holder(), each.fence(), higher.holder(), higher.fence());
+      }
+      Lab.OrderArrival before = last.put(each.runner(), each);
+      if (before != null && !before.holder().equals(each.holder())
+          && each.nanos() - before.nanos() < LEASE_MILLIS * 1_000_000) {
+        broken = true;
+        lab.note("TURNS: runner %s got an order of %s at %.3f and one of %s at %.3f", each.runner(), before.holder(),
+            time(before), each.holder(), time(each));
+      }
+      if (higher == null || each.fence() > higher.fence()) {
         highest.put(each.runner(), each);
       }
     }
     return broken;
   }
+
+  private static double time(Lab.OrderArrival order) {
+    return (order.nanos() - Lab.START) / 1e9;
+  }
 }
--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -68,9 +68,10 @@
     Lab lab = new Lab(Path.of(args[0], "record.txt"), keepSeconds);
     try (lab) {
       Thread.ofVirtual().start(() -> {
-        sleep(115_000);
+        sleep(112_000);
         lab.note("COULD NOT RUN: the script takes too long");
-        lab.close();
+        lab.nodes.stream().filter(each -> each.process != null).forEach(each -> each.process.destroyForcibly());
+        lab.deleteTemp();
         Runtime.getRuntime().halt(2);
       });
       boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -139,9 +140,11 @@
     nodes.forEach(Node::kill);
     runners.forEach(Runner::stop);
     store.server.close();
-    synchronized (record) {
-      record.flush();
-    }
+    record.flush();
+    deleteTemp();
+  }
+
+  private void deleteTemp() {
     try (var files = Files.walk(temp)) {
       files.sorted(java.util.Comparator.reverseOrder()).forEach(each -> each.toFile().delete());
     } catch (IOException gone) {
@@ -789,14 +792,19 @@
 
   // Nodes
 
-  /** Returns a free port below those that the system gives to outgoing channels. */
+  private static final java.util.concurrent.atomic.AtomicInteger NEXT_PORT =
+      new java.util.concurrent.atomic.AtomicInteger(12_000 + (int) (ProcessHandle.current().pid() % 200) * 100);
+
+  /**
+   * Returns a free port below those that the system gives to outgoing channels, from a range that
+   * scripts which run at the same time do not share.
+   */
   static int freePort() throws IOException {
     while (true) {
-      int port = java.util.concurrent.ThreadLocalRandom.current().nextInt(12_000, 32_000);
-      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+      try (ServerSocket socket = new ServerSocket(NEXT_PORT.getAndIncrement(), 1, InetAddress.getByName("127.0.0.1"))) {
         return socket.getLocalPort();
       } catch (java.net.BindException taken) {
-        // Another port is tried.
+        // The next port is tried.
       }
     }
   }
