--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -899,15 +899,6 @@
       return true;
     }
 
-    void signal(String signal) throws IOException {
-      note("SIG%s to node %s", signal, name);
-      try {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-      } catch (InterruptedException interrupted) {
-        throw new IllegalStateException(interrupted);
-      }
-    }
-
     void kill() {
       if (process != null && process.isAlive()) {
         process.destroyForcibly();
