Control calls that are given up reset their connections

What callers saw: on platforms whose runners check no fencing numbers, orders of a lease holder that had been cut off reached runners a second after the cut had healed, after orders of its successor.

Cause: an order without an answer ends after 500 ms, and Jetty then closes its connection in an orderly way. The kernel keeps the order's bytes in its send buffer and delivers them, followed by the end of the stream, as soon as the path works again. The lease assumes that nothing is under way for longer than 200 ms. The same holds for appends under the lease.

Ruled out: the lease itself (the holder stops when its lease expires, and the numbers are right), and orders that wait for a connection (they end with the call's timeout and are never written).

Fix: the client for control calls (orders, reports, calls to the store) closes connections with a reset, which discards what has not been delivered. Its connections do not shut down their output first, as that would put the end of the stream behind the held bytes.

Evidence: AbandonedCallTest has a server that never answers. Without the reset 3 of 3 cases fail (the server reads an orderly end of the stream); with it 3 of 3 pass.

--- a/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
@@ -46,7 +46,31 @@
    */
   public static HttpClient start(
       QueuedThreadPool threads, Scheduler scheduler, long idleMillis, boolean reuse) {
-    ClientConnector connector = new ResetAwareConnector();
+    return start(threads, scheduler, idleMillis, reuse, false);
+  }
+
+  /**
+   * Returns a started client for control calls. It behaves like {@link #start}, except that it
+   * resets connections instead of closing them. Otherwise the kernel would deliver the bytes of a
+   * call that was given up as soon as an interrupted network path works again, which may be long
+   * after the lease under which the call was made.
+   *
+   * @param threads thread pool shared with other clients and servers
+   * @param scheduler timer shared with them
+   * @param idleMillis time after which an unused connection is closed
+   */
+  public static HttpClient startForControlCalls(
+      QueuedThreadPool threads, Scheduler scheduler, long idleMillis) {
+    return start(threads, scheduler, idleMillis, true, true);
+  }
+
+  private static HttpClient start(
+      QueuedThreadPool threads,
+      Scheduler scheduler,
+      long idleMillis,
+      boolean reuse,
+      boolean resetOnClose) {
+    ClientConnector connector = new ResetAwareConnector(resetOnClose);
     connector.setSelectors(1);
     connector.setExecutor(threads);
     connector.setScheduler(scheduler);
@@ -99,6 +123,12 @@
    */
   private static final class ResetAwareConnector extends ClientConnector {
 
+    private final boolean resetOnClose;
+
+    ResetAwareConnector(boolean resetOnClose) {
+      this.resetOnClose = resetOnClose;
+    }
+
     @Override
     protected SslContextFactory.Client newSslContextFactory() {
       return new DisabledTls();
@@ -107,7 +137,8 @@
     @Override
     protected EndPoint newEndPoint(
         SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-      return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+      return new ResetAwareEndPoint(
+          (SocketChannel) channel, selector, key, getScheduler(), resetOnClose);
     }
   }
 
--- a/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
+++ b/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
@@ -1,10 +1,13 @@
 package dev.wisteriarail.gateway;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -21,16 +24,44 @@
  */
 final class ResetAwareEndPoint extends SocketChannelEndPoint {
 
+  private static final Logger LOGGER = LogManager.getLogger(ResetAwareEndPoint.class);
+
   /** Maximum bytes read without progress; above the size of the longest buffered response. */
   private static final long MAX_BYTES_WITHOUT_PROGRESS = 12L * 1024 * 1024;
 
   private final SocketChannel channel;
+  private final boolean resetOnClose;
   private final AtomicLong bytesWithoutProgress = new AtomicLong();
 
   ResetAwareEndPoint(
-      SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+      SocketChannel channel,
+      ManagedSelector selector,
+      SelectionKey key,
+      Scheduler scheduler,
+      boolean resetOnClose) {
     super(channel, selector, key, scheduler);
     this.channel = channel;
+    this.resetOnClose = resetOnClose;
+  }
+
+  /** Does nothing if the connection is to be reset: the end of the stream would follow its bytes. */
+  @Override
+  protected void doShutdownOutput() {
+    if (!resetOnClose) {
+      super.doShutdownOutput();
+    }
+  }
+
+  @Override
+  public void doClose() {
+    if (resetOnClose) {
+      try {
+        channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+      } catch (IOException closed) {
+        LOGGER.debug("a connection was closed before it could be reset", closed);
+      }
+    }
+    super.doClose();
   }
 
   /** Records progress of a response: its head is complete, or a part of its body arrived. */
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/platform/AbandonedCallTest.java
@@ -0,0 +1,101 @@
+package dev.wisteriarail.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.wisteriarail.core.fleet.FleetOrder;
+import dev.wisteriarail.core.fleet.LeaseCall;
+import dev.wisteriarail.core.fleet.LeaseRecord;
+import dev.wisteriarail.core.fleet.NumberedOrder;
+import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.gateway.GatewayEffect;
+import dev.wisteriarail.gateway.GatewayHttp;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Tests that a control call that is given up resets its connection. After an orderly close, the
+ * bytes of an order that an interrupted path held back would reach the runner once the path works
+ * again, after orders of the next lease holder.
+ */
+class AbandonedCallTest {
+
+  private static final int LIMIT_MILLIS = 5_000;
+
+  private final QueuedThreadPool threads = new QueuedThreadPool();
+  private final Scheduler scheduler = new ScheduledExecutorScheduler();
+  private HttpClient http;
+
+  enum Call {
+    ORDER,
+    REPORT,
+    LEASE_RENEWAL
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    threads.start();
+    scheduler.start();
+    http = GatewayHttp.startForControlCalls(threads, scheduler, LIMIT_MILLIS);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    http.stop();
+    scheduler.stop();
+    threads.stop();
+  }
+
+  @ParameterizedTest
+  @EnumSource(Call.class)
+  void unansweredCallResetsItsConnection(Call call) throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+      CountDownLatch ended = new CountDownLatch(1);
+      start(call, server.getLocalPort(), ended);
+      try (Socket connection = server.accept()) {
+        connection.setSoTimeout(LIMIT_MILLIS);
+        assertThat(connection.getInputStream().read()).isAtLeast(0);
+        assertThat(ended.await(LIMIT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+        assertThrows(
+            SocketException.class, () -> connection.getInputStream().readAllBytes(), "no reset");
+      }
+    }
+  }
+
+  private void start(Call call, int port, CountDownLatch ended) {
+    HttpPlatformClient client = HttpPlatformClient.create(http, "127.0.0.1:" + port);
+    RunnerEntry runner =
+        new RunnerEntry(
+            "r", "s", "127.0.0.1", port, "a", 1, false, 1, 0, List.of(), Set.of(), Set.of());
+    switch (call) {
+      case ORDER ->
+          client.sendOrder(
+              new GatewayEffect.SendOrder(
+                  runner,
+                  new NumberedOrder(1, "r", 1, 0, new FleetOrder.UnloadModel("m"), "", null),
+                  "n",
+                  1),
+              notification -> {},
+              (outcome, text) -> ended.countDown());
+      case REPORT ->
+          client.requestReport(runner, notification -> {}, report -> ended.countDown());
+      case LEASE_RENEWAL ->
+          client.callLease(
+              new LeaseCall.Append(1, LeaseRecord.claim("n", 1, 0)), answer -> ended.countDown());
+    }
+  }
+}
