The lease bounds how late an order may arrive

Cause: an order was given up 500 ms after it was sent, while the lease and the pauses between two holders count on 200 ms. An order sent just before the lease expired, or open when the holder released the lease, could arrive when its successor already ordered the same runner.

Ruled out: a longer margin for all orders, which would delay each handover by 300 ms although nearly all orders are answered within milliseconds.

Change: an order carries its timeout. Where runners check no fencing numbers, it ends with the lease, and none is sent in the last 50 ms. The pause of a runner counts from the answer to the last order, or from the latest arrival of an order that has no outcome yet.

Evidence: LeaseSimulation lets orders arrive at any time up to their timeout.

--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -33,9 +33,18 @@
 
   private static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
-  /** Longest time that an answer or an order may be in transit. */
+  /**
+   * Time by which an order may arrive later than its timeout, because timers fire late and the
+   * runner's clock counts from the arrival.
+   */
   private static final Duration TRANSIT_MARGIN = Duration.ofMillis(200);
 
+  /** Timeout of an order; a healthy runner responds within milliseconds. */
+  private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
+
+  /** Minimum timeout of an order; with less time until the lease expires, none is sent. */
+  private static final Duration MIN_ORDER_TIMEOUT = Duration.ofMillis(50);
+
   /** Time for which a release whose append is unanswered is not published to peers. */
   private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(200);
 
@@ -437,9 +446,25 @@
     }
   }
 
-  /** Records an order that is being sent. */
-  public void recordOrder(String runner, Instant now) {
-    pauses.recordOrder(runner, now);
+  /**
+   * Records an order that is being sent. Where runners check no fencing numbers, it is given up
+   * when the lease expires: a successor counts the handover delay from then.
+   *
+   * @return the order's timeout
+   */
+  public Duration recordOrder(String runner, long number, Instant now) {
+    Duration leaseLeft = Duration.between(now, leaseEnd());
+    Duration timeout =
+        timings.fencingEnforced() || leaseLeft.compareTo(ORDER_TIMEOUT) > 0
+            ? ORDER_TIMEOUT
+            : leaseLeft;
+    pauses.recordOrder(runner, number, now.plus(timeout));
+    return timeout;
+  }
+
+  /** Records that an order was answered or given up, and does not reach its runner any more. */
+  public void recordOrderCompleted(String runner, long number, Instant now) {
+    pauses.recordOrderCompleted(runner, number, now);
   }
 
   /** Requires a renewal before the next order, because the process was paused. */
@@ -460,7 +485,7 @@
         && !renewalRequired
         && !verifying
         && !now.isBefore(pauses.from())
-        && isSafe(now);
+        && isSafe(now.plus(MIN_ORDER_TIMEOUT));
   }
 
   /** Returns whether an order to a runner may be sent now. */
@@ -477,7 +502,11 @@
 
   /** Returns whether the lease has not expired, or fencing numbers protect orders after that. */
   public boolean isSafe(Instant now) {
-    return timings.fencingEnforced() || now.isBefore(renewedAt.plus(timings.leaseDuration()));
+    return timings.fencingEnforced() || now.isBefore(leaseEnd());
+  }
+
+  private Instant leaseEnd() {
+    return renewedAt.plus(timings.leaseDuration());
   }
 
   /** Returns the end of the lease log, as far as this node knows. */
--- a/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
@@ -15,7 +15,11 @@
 
   private final Duration handoverDelay;
   private final Map<String, Instant> inheritedUntil = new HashMap<>();
-  private final Map<String, Instant> lastOrderAt = new HashMap<>();
+  private final Map<String, Instant> lastArrival = new HashMap<>();
+
+  /** By runner, the number and the latest possible arrival of each order without an outcome. */
+  private final Map<String, Map<Long, Instant>> openOrders = new HashMap<>();
+
   private Instant allFrom = Instant.MAX;
   private Instant earlierRunUntil = Instant.MIN;
 
@@ -32,7 +36,8 @@
   /** Starts a claim under which orders may be sent from a given time. */
   void reset(Instant from) {
     inheritedUntil.clear();
-    lastOrderAt.clear();
+    lastArrival.clear();
+    openOrders.clear();
     allFrom = from;
     earlierRunUntil = Instant.MIN;
   }
@@ -73,9 +78,22 @@
     }
   }
 
-  /** Records an order that is being sent. */
-  void recordOrder(String runner, Instant now) {
-    lastOrderAt.put(runner, now);
+  /**
+   * Records an order that is being sent.
+   *
+   * @param latestArrival when it is given up if it is not answered before
+   */
+  void recordOrder(String runner, long number, Instant latestArrival) {
+    openOrders.computeIfAbsent(runner, id -> new HashMap<>()).put(number, latestArrival);
+  }
+
+  /** Records that an order was answered or given up; ignores orders under an earlier claim. */
+  void recordOrderCompleted(String runner, long number, Instant now) {
+    Map<Long, Instant> open = openOrders.getOrDefault(runner, Map.of());
+    if (open.containsKey(number)) {
+      open.remove(number);
+      lastArrival.put(runner, now);
+    }
   }
 
   /** Returns the time from which orders may be sent to runners without an individual pause. */
@@ -119,7 +137,13 @@
 
   private Map<String, Instant> untilByRunner() {
     Map<String, Instant> until = new HashMap<>(inheritedUntil);
-    lastOrderAt.forEach((runner, at) -> until.put(runner, at.plus(handoverDelay)));
+    lastArrival.forEach((runner, at) -> extend(until, runner, at));
+    openOrders.forEach(
+        (runner, orders) -> orders.values().forEach(at -> extend(until, runner, at)));
     return until;
   }
+
+  private void extend(Map<String, Instant> until, String runner, Instant arrival) {
+    until.merge(runner, arrival.plus(handoverDelay), (a, b) -> a.isAfter(b) ? a : b);
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/CoordinatorRole.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CoordinatorRole.java
@@ -154,6 +154,7 @@
 
   /** Handles the outcome of an order; gives up the lease if the order was fenced. */
   void acceptOrderOutcome(GatewayEvent.OrderCompleted completed, GatewayStep step) {
+    lease.recordOrderCompleted(completed.runner(), completed.number(), step.now());
     coordinator.acceptOutcome(
         completed.runner(), completed.number(), completed.outcome(), step.now());
     step.log(
@@ -217,7 +218,7 @@
             runner -> lease.mayOrder(runner, now) && isAvailable(runner, now),
             now)) {
       lastOrderAt = now;
-      lease.recordOrder(order.runner(), now);
+      Duration timeout = lease.recordOrder(order.runner(), order.number(), now);
       step.log(
           EventCode.RUNNER_ORDERED,
           "runner",
@@ -248,7 +249,11 @@
               entry ->
                   step.emit(
                       new GatewayEffect.SendOrder(
-                          entry, order, settings.self().node().value(), lease.fence())));
+                          entry,
+                          order,
+                          settings.self().node().value(),
+                          lease.fence(),
+                          timeout)));
     }
     logWithheld(step);
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
@@ -80,8 +80,10 @@
    * @param order the order
    * @param holder identifier of the node that holds the order lease
    * @param fence the fencing number
+   * @param timeout time after which the order is given up, so that it cannot reach the runner later
    */
-  record SendOrder(RunnerEntry runner, NumberedOrder order, String holder, long fence)
+  record SendOrder(
+      RunnerEntry runner, NumberedOrder order, String holder, long fence, Duration timeout)
       implements GatewayEffect {}
 
   /**
--- a/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
+++ b/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
@@ -42,6 +42,14 @@
     super(channel, selector, key, scheduler);
     this.channel = channel;
     this.resetOnClose = resetOnClose;
+    if (resetOnClose) {
+      try {
+        // Set from the start, so that the end of the process resets the connection, too.
+        channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+      } catch (IOException closed) {
+        LOGGER.debug("a connection was closed before it was used", closed);
+      }
+    }
   }
 
   /** Does nothing if the connection is to be reset: the end of the stream would follow its bytes. */
@@ -52,18 +60,6 @@
     }
   }
 
-  @Override
-  public void doClose() {
-    if (resetOnClose) {
-      try {
-        channel.setOption(StandardSocketOptions.SO_LINGER, 0);
-      } catch (IOException closed) {
-        LOGGER.debug("a connection was closed before it could be reset", closed);
-      }
-    }
-    super.doClose();
-  }
-
   /** Records progress of a response: its head is complete, or a part of its body arrived. */
   void recordProgress() {
     bytesWithoutProgress.set(0);
--- a/src/main/java/dev/wisteriarail/platform/HttpPlatformClient.java
+++ b/src/main/java/dev/wisteriarail/platform/HttpPlatformClient.java
@@ -44,8 +44,8 @@
 
   private static final Logger LOGGER = LogManager.getLogger(HttpPlatformClient.class);
 
-  /** Timeout of an order or a report request; a healthy runner responds within milliseconds. */
-  private static final long CONTROL_TIMEOUT_MILLIS = 500;
+  /** Timeout of a report request; a healthy runner responds within milliseconds. */
+  private static final long REPORT_TIMEOUT_MILLIS = 500;
 
   private static final int MAX_ANSWER_BYTES = 1024 * 1024;
 
@@ -202,7 +202,7 @@
     request
         .headers(headers -> headers.put(WireNames.EXPECTED_RUNNER, order.runner().id()))
         .body(new BytesRequestContent("application/json", body))
-        .timeout(CONTROL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .timeout(order.timeout().toMillis(), TimeUnit.MILLISECONDS)
         .onResponseHeaders(GatewayHttp::recordProgress)
         .onRequestBegin(begun -> sent.set(true))
         .send(
@@ -259,7 +259,7 @@
       Consumer<Optional<RunnerReport>> callback) {
     http.newRequest("http://" + runner.address() + WireNames.REPORT_PATH)
         .headers(headers -> headers.put(WireNames.EXPECTED_RUNNER, runner.id()))
-        .timeout(CONTROL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .timeout(REPORT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .onResponseHeaders(GatewayHttp::recordProgress)
         .send(
             new BufferingResponseListener(MAX_ANSWER_BYTES) {
--- a/src/test/java/dev/wisteriarail/core/fleet/LeaseSimulation.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/LeaseSimulation.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,9 @@
 
   record Order(Instant at, int node, long fence, String runner) {}
 
+  /** An order in transit, whose holder learns its outcome when it arrives. */
+  private record OpenOrder(Order order, long number, OrderLease lease) {}
+
   /**
    * A notice in transit to the other nodes: that a node sends no orders, or the end of its lease
    * log.
@@ -33,6 +37,12 @@
   private final List<Notice> inTransit = new ArrayList<>();
   List<String> targets = List.of("r0", "r1", "r2");
   SplittableRandom noticeRandom;
+
+  /** Draws how long an order is in transit, up to its timeout; null if it arrives at once. */
+  SplittableRandom transitRandom;
+
+  private final List<OpenOrder> openOrders = new ArrayList<>();
+  private long orderNumber;
   private int steps;
   private final FleetTimings timings;
   Instant now = Instant.EPOCH;
@@ -64,6 +74,7 @@
       steps++;
       store.advance(now);
       deliverNotices();
+      completeOrders();
       for (int node = 0; node < leases.size(); node++) {
         step(node);
       }
@@ -84,8 +95,12 @@
             call -> store.call(call, now, answer -> waiting.add(() -> lease.accept(answer, now))));
     String target = targets.get(steps / 40 % targets.size());
     if (lease.mayOrder(target, now)) {
-      lease.recordOrder(target, now);
-      orders.add(new Order(now, node, lease.fence(), target));
+      Duration timeout = lease.recordOrder(target, ++orderNumber, now);
+      long transitMillis =
+          transitRandom == null ? 0 : transitRandom.nextLong(timeout.toMillis() + 1);
+      Order order = new Order(now.plusMillis(transitMillis), node, lease.fence(), target);
+      orders.add(order);
+      openOrders.add(new OpenOrder(order, orderNumber, lease));
     }
     boolean sendsNotice = noticeRandom != null && noticeRandom.nextInt(20) == 0;
     if (sendsNotice && lease.fence() == 0 && lease.lastFence() > 0) {
@@ -99,6 +114,18 @@
     }
   }
 
+  private void completeOrders() {
+    openOrders.removeIf(
+        open -> {
+          boolean completed =
+              !frozen[open.order().node()] && !open.order().at().isAfter(now);
+          if (completed) {
+            open.lease().recordOrderCompleted(open.order().runner(), open.number(), now);
+          }
+          return completed;
+        });
+  }
+
   private void deliverNotices() {
     List<Notice> due = inTransit.stream().filter(notice -> !notice.at().isAfter(now)).toList();
     inTransit.removeAll(due);
@@ -115,13 +142,14 @@
   }
 
   /**
-   * Asserts that each fencing number has a single holder, and that orders of two holders to the
-   * same runner are at least the handover delay apart.
+   * Asserts that each fencing number has a single holder, and that orders of two holders arrive at
+   * the same runner at least the handover delay apart.
    */
   void checkExclusivity() {
     Map<Long, Integer> holderOf = new HashMap<>();
     Map<String, Order> lastOf = new HashMap<>();
-    for (Order order : orders) {
+    List<Order> arrivals = orders.stream().sorted(Comparator.comparing(Order::at)).toList();
+    for (Order order : arrivals) {
       Integer holder = holderOf.putIfAbsent(order.fence(), order.node());
       assertThat(holder == null || holder == order.node()).isTrue();
       Order before = lastOf.put(order.runner(), order);
--- a/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/OrderLeaseTest.java
@@ -258,10 +258,25 @@
         26, 27, 28, 29, 30, 36, 41, 44, 66, 72, 184, 283, 310, 324, 337, 509
       })
   void twoHoldersNeverOrderOneRunnerWithinTheHandover(long seed) {
+    checkExclusivity(seed, null);
+  }
+
+  /**
+   * Guards against orders that arrive after the wait of the next holder has begun: an order was
+   * given up only 500 ms after it was sent, and the wait allowed 200 ms.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void ordersOfTwoHoldersNeverArriveWithinTheHandover(long seed) {
+    checkExclusivity(seed, new SplittableRandom(seed));
+  }
+
+  private static void checkExclusivity(long seed, SplittableRandom transitRandom) {
     SplittableRandom random = new SplittableRandom(seed);
     SimulatedLeaseStore store = new SimulatedLeaseStore(seed, 0.2);
     LeaseSimulation run = new LeaseSimulation(store, TIMINGS, "a", "b", "c");
     run.noticeRandom = new SplittableRandom(seed);
+    run.transitRandom = transitRandom;
     for (int round = 0; round < 200; round++) {
       int node = random.nextInt(3);
       switch (random.nextInt(6)) {
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -88,7 +88,8 @@
                   order.runner(),
                   order.order(),
                   order.holder() + order.order().number() % 2,
-                  order.fence())
+                  order.fence(),
+                  order.timeout())
               : effect);
     }
   },
@@ -153,7 +154,8 @@
                   unload.reason(),
                   unload.basis()),
               order.holder(),
-              order.fence()));
+              order.fence(),
+              order.timeout()));
     }
   },
   MISSES_TRANSIT {
--- a/src/test/java/dev/wisteriarail/gateway/FaultRecoveryTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/FaultRecoveryTest.java
@@ -55,7 +55,8 @@
                 RUNNER,
                 new NumberedOrder(3, "r", 1, 0, new FleetOrder.UnloadModel("m"), "", null),
                 "n",
-                1),
+                1,
+                Duration.ofMillis(500)),
             report(new GatewayEvent.OrderCompleted("r", 3, FleetOrderOutcome.UNKNOWN, FAULT))),
         Arguments.of(
             new GatewayEffect.ReadStore(read),
--- a/src/test/java/dev/wisteriarail/platform/AbandonedCallTest.java
+++ b/src/test/java/dev/wisteriarail/platform/AbandonedCallTest.java
@@ -14,6 +14,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -88,7 +89,8 @@
                   runner,
                   new NumberedOrder(1, "r", 1, 0, new FleetOrder.UnloadModel("m"), "", null),
                   "n",
-                  1),
+                  1,
+                  Duration.ofMillis(500)),
               notification -> {},
               (outcome, text) -> ended.countDown());
       case REPORT ->
--- a/src/test/java/dev/wisteriarail/platform/UnreachableCallTest.java
+++ b/src/test/java/dev/wisteriarail/platform/UnreachableCallTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -65,7 +66,8 @@
             engine,
             new NumberedOrder(1, "e", 1, 0, new FleetOrder.UnloadModel("m"), "", null),
             "n",
-            1),
+            1,
+            Duration.ofMillis(500)),
         notification -> {},
         (outcome, text) -> result.complete(outcome));
     return result.get(LIMIT_SECONDS, TimeUnit.SECONDS);
