--- a/src/main/java/dev/wisteriarail/core/forward/ForwardRequest.java
+++ b/src/main/java/dev/wisteriarail/core/forward/ForwardRequest.java
@@ -1,5 +1,6 @@
 package dev.wisteriarail.core.forward;
 
+import dev.wisteriarail.core.tenant.ApiKeyDigest;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -15,10 +16,12 @@
  * @param callerTimeout how long the caller waits for the complete response, if specified
  * @param model the model; empty for a plain service
  * @param adapter the adapter of the model
+ * @param statesTokens whether the request states its token usage
  * @param promptTokens number of tokens of the prompt; 0 if unknown
  * @param answerTokens maximum number of tokens of the response; 0 if unknown
  * @param parts the parts of the prompt in order
  * @param fingerprint identifies method, target and body across all attempts, whoever sends them
+ * @param apiKey digest of the caller's API key; empty without usable credentials
  */
 public record ForwardRequest(
     long exchange,
@@ -28,10 +31,12 @@
     Optional<Duration> callerTimeout,
     Optional<String> model,
     Optional<String> adapter,
+    boolean statesTokens,
     int promptTokens,
     int answerTokens,
     List<PromptPart> parts,
-    long fingerprint) {
+    long fingerprint,
+    Optional<ApiKeyDigest> apiKey) {
 
   /** Copies the list of parts. */
   public ForwardRequest {
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
@@ -130,7 +130,7 @@
             attempt.number(),
             runner,
             drain.runnerTime(forward.timeLeft(step.now()), step.now()),
-            forward.route().rank(),
+            forward.rank(),
             forward.route().streaming(),
             forward.route().repeatable()));
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/CompletionEstimator.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CompletionEstimator.java
@@ -124,7 +124,8 @@
       return drain.refuses(false, Duration.ZERO, Duration.ZERO, now);
     }
     String service = RunnerPicker.chooseService(route.get(), request);
-    PendingForward forward = PendingForward.of(request, route.get(), service, now);
+    PendingForward forward =
+        PendingForward.of(request, route.get(), service, Optional.empty(), now);
     return refuses(drain, forward, elapsedByRoute(now), now);
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/CoordinatorRole.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CoordinatorRole.java
@@ -249,11 +249,7 @@
               entry ->
                   step.emit(
                       new GatewayEffect.SendOrder(
-                          entry,
-                          order,
-                          settings.self().node().value(),
-                          lease.fence(),
-                          timeout)));
+                          entry, order, settings.self().node().value(), lease.fence(), timeout)));
     }
     logWithheld(step);
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -97,7 +97,8 @@
       return;
     }
     String service = RunnerPicker.chooseService(route.get(), request);
-    PendingForward forward = PendingForward.of(request, route.get(), service, step.now());
+    PendingForward forward =
+        PendingForward.of(request, route.get(), service, Optional.empty(), step.now());
     Optional<CrashRefusal> refusal = crashGuard.refusal(forward.traits(), step.now());
     if (refusal.isPresent()) {
       ForwardLog.refusedAsCrashing(request, "ARRIVED", refusal.get(), step);
@@ -155,7 +156,7 @@
       }
     }
     waiting.sort(
-        Comparator.comparingInt((PendingForward forward) -> forward.route().rank())
+        Comparator.comparingInt((PendingForward forward) -> forward.rank())
             .thenComparing(PendingForward::arrivedAt));
     Set<String> unavailable = new HashSet<>();
     for (PendingForward forward : waiting) {
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -4,6 +4,7 @@
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RequestTrait;
 import dev.wisteriarail.core.route.RouteSpec;
+import dev.wisteriarail.core.tenant.TenantSpec;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -32,6 +33,7 @@
   private final ForwardRequest request;
   private final RouteSpec route;
   private final String service;
+  private final Optional<TenantSpec> tenant;
   private final Instant arrivedAt;
   private final Instant deadline;
   private final List<RequestTrait> traits = new ArrayList<>();
@@ -53,10 +55,15 @@
   private boolean waitLogged;
 
   private PendingForward(
-      ForwardRequest request, RouteSpec route, String service, Instant arrivedAt) {
+      ForwardRequest request,
+      RouteSpec route,
+      String service,
+      Optional<TenantSpec> tenant,
+      Instant arrivedAt) {
     this.request = request;
     this.route = route;
     this.service = service;
+    this.tenant = tenant;
     this.arrivedAt = arrivedAt;
     waitingSince = arrivedAt;
     traits.add(request.content());
@@ -68,8 +75,12 @@
   }
 
   static PendingForward of(
-      ForwardRequest request, RouteSpec route, String service, Instant arrivedAt) {
-    return new PendingForward(request, route, service, arrivedAt);
+      ForwardRequest request,
+      RouteSpec route,
+      String service,
+      Optional<TenantSpec> tenant,
+      Instant arrivedAt) {
+    return new PendingForward(request, route, service, tenant, arrivedAt);
   }
 
   // Changes
@@ -190,6 +201,16 @@
     return service;
   }
 
+  /** Returns the tenant of the caller; empty where callers are not told apart. */
+  Optional<TenantSpec> tenant() {
+    return tenant;
+  }
+
+  /** Returns the urgency: the priority of the tenant, or else the rank of the route. */
+  int rank() {
+    return tenant.map(TenantSpec::priority).orElse(route.rank());
+  }
+
   String model() {
     return request.model().orElse("");
   }
--- a/src/main/java/dev/wisteriarail/core/route/RouteSpec.java
+++ b/src/main/java/dev/wisteriarail/core/route/RouteSpec.java
@@ -19,6 +19,7 @@
  *     cache
  * @param resumable whether another runner may continue an interrupted stream
  * @param gapObjective latency objective for the time between two events of a stream
+ * @param isPublic whether its requests need no API key
  */
 public record RouteSpec(
     String name,
@@ -32,7 +33,8 @@
     int maxRunners,
     boolean sticky,
     boolean resumable,
-    Duration gapObjective) {
+    Duration gapObjective,
+    boolean isPublic) {
 
   /** Minimum time after which callers of streams disconnect; defined by the platform's protocol. */
   private static final Duration MIN_FIRST_BYTE_TIMEOUT = Duration.ofSeconds(2);
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzCallers.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzCallers.java
@@ -105,10 +105,12 @@
                 Optional.of(route.timeout()),
                 Optional.of(names[1]).filter(name -> !name.isEmpty()),
                 Optional.of(names[2]).filter(name -> !name.isEmpty()),
+                true,
                 100,
                 100,
                 parts.stream().map(part -> new PromptPart(part, 10)).toList(),
-                fingerprint)));
+                fingerprint,
+                Optional.empty())));
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzzDeployment.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzzDeployment.java
@@ -76,7 +76,7 @@
               1));
     }
     EngineSpec engine = new EngineSpec(SLOTS, 100_000, ENGINE_MEGABYTES, ADAPTER_SLOTS, 5, models);
-    return new GatewayConfiguration(
+    return GatewayConfiguration.withoutTenants(
         version,
         routes,
         Map.of(
@@ -104,7 +104,8 @@
         runners,
         false,
         resumable,
-        Duration.ofMillis(250));
+        Duration.ofMillis(250),
+        false);
   }
 
   /** Returns the timeout of a route; that of surveys is longer than a drain may take. */
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -183,7 +183,8 @@
       parts.add(pooled::stop);
       HttpClient unpooled = GatewayHttp.start(threads, scheduler, RUNNER_IDLE_MILLIS, false);
       parts.add(unpooled::stop);
-      HttpClient control = GatewayHttp.startForControlCalls(threads, scheduler, CONTROL_IDLE_MILLIS);
+      HttpClient control =
+          GatewayHttp.startForControlCalls(threads, scheduler, CONTROL_IDLE_MILLIS);
       parts.add(control::stop);
       RunnerClient runners = new RunnerClient(pooled, unpooled, runnerProtocol);
       PlatformClient platform = platformClients.apply(control, file.storeAddress());
--- a/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
+++ b/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
@@ -52,7 +52,9 @@
     }
   }
 
-  /** Does nothing if the connection is to be reset: the end of the stream would follow its bytes. */
+  /**
+   * Does nothing if the connection is to be reset: the end of the stream would follow its bytes.
+   */
   @Override
   protected void doShutdownOutput() {
     if (!resetOnClose) {
--- a/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
@@ -58,10 +58,12 @@
         callerTimeout(headers.get(WireNames.DEADLINE)),
         target.map(CallerHeaders::modelName),
         target.flatMap(CallerHeaders::adapterName),
+        headers.get(WireNames.TOKENS) != null,
         estimates[0],
         estimates[1],
         promptParts(headers.get(WireNames.PROMPT_PARTS)),
-        fingerprint(request, body));
+        fingerprint(request, body),
+        Optional.empty());
   }
 
   private static Optional<Duration> callerTimeout(String value) throws RequestException {
--- a/src/main/java/dev/wisteriarail/platform/WireDocuments.java
+++ b/src/main/java/dev/wisteriarail/platform/WireDocuments.java
@@ -60,7 +60,7 @@
     if (!version.isIntegralNumber() || !version.canConvertToLong()) {
       throw new IOException("the version is not a whole number");
     }
-    return new GatewayConfiguration(
+    return GatewayConfiguration.withoutTenants(
         version.longValue(), routes, services, bounds(root.path("limits")));
   }
 
@@ -87,7 +87,8 @@
         WireValues.limitedInt(route.path("max_attempts"), 1, MAX_ATTEMPTS),
         route.path("sticky").asBoolean(),
         route.path("resumable").asBoolean(),
-        WireValues.millis(route.path("gap_target_ms")));
+        WireValues.millis(route.path("gap_target_ms")),
+        route.path("public").asBoolean());
   }
 
   private static RouteKind kind(String name) throws IOException {
--- a/src/test/java/dev/wisteriarail/core/fleet/CoordinatorForecastTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/CoordinatorForecastTest.java
@@ -32,7 +32,7 @@
         new HostedModel(
             "m0", 60, Duration.ofSeconds(6), Duration.ofMillis(840), Duration.ofMillis(630), 8, 1);
     EngineSpec engine = new EngineSpec(8, 100_000, 130, 4, 5, List.of(model));
-    return new GatewayConfiguration(
+    return GatewayConfiguration.withoutTenants(
         1,
         List.of(),
         Map.of(SERVICE, new ServicePool(SERVICE, 100, Optional.of(engine))),
--- a/src/test/java/dev/wisteriarail/core/fleet/LeaseSimulation.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/LeaseSimulation.java
@@ -117,8 +117,7 @@
   private void completeOrders() {
     openOrders.removeIf(
         open -> {
-          boolean completed =
-              !frozen[open.order().node()] && !open.order().at().isAfter(now);
+          boolean completed = !frozen[open.order().node()] && !open.order().at().isAfter(now);
           if (completed) {
             open.lease().recordOrderCompleted(open.order().runner(), open.number(), now);
           }
--- a/src/test/java/dev/wisteriarail/core/fleet/UnreachableEngineTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/UnreachableEngineTest.java
@@ -39,7 +39,7 @@
         new HostedModel(
             "m0", 60, Duration.ofSeconds(60), Duration.ofSeconds(60), Duration.ofSeconds(60), 0, 0);
     EngineSpec engine = new EngineSpec(8, 100_000, 130, 4, 5, List.of(model));
-    return new GatewayConfiguration(
+    return GatewayConfiguration.withoutTenants(
         1,
         List.of(),
         Map.of(SERVICE, new ServicePool(SERVICE, 100, Optional.of(engine))),
--- a/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/ForwardRulesTest.java
@@ -37,7 +37,8 @@
         2,
         true,
         resumable,
-        Duration.ofMillis(250));
+        Duration.ofMillis(250),
+        false);
   }
 
   @ParameterizedTest
@@ -56,7 +57,8 @@
             1,
             true,
             false,
-            Duration.ofMillis(gap));
+            Duration.ofMillis(gap),
+            false);
     assertThat(route.firstByteTimeout()).isEqualTo(Duration.ofMillis(expected));
   }
 
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -100,7 +100,7 @@
     HostedModel model =
         new HostedModel(
             "m0", 60, Duration.ofSeconds(6), Duration.ofMillis(840), Duration.ofMillis(630), 0, 0);
-    return new GatewayConfiguration(
+    return GatewayConfiguration.withoutTenants(
         version,
         List.of(
             route("chat", RouteKind.STREAMING, ENGINES, true, 2, timeout),
@@ -135,7 +135,8 @@
         runners,
         false,
         resumable,
-        Duration.ofMillis(250));
+        Duration.ofMillis(250),
+        false);
   }
 
   static RunnerEntry runner(String id, String service, boolean draining) {
@@ -241,10 +242,12 @@
                 Optional.of(callerTimeout),
                 model ? Optional.of("m0") : Optional.empty(),
                 adapter,
+                true,
                 10,
                 10,
                 parts.stream().map(part -> new PromptPart(part, 10)).toList(),
-                fingerprint)));
+                fingerprint,
+                Optional.empty())));
     return exchange;
   }
 
--- a/src/test/java/dev/wisteriarail/core/gateway/ExtremeValuesTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/ExtremeValuesTest.java
@@ -56,7 +56,8 @@
         Math.max(1, number),
         true,
         true,
-        time);
+        time,
+        false);
   }
 
   private static GatewayConfiguration configuration(Duration time, int number, double amount) {
@@ -72,7 +73,7 @@
             Optional.of(
                 new EngineSpec(
                     Math.max(1, number), number, amount, number, amount, List.of(model))));
-    return new GatewayConfiguration(
+    return GatewayConfiguration.withoutTenants(
         Long.MAX_VALUE,
         routes,
         Map.of(
@@ -95,10 +96,12 @@
                 timeout,
                 Optional.of(model).filter(name -> !name.isEmpty()),
                 Optional.empty(),
+                true,
                 tokens,
                 tokens,
                 List.of(new PromptPart("a", tokens), new PromptPart("b", tokens)),
-                exchange)));
+                exchange,
+                Optional.empty())));
     return exchange;
   }
 
--- a/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
@@ -265,8 +265,9 @@
             1,
             false,
             false,
-            Duration.ofMillis(250));
-    return new GatewayConfiguration(
+            Duration.ofMillis(250),
+            false);
+    return GatewayConfiguration.withoutTenants(
         1,
         List.of(route),
         Map.of(
@@ -334,10 +335,12 @@
                   Optional.of(Duration.ofSeconds(25)),
                   Optional.of(model),
                   Optional.empty(),
+                  true,
                   100,
                   100,
                   List.of(),
-                  exchange)));
+                  exchange,
+                  Optional.empty())));
     }
     time.after(REQUEST_INTERVAL, this::sendRequest);
   }
--- a/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
@@ -148,9 +148,11 @@
         Optional.empty(),
         Optional.empty(),
         Optional.empty(),
+        true,
         0,
         0,
         List.of(),
-        1);
+        1,
+        Optional.empty());
   }
 }
--- a/src/test/java/dev/wisteriarail/peer/FrameCodecTest.java
+++ b/src/test/java/dev/wisteriarail/peer/FrameCodecTest.java
@@ -55,7 +55,7 @@
             .toList();
     EngineSpec engine = new EngineSpec(16, 88_386, 200_000, 8, 19, hosted);
     return new FleetMessage.ConfigurationTold(
-        new GatewayConfiguration(
+        GatewayConfiguration.withoutTenants(
             7,
             List.of(),
             Map.of("s", new ServicePool("s", 700, Optional.of(engine))),
--- a/src/test/java/dev/wisteriarail/peer/FrameQueueTest.java
+++ b/src/test/java/dev/wisteriarail/peer/FrameQueueTest.java
@@ -50,7 +50,7 @@
   @Test
   void configurationsAreUrgent() {
     GatewayConfiguration configuration =
-        new GatewayConfiguration(7, List.of(), Map.of(), CallerBounds.DEFAULT);
+        GatewayConfiguration.withoutTenants(7, List.of(), Map.of(), CallerBounds.DEFAULT);
     assertThat(new FleetMessage.ConfigurationTold(configuration).urgent()).isTrue();
     assertThat(FleetMessage.CrashTold.ofSound(List.of()).urgent()).isFalse();
   }
--- a/src/test/java/dev/wisteriarail/platform/AbandonedCallTest.java
+++ b/src/test/java/dev/wisteriarail/platform/AbandonedCallTest.java
@@ -93,8 +93,7 @@
                   Duration.ofMillis(500)),
               notification -> {},
               (outcome, text) -> ended.countDown());
-      case REPORT ->
-          client.requestReport(runner, notification -> {}, report -> ended.countDown());
+      case REPORT -> client.requestReport(runner, notification -> {}, report -> ended.countDown());
       case LEASE_RENEWAL ->
           client.callLease(
               new LeaseCall.Append(1, LeaseRecord.claim("n", 1, 0)), answer -> ended.countDown());
