Tenants and API keys: who a caller is

Cause: the code had no tenants, so keys were passed on to runners and requests with unknown keys were served.

Change: the configuration's tenants are decoded and checked; keys are kept as digests only. Runners receive the tenant's name and its priority, never the key. An invalid configuration does not replace the one in force (event 263), and its text, which holds keys, is no longer logged.

The whole suite was not run.

--- a/src/main/java/dev/wisteriarail/core/event/EventCode.java
+++ b/src/main/java/dev/wisteriarail/core/event/EventCode.java
@@ -102,6 +102,12 @@
   LEASE_LOST(261, "lease lost"),
   /** Another node became the coordinator, or there is none. */
   COORDINATOR_CHANGED(262, "coordinator changed"),
+  /** A configuration in the store is invalid; the version in force stays. */
+  CONFIGURATION_IGNORED(263, "invalid configuration ignored"),
+  /** The configuration is unconfirmed for too long; requests that need a key are refused. */
+  CONFIGURATION_UNCONFIRMED(264, "configuration unconfirmed"),
+  /** The configuration is confirmed again. */
+  CONFIGURATION_CONFIRMED(265, "configuration confirmed"),
 
   // Control of cells
   /** The node became the controller of its cell. */
--- a/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerStatus.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.core.fleet;
 
 import dev.wisteriarail.core.id.LogPosition;
+import java.util.Optional;
 
 /**
  * Status that a node publishes in each heartbeat.
@@ -17,6 +18,8 @@
  * @param directoryChange position after the last directory change that is significant to other
  *     nodes
  * @param directoryAgeMillis time since its copy of the directory was last known to be current
+ * @param configurationAgeMillis time since its configuration was last known to be the newest; empty
+ *     if it never was, or from a node of an earlier version
  */
 public record PeerStatus(
     long fence,
@@ -29,10 +32,28 @@
     long configurationVersion,
     LogPosition directoryOffset,
     LogPosition directoryChange,
-    long directoryAgeMillis) {
+    long directoryAgeMillis,
+    Optional<Long> configurationAgeMillis) {
+
+  /** Accepts messages of earlier versions, which lack the last field. */
+  public PeerStatus {
+    configurationAgeMillis =
+        configurationAgeMillis == null ? Optional.empty() : configurationAgeMillis;
+  }
 
   /** Assumed for a node that has published no status yet. */
   public static final PeerStatus UNKNOWN =
       new PeerStatus(
-          0, 0, 0, LogPosition.NONE, false, false, false, 0, LogPosition.NONE, LogPosition.NONE, 0);
+          0,
+          0,
+          0,
+          LogPosition.NONE,
+          false,
+          false,
+          false,
+          0,
+          LogPosition.NONE,
+          LogPosition.NONE,
+          0,
+          Optional.empty());
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.tenant.TenantSpec;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -116,7 +117,11 @@
   }
 
   /** Sends a request to a runner. */
-  void send(PendingForward forward, RunnerEntry runner, GatewayStep step) {
+  void send(
+      PendingForward forward,
+      RunnerEntry runner,
+      GatewayConfiguration configuration,
+      GatewayStep step) {
     final LiveAttempt attempt = forward.send(runner, step.now());
     runnerStates.requestSent(runner.id(), forward.model(), forward.adapter(), forward.tokens());
     if (forward.live().size() == 1) {
@@ -132,7 +137,18 @@
             drain.runnerTime(forward.timeLeft(step.now()), step.now()),
             forward.rank(),
             forward.route().streaming(),
-            forward.route().repeatable()));
+            forward.route().repeatable(),
+            identity(forward, configuration)));
+  }
+
+  /**
+   * Returns what a runner learns about the caller. The configuration in force counts as well, since
+   * tenants may have been added while the request was waiting.
+   */
+  private static CallerIdentity identity(
+      PendingForward forward, GatewayConfiguration configuration) {
+    Optional<String> tenant = forward.tenant().map(TenantSpec::name);
+    return new CallerIdentity(configuration.hasTenants() || tenant.isPresent(), tenant);
   }
 
   private RetryBudget retryBudget(String service) {
--- a/src/main/java/dev/wisteriarail/core/gateway/CompletionEstimator.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CompletionEstimator.java
@@ -35,12 +35,15 @@
 
   private final RunTimes runTimes = RunTimes.create();
   private final PendingForwardTable pending;
+  private final CallerAuthenticator authenticator;
   private final BiFunction<PendingForward, Instant, Optional<Duration>> startsIn;
 
   private CompletionEstimator(
       PendingForwardTable pending,
+      CallerAuthenticator authenticator,
       BiFunction<PendingForward, Instant, Optional<Duration>> startsIn) {
     this.pending = pending;
+    this.authenticator = authenticator;
     this.startsIn = startsIn;
   }
 
@@ -48,12 +51,14 @@
    * Creates an estimator without any recorded run times.
    *
    * @param pending the requests that have not completed
+   * @param authenticator decides whose request it is
    * @param startsIn returns the time until a runner is expected to have the model of a request
    */
   static CompletionEstimator create(
       PendingForwardTable pending,
+      CallerAuthenticator authenticator,
       BiFunction<PendingForward, Instant, Optional<Duration>> startsIn) {
-    return new CompletionEstimator(pending, startsIn);
+    return new CompletionEstimator(pending, authenticator, startsIn);
   }
 
   /** Records the run time of a request that ends now, if it is at a runner. */
@@ -123,9 +128,14 @@
     if (route.isEmpty()) {
       return drain.refuses(false, Duration.ZERO, Duration.ZERO, now);
     }
+    CallerAuthenticator.Decision caller =
+        authenticator.decide(request, route.get(), configuration.get(), now);
+    if (caller instanceof CallerAuthenticator.Decision.Refused) {
+      return drain.refuses(false, Duration.ZERO, Duration.ZERO, now);
+    }
     String service = RunnerPicker.chooseService(route.get(), request);
     PendingForward forward =
-        PendingForward.of(request, route.get(), service, Optional.empty(), now);
+        PendingForward.of(request, route.get(), service, caller.tenantIfKnown(), now);
     return refuses(drain, forward, elapsedByRoute(now), now);
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.forward.RequestTrait;
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.route.RouteSpec;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +35,29 @@
         version);
   }
 
+  static void callerRefused(
+      ForwardRequest request,
+      RouteSpec route,
+      CallerAuthenticator.Decision.Refused refused,
+      long version,
+      Optional<Duration> age,
+      GatewayStep step) {
+    step.log(
+        EventCode.FORWARD_REFUSED,
+        "request",
+        request.id(),
+        "code",
+        refused.code().label(),
+        "route",
+        route.name(),
+        "reason",
+        refused.reason(),
+        "configuration",
+        version,
+        "confirmed_ago_ms",
+        age.map(Duration::toMillis).orElse(-1L));
+  }
+
   static void waiting(
       PendingForward forward,
       Optional<Duration> startsIn,
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -11,6 +11,7 @@
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.core.route.RouteSpec;
+import dev.wisteriarail.core.tenant.TenantSpec;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -37,6 +38,7 @@
   private static final Duration TAKEOVER_TIME = Duration.ofSeconds(6);
 
   private final RunnerStateTable runnerStates;
+  private final CallerAuthenticator authenticator;
   private final CrashGuard crashGuard;
   private final DemandCounter demandCounter = DemandCounter.create();
   private final PendingForwardTable pending;
@@ -49,12 +51,14 @@
   private Forwarder(
       GatewaySettings settings,
       RunnerStateTable runnerStates,
+      CallerAuthenticator authenticator,
       CrashGuard crashGuard,
       DrainPlan drain) {
+    this.authenticator = authenticator;
     this.crashGuard = crashGuard;
     this.runnerStates = runnerStates;
     pending = PendingForwardTable.create(runnerStates, demandCounter);
-    completionEstimator = CompletionEstimator.create(pending, this::startsIn);
+    completionEstimator = CompletionEstimator.create(pending, authenticator, this::startsIn);
     RunnerPicker picker = RunnerPicker.create(settings.domain(), runnerStates);
     sender =
         AttemptSender.create(settings.retries(), runnerStates, picker, crashGuard, pending, drain);
@@ -67,9 +71,10 @@
   static Forwarder create(
       GatewaySettings settings,
       RunnerStateTable runnerStates,
+      CallerAuthenticator authenticator,
       CrashGuard crashGuard,
       DrainPlan drain) {
-    return new Forwarder(settings, runnerStates, crashGuard, drain);
+    return new Forwarder(settings, runnerStates, authenticator, crashGuard, drain);
   }
 
   /** Applies changed retry limits. */
@@ -79,6 +84,10 @@
 
   // Arrival
 
+  /**
+   * Accepts or refuses an arriving request. The checks are made in this order: the configuration is
+   * known, a route matches, the key is that of a tenant, the request crashes no runners.
+   */
   void accept(
       ForwardRequest request, Optional<GatewayConfiguration> configuration, GatewayStep step) {
     if (configuration.isEmpty()) {
@@ -96,9 +105,15 @@
           new GatewayEffect.Refuse(request.exchange(), ResultCode.NOT_FOUND, Optional.empty()));
       return;
     }
+    CallerAuthenticator.Decision caller =
+        authenticator.decide(request, route.get(), configuration.get(), step.now());
+    if (caller instanceof CallerAuthenticator.Decision.Refused refused) {
+      refuseCaller(request, route.get(), refused, configuration.get(), step);
+      return;
+    }
+    Optional<TenantSpec> tenant = caller.tenantIfKnown();
     String service = RunnerPicker.chooseService(route.get(), request);
-    PendingForward forward =
-        PendingForward.of(request, route.get(), service, Optional.empty(), step.now());
+    PendingForward forward = PendingForward.of(request, route.get(), service, tenant, step.now());
     Optional<CrashRefusal> refusal = crashGuard.refusal(forward.traits(), step.now());
     if (refusal.isPresent()) {
       ForwardLog.refusedAsCrashing(request, "ARRIVED", refusal.get(), step);
@@ -115,6 +130,22 @@
     tryToSend(forward, configuration.get(), step);
   }
 
+  private void refuseCaller(
+      ForwardRequest request,
+      RouteSpec route,
+      CallerAuthenticator.Decision.Refused refused,
+      GatewayConfiguration configuration,
+      GatewayStep step) {
+    ForwardLog.callerRefused(
+        request, route, refused, configuration.version(), authenticator.age(step.now()), step);
+    boolean temporary = refused.code() == ResultCode.CONFIGURATION_UNCONFIRMED;
+    step.emit(
+        new GatewayEffect.Refuse(
+            request.exchange(),
+            refused.code(),
+            temporary ? Optional.of(PendingForwardTable.SHORT_RETRY_AFTER) : Optional.empty()));
+  }
+
   /** Refuses a request that is not accepted at all. */
   void refuse(
       ForwardRequest request, ResultCode code, Optional<Duration> retryAfter, GatewayStep step) {
@@ -196,7 +227,7 @@
       pending.giveUp(forward, "the retry budget is exhausted", step);
       return true;
     }
-    sender.send(forward, runner.get(), step);
+    sender.send(forward, runner.get(), configuration, step);
     return true;
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -66,6 +66,7 @@
   private final OrderLease lease;
   private final RunnerStateTable runnerStates;
   private final RunnerNotificationHandler runnerNotifications;
+  private final ConfigurationConfirmation confirmation;
   private final CrashGuard crashGuard;
   private final Forwarder forwarder;
   private final DrainPlan drain;
@@ -98,7 +99,10 @@
     runnerNotifications = RunnerNotificationHandler.create(directory, runnerStates);
     crashGuard = CrashGuard.create(peers);
     drain = DrainPlan.create(settings.drainGrace());
-    forwarder = Forwarder.create(settings, runnerStates, crashGuard, drain);
+    confirmation = ConfigurationConfirmation.create(settings.revocation());
+    forwarder =
+        Forwarder.create(
+            settings, runnerStates, CallerAuthenticator.create(confirmation), crashGuard, drain);
     peerSynchronizer = PeerSynchronizer.create(timings.maxDirectoryAge());
     coordinatorRole = CoordinatorRole.create(settings, lease, directory, runnerStates);
   }
@@ -138,6 +142,7 @@
     if (startedAt.equals(Instant.MAX)) {
       start(now);
     }
+    confirmation.recordEvent(now);
     switch (event) {
       case GatewayEvent.RequestArrived arrived -> {
         if (forwarder.isTooLate(arrived.request(), configuration, drain, now)) {
@@ -188,6 +193,7 @@
       }
       case GatewayEvent.SettingsReloaded reloaded -> {
         forwarder.accept(reloaded.settings().retries());
+        confirmation.accept(reloaded.settings().revocation());
         drain.setGracePeriod(reloaded.settings().drainGrace());
       }
       case GatewayEvent.DrainRequested requested -> {
@@ -211,8 +217,11 @@
       return;
     }
     switch (completed.answer()) {
-      case StoreAnswer.ConfigurationRead read ->
-          read.configuration().ifPresent(newer -> apply(newer, SOURCE_STORE, step));
+      case StoreAnswer.ConfigurationRead read -> {
+        confirmation.logFaults(read, step);
+        read.configuration().ifPresent(newer -> apply(newer, SOURCE_STORE, step));
+        confirmation.recordRead(store.configurationKnownAt(completed.call(), read, step.now()));
+      }
       case StoreAnswer.DirectoryRead read -> {
         runnerNotifications.logUnreadable(read.unreadable(), step);
         apply(
@@ -274,6 +283,7 @@
     }
     configuration = Optional.of(newer);
     store.recordConfiguration();
+    confirmation.recordVersion(newer.version());
     step.emit(new GatewayEffect.ApplyBounds(newer.bounds()));
     step.log(
         EventCode.CONFIGURATION_APPLIED,
@@ -334,6 +344,7 @@
     if (status.directoryChange().known() && !directory.offset().before(status.directoryChange())) {
       directory.confirm(now.minusMillis(status.directoryAgeMillis()));
     }
+    confirmation.recordStatement(status, now);
     if (status.fence() > 0) {
       lease.acceptReportedEnd(status.leaseEnd(), now);
     }
@@ -385,6 +396,7 @@
     sharingNodes = peers.sharerCount(live);
     updateCoordination(live, step);
     readStore(live, step);
+    confirmation.logChange(configuration, step);
     crashGuard.advance(store.isReachable(), lease.isHeld(), step);
     sendHeartbeat(step);
     coordinatorRole.advance(configuration, live, peers.heartbeatSlowdown(), step);
@@ -427,7 +439,9 @@
 
   private void readStore(List<PeerTable.Peer> live, GatewayStep step) {
     Instant now = step.now();
-    boolean stale = directory.age(now).compareTo(timings.maxDirectoryAge()) > 0;
+    boolean stale =
+        directory.age(now).compareTo(timings.maxDirectoryAge()) > 0
+            || confirmation.needsOwnRead(now);
     relaying =
         CoordinatorElection.relay(settings.self(), status(now), live)
             .filter(self::equals)
@@ -454,7 +468,8 @@
         configuration.map(GatewayConfiguration::version).orElse(0L),
         directory.offset(),
         directory.significantOffset(),
-        Math.max(0, directory.age(now).toMillis()));
+        Math.max(0, directory.age(now).toMillis()),
+        confirmation.age(now).map(Duration::toMillis));
   }
 
   private void sendHeartbeat(GatewayStep step) {
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
@@ -51,9 +51,10 @@
    * @param attempt number of the attempt
    * @param runner the runner
    * @param timeLeft time for which the runner may work on the request
-   * @param rank urgency of the route; 0 is the most urgent
+   * @param rank urgency of the request; 0 is the most urgent
    * @param streaming whether the response is a stream of events
    * @param repeatable whether the request may be executed again
+   * @param identity what the runner learns about the caller
    */
   record SendAttempt(
       long exchange,
@@ -62,7 +63,8 @@
       Duration timeLeft,
       int rank,
       boolean streaming,
-      boolean repeatable)
+      boolean repeatable,
+      CallerIdentity identity)
       implements GatewayEffect {}
 
   /**
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param timings intervals and timeouts of the fleet protocols
  * @param retries limits on the retries of all nodes together
  * @param drainGrace time after a stop request until the process must have exited
+ * @param revocation how long API keys are believed without word of the store
  */
 public record GatewaySettings(
     NodeAddress self,
@@ -22,10 +23,22 @@
     List<String> seeds,
     FleetTimings timings,
     RetryLimits retries,
-    Duration drainGrace) {
+    Duration drainGrace,
+    RevocationRule revocation) {
 
   /** Copies the list of seeds. */
   public GatewaySettings {
     seeds = List.copyOf(seeds);
   }
+
+  /** Creates settings of a deployment whose nodes never refuse by the age of the configuration. */
+  public GatewaySettings(
+      NodeAddress self,
+      String domain,
+      List<String> seeds,
+      FleetTimings timings,
+      RetryLimits retries,
+      Duration drainGrace) {
+    this(self, domain, seeds, timings, retries, drainGrace, RevocationRule.DEFAULT);
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/PeerMessageCheck.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PeerMessageCheck.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.fleet.PeerStatus;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.peer.FleetMessage;
+import dev.wisteriarail.core.tenant.TenantChecks;
 import java.util.List;
 import java.util.Optional;
 
@@ -25,6 +26,9 @@
           case FleetMessage.Beat beat -> usablePart(beat);
           case FleetMessage.ConfigurationTold told when told.configuration() == null ->
               Optional.empty();
+          case FleetMessage.ConfigurationTold told
+              when !TenantChecks.faults(told.configuration().tenants()).isEmpty() ->
+              Optional.empty();
           case FleetMessage.DirectoryTold told -> usablePart(told);
           default -> Optional.of(received.message());
         };
--- a/src/main/java/dev/wisteriarail/core/gateway/StallHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StallHandler.java
@@ -57,7 +57,7 @@
       return;
     }
     ForwardLog.retried(forward, "silent", step);
-    sender.send(forward, next.get(), step);
+    sender.send(forward, next.get(), configuration, step);
   }
 
   private boolean isStalled(
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreAnswer.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreAnswer.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.id.LogPosition;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.tenant.TenantFault;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,9 +31,22 @@
    * @param configuration the newest configuration; empty if there is no newer one than the known
    *     one
    * @param next position of the first record that is not known yet
+   * @param faults the configurations that were ignored because they are invalid: why
    */
-  record ConfigurationRead(Optional<GatewayConfiguration> configuration, LogPosition next)
-      implements StoreAnswer {}
+  record ConfigurationRead(
+      Optional<GatewayConfiguration> configuration, LogPosition next, List<TenantFault> faults)
+      implements StoreAnswer {
+
+    /** Copies the list. */
+    public ConfigurationRead {
+      faults = List.copyOf(faults);
+    }
+
+    /** Creates the result of a read in which every configuration was valid. */
+    public ConfigurationRead(Optional<GatewayConfiguration> configuration, LogPosition next) {
+      this(configuration, next, List.of());
+    }
+  }
 
   /**
    * The directory of runners was read.
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
@@ -44,6 +44,7 @@
   private boolean nodesRead;
   private boolean refusalsRead;
   private Instant nextConfigurationReadAt = Instant.MIN;
+  private Instant configurationReadStartedAt = Instant.MIN;
   private Instant nextDirectoryReadAt = Instant.MIN;
   private Instant directoryReadStartedAt = Instant.MIN;
   private Instant nextNodesReadAt = Instant.MIN;
@@ -80,6 +81,7 @@
     boolean first = !configurationRead || !directoryOffset.known();
     if (!readingConfiguration && !now.isBefore(nextConfigurationReadAt) && (watching || first)) {
       readingConfiguration = true;
+      configurationReadStartedAt = now;
       reads.add(
           nextConfigurationOffset.known()
               ? new StoreRead.NextConfiguration(nextConfigurationOffset, CONFIGURATION_WAIT)
@@ -252,6 +254,16 @@
     return era;
   }
 
+  /**
+   * Returns the time at which the store had no newer configuration than the ones in the result of
+   * the last read. A waiting read without a result was answered at the end of its wait.
+   */
+  Instant configurationKnownAt(StoreRead call, StoreAnswer.ConfigurationRead read, Instant now) {
+    boolean waited = call instanceof StoreRead.NextConfiguration && read.configuration().isEmpty();
+    Instant end = configurationReadStartedAt.plus(waited ? CONFIGURATION_WAIT : Duration.ZERO);
+    return end.isBefore(now) ? end : now;
+  }
+
   /** Returns when the last read of the directory started; its result is at least as new. */
   Instant directoryReadStartedAt() {
     return directoryReadStartedAt;
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -35,6 +35,8 @@
   KIND_UNKNOWN(1104, 400, "the kind of request is not configured"),
   /** The service does not exist. */
   SERVICE_UNKNOWN(1105, 404, "the service does not exist"),
+  /** The API key is missing, unusable or held by no tenant. */
+  API_KEY_INVALID(1106, 401, "the API key is missing or no tenant holds it"),
   /** The customer exceeds its request rate. */
   RATE_LIMITED(1201, 429, "the customer exceeds its request rate"),
   /** The customer's queue is full. */
@@ -59,6 +61,9 @@
   SENDING_FAILED(1212, 503, "the node failed to send the request to a runner"),
   /** The node has no configuration yet. */
   CONFIGURATION_UNKNOWN(1210, 503, "the node knows no configuration yet"),
+  /** The node may have missed that API keys were removed. */
+  CONFIGURATION_UNCONFIRMED(
+      1213, 503, "the node cannot tell whether its configuration is the newest"),
   /** A request of this kind needs an Idempotency-Key header. */
   IDEMPOTENCY_KEY_MISSING(1301, 400, "requests of this kind need an Idempotency-Key"),
   /** The idempotency key was used with another request body. */
--- a/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.forward.PromptPart;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.WisteriarailException;
+import dev.wisteriarail.core.tenant.ApiKeyDigest;
 import dev.wisteriarail.gateway.CallerProtocol;
 import dev.wisteriarail.gateway.RequestException;
 import java.math.BigInteger;
@@ -14,6 +15,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.zip.CRC32C;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -28,6 +31,10 @@
   /** Longest time that a caller is believed to wait; above all timeouts of routes. */
   private static final Duration MAX_CALLER_TIMEOUT = Duration.ofDays(1);
 
+  /** Credentials with a key; the name of the scheme is case-insensitive. */
+  private static final Pattern BEARER =
+      Pattern.compile("Bearer +(\\S.*)", Pattern.CASE_INSENSITIVE);
+
   private CallerHeaders() {}
 
   /** Returns the protocol. */
@@ -63,7 +70,7 @@
         estimates[1],
         promptParts(headers.get(WireNames.PROMPT_PARTS)),
         fingerprint(request, body),
-        Optional.empty());
+        apiKey(headers));
   }
 
   private static Optional<Duration> callerTimeout(String value) throws RequestException {
@@ -141,6 +148,19 @@
     return (head.getValue() << 32) | content.getValue();
   }
 
+  /**
+   * Returns the digest of the key in {@code Authorization: Bearer KEY}. Two such headers give no
+   * key, since they may name two tenants.
+   */
+  private static Optional<ApiKeyDigest> apiKey(HttpFields headers) {
+    List<String> credentials = headers.getValuesList(HttpHeader.AUTHORIZATION);
+    if (credentials.size() != 1) {
+      return Optional.empty();
+    }
+    Matcher bearer = BEARER.matcher(credentials.getFirst());
+    return bearer.matches() ? Optional.of(ApiKeyDigest.of(bearer.group(1))) : Optional.empty();
+  }
+
   private static RequestException malformed(String header, String problem) {
     return new RequestException(ResultCode.BAD_REQUEST, header, problem);
   }
@@ -154,6 +174,9 @@
       headers.put(WireNames.REQUEST_ID, id);
     }
     headers.put("X-Result-Code", code.label());
+    if (code == ResultCode.API_KEY_INVALID) {
+      headers.put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
+    }
     retryAfter.ifPresent(
         time ->
             headers.put(
--- a/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/RunnerHeaders.java
@@ -47,6 +47,7 @@
             String name = field.getName();
             if (!WireNames.isHopByHopHeader(name)
                 && !WireNames.isSystemHeader(name)
+                && !(attempt.identity().replacesCredentials() && isCredential(name))
                 && !connectionHeaders.contains(name.toLowerCase(Locale.ROOT))) {
               headers.add(field);
             }
@@ -57,12 +58,19 @@
           headers.put(WireNames.EXPECTED_RUNNER, attempt.runner().id());
           headers.put(
               WireNames.PRIORITY, Integer.toString(Math.clamp(attempt.rank(), 0, LEAST_URGENT)));
+          attempt.identity().tenant().ifPresent(name -> headers.put(WireNames.TENANT, name));
           if (!exchange.lastEvent().isEmpty()) {
             headers.put(WireNames.LAST_EVENT, exchange.lastEvent());
           }
         });
   }
 
+  /** Returns whether a header states who the caller is. */
+  private static boolean isCredential(String name) {
+    return name.equalsIgnoreCase(HttpHeader.AUTHORIZATION.asString())
+        || name.equalsIgnoreCase(WireNames.TENANT);
+  }
+
   private static Set<String> connectionHeaderNames(HttpFields headers) {
     Set<String> named = new HashSet<>();
     for (String name : headers.getCSV(HttpHeader.CONNECTION, false)) {
--- a/src/main/java/dev/wisteriarail/platform/StoreAnswers.java
+++ b/src/main/java/dev/wisteriarail/platform/StoreAnswers.java
@@ -11,6 +11,7 @@
 import dev.wisteriarail.core.gateway.StoreAnswer;
 import dev.wisteriarail.core.id.LogPosition;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.tenant.TenantFault;
 import java.io.IOException;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -49,16 +50,19 @@
       }
     }
     Optional<GatewayConfiguration> newest = Optional.empty();
+    List<TenantFault> faults = new ArrayList<>();
     for (WireRecords.KeyedRecord each : records) {
       if (each.key().equals(WireNames.CONFIGURATION_KEY) && !each.value().isEmpty()) {
         try {
           newest = Optional.of(WireDocuments.configuration(each.value()));
+        } catch (InvalidTenantException invalid) {
+          faults.add(invalid.fault());
         } catch (IOException malformed) {
-          LOGGER.warn("ignoring a configuration that cannot be decoded", malformed);
+          faults.add(new TenantFault("", describe(malformed)));
         }
       }
     }
-    return new StoreAnswer.ConfigurationRead(newest, next);
+    return new StoreAnswer.ConfigurationRead(newest, next, faults);
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/platform/WireDocuments.java
+++ b/src/main/java/dev/wisteriarail/platform/WireDocuments.java
@@ -60,8 +60,12 @@
     if (!version.isIntegralNumber() || !version.canConvertToLong()) {
       throw new IOException("the version is not a whole number");
     }
-    return GatewayConfiguration.withoutTenants(
-        version.longValue(), routes, services, bounds(root.path("limits")));
+    return new GatewayConfiguration(
+        version.longValue(),
+        routes,
+        services,
+        bounds(root.path("limits")),
+        TenantDocuments.tenants(root.path("tenants")));
   }
 
   private static RouteSpec route(JsonNode route) throws IOException {
--- a/src/main/java/dev/wisteriarail/platform/WireNames.java
+++ b/src/main/java/dev/wisteriarail/platform/WireNames.java
@@ -14,6 +14,7 @@
   static final String EXPECTED_RUNNER = "X-Wisteriarail-Expected-Instance";
   static final String SIGNATURE = "X-Wisteriarail-Response-Signature";
   static final String NOT_EXECUTED = "X-Wisteriarail-Not-Executed";
+  static final String TENANT = "X-Wisteriarail-Tenant";
   static final String PRIORITY = "X-Wisteriarail-Request-Priority";
   static final String RUNNER_ID = "X-Wisteriarail-Instance-Id";
   static final String LEAVING = "Server-Leaving";
--- a/src/main/java/dev/wisteriarail/platform/WireValues.java
+++ b/src/main/java/dev/wisteriarail/platform/WireValues.java
@@ -157,7 +157,8 @@
     return number;
   }
 
-  private static boolean isMissing(JsonNode value) {
+  /** Returns whether a field is absent or null. */
+  static boolean isMissing(JsonNode value) {
     return value.isMissingNode() || value.isNull();
   }
 
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.forward.RetryLimits;
+import dev.wisteriarail.core.gateway.RevocationRule;
 import dev.wisteriarail.core.id.FailureDomain;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.result.SettingsException;
@@ -30,6 +31,7 @@
  * @param timings intervals and timeouts of coordination between nodes
  * @param retries limits on the retries that all nodes send
  * @param drainLimit time after a stop request until the process has to end
+ * @param revocation how long API keys are believed without word of the store
  */
 public record GatewayFile(
     NodeId node,
@@ -45,7 +47,8 @@
     String storeAddress,
     FleetTimings timings,
     RetryLimits retries,
-    Duration drainLimit) {
+    Duration drainLimit,
+    RevocationRule revocation) {
 
   /** Default time within which every node must know that a runner is leaving. */
   private static final Duration DEFAULT_LEAVE_BOUND = Duration.ofSeconds(2);
@@ -96,11 +99,19 @@
                 seconds(toml, "retries.window_s", 10),
                 toml.number("retries.ratio", 0, 10, 0.2),
                 toml.number("retries.slack", 0, 100_000, 50)),
-            seconds(toml, "node.drain_limit_s", 8));
+            seconds(toml, "node.drain_limit_s", 8),
+            revocation(toml));
     toml.check();
     return file;
   }
 
+  private static RevocationRule revocation(TomlDocument toml) {
+    RevocationRule defaults = RevocationRule.DEFAULT;
+    return new RevocationRule(
+        toml.flag("tenants.revoke_fail_closed", defaults.failClosed()),
+        toml.millis("tenants.revoke_ms", defaults.bound()));
+  }
+
   private static int milliCores(TomlDocument toml) {
     double share = toml.number("node.processor_share", 0, 1_000, 0);
     double speed = toml.number("node.processor_cores", 0, 1_000, 1);
@@ -114,6 +125,11 @@
     add(keys, "retries.ratio", retries.ratio() != other.retries.ratio());
     add(keys, "retries.slack", retries.slack() != other.retries.slack());
     add(keys, "node.drain_limit_s", !drainLimit.equals(other.drainLimit));
+    add(
+        keys,
+        "tenants.revoke_fail_closed",
+        revocation.failClosed() != other.revocation.failClosed());
+    add(keys, "tenants.revoke_ms", !revocation.bound().equals(other.revocation.bound()));
     return keys;
   }
 
--- a/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -53,6 +54,8 @@
   private long entrySequence;
   private long version;
   private String publishedConfiguration = "";
+  private List<Map<String, Object>> tenants = List.of();
+  private Set<String> publicRoutes = Set.of();
 
   private PlatformStandin(MetadataStoreStandin store) {
     this.store = store;
@@ -139,6 +142,18 @@
     return runner;
   }
 
+  /**
+   * Sets the tenants and the public routes of the configurations that are published from now on.
+   *
+   * @param newTenants the tenants, as in the configuration
+   * @param newPublicRoutes names of the routes that need no API key
+   */
+  public synchronized void setTenants(
+      List<Map<String, Object>> newTenants, Set<String> newPublicRoutes) {
+    tenants = newTenants;
+    publicRoutes = newPublicRoutes;
+  }
+
   /**
    * Publishes a configuration with the standard routes and one plain route for each given name.
    *
@@ -166,8 +181,12 @@
     routes.add(route("order", "/order/", "non_idempotent", PLAIN, 1, false));
     extraRoutes.forEach(
         name -> routes.add(route(name, "/" + name + "/", "idempotent", PLAIN, 2, false)));
+    routes.forEach(route -> route.put("public", publicRoutes.contains(route.get("name"))));
     Map<String, Object> configuration = new LinkedHashMap<>();
     configuration.put("version", ++version);
+    if (!tenants.isEmpty()) {
+      configuration.put("tenants", tenants);
+    }
     configuration.put("routes", routes);
     configuration.put("services", List.of(engineService(), plainService()));
     Map<String, Integer> limits = new LinkedHashMap<>();
--- a/src/test/java/dev/wisteriarail/core/fleet/CoordinatorElectionTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/CoordinatorElectionTest.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.id.NodeId;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,7 +35,8 @@
         1,
         LogPosition.of(0, 1),
         LogPosition.of(0, 1),
-        0);
+        0,
+        Optional.empty());
   }
 
   private static PeerTable.Peer peer(NodeAddress address, PeerStatus status) {
--- a/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
+++ b/src/test/java/dev/wisteriarail/core/fleet/PeerTableTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -110,7 +111,8 @@
             1,
             LogPosition.of(0, 1),
             LogPosition.of(0, 1),
-            0);
+            0,
+            Optional.empty());
     for (NodeAddress target : tables.get(node).heartbeatTargets(false, now)) {
       sent++;
       int to = addresses.indexOf(target);
@@ -207,7 +209,8 @@
             1,
             LogPosition.of(0, 1),
             LogPosition.of(0, 1),
-            0);
+            0,
+            Optional.empty());
     PeerTable table = tables.getFirst();
     table.acceptHeartbeat(addresses.getLast(), coordinates, now);
     now = now.plusMillis(silentMillis);
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -26,6 +26,7 @@
 import dev.wisteriarail.core.route.RouteSpec;
 import dev.wisteriarail.core.route.ServicePool;
 import dev.wisteriarail.core.route.ServiceShare;
+import dev.wisteriarail.core.tenant.ApiKeyDigest;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -87,7 +88,11 @@
   }
 
   private static CoreHarness unready(Duration grace) {
-    CoreHarness harness = new CoreHarness(GatewayCore.create(settings(grace)));
+    return unready(settings(grace));
+  }
+
+  static CoreHarness unready(GatewaySettings settings) {
+    CoreHarness harness = new CoreHarness(GatewayCore.create(settings));
     harness.tick();
     return harness;
   }
@@ -167,6 +172,37 @@
                 Optional.of(configuration(version, timeout)), LogPosition.of(0, version))));
   }
 
+  /** Delivers a configuration as the result of a read of the store. */
+  void configure(GatewayConfiguration configuration) {
+    handle(
+        new GatewayEvent.StoreReadCompleted(
+            new StoreRead.NewestConfiguration(),
+            new StoreAnswer.ConfigurationRead(
+                Optional.of(configuration), LogPosition.of(0, configuration.version()))));
+  }
+
+  /** Delivers a request to a plain route with the digest of an API key; returns its exchange. */
+  long arriveWithKey(String route, Optional<ApiKeyDigest> key) {
+    long exchange = ++exchanges;
+    handle(
+        new GatewayEvent.RequestArrived(
+            new ForwardRequest(
+                exchange,
+                "r" + exchange,
+                "host",
+                "/" + route + "/1",
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                false,
+                0,
+                0,
+                List.of(),
+                exchange,
+                key)));
+    return exchange;
+  }
+
   /** Delivers a forecast from the coordinator of when m0 is ready. */
   void receiveForecast(String coordinator, Duration startsIn) {
     ModelForecast forecast = new ModelForecast(ENGINES, "m0", "", startsIn.toMillis());
@@ -255,6 +291,31 @@
     return arrive(route, Optional.of(adapter), ++exchanges, Duration.ofSeconds(5), List.of());
   }
 
+  /** Delivers a heartbeat of a peer whose configuration was confirmed some time ago. */
+  void receiveConfirmation(long version, Duration age) {
+    NodeAddress address =
+        new NodeAddress(NodeId.of("n2"), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
+    PeerStatus status =
+        new PeerStatus(
+            0,
+            0,
+            0,
+            LogPosition.NONE,
+            true,
+            true,
+            false,
+            version,
+            LogPosition.NONE,
+            LogPosition.NONE,
+            0,
+            Optional.of(age.toMillis()));
+    handle(
+        new GatewayEvent.PeerMessageReceived(
+            NodeId.of("n2"),
+            Incarnation.of(1),
+            FleetMessage.Beat.of(address, List.of(), status, List.of())));
+  }
+
   /** Delivers a heartbeat of a node that holds the order lease. */
   void receiveCoordinatorHeartbeat(String name) {
     NodeAddress address =
@@ -271,7 +332,8 @@
             1,
             LogPosition.of(0, 5),
             LogPosition.of(0, 5),
-            0);
+            0,
+            Optional.empty());
     handle(
         new GatewayEvent.PeerMessageReceived(
             NodeId.of(name),
@@ -299,6 +361,12 @@
     handle(new GatewayEvent.AttemptUpdated(exchange, attempt, result));
   }
 
+  /** Lets time pass without events, as while the process is suspended. */
+  void suspend(Duration time) {
+    now = now.plus(time);
+    handle(new GatewayEvent.Tick(true));
+  }
+
   void pass(Duration time) {
     Instant until = now.plus(time);
     while (now.isBefore(until)) {
--- a/src/test/java/dev/wisteriarail/core/gateway/OddPeerMessageTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/OddPeerMessageTest.java
@@ -13,6 +13,7 @@
 import dev.wisteriarail.core.peer.FleetMessage;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -49,7 +50,8 @@
   }
 
   static Stream<FleetMessage> oddMessages() {
-    PeerStatus incomplete = new PeerStatus(0, 0, 0, null, true, true, false, 0, null, null, 0);
+    PeerStatus incomplete =
+        new PeerStatus(0, 0, 0, null, true, true, false, 0, null, null, 0, Optional.empty());
     return Stream.of(
         beat(null, PeerStatus.UNKNOWN),
         beat(SOUND, null),
--- a/src/test/java/dev/wisteriarail/core/gateway/StoreEraTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/StoreEraTest.java
@@ -100,7 +100,8 @@
             1,
             ofHolder ? LogPosition.of(0, 5) : position,
             LogPosition.of(0, 5),
-            0);
+            0,
+            Optional.empty());
     NodeAddress address =
         new NodeAddress(NodeId.of("n2"), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
     node.take(GatewayEffect.class);
--- a/src/test/java/dev/wisteriarail/gateway/FaultRecoveryTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/FaultRecoveryTest.java
@@ -13,6 +13,7 @@
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.CrashRefusal;
+import dev.wisteriarail.core.gateway.CallerIdentity;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.core.gateway.StoreAnswer;
@@ -39,7 +40,8 @@
       new RunnerEntry("r", "s", "127.0.0.1", 1, "a", 1, false, 1, 1, List.of(), Set.of(), Set.of());
   private static final AttemptResult RESULT = new AttemptResult.NotSent(FAULT);
   private static final GatewayEffect.SendAttempt SEND =
-      new GatewayEffect.SendAttempt(EXCHANGE, 2, RUNNER, Duration.ofSeconds(1), 0, false, false);
+      new GatewayEffect.SendAttempt(
+          EXCHANGE, 2, RUNNER, Duration.ofSeconds(1), 0, false, false, CallerIdentity.UNCHANGED);
 
   static Stream<Arguments> effects() {
     StoreRead read = new StoreRead.WholeDirectory();
--- a/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
@@ -152,12 +152,33 @@
 
   HttpResponse<String> send(
       int node, String method, String path, String model, String id, String body) throws Exception {
+    return send(node, method, path, model, id, body, List.of());
+  }
+
+  /** Sends a request with the body "body" and further headers, each as name and value. */
+  HttpResponse<String> send(int node, String method, String path, List<String> headers)
+      throws Exception {
+    return send(node, method, path, "", "r" + requests++, "body", headers);
+  }
+
+  private HttpResponse<String> send(
+      int node,
+      String method,
+      String path,
+      String model,
+      String id,
+      String body,
+      List<String> headers)
+      throws Exception {
     var at = nodes.get(node).file().callers();
     HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create("http://" + at.host() + ":" + at.port() + path))
             .header("X-Wisteriarail-Request-Id", id)
             .header("X-Wisteriarail-Deadline-Ms", "5000")
             .timeout(LIMIT);
+    if (!headers.isEmpty()) {
+      request.headers(headers.toArray(String[]::new));
+    }
     if (!model.isEmpty()) {
       request.header("X-Wisteriarail-Model", model);
     }
--- a/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
+++ b/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
@@ -53,6 +53,9 @@
   @CsvSource({
     "ratio = 0.2, ratio = 0.3, retries.ratio, ''",
     "drain_limit_s = 8, drain_limit_s = 9, node.drain_limit_s, ''",
+    "[store], '[tenants]\nrevoke_ms = 5000\n[store]', tenants.revoke_ms, ''",
+    "[store], '[tenants]\nrevoke_fail_closed = true\n[store]', tenants.revoke_fail_closed, ''",
+    "[store], '[tenants]\n[store]', '', ''",
     "link_mbps = 200.0, link_mbps = 10.0, '', node",
     "processor_cores = 2, processor_cores = 1, '', node",
     "10.0.0.9:80, 10.0.0.9:81, '', store",
