--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -439,9 +439,9 @@
 
   private void readStore(List<PeerTable.Peer> live, GatewayStep step) {
     Instant now = step.now();
-    boolean stale =
-        directory.age(now).compareTo(timings.maxDirectoryAge()) > 0
-            || confirmation.needsOwnRead(now);
+    boolean unconfirmed = confirmation.needsOwnRead(now);
+    store.setConfigurationUrgent(unconfirmed);
+    boolean stale = directory.age(now).compareTo(timings.maxDirectoryAge()) > 0 || unconfirmed;
     relaying =
         CoordinatorElection.relay(settings.self(), status(now), live)
             .filter(self::equals)
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
@@ -35,6 +35,7 @@
   private final Duration directoryReadInterval;
   private boolean configurationRead;
   private boolean readingConfiguration;
+  private boolean configurationUrgent;
   private boolean readingDirectory;
   private boolean readingNodes;
   private boolean readingRefusals;
@@ -84,7 +85,8 @@
       configurationReadStartedAt = now;
       reads.add(
           nextConfigurationOffset.known()
-              ? new StoreRead.NextConfiguration(nextConfigurationOffset, CONFIGURATION_WAIT)
+              ? new StoreRead.NextConfiguration(
+                  nextConfigurationOffset, configurationUrgent ? Duration.ZERO : CONFIGURATION_WAIT)
               : new StoreRead.NewestConfiguration());
     }
     if (!readingDirectory
@@ -227,6 +229,11 @@
     nodesRead = false;
   }
 
+  /** Sets whether reads of the configuration return at once, to confirm the one in force. */
+  void setConfigurationUrgent(boolean urgent) {
+    configurationUrgent = urgent;
+  }
+
   /** Records that a configuration was received from a peer. */
   void recordConfiguration() {
     configurationRead = true;
@@ -259,8 +266,11 @@
    * the last read. A waiting read without a result was answered at the end of its wait.
    */
   Instant configurationKnownAt(StoreRead call, StoreAnswer.ConfigurationRead read, Instant now) {
-    boolean waited = call instanceof StoreRead.NextConfiguration && read.configuration().isEmpty();
-    Instant end = configurationReadStartedAt.plus(waited ? CONFIGURATION_WAIT : Duration.ZERO);
+    Duration wait =
+        call instanceof StoreRead.NextConfiguration next && read.configuration().isEmpty()
+            ? next.maxWait()
+            : Duration.ZERO;
+    Instant end = configurationReadStartedAt.plus(wait);
     return end.isBefore(now) ? end : now;
   }
 
--- a/src/test/java/dev/wisteriarail/core/gateway/CallerAuthenticationTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CallerAuthenticationTest.java
@@ -6,13 +6,11 @@
 import dev.wisteriarail.core.id.LogPosition;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
-import dev.wisteriarail.core.route.RouteSpec;
 import dev.wisteriarail.core.tenant.Allowance;
 import dev.wisteriarail.core.tenant.ApiKeyDigest;
 import dev.wisteriarail.core.tenant.TenantFault;
 import dev.wisteriarail.core.tenant.TenantSpec;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -31,29 +29,11 @@
     return new TenantSpec(name, digests, priority, Allowance.UNLIMITED);
   }
 
-  /** Returns a configuration whose route "lookup" is public and whose route "order" is not. */
+  /** Returns a configuration in which only the route "open" is public. */
   private static GatewayConfiguration configuration(long version, TenantSpec... tenants) {
     GatewayConfiguration base = CoreHarness.configuration(version);
-    List<RouteSpec> routes = new ArrayList<>();
-    for (RouteSpec each : base.routes()) {
-      routes.add(
-          new RouteSpec(
-              each.name(),
-              each.host(),
-              each.pathPrefix(),
-              each.kind(),
-              each.timeout(),
-              each.objective(),
-              each.rank(),
-              each.shares(),
-              each.maxRunners(),
-              each.sticky(),
-              each.resumable(),
-              each.gapObjective(),
-              each.name().equals("lookup")));
-    }
     return new GatewayConfiguration(
-        version, routes, base.services(), base.bounds(), List.of(tenants));
+        version, base.routes(), base.services(), base.bounds(), List.of(tenants));
   }
 
   private static Optional<ApiKeyDigest> key(String text) {
@@ -85,13 +65,13 @@
     "true, order, key-c, bulk 4 true",
     "true, order, key-d, WR-1106",
     "true, order, '', WR-1106",
-    "true, lookup, key-a, - 1 true",
-    "true, lookup, key-d, - 1 true",
-    "true, lookup, '', - 1 true",
+    "true, open, key-a, - 1 true",
+    "true, open, key-d, - 1 true",
+    "true, open, '', - 1 true",
     "true, nowhere, '', WR-1004",
     "false, order, key-a, - 1 false",
     "false, order, '', - 1 false",
-    "false, lookup, key-d, - 1 false",
+    "false, open, key-d, - 1 false",
   })
   void credentialsDecideWhoTheCallerIs(boolean tenants, String route, String key, String expected) {
     CoreHarness node = CoreHarness.ready();
@@ -141,7 +121,7 @@
     "false, order, 60000, 0, 0, acme 0 true",
     "true, order, 4000, 0, 0, acme 0 true",
     "true, order, 6000, 0, 0, WR-1213 retry",
-    "true, lookup, 6000, 0, 0, - 1 true",
+    "true, open, 6000, 0, 0, - 1 true",
     // A peer's statement counts from the peer's own confirmation, for the version that it has.
     "true, order, 6000, 2, 1000, acme 0 true",
     "true, order, 6000, 1, 1000, acme 0 true",
@@ -225,12 +205,15 @@
     assertThat(outcome(node, "order", "key-a")).isEqualTo("acme 0 true");
   }
 
-  /** Ends the pending read, which began before the silence, and waits for the next one. */
+  /** Fails the pending read; the next one must not wait at the store, as that costs a second. */
   private static void failPendingRead(CoreHarness node) {
     node.handle(
         new GatewayEvent.StoreReadCompleted(
             new StoreRead.NewestConfiguration(), new StoreAnswer.Failed("no answer")));
+    node.take(GatewayEffect.class);
     node.pass(Duration.ofMillis(300));
+    assertThat(node.take(GatewayEffect.ReadStore.class).stream().map(GatewayEffect.ReadStore::call))
+        .contains(new StoreRead.NextConfiguration(LogPosition.of(0, 2), Duration.ZERO));
   }
 
   private static List<EventCode> events(CoreHarness node) {
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -111,6 +111,7 @@
             route("chat", RouteKind.STREAMING, ENGINES, true, 2, timeout),
             route("report", RouteKind.STREAMING, ENGINES, false, 1, timeout),
             route("lookup", RouteKind.IDEMPOTENT, PLAIN, false, 2, timeout),
+            route("open", RouteKind.IDEMPOTENT, PLAIN, false, 2, timeout),
             route("order", RouteKind.NON_IDEMPOTENT, PLAIN, false, 1, timeout)),
         Map.of(
             ENGINES,
@@ -141,7 +142,7 @@
         false,
         resumable,
         Duration.ofMillis(250),
-        false);
+        name.equals("open"));
   }
 
   static RunnerEntry runner(String id, String service, boolean draining) {
