--- a/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
@@ -35,6 +35,7 @@
   private final Duration directoryReadInterval;
   private boolean configurationRead;
   private boolean readingConfiguration;
+  private boolean configurationUrgent;
   private boolean readingDirectory;
   private boolean readingNodes;
   private boolean readingRefusals;
@@ -44,6 +45,7 @@
   private boolean nodesRead;
   private boolean refusalsRead;
   private Instant nextConfigurationReadAt = Instant.MIN;
+  private Instant configurationReadStartedAt = Instant.MIN;
   private Instant nextDirectoryReadAt = Instant.MIN;
   private Instant directoryReadStartedAt = Instant.MIN;
   private Instant nextNodesReadAt = Instant.MIN;
@@ -80,9 +82,11 @@
     boolean first = !configurationRead || !directoryOffset.known();
     if (!readingConfiguration && !now.isBefore(nextConfigurationReadAt) && (watching || first)) {
       readingConfiguration = true;
+      configurationReadStartedAt = now;
       reads.add(
           nextConfigurationOffset.known()
-              ? new StoreRead.NextConfiguration(nextConfigurationOffset, CONFIGURATION_WAIT)
+              ? new StoreRead.NextConfiguration(
+                  nextConfigurationOffset, configurationUrgent ? Duration.ZERO : CONFIGURATION_WAIT)
               : new StoreRead.NewestConfiguration());
     }
     if (!readingDirectory
@@ -225,6 +229,11 @@
     nodesRead = false;
   }
 
+  /** Sets whether reads of the configuration return at once, to confirm the one in force. */
+  void setConfigurationUrgent(boolean urgent) {
+    configurationUrgent = urgent;
+  }
+
   /** Records that a configuration was received from a peer. */
   void recordConfiguration() {
     configurationRead = true;
@@ -252,6 +261,19 @@
     return era;
   }
 
+  /**
+   * Returns the time at which the store had no newer configuration than the ones in the result of
+   * the last read. A waiting read without a result was answered at the end of its wait.
+   */
+  Instant configurationKnownAt(StoreRead call, StoreAnswer.ConfigurationRead read, Instant now) {
+    Duration wait =
+        call instanceof StoreRead.NextConfiguration next && read.configuration().isEmpty()
+            ? next.maxWait()
+            : Duration.ZERO;
+    Instant end = configurationReadStartedAt.plus(wait);
+    return end.isBefore(now) ? end : now;
+  }
+
   /** Returns when the last read of the directory started; its result is at least as new. */
   Instant directoryReadStartedAt() {
     return directoryReadStartedAt;
