--- a/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderLease.java
@@ -505,6 +505,11 @@
     return timings.fencingEnforced() || now.isBefore(leaseEnd());
   }
 
+  /** Returns whether the lease is held and no other node can have gained it since its renewal. */
+  public boolean isExclusive(Instant now) {
+    return isHeld() && now.isBefore(leaseEnd());
+  }
+
   private Instant leaseEnd() {
     return renewedAt.plus(timings.leaseDuration());
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/CoordinatorRole.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CoordinatorRole.java
@@ -15,6 +15,9 @@
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.tenant.AllowanceLedger;
+import dev.wisteriarail.core.tenant.ShareGrant;
+import dev.wisteriarail.core.tenant.TenantAllowances;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -65,6 +68,8 @@
   private final RunnerDirectory directory;
   private final RunnerStateTable runnerStates;
   private final Coordinator coordinator = Coordinator.create();
+  private final AllowanceLedger ledger;
+  private final TenantAllowances allowances;
   private final Map<NodeId, Long> sentRevisions = new HashMap<>();
   private Instant nextViewUpdate = Instant.MIN;
   private Instant nextPlan = Instant.MIN;
@@ -76,8 +81,11 @@
       GatewaySettings settings,
       OrderLease lease,
       RunnerDirectory directory,
-      RunnerStateTable runnerStates) {
+      RunnerStateTable runnerStates,
+      TenantAllowances allowances) {
     this.settings = settings;
+    this.allowances = allowances;
+    ledger = AllowanceLedger.create(settings.allowances());
     this.lease = lease;
     this.directory = directory;
     this.runnerStates = runnerStates;
@@ -87,8 +95,9 @@
       GatewaySettings settings,
       OrderLease lease,
       RunnerDirectory directory,
-      RunnerStateTable runnerStates) {
-    return new CoordinatorRole(settings, lease, directory, runnerStates);
+      RunnerStateTable runnerStates,
+      TenantAllowances allowances) {
+    return new CoordinatorRole(settings, lease, directory, runnerStates, allowances);
   }
 
   /**
@@ -100,6 +109,7 @@
     coordinator.reset();
     coordinator.inherit(lease.predecessorLoads(), lease::hasNoRecentOrders, now);
     coordinator.raiseRevisionTo(fence << REVISION_BITS);
+    ledger.begin(fence, now);
     lastOrderAt = Instant.MIN;
     startedAt = now;
     nextPlan = now;
@@ -125,6 +135,12 @@
     coordinator.acceptDemand(
         node.value(), incarnation.value(), demand.demands(), demand.uses(), now);
     sentRevisions.put(node, demand.viewRevision());
+    ledger.accept(node.value(), incarnation.value(), demand.tenants(), now);
+  }
+
+  /** Applies a configuration and the number of nodes that share the tenants' floors. */
+  void configureAllowances(GatewayConfiguration configuration, int nodes) {
+    ledger.configure(configuration.tenants(), nodes);
   }
 
   /** Handles a report from an engine. */
@@ -185,10 +201,20 @@
       sendOrders(configuration, demandKnown, slowdown, step);
       if (demandKnown) {
         publishViews(live, slowdown, step);
+        grantToSelf(step.now());
       }
     }
   }
 
+  /** Returns a node's grants; none if another node may have gained the lease meanwhile. */
+  private List<ShareGrant> grantsFor(NodeId node, Instant now) {
+    return lease.isExclusive(now) ? ledger.grantsFor(node.value(), now) : List.of();
+  }
+
+  private void grantToSelf(Instant now) {
+    allowances.accept(grantsFor(settings.self().node(), now), now);
+  }
+
   private void sendOrders(
       Optional<GatewayConfiguration> configuration,
       boolean demandKnown,
@@ -315,14 +341,15 @@
           messages.computeIfAbsent(
               peerRevision,
               revision ->
-                  new FleetMessage.FleetTold(
+                  FleetMessage.FleetTold.of(
                       lease.fence(),
                       coordinator.viewsSince(revision, now),
                       coordinator.forecasts()));
-      if (skipEmptyMessages && message.views().isEmpty()) {
+      List<ShareGrant> grants = grantsFor(peer.node(), now);
+      if (skipEmptyMessages && message.views().isEmpty() && grants.isEmpty()) {
         continue;
       }
-      step.emit(new GatewayEffect.SendPeer(peer.address(), message));
+      step.emit(new GatewayEffect.SendPeer(peer.address(), message.with(grants)));
       sentRevisions.put(peer.node(), coordinator.revision());
     }
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -11,6 +11,7 @@
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.core.route.RouteSpec;
+import dev.wisteriarail.core.tenant.TenantAllowances;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -39,6 +40,7 @@
   private final RunnerStateTable runnerStates;
   private final CrashGuard crashGuard;
   private final DemandCounter demandCounter = DemandCounter.create();
+  private final AllowanceGate allowanceGate;
   private final PendingForwardTable pending;
   private final CompletionEstimator completionEstimator;
   private final AttemptSender sender;
@@ -50,10 +52,12 @@
       GatewaySettings settings,
       RunnerStateTable runnerStates,
       CrashGuard crashGuard,
+      TenantAllowances allowances,
       DrainPlan drain) {
     this.crashGuard = crashGuard;
     this.runnerStates = runnerStates;
-    pending = PendingForwardTable.create(runnerStates, demandCounter);
+    pending = PendingForwardTable.create(runnerStates, demandCounter, allowances);
+    allowanceGate = AllowanceGate.create(allowances);
     completionEstimator = CompletionEstimator.create(pending, this::startsIn);
     RunnerPicker picker = RunnerPicker.create(settings.domain(), runnerStates);
     sender =
@@ -68,8 +72,9 @@
       GatewaySettings settings,
       RunnerStateTable runnerStates,
       CrashGuard crashGuard,
+      TenantAllowances allowances,
       DrainPlan drain) {
-    return new Forwarder(settings, runnerStates, crashGuard, drain);
+    return new Forwarder(settings, runnerStates, crashGuard, allowances, drain);
   }
 
   /** Applies changed retry limits. */
@@ -109,6 +114,9 @@
               Optional.of(Duration.ofMillis(refusal.get().remainingMillis()))));
       return;
     }
+    if (!allowanceGate.tryAdmit(forward, step)) {
+      return;
+    }
     pending.add(forward);
     sender.countRequest(service, step.now());
     demandCounter.countArrival(forward);
@@ -305,6 +313,7 @@
         .ifPresent(
             forward -> {
               completionEstimator.recordEnd(forward, step.now());
+              pending.giveBackCost(forward, step);
               pending.cancelAttempts(forward, step);
               ForwardLog.callerDisconnected(forward, step);
               pending.remove(forward);
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -18,6 +18,9 @@
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.tenant.TenantAllowances;
+import dev.wisteriarail.core.tenant.TenantCount;
+import dev.wisteriarail.core.tenant.TenantUse;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -70,6 +73,8 @@
   private final Forwarder forwarder;
   private final DrainPlan drain;
   private final CoordinatorRole coordinatorRole;
+  private final TenantAllowances allowances;
+  private final FloorCount floorCount = FloorCount.create();
   private final NodeRegistration registration = NodeRegistration.create();
   private final CodecWarmUp codecWarmUp = CodecWarmUp.create();
   private final PeerSynchronizer peerSynchronizer;
@@ -98,9 +103,10 @@
     runnerNotifications = RunnerNotificationHandler.create(directory, runnerStates);
     crashGuard = CrashGuard.create(peers);
     drain = DrainPlan.create(settings.drainGrace());
-    forwarder = Forwarder.create(settings, runnerStates, crashGuard, drain);
+    allowances = TenantAllowances.create(settings.allowances());
+    forwarder = Forwarder.create(settings, runnerStates, crashGuard, allowances, drain);
     peerSynchronizer = PeerSynchronizer.create(timings.maxDirectoryAge());
-    coordinatorRole = CoordinatorRole.create(settings, lease, directory, runnerStates);
+    coordinatorRole = CoordinatorRole.create(settings, lease, directory, runnerStates, allowances);
   }
 
   /** Creates the core of a node that has no configuration and knows no runners. */
@@ -113,6 +119,11 @@
     return peers.isLarge() && !lease.isHeld() ? LARGE_FLEET_TICK_INTERVAL : TICK_INTERVAL;
   }
 
+  /** Returns what was admitted and refused for each limited tenant. */
+  public List<TenantCount> tenantCounts() {
+    return allowances.counts();
+  }
+
   // Events
 
   /**
@@ -221,8 +232,10 @@
             SOURCE_STORE,
             step);
       }
-      case StoreAnswer.NodesRead read ->
-          read.nodes().forEach(address -> peers.addAddress(address, step.now()));
+      case StoreAnswer.NodesRead read -> {
+        read.nodes().forEach(address -> peers.addAddress(address, step.now()));
+        floorCount.markComplete();
+      }
       case StoreAnswer.CrashRefusalsRead read -> crashGuard.acceptStored(read.refusals(), step);
       case StoreAnswer.RecordsDropped dropped ->
           step.log(EventCode.LOG_GAP, "read", completed.call().getClass().getSimpleName());
@@ -274,6 +287,8 @@
     }
     configuration = Optional.of(newer);
     store.recordConfiguration();
+    allowances.configure(newer.tenants(), step.now());
+    coordinatorRole.configureAllowances(newer, floorCount.nodes());
     step.emit(new GatewayEffect.ApplyBounds(newer.bounds()));
     step.log(
         EventCode.CONFIGURATION_APPLIED,
@@ -306,8 +321,10 @@
       case FleetMessage.Beat beat -> acceptHeartbeat(beat, step);
       case FleetMessage.DemandTold demand ->
           coordinatorRole.acceptDemand(received.from(), received.incarnation(), demand, step.now());
-      case FleetMessage.FleetTold fleet ->
-          runnerStates.accept(fleet.views(), fleet.forecasts(), step.now());
+      case FleetMessage.FleetTold fleet -> {
+        runnerStates.accept(fleet.views(), fleet.forecasts(), step.now());
+        allowances.accept(fleet.grants(), step.now());
+      }
       case FleetMessage.ConfigurationTold configurationUpdate ->
           apply(configurationUpdate.configuration(), received.from().value(), step);
       case FleetMessage.CrashTold crash -> crashGuard.accept(crash, received.from(), step);
@@ -383,6 +400,7 @@
     }
     List<PeerTable.Peer> live = peers.live(now);
     sharingNodes = peers.sharerCount(live);
+    updateFloors(now);
     updateCoordination(live, step);
     readStore(live, step);
     crashGuard.advance(store.isReachable(), lease.isHeld(), step);
@@ -390,6 +408,20 @@
     coordinatorRole.advance(configuration, live, peers.heartbeatSlowdown(), step);
   }
 
+  private void updateFloors(Instant now) {
+    boolean changed =
+        floorCount.update(
+            1 + peers.addresses().size(),
+            coordinatorNode.isPresent(),
+            Duration.between(startedAt, now),
+            now);
+    if (changed) {
+      allowances.setNodes(floorCount.nodes(), now);
+      configuration.ifPresent(
+          known -> coordinatorRole.configureAllowances(known, floorCount.nodes()));
+    }
+  }
+
   private void updateCoordination(List<PeerTable.Peer> live, GatewayStep step) {
     Instant now = step.now();
     boolean expired = lease.isHeld() && !lease.isSafe(now);
@@ -488,13 +520,14 @@
         now.plusMillis(Math.round(timings.demandInterval().toMillis() * peers.heartbeatSlowdown()));
     List<ModelDemand> demands = forwarder.demands(now);
     List<RunnerUse> uses = runnerStates.collectUses();
-    boolean empty = peers.isLarge() && demands.isEmpty() && uses.isEmpty();
+    List<TenantUse> tenants = allowances.isReportDue(now) ? allowances.report(now) : List.of();
+    boolean empty = peers.isLarge() && demands.isEmpty() && uses.isEmpty() && tenants.isEmpty();
     if (empty && now.isBefore(lastEmptyReportAt.plus(EMPTY_REPORT_INTERVAL))) {
       return;
     }
     lastEmptyReportAt = empty ? now : Instant.EPOCH;
     FleetMessage.DemandTold report =
-        new FleetMessage.DemandTold(demands, uses, runnerStates.viewRevision());
+        new FleetMessage.DemandTold(demands, uses, runnerStates.viewRevision(), tenants);
     if (lease.isHeld()) {
       coordinatorRole.acceptDemand(self, settings.self().incarnation(), report, now);
       return;
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.forward.RetryLimits;
+import dev.wisteriarail.core.tenant.AllowanceLimits;
 import java.time.Duration;
 import java.util.List;
 
@@ -14,6 +15,7 @@
  * @param seeds addresses of some nodes as {@code host:port}; they may be outdated
  * @param timings intervals and timeouts of the fleet protocols
  * @param retries limits on the retries of all nodes together
+ * @param allowances what is tolerated beyond the allowances of tenants
  * @param drainGrace time after a stop request until the process must have exited
  */
 public record GatewaySettings(
@@ -22,6 +24,7 @@
     List<String> seeds,
     FleetTimings timings,
     RetryLimits retries,
+    AllowanceLimits allowances,
     Duration drainGrace) {
 
   /** Copies the list of seeds. */
--- a/src/main/java/dev/wisteriarail/core/gateway/PeerMessageCheck.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PeerMessageCheck.java
@@ -6,6 +6,8 @@
 import dev.wisteriarail.core.fleet.PeerStatus;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.peer.FleetMessage;
+import dev.wisteriarail.core.tenant.ShareGrant;
+import dev.wisteriarail.core.tenant.TenantUse;
 import java.util.List;
 import java.util.Optional;
 
@@ -15,6 +17,9 @@
  */
 final class PeerMessageCheck {
 
+  /** Entries about tenants that one message may have. */
+  private static final int MAX_TENANTS = 1_000;
+
   private PeerMessageCheck() {}
 
   /** Returns the usable part of a message; empty and logged if it has none. */
@@ -26,6 +31,8 @@
           case FleetMessage.ConfigurationTold told when told.configuration() == null ->
               Optional.empty();
           case FleetMessage.DirectoryTold told -> usablePart(told);
+          case FleetMessage.DemandTold told -> Optional.of(usablePart(told));
+          case FleetMessage.FleetTold told -> Optional.of(usablePart(told));
           default -> Optional.of(received.message());
         };
     if (usable.isEmpty() || !usable.get().equals(received.message())) {
@@ -62,6 +69,17 @@
             beat.self(), known, status, beat.leaving(), beat.refusals(), beat.crashes()));
   }
 
+  private static FleetMessage usablePart(FleetMessage.DemandTold told) {
+    List<TenantUse> tenants =
+        told.tenants().stream().filter(TenantUse::isUsable).limit(MAX_TENANTS).toList();
+    return new FleetMessage.DemandTold(told.demands(), told.uses(), told.viewRevision(), tenants);
+  }
+
+  private static FleetMessage usablePart(FleetMessage.FleetTold told) {
+    return told.with(
+        told.grants().stream().filter(ShareGrant::isUsable).limit(MAX_TENANTS).toList());
+  }
+
   private static Optional<FleetMessage> usablePart(FleetMessage.DirectoryTold told) {
     DirectoryChange change = told.change();
     if (change == null || change.from() == null || change.to() == null) {
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -211,6 +211,11 @@
     return tenant.map(TenantSpec::priority).orElse(route.rank());
   }
 
+  /** Returns what the request takes from the allowance of its tenant. */
+  double cost() {
+    return tenant.map(each -> each.allowance().cost(request)).orElse(0.0);
+  }
+
   String model() {
     return request.model().orElse("");
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.tenant.TenantAllowances;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,13 +26,18 @@
   private final RunnerStateTable runnerStates;
   private final DemandCounter demandCounter;
 
-  private PendingForwardTable(RunnerStateTable runnerStates, DemandCounter demandCounter) {
+  private final TenantAllowances allowances;
+
+  private PendingForwardTable(
+      RunnerStateTable runnerStates, DemandCounter demandCounter, TenantAllowances allowances) {
     this.runnerStates = runnerStates;
     this.demandCounter = demandCounter;
+    this.allowances = allowances;
   }
 
-  static PendingForwardTable create(RunnerStateTable runnerStates, DemandCounter demandCounter) {
-    return new PendingForwardTable(runnerStates, demandCounter);
+  static PendingForwardTable create(
+      RunnerStateTable runnerStates, DemandCounter demandCounter, TenantAllowances allowances) {
+    return new PendingForwardTable(runnerStates, demandCounter, allowances);
   }
 
   void add(PendingForward forward) {
@@ -100,12 +106,14 @@
     } else if (forward.mayHaveRun()) {
       refuse(forward, ResultCode.OUTCOME_UNKNOWN, Optional.empty(), step);
     } else {
+      giveBackCost(forward, step);
       refuse(forward, code, Optional.of(retryAfter), step);
     }
   }
 
   /** Ends a request whose deadline has passed; it may be at a runner. */
   void expire(PendingForward forward, GatewayStep step) {
+    giveBackCost(forward, step);
     cancelAttempts(forward, step);
     if (forward.answerStarted()) {
       abort(forward, "the time limit passed", step);
@@ -129,6 +137,13 @@
     return remaining.size();
   }
 
+  /** Returns the cost of a request that has not run and is at no runner to its tenant. */
+  void giveBackCost(PendingForward forward, GatewayStep step) {
+    if (forward.isUnexecuted() && !forward.isLive()) {
+      forward.tenant().ifPresent(tenant -> allowances.giveBack(tenant, forward.cost(), step.now()));
+    }
+  }
+
   /** Removes a request that was answered or whose caller disconnected. */
   void remove(PendingForward forward) {
     pending.remove(forward.exchange());
--- a/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
@@ -13,6 +13,8 @@
 import dev.wisteriarail.core.forward.RequestTrait;
 import dev.wisteriarail.core.forward.RunnerLoss;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.tenant.ShareGrant;
+import dev.wisteriarail.core.tenant.TenantUse;
 import java.util.List;
 import java.util.Optional;
 
@@ -71,8 +73,10 @@
    * @param demands one entry per recently requested model or adapter
    * @param uses one entry per runner and model that serve the sender's requests
    * @param viewRevision newest revision of the coordinator's views that the sender has
+   * @param tenants what limited tenants demand of the sender; empty without such tenants
    */
-  record DemandTold(List<ModelDemand> demands, List<RunnerUse> uses, long viewRevision)
+  record DemandTold(
+      List<ModelDemand> demands, List<RunnerUse> uses, long viewRevision, List<TenantUse> tenants)
       implements FleetMessage {
 
     @Override
@@ -80,10 +84,11 @@
       return true;
     }
 
-    /** Copies the lists. */
+    /** Copies the lists; messages of earlier versions lack the last one. */
     public DemandTold {
       demands = List.copyOf(demands);
       uses = List.copyOf(uses);
+      tenants = tenants == null ? List.of() : List.copyOf(tenants);
     }
   }
 
@@ -93,19 +98,32 @@
    * @param fence fencing number of the coordinator
    * @param views the views that changed since the last revision that the node reported
    * @param forecasts when the models that requests are waiting for will be ready
+   * @param grants shares of tenants' allowances for the receiver; empty without limited tenants
    */
-  record FleetTold(long fence, List<RunnerView> views, List<ModelForecast> forecasts)
+  record FleetTold(
+      long fence, List<RunnerView> views, List<ModelForecast> forecasts, List<ShareGrant> grants)
       implements FleetMessage {
 
+    /** Returns a message without grants. */
+    public static FleetTold of(long fence, List<RunnerView> views, List<ModelForecast> forecasts) {
+      return new FleetTold(fence, views, forecasts, List.of());
+    }
+
+    /** Returns this message with grants. */
+    public FleetTold with(List<ShareGrant> newGrants) {
+      return new FleetTold(fence, views, forecasts, newGrants);
+    }
+
     @Override
     public boolean isRepeated() {
       return true;
     }
 
-    /** Copies the lists. */
+    /** Copies the lists; messages of earlier versions lack the last one. */
     public FleetTold {
       views = List.copyOf(views);
       forecasts = List.copyOf(forecasts);
+      grants = grants == null ? List.of() : List.copyOf(grants);
     }
   }
 
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -57,6 +57,8 @@
   CRASHING_REQUEST(1211, 503, "runners crash on such requests"),
   /** The node failed to send the request to a runner. */
   SENDING_FAILED(1212, 503, "the node failed to send the request to a runner"),
+  /** The tenant has used its allowance. */
+  ALLOWANCE_USED(1213, 429, "the tenant has used its allowance"),
   /** The node has no configuration yet. */
   CONFIGURATION_UNKNOWN(1210, 503, "the node knows no configuration yet"),
   /** A request of this kind needs an Idempotency-Key header. */
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/tenant/AllowanceBucket.java
@@ -0,0 +1,109 @@
+package dev.wisteriarail.core.tenant;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Token bucket of one tenant on one node. The rate is scaled by the node's share of the rate,
+ * capacity and limit on the debt by its share of the burst.
+ *
+ * <p>A larger share raises the capacity but not the level, as the level that another node lost with
+ * that share may already have been used there. Not thread-safe.
+ */
+final class AllowanceBucket {
+
+  /** Level of a new bucket as a part of its capacity: a restarted node may have used the rest. */
+  private static final double INITIAL_LEVEL = 0.5;
+
+  private final AllowanceLimits limits;
+  private Allowance allowance;
+  private double rateShare;
+  private double burstShare;
+  private double level;
+  private Instant refilledAt;
+
+  private AllowanceBucket(AllowanceLimits limits, Allowance allowance, double share, Instant now) {
+    this.limits = limits;
+    this.allowance = allowance;
+    rateShare = share;
+    burstShare = share;
+    level = INITIAL_LEVEL * capacity();
+    refilledAt = now;
+  }
+
+  static AllowanceBucket create(
+      AllowanceLimits limits, Allowance allowance, double share, Instant now) {
+    return new AllowanceBucket(limits, allowance, share, now);
+  }
+
+  /** Adds what has accrued; never more than the capacity, however long ago the last call was. */
+  void refill(Instant now) {
+    if (now.isAfter(refilledAt)) {
+      double seconds = Duration.between(refilledAt, now).toNanos() / 1e9;
+      level = Math.min(capacity(), level + seconds * rate());
+      refilledAt = now;
+    }
+  }
+
+  /** Changes the shares from now on. The level is clipped at once. */
+  void setShares(double newRateShare, double newBurstShare) {
+    rateShare = newRateShare;
+    burstShare = newBurstShare;
+    level = Math.min(level, capacity());
+  }
+
+  /** Changes the allowance from now on. An increase of the capacity is usable at once. */
+  void setAllowance(Allowance newAllowance) {
+    double before = capacity();
+    allowance = newAllowance;
+    level = Math.min(level + Math.max(0, capacity() - before), capacity());
+  }
+
+  /** Takes the cost if the debt stays within the limit. */
+  boolean tryTake(double cost) {
+    if (level - cost < -debtLimit()) {
+      return false;
+    }
+    level -= cost;
+    return true;
+  }
+
+  /** Returns the cost of a request that did not run. */
+  void giveBack(double cost) {
+    level = Math.min(capacity(), level + cost);
+  }
+
+  /** Returns the seconds until a cost can be taken at the present share; infinite if never. */
+  double secondsUntil(double cost) {
+    double missing = cost - debtLimit() - level;
+    if (missing <= 0) {
+      return 0;
+    }
+    boolean never = cost > limits.largestCost(allowance, burstShare) || rate() <= 0;
+    return never ? Double.POSITIVE_INFINITY : missing / rate();
+  }
+
+  private double capacity() {
+    return burstShare * allowance.burst();
+  }
+
+  private double rate() {
+    return rateShare * limits.refillPerSecond(allowance);
+  }
+
+  private double debtLimit() {
+    return burstShare * limits.debt(allowance);
+  }
+
+  Instant refilledAt() {
+    return refilledAt;
+  }
+
+  double rateShare() {
+    return rateShare;
+  }
+
+  double burstShare() {
+    return burstShare;
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/tenant/AllowanceLedger.java
@@ -0,0 +1,222 @@
+package dev.wisteriarail.core.tenant;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Divides the part of each tenant's allowance that is not in the floors among the nodes, on the
+ * coordinator.
+ *
+ * <p>Every grant counts until the node has acknowledged a later one or until it has expired, so
+ * that the sum of the shares in force never exceeds 1, whatever messages are lost. A grant counts
+ * as expired one validity period after the report that it answers was received, which is never
+ * before it expires on the node.
+ *
+ * <p>Connections are spread unevenly: a tenant may use a third of the nodes only. If its demand is
+ * high, the other nodes are asked to lend the rate of their floors. A loan counts only after its
+ * acknowledgement and while it outlasts every grant that is made from it.
+ *
+ * <p>A new coordinator does not know what its predecessor granted to nodes that have not reported.
+ * For one validity period it therefore grants only as much as the nodes that reported had.
+ *
+ * <p>Life cycle: one per node process; {@link #begin} when the node gains the lease. Not
+ * thread-safe.
+ */
+public final class AllowanceLedger {
+
+  /** Time for which a grant is valid after the report that it answers was sent. */
+  public static final Duration GRANT_VALIDITY = Duration.ofSeconds(4);
+
+  /** Time for which a node lends after it was asked to: that of a grant, and of two renewals. */
+  static final Duration LOAN_VALIDITY = Duration.ofSeconds(8);
+
+  /** Interval between two requests to lend. */
+  private static final Duration LOAN_INTERVAL = Duration.ofSeconds(2);
+
+  /** Part of a tenant's rate that its callers demand from which idle nodes are asked to lend. */
+  private static final double LOAN_DEMAND = 0.2;
+
+  /** Interval between two divisions of a tenant's allowance; nodes report four times less often. */
+  private static final Duration DIVISION_INTERVAL = Duration.ofMillis(100);
+
+  /** Shares are multiples of one in this many, which keeps messages short. */
+  private static final double SHARE_UNITS = 1e5;
+
+  /** Bits of a grant's number below the fencing number of its coordinator. */
+  private static final int NUMBER_BITS = 36;
+
+  private final AllowanceLimits limits;
+  private final Map<String, Allowance> allowances = new TreeMap<>();
+  private final Map<String, Map<String, ShareHolder>> holders = new HashMap<>();
+  private final Map<String, Long> incarnations = new HashMap<>();
+  private final Map<String, Division> divisions = new HashMap<>();
+  private int nodes = 1;
+  private long nextNumber = 1;
+  private Instant startedAt = Instant.EPOCH;
+
+  private AllowanceLedger(AllowanceLimits limits) {
+    this.limits = limits;
+  }
+
+  /** Creates a ledger without grants. */
+  public static AllowanceLedger create(AllowanceLimits limits) {
+    return new AllowanceLedger(limits);
+  }
+
+  /**
+   * Starts anew with a lease.
+   *
+   * @param fence the fencing number of the lease
+   */
+  public void begin(long fence, Instant now) {
+    holders.clear();
+    incarnations.clear();
+    divisions.clear();
+    nextNumber = (fence << NUMBER_BITS) + 1;
+    startedAt = now;
+  }
+
+  /** Applies the tenants of a configuration and the number of nodes that share the floors. */
+  public void configure(List<TenantSpec> tenants, int newNodes) {
+    nodes = Math.max(1, newNodes);
+    allowances.clear();
+    for (TenantSpec tenant : tenants) {
+      if (tenant.allowance().isLimited()) {
+        allowances.put(tenant.name(), tenant.allowance());
+      }
+    }
+    holders.keySet().retainAll(allowances.keySet());
+    divisions.clear();
+  }
+
+  /** Handles a node's report. */
+  public void accept(String node, long incarnation, List<TenantUse> uses, Instant now) {
+    Long before = incarnations.put(node, incarnation);
+    if (before != null && before != incarnation) {
+      // The new run of the node does not know what the earlier one lent.
+      holders.values().stream()
+          .map(byNode -> byNode.get(key(node, before)))
+          .forEach(holder -> Optional.ofNullable(holder).ifPresent(ShareHolder::endLoan));
+    }
+    for (TenantUse use : uses) {
+      if (allowances.containsKey(use.tenant())) {
+        holder(use.tenant(), key(node, incarnation)).accept(use, now);
+      }
+    }
+  }
+
+  private ShareHolder holder(String tenant, String key) {
+    return holders
+        .computeIfAbsent(tenant, name -> new TreeMap<>())
+        .computeIfAbsent(key, name -> new ShareHolder());
+  }
+
+  /** Returns the grants for a node that has reported; empty if nothing changes. */
+  public List<ShareGrant> grantsFor(String node, Instant now) {
+    List<ShareGrant> grants = new ArrayList<>();
+    Long incarnation = incarnations.get(node);
+    if (incarnation == null) {
+      return grants;
+    }
+    allowances.forEach(
+        (tenant, allowance) -> {
+          Map<String, ShareHolder> byNode = holders.get(tenant);
+          if (byNode != null) {
+            byNode.values().removeIf(each -> each.isForgotten(now));
+            boolean active = byNode.values().stream().anyMatch(each -> each.isActive(now));
+            if (active || byNode.containsKey(key(node, incarnation))) {
+              ShareHolder holder = holder(tenant, key(node, incarnation));
+              grant(tenant, allowance, holder, now).ifPresent(grants::add);
+            }
+          }
+        });
+    return grants;
+  }
+
+  private Optional<ShareGrant> grant(
+      String tenant, Allowance allowance, ShareHolder holder, Instant now) {
+    List<ShareHolder> all = List.copyOf(holders.get(tenant).values());
+    boolean takingOver = now.isBefore(startedAt.plus(GRANT_VALIDITY));
+    double pool = 1 - TenantAllowances.FLOORS;
+    double loans = 0;
+    for (ShareHolder each : all) {
+      loans += each.lendsAt(now.plus(GRANT_VALIDITY)) ? lentByNode() : 0;
+    }
+    if (takingOver) {
+      pool = Math.min(pool, all.stream().mapToDouble(ShareHolder::inheritedShare).sum());
+      loans = Math.min(loans, all.stream().mapToDouble(ShareHolder::inheritedLent).sum());
+    }
+    double share = 0;
+    double lent = 0;
+    if (holder.isUnanswered() && !(takingOver && holder.hasInheritedGrant(now))) {
+      ShareTargets.Target target =
+          targets(tenant, allowance, all, pool, loans, now)
+              .getOrDefault(holder, ShareTargets.Target.NONE);
+      double others = all.stream().mapToDouble(each -> each.heldShare(now)).sum();
+      double othersLent = all.stream().mapToDouble(each -> each.heldLent(now)).sum();
+      share = within(target.share(), pool - others + holder.heldShare(now));
+      lent = within(target.lent(), loans - othersLent + holder.heldLent(now));
+    }
+    boolean lends = isLoanDue(allowance, holder, all, now);
+    boolean grants = holder.isUnanswered() && holder.needs(share, lent, now);
+    if (!grants && !lends) {
+      return Optional.empty();
+    }
+    long number = nextNumber++;
+    long answers = holder.add(number, share, lent, now);
+    if (lends) {
+      holder.askToLend(number, now);
+    }
+    long lendMillis = lends ? LOAN_VALIDITY.toMillis() : 0;
+    return Optional.of(new ShareGrant(tenant, number, share, lent, answers, lendMillis));
+  }
+
+  private Map<ShareHolder, ShareTargets.Target> targets(
+      String tenant,
+      Allowance allowance,
+      List<ShareHolder> all,
+      double pool,
+      double loans,
+      Instant now) {
+    Division last = divisions.get(tenant);
+    if (last == null || !now.isBefore(last.at.plus(DIVISION_INTERVAL))) {
+      double perShare = limits.largestCost(allowance, 1);
+      last = new Division(ShareTargets.of(all, floor(), pool, loans, perShare, now), now);
+      divisions.put(tenant, last);
+    }
+    return last.targets;
+  }
+
+  private boolean isLoanDue(
+      Allowance allowance, ShareHolder holder, List<ShareHolder> all, Instant now) {
+    double demand = all.stream().mapToDouble(each -> each.demand(now)).sum();
+    return demand > LOAN_DEMAND * allowance.ratePerSecond()
+        && !holder.isActive(now)
+        && holder.heldShare(now) + holder.heldLent(now) == 0
+        && !now.isBefore(holder.askedAt().plus(LOAN_INTERVAL));
+  }
+
+  private double floor() {
+    return TenantAllowances.FLOORS / nodes;
+  }
+
+  private double lentByNode() {
+    return floor() * TenantAllowances.LENT_PART;
+  }
+
+  private static double within(double wanted, double free) {
+    return Math.floor(Math.max(0, Math.min(wanted, free)) * SHARE_UNITS) / SHARE_UNITS;
+  }
+
+  private static String key(String node, long incarnation) {
+    return node + "#" + incarnation;
+  }
+
+  private record Division(Map<ShareHolder, ShareTargets.Target> targets, Instant at) {}
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/tenant/TenantAllowances.java
@@ -0,0 +1,264 @@
+package dev.wisteriarail.core.tenant;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Decides on one node whether a tenant's request is within the tenant's allowance.
+ *
+ * <p>The allowance applies to all nodes together, and callers use few of them. Each node has a
+ * share: its floor, and what the coordinator grants it for {@link AllowanceLedger#GRANT_VALIDITY}.
+ * A node where a tenant has no callers lends most of the rate of its floor when the coordinator
+ * asks for it, but keeps its burst for the first requests. The sum of all shares never exceeds 1.
+ *
+ * <p>Life cycle: one per run of a node. Not thread-safe.
+ */
+public final class TenantAllowances {
+
+  /** Sum of the floors of all nodes. */
+  public static final double FLOORS = 0.5;
+
+  /** Part of the rate of its floor that a node lends. */
+  static final double LENT_PART = 0.9;
+
+  /** Minimum time between two reports, so that they stay below 4 KB/s for 16 tenants. */
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(400);
+
+  /** Reports that acknowledge a loan, in case one is lost. */
+  private static final int LOAN_REPORTS = 2;
+
+  /** Retry-after time of requests that the present share can never admit. */
+  private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(30);
+
+  /** Part of the retry-after time over which callers are spread. */
+  private static final double RETRY_SPREAD = 0.25;
+
+  private static final int SPREAD_STEPS = 1_000;
+
+  private final AllowanceLimits limits;
+  private final Map<String, Account> accounts = new TreeMap<>();
+  private double floor;
+  private Instant nextReport = Instant.MIN;
+
+  private TenantAllowances(AllowanceLimits limits) {
+    this.limits = limits;
+  }
+
+  /** Creates allowances without tenants; the floor is 0 until the number of nodes is known. */
+  public static TenantAllowances create(AllowanceLimits limits) {
+    return new TenantAllowances(limits);
+  }
+
+  // Configuration
+
+  /** Applies a configuration. Tenants that stay keep what they have used. */
+  public void configure(List<TenantSpec> tenants, Instant now) {
+    Set<String> limited = new HashSet<>();
+    for (TenantSpec tenant : tenants) {
+      if (tenant.allowance().isLimited()) {
+        limited.add(tenant.name());
+        Account account = accounts.get(tenant.name());
+        if (account == null) {
+          accounts.put(tenant.name(), new Account(tenant.allowance(), now));
+        } else {
+          account.advance(now);
+          account.bucket.setAllowance(tenant.allowance());
+        }
+      }
+    }
+    accounts.keySet().retainAll(limited);
+  }
+
+  /**
+   * Sets the number of nodes that share the floors.
+   *
+   * @param nodes number of nodes, which must not be too low
+   */
+  public void setNodes(int nodes, Instant now) {
+    double newFloor = FLOORS / Math.max(1, nodes);
+    if (newFloor != floor) {
+      floor = newFloor;
+      accounts.values().forEach(account -> account.advance(now));
+    }
+  }
+
+  // Requests
+
+  /** Takes the cost of a request from the tenant's allowance if it suffices. */
+  public boolean tryAcquire(TenantSpec tenant, double cost, Instant now) {
+    Account account = accounts.get(tenant.name());
+    if (account == null) {
+      return true;
+    }
+    account.advance(now);
+    account.demand.add(cost, now);
+    boolean taken = account.bucket.tryTake(cost);
+    if (taken) {
+      account.admitted += cost;
+    } else {
+      account.refused += cost;
+    }
+    return taken;
+  }
+
+  /**
+   * Returns when a refused request can be admitted, spread by its fingerprint so that callers do
+   * not return together.
+   */
+  public Duration retryAfter(TenantSpec tenant, double cost, long fingerprint, Instant now) {
+    Account account = accounts.get(tenant.name());
+    if (account == null) {
+      return Duration.ZERO;
+    }
+    account.advance(now);
+    double seconds =
+        Math.min(account.bucket.secondsUntil(cost), (double) MAX_RETRY_AFTER.toSeconds());
+    double spread =
+        RETRY_SPREAD * Math.floorMod(Long.hashCode(fingerprint), SPREAD_STEPS) / SPREAD_STEPS;
+    return Duration.ofMillis((long) Math.ceil(1_000 * seconds * (1 + spread)));
+  }
+
+  /** Returns the cost of a request that ended without having run. */
+  public void giveBack(TenantSpec tenant, double cost, Instant now) {
+    Account account = accounts.get(tenant.name());
+    if (account != null) {
+      account.advance(now);
+      account.bucket.giveBack(cost);
+      account.admitted -= cost;
+    }
+  }
+
+  // Shares
+
+  /** Returns whether a report is due. */
+  public boolean isReportDue(Instant now) {
+    return !accounts.isEmpty() && !now.isBefore(nextReport);
+  }
+
+  /** Returns the tenants with recent requests or a grant, for the coordinator. */
+  public List<TenantUse> report(Instant now) {
+    nextReport = now.plus(REPORT_INTERVAL);
+    List<TenantUse> uses = new ArrayList<>();
+    accounts.forEach(
+        (tenant, account) -> {
+          account.advance(now);
+          if (account.demand.isRecent(now)
+              || account.granted + account.lent > 0
+              || account.loanReports > 0) {
+            account.loanReports--;
+            uses.add(account.use(tenant, now));
+          }
+        });
+    return uses;
+  }
+
+  /**
+   * Handles grants. Those that are older than the one in force are ignored, as they may be of an
+   * earlier coordinator.
+   */
+  public void accept(List<ShareGrant> grants, Instant now) {
+    for (ShareGrant grant : grants) {
+      Account account = accounts.get(grant.tenant());
+      if (account != null && grant.number() > account.number) {
+        account.advance(now);
+        account.number = grant.number();
+        account.granted = grant.share();
+        account.lent = grant.lent();
+        account.validUntil =
+            Instant.ofEpochMilli(grant.answersMillis()).plus(AllowanceLedger.GRANT_VALIDITY);
+        if (grant.lendMillis() > 0) {
+          account.lend(grant.number(), now.plusMillis(grant.lendMillis()));
+        }
+        account.advance(now);
+      }
+    }
+  }
+
+  /** Returns this node's share of a tenant's rate. */
+  public double share(TenantSpec tenant) {
+    Account account = accounts.get(tenant.name());
+    return account == null ? 1 : account.bucket.rateShare();
+  }
+
+  /** Returns what was admitted and refused for each limited tenant. */
+  public List<TenantCount> counts() {
+    List<TenantCount> counts = new ArrayList<>();
+    accounts.forEach(
+        (tenant, account) ->
+            counts.add(
+                new TenantCount(
+                    tenant, account.admitted, account.refused, account.bucket.rateShare())));
+    return counts;
+  }
+
+  /** What one tenant has used on this node. */
+  private final class Account {
+
+    private final AllowanceBucket bucket;
+    private final DemandMeter demand = new DemandMeter();
+    private long number;
+    private double granted;
+    private double lent;
+    private Instant validUntil = Instant.EPOCH;
+    private long loan;
+    private int loanReports;
+    private Instant lendsUntil = Instant.EPOCH;
+    private double admitted;
+    private double refused;
+
+    private Account(Allowance allowance, Instant now) {
+      bucket = AllowanceBucket.create(limits, allowance, floor, now);
+    }
+
+    private void lend(long number, Instant until) {
+      loan = number;
+      loanReports = LOAN_REPORTS;
+      lendsUntil = until.isAfter(lendsUntil) ? until : lendsUntil;
+    }
+
+    /** Refills the bucket with the shares of each moment; grants and loans may have ended. */
+    private void advance(Instant now) {
+      boolean grantEndsFirst = validUntil.isBefore(lendsUntil);
+      advanceTo(grantEndsFirst ? validUntil : lendsUntil, now);
+      advanceTo(grantEndsFirst ? lendsUntil : validUntil, now);
+      bucket.refill(now);
+      updateShares(now);
+    }
+
+    private void advanceTo(Instant end, Instant now) {
+      if (end.isAfter(bucket.refilledAt()) && end.isBefore(now)) {
+        bucket.refill(end);
+        updateShares(end);
+      }
+    }
+
+    private void updateShares(Instant now) {
+      if (!now.isBefore(validUntil)) {
+        granted = 0;
+        lent = 0;
+      }
+      double ownRate = now.isBefore(lendsUntil) ? floor * (1 - LENT_PART) : floor;
+      bucket.setShares(ownRate + granted + lent, floor + granted);
+    }
+
+    private TenantUse use(String tenant, Instant now) {
+      long validMillis = granted + lent > 0 ? Duration.between(now, validUntil).toMillis() : 0;
+      return new TenantUse(
+          tenant,
+          Math.rint(demand.perSecond(now) * 10) / 10,
+          Math.ceil(demand.largest(now)),
+          number,
+          granted,
+          lent,
+          loan,
+          Math.max(0, validMillis),
+          now.toEpochMilli());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/dev/wisteriarail/core/tenant/TenantUse.java
@@ -0,0 +1,43 @@
+package dev.wisteriarail.core.tenant;
+
+/**
+ * A node's report about one tenant to the coordinator.
+ *
+ * @param tenant the tenant's name
+ * @param demand cost per second that callers demand at the node, admitted and refused
+ * @param largest largest cost of a recent request
+ * @param number number of the newest grant that the node has received; 0 if none
+ * @param share share that this grant gives the node; 0 if it is no longer valid
+ * @param lent lent share that this grant gives the node; 0 if it is no longer valid
+ * @param loan number of the newest grant that asked the node to lend; 0 if none did
+ * @param validMillis for how long the grant is still valid
+ * @param sentMillis time of the node's clock at which the report was made
+ */
+public record TenantUse(
+    String tenant,
+    double demand,
+    double largest,
+    long number,
+    double share,
+    double lent,
+    long loan,
+    long validMillis,
+    long sentMillis) {
+
+  /** Returns whether all fields are in their ranges, as decoding does not check them. */
+  public boolean isUsable() {
+    return tenant != null
+        && Double.isFinite(demand)
+        && demand >= 0
+        && Double.isFinite(largest)
+        && largest >= 0
+        && number >= 0
+        && share >= 0
+        && share <= 1
+        && lent >= 0
+        && lent <= 1
+        && loan >= 0
+        && validMillis >= 0
+        && validMillis <= AllowanceLedger.GRANT_VALIDITY.toMillis();
+  }
+}
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzedNode.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.gateway.GatewaySettings;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.id.NodeId;
+import dev.wisteriarail.core.tenant.AllowanceLimits;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -72,6 +73,7 @@
             List.of(),
             FleetTimings.DEFAULT.withOrders(Duration.ofSeconds(3), true),
             GatewayFuzzDeployment.RETRIES,
+            AllowanceLimits.DEFAULT,
             GatewayFuzzDeployment.GRACE);
     core = GatewayCore.create(defect.alter(settings));
     return incarnation;
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -5,6 +5,7 @@
 import dev.wisteriarail.core.id.FailureDomain;
 import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.core.tenant.AllowanceLimits;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -29,6 +30,7 @@
  * @param storeAddress address of the platform's store, as host and port
  * @param timings intervals and timeouts of coordination between nodes
  * @param retries limits on the retries that all nodes send
+ * @param allowances what is tolerated beyond the allowances of tenants
  * @param drainLimit time after a stop request until the process has to end
  */
 public record GatewayFile(
@@ -45,6 +47,7 @@
     String storeAddress,
     FleetTimings timings,
     RetryLimits retries,
+    AllowanceLimits allowances,
     Duration drainLimit) {
 
   /** Default time within which every node must know that a runner is leaving. */
@@ -96,6 +99,7 @@
                 seconds(toml, "retries.window_s", 10),
                 toml.number("retries.ratio", 0, 10, 0.2),
                 toml.number("retries.slack", 0, 100_000, 50)),
+            allowances(toml),
             seconds(toml, "node.drain_limit_s", 8));
     toml.check();
     return file;
@@ -138,6 +142,7 @@
             && seeds.equals(other.seeds);
     add(tables, "gateway", !sameAddresses);
     add(tables, "store", !storeAddress.equals(other.storeAddress));
+    add(tables, "allowances", !allowances.equals(other.allowances));
     add(tables, "orders", !timings.equals(other.timings));
     return tables;
   }
@@ -157,6 +162,14 @@
         .withLeaveBound(toml.millis("runners.leave_within_ms", DEFAULT_LEAVE_BOUND));
   }
 
+  private static AllowanceLimits allowances(TomlDocument toml) {
+    AllowanceLimits defaults = AllowanceLimits.DEFAULT;
+    return new AllowanceLimits(
+        seconds(toml, "allowances.window_s", (double) defaults.window().toSeconds()),
+        toml.number("allowances.overage", 0, 10, defaults.overage()),
+        toml.number("allowances.slack", 0, 1e12, defaults.slack()));
+  }
+
   private static Duration seconds(TomlDocument toml, String path, double defaultValue) {
     return Duration.ofMillis(Math.round(1000 * toml.number(path, 0.1, 3_600, defaultValue)));
   }
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -26,6 +26,7 @@
 import dev.wisteriarail.core.route.RouteSpec;
 import dev.wisteriarail.core.route.ServicePool;
 import dev.wisteriarail.core.route.ServiceShare;
+import dev.wisteriarail.core.tenant.AllowanceLimits;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -79,6 +80,7 @@
         List.of(),
         FleetTimings.DEFAULT,
         new RetryLimits(Duration.ofSeconds(10), 0.2, 50),
+        AllowanceLimits.DEFAULT,
         grace);
   }
 
@@ -174,7 +176,7 @@
         new GatewayEvent.PeerMessageReceived(
             NodeId.of(coordinator),
             Incarnation.of(1),
-            new FleetMessage.FleetTold(9, List.of(), List.of(forecast))));
+            FleetMessage.FleetTold.of(9, List.of(), List.of(forecast))));
   }
 
   /** Delivers a view from the coordinator in which an engine holds a model. */
@@ -185,7 +187,7 @@
         new GatewayEvent.PeerMessageReceived(
             NodeId.of("n2"),
             Incarnation.of(1),
-            new FleetMessage.FleetTold(9, List.of(view), List.of())));
+            FleetMessage.FleetTold.of(9, List.of(view), List.of())));
   }
 
   void directory(long to, RunnerEntry... entries) {
--- a/src/test/java/dev/wisteriarail/core/gateway/ExtremeValuesTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/ExtremeValuesTest.java
@@ -138,7 +138,7 @@
         new GatewayEvent.PeerMessageReceived(
             NodeId.of("n2"),
             Incarnation.of(1),
-            new FleetMessage.FleetTold(9, List.of(view), forecasts)));
+            FleetMessage.FleetTold.of(9, List.of(view), forecasts)));
   }
 
   private void assertOthersAreServed() {
--- a/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/GatewayCoreTest.java
@@ -228,7 +228,7 @@
         new GatewayEvent.PeerMessageReceived(
             NodeId.of("n2"),
             Incarnation.of(1),
-            new FleetMessage.FleetTold(
+            FleetMessage.FleetTold.of(
                 9,
                 List.of(),
                 List.of(new ModelForecast(CoreHarness.ENGINES, "m0", "a1", 60_000)))));
--- a/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
@@ -28,6 +28,7 @@
 import dev.wisteriarail.core.route.RouteSpec;
 import dev.wisteriarail.core.route.ServicePool;
 import dev.wisteriarail.core.route.ServiceShare;
+import dev.wisteriarail.core.tenant.AllowanceLimits;
 import dev.wisteriarail.fuzz.VirtualScheduler;
 import dev.wisteriarail.fuzz.gateway.LeaseLog;
 import java.time.Duration;
@@ -132,6 +133,7 @@
                 List.of(),
                 FleetTimings.DEFAULT.withOrders(HANDOVER, true),
                 new RetryLimits(Duration.ofSeconds(10), 0.2, 50),
+                AllowanceLimits.DEFAULT,
                 GRACE_PERIOD));
     tick(member, member.run);
   }
--- /dev/null
+++ b/src/test/java/dev/wisteriarail/core/tenant/AllowanceFleetTest.java
@@ -0,0 +1,124 @@
+package dev.wisteriarail.core.tenant;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Tests allowances over many nodes, with callers that are spread unevenly over them. */
+class AllowanceFleetTest {
+
+  private static final int NODES = 66;
+  private static final double RATE = AllowanceFleet.ALLOWANCE.ratePerSecond();
+
+  private final AllowanceFleet fleet = new AllowanceFleet(NODES);
+
+  /** One node with 10% of the demand, 20 nodes with little and 45 nodes with none. */
+  private static double[] uneven(double total) {
+    double[] demand = new double[NODES];
+    demand[0] = 0.1 * total;
+    Arrays.fill(demand, 1, 21, 0.9 * total / 20);
+    return demand;
+  }
+
+  /** Guards against equal shares, which starve the nodes that have most callers. */
+  @Test
+  void usualDemandIsNotRefused() {
+    fleet.demand(uneven(0.55 * RATE));
+    fleet.run(5);
+    fleet.resetCounts();
+    fleet.run(60);
+    assertThat(fleet.refusedShare()).isLessThan(0.001);
+  }
+
+  enum Trouble {
+    NONE,
+    COORDINATOR_LOST,
+    COORDINATOR_REPLACED,
+    CUT_OFF,
+    FROZEN,
+    COORDINATOR_FROZEN,
+    ALL_RESTARTED,
+    ALL_NODES_HOT,
+    MOVING
+  }
+
+  /** Guards against more than the allowance in a window, whatever fails while a tenant is hot. */
+  @ParameterizedTest
+  @EnumSource(Trouble.class)
+  void hotTenantStaysWithinBound(Trouble trouble) {
+    fleet.demand(uneven(0.55 * RATE));
+    fleet.run(20);
+    fleet.demand(uneven(7 * 0.55 * RATE));
+    fleet.run(3);
+    switch (trouble) {
+      case NONE -> {}
+      case COORDINATOR_LOST -> fleet.loseCoordinator();
+      case COORDINATOR_REPLACED -> {
+        fleet.loseCoordinator();
+        fleet.run(2);
+        fleet.electCoordinator();
+      }
+      case CUT_OFF -> fleet.cut(0);
+      case FROZEN -> {
+        fleet.freeze(0);
+        fleet.run(6);
+        fleet.wake(0);
+      }
+      case COORDINATOR_FROZEN -> {
+        fleet.delayGrants(true);
+        fleet.run(6);
+        fleet.electCoordinator();
+        fleet.run(2);
+        fleet.delayGrants(false);
+      }
+      case ALL_NODES_HOT -> {
+        double[] hot = new double[NODES];
+        Arrays.fill(hot, RATE);
+        fleet.demand(hot);
+      }
+      case ALL_RESTARTED -> {
+        for (int i = 0; i < NODES; i++) {
+          fleet.restart(i);
+        }
+        fleet.electCoordinator();
+      }
+      case MOVING -> {
+        for (int i = 0; i < 20; i++) {
+          double[] moved = new double[NODES];
+          Arrays.fill(moved, i * 3, i * 3 + 3, RATE);
+          fleet.demand(moved);
+          fleet.run(1);
+        }
+      }
+    }
+    for (int i = 0; i < 100; i++) {
+      fleet.run(0.1);
+      assertThat(fleet.sumOfShares()).isAtMost(1.000_001);
+    }
+    assertThat(fleet.largestWindow(0)).isAtMost(AllowanceFleet.bound(AllowanceFleet.ALLOWANCE));
+  }
+
+  /** Guards against nodes that keep using a limit that was lowered. */
+  @Test
+  void loweredLimitIsBinding() {
+    Allowance lowered = new Allowance(Allowance.Unit.TOKENS, RATE / 4, RATE / 4, 1_000);
+    fleet.demand(uneven(7 * 0.55 * RATE));
+    fleet.run(10);
+    fleet.limit(lowered);
+    fleet.run(20);
+    assertThat(fleet.largestWindow(13)).isAtMost(AllowanceFleet.bound(lowered));
+  }
+
+  /** Guards against a limit that a hot tenant can use in part only. */
+  @Test
+  void hotTenantUsesItsLimit() {
+    fleet.demand(uneven(0.55 * RATE));
+    fleet.run(20);
+    fleet.demand(uneven(3 * 0.55 * RATE));
+    fleet.run(11);
+    assertThat(fleet.largestWindow(20)).isAtLeast(8 * 0.9 * RATE);
+  }
+}
--- a/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
+++ b/src/test/java/dev/wisteriarail/fuzz/GatewayDefects.java
@@ -191,6 +191,7 @@
           settings.seeds(),
           settings.timings(),
           new RetryLimits(Duration.ofSeconds(10), 100, 10_000),
+          settings.allowances(),
           settings.drainGrace());
     }
   },
@@ -274,6 +275,7 @@
           settings.seeds(),
           settings.timings(),
           settings.retries(),
+          settings.allowances(),
           settings.drainGrace().multipliedBy(4));
     }
   },
