--- a/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/OrderPauses.java
@@ -137,13 +137,13 @@
 
   private Map<String, Instant> untilByRunner() {
     Map<String, Instant> until = new HashMap<>(inheritedUntil);
-    lastArrival.forEach((runner, at) -> extend(until, runner, at));
+    lastArrival.forEach((runner, at) -> extendPause(until, runner, at));
     openOrders.forEach(
-        (runner, orders) -> orders.values().forEach(at -> extend(until, runner, at)));
+        (runner, orders) -> orders.values().forEach(at -> extendPause(until, runner, at)));
     return until;
   }
 
-  private void extend(Map<String, Instant> until, String runner, Instant arrival) {
+  private void extendPause(Map<String, Instant> until, String runner, Instant arrival) {
     until.merge(runner, arrival.plus(handoverDelay), (a, b) -> a.isAfter(b) ? a : b);
   }
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -11,6 +11,7 @@
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.core.route.RouteSpec;
+import dev.wisteriarail.core.tenant.TenantAllowances;
 import dev.wisteriarail.core.tenant.TenantSpec;
 import java.time.Duration;
 import java.time.Instant;
@@ -41,6 +42,7 @@
   private final CallerAuthenticator authenticator;
   private final CrashGuard crashGuard;
   private final DemandCounter demandCounter = DemandCounter.create();
+  private final AllowanceGate allowanceGate;
   private final PendingForwardTable pending;
   private final CompletionEstimator completionEstimator;
   private final AttemptSender sender;
@@ -53,11 +55,13 @@
       RunnerStateTable runnerStates,
       CallerAuthenticator authenticator,
       CrashGuard crashGuard,
+      TenantAllowances allowances,
       DrainPlan drain) {
     this.authenticator = authenticator;
     this.crashGuard = crashGuard;
     this.runnerStates = runnerStates;
-    pending = PendingForwardTable.create(runnerStates, demandCounter);
+    pending = PendingForwardTable.create(runnerStates, demandCounter, allowances);
+    allowanceGate = AllowanceGate.create(allowances);
     completionEstimator = CompletionEstimator.create(pending, authenticator, this::startsIn);
     RunnerPicker picker = RunnerPicker.create(settings.domain(), runnerStates);
     sender =
@@ -73,8 +77,9 @@
       RunnerStateTable runnerStates,
       CallerAuthenticator authenticator,
       CrashGuard crashGuard,
+      TenantAllowances allowances,
       DrainPlan drain) {
-    return new Forwarder(settings, runnerStates, authenticator, crashGuard, drain);
+    return new Forwarder(settings, runnerStates, authenticator, crashGuard, allowances, drain);
   }
 
   /** Applies changed retry limits. */
@@ -124,6 +129,9 @@
               Optional.of(Duration.ofMillis(refusal.get().remainingMillis()))));
       return;
     }
+    if (!allowanceGate.tryAdmit(forward, step)) {
+      return;
+    }
     pending.add(forward);
     sender.countRequest(service, step.now());
     demandCounter.countArrival(forward);
@@ -336,6 +344,7 @@
         .ifPresent(
             forward -> {
               completionEstimator.recordEnd(forward, step.now());
+              pending.giveBackCost(forward, step);
               pending.cancelAttempts(forward, step);
               ForwardLog.callerDisconnected(forward, step);
               pending.remove(forward);
--- a/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
@@ -46,7 +46,7 @@
    */
   public static HttpClient start(
       QueuedThreadPool threads, Scheduler scheduler, long idleMillis, boolean reuse) {
-    return start(threads, scheduler, idleMillis, reuse, false);
+    return startClient(threads, scheduler, idleMillis, reuse, false);
   }
 
   /**
@@ -61,10 +61,10 @@
    */
   public static HttpClient startForControlCalls(
       QueuedThreadPool threads, Scheduler scheduler, long idleMillis) {
-    return start(threads, scheduler, idleMillis, true, true);
+    return startClient(threads, scheduler, idleMillis, true, true);
   }
 
-  private static HttpClient start(
+  private static HttpClient startClient(
       QueuedThreadPool threads,
       Scheduler scheduler,
       long idleMillis,
--- a/src/test/java/dev/wisteriarail/core/gateway/CallerAuthenticationTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CallerAuthenticationTest.java
@@ -153,6 +153,7 @@
         base.seeds(),
         base.timings(),
         base.retries(),
+        base.allowances(),
         base.drainGrace(),
         new RevocationRule(failClosed, BOUND));
   }
--- a/src/test/java/dev/wisteriarail/platform/AbandonedCallTest.java
+++ b/src/test/java/dev/wisteriarail/platform/AbandonedCallTest.java
@@ -66,7 +66,7 @@
   void unansweredCallResetsItsConnection(Call call) throws Exception {
     try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
       CountDownLatch ended = new CountDownLatch(1);
-      start(call, server.getLocalPort(), ended);
+      send(call, server.getLocalPort(), ended);
       try (Socket connection = server.accept()) {
         connection.setSoTimeout(LIMIT_MILLIS);
         assertThat(connection.getInputStream().read()).isAtLeast(0);
@@ -77,7 +77,7 @@
     }
   }
 
-  private void start(Call call, int port, CountDownLatch ended) {
+  private void send(Call call, int port, CountDownLatch ended) {
     HttpPlatformClient client = HttpPlatformClient.create(http, "127.0.0.1:" + port);
     RunnerEntry runner =
         new RunnerEntry(
@@ -94,7 +94,7 @@
               notification -> {},
               (outcome, text) -> ended.countDown());
       case REPORT -> client.requestReport(runner, notification -> {}, report -> ended.countDown());
-      case LEASE_RENEWAL ->
+      default ->
           client.callLease(
               new LeaseCall.Append(1, LeaseRecord.claim("n", 1, 0)), answer -> ended.countDown());
     }
