Account of held bytes and buffers for slow callers

Cause: whatever a node holds for slow callers and runners counts toward its memory limit without a bound, and a runner is not read while the caller does not read, so that it cuts the response off.

Change: core.gateway.HeldBytes accounts request bodies, buffered responses and unwritten stream events and decides who yields. Events that a caller has not read are buffered by StreamWriter while the account allows it. The settings' table [memory] turns this on; without it the account only counts and streams are read as their callers read.

--- a/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
+++ b/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
@@ -18,16 +18,17 @@
   record Prevailed(int over) implements AttemptResult {}
 
   /**
-   * The caller does not read what was relayed, so no more of the response is received until it
-   * does.
+   * No more of the response is received for now: the caller does not read what was relayed, or the
+   * node has no space to hold more.
    */
   record Paused() implements AttemptResult {}
 
-  /** The caller has read what was relayed since {@link Paused}; the response is received again. */
+  /** The reason for {@link Paused} has ended; the response is received again. */
   record Resumed() implements AttemptResult {}
 
   /**
-   * The complete response was relayed to the caller.
+   * The complete response was relayed to the caller, or is held for it and no longer needs its
+   * runner.
    *
    * @param status HTTP status
    */
--- a/src/main/java/dev/wisteriarail/core/result/ResultCode.java
+++ b/src/main/java/dev/wisteriarail/core/result/ResultCode.java
@@ -25,6 +25,8 @@
   HEADERS_TOO_LARGE(1006, 431, "the request header exceeds the size limit"),
   /** The node reached its limit of open requests. */
   NODE_FULL(1007, 503, "the node holds as many open requests as it may"),
+  /** The node holds too many bytes of requests and responses to take another request. */
+  MEMORY_FULL(1008, 503, "the node holds as many bytes of requests and responses as it may"),
   /** The bearer token is missing or unknown. */
   UNAUTHENTICATED(1101, 401, "the bearer token is missing or unknown"),
   /** The model does not exist or belongs to another customer. */
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -3,9 +3,11 @@
 import dev.wisteriarail.core.fleet.RunnerNotification;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.gateway.GatewayEffect;
+import dev.wisteriarail.core.gateway.HeldBytes;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.Request;
@@ -14,14 +16,16 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * Relays a runner's response to the caller: a stream event by event, any other successful response
  * once it is complete, and a failure only when the core decides so.
  *
  * <p>Backpressure: more content is demanded from the runner only after the previous content was
- * written to the caller. Life cycle: one instance per attempt. Jetty invokes the listener methods
- * serially; {@link #cancel} may be called from any thread.
+ * written to the caller, or is held by the account of held bytes with space for more. Life cycle:
+ * one instance per attempt. Jetty invokes the listener methods serially; {@link #cancel} may be
+ * called from any thread.
  */
 final class AttemptRelay
     implements Response.HeadersListener, Response.AsyncContentListener, Response.CompleteListener {
@@ -32,11 +36,16 @@
   /** Minimum interval between two progress reports to the core. */
   private static final long PROGRESS_INTERVAL_NANOS = 200_000_000;
 
+  /** Interval at which a response that waits for space in the account asks again. */
+  private static final long SPACE_POLL_MILLIS = 20;
+
   private final CallerExchange exchange;
   private final GatewayEffect.SendAttempt attempt;
   private final RunnerProtocol protocol;
   private final Consumer<RunnerNotification> notifications;
   private final Consumer<AttemptResult> results;
+  private final HeldBytes.Holding holding;
+  private final Scheduler scheduler;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   private final AtomicReference<Sending> sending = new AtomicReference<>(Sending.NOT_BEGUN);
   private volatile Request request;
@@ -48,18 +57,22 @@
   /** Whether events are being written to the caller; guarded by this object's lock. */
   private boolean writing;
 
-  /** Whether {@code Paused} was reported for the current write; guarded by this object's lock. */
+  /** Whether {@code Paused} was reported last; guarded by this object's lock. */
   private boolean paused;
 
   AttemptRelay(
       CallerExchange exchange,
       GatewayEffect.SendAttempt attempt,
       RunnerProtocol protocol,
+      HeldBytes heldBytes,
+      Scheduler scheduler,
       Consumer<RunnerNotification> notifications,
       Consumer<AttemptResult> results) {
     this.exchange = exchange;
     this.attempt = attempt;
     this.protocol = protocol;
+    this.scheduler = scheduler;
+    holding = heldBytes.open(HeldBytes.Kind.BUFFERED_RESPONSE);
     this.notifications = notifications;
     this.results = results;
   }
@@ -92,6 +105,7 @@
   /** Aborts the attempt, which closes its connection. Its output is refused from now on. */
   void cancel() {
     exchange.dropAttempt(attempt.attempt());
+    holding.close();
     Request sent = request;
     if (sent != null && !completed) {
       CompletableFuture<Boolean> _ =
@@ -124,10 +138,11 @@
     byte[] bytes = BufferUtil.toArray(chunk.getByteBuffer());
     if (!isEventStream()) {
       bufferedBody.writeBytes(bytes);
+      holding.hold(bytes.length);
       if (bufferedBody.size() > MAX_BUFFERED_BYTES) {
         abort(response, "the response is too long to be buffered");
       } else {
-        demander.run();
+        demandWithinAccount(demander);
       }
       return;
     }
@@ -147,6 +162,19 @@
     }
   }
 
+  /** Demands more of a buffered response once the account of held bytes has space for it. */
+  private void demandWithinAccount(Runnable demander) {
+    if (holding.mayReadOn()) {
+      resume();
+      demander.run();
+    } else {
+      pause();
+      Scheduler.Task _ =
+          scheduler.schedule(
+              () -> demandWithinAccount(demander), SPACE_POLL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
   private synchronized void beginWrite() {
     writing = true;
   }
@@ -154,18 +182,28 @@
   /** Reports that the caller does not read, unless the write has ended. */
   private synchronized void reportPause() {
     if (writing) {
+      pause();
+    }
+  }
+
+  private synchronized void pause() {
+    if (!paused) {
       paused = true;
       results.accept(new AttemptResult.Paused());
     }
   }
 
+  private synchronized void resume() {
+    if (paused) {
+      paused = false;
+      results.accept(new AttemptResult.Resumed());
+    }
+  }
+
   private void endWrite(Runnable demander) {
     synchronized (this) {
       writing = false;
-      if (paused) {
-        paused = false;
-        results.accept(new AttemptResult.Resumed());
-      }
+      resume();
     }
     demander.run();
   }
--- a/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.forward.EventAssembler;
 import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.gateway.HeldBytes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
@@ -21,7 +22,8 @@
  *
  * <p>Several attempts may be live at a time. When one of them writes stream events, all others are
  * dropped and their output is refused, so that the events of a stream have one order and none is
- * missing or repeated. The response is ended exactly once. Thread-safe.
+ * missing or repeated. The response is ended exactly once. Events that the caller has not read are
+ * buffered as far as the account of held bytes allows. Thread-safe.
  */
 public final class CallerExchange {
 
@@ -30,24 +32,37 @@
   private final Response response;
   private final Callback callback;
   private final byte[] body;
+  private final HeldBytes heldBytes;
+  private final StreamWriter stream;
   private final Map<Integer, EventAssembler> liveAttempts = new HashMap<>();
   private String lastEvent = "";
   private int newestDropped;
 
-  /** The attempt whose events are being written; 0 if there is none. */
+  /** The attempt whose events have to be written before more of it is received; 0 if none. */
   private int writer;
 
   private boolean headSent;
+
+  /** Whether all events of the response are known; some of them may not be written yet. */
+  private boolean finished;
+
   private boolean ended;
   private boolean closeAfterAnswer;
 
   CallerExchange(
-      ForwardRequest forward, Request request, Response response, Callback callback, byte[] body) {
+      ForwardRequest forward,
+      Request request,
+      Response response,
+      Callback callback,
+      byte[] body,
+      HeldBytes heldBytes) {
     this.forward = forward;
     this.request = request;
     this.response = response;
     this.callback = callback;
     this.body = body;
+    this.heldBytes = heldBytes;
+    stream = new StreamWriter(response, heldBytes.open(HeldBytes.Kind.STREAM_EVENTS), this::abort);
   }
 
   // Response
@@ -71,13 +86,13 @@
    * Relays the complete events contained in a part of a streamed response, and drops the other
    * attempts. The response head is sent with the first event.
    *
-   * @param done completed when the events are written; not called unless the result is {@code
-   *     WRITTEN}
+   * @param done completed when more of the stream may be received: when the events are written, or
+   *     at once if they are buffered; not called unless the result is {@code WRITTEN}
    */
   synchronized RelayResult relay(
       int attempt, int status, HttpFields headers, byte[] bytes, Callback done) {
     EventAssembler events = liveAttempts.get(attempt);
-    if (events == null || ended) {
+    if (events == null || finished || ended) {
       return RelayResult.REFUSED;
     }
     byte[] completeEvents = events.accept(bytes);
@@ -100,7 +115,7 @@
       putStreamHead(status, headers);
     }
     writer = attempt;
-    response.write(false, ByteBuffer.wrap(completeEvents), Callback.from(this::endWrite, done));
+    stream.write(completeEvents, Callback.from(this::endWrite, done));
     return RelayResult.WRITTEN;
   }
 
@@ -115,9 +130,12 @@
     writer = 0;
   }
 
-  /** Returns whether events of another attempt are still being written to a slow caller. */
+  /**
+   * Returns whether another attempt waits for a slow caller to read its events. Where streams are
+   * buffered, later events queue behind them.
+   */
   private boolean isOtherWriting(int attempt) {
-    return writer != 0 && writer != attempt;
+    return !heldBytes.isLimited() && writer != 0 && writer != attempt;
   }
 
   /**
@@ -149,20 +167,21 @@
   }
 
   /**
-   * Ends a streamed response; sends the head first if no event was relayed.
+   * Ends a streamed response once all its events are written; sends the head first if no event was
+   * relayed.
    *
-   * @return whether it was ended; false if the attempt may no longer write
+   * @return whether it ends; false if the attempt may no longer write
    */
   synchronized boolean finish(int attempt, int status, HttpFields headers) {
-    if (!liveAttempts.containsKey(attempt) || ended || isOtherWriting(attempt)) {
+    if (!liveAttempts.containsKey(attempt) || finished || ended || isOtherWriting(attempt)) {
       return false;
     }
-    ended = true;
+    finished = true;
     if (!headSent) {
       headSent = true;
       putStreamHead(status, headers);
     }
-    response.write(true, ByteBuffer.allocate(0), callback);
+    stream.finish(callback);
     return true;
   }
 
@@ -179,7 +198,9 @@
     headSent = true;
     putHead(status, headers);
     response.getHeaders().put(HttpHeader.CONTENT_LENGTH, bytes.length);
-    response.write(true, ByteBuffer.wrap(bytes), callback);
+    HeldBytes.Holding holding = heldBytes.open(HeldBytes.Kind.BUFFERED_RESPONSE);
+    holding.hold(bytes.length);
+    response.write(true, ByteBuffer.wrap(bytes), Callback.from(callback, holding::close));
     return true;
   }
 
@@ -195,9 +216,18 @@
 
   /** Ends the response in a way that the caller cannot mistake for completion. */
   synchronized void abort() {
-    if (ended) {
-      return;
+    if (!ended && stream.abandon()) {
+      endAbruptly();
     }
+  }
+
+  /** Ends the response after a fault, which may have left it unwritten though marked as ended. */
+  synchronized void abortAfterFault() {
+    stream.abandon();
+    endAbruptly();
+  }
+
+  private void endAbruptly() {
     ended = true;
     EndPoint endPoint = endPoint();
     // Before the failed callback, which may close the connection.
@@ -208,12 +238,6 @@
     endPoint.close();
   }
 
-  /** Ends the response after a fault, which may have left it unwritten though marked as ended. */
-  synchronized void abortAfterFault() {
-    ended = false;
-    abort();
-  }
-
   /**
    * Sets the head of a streamed response. It is chunked even if the connection closes afterwards:
    * without chunks the close would mark the end, and an aborted response would appear complete.
@@ -273,7 +297,7 @@
   }
 
   synchronized boolean isEnded() {
-    return ended;
+    return ended || stream.hasEnded();
   }
 
   /** Returns whether the caller closed its connection. */
--- a/src/main/java/dev/wisteriarail/gateway/CallerProtocol.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerProtocol.java
@@ -25,6 +25,9 @@
   ForwardRequest parseRequest(long exchange, Request request, byte[] body)
       throws WisteriarailException;
 
+  /** Returns the identifier that the caller gave a request; empty if it gave none. */
+  String requestId(Request request);
+
   /**
    * Returns the headers of a refusal.
    *
--- a/src/main/java/dev/wisteriarail/gateway/CallerServer.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerServer.java
@@ -2,8 +2,11 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.event.NodeEvent;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.gateway.GatewayEvent;
+import dev.wisteriarail.core.gateway.HeldBytes;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
 import dev.wisteriarail.core.result.WisteriarailException;
@@ -29,7 +32,6 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.UriCompliance;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -41,15 +43,15 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * HTTP server for callers, the load balancer's readiness check and the scraping of metrics.
  *
- * <p>A request is submitted to the core once its body is read completely. Life cycle: {@link
- * #start}, then {@link #close}. Thread-safe.
+ * <p>A request is submitted to the core once its body is read completely. It is refused before that
+ * if the account of held bytes has no space for its body. Life cycle: {@link #start}, then {@link
+ * #close}. Thread-safe.
  */
 final class CallerServer implements AutoCloseable {
 
@@ -74,6 +76,9 @@
    */
   private static final int MIN_PARSED_HEADER_BYTES = 64 * 1024;
 
+  /** Time after which a request that the account of held bytes refused may return. */
+  private static final Duration RETRY_AFTER_MEMORY_FULL = Duration.ofSeconds(1);
+
   /** Minimum bytes of a request line in addition to its method and target. */
   private static final int REQUEST_LINE_OVERHEAD_BYTES = " HTTP/1.1\r\n".length() + 1;
 
@@ -83,7 +88,9 @@
   private final Server server;
   private final CallerProtocol protocol;
   private final GatewayMetrics metrics;
+  private final HeldBytes heldBytes;
   private final Consumer<GatewayEvent> events;
+  private final Consumer<NodeEvent> log;
   private final Map<Long, CallerExchange> exchanges = new ConcurrentHashMap<>();
 
   /** Connections on which a request is in progress. */
@@ -102,11 +109,15 @@
       Server server,
       CallerProtocol protocol,
       GatewayMetrics metrics,
-      Consumer<GatewayEvent> events) {
+      HeldBytes heldBytes,
+      Consumer<GatewayEvent> events,
+      Consumer<NodeEvent> log) {
     this.server = server;
     this.protocol = protocol;
     this.metrics = metrics;
+    this.heldBytes = heldBytes;
     this.events = events;
+    this.log = log;
   }
 
   /**
@@ -120,11 +131,14 @@
       QueuedThreadPool threads,
       Scheduler scheduler,
       CallerProtocol protocol,
+      HeldBytes heldBytes,
       Consumer<GatewayEvent> events,
+      Consumer<NodeEvent> log,
       ListenerBinder binder)
       throws SettingsException {
     Server server = new Server(threads, scheduler, null);
-    final CallerServer callerServer = new CallerServer(server, protocol, metrics, events);
+    final CallerServer callerServer =
+        new CallerServer(server, protocol, metrics, heldBytes, events, log);
     file.metrics().ifPresent(at -> server.addConnector(connector(server, at, METRICS)));
     server.addConnector(connector(server, file.balancer(), READY));
     server.addConnector(connector(server, file.callers(), CALLERS));
@@ -224,28 +238,49 @@
       refuseEarly(request, response, callback, ResultCode.REQUEST_TOO_LARGE, Optional.empty());
       return;
     }
-    Content.Source.asByteArrayAsync(
+    HeldBytes.Holding holding = heldBytes.open(HeldBytes.Kind.REQUEST_BODY);
+    Callback released = Callback.from(callback, holding::close);
+    RequestBodyReader.read(
         request,
-        (int) Math.min(limit, Integer.MAX_VALUE),
-        new Promise.Invocable.NonBlocking<>() {
-          @Override
-          public void succeeded(byte[] body) {
-            submit(request, response, callback, body);
-          }
-
-          @Override
-          public void failed(Throwable failure) {
-            boolean tooLong = failure instanceof IllegalStateException;
-            refuseEarly(
-                request,
-                response,
-                callback,
-                tooLong ? ResultCode.REQUEST_TOO_LARGE : ResultCode.BAD_REQUEST,
-                Optional.empty());
+        limit,
+        holding,
+        body -> submit(request, response, released, body),
+        code -> {
+          holding.close();
+          if (code == ResultCode.MEMORY_FULL) {
+            logMemoryFull(request);
           }
+          Optional<Duration> retryAfter =
+              Optional.of(RETRY_AFTER_MEMORY_FULL).filter(time -> code == ResultCode.MEMORY_FULL);
+          refuseEarly(request, response, released, code, retryAfter);
         });
   }
 
+  /** Logs a refusal that the core does not know of. */
+  private void logMemoryFull(Request request) {
+    NodeEvent event =
+        NodeEvent.of(
+            EventCode.FORWARD_REFUSED,
+            "request",
+            protocol.requestId(request),
+            "code",
+            ResultCode.MEMORY_FULL.label(),
+            "held_ms",
+            0,
+            "attempts",
+            0,
+            "may_have_run",
+            false,
+            "body_bytes",
+            request.getLength(),
+            "memory_pressure",
+            heldBytes.pressure(),
+            "return_after_ms",
+            RETRY_AFTER_MEMORY_FULL.toMillis());
+    metrics.count(event);
+    log.accept(event);
+  }
+
   private static int headerBytes(Request request) {
     int bytes = request.getMethod().length() + REQUEST_LINE_OVERHEAD_BYTES + "\r\n".length();
     String target = request.getHttpURI().getPathQuery();
@@ -275,7 +310,8 @@
             request,
             response,
             Callback.from(callback, () -> exchanges.remove(exchangeNumber)),
-            body);
+            body,
+            heldBytes);
     if (closing) {
       exchange.closeAfterAnswer();
     }
@@ -298,7 +334,9 @@
     protocol.refusalHeaders(request, code, retryAfter).forEach(response.getHeaders()::add);
     response.getHeaders().put(HttpHeader.CONTENT_LENGTH, 0);
     boolean bodyUnread =
-        code == ResultCode.REQUEST_TOO_LARGE || code == ResultCode.HEADERS_TOO_LARGE;
+        code == ResultCode.REQUEST_TOO_LARGE
+            || code == ResultCode.HEADERS_TOO_LARGE
+            || code == ResultCode.MEMORY_FULL;
     if (closing || bodyUnread || code.httpStatus() == 400) {
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
@@ -2,20 +2,24 @@
 
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.event.NodeEvent;
+import dev.wisteriarail.core.gateway.HeldBytes;
 import dev.wisteriarail.peer.PeerTrafficListener;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Prometheus metrics: counters of log events and of messages to peers, and histograms of request
- * durations by outcome.
+ * Prometheus metrics: counters of log events and of messages to peers, histograms of request
+ * durations by outcome, and the account of held bytes.
  *
  * <p>Label values are event names, message kinds, result codes and HTTP statuses, so the number of
  * time series is bounded. Thread-safe.
@@ -26,6 +30,7 @@
   private static final String REQUESTS = "wisteriarail.forward";
   private static final String PEER_MESSAGES = "wisteriarail.peer.messages";
   private static final String PEER_BYTES = "wisteriarail.peer.sent";
+  private static final String HELD = "wisteriarail.held";
 
   /** For each event that ends a request, the log field with the request's duration on this node. */
   private static final Map<EventCode, String> DURATIONS =
@@ -49,6 +54,20 @@
     return new GatewayMetrics();
   }
 
+  /** Adds the bytes that the node holds by kind, and what the limit on them caused. */
+  void addHeldBytes(HeldBytes heldBytes) {
+    for (HeldBytes.Kind kind : HeldBytes.Kind.values()) {
+      Gauge.builder(HELD, heldBytes, held -> held.held(kind))
+          .baseUnit("bytes")
+          .tag("kind", kind.name().toLowerCase(Locale.ROOT))
+          .register(registry);
+    }
+    Gauge.builder(HELD + ".pressure", heldBytes, HeldBytes::pressure).register(registry);
+    FunctionCounter.builder(HELD + ".refusals", heldBytes, HeldBytes::refusals).register(registry);
+    FunctionCounter.builder(HELD + ".slowed", heldBytes, HeldBytes::slowedStreams)
+        .register(registry);
+  }
+
   /** Counts an event, even if the log's rate limit omits its line. */
   void count(NodeEvent event) {
     counters
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -7,6 +7,7 @@
 import dev.wisteriarail.core.gateway.GatewayEvent;
 import dev.wisteriarail.core.gateway.GatewaySettings;
 import dev.wisteriarail.core.gateway.GracePeriod;
+import dev.wisteriarail.core.gateway.HeldBytes;
 import dev.wisteriarail.core.id.Incarnation;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.SettingsException;
@@ -56,6 +57,12 @@
   /** Idle timeout of connections for the store, orders and reports, which are in constant use. */
   private static final long CONTROL_IDLE_MILLIS = 5_000;
 
+  /**
+   * The maximum heap divided by the default limit on held bytes. Reading and combining bytes copies
+   * them once, so that held bytes take up to half of the heap.
+   */
+  private static final int HEAP_PER_HELD_BYTES = 4;
+
   private final Incarnation incarnation;
   private volatile GatewayFile file;
   private final GatewayRuntime runtime;
@@ -161,9 +168,19 @@
       GatewayHttp.startOrFail(scheduler);
       BlockingQueue<GatewayEvent> events = GatewayRuntime.newQueue();
       GatewayMetrics metrics = GatewayMetrics.create();
+      HeldBytes heldBytes = heldBytes(file);
+      metrics.addHeldBytes(heldBytes);
       CallerServer callers =
           CallerServer.start(
-              file, metrics, threads, scheduler, callerProtocol, events::add, binder);
+              file,
+              metrics,
+              threads,
+              scheduler,
+              callerProtocol,
+              heldBytes,
+              events::add,
+              log::write,
+              binder);
       parts.add(callers);
       // Peers wait in the backlog until all addresses are bound.
       TcpPeerServer peerServer =
@@ -186,7 +203,7 @@
       HttpClient control =
           GatewayHttp.startForControlCalls(threads, scheduler, CONTROL_IDLE_MILLIS);
       parts.add(control::stop);
-      RunnerClient runners = new RunnerClient(pooled, unpooled, runnerProtocol);
+      RunnerClient runners = new RunnerClient(pooled, unpooled, runnerProtocol, heldBytes);
       PlatformClient platform = platformClients.apply(control, file.storeAddress());
       TcpPeerTransport peers =
           TcpPeerTransport.create(file.node(), incarnation, Optional.empty(), log, metrics);
@@ -217,6 +234,16 @@
     }
   }
 
+  /** Returns the account of held bytes, which has a limit if the settings ask for it. */
+  private static HeldBytes heldBytes(GatewayFile file) {
+    return file.memory()
+        .map(
+            memory ->
+                memory.heldBytes().orElse(Runtime.getRuntime().maxMemory() / HEAP_PER_HELD_BYTES))
+        .map(HeldBytes::withLimit)
+        .orElseGet(HeldBytes::countOnly);
+  }
+
   private static GatewaySettings settings(GatewayFile file, Incarnation incarnation) {
     return new GatewaySettings(
         new NodeAddress(
--- a/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
+++ b/src/main/java/dev/wisteriarail/gateway/RunnerClient.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.core.fleet.RunnerNotification;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.gateway.GatewayEffect;
+import dev.wisteriarail.core.gateway.HeldBytes;
 import dev.wisteriarail.core.route.CallerBounds;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -28,12 +29,15 @@
   private final HttpClient pooled;
   private final HttpClient unpooled;
   private final RunnerProtocol protocol;
+  private final HeldBytes heldBytes;
   private final Map<Long, Map<Integer, AttemptRelay>> relays = new ConcurrentHashMap<>();
 
-  RunnerClient(HttpClient pooled, HttpClient unpooled, RunnerProtocol protocol) {
+  RunnerClient(
+      HttpClient pooled, HttpClient unpooled, RunnerProtocol protocol, HeldBytes heldBytes) {
     this.pooled = pooled;
     this.unpooled = unpooled;
     this.protocol = protocol;
+    this.heldBytes = heldBytes;
     setBounds(CallerBounds.DEFAULT);
   }
 
@@ -61,6 +65,8 @@
             exchange,
             attempt,
             protocol,
+            heldBytes,
+            pooled.getScheduler(),
             notifications,
             result -> results.accept(attempt.attempt(), result));
     relays.compute(
--- a/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
@@ -66,6 +66,11 @@
         Optional.empty());
   }
 
+  @Override
+  public String requestId(Request request) {
+    return Optional.ofNullable(request.getHeaders().get(WireNames.REQUEST_ID)).orElse("");
+  }
+
   private static Optional<Duration> callerTimeout(String value) throws RequestException {
     if (value == null) {
       return Optional.empty();
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -30,6 +30,8 @@
  * @param timings intervals and timeouts of coordination between nodes
  * @param retries limits on the retries that all nodes send
  * @param drainLimit time after a stop request until the process has to end
+ * @param memory the limit on held bytes; empty to hold bytes without a limit and to read a response
+ *     only as fast as its caller does
  */
 public record GatewayFile(
     NodeId node,
@@ -45,7 +47,8 @@
     String storeAddress,
     FleetTimings timings,
     RetryLimits retries,
-    Duration drainLimit) {
+    Duration drainLimit,
+    Optional<MemorySettings> memory) {
 
   /** Default time within which every node must know that a runner is leaving. */
   private static final Duration DEFAULT_LEAVE_BOUND = Duration.ofSeconds(2);
@@ -96,7 +99,8 @@
                 seconds(toml, "retries.window_s", 10),
                 toml.number("retries.ratio", 0, 10, 0.2),
                 toml.number("retries.slack", 0, 100_000, 50)),
-            seconds(toml, "node.drain_limit_s", 8));
+            seconds(toml, "node.drain_limit_s", 8),
+            MemorySettings.from(toml));
     toml.check();
     return file;
   }
@@ -139,6 +143,7 @@
     add(tables, "gateway", !sameAddresses);
     add(tables, "store", !storeAddress.equals(other.storeAddress));
     add(tables, "orders", !timings.equals(other.timings));
+    add(tables, "memory", !memory.equals(other.memory));
     return tables;
   }
 
--- a/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
@@ -4,6 +4,7 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
 import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.gateway.HeldBytes;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -40,7 +41,8 @@
           @Override
           public boolean handle(Request request, Response response, Callback callback) {
             CallerExchange exchange =
-                new CallerExchange(forward(), request, response, callback, new byte[0]);
+                new CallerExchange(
+                    forward(), request, response, callback, new byte[0], HeldBytes.countOnly());
             exchange.addAttempt(1);
             if (started) {
               exchange.relay(
@@ -74,7 +76,8 @@
           @Override
           public boolean handle(Request request, Response response, Callback callback) {
             CallerExchange exchange =
-                new CallerExchange(forward(), request, response, callback, new byte[0]);
+                new CallerExchange(
+                    forward(), request, response, callback, new byte[0], HeldBytes.countOnly());
             exchange.addAttempt(1);
             results.add(relay(exchange, 1, "id: 1\ndata: x\n\n"));
             exchange.addAttempt(2);
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.wisteriarail.core.gateway.GatewayEvent;
+import dev.wisteriarail.core.gateway.HeldBytes;
 import dev.wisteriarail.platform.CallerHeaders;
 import dev.wisteriarail.runtime.ListenerBinder;
 import dev.wisteriarail.settings.GatewayFile;
@@ -78,7 +79,9 @@
             threads,
             scheduler,
             CallerHeaders.create(),
+            HeldBytes.countOnly(),
             events::add,
+            event -> {},
             ListenerBinder.create(event -> {}, () -> false));
   }
 
