--- a/src/main/java/dev/wisteriarail/gateway/CallerServer.java
+++ b/src/main/java/dev/wisteriarail/gateway/CallerServer.java
@@ -273,8 +273,8 @@
             false,
             "body_bytes",
             request.getLength(),
-            "memory_pressure",
-            heldBytes.pressure(),
+            "held_percent",
+            Math.round(100 * heldBytes.pressure()),
             "return_after_ms",
             RETRY_AFTER_MEMORY_FULL.toMillis());
     metrics.count(event);
--- a/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
+++ b/src/test/java/dev/wisteriarail/platform/GatewayFleet.java
@@ -85,13 +85,25 @@
     return fleet;
   }
 
+  /** Starts one node without other runners, with further lines in its settings. */
+  static GatewayFleet startOneWith(String addedSettings) throws Exception {
+    GatewayFleet fleet =
+        new GatewayFleet(PlatformStandin.start(0, 0), Wrappers.ofClients(UnaryOperator.identity()));
+    LoopbackSettings settings = LoopbackSettings.of("n0", fleet.platform.store().address());
+    fleet.startNode("n0", settings.toml() + addedSettings);
+    fleet.await(() -> fleet.allReady());
+    return fleet;
+  }
+
   private void startNode(String name) throws SettingsException {
     startNode(LoopbackSettings.of(name, platform.store().address()));
   }
 
   private void startNode(LoopbackSettings settings) throws SettingsException {
-    String name = settings.name();
-    String toml = settings.toml();
+    startNode(settings.name(), settings.toml());
+  }
+
+  private void startNode(String name, String toml) throws SettingsException {
     nodes.add(
         GatewayNode.start(
             GatewayFile.from(TomlDocument.parse(name, toml)),
--- a/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
+++ b/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
@@ -43,6 +43,22 @@
     assertThat(parse(other).announced()).isEqualTo(new Endpoint("10.0.0.2", 1));
   }
 
+  /** Guards against a limit on held bytes where the settings do not ask for one. */
+  @ParameterizedTest
+  @CsvSource({
+    "'', false, -1",
+    "'[memory]', true, -1",
+    "'[memory]\nenabled = true', true, -1",
+    "'[memory]\nenabled = false\nheld_megabytes = 2', false, -1",
+    "'[memory]\nheld_megabytes = 2', true, 2097152",
+  })
+  void tableOfMemoryTurnsTheLimitOn(String table, boolean on, long bytes) throws Exception {
+    GatewayFile file = parse(TOML + table);
+    assertThat(file.memory().isPresent()).isEqualTo(on);
+    assertThat(file.memory().map(memory -> memory.heldBytes().orElse(-1)).orElse(-1L))
+        .isEqualTo(bytes);
+  }
+
   @Test
   void processorIsItsShareTimesItsSpeed() throws Exception {
     assertThat(parse(TOML).milliCores()).isEqualTo(1_500);
@@ -57,6 +73,7 @@
     "processor_cores = 2, processor_cores = 1, '', node",
     "10.0.0.9:80, 10.0.0.9:81, '', store",
     "10.0.0.1:8149, 10.0.0.1:8150, '', gateway",
+    "[retries], '[memory]\n[retries]', '', memory",
   })
   void changesAreNamed(String from, String to, String atOnce, String atNextStart) throws Exception {
     GatewayFile before = parse(TOML);
