Test of buffered responses beyond the limit on held bytes

Cause: the wait of a buffered response for space, and the one response that may exceed the limit, were tested only without a node.

--- a/src/test/java/dev/wisteriarail/platform/HeldBytesPathTest.java
+++ b/src/test/java/dev/wisteriarail/platform/HeldBytesPathTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -115,6 +116,35 @@
     }
   }
 
+  /** Guards against buffered responses that wait for each other's space, or end for lack of it. */
+  @Test
+  void bufferedResponsesBeyondTheLimitAllArrive() throws Exception {
+    String body = "x".repeat(900_000);
+    try (GatewayFleet fleet = GatewayFleet.startOneWith("[memory]\nheld_megabytes = 1");
+        RawRunner runner = RawRunner.start(socket -> answerAtOnce(socket, body))) {
+      fleet.platform().store().put("keyed.servers", "raw", runner.directoryEntry("plain"));
+      fleet.await(() -> lookup(fleet, "first").equals(body));
+      assertThat(IntStream.range(0, 8).parallel().mapToObj(i -> lookup(fleet, "r" + i)).distinct())
+          .containsExactly(body);
+    }
+  }
+
+  private static String lookup(GatewayFleet fleet, String id) {
+    try {
+      return fleet.send(0, "POST", "/lookup/1", "", id, "body").body();
+    } catch (Exception failure) {
+      return failure.toString();
+    }
+  }
+
+  private static void answerAtOnce(Socket socket, String body) throws IOException {
+    String id = RawRunner.readRequest(RawRunner.reader(socket));
+    if (!id.isEmpty()) {
+      socket.getOutputStream().write((head(id) + body).getBytes(US_ASCII));
+      socket.shutdownOutput();
+    }
+  }
+
   // Callers
 
   private record Answer(int events, boolean isComplete) {}
@@ -233,11 +263,7 @@
     Thread watch = Thread.startVirtualThread(() -> cutOffIfUnread(socket, lastWrite));
     try {
       OutputStream out = socket.getOutputStream();
-      out.write(
-          ("HTTP/1.1 200 OK\r\nX-Wisteriarail-Request-Id: "
-                  + id
-                  + "\r\nX-Wisteriarail-Response-Signature: s\r\nConnection: close\r\n\r\n")
-              .getBytes(US_ASCII));
+      out.write(head(id).getBytes(US_ASCII));
       for (int i = 1; i <= events; i++) {
         out.write(("id: " + i + "\ndata: " + DATA + "\n\n").getBytes(US_ASCII));
         lastWrite.set(System.nanoTime());
@@ -247,6 +273,12 @@
     }
   }
 
+  private static String head(String id) {
+    return "HTTP/1.1 200 OK\r\nX-Wisteriarail-Request-Id: "
+        + id
+        + "\r\nX-Wisteriarail-Response-Signature: s\r\nConnection: close\r\n\r\n";
+  }
+
   private void cutOffIfUnread(Socket socket, AtomicLong lastWrite) {
     try {
       while (System.nanoTime() - lastWrite.get() < runnerLimitMillis * 1_000_000.0) {
