Merge the account of held bytes

Cause: the part adds settings beside those of tenants and allowances. Change: settings carry all three.

--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -34,6 +34,8 @@
  * @param allowances what is tolerated beyond the allowances of tenants
  * @param drainLimit time after a stop request until the process has to end
  * @param revocation how long API keys are believed without word of the store
+ * @param memory the limit on held bytes; empty to hold bytes without a limit and to read a response
+ *     only as fast as its caller does
  */
 public record GatewayFile(
     NodeId node,
@@ -51,7 +53,8 @@
     RetryLimits retries,
     AllowanceLimits allowances,
     Duration drainLimit,
-    RevocationRule revocation) {
+    RevocationRule revocation,
+    Optional<MemorySettings> memory) {
 
   /** Default time within which every node must know that a runner is leaving. */
   private static final Duration DEFAULT_LEAVE_BOUND = Duration.ofSeconds(2);
@@ -104,7 +107,8 @@
                 toml.number("retries.slack", 0, 100_000, 50)),
             allowances(toml),
             seconds(toml, "node.drain_limit_s", 8),
-            revocation(toml));
+            revocation(toml),
+            MemorySettings.from(toml));
     toml.check();
     return file;
   }
@@ -160,6 +164,7 @@
     add(tables, "store", !storeAddress.equals(other.storeAddress));
     add(tables, "allowances", !allowances.equals(other.allowances));
     add(tables, "orders", !timings.equals(other.timings));
+    add(tables, "memory", !memory.equals(other.memory));
     return tables;
   }
 
