Choice of runners with stale figures: freed slots, offered slots, draw

Cause: all nodes of a large fleet sent to the least loaded runner of the newest view until the next one.

Change: EvenChoice uses the slots that the node's own requests left, then the free slots of the view that belong to this node by its place among the nodes, then draws by the expected free capacity. RunnerLoad counts own requests exactly against the view that includes them, rejections, the pace and the time since a run was first seen. LoadBalance alone decides which rule applies ([load] balance). The rule of RunnerScoring is unchanged where it applies.

--- a/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
+++ b/src/main/java/dev/wisteriarail/core/fleet/PeerTable.java
@@ -32,6 +32,7 @@
   private final Duration leaseDuration;
   private final Map<NodeId, Peer> peers = new TreeMap<>();
   private Optional<FleetPace> pace = Optional.empty();
+  private Optional<FleetPosition> position = Optional.empty();
 
   private PeerTable(NodeAddress self, Duration peerTimeout, Duration leaseDuration) {
     this.self = self;
@@ -61,9 +62,11 @@
     if (known == null) {
       peers.put(address.node(), Peer.discovered(address, now));
       pace = Optional.empty();
+      position = Optional.empty();
     } else if (address.incarnation().compareTo(known.address().incarnation()) > 0) {
       peers.put(address.node(), known.withAddress(address));
       pace = Optional.empty();
+      position = Optional.empty();
     }
   }
 
@@ -90,6 +93,7 @@
     peers.put(from.node(), new Peer(from, status, now, now, hubSince));
     if (returned) {
       pace = Optional.empty();
+      position = Optional.empty();
     }
     return returned;
   }
@@ -120,6 +124,7 @@
   public void advance(Instant now) {
     if (peers.values().removeIf(peer -> now.isAfter(lastUpdate(peer).plus(RETENTION)))) {
       pace = Optional.empty();
+      position = Optional.empty();
     }
   }
 
@@ -248,6 +253,18 @@
     return fleetPace().isLarge();
   }
 
+  /** Returns this node's place among all known nodes, computed again only after peers changed. */
+  public FleetPosition position() {
+    if (position.isEmpty()) {
+      int before = 0;
+      for (NodeId peer : peers.keySet()) {
+        before += peer.compareTo(self.node()) < 0 ? 1 : 0;
+      }
+      position = Optional.of(new FleetPosition(isLarge(), before, 1 + peers.size()));
+    }
+    return position.get();
+  }
+
   /**
    * Returns the factor by which heartbeat intervals are extended to keep their cost low in a large
    * fleet.
--- a/src/main/java/dev/wisteriarail/core/forward/RunnerStateTable.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunnerStateTable.java
@@ -27,6 +27,12 @@
  */
 public final class RunnerStateTable {
 
+  /** Age of figures that have never been received. */
+  private static final Duration MAX_AGE = Duration.ofDays(1);
+
+  /** Weight of the newest observation in the usual pace, which covers all runners. */
+  private static final double USUAL_PACE_WEIGHT = 0.02;
+
   private final RunnerDirectory directory;
   private final Map<String, RunnerView> views = new HashMap<>();
   private final Map<DemandKey, ModelForecast> forecasts = new HashMap<>();
@@ -36,6 +42,10 @@
   private final Map<String, Integer> reportedRunning = new HashMap<>();
   private final Map<String, RunnerHealth> health = new HashMap<>();
   private final RunnerPauses pauses = RunnerPauses.create();
+  private final Map<String, RunnerLoad> loads = new HashMap<>();
+  private Instant viewsReceivedAt = Instant.MIN;
+  private Instant reportedAt = Instant.MIN;
+  private double usualPace;
   private long viewRevision;
   private Instant forecastsReceivedAt = Instant.MIN;
   private RunnerIndex index = RunnerIndex.EMPTY;
@@ -58,6 +68,10 @@
       RunnerView current = views.get(view.runner());
       if (current == null || view.revision() > current.revision()) {
         views.put(view.runner(), view);
+        RunnerLoad load = loads.get(view.runner());
+        if (load != null && load.bornMillis() == view.bornMillis()) {
+          load.accept(view, age(reportedAt, now));
+        }
         if (current == null || !current.models().equals(view.models())) {
           indexedChanges = -1;
         }
@@ -67,6 +81,7 @@
     forecasts.clear();
     newForecasts.forEach(each -> forecasts.put(each.key(), each));
     forecastsReceivedAt = now;
+    viewsReceivedAt = now;
   }
 
   /** Removes the state of runners that are gone and pauses that have ended. */
@@ -74,6 +89,7 @@
     pauses.advance(now);
     views.keySet().removeIf(id -> directory.usable(id).isEmpty());
     health.keySet().removeIf(id -> directory.usable(id).isEmpty() && !ownRunning.containsKey(id));
+    loads.keySet().removeIf(id -> directory.usable(id).isEmpty());
   }
 
   /** Records that a request is sent to a runner. */
@@ -92,6 +108,31 @@
     ownTokens.computeIfPresent(runner, (key, sum) -> sum > tokens ? sum - tokens : null);
   }
 
+  /** Records that a runner rejected a request of this node because it was full. */
+  public void recordRejection(RunnerEntry runner, Instant now) {
+    load(runner, now).recordRejection(now);
+  }
+
+  /** Records that a runner accepted a request of this node. */
+  public void recordAcceptance(RunnerEntry runner, Instant now) {
+    load(runner, now).recordAcceptance();
+  }
+
+  /**
+   * Records that the first event of a stream arrived.
+   *
+   * @param promptTokens number of tokens of the prompt
+   * @param elapsed time since the request was sent
+   */
+  public void recordFirstEvent(
+      RunnerEntry runner, int promptTokens, Duration elapsed, Instant now) {
+    double ratio =
+        Math.min(
+            RunnerLoad.MAX_RATIO, elapsed.toMillis() / RunnerLoad.expectedMillis(promptTokens));
+    usualPace = usualPace == 0 ? ratio : usualPace + USUAL_PACE_WEIGHT * (ratio - usualPace);
+    load(runner, now).recordPace(ratio);
+  }
+
   /** Records that a runner accepts no requests from this node for a while. */
   public void pause(RunnerRun runner, Duration length, Instant now) {
     pauses.add(runner, length, now);
@@ -130,9 +171,11 @@
   /**
    * Returns this node's requests at runners, and records that they are reported to the coordinator.
    */
-  public List<RunnerUse> collectUses() {
+  public List<RunnerUse> collectUses(Instant now) {
     reportedRunning.clear();
     reportedRunning.putAll(ownRunning);
+    reportedAt = now;
+    loads.forEach((id, load) -> load.recordReport(ownRunning(id)));
     List<RunnerUse> uses = new ArrayList<>();
     running.forEach(
         (use, count) ->
@@ -214,6 +257,34 @@
         .filter(view -> view.bornMillis() == entry.bornMillis());
   }
 
+  /** Returns what this node has observed of the load and the pace of a run of a runner. */
+  public RunnerLoad load(RunnerEntry entry, Instant now) {
+    RunnerLoad load = loads.get(entry.id());
+    if (load == null || load.bornMillis() != entry.bornMillis()) {
+      load = RunnerLoad.create(entry.bornMillis(), now);
+      loads.put(entry.id(), load);
+      RunnerView view = views.get(entry.id());
+      if (view != null && view.bornMillis() == entry.bornMillis()) {
+        load.accept(view, Duration.ZERO);
+      }
+    }
+    return load;
+  }
+
+  /** Returns the time since the newest message with views; long if there was none. */
+  public Duration viewAge(Instant now) {
+    return age(viewsReceivedAt, now);
+  }
+
+  private static Duration age(Instant then, Instant now) {
+    return then.equals(Instant.MIN) ? MAX_AGE : Duration.between(then, now);
+  }
+
+  /** Returns the usual ratio of the observed to the expected time to the first event. */
+  public double usualPace() {
+    return usualPace;
+  }
+
   /** Returns the number of requests of this node at a runner. */
   public int ownRunning(String runner) {
     return ownRunning.getOrDefault(runner, 0);
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
@@ -117,6 +117,7 @@
     switch (result) {
       case AttemptResult.Started started -> {
         health.recordSuccess();
+        recordStart(forward, attempt, step);
         forward.markMayHaveRun(runner);
         if (!attempt.equals(forward.live().getFirst())) {
           prevail(forward, attempt, attempt.number(), step);
@@ -138,6 +139,7 @@
         prevail(forward, attempt, forward.attempts(), step);
         pending.endAttempt(forward, attempt);
         health.recordSuccess();
+        runnerStates.recordAcceptance(runner, step.now());
         completionEstimator.recordEnd(forward, step.now());
         ForwardLog.answered(forward, runner, finished.status(), step);
         pending.remove(forward);
@@ -166,6 +168,17 @@
     }
   }
 
+  private void recordStart(PendingForward forward, LiveAttempt attempt, GatewayStep step) {
+    runnerStates.recordAcceptance(attempt.runner(), step.now());
+    if (forward.route().streaming() && !forward.model().isEmpty()) {
+      runnerStates.recordFirstEvent(
+          attempt.runner(),
+          forward.request().promptTokens(),
+          Duration.between(attempt.sentAt(), step.now()),
+          step.now());
+    }
+  }
+
   /**
    * Cancels the attempts that a more successful one has overtaken. A runner whose silence was the
    * reason for the successful attempt counts as failed.
@@ -197,6 +210,8 @@
       forward.markRejected();
       if (!forward.model().isEmpty() && answered.status() == STATUS_MISDIRECTED) {
         runnerStates.markMissing(runner.id(), forward.model(), forward.adapter());
+      } else if (answered.status() != STATUS_MISDIRECTED) {
+        runnerStates.recordRejection(runner, step.now());
       }
       goOnOrEnd(forward, attempt, reason, true, step);
       return;
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
@@ -123,7 +123,7 @@
       picker.recordSession(forward, runner);
     }
     crashGuard.recordSent(forward, attempt);
-    ForwardLog.sent(forward, runner, runnerStates, step);
+    ForwardLog.sent(forward, runner, picker.lastChoice(), runnerStates, step);
     step.emit(
         new GatewayEffect.SendAttempt(
             forward.exchange(),
--- a/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
@@ -56,7 +56,11 @@
   }
 
   static void sent(
-      PendingForward forward, RunnerEntry runner, RunnerStateTable runnerStates, GatewayStep step) {
+      PendingForward forward,
+      RunnerEntry runner,
+      RunnerChoice choice,
+      RunnerStateTable runnerStates,
+      GatewayStep step) {
     step.log(
         EventCode.FORWARD_SENT,
         "request",
@@ -74,7 +78,15 @@
         "left_ms",
         forward.timeLeft(step.now()).toMillis(),
         "view",
-        runnerStates.viewRevision());
+        runnerStates.viewRevision(),
+        "choice",
+        choice.basis(),
+        "estimate",
+        choice.estimate(),
+        "figure_age_ms",
+        choice.ageMillis(),
+        "candidates",
+        choice.candidates());
   }
 
   static void answered(PendingForward forward, RunnerEntry runner, int status, GatewayStep step) {
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.core.gateway;
 
 import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.fleet.FleetPosition;
 import dev.wisteriarail.core.fleet.ModelDemand;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.CrashRefusal;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * Forwards the requests of one node to runners, from their arrival until they end.
@@ -50,12 +52,14 @@
       GatewaySettings settings,
       RunnerStateTable runnerStates,
       CrashGuard crashGuard,
-      DrainPlan drain) {
+      DrainPlan drain,
+      Supplier<FleetPosition> position) {
     this.crashGuard = crashGuard;
     this.runnerStates = runnerStates;
     pending = PendingForwardTable.create(runnerStates, demandCounter);
     completionEstimator = CompletionEstimator.create(pending, this::startsIn);
-    RunnerPicker picker = RunnerPicker.create(settings.domain(), runnerStates);
+    RunnerPicker picker =
+        RunnerPicker.create(settings.domain(), settings.balance(), position, runnerStates);
     sender =
         AttemptSender.create(settings.retries(), runnerStates, picker, crashGuard, pending, drain);
     stalls = StallHandler.create(runnerStates, sender);
@@ -64,12 +68,18 @@
             runnerStates, picker, crashGuard, pending, completionEstimator, sender);
   }
 
+  /**
+   * Creates a forwarder without requests.
+   *
+   * @param position returns the node's place among all nodes
+   */
   static Forwarder create(
       GatewaySettings settings,
       RunnerStateTable runnerStates,
       CrashGuard crashGuard,
-      DrainPlan drain) {
-    return new Forwarder(settings, runnerStates, crashGuard, drain);
+      DrainPlan drain,
+      Supplier<FleetPosition> position) {
+    return new Forwarder(settings, runnerStates, crashGuard, drain, position);
   }
 
   /** Applies changed retry limits. */
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -98,7 +98,7 @@
     runnerNotifications = RunnerNotificationHandler.create(directory, runnerStates);
     crashGuard = CrashGuard.create(peers);
     drain = DrainPlan.create(settings.drainGrace());
-    forwarder = Forwarder.create(settings, runnerStates, crashGuard, drain);
+    forwarder = Forwarder.create(settings, runnerStates, crashGuard, drain, peers::position);
     peerSynchronizer = PeerSynchronizer.create(timings.maxDirectoryAge());
     coordinatorRole = CoordinatorRole.create(settings, lease, directory, runnerStates);
   }
@@ -487,7 +487,7 @@
     nextDemandReport =
         now.plusMillis(Math.round(timings.demandInterval().toMillis() * peers.heartbeatSlowdown()));
     List<ModelDemand> demands = forwarder.demands(now);
-    List<RunnerUse> uses = runnerStates.collectUses();
+    List<RunnerUse> uses = runnerStates.collectUses(now);
     boolean empty = peers.isLarge() && demands.isEmpty() && uses.isEmpty();
     if (empty && now.isBefore(lastEmptyReportAt.plus(EMPTY_REPORT_INTERVAL))) {
       return;
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.forward.LoadBalance;
 import dev.wisteriarail.core.forward.RetryLimits;
 import java.time.Duration;
 import java.util.List;
@@ -14,6 +15,7 @@
  * @param seeds addresses of some nodes as {@code host:port}; they may be outdated
  * @param timings intervals and timeouts of the fleet protocols
  * @param retries limits on the retries of all nodes together
+ * @param balance the rule that selects runners
  * @param drainGrace time after a stop request until the process must have exited
  */
 public record GatewaySettings(
@@ -22,10 +24,22 @@
     List<String> seeds,
     FleetTimings timings,
     RetryLimits retries,
+    LoadBalance balance,
     Duration drainGrace) {
 
   /** Copies the list of seeds. */
   public GatewaySettings {
     seeds = List.copyOf(seeds);
   }
+
+  /** Creates settings with the default rule that selects runners. */
+  public GatewaySettings(
+      NodeAddress self,
+      String domain,
+      List<String> seeds,
+      FleetTimings timings,
+      RetryLimits retries,
+      Duration drainGrace) {
+    this(self, domain, seeds, timings, retries, LoadBalance.DEFAULT, drainGrace);
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
@@ -1,7 +1,11 @@
 package dev.wisteriarail.core.gateway;
 
+import dev.wisteriarail.core.fleet.FleetPosition;
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.forward.EvenChoice;
 import dev.wisteriarail.core.forward.ForwardRequest;
+import dev.wisteriarail.core.forward.LoadBalance;
+import dev.wisteriarail.core.forward.RunnerLoad;
 import dev.wisteriarail.core.forward.RunnerScoring;
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import dev.wisteriarail.core.forward.SessionAffinity;
@@ -16,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /**
  * Collects the runners that could serve a request and selects one by {@link RunnerScoring}.
@@ -25,16 +30,31 @@
 final class RunnerPicker {
 
   private final String domain;
+  private final LoadBalance balance;
+  private final Supplier<FleetPosition> position;
   private final RunnerStateTable runnerStates;
+  private final EvenChoice evenChoice = EvenChoice.create();
+  private final List<RunnerEntry> evenEntries = new ArrayList<>();
+  private RunnerChoice lastChoice = RunnerChoice.NONE;
   private final SessionAffinity sessions = SessionAffinity.create();
 
-  private RunnerPicker(String domain, RunnerStateTable runnerStates) {
+  private RunnerPicker(
+      String domain,
+      LoadBalance balance,
+      Supplier<FleetPosition> position,
+      RunnerStateTable runnerStates) {
     this.domain = domain;
+    this.balance = balance;
+    this.position = position;
     this.runnerStates = runnerStates;
   }
 
-  static RunnerPicker create(String domain, RunnerStateTable runnerStates) {
-    return new RunnerPicker(domain, runnerStates);
+  static RunnerPicker create(
+      String domain,
+      LoadBalance balance,
+      Supplier<FleetPosition> position,
+      RunnerStateTable runnerStates) {
+    return new RunnerPicker(domain, balance, position, runnerStates);
   }
 
   /**
@@ -77,8 +97,12 @@
       Predicate<String> avoided,
       Instant now) {
     Optional<EngineSpec> engine = configuration.engineOf(forward.service());
+    FleetPosition place = position.get();
+    boolean even = balance.isEven(engine.isPresent(), place.large());
     List<RunnerScoring.Candidate> candidates = new ArrayList<>();
     Map<String, RunnerEntry> entries = new HashMap<>();
+    evenChoice.clear();
+    evenEntries.clear();
     boolean mayHaveRunBefore = !forward.runnersThatMayHaveRun().isEmpty();
     Optional<String> sessionRunner =
         forward.request().session().flatMap(session -> sessions.runner(forward.model(), session));
@@ -92,20 +116,80 @@
                       spec ->
                           runnerStates.totalTokens(entry) + forward.tokens() <= spec.cacheTokens())
                   .orElse(true);
-      if (eligible) {
+      if (!eligible) {
+        continue;
+      }
+      RunnerScoring.Candidate candidate =
+          new RunnerScoring.Candidate(
+              entry.id(),
+              runnerStates.totalRunning(entry),
+              engine.map(EngineSpec::slots).orElse(Math.max(1, entry.slots())),
+              entry.domain().equals(domain),
+              sessionRunner.filter(entry.id()::equals).isPresent(),
+              runnerStates.health(entry.id()).failureRate());
+      if (even) {
+        addEvenly(entry, candidate, now);
+      } else {
         entries.put(entry.id(), entry);
-        candidates.add(
-            new RunnerScoring.Candidate(
-                entry.id(),
-                runnerStates.totalRunning(entry),
-                engine.map(EngineSpec::slots).orElse(Math.max(1, entry.slots())),
-                entry.domain().equals(domain),
-                sessionRunner.filter(entry.id()::equals).isPresent(),
-                runnerStates.health(entry.id()).failureRate()));
+        candidates.add(candidate);
       }
     }
-    return RunnerScoring.best(candidates, forward.request().fingerprint() + forward.exchange())
-        .map(best -> entries.get(best.runner()));
+    return even
+        ? chooseEvenly(forward, place, now)
+        : chooseLeast(forward, candidates, entries, now);
+  }
+
+  private Optional<RunnerEntry> chooseLeast(
+      PendingForward forward,
+      List<RunnerScoring.Candidate> candidates,
+      Map<String, RunnerEntry> entries,
+      Instant now) {
+    Optional<RunnerScoring.Candidate> best =
+        RunnerScoring.best(candidates, forward.request().fingerprint() + forward.exchange());
+    best.ifPresent(
+        candidate ->
+            lastChoice =
+                new RunnerChoice(
+                    EvenChoice.Basis.LEAST,
+                    candidate.running(),
+                    candidates.size(),
+                    runnerStates.viewAge(now).toMillis()));
+    return best.map(candidate -> entries.get(candidate.runner()));
+  }
+
+  private void addEvenly(RunnerEntry entry, RunnerScoring.Candidate candidate, Instant now) {
+    RunnerLoad load = runnerStates.load(entry, now);
+    if (!load.isFull(now)) {
+      evenEntries.add(entry);
+      evenChoice.add(
+          candidate,
+          load,
+          runnerStates.ownRunning(entry.id()),
+          runnerStates.usualPace(),
+          load.ramp(now));
+    }
+  }
+
+  private Optional<RunnerEntry> chooseEvenly(
+      PendingForward forward, FleetPosition place, Instant now) {
+    long seed =
+        forward.request().fingerprint()
+            + 1_000_003 * forward.exchange()
+            + 7_919L * forward.attempts();
+    long ageMillis = runnerStates.viewAge(now).toMillis();
+    int chosen = evenChoice.choose(seed, ageMillis, place);
+    if (chosen < 0) {
+      return Optional.empty();
+    }
+    lastChoice =
+        new RunnerChoice(
+            evenChoice.basis(), evenChoice.expectedRunning(chosen), evenEntries.size(), ageMillis);
+    return Optional.of(evenEntries.get(chosen));
+  }
+
+  /** Returns the reasons of the last choice. */
+  RunnerChoice lastChoice() {
+    return lastChoice;
   }
 
   /** Returns whether the request could be served by a runner that cannot have executed it yet. */
--- a/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
@@ -14,8 +14,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Prometheus metrics: counters of log events and of messages to peers, and histograms of request
- * durations by outcome.
+ * Prometheus metrics: counters of log events, of choices of runners and of messages to peers, and
+ * histograms of request durations by outcome.
  *
  * <p>Label values are event names, message kinds, result codes and HTTP statuses, so the number of
  * time series is bounded. Thread-safe.
@@ -25,6 +25,7 @@
   private static final String EVENTS = "wisteriarail.events";
   private static final String REQUESTS = "wisteriarail.forward";
   private static final String PEER_MESSAGES = "wisteriarail.peer.messages";
+  private static final String CHOICES = "wisteriarail.choices";
   private static final String PEER_BYTES = "wisteriarail.peer.sent";
 
   /** For each event that ends a request, the log field with the request's duration on this node. */
@@ -40,6 +41,7 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<EventCode, Counter> counters = new ConcurrentHashMap<>();
   private final Map<String, Timer> timers = new ConcurrentHashMap<>();
+  private final Map<String, Counter> choiceCounters = new ConcurrentHashMap<>();
   private final Map<String, Counter> peerCounters = new ConcurrentHashMap<>();
 
   private GatewayMetrics() {}
@@ -56,6 +58,13 @@
             event.code(),
             code -> Counter.builder(EVENTS).tag("event", code.name()).register(registry))
         .increment();
+    if (event.code() == EventCode.FORWARD_SENT) {
+      choiceCounters
+          .computeIfAbsent(
+              event.fields().getOrDefault("choice", "none"),
+              basis -> Counter.builder(CHOICES).tag("basis", basis).register(registry))
+          .increment();
+    }
     Optional.ofNullable(DURATIONS.get(event.code()))
         .map(event.fields()::get)
         .ifPresent(millis -> recordDuration(event, Long.parseLong(millis)));
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -230,6 +230,7 @@
         file.seeds(),
         file.timings(),
         file.retries(),
+        file.balance(),
         file.drainLimit());
   }
 
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.settings;
 
 import dev.wisteriarail.core.fleet.FleetTimings;
+import dev.wisteriarail.core.forward.LoadBalance;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.id.FailureDomain;
 import dev.wisteriarail.core.id.NodeId;
@@ -29,6 +30,7 @@
  * @param storeAddress address of the platform's store, as host and port
  * @param timings intervals and timeouts of coordination between nodes
  * @param retries limits on the retries that all nodes send
+ * @param balance the rule that selects runners
  * @param drainLimit time after a stop request until the process has to end
  */
 public record GatewayFile(
@@ -45,6 +47,7 @@
     String storeAddress,
     FleetTimings timings,
     RetryLimits retries,
+    LoadBalance balance,
     Duration drainLimit) {
 
   /** Default time within which every node must know that a runner is leaving. */
@@ -96,6 +99,7 @@
                 seconds(toml, "retries.window_s", 10),
                 toml.number("retries.ratio", 0, 10, 0.2),
                 toml.number("retries.slack", 0, 100_000, 50)),
+            balance(toml),
             seconds(toml, "node.drain_limit_s", 8));
     toml.check();
     return file;
@@ -138,6 +142,7 @@
             && seeds.equals(other.seeds);
     add(tables, "gateway", !sameAddresses);
     add(tables, "store", !storeAddress.equals(other.storeAddress));
+    add(tables, "load", balance != other.balance);
     add(tables, "orders", !timings.equals(other.timings));
     return tables;
   }
@@ -157,6 +162,21 @@
         .withLeaveBound(toml.millis("runners.leave_within_ms", DEFAULT_LEAVE_BOUND));
   }
 
+  private static LoadBalance balance(TomlDocument toml) {
+    String path = "load.balance";
+    if (!toml.contains(path)) {
+      return LoadBalance.DEFAULT;
+    }
+    return switch (toml.text(path)) {
+      case "even" -> LoadBalance.EVEN;
+      case "least" -> LoadBalance.LEAST;
+      default -> {
+        toml.addProblem(path, "an unknown rule", "write \"even\" or \"least\"");
+        yield LoadBalance.DEFAULT;
+      }
+    };
+  }
+
   private static Duration seconds(TomlDocument toml, String path, double defaultValue) {
     return Duration.ofMillis(Math.round(1000 * toml.number(path, 0.1, 3_600, defaultValue)));
   }
