--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.core.gateway;
 
 import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.core.fleet.FleetPosition;
 import dev.wisteriarail.core.fleet.ModelDemand;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.CrashRefusal;
@@ -21,6 +22,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * Forwards the requests of one node to runners, from their arrival until they end.
@@ -56,14 +58,16 @@
       CallerAuthenticator authenticator,
       CrashGuard crashGuard,
       TenantAllowances allowances,
-      DrainPlan drain) {
+      DrainPlan drain,
+      Supplier<FleetPosition> position) {
     this.authenticator = authenticator;
     this.crashGuard = crashGuard;
     this.runnerStates = runnerStates;
     pending = PendingForwardTable.create(runnerStates, demandCounter, allowances);
     allowanceGate = AllowanceGate.create(allowances);
     completionEstimator = CompletionEstimator.create(pending, authenticator, this::startsIn);
-    RunnerPicker picker = RunnerPicker.create(settings.domain(), runnerStates);
+    RunnerPicker picker =
+        RunnerPicker.create(settings.domain(), settings.balance(), position, runnerStates);
     sender =
         AttemptSender.create(settings.retries(), runnerStates, picker, crashGuard, pending, drain);
     stalls = StallHandler.create(runnerStates, sender);
@@ -72,14 +76,21 @@
             runnerStates, picker, crashGuard, pending, completionEstimator, sender);
   }
 
+  /**
+   * Creates a forwarder without requests.
+   *
+   * @param position returns the node's place among all nodes
+   */
   static Forwarder create(
       GatewaySettings settings,
       RunnerStateTable runnerStates,
       CallerAuthenticator authenticator,
       CrashGuard crashGuard,
       TenantAllowances allowances,
-      DrainPlan drain) {
-    return new Forwarder(settings, runnerStates, authenticator, crashGuard, allowances, drain);
+      DrainPlan drain,
+      Supplier<FleetPosition> position) {
+    return new Forwarder(
+        settings, runnerStates, authenticator, crashGuard, allowances, drain, position);
   }
 
   /** Applies changed retry limits. */
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -113,7 +113,8 @@
             CallerAuthenticator.create(confirmation),
             crashGuard,
             allowances,
-            drain);
+            drain,
+            peers::position);
     peerSynchronizer = PeerSynchronizer.create(timings.maxDirectoryAge());
     coordinatorRole = CoordinatorRole.create(settings, lease, directory, runnerStates, allowances);
   }
@@ -539,7 +540,7 @@
     nextDemandReport =
         now.plusMillis(Math.round(timings.demandInterval().toMillis() * peers.heartbeatSlowdown()));
     List<ModelDemand> demands = forwarder.demands(now);
-    List<RunnerUse> uses = runnerStates.collectUses();
+    List<RunnerUse> uses = runnerStates.collectUses(now);
     List<TenantUse> tenants = allowances.isReportDue(now) ? allowances.report(now) : List.of();
     boolean empty = peers.isLarge() && demands.isEmpty() && uses.isEmpty() && tenants.isEmpty();
     if (empty && now.isBefore(lastEmptyReportAt.plus(EMPTY_REPORT_INTERVAL))) {
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.fleet.NodeAddress;
+import dev.wisteriarail.core.forward.LoadBalance;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.tenant.AllowanceLimits;
 import java.time.Duration;
@@ -16,6 +17,7 @@
  * @param timings intervals and timeouts of the fleet protocols
  * @param retries limits on the retries of all nodes together
  * @param allowances what is tolerated beyond the allowances of tenants
+ * @param balance the rule that selects runners
  * @param drainGrace time after a stop request until the process must have exited
  * @param revocation how long API keys are believed without word of the store
  */
@@ -26,6 +28,7 @@
     FleetTimings timings,
     RetryLimits retries,
     AllowanceLimits allowances,
+    LoadBalance balance,
     Duration drainGrace,
     RevocationRule revocation) {
 
@@ -34,7 +37,10 @@
     seeds = List.copyOf(seeds);
   }
 
-  /** Creates settings of a deployment whose nodes never refuse by the age of the configuration. */
+  /**
+   * Creates settings with the default rule that selects runners, of a deployment whose nodes never
+   * refuse by the age of the configuration.
+   */
   public GatewaySettings(
       NodeAddress self,
       String domain,
@@ -43,6 +49,15 @@
       RetryLimits retries,
       AllowanceLimits allowances,
       Duration drainGrace) {
-    this(self, domain, seeds, timings, retries, allowances, drainGrace, RevocationRule.DEFAULT);
+    this(
+        self,
+        domain,
+        seeds,
+        timings,
+        retries,
+        allowances,
+        LoadBalance.DEFAULT,
+        drainGrace,
+        RevocationRule.DEFAULT);
   }
 }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -258,6 +258,7 @@
         file.timings(),
         file.retries(),
         file.allowances(),
+        file.balance(),
         file.drainLimit(),
         file.revocation());
   }
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.settings;
 
 import dev.wisteriarail.core.fleet.FleetTimings;
+import dev.wisteriarail.core.forward.LoadBalance;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.gateway.RevocationRule;
 import dev.wisteriarail.core.id.FailureDomain;
@@ -32,6 +33,7 @@
  * @param timings intervals and timeouts of coordination between nodes
  * @param retries limits on the retries that all nodes send
  * @param allowances what is tolerated beyond the allowances of tenants
+ * @param balance the rule that selects runners
  * @param drainLimit time after a stop request until the process has to end
  * @param revocation how long API keys are believed without word of the store
  * @param memory the limit on held bytes; empty to hold bytes without a limit and to read a response
@@ -52,6 +54,7 @@
     FleetTimings timings,
     RetryLimits retries,
     AllowanceLimits allowances,
+    LoadBalance balance,
     Duration drainLimit,
     RevocationRule revocation,
     Optional<MemorySettings> memory) {
@@ -106,6 +109,7 @@
                 toml.number("retries.ratio", 0, 10, 0.2),
                 toml.number("retries.slack", 0, 100_000, 50)),
             allowances(toml),
+            balance(toml),
             seconds(toml, "node.drain_limit_s", 8),
             revocation(toml),
             MemorySettings.from(toml));
@@ -163,6 +167,7 @@
     add(tables, "gateway", !sameAddresses);
     add(tables, "store", !storeAddress.equals(other.storeAddress));
     add(tables, "allowances", !allowances.equals(other.allowances));
+    add(tables, "load", balance != other.balance);
     add(tables, "orders", !timings.equals(other.timings));
     add(tables, "memory", !memory.equals(other.memory));
     return tables;
@@ -191,6 +196,21 @@
         toml.number("allowances.slack", 0, 1e12, defaults.slack()));
   }
 
+  private static LoadBalance balance(TomlDocument toml) {
+    String path = "load.balance";
+    if (!toml.contains(path)) {
+      return LoadBalance.DEFAULT;
+    }
+    return switch (toml.text(path)) {
+      case "even" -> LoadBalance.EVEN;
+      case "least" -> LoadBalance.LEAST;
+      default -> {
+        toml.addProblem(path, "an unknown rule", "write \"even\" or \"least\"");
+        yield LoadBalance.DEFAULT;
+      }
+    };
+  }
+
   private static Duration seconds(TomlDocument toml, String path, double defaultValue) {
     return Duration.ofMillis(Math.round(1000 * toml.number(path, 0.1, 3_600, defaultValue)));
   }
--- a/src/test/java/dev/wisteriarail/core/gateway/CallerAuthenticationTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CallerAuthenticationTest.java
@@ -154,6 +154,7 @@
         base.timings(),
         base.retries(),
         base.allowances(),
+        base.balance(),
         base.drainGrace(),
         new RevocationRule(failClosed, BOUND));
   }
