--- a/src/main/java/dev/wisteriarail/core/forward/RunnerStateTable.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RunnerStateTable.java
@@ -110,12 +110,12 @@
 
   /** Records that a runner rejected a request of this node because it was full. */
   public void recordRejection(RunnerEntry runner, Instant now) {
-    load(runner, now).recordRejection(now);
+    observed(runner).ifPresent(load -> load.recordRejection(now));
   }
 
   /** Records that a runner accepted a request of this node. */
-  public void recordAcceptance(RunnerEntry runner, Instant now) {
-    load(runner, now).recordAcceptance();
+  public void recordAcceptance(RunnerEntry runner) {
+    observed(runner).ifPresent(RunnerLoad::recordAcceptance);
   }
 
   /**
@@ -124,13 +124,18 @@
    * @param promptTokens number of tokens of the prompt
    * @param elapsed time since the request was sent
    */
-  public void recordFirstEvent(
-      RunnerEntry runner, int promptTokens, Duration elapsed, Instant now) {
+  public void recordFirstEvent(RunnerEntry runner, int promptTokens, Duration elapsed) {
     double ratio =
         Math.min(
             RunnerLoad.MAX_RATIO, elapsed.toMillis() / RunnerLoad.expectedMillis(promptTokens));
     usualPace = usualPace == 0 ? ratio : usualPace + USUAL_PACE_WEIGHT * (ratio - usualPace);
-    load(runner, now).recordPace(ratio);
+    observed(runner).ifPresent(load -> load.recordPace(ratio));
+  }
+
+  /** Returns what was observed of a run of a runner unless a later run has been seen. */
+  private Optional<RunnerLoad> observed(RunnerEntry entry) {
+    return Optional.ofNullable(loads.get(entry.id()))
+        .filter(load -> load.bornMillis() == entry.bornMillis());
   }
 
   /** Records that a runner accepts no requests from this node for a while. */
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
@@ -139,7 +139,7 @@
         prevail(forward, attempt, forward.attempts(), step);
         pending.endAttempt(forward, attempt);
         health.recordSuccess();
-        runnerStates.recordAcceptance(runner, step.now());
+        runnerStates.recordAcceptance(runner);
         completionEstimator.recordEnd(forward, step.now());
         ForwardLog.answered(forward, runner, finished.status(), step);
         pending.remove(forward);
@@ -169,13 +169,12 @@
   }
 
   private void recordStart(PendingForward forward, LiveAttempt attempt, GatewayStep step) {
-    runnerStates.recordAcceptance(attempt.runner(), step.now());
+    runnerStates.recordAcceptance(attempt.runner());
     if (forward.route().streaming() && !forward.model().isEmpty()) {
       runnerStates.recordFirstEvent(
           attempt.runner(),
           forward.request().promptTokens(),
-          Duration.between(attempt.sentAt(), step.now()),
-          step.now());
+          Duration.between(attempt.sentAt(), step.now()));
     }
   }
 
--- a/src/test/java/dev/wisteriarail/core/forward/RunnerStateTableTest.java
+++ b/src/test/java/dev/wisteriarail/core/forward/RunnerStateTableTest.java
@@ -6,6 +6,7 @@
 import dev.wisteriarail.core.fleet.ModelForecast;
 import dev.wisteriarail.core.fleet.RunnerDirectory;
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.fleet.RunnerView;
 import dev.wisteriarail.core.id.LogPosition;
 import java.time.Duration;
 import java.time.Instant;
@@ -74,4 +75,39 @@
     runnerStates.advance(Instant.EPOCH);
     assertThat(runnerStates.health("r1")).isNotSameInstanceAs(before);
   }
+
+  private static RunnerView view(long revision, int running) {
+    return new RunnerView("r1", 1, revision, List.of(), "", 0, running, 0);
+  }
+
+  @Test
+  void viewIncludesOwnRequestsOfTheReportThatPrecedesIt() {
+    setRunners(1, runner("r1"));
+    final RunnerLoad load = runnerStates.load(runner("r1"), NOW);
+    runnerStates.requestSent("r1", "", "", 10);
+    runnerStates.collectUses(NOW);
+    runnerStates.requestSent("r1", "", "", 10);
+    runnerStates.collectUses(NOW.plusMillis(400));
+    runnerStates.accept(List.of(view(1, 4)), List.of(), NOW.plusMillis(420));
+    assertThat(load.othersRunning()).isEqualTo(3);
+    runnerStates.accept(List.of(view(2, 4)), List.of(), NOW.plusMillis(850));
+    assertThat(load.othersRunning()).isEqualTo(2);
+    runnerStates.accept(List.of(view(1, 9)), List.of(), NOW.plusMillis(900));
+    assertThat(load.othersRunning()).isEqualTo(2);
+  }
+
+  @Test
+  void rejectionsCloseRunnerForLongerEachTimeUntilViewOrSuccess() {
+    final RunnerLoad load = runnerStates.load(runner("r1"), NOW);
+    for (int millis : List.of(100, 200, 400, 800, 800)) {
+      runnerStates.recordRejection(runner("r1"), NOW);
+      assertThat(load.isFull(NOW.plusMillis(millis - 1))).isTrue();
+      assertThat(load.isFull(NOW.plusMillis(millis))).isFalse();
+    }
+    runnerStates.accept(List.of(view(1, 4)), List.of(), NOW);
+    assertThat(load.isFull(NOW)).isFalse();
+    runnerStates.recordAcceptance(runner("r1"));
+    runnerStates.recordRejection(runner("r1"), NOW);
+    assertThat(load.isFull(NOW.plusMillis(100))).isFalse();
+  }
 }
--- a/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
+++ b/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import dev.wisteriarail.core.forward.LoadBalance;
 import dev.wisteriarail.core.result.SettingsException;
 import java.util.Arrays;
 import java.util.List;
@@ -65,6 +66,16 @@
     assertThat(after.changedTablesRequiringRestart(before)).isEqualTo(names(atNextStart));
   }
 
+  @Test
+  void ruleThatSelectsRunnersIsReadAndChecked() throws Exception {
+    assertThat(parse(TOML).balance()).isEqualTo(LoadBalance.DEFAULT);
+    String even = TOML + "[load]\nbalance = \"even\"\n";
+    assertThat(parse(even).balance()).isEqualTo(LoadBalance.EVEN);
+    assertThat(parse(even).changedTablesRequiringRestart(parse(TOML))).containsExactly("load");
+    assertThat(parse(even.replace("even", "least")).balance()).isEqualTo(LoadBalance.LEAST);
+    assertThrows(SettingsException.class, () -> parse(even.replace("even", "random")));
+  }
+
   private static List<String> names(String text) {
     return Arrays.stream(text.split(" ")).filter(name -> !name.isEmpty()).toList();
   }
