Soak: held links, unchecked fences and an oracle for late orders

Cause: the soak's links dropped what was sent while they were interrupted, where a real network delivers it later, so orders of a node that had been cut off could not arrive after those of its successor.

A plan type of its own (runners that check no fencing numbers, the ordering node cut off for 7 to 10 s), which no seed of the other types draws. ORDERS also reports a lower fencing number after a higher one and two holders within 3 s.

--- a/src/main/java/dev/wisteriarail/cli/SoakCommand.java
+++ b/src/main/java/dev/wisteriarail/cli/SoakCommand.java
@@ -57,6 +57,8 @@
         .withRequiredArg()
         .ofType(Integer.class)
         .defaultsTo(DEFAULT_NODES);
+    parser.accepts(
+        "unchecked-fences", "runners that check no fencing numbers, and cuts of the ordering node");
     parser
         .accepts(
             "dir",
@@ -72,13 +74,12 @@
     for (long seed = first; seed < first + (Integer) options.valueOf("runs"); seed++) {
       Path directory = directory((String) options.valueOf("dir"), seed);
       out.println("logs of seed " + seed + " in " + directory);
+      Duration length = Duration.ofSeconds((Integer) options.valueOf("seconds"));
+      int nodes = (Integer) options.valueOf("nodes");
       Soak.Report report =
-          Soak.run(
-              seed,
-              Duration.ofSeconds((Integer) options.valueOf("seconds")),
-              (Integer) options.valueOf("nodes"),
-              directory,
-              out);
+          options.has("unchecked-fences")
+              ? Soak.runWithUncheckedFences(seed, length, nodes, directory, out)
+              : Soak.run(seed, length, nodes, directory, out);
       out.println(report.describe());
       allPassed &= report.violations().isEmpty();
     }
--- a/src/main/java/dev/wisteriarail/soak/Disturbance.java
+++ b/src/main/java/dev/wisteriarail/soak/Disturbance.java
@@ -72,6 +72,12 @@
   /** The links of one kind to or from one process fail for a while. */
   record LinkHarmed(Link link, int index, LinkState state, long millis) implements Disturbance {}
 
+  /**
+   * The node that gave the last order is cut off from the store, the other nodes and the runners,
+   * while callers still reach it. What was sent meanwhile arrives after the cut.
+   */
+  record OrderingNodeCutOff(long millis) implements Disturbance {}
+
   /** The store is down, answers late or loses answers for a while. */
   record StoreHarmed(StoreHarm harm, long millis) implements Disturbance {}
 
--- a/src/main/java/dev/wisteriarail/soak/LinkState.java
+++ b/src/main/java/dev/wisteriarail/soak/LinkState.java
@@ -13,5 +13,11 @@
   /** Bytes in both directions are dropped and connections stay open. */
   SILENT,
   /** All connections are reset, including new ones. */
-  RESET
+  RESET,
+  /**
+   * Bytes in both directions are held and connections stay open. They are forwarded some time after
+   * the link is open again, as a network sends lost packets again, unless their sender reset its
+   * connection.
+   */
+  HELD
 }
--- a/src/main/java/dev/wisteriarail/soak/NodeProcess.java
+++ b/src/main/java/dev/wisteriarail/soak/NodeProcess.java
@@ -138,6 +138,11 @@
     return process != null && process.isAlive();
   }
 
+  /** Returns whether the running process has a socket with a local port. */
+  boolean hasSocket(int localPort) {
+    return isAlive() && SocketTable.hasSocket(process.pid(), localPort);
+  }
+
   /** Sends SIGTERM. */
   synchronized void terminate() {
     boolean first = process != null && !process.equals(signalled);
--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -9,9 +9,12 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -57,6 +60,9 @@
   private final List<String> routes = new ArrayList<>();
   private final List<String> recordedViolations = new ArrayList<>();
 
+  /** When links opened whose bytes were held, in nanoseconds. */
+  private final List<Long> linkOpenings = new CopyOnWriteArrayList<>();
+
   private volatile boolean ended;
   private SoakCallers callers;
 
@@ -80,7 +86,30 @@
   public static Report run(long seed, Duration length, int nodes, Path directory, PrintStream out)
       throws SettingsException, InterruptedException {
     SoakPlan plan = SoakPlan.draw(seed, length, nodes, SoakFleet.RUNNER_COUNT);
-    try (SoakFleet fleet = SoakFleet.start(nodes, plan.stopLimit(), directory)) {
+    return run(seed, plan, length, nodes, directory, out);
+  }
+
+  /**
+   * Runs a soak with runners that check no fencing numbers, in which the ordering node is cut off.
+   *
+   * @param seed seed of the disturbances and of the callers' requests
+   * @param length period in which disturbances start
+   * @param nodes number of node processes
+   * @param directory directory of the nodes' settings files and log files
+   * @param out stream on which each disturbance is printed when it starts
+   * @throws SettingsException if a process or a stand-in cannot be started
+   */
+  public static Report runWithUncheckedFences(
+      long seed, Duration length, int nodes, Path directory, PrintStream out)
+      throws SettingsException, InterruptedException {
+    SoakPlan plan = SoakPlan.drawWithUncheckedFences(seed, length, nodes, SoakFleet.RUNNER_COUNT);
+    return run(seed, plan, length, nodes, directory, out);
+  }
+
+  private static Report run(
+      long seed, SoakPlan plan, Duration length, int nodes, Path directory, PrintStream out)
+      throws SettingsException, InterruptedException {
+    try (SoakFleet fleet = SoakFleet.start(nodes, plan, directory)) {
       return new Soak(fleet, plan, out).run(seed, plan, length);
     }
   }
@@ -121,6 +150,9 @@
             plan.planType(),
             plannedStops(plan.stopLimit()),
             callers.longestStall()));
+    if (plan.planType() == SoakPlan.PlanType.UNCHECKED_FENCES) {
+      violations.addAll(SoakOracle.checkOrders(orderArrivals(), List.copyOf(linkOpenings)));
+    }
     Map<Integer, Integer> statuses = new TreeMap<>();
     outcomes.forEach(outcome -> statuses.merge(outcome.status(), 1, Integer::sum));
     return new Report(
@@ -133,6 +165,12 @@
         violations);
   }
 
+  private List<RunnerStandin.OrderArrival> orderArrivals() {
+    return fleet.platform().allRunners().stream()
+        .flatMap(runner -> runner.orderArrivals().stream())
+        .toList();
+  }
+
   private PlannedStops plannedStops(Duration gracePeriod) {
     return new PlannedStops(
         gracePeriod,
@@ -208,6 +246,15 @@
         Thread.sleep(harmed.millis());
         proxy.setState(LinkState.OPEN);
       }
+      case Disturbance.OrderingNodeCutOff cut -> {
+        Optional<Integer> node = orderingNode();
+        if (node.isPresent()) {
+          fleet.setCutOff(node.get(), true);
+          Thread.sleep(cut.millis());
+          fleet.setCutOff(node.get(), false);
+          linkOpenings.add(System.nanoTime());
+        }
+      }
       case Disturbance.StoreHarmed harmed -> {
         fleet.platform().store().server().setFaults(faults(harmed.harm()));
         Thread.sleep(harmed.millis());
@@ -257,6 +304,13 @@
     member.process().signal("HUP");
   }
 
+  /** Returns the node that gave the last order; empty if none was given. */
+  private Optional<Integer> orderingNode() {
+    return orderArrivals().stream()
+        .max(Comparator.comparingLong(RunnerStandin.OrderArrival::nanos))
+        .map(order -> Integer.parseInt(order.holder().substring(1)));
+  }
+
   private static Faults faults(Disturbance.StoreHarm harm) {
     return switch (harm) {
       case DOWN -> Faults.NONE.withDown(true);
--- a/src/main/java/dev/wisteriarail/soak/SoakFleet.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakFleet.java
@@ -36,17 +36,19 @@
    * Starts the platform and all nodes.
    *
    * @param nodes number of nodes
-   * @param stopLimit time from SIGTERM until a node must exit
+   * @param plan decides how long nodes may take to stop and whether runners check fencing numbers
    * @param directory directory of the nodes' settings files and log files
    */
-  static SoakFleet start(int nodes, Duration stopLimit, Path directory) throws SettingsException {
+  static SoakFleet start(int nodes, SoakPlan plan, Path directory) throws SettingsException {
     SoakFleet fleet = new SoakFleet(PlatformStandin.start(ENGINE_COUNT, PLAIN_COUNT));
+    final boolean fences = plan.planType() != SoakPlan.PlanType.UNCHECKED_FENCES;
     for (RunnerStandin runner : fleet.platform.runners()) {
+      runner.setChecksFences(fences);
       fleet.addProxy(runner);
     }
     fleet.platform.writeEntries();
     for (int i = 0; i < nodes; i++) {
-      Member member = fleet.newMember("n" + i, stopLimit, directory);
+      Member member = fleet.newMember("n" + i, plan.stopLimit(), fences, directory);
       fleet.members.add(member);
       member.process().start(Duration.ZERO);
     }
@@ -63,9 +65,10 @@
     runner.announceAddress(proxy.address());
   }
 
-  private Member newMember(String name, Duration stopLimit, Path directory)
+  private Member newMember(String name, Duration stopLimit, boolean fences, Path directory)
       throws SettingsException {
-    LoopbackSettings direct = LoopbackSettings.of(name, platform.store().address());
+    LoopbackSettings checked = LoopbackSettings.of(name, platform.store().address());
+    LoopbackSettings direct = fences ? checked : checked.withUncheckedFences(SoakOracle.LEASE_TIME);
     LoopbackProxy callers = LoopbackProxy.start(direct.callerPort());
     LoopbackProxy peers = LoopbackProxy.start(direct.peerPort());
     LoopbackProxy store = LoopbackProxy.start(port(direct.store()));
@@ -111,6 +114,19 @@
     };
   }
 
+  /**
+   * Cuts a node off from the store, the other nodes and the runners, or ends that. What is sent
+   * meanwhile is held.
+   */
+  synchronized void setCutOff(int node, boolean cutOff) {
+    Member cut = members.get(node);
+    LinkState state = cutOff ? LinkState.HELD : LinkState.OPEN;
+    cut.store().setState(state);
+    cut.peers().setState(state);
+    runnerProxies.values().forEach(proxy -> proxy.setHeld(cut.process(), cutOff));
+    members.forEach(member -> member.peers().setHeld(cut.process(), cutOff));
+  }
+
   /** Opens all links. */
   synchronized void openLinks() {
     runnerProxies.values().forEach(proxy -> proxy.setState(LinkState.OPEN));
--- a/src/main/java/dev/wisteriarail/soak/SoakOracle.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakOracle.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.standin.RunnerStandin;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +35,12 @@
   /** Crashes of runners after which requests of the kind that caused them are to be refused. */
   private static final int CRASHES_ALLOWED = 5;
 
+  /** Minimum time between the orders of two nodes to one runner; the users' {@code lease_ms}. */
+  static final Duration LEASE_TIME = Duration.ofSeconds(3);
+
+  /** Time after the opening of a link in which orders that arrive are not judged. */
+  private static final Duration THAW_TIME = Duration.ofMillis(300);
+
   /** Time after the last of these crashes in which such requests may still reach runners. */
   private static final Duration CRASH_SETTLING_TIME = Duration.ofSeconds(3);
 
@@ -117,6 +124,44 @@
         : Optional.empty();
   }
 
+  /**
+   * Checks the orders to runners that check no fencing numbers: none under a lower fencing number
+   * after a higher one, and no orders of two holders within {@link #LEASE_TIME}.
+   *
+   * @param orders the orders to all runners
+   * @param openings when links opened, in nanoseconds
+   */
+  static List<String> checkOrders(List<RunnerStandin.OrderArrival> orders, List<Long> openings) {
+    List<String> violations = new ArrayList<>();
+    Map<String, RunnerStandin.OrderArrival> highest = new HashMap<>();
+    Map<String, RunnerStandin.OrderArrival> last = new HashMap<>();
+    List<RunnerStandin.OrderArrival> judged =
+        orders.stream()
+            .filter(order -> openings.stream().noneMatch(opening -> isThawed(order, opening)))
+            .sorted(Comparator.comparingLong(RunnerStandin.OrderArrival::nanos))
+            .toList();
+    for (RunnerStandin.OrderArrival order : judged) {
+      RunnerStandin.OrderArrival higher = highest.getOrDefault(order.runner(), order);
+      if (order.fence() < higher.fence()) {
+        violations.add("ORDERS a lower fencing number: " + order + " after " + higher);
+      } else {
+        highest.put(order.runner(), order);
+      }
+      RunnerStandin.OrderArrival before = last.getOrDefault(order.runner(), order);
+      if (!before.holder().equals(order.holder())
+          && order.nanos() - before.nanos() < LEASE_TIME.toNanos()) {
+        violations.add("ORDERS two holders: " + order + " after " + before);
+      }
+      last.put(order.runner(), order);
+    }
+    return violations;
+  }
+
+  private static boolean isThawed(RunnerStandin.OrderArrival order, long opening) {
+    long after = order.nanos() - opening;
+    return after >= 0 && after <= THAW_TIME.toNanos();
+  }
+
   /**
    * Returns the number of requests without a complete answer by cause: whether they ran, and what
    * their caller saw.
@@ -171,7 +216,9 @@
       return Optional.of(request + " ran and got no answer: " + outcome.body());
     }
     boolean excused =
-        planType == SoakPlan.PlanType.FAULTS || planType == SoakPlan.PlanType.CRASHING_REQUESTS;
+        planType == SoakPlan.PlanType.FAULTS
+            || planType == SoakPlan.PlanType.CRASHING_REQUESTS
+            || planType == SoakPlan.PlanType.UNCHECKED_FENCES;
     if (!excused && outcome.closedAfter().compareTo(slack) > 0) {
       return Optional.of(request + " got no byte in " + outcome.closedAfter().toMillis() + " ms");
     }
--- a/src/main/java/dev/wisteriarail/soak/SoakPlan.java
+++ b/src/main/java/dev/wisteriarail/soak/SoakPlan.java
@@ -86,6 +86,23 @@
   /** Added to the seed to draw the changes in starts independently of the other steps. */
   private static final long CHANGE_IN_START_SEED_OFFSET = 1L << 43;
 
+  /** Added to the seed to draw a plan for runners that check no fencing numbers. */
+  private static final long CUT_SEED_OFFSET = 1L << 44;
+
+  /**
+   * Minimum duration of a cut: the lease of the node that is cut off expires, another node claims
+   * it and waits for the handover before it orders the same runners.
+   */
+  private static final int MIN_CUT_MILLIS = 7_000;
+
+  private static final int MAX_CUT_MILLIS = 10_000;
+
+  /** Maximum time between two bursts around a cut, which make both nodes give orders. */
+  private static final int MAX_CUT_BURST_INTERVAL_MILLIS = 600;
+
+  /** Callers per node in such a burst. */
+  private static final int CUT_BURST_CALLERS = 2;
+
   /** Upper bound of the duration of most disturbances. */
   private static final int MAX_DURATION_MILLIS = 3_000;
 
@@ -110,6 +127,12 @@
           .filter(behaviour -> behaviour != RunnerStandin.Behaviour.SILENT_FOR_A_SECOND)
           .toArray(RunnerStandin.Behaviour[]::new);
 
+  /** Link states that {@link #drawDisturbance} draws; its seeds keep their plans. */
+  private static final LinkState[] DRAWN_LINK_STATES =
+      Arrays.stream(LinkState.values())
+          .filter(state -> state != LinkState.HELD)
+          .toArray(LinkState[]::new);
+
   /** The kinds of disturbances that a plan allows. */
   public enum PlanType {
     /** All disturbances. */
@@ -122,7 +145,9 @@
      */
     CRASHING_REQUESTS,
     /** Planned operations, and runners that are full, silent or slow. */
-    PLANNED_WITH_SLOW_RUNNERS
+    PLANNED_WITH_SLOW_RUNNERS,
+    /** Runners that check no fencing numbers, and nodes that are cut off while they give orders. */
+    UNCHECKED_FENCES
   }
 
   /** Copies the list. */
@@ -164,13 +189,50 @@
       steps.addAll(drawRunnerNotifications(new SplittableRandom(~seed), length, runners));
       steps.addAll(drawStoreRestores(new SplittableRandom(seed + RESTORE_SEED_OFFSET), length));
     }
+    steps.addAll(drawStepsOfAllPlans(seed, length, nodes, runners));
+    steps.sort(Comparator.comparing(Step::at));
+    return new SoakPlan(planType, stopLimit, steps);
+  }
+
+  /**
+   * Draws a plan of the type {@link PlanType#UNCHECKED_FENCES}, which {@link #draw} never draws:
+   * its runners differ from those of the other types.
+   *
+   * @param seed the seed
+   * @param length period in which disturbances start
+   * @param nodes number of nodes
+   * @param runners number of runners
+   */
+  public static SoakPlan drawWithUncheckedFences(
+      long seed, Duration length, int nodes, int runners) {
+    SplittableRandom random = new SplittableRandom(seed + CUT_SEED_OFFSET);
+    List<Step> steps = new ArrayList<>();
+    long cutAt = random.nextInt(MAX_DURATION_MILLIS);
+    while (cutAt < length.toMillis()) {
+      int millis = random.nextInt(MIN_CUT_MILLIS, MAX_CUT_MILLIS);
+      steps.add(new Step(Duration.ofMillis(cutAt), new Disturbance.OrderingNodeCutOff(millis)));
+      cutAt += millis + random.nextInt(MAX_DURATION_MILLIS, 2 * MAX_DURATION_MILLIS);
+    }
+    for (long at = 0;
+        at < cutAt - MAX_DURATION_MILLIS;
+        at += random.nextInt(MAX_CUT_BURST_INTERVAL_MILLIS)) {
+      int model = random.nextInt(PlatformStandin.FIRST_LARGE_MODEL);
+      steps.add(new Step(Duration.ofMillis(at), new Disturbance.Burst(model, CUT_BURST_CALLERS)));
+    }
+    steps.addAll(drawStepsOfAllPlans(seed, length, nodes, runners));
+    steps.sort(Comparator.comparing(Step::at));
+    return new SoakPlan(PlanType.UNCHECKED_FENCES, STOP_LIMITS.getLast(), steps);
+  }
+
+  private static List<Step> drawStepsOfAllPlans(
+      long seed, Duration length, int nodes, int runners) {
+    List<Step> steps = new ArrayList<>();
     steps.addAll(drawSilences(new SplittableRandom(seed + SILENCE_SEED_OFFSET), length, runners));
     steps.addAll(drawOddEntries(new SplittableRandom(seed + ENTRY_SEED_OFFSET), length, runners));
     steps.addAll(
         drawChangesInStarts(
             new SplittableRandom(seed + CHANGE_IN_START_SEED_OFFSET), length, nodes));
-    steps.sort(Comparator.comparing(Step::at));
-    return new SoakPlan(planType, stopLimit, steps);
+    return steps;
   }
 
   /**
@@ -271,6 +333,7 @@
   private static boolean allows(PlanType planType, Disturbance disturbance) {
     return switch (planType) {
       case FAULTS -> true;
+      case UNCHECKED_FENCES -> false;
       case PLANNED -> disturbance.isPlanned();
       case CRASHING_REQUESTS ->
           disturbance.isPlanned()
@@ -341,7 +404,7 @@
       default -> {
         Disturbance.Link link = pick(random, Disturbance.Link.values());
         int index = link == Disturbance.Link.RUNNER ? runner : node;
-        yield new Disturbance.LinkHarmed(link, index, pick(random, LinkState.values()), millis);
+        yield new Disturbance.LinkHarmed(link, index, pick(random, DRAWN_LINK_STATES), millis);
       }
     };
   }
--- a/src/main/java/dev/wisteriarail/standin/LoopbackSettings.java
+++ b/src/main/java/dev/wisteriarail/standin/LoopbackSettings.java
@@ -13,6 +13,8 @@
  * @param metricsPort port for metrics
  * @param announced address that the node announces to other nodes, as host and port
  * @param store the store's address, as host and port
+ * @param handover pause between the orders of two nodes to one runner
+ * @param fencesEnforced whether runners refuse orders with an old fencing number
  * @param retryRatio retries allowed per request
  * @param stopLimit time from SIGTERM until the process must end; written in whole seconds
  */
@@ -24,6 +26,8 @@
     int metricsPort,
     String announced,
     String store,
+    Duration handover,
+    boolean fencesEnforced,
     double retryRatio,
     Duration stopLimit) {
 
@@ -33,7 +37,7 @@
   private static final double DEFAULT_RETRY_RATIO = 0.2;
 
   /** Short, so that another node starts to send orders soon after the coordinator is gone. */
-  private static final int HANDOVER_MILLIS = 1_000;
+  private static final Duration DEFAULT_HANDOVER = Duration.ofSeconds(1);
 
   /**
    * Returns settings with free ports.
@@ -50,27 +54,39 @@
         FreePorts.next(),
         "127.0.0.1:" + peerPort,
         store,
+        DEFAULT_HANDOVER,
+        true,
         DEFAULT_RETRY_RATIO,
         DEFAULT_STOP_LIMIT);
   }
 
   /** Returns a copy with other addresses for the node itself and for the store. */
   public LoopbackSettings withAddresses(String newAnnounced, String newStore) {
-    return with(newAnnounced, newStore, retryRatio, stopLimit);
+    return with(newAnnounced, newStore, handover, fencesEnforced, retryRatio, stopLimit);
   }
 
   /** Returns a copy with another ratio of retries. */
   public LoopbackSettings withRetryRatio(double newRatio) {
-    return with(announced, store, newRatio, stopLimit);
+    return with(announced, store, handover, fencesEnforced, newRatio, stopLimit);
+  }
+
+  /** Returns a copy for runners that check no fencing numbers, with another handover pause. */
+  public LoopbackSettings withUncheckedFences(Duration newHandover) {
+    return with(announced, store, newHandover, false, retryRatio, stopLimit);
   }
 
   /** Returns a copy with another stop limit. */
   public LoopbackSettings withStopLimit(Duration newLimit) {
-    return with(announced, store, retryRatio, newLimit);
+    return with(announced, store, handover, fencesEnforced, retryRatio, newLimit);
   }
 
   private LoopbackSettings with(
-      String newAnnounced, String newStore, double newRatio, Duration newLimit) {
+      String newAnnounced,
+      String newStore,
+      Duration newHandover,
+      boolean newFencesEnforced,
+      double newRatio,
+      Duration newLimit) {
     return new LoopbackSettings(
         name,
         callerPort,
@@ -79,6 +95,8 @@
         metricsPort,
         newAnnounced,
         newStore,
+        newHandover,
+        newFencesEnforced,
         newRatio,
         newLimit);
   }
@@ -100,7 +118,8 @@
         "[store]",
         "address = \"" + store + "\"",
         "[orders]",
-        "handover_ms = " + HANDOVER_MILLIS,
+        "handover_ms = " + handover.toMillis(),
+        "fences_enforced = " + fencesEnforced,
         "[retries]",
         "ratio = " + retryRatio,
         "");
--- a/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/RunnerStandin.java
@@ -60,9 +60,11 @@
   private final Map<String, Long> workEndTimes = new HashMap<>();
   private final List<Long> crashingArrivals = new ArrayList<>();
   private final List<String> invalidOrders = new ArrayList<>();
+  private final List<OrderArrival> orderArrivals = new ArrayList<>();
   private final RunnerMemory memory;
   private StandinServer server;
   private Behaviour behaviour = Behaviour.SOUND;
+  private boolean checksFences = true;
   private boolean draining;
   private volatile boolean announcesLeaving;
   private volatile boolean crashing;
@@ -82,6 +84,16 @@
     memory = new RunnerMemory(loadedModels, invalidOrders);
   }
 
+  /**
+   * An order that reached a runner.
+   *
+   * @param runner the runner's identifier
+   * @param nanos when it arrived, in the terms of {@link System#nanoTime}
+   * @param holder the node that gave it
+   * @param fence its fencing number
+   */
+  public record OrderArrival(String runner, long nanos, String holder, long fence) {}
+
   /** How a runner treats requests. */
   public enum Behaviour {
     /** Serves requests correctly. */
@@ -129,8 +141,10 @@
   }
 
   /** Starts a new incarnation of an ended runner: the same identifier with no models loaded. */
-  RunnerStandin startNextIncarnation() throws SettingsException {
-    return start(id, service, engine, List.of(), bornMillis + 1);
+  synchronized RunnerStandin startNextIncarnation() throws SettingsException {
+    RunnerStandin next = start(id, service, engine, List.of(), bornMillis + 1);
+    next.setChecksFences(checksFences);
+    return next;
   }
 
   // Calls
@@ -173,11 +187,12 @@
     Map<?, ?> order = Codecs.json().readValue(call.body(), Map.class);
     long token = ((Number) order.get("fencing_token")).longValue();
     final Object expect = order.get("expect");
-    if (token < fence) {
+    String holder = (String) order.get("holder");
+    orderArrivals.add(new OrderArrival(id, System.nanoTime(), holder, token));
+    if (checksFences && token < fence) {
       call.reply(412, "an older fencing number");
       return;
     }
-    String holder = (String) order.get("holder");
     if (token == fence && !holder.equals(fenceHolder)) {
       invalidOrders.add("two holders with fencing number " + token);
     }
@@ -353,6 +368,11 @@
     behaviour = newBehaviour;
   }
 
+  /** Changes whether the runner refuses orders with an old fencing number. */
+  public synchronized void setChecksFences(boolean checks) {
+    checksFences = checks;
+  }
+
   /** Makes the directory entry show the runner as draining. */
   public synchronized void drain() {
     draining = true;
@@ -391,6 +411,11 @@
     return List.copyOf(invalidOrders);
   }
 
+  /** Returns the orders that reached the runner, including refused ones, as they arrived. */
+  public synchronized List<OrderArrival> orderArrivals() {
+    return List.copyOf(orderArrivals);
+  }
+
   /** Returns the address on which the runner listens, as host and port. */
   public String address() {
     return server.authority();
--- a/src/test/java/dev/wisteriarail/soak/SoakTest.java
+++ b/src/test/java/dev/wisteriarail/soak/SoakTest.java
@@ -43,6 +43,51 @@
     assertThat(report.violations()).isEmpty();
   }
 
+  /**
+   * Guards against orders of a node that was cut off reaching runners after those of its successor.
+   */
+  @Test
+  void ordersThatWereHeldDoNotArriveAfterTheCut() throws Exception {
+    PrintStream discarded =
+        new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
+    Soak.Report report =
+        Soak.runWithUncheckedFences(1, Duration.ofSeconds(12), 2, directory, discarded);
+    assertThat(report.violations()).isEmpty();
+  }
+
+  /** Orders are given as holder, fencing number and time in milliseconds; a link opens at 10 s. */
+  @ParameterizedTest
+  @CsvSource({
+    "n0 5 0, n0 5 100, ''",
+    "n0 5 0, n1 6 3000, ''",
+    "n0 5 0, n1 6 2999, two holders",
+    "n1 6 0, n1 5 4000, a lower fencing number",
+    "n1 6 0, n0 5 4000, a lower fencing number",
+    "n1 6 9000, n0 5 10300, ''",
+    "n1 6 6000, n0 5 10301, a lower fencing number",
+    "n1 6 9999, n0 7 10301, two holders",
+  })
+  void ordersOutOfTurnAreFound(String first, String second, String found) {
+    List<RunnerStandin.OrderArrival> orders =
+        Stream.of(second, first).map(SoakTest::order).toList();
+    List<String> violations = SoakOracle.checkOrders(orders, List.of(nanos(10_000)));
+    assertThat(violations.isEmpty()).isEqualTo(found.isEmpty());
+    assertThat(String.join(" ", violations)).contains(found);
+  }
+
+  private static RunnerStandin.OrderArrival order(String text) {
+    List<String> parts = List.of(text.split(" ", -1));
+    return new RunnerStandin.OrderArrival(
+        "e0", nanos(Long.parseLong(parts.get(2))), parts.get(0), Long.parseLong(parts.get(1)));
+  }
+
+  private static SoakPlan draw(SoakPlan.PlanType planType, long seed) {
+    Duration length = Duration.ofSeconds(10);
+    return planType == SoakPlan.PlanType.UNCHECKED_FENCES
+        ? SoakPlan.drawWithUncheckedFences(seed, length, 3, 5)
+        : SoakPlan.draw(seed, length, 3, 5);
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1, 7, 19})
   void equalSeedsGiveEqualPlans(long seed) {
@@ -208,7 +253,7 @@
   void plansOfEachTypeHoldHangupsInStarts(SoakPlan.PlanType planType) {
     boolean held =
         IntStream.range(0, 40)
-            .mapToObj(seed -> SoakPlan.draw(seed, Duration.ofSeconds(10), 3, 5))
+            .mapToObj(seed -> draw(planType, seed))
             .filter(plan -> plan.planType() == planType)
             .flatMap(plan -> plan.steps().stream())
             .anyMatch(step -> step.disturbance() instanceof Disturbance.SettingsChangedInStart);
