Queue requests fairly and by urgency where a service has two ranks

Less urgent requests won every slot that became free, since their callers wait longer. Adds the order over tenants, the limit by rank at runners, the reserve while urgent requests wait, and the refusal by the rate of free slots, with the setting load.urgent_queue and metrics of the queue.

ForwardRulesTest, GatewayCoreTest, GatewayFileTest and CatalogueTest pass (220 tests); the behaviour under load is not tested yet.

--- a/src/main/java/dev/wisteriarail/core/forward/WaitRule.java
+++ b/src/main/java/dev/wisteriarail/core/forward/WaitRule.java
@@ -42,6 +42,26 @@
     return new Decision.Wait();
   }
 
+  /**
+   * Decides for one request in a queue. It is refused if its wait for a slot exceeds the time that
+   * its caller still waits even at the highest rate that the data allow; the retry-after time is
+   * the expected wait.
+   *
+   * @param waitTimeLeft how long the caller still waits for the first byte
+   * @param startsIn expected time until a runner accepts requests; empty if unknown
+   * @param slotWait expected wait for a slot; empty without data, which never leads to a refusal
+   */
+  public static Decision decide(
+      Duration waitTimeLeft, Optional<Duration> startsIn, Optional<SlotForecast.Wait> slotWait) {
+    Decision decision = decide(waitTimeLeft, startsIn);
+    if (decision instanceof Decision.Refuse || slotWait.isEmpty()) {
+      return decision;
+    }
+    return slotWait.get().least().compareTo(waitTimeLeft.minus(START_MARGIN)) > 0
+        ? decide(waitTimeLeft, Optional.of(slotWait.get().expected()))
+        : decision;
+  }
+
   /** The decision for a request. */
   public sealed interface Decision {
 
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntUnaryOperator;
 
 /**
  * Sends requests to runners, within the limits on further attempts.
@@ -33,6 +34,7 @@
   private final CrashGuard crashGuard;
   private final PendingForwardTable pending;
   private final DrainPlan drain;
+  private final ForwardQueue queue;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private int sharingNodes = 1;
 
@@ -42,13 +44,15 @@
       RunnerPicker picker,
       CrashGuard crashGuard,
       PendingForwardTable pending,
-      DrainPlan drain) {
+      DrainPlan drain,
+      ForwardQueue queue) {
     this.retryLimits = retryLimits;
     this.runnerStates = runnerStates;
     this.picker = picker;
     this.crashGuard = crashGuard;
     this.pending = pending;
     this.drain = drain;
+    this.queue = queue;
   }
 
   static AttemptSender create(
@@ -57,8 +61,9 @@
       RunnerPicker picker,
       CrashGuard crashGuard,
       PendingForwardTable pending,
-      DrainPlan drain) {
-    return new AttemptSender(retryLimits, runnerStates, picker, crashGuard, pending, drain);
+      DrainPlan drain,
+      ForwardQueue queue) {
+    return new AttemptSender(retryLimits, runnerStates, picker, crashGuard, pending, drain, queue);
   }
 
   /** Applies changed retry limits. */
@@ -93,7 +98,21 @@
   /** Returns the runner that can take a request now. */
   Optional<RunnerEntry> choose(
       PendingForward forward, GatewayConfiguration configuration, Instant now) {
-    return picker.choose(forward, configuration, id -> crashGuard.avoids(forward, id), now);
+    return picker.choose(
+        forward, configuration, id -> crashGuard.avoids(forward, id), limit(forward, now), now);
+  }
+
+  /**
+   * Returns the tokens for which a runner has room that can take one more request of this kind now;
+   * 0 if there is none.
+   */
+  long room(PendingForward forward, GatewayConfiguration configuration, Instant now) {
+    return picker.room(
+        forward, configuration, id -> crashGuard.avoids(forward, id), limit(forward, now), now);
+  }
+
+  private IntUnaryOperator limit(PendingForward forward, Instant now) {
+    return slots -> queue.limit(forward, slots, now);
   }
 
   /** Takes a further attempt of a request from the retry budget; returns false if it is used up. */
--- a/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
@@ -7,7 +7,9 @@
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RequestTrait;
 import dev.wisteriarail.core.forward.RunnerStateTable;
+import dev.wisteriarail.core.forward.SlotForecast;
 import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.core.tenant.TenantSpec;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -52,7 +54,23 @@
         "forecast_ms",
         startsIn.map(Duration::toMillis).orElse(-1L),
         "patience_ms",
-        waitTimeLeft.toMillis());
+        waitTimeLeft.toMillis(),
+        "rank",
+        forward.rank(),
+        "tenant",
+        tenant(forward),
+        "ahead",
+        forward.slotWait().map(SlotForecast.Wait::ahead).orElse(-1),
+        "slot_wait_ms",
+        slotWaitMillis(forward));
+  }
+
+  private static String tenant(PendingForward forward) {
+    return forward.tenant().map(TenantSpec::name).orElse("");
+  }
+
+  private static long slotWaitMillis(PendingForward forward) {
+    return forward.slotWait().map(SlotForecast.Wait::expected).map(Duration::toMillis).orElse(-1L);
   }
 
   static void sent(
@@ -74,7 +92,11 @@
         "left_ms",
         forward.timeLeft(step.now()).toMillis(),
         "view",
-        runnerStates.viewRevision());
+        runnerStates.viewRevision(),
+        "rank",
+        forward.rank(),
+        "tenant",
+        tenant(forward));
   }
 
   static void answered(PendingForward forward, RunnerEntry runner, int status, GatewayStep step) {
@@ -156,7 +178,19 @@
             .map(Duration::toMillis)
             .orElse(-1L),
         "return_after_ms",
-        retryAfter.map(Duration::toMillis).orElse(-1L));
+        retryAfter.map(Duration::toMillis).orElse(-1L),
+        "rank",
+        forward.rank(),
+        "tenant",
+        tenant(forward),
+        "ahead",
+        forward.slotWait().map(SlotForecast.Wait::ahead).orElse(-1),
+        "slot_wait_ms",
+        slotWaitMillis(forward),
+        "slots_freed",
+        forward.slotWait().map(SlotForecast.Wait::slots).orElse(-1),
+        "slots_freed_in_ms",
+        forward.slotWait().map(wait -> wait.window().toMillis()).orElse(-1L));
   }
 
   static void aborted(PendingForward forward, String reason, GatewayStep step) {
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -5,8 +5,8 @@
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.forward.ForwardRequest;
-import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.forward.RunnerStateTable;
+import dev.wisteriarail.core.forward.SlotForecast;
 import dev.wisteriarail.core.forward.WaitRule;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
@@ -15,10 +15,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Forwards the requests of one node to runners, from their arrival until they end.
@@ -41,6 +39,7 @@
   private final DemandCounter demandCounter = DemandCounter.create();
   private final PendingForwardTable pending;
   private final CompletionEstimator completionEstimator;
+  private final ForwardQueue queue;
   private final AttemptSender sender;
   private final StallHandler stalls;
   private final AttemptResultHandler results;
@@ -56,8 +55,10 @@
     pending = PendingForwardTable.create(runnerStates, demandCounter);
     completionEstimator = CompletionEstimator.create(pending, this::startsIn);
     RunnerPicker picker = RunnerPicker.create(settings.domain(), runnerStates);
+    queue = ForwardQueue.create(settings.load().urgentQueue());
     sender =
-        AttemptSender.create(settings.retries(), runnerStates, picker, crashGuard, pending, drain);
+        AttemptSender.create(
+            settings.retries(), runnerStates, picker, crashGuard, pending, drain, queue);
     stalls = StallHandler.create(runnerStates, sender);
     results =
         AttemptResultHandler.create(
@@ -72,9 +73,10 @@
     return new Forwarder(settings, runnerStates, crashGuard, drain);
   }
 
-  /** Applies changed retry limits. */
-  void accept(RetryLimits newLimits) {
-    sender.accept(newLimits);
+  /** Applies changed settings. */
+  void accept(GatewaySettings settings) {
+    sender.accept(settings.retries());
+    queue.setUrgentQueue(settings.load().urgentQueue());
   }
 
   // Arrival
@@ -99,6 +101,12 @@
     String service = RunnerPicker.chooseService(route.get(), request);
     PendingForward forward =
         PendingForward.of(request, route.get(), service, Optional.empty(), step.now());
+    admit(forward, configuration.get(), step);
+  }
+
+  /** Queues a request whose route and caller are known, or sends it at once. */
+  void admit(PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
+    ForwardRequest request = forward.request();
     Optional<CrashRefusal> refusal = crashGuard.refusal(forward.traits(), step.now());
     if (refusal.isPresent()) {
       ForwardLog.refusedAsCrashing(request, "ARRIVED", refusal.get(), step);
@@ -110,9 +118,13 @@
       return;
     }
     pending.add(forward);
-    sender.countRequest(service, step.now());
+    sender.countRequest(forward.service(), step.now());
     demandCounter.countArrival(forward);
-    tryToSend(forward, configuration.get(), step);
+    queue.apply(configuration);
+    // A request that arrives does not pass those that wait; the pass after this event orders them.
+    if (!queue.isFair(forward) || !queue.target(forward, step.now()).isBlocked()) {
+      tryToSend(forward, configuration, step);
+    }
   }
 
   /** Refuses a request that is not accepted at all. */
@@ -144,7 +156,12 @@
       GatewayStep step) {
     sender.setSharingNodes(newSharingNodes);
     hasCoordinator = newHasCoordinator;
-    if (configuration.isEmpty() || pending.size() == 0) {
+    if (configuration.isEmpty()) {
+      return;
+    }
+    queue.beginPass(configuration.get(), step.now());
+    if (pending.size() == 0) {
+      queue.measure(List.of(), step);
       return;
     }
     List<PendingForward> waiting = new ArrayList<>();
@@ -155,16 +172,18 @@
         checkDeadline(forward, configuration.get(), step);
       }
     }
-    waiting.sort(
-        Comparator.comparingInt((PendingForward forward) -> forward.rank())
-            .thenComparing(PendingForward::arrivedAt));
-    Set<String> unavailable = new HashSet<>();
+    queue.measure(waiting, step);
+    queue.sort(waiting);
     for (PendingForward forward : waiting) {
-      String target = forward.service() + "/" + forward.model() + "/" + forward.adapter();
-      if (unavailable.contains(target)) {
+      TargetQueue target = queue.target(forward, step.now());
+      if (target.isBlocked() && !(queue.isFair(forward) && target.mayPass(forward))) {
         checkWait(forward, step);
       } else if (!tryToSend(forward, configuration.get(), step)) {
-        unavailable.add(target);
+        long room =
+            queue.isFair(forward) && !target.isBlocked()
+                ? sender.room(forward, configuration.get(), step.now())
+                : 0;
+        target.block(forward, room);
       }
     }
   }
@@ -197,6 +216,7 @@
       return true;
     }
     sender.send(forward, runner.get(), step);
+    queue.recordSent(forward, step.now());
     return true;
   }
 
@@ -221,8 +241,14 @@
   private void checkWait(PendingForward forward, GatewayStep step) {
     Duration waitTimeLeft = forward.waitTimeLeft(step.now());
     Optional<Duration> startsIn = startsIn(forward, step.now());
-    switch (WaitRule.decide(waitTimeLeft, startsIn)) {
+    Optional<SlotForecast.Wait> slotWait = queue.slotWait(forward, step.now());
+    forward.updateSlotWait(slotWait);
+    if (!runnerStates.holders(forward.service(), forward.model(), forward.adapter()).isEmpty()) {
+      queue.recordPressure(forward, step.now());
+    }
+    switch (WaitRule.decide(waitTimeLeft, startsIn, slotWait)) {
       case WaitRule.Decision.Wait wait -> {
+        queue.target(forward, step.now()).recordWaiting(step.now());
         if (forward.markWaitLogged()) {
           ForwardLog.waiting(forward, startsIn, waitTimeLeft, step);
         }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -187,7 +187,7 @@
         }
       }
       case GatewayEvent.SettingsReloaded reloaded -> {
-        forwarder.accept(reloaded.settings().retries());
+        forwarder.accept(reloaded.settings());
         drain.setGracePeriod(reloaded.settings().drainGrace());
       }
       case GatewayEvent.DrainRequested requested -> {
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayEffect.java
@@ -10,6 +10,7 @@
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.CallerBounds;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 
 /** A side effect that {@link GatewayCore} requests from the runtime. */
@@ -152,6 +153,22 @@
    */
   record LogEvent(NodeEvent event) implements GatewayEffect {}
 
+  /**
+   * Reports how many requests wait for a runner.
+   *
+   * @param byRank number of requests by rank
+   * @param byTenant number of requests by the tenant's name
+   */
+  record QueueMeasured(Map<Integer, Integer> byRank, Map<String, Integer> byTenant)
+      implements GatewayEffect {
+
+    /** Copies the maps. */
+    public QueueMeasured {
+      byRank = Map.copyOf(byRank);
+      byTenant = Map.copyOf(byTenant);
+    }
+  }
+
   /**
    * Sets the readiness that the load balancer sees.
    *
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -1,8 +1,10 @@
 package dev.wisteriarail.core.gateway;
 
 import dev.wisteriarail.core.fleet.RunnerEntry;
+import dev.wisteriarail.core.forward.FairQueue;
 import dev.wisteriarail.core.forward.ForwardRequest;
 import dev.wisteriarail.core.forward.RequestTrait;
+import dev.wisteriarail.core.forward.SlotForecast;
 import dev.wisteriarail.core.route.RouteSpec;
 import dev.wisteriarail.core.tenant.TenantSpec;
 import java.time.Duration;
@@ -30,6 +32,9 @@
     ANSWERING
   }
 
+  /** Time of an engine for a token of the answer, in the time for a token of the prompt. */
+  private static final int ANSWER_TOKEN_COST = 10;
+
   private final ForwardRequest request;
   private final RouteSpec route;
   private final String service;
@@ -53,6 +58,11 @@
   private Instant lastProgressAt = Instant.MIN;
   private Instant waitingSince;
   private boolean waitLogged;
+  private final String target;
+  private final String engineTarget;
+  private final FairQueue.Ticket ticket;
+  private Optional<SlotForecast.Wait> slotWait = Optional.empty();
+  private long passedTokens;
 
   private PendingForward(
       ForwardRequest request,
@@ -72,6 +82,17 @@
     deadline =
         arrivedAt.plus(
             callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout());
+    engineTarget = service + "/" + model();
+    target = engineTarget + "/" + adapter();
+    ticket =
+        FairQueue.Ticket.of(
+            service,
+            target,
+            rank(),
+            tenant.map(TenantSpec::name).orElse(""),
+            Math.max(
+                1, request.promptTokens() + (double) ANSWER_TOKEN_COST * request.answerTokens()),
+            arrivedAt);
   }
 
   static PendingForward of(
@@ -183,8 +204,46 @@
     return first;
   }
 
+  /** Records the expected wait for a slot on which the last decision was based. */
+  void updateSlotWait(Optional<SlotForecast.Wait> newSlotWait) {
+    slotWait = newSlotWait;
+  }
+
+  /** Records that a smaller request got a slot before this one, which came first. */
+  void recordPassed(PendingForward other) {
+    passedTokens += other.tokens();
+  }
+
   // Accessors
 
+  /** Returns what the request needs of a runner: its service, model and adapter. */
+  String target() {
+    return target;
+  }
+
+  /** Returns the service and the model. */
+  String engineTarget() {
+    return engineTarget;
+  }
+
+  /** Returns the place in the order of waiting requests. */
+  FairQueue.Ticket ticket() {
+    return ticket;
+  }
+
+  /** Returns the expected wait for a slot on which the last decision was based. */
+  Optional<SlotForecast.Wait> slotWait() {
+    return slotWait;
+  }
+
+  /**
+   * Returns whether a request that came later may get a slot before this one: it is smaller, and
+   * those that passed did not take more tokens than this one needs.
+   */
+  boolean mayBePassedBy(PendingForward other) {
+    return other.tokens() < tokens() && passedTokens + other.tokens() <= tokens();
+  }
+
   ForwardRequest request() {
     return request;
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/RunnerPicker.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntUnaryOperator;
 import java.util.function.Predicate;
 
 /**
@@ -70,13 +71,16 @@
    * Returns the runner to send the request to now, or empty if the request has to wait.
    *
    * @param avoided returns whether a runner is not to be used for this request
+   * @param limit returns how many requests an engine with the given slots may have
    */
   Optional<RunnerEntry> choose(
       PendingForward forward,
       GatewayConfiguration configuration,
       Predicate<String> avoided,
+      IntUnaryOperator limit,
       Instant now) {
     Optional<EngineSpec> engine = configuration.engineOf(forward.service());
+    Optional<Integer> engineLimit = engine.map(spec -> limit.applyAsInt(spec.slots()));
     List<RunnerScoring.Candidate> candidates = new ArrayList<>();
     Map<String, RunnerEntry> entries = new HashMap<>();
     boolean mayHaveRunBefore = !forward.runnersThatMayHaveRun().isEmpty();
@@ -98,7 +102,7 @@
             new RunnerScoring.Candidate(
                 entry.id(),
                 runnerStates.totalRunning(entry),
-                engine.map(EngineSpec::slots).orElse(Math.max(1, entry.slots())),
+                engineLimit.orElse(Math.max(1, entry.slots())),
                 entry.domain().equals(domain),
                 sessionRunner.filter(entry.id()::equals).isPresent(),
                 runnerStates.health(entry.id()).failureRate()));
@@ -108,6 +112,32 @@
         .map(best -> entries.get(best.runner()));
   }
 
+  /**
+   * Returns the most tokens for which an engine has room that may have one more request; 0 if there
+   * is none.
+   */
+  long room(
+      PendingForward forward,
+      GatewayConfiguration configuration,
+      Predicate<String> avoided,
+      IntUnaryOperator limit,
+      Instant now) {
+    Optional<EngineSpec> engine = configuration.engineOf(forward.service());
+    if (engine.isEmpty()) {
+      return 0;
+    }
+    int engineLimit = limit.applyAsInt(engine.get().slots());
+    long room = 0;
+    for (RunnerEntry entry : holders(forward, true)) {
+      if (runnerStates.totalRunning(entry) < engineLimit
+          && runnerStates.isAvailable(entry, now)
+          && !avoided.test(entry.id())) {
+        room = Math.max(room, engine.get().cacheTokens() - runnerStates.totalTokens(entry));
+      }
+    }
+    return room;
+  }
+
   /** Returns whether the request could be served by a runner that cannot have executed it yet. */
   boolean hasAlternative(PendingForward forward, Instant now) {
     return holders(forward, true).stream()
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/GatewayFuzz.java
@@ -266,6 +266,7 @@
           storeCalls.register(node, incarnation, register.address());
       case GatewayEffect.SaveRefusal save -> storeCalls.save(node, incarnation, save.refusal());
       case GatewayEffect.SendPeer send -> sendPeer(node, send);
+      case GatewayEffect.QueueMeasured measured -> {}
       case GatewayEffect.WarmUpCodec rehearse -> {}
       case GatewayEffect.SetReady ready -> node.setReady(ready.ready());
       case GatewayEffect.DrainCompleted completed -> endNode(node);
--- a/src/main/java/dev/wisteriarail/gateway/FaultRecovery.java
+++ b/src/main/java/dev/wisteriarail/gateway/FaultRecovery.java
@@ -69,6 +69,7 @@
       case GatewayEffect.RequestReport request -> new Action.None();
       case GatewayEffect.CancelAttempt cancel -> new Action.None();
       case GatewayEffect.SendPeer send -> new Action.None();
+      case GatewayEffect.QueueMeasured measured -> new Action.None();
       case GatewayEffect.WarmUpCodec warmUp -> new Action.None();
       case GatewayEffect.LogEvent logEvent -> new Action.None();
       case GatewayEffect.SetReady ready -> new Action.None();
--- a/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
@@ -2,8 +2,10 @@
 
 import dev.wisteriarail.core.event.EventCode;
 import dev.wisteriarail.core.event.NodeEvent;
+import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.peer.PeerTrafficListener;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -12,18 +14,23 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Prometheus metrics: counters of log events and of messages to peers, and histograms of request
  * durations by outcome.
  *
- * <p>Label values are event names, message kinds, result codes and HTTP statuses, so the number of
- * time series is bounded. Thread-safe.
+ * <p>Label values are event names, message kinds, result codes, HTTP statuses, and the ranks and
+ * names of tenants in the configuration, so the number of time series is bounded. Thread-safe.
  */
 final class GatewayMetrics implements PeerTrafficListener {
 
   private static final String EVENTS = "wisteriarail.events";
   private static final String REQUESTS = "wisteriarail.forward";
+  private static final String QUEUE_LENGTH = "wisteriarail.queue.length";
+  private static final String QUEUE_WAIT = "wisteriarail.queue.wait";
+  private static final String TENANT_QUEUE_LENGTH = "wisteriarail.queue.tenant.length";
+  private static final String TENANT_QUEUE_WAIT = "wisteriarail.queue.tenant.wait";
   private static final String PEER_MESSAGES = "wisteriarail.peer.messages";
   private static final String PEER_BYTES = "wisteriarail.peer.sent";
 
@@ -42,6 +49,8 @@
   private final Map<String, Timer> timers = new ConcurrentHashMap<>();
   private final Map<String, Counter> peerCounters = new ConcurrentHashMap<>();
 
+  private final Map<String, AtomicInteger> lengths = new ConcurrentHashMap<>();
+
   private GatewayMetrics() {}
 
   /** Returns metrics that all start at zero. */
@@ -56,11 +65,51 @@
             event.code(),
             code -> Counter.builder(EVENTS).tag("event", code.name()).register(registry))
         .increment();
+    recordWait(event);
     Optional.ofNullable(DURATIONS.get(event.code()))
         .map(event.fields()::get)
         .ifPresent(millis -> recordDuration(event, Long.parseLong(millis)));
   }
 
+  /** Records how long a request waited for its first runner. */
+  private void recordWait(NodeEvent event) {
+    if (event.code() != EventCode.FORWARD_SENT || !"1".equals(event.fields().get("attempt"))) {
+      return;
+    }
+    Duration waited = Duration.ofMillis(Long.parseLong(event.fields().get("waited_ms")));
+    waitTimer(QUEUE_WAIT, "rank", event.fields().get("rank")).record(waited);
+    String tenant = event.fields().get("tenant");
+    if (!tenant.isEmpty()) {
+      waitTimer(TENANT_QUEUE_WAIT, "tenant", tenant).record(waited);
+    }
+  }
+
+  private Timer waitTimer(String name, String tag, String value) {
+    return timers.computeIfAbsent(
+        name + " " + value, key -> Timer.builder(name).tag(tag, value).register(registry));
+  }
+
+  /** Sets the number of waiting requests; a rank or tenant that is not named has none. */
+  void setQueue(GatewayEffect.QueueMeasured measured) {
+    lengths.values().forEach(length -> length.set(0));
+    measured
+        .byRank()
+        .forEach((rank, count) -> length(QUEUE_LENGTH, "rank", rank.toString()).set(count));
+    measured
+        .byTenant()
+        .forEach((tenant, count) -> length(TENANT_QUEUE_LENGTH, "tenant", tenant).set(count));
+  }
+
+  private AtomicInteger length(String name, String tag, String value) {
+    return lengths.computeIfAbsent(
+        name + " " + value,
+        key -> {
+          AtomicInteger length = new AtomicInteger();
+          Gauge.builder(name, length, AtomicInteger::get).tag(tag, value).register(registry);
+          return length;
+        });
+  }
+
   private void recordDuration(NodeEvent event, long millis) {
     String detail =
         event.fields().getOrDefault("code", event.fields().getOrDefault("status", "none"));
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -230,7 +230,8 @@
         file.seeds(),
         file.timings(),
         file.retries(),
-        file.drainLimit());
+        file.drainLimit(),
+        file.load());
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayRuntime.java
@@ -295,6 +295,7 @@
         log.write(logEvent.event());
         metrics.count(logEvent.event());
       }
+      case GatewayEffect.QueueMeasured measured -> metrics.setQueue(measured);
       case GatewayEffect.SetReady ready -> {
         callers.setReady(ready.ready());
         if (!ready.ready()) {
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.settings;
 
 import dev.wisteriarail.core.fleet.FleetTimings;
+import dev.wisteriarail.core.forward.LoadSettings;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.id.FailureDomain;
 import dev.wisteriarail.core.id.NodeId;
@@ -30,6 +31,7 @@
  * @param timings intervals and timeouts of coordination between nodes
  * @param retries limits on the retries that all nodes send
  * @param drainLimit time after a stop request until the process has to end
+ * @param load how requests are queued and distributed under load
  */
 public record GatewayFile(
     NodeId node,
@@ -45,7 +47,8 @@
     String storeAddress,
     FleetTimings timings,
     RetryLimits retries,
-    Duration drainLimit) {
+    Duration drainLimit,
+    LoadSettings load) {
 
   /** Default time within which every node must know that a runner is leaving. */
   private static final Duration DEFAULT_LEAVE_BOUND = Duration.ofSeconds(2);
@@ -96,7 +99,8 @@
                 seconds(toml, "retries.window_s", 10),
                 toml.number("retries.ratio", 0, 10, 0.2),
                 toml.number("retries.slack", 0, 100_000, 50)),
-            seconds(toml, "node.drain_limit_s", 8));
+            seconds(toml, "node.drain_limit_s", 8),
+            new LoadSettings(toml.flag("load.urgent_queue", false)));
     toml.check();
     return file;
   }
@@ -114,6 +118,7 @@
     add(keys, "retries.ratio", retries.ratio() != other.retries.ratio());
     add(keys, "retries.slack", retries.slack() != other.retries.slack());
     add(keys, "node.drain_limit_s", !drainLimit.equals(other.drainLimit));
+    add(keys, "load.urgent_queue", load.urgentQueue() != other.load.urgentQueue());
     return keys;
   }
 
