--- a/src/main/java/dev/wisteriarail/core/forward/SlotForecast.java
+++ b/src/main/java/dev/wisteriarail/core/forward/SlotForecast.java
@@ -17,23 +17,32 @@
 public final class SlotForecast {
 
   /**
-   * Time over which slots are counted: several service times of a stream (about 0.5 s), and short
-   * against the 2 s for which the least patient callers wait.
+   * Time over which slots are counted: with many nodes and models, a node gets a slot for one model
+   * about once a second. Bursts last 5 to 11 s.
    */
-  private static final Duration WINDOW = Duration.ofSeconds(2);
+  private static final Duration WINDOW = Duration.ofSeconds(8);
+
+  /**
+   * Minimum time over which slots are counted: several views of the runners, as slots are seen to
+   * be free when a view arrives.
+   */
+  private static final Duration MIN_WINDOW = Duration.ofSeconds(2);
 
   /** Maximum number of slots counted; with more, the time in which they became free is shorter. */
-  private static final int MAX_SAMPLES = 64;
+  private static final int MAX_SAMPLES = 256;
 
   /** Minimum number of slots for an estimate; fewer leave an error of more than a half. */
   private static final int MIN_SAMPLES = 5;
 
-  /** Standard deviations by which the rate may be underestimated before a request is refused. */
-  private static final double DEVIATIONS = 1;
+  /** Number of slots from which the error of the rate is less than a quarter. */
+  private static final int RELIABLE_SAMPLES = 16;
 
   private final long[] freedAtMillis = new long[MAX_SAMPLES];
   private int next;
   private Instant waitingSince = Instant.MAX;
+  private Instant countedAt = Instant.MIN;
+  private int count;
+  private long windowMillis;
 
   private SlotForecast() {
     Arrays.fill(freedAtMillis, Long.MIN_VALUE);
@@ -50,6 +59,7 @@
       waitingSince = Instant.MAX;
     } else if (waitingSince.equals(Instant.MAX)) {
       waitingSince = now;
+      countedAt = Instant.MIN;
       Arrays.fill(freedAtMillis, Long.MIN_VALUE);
     }
   }
@@ -59,6 +69,7 @@
     if (!waitingSince.equals(Instant.MAX)) {
       freedAtMillis[next] = now.toEpochMilli();
       next = (next + 1) % MAX_SAMPLES;
+      countedAt = Instant.MIN;
     }
   }
 
@@ -71,36 +82,57 @@
     if (waitingSince.equals(Instant.MAX)) {
       return Optional.empty();
     }
+    if (!now.equals(countedAt)) {
+      countSlots(now);
+    }
+    return count < MIN_SAMPLES || windowMillis < MIN_WINDOW.toMillis()
+        ? Optional.empty()
+        : Optional.of(new Wait(ahead, count, windowMillis));
+  }
+
+  /** Counts the slots once for all requests that ask at the same time. */
+  private void countSlots(Instant now) {
+    countedAt = now;
     long since = Math.max(waitingSince.toEpochMilli(), now.minus(WINDOW).toEpochMilli());
-    long oldest = freedAtMillis[next];
-    since = oldest == Long.MIN_VALUE ? since : Math.max(since, oldest);
-    int count = 0;
+    since = Math.max(since, freedAtMillis[next]);
+    count = 0;
     for (long freedAt : freedAtMillis) {
       count += freedAt >= since ? 1 : 0;
     }
-    long millis = now.toEpochMilli() - since;
-    if (count < MIN_SAMPLES || millis <= 0) {
-      return Optional.empty();
-    }
-    double perMilli = (double) count / millis;
-    double highest = (count + DEVIATIONS * Math.sqrt(count)) / millis;
-    return Optional.of(
-        new Wait(
-            Duration.ofMillis(Math.round((ahead + 1) / highest)),
-            Duration.ofMillis(Math.round((ahead + 1) / perMilli)),
-            ahead,
-            count,
-            Duration.ofMillis(millis)));
+    windowMillis = now.toEpochMilli() - since;
   }
 
   /**
    * Expected wait for a slot.
    *
-   * @param least wait if the rate is as high as the data allow
-   * @param expected wait at the measured rate
    * @param ahead number of requests ahead
    * @param slots number of slots that became free
-   * @param window time in which they became free
+   * @param windowMillis time in which they became free
    */
-  public record Wait(Duration least, Duration expected, int ahead, int slots, Duration window) {}
+  public record Wait(int ahead, int slots, long windowMillis) {
+
+    /** Returns the wait if the rate is a standard deviation higher than measured. */
+    public Duration least() {
+      return at(slots + Math.sqrt(slots));
+    }
+
+    /** Returns the wait at the measured rate. */
+    public Duration expected() {
+      return at(slots);
+    }
+
+    /** Returns the wait if the rate is a standard deviation lower than measured. */
+    public Duration most() {
+      return at(slots - Math.sqrt(slots));
+    }
+
+    /** Returns whether the rate is known well enough to refuse a request on its arrival. */
+    public boolean isReliable() {
+      return slots >= RELIABLE_SAMPLES;
+    }
+
+    private Duration at(double slotsInWindow) {
+      return Duration.ofMillis(Math.round((ahead + 1) * windowMillis / slotsInWindow));
+    }
+  }
 }
--- a/src/main/java/dev/wisteriarail/core/forward/UrgencyPolicy.java
+++ b/src/main/java/dev/wisteriarail/core/forward/UrgencyPolicy.java
@@ -76,6 +76,11 @@
             > 1;
   }
 
+  /** Returns whether an engine may interrupt requests of a rank for more urgent ones. */
+  public boolean mayBePreempted(String service, int rank) {
+    return !ranksByService.getOrDefault(service, NO_RANKS).headSet(rank, false).isEmpty();
+  }
+
   /** Returns whether the requests of a service are queued fairly and by urgency. */
   public boolean appliesTo(String service) {
     return ranksByService.containsKey(service);
--- a/src/main/java/dev/wisteriarail/core/forward/WaitRule.java
+++ b/src/main/java/dev/wisteriarail/core/forward/WaitRule.java
@@ -43,23 +43,33 @@
   }
 
   /**
-   * Decides for one request in a queue. It is refused if its wait for a slot exceeds the time that
-   * its caller still waits even at the highest rate that the data allow; the retry-after time is
-   * the expected wait.
+   * Decides for one request in a queue. On its arrival it is refused if it may have to wait for a
+   * slot for longer than its caller does, as a queue that is a little too long would make each of
+   * its requests wait in vain. Later it is refused only if its wait exceeds that time even at the
+   * highest rate that the data allow. The retry-after time is the expected wait.
    *
    * @param waitTimeLeft how long the caller still waits for the first byte
    * @param startsIn expected time until a runner accepts requests; empty if unknown
    * @param slotWait expected wait for a slot; empty without data, which never leads to a refusal
+   * @param arrives whether the request has not waited yet
    */
   public static Decision decide(
-      Duration waitTimeLeft, Optional<Duration> startsIn, Optional<SlotForecast.Wait> slotWait) {
+      Duration waitTimeLeft,
+      Optional<Duration> startsIn,
+      Optional<SlotForecast.Wait> slotWait,
+      boolean arrives) {
     Decision decision = decide(waitTimeLeft, startsIn);
     if (decision instanceof Decision.Refuse || slotWait.isEmpty()) {
       return decision;
     }
-    return slotWait.get().least().compareTo(waitTimeLeft.minus(START_MARGIN)) > 0
-        ? decide(waitTimeLeft, Optional.of(slotWait.get().expected()))
-        : decision;
+    boolean cautious = arrives && slotWait.get().isReliable();
+    Duration wait = cautious ? slotWait.get().most() : slotWait.get().least();
+    if (wait.compareTo(waitTimeLeft.minus(START_MARGIN)) <= 0) {
+      return decision;
+    }
+    Duration expected = slotWait.get().expected();
+    return new Decision.Refuse(
+        expected.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : expected);
   }
 
   /** The decision for a request. */
--- a/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardLog.java
@@ -190,7 +190,7 @@
         "slots_freed",
         forward.slotWait().map(SlotForecast.Wait::slots).orElse(-1),
         "slots_freed_in_ms",
-        forward.slotWait().map(wait -> wait.window().toMillis()).orElse(-1L));
+        forward.slotWait().map(SlotForecast.Wait::windowMillis).orElse(-1L));
   }
 
   static void aborted(PendingForward forward, String reason, GatewayStep step) {
--- a/src/main/java/dev/wisteriarail/core/gateway/ForwardQueue.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ForwardQueue.java
@@ -109,6 +109,11 @@
     return policy.orElseThrow().limit(forward.service(), forward.rank(), slots, underPressure);
   }
 
+  /** Returns whether an engine with more requests than slots may interrupt a request. */
+  boolean mayBePreempted(PendingForward forward) {
+    return policy.isPresent() && policy.get().mayBePreempted(forward.service(), forward.rank());
+  }
+
   /** Records that a request was sent from the queue or on its arrival. */
   void recordSent(PendingForward forward, Instant now) {
     if (isFair(forward)) {
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -59,7 +59,7 @@
     sender =
         AttemptSender.create(
             settings.retries(), runnerStates, picker, crashGuard, pending, drain, queue);
-    stalls = StallHandler.create(runnerStates, sender);
+    stalls = StallHandler.create(runnerStates, sender, queue);
     results =
         AttemptResultHandler.create(
             runnerStates, picker, crashGuard, pending, completionEstimator, sender);
@@ -246,7 +246,7 @@
     if (!runnerStates.holders(forward.service(), forward.model(), forward.adapter()).isEmpty()) {
       queue.recordPressure(forward, step.now());
     }
-    switch (WaitRule.decide(waitTimeLeft, startsIn, slotWait)) {
+    switch (WaitRule.decide(waitTimeLeft, startsIn, slotWait, !forward.hasWaited())) {
       case WaitRule.Decision.Wait wait -> {
         queue.target(forward, step.now()).recordWaiting(step.now());
         if (forward.markWaitLogged()) {
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -197,6 +197,11 @@
     }
   }
 
+  /** Returns whether the request was found to wait before. */
+  boolean hasWaited() {
+    return waitLogged;
+  }
+
   /** Marks the wait as logged. Returns whether it was not logged before. */
   boolean markWaitLogged() {
     boolean first = !waitLogged;
--- a/src/main/java/dev/wisteriarail/core/gateway/StallHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StallHandler.java
@@ -22,16 +22,25 @@
   /** Interval between two searches for a runner for the same request. */
   private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
 
+  /**
+   * Time for which a runner with more requests than slots may have interrupted a less urgent
+   * request: urgent callers that it serves first leave after this time.
+   */
+  private static final Duration MAX_PREEMPTION = Duration.ofSeconds(2);
+
   private final RunnerStateTable runnerStates;
   private final AttemptSender sender;
+  private final ForwardQueue queue;
 
-  private StallHandler(RunnerStateTable runnerStates, AttemptSender sender) {
+  private StallHandler(RunnerStateTable runnerStates, AttemptSender sender, ForwardQueue queue) {
     this.runnerStates = runnerStates;
     this.sender = sender;
+    this.queue = queue;
   }
 
-  static StallHandler create(RunnerStateTable runnerStates, AttemptSender sender) {
-    return new StallHandler(runnerStates, sender);
+  static StallHandler create(
+      RunnerStateTable runnerStates, AttemptSender sender, ForwardQueue queue) {
+    return new StallHandler(runnerStates, sender, queue);
   }
 
   /** Sends a request that is at a runner to another one, too, if its newest attempt has stalled. */
@@ -67,11 +76,13 @@
       GatewayStep step) {
     int slots =
         configuration.engineOf(forward.service()).map(EngineSpec::slots).orElse(runner.slots());
-    return StallRule.isStalled(
-        forward.route(),
-        forward.answerStarted(),
-        forward.silence(step.now()),
-        runnerStates.totalRunning(runner),
-        slots);
+    int running = runnerStates.totalRunning(runner);
+    boolean preempted =
+        queue.mayBePreempted(forward)
+            && running > slots
+            && forward.silence(step.now()).compareTo(MAX_PREEMPTION) <= 0;
+    return !preempted
+        && StallRule.isStalled(
+            forward.route(), forward.answerStarted(), forward.silence(step.now()), running, slots);
   }
 }
