--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -6,8 +6,8 @@
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.forward.CrashRefusal;
 import dev.wisteriarail.core.forward.ForwardRequest;
-import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.forward.RunnerStateTable;
+import dev.wisteriarail.core.forward.SlotForecast;
 import dev.wisteriarail.core.forward.WaitRule;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
@@ -18,10 +18,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Supplier;
 
 /**
@@ -47,6 +45,7 @@
   private final AllowanceGate allowanceGate;
   private final PendingForwardTable pending;
   private final CompletionEstimator completionEstimator;
+  private final ForwardQueue queue;
   private final AttemptSender sender;
   private final StallHandler stalls;
   private final AttemptResultHandler results;
@@ -68,9 +67,11 @@
     completionEstimator = CompletionEstimator.create(pending, authenticator, this::startsIn);
     RunnerPicker picker =
         RunnerPicker.create(settings.domain(), settings.balance(), position, runnerStates);
+    queue = ForwardQueue.create(settings.load().urgentQueue());
     sender =
-        AttemptSender.create(settings.retries(), runnerStates, picker, crashGuard, pending, drain);
-    stalls = StallHandler.create(runnerStates, sender);
+        AttemptSender.create(
+            settings.retries(), runnerStates, picker, crashGuard, pending, drain, queue);
+    stalls = StallHandler.create(runnerStates, sender, queue);
     results =
         AttemptResultHandler.create(
             runnerStates, picker, crashGuard, pending, completionEstimator, sender);
@@ -93,9 +94,10 @@
         settings, runnerStates, authenticator, crashGuard, allowances, drain, position);
   }
 
-  /** Applies changed retry limits. */
-  void accept(RetryLimits newLimits) {
-    sender.accept(newLimits);
+  /** Applies changed settings. */
+  void accept(GatewaySettings settings) {
+    sender.accept(settings.retries());
+    queue.setUrgentQueue(settings.load().urgentQueue());
   }
 
   // Arrival
@@ -130,6 +132,12 @@
     Optional<TenantSpec> tenant = caller.tenantIfKnown();
     String service = RunnerPicker.chooseService(route.get(), request);
     PendingForward forward = PendingForward.of(request, route.get(), service, tenant, step.now());
+    admit(forward, configuration.get(), step);
+  }
+
+  /** Queues a request whose route and caller are known, or sends it at once. */
+  void admit(PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
+    ForwardRequest request = forward.request();
     Optional<CrashRefusal> refusal = crashGuard.refusal(forward.traits(), step.now());
     if (refusal.isPresent()) {
       ForwardLog.refusedAsCrashing(request, "ARRIVED", refusal.get(), step);
@@ -144,9 +152,13 @@
       return;
     }
     pending.add(forward);
-    sender.countRequest(service, step.now());
+    sender.countRequest(forward.service(), step.now());
     demandCounter.countArrival(forward);
-    tryToSend(forward, configuration.get(), step);
+    queue.apply(configuration);
+    // A request that arrives does not pass those that wait; the pass after this event orders them.
+    if (!queue.isFair(forward) || !queue.target(forward, step.now()).isBlocked()) {
+      tryToSend(forward, configuration, step);
+    }
   }
 
   private void refuseCaller(
@@ -194,7 +206,12 @@
       GatewayStep step) {
     sender.setSharingNodes(newSharingNodes);
     hasCoordinator = newHasCoordinator;
-    if (configuration.isEmpty() || pending.size() == 0) {
+    if (configuration.isEmpty()) {
+      return;
+    }
+    queue.beginPass(configuration.get(), step.now());
+    if (pending.size() == 0) {
+      queue.measure(List.of(), step);
       return;
     }
     List<PendingForward> waiting = new ArrayList<>();
@@ -205,16 +222,18 @@
         checkDeadline(forward, configuration.get(), step);
       }
     }
-    waiting.sort(
-        Comparator.comparingInt((PendingForward forward) -> forward.rank())
-            .thenComparing(PendingForward::arrivedAt));
-    Set<String> unavailable = new HashSet<>();
+    queue.measure(waiting, step);
+    queue.sort(waiting);
     for (PendingForward forward : waiting) {
-      String target = forward.service() + "/" + forward.model() + "/" + forward.adapter();
-      if (unavailable.contains(target)) {
+      TargetQueue target = queue.target(forward, step.now());
+      if (target.isBlocked() && !(queue.isFair(forward) && target.mayPass(forward))) {
         checkWait(forward, step);
       } else if (!tryToSend(forward, configuration.get(), step)) {
-        unavailable.add(target);
+        long room =
+            queue.isFair(forward) && !target.isBlocked()
+                ? sender.room(forward, configuration.get(), step.now())
+                : 0;
+        target.block(forward, room);
       }
     }
   }
@@ -247,6 +266,7 @@
       return true;
     }
     sender.send(forward, runner.get(), configuration, step);
+    queue.recordSent(forward, step.now());
     return true;
   }
 
@@ -271,8 +291,14 @@
   private void checkWait(PendingForward forward, GatewayStep step) {
     Duration waitTimeLeft = forward.waitTimeLeft(step.now());
     Optional<Duration> startsIn = startsIn(forward, step.now());
-    switch (WaitRule.decide(waitTimeLeft, startsIn)) {
+    Optional<SlotForecast.Wait> slotWait = queue.slotWait(forward, step.now());
+    forward.updateSlotWait(slotWait);
+    if (!runnerStates.holders(forward.service(), forward.model(), forward.adapter()).isEmpty()) {
+      queue.recordPressure(forward, step.now());
+    }
+    switch (WaitRule.decide(waitTimeLeft, startsIn, slotWait, !forward.hasWaited())) {
       case WaitRule.Decision.Wait wait -> {
+        queue.target(forward, step.now()).recordWaiting(step.now());
         if (forward.markWaitLogged()) {
           ForwardLog.waiting(forward, startsIn, waitTimeLeft, step);
         }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -209,7 +209,7 @@
         }
       }
       case GatewayEvent.SettingsReloaded reloaded -> {
-        forwarder.accept(reloaded.settings().retries());
+        forwarder.accept(reloaded.settings());
         confirmation.accept(reloaded.settings().revocation());
         drain.setGracePeriod(reloaded.settings().drainGrace());
       }
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.fleet.NodeAddress;
 import dev.wisteriarail.core.forward.LoadBalance;
+import dev.wisteriarail.core.forward.LoadSettings;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.tenant.AllowanceLimits;
 import java.time.Duration;
@@ -20,6 +21,7 @@
  * @param balance the rule that selects runners
  * @param drainGrace time after a stop request until the process must have exited
  * @param revocation how long API keys are believed without word of the store
+ * @param load how requests are queued and distributed under load
  */
 public record GatewaySettings(
     NodeAddress self,
@@ -30,7 +32,8 @@
     AllowanceLimits allowances,
     LoadBalance balance,
     Duration drainGrace,
-    RevocationRule revocation) {
+    RevocationRule revocation,
+    LoadSettings load) {
 
   /** Copies the list of seeds. */
   public GatewaySettings {
@@ -38,8 +41,8 @@
   }
 
   /**
-   * Creates settings with the default rule that selects runners, of a deployment whose nodes never
-   * refuse by the age of the configuration.
+   * Creates settings under which the configuration decides about the behaviour under load, of a
+   * deployment whose nodes never refuse by the age of the configuration.
    */
   public GatewaySettings(
       NodeAddress self,
@@ -58,6 +61,7 @@
         allowances,
         LoadBalance.DEFAULT,
         drainGrace,
-        RevocationRule.DEFAULT);
+        RevocationRule.DEFAULT,
+        LoadSettings.DEFAULT);
   }
 }
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -260,7 +260,8 @@
         file.allowances(),
         file.balance(),
         file.drainLimit(),
-        file.revocation());
+        file.revocation(),
+        file.load());
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/settings/GatewayFile.java
+++ b/src/main/java/dev/wisteriarail/settings/GatewayFile.java
@@ -2,6 +2,7 @@
 
 import dev.wisteriarail.core.fleet.FleetTimings;
 import dev.wisteriarail.core.forward.LoadBalance;
+import dev.wisteriarail.core.forward.LoadSettings;
 import dev.wisteriarail.core.forward.RetryLimits;
 import dev.wisteriarail.core.gateway.RevocationRule;
 import dev.wisteriarail.core.id.FailureDomain;
@@ -38,6 +39,7 @@
  * @param revocation how long API keys are believed without word of the store
  * @param memory the limit on held bytes; empty to hold bytes without a limit and to read a response
  *     only as fast as its caller does
+ * @param load how requests are queued and distributed under load
  */
 public record GatewayFile(
     NodeId node,
@@ -57,7 +59,8 @@
     LoadBalance balance,
     Duration drainLimit,
     RevocationRule revocation,
-    Optional<MemorySettings> memory) {
+    Optional<MemorySettings> memory,
+    LoadSettings load) {
 
   /** Default time within which every node must know that a runner is leaving. */
   private static final Duration DEFAULT_LEAVE_BOUND = Duration.ofSeconds(2);
@@ -112,7 +115,8 @@
             balance(toml),
             seconds(toml, "node.drain_limit_s", 8),
             revocation(toml),
-            MemorySettings.from(toml));
+            MemorySettings.from(toml),
+            new LoadSettings(toml.flag("load.urgent_queue", false)));
     toml.check();
     return file;
   }
@@ -142,6 +146,7 @@
         "tenants.revoke_fail_closed",
         revocation.failClosed() != other.revocation.failClosed());
     add(keys, "tenants.revoke_ms", !revocation.bound().equals(other.revocation.bound()));
+    add(keys, "load.urgent_queue", load.urgentQueue() != other.load.urgentQueue());
     return keys;
   }
 
--- a/src/test/java/dev/wisteriarail/core/gateway/CallerAuthenticationTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CallerAuthenticationTest.java
@@ -156,7 +156,8 @@
         base.allowances(),
         base.balance(),
         base.drainGrace(),
-        new RevocationRule(failClosed, BOUND));
+        new RevocationRule(failClosed, BOUND),
+        base.load());
   }
 
   /** Guards against refusals that last after the missing version has arrived. */
--- a/src/test/java/dev/wisteriarail/core/gateway/EvenLoadSimulation.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/EvenLoadSimulation.java
@@ -251,7 +251,8 @@
                 .filter(runner -> runner.up && runner.running < SLOTS)
                 .min(Comparator.comparingInt(runner -> runner.running))
                 .map(Runner::entry)
-            : job.node.picker.choose(job.forward, configuration, id -> false, now());
+            : job.node.picker.choose(
+                job.forward, configuration, id -> false, slots -> slots, now());
     if (chosen.isEmpty()) {
       return false;
     }
--- a/src/test/java/dev/wisteriarail/core/gateway/RunnerPickerTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/RunnerPickerTest.java
@@ -89,7 +89,10 @@
               NOW);
       FleetPosition place = new FleetPosition(large, 3, 66);
       RunnerPicker picker = RunnerPicker.create("a", balance, () -> place, states);
-      assertThat(picker.choose(forward, configuration, id -> false, NOW).map(RunnerEntry::id))
+      assertThat(
+              picker
+                  .choose(forward, configuration, id -> false, slots -> slots, NOW)
+                  .map(RunnerEntry::id))
           .isEqualTo(
               RunnerScoring.best(expected, request.fingerprint() + request.exchange())
                   .map(RunnerScoring.Candidate::runner));
