--- a/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
+++ b/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
@@ -31,6 +31,8 @@
       address = "10.0.0.9:80"
       [retries]
       ratio = 0.2
+      [load]
+      urgent_queue = false
       """;
 
   private static GatewayFile parse(String toml) throws SettingsException {
@@ -73,6 +75,7 @@
     "[store], '[tenants]\nrevoke_ms = 5000\n[store]', tenants.revoke_ms, ''",
     "[store], '[tenants]\nrevoke_fail_closed = true\n[store]', tenants.revoke_fail_closed, ''",
     "[store], '[tenants]\n[store]', '', ''",
+    "urgent_queue = false, urgent_queue = true, load.urgent_queue, ''",
     "link_mbps = 200.0, link_mbps = 10.0, '', node",
     "processor_cores = 2, processor_cores = 1, '', node",
     "10.0.0.9:80, 10.0.0.9:81, '', store",
