--- a/src/main/java/dev/wisteriarail/core/forward/UrgencyPolicy.java
+++ b/src/main/java/dev/wisteriarail/core/forward/UrgencyPolicy.java
@@ -44,13 +44,11 @@
    */
   public static UrgencyPolicy of(GatewayConfiguration configuration, boolean urgentQueue) {
     Map<String, NavigableSet<Integer>> ranks = new HashMap<>();
-    Set<Integer> priorities = new TreeSet<>();
-    configuration.tenants().stream().map(TenantSpec::priority).forEach(priorities::add);
     for (RouteSpec route : configuration.routes()) {
       for (ServiceShare share : route.shares()) {
         Set<Integer> ofService = ranks.computeIfAbsent(share.service(), service -> new TreeSet<>());
         if (configuration.hasTenants() && !route.isPublic()) {
-          ofService.addAll(priorities);
+          configuration.tenants().forEach(tenant -> ofService.add(tenant.rank(route.rank())));
         } else {
           ofService.add(route.rank());
         }
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -272,7 +272,7 @@
 
   /** Returns the urgency: the priority of the tenant, or else the rank of the route. */
   int rank() {
-    return tenant.map(TenantSpec::priority).orElse(route.rank());
+    return tenant.map(each -> each.rank(route.rank())).orElse(route.rank());
   }
 
   /** Returns what the request takes from the allowance of its tenant. */
--- a/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayMetrics.java
@@ -4,6 +4,7 @@
 import dev.wisteriarail.core.event.NodeEvent;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.HeldBytes;
+import dev.wisteriarail.core.tenant.TenantCount;
 import dev.wisteriarail.peer.PeerTrafficListener;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
@@ -13,11 +14,13 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Prometheus metrics: counters of log events, of choices of runners and of messages to peers,
@@ -36,6 +39,9 @@
   private static final String TENANT_QUEUE_WAIT = "wisteriarail.queue.tenant.wait";
   private static final String PEER_MESSAGES = "wisteriarail.peer.messages";
   private static final String CHOICES = "wisteriarail.choices";
+  private static final String TENANT_ADMITTED = "wisteriarail.tenant.admitted";
+  private static final String TENANT_REFUSED = "wisteriarail.tenant.refused";
+  private static final String TENANT_SHARE = "wisteriarail.tenant.share";
   private static final String PEER_BYTES = "wisteriarail.peer.sent";
   private static final String HELD = "wisteriarail.held";
 
@@ -54,6 +60,7 @@
   private final Map<String, Timer> timers = new ConcurrentHashMap<>();
   private final Map<String, Counter> choiceCounters = new ConcurrentHashMap<>();
   private final Map<String, Counter> peerCounters = new ConcurrentHashMap<>();
+  private final Map<String, TenantCount> tenants = new ConcurrentHashMap<>();
 
   private final Map<String, AtomicInteger> lengths = new ConcurrentHashMap<>();
 
@@ -182,6 +189,23 @@
         .increment();
   }
 
+  /** Publishes what was admitted and refused for each limited tenant. */
+  void updateTenants(List<TenantCount> counts) {
+    for (TenantCount count : counts) {
+      if (tenants.put(count.tenant(), count) == null) {
+        register(TENANT_ADMITTED, count.tenant(), TenantCount::admitted);
+        register(TENANT_REFUSED, count.tenant(), TenantCount::refused);
+        register(TENANT_SHARE, count.tenant(), TenantCount::share);
+      }
+    }
+  }
+
+  private void register(String name, String tenant, ToDoubleFunction<TenantCount> value) {
+    Gauge.builder(name, tenants, all -> value.applyAsDouble(all.get(tenant)))
+        .tag("tenant", tenant)
+        .register(registry);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   String scrape() {
     return registry.scrape();
--- a/src/main/java/dev/wisteriarail/platform/TenantDocuments.java
+++ b/src/main/java/dev/wisteriarail/platform/TenantDocuments.java
@@ -47,7 +47,9 @@
     return new TenantSpec(
         name.textValue(),
         keys(name.textValue(), tenant.path("api_keys")),
-        WireValues.limitedInt(tenant.path("priority"), 0, Integer.MAX_VALUE),
+        WireValues.isMissing(tenant.path("priority"))
+            ? TenantSpec.ROUTE_RANK
+            : WireValues.limitedInt(tenant.path("priority"), 0, Integer.MAX_VALUE),
         allowance(name.textValue(), tenant));
   }
 
