--- a/src/test/java/dev/wisteriarail/core/gateway/QueueSimulation.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/QueueSimulation.java
@@ -9,7 +9,6 @@
 import dev.wisteriarail.core.fleet.RunnerView;
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.forward.ForwardRequest;
-import dev.wisteriarail.core.forward.LoadBalance;
 import dev.wisteriarail.core.forward.LoadSettings;
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import dev.wisteriarail.core.id.LogPosition;
