--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -86,7 +86,7 @@
   public static Report run(long seed, Duration length, int nodes, Path directory, PrintStream out)
       throws SettingsException, InterruptedException {
     SoakPlan plan = SoakPlan.draw(seed, length, nodes, SoakFleet.RUNNER_COUNT);
-    return run(seed, plan, length, nodes, directory, out);
+    return runPlan(seed, plan, length, nodes, directory, out);
   }
 
   /**
@@ -103,10 +103,10 @@
       long seed, Duration length, int nodes, Path directory, PrintStream out)
       throws SettingsException, InterruptedException {
     SoakPlan plan = SoakPlan.drawWithUncheckedFences(seed, length, nodes, SoakFleet.RUNNER_COUNT);
-    return run(seed, plan, length, nodes, directory, out);
+    return runPlan(seed, plan, length, nodes, directory, out);
   }
 
-  private static Report run(
+  private static Report runPlan(
       long seed, SoakPlan plan, Duration length, int nodes, Path directory, PrintStream out)
       throws SettingsException, InterruptedException {
     try (SoakFleet fleet = SoakFleet.start(nodes, plan, directory)) {
--- a/src/test/java/dev/wisteriarail/core/gateway/HeldBytesTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/HeldBytesTest.java
@@ -65,7 +65,7 @@
 
   /** Guards against buffered responses that wait for each other's bytes forever. */
   @Test
-  void oneBufferedResponseAtATimeExceedsTheLimit() {
+  void bufferedResponsesExceedTheLimitOneByOne() {
     HeldBytes account = HeldBytes.withLimit(LIMIT);
     List<HeldBytes.Holding> responses = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
