Soak: one overload of run

Cause: the style rules want overloads side by side. Change: the method that plays a plan is execute.

--- a/src/main/java/dev/wisteriarail/soak/Soak.java
+++ b/src/main/java/dev/wisteriarail/soak/Soak.java
@@ -110,11 +110,11 @@
       long seed, SoakPlan plan, Duration length, int nodes, Path directory, PrintStream out)
       throws SettingsException, InterruptedException {
     try (SoakFleet fleet = SoakFleet.start(nodes, plan, directory)) {
-      return new Soak(fleet, plan, out).run(seed, plan, length);
+      return new Soak(fleet, plan, out).execute(seed, plan, length);
     }
   }
 
-  private Report run(long seed, SoakPlan plan, Duration length) throws InterruptedException {
+  private Report execute(long seed, SoakPlan plan, Duration length) throws InterruptedException {
     List<String> addresses =
         fleet.members().stream().map(member -> member.callers().address()).toList();
     callers = SoakCallers.start(seed, addresses);
