--- a/src/test/java/dev/wisteriarail/platform/TenantDocumentsTest.java
+++ b/src/test/java/dev/wisteriarail/platform/TenantDocumentsTest.java
@@ -40,7 +40,10 @@
                 List.of(ApiKeyDigest.of("k1"), ApiKeyDigest.of("k2")),
                 2,
                 new Allowance(Allowance.Unit.TOKENS, 100.5, 200, 40)),
-            new TenantSpec("bulk", List.of(), 0, Allowance.UNLIMITED))
+            new TenantSpec("bulk", List.of(), TenantSpec.ROUTE_RANK, Allowance.UNLIMITED))
+        .inOrder();
+    assertThat(read.tenants().stream().map(tenant -> tenant.rank(1)))
+        .containsExactly(2, 1)
         .inOrder();
     assertThat(read.toString()).doesNotContain("k1");
   }
