--- a/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
+++ b/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
@@ -92,7 +92,7 @@
   @Test
   void ruleThatSelectsRunnersIsReadAndChecked() throws Exception {
     assertThat(parse(TOML).balance()).isEqualTo(LoadBalance.DEFAULT);
-    String even = TOML + "[load]\nbalance = \"even\"\n";
+    String even = TOML.replace("[load]", "[load]\nbalance = \"even\"");
     assertThat(parse(even).balance()).isEqualTo(LoadBalance.EVEN);
     assertThat(parse(even).changedTablesRequiringRestart(parse(TOML))).containsExactly("load");
     assertThat(parse(even.replace("even", "least")).balance()).isEqualTo(LoadBalance.LEAST);
