Count each loss before the response is complete as evidence of a crash

Cause: AttemptResultHandler counted a lost connection only before the first event, and a first event cleared the parts of a prompt. The culprit had an event, the requests beside it had none. Contents lost at the same crashes were refused only in combination, which no request matches, and a stream that had begun was resumed after its content was refused.

Ruled out: evidence that misses nodes (the fuzz and the script show the same counts at all nodes); counting only losses after the first event, which accuses more sound requests, as all streams of a crashed runner are cut at once.

Change: each loss is evidence, one complete response clears content and parts, at all nodes. The first refusal lasts 8 s instead of 5 min; one node tries first after it, a complete response ends it, a crash makes the next term eight times as long. A refusal ends with a loss that it needs and that was no crash.

--- a/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
@@ -16,8 +16,8 @@
 import java.util.TreeSet;
 
 /**
- * The recent crashes of runners, and the traits of the requests that each runner had not begun to
- * answer when it crashed.
+ * The recent crashes of runners, and the traits of the requests that were at each runner when it
+ * crashed.
  *
  * <p>One of these requests made the runner crash, unless it crashed for another reason; the others
  * were waiting or running beside it. What all crashes of a trait have in common distinguishes them:
@@ -95,6 +95,7 @@
       if (crash.sentAt.put(trait, sentAt) == null) {
         crashesByTrait.computeIfAbsent(trait, key -> new ArrayList<>()).add(crash);
       }
+      crash.companions.computeIfAbsent(trait, key -> new HashSet<>()).addAll(traits);
     }
     if (crashes.size() > MAX_CRASHES) {
       remove(crashes.getFirst());
@@ -146,25 +147,30 @@
   }
 
   /**
-   * Handles a sign of life of a run.
+   * Returns the loss on a run that a sign of life shows to be no crash, if there is one.
    *
    * @param sentAt when the request was sent that the runner goes on with or has answered
-   * @return the loss that was no crash, if there is one
    */
-  Optional<RunnerLoss> refute(RunnerRun run, Instant sentAt, Instant now) {
-    for (Crash crash : List.copyOf(crashes)) {
-      boolean sentBeforeRestart = sentAt.isBefore(crash.at.plus(SAME_CRASH));
-      if (crash.run.equals(run) && sentBeforeRestart && now.isAfter(crash.at.plus(ARRIVAL_SLACK))) {
-        remove(crash);
-        return Optional.of(new RunnerLoss(run, Duration.between(crash.at, now).toMillis()));
-      }
-    }
-    return Optional.empty();
+  Optional<RunnerLoss> findRefuted(RunnerRun run, Instant sentAt, Instant now) {
+    return crashes.stream()
+        .filter(crash -> crash.run.equals(run))
+        .filter(crash -> sentAt.isBefore(crash.at.plus(SAME_CRASH)))
+        .filter(crash -> now.isAfter(crash.at.plus(ARRIVAL_SLACK)))
+        .map(crash -> new RunnerLoss(run, Duration.between(crash.at, now).toMillis()))
+        .findFirst();
   }
 
-  /** Handles the word of a peer that a loss was no crash. */
-  void refute(RunnerLoss loss, Instant now) {
-    find(loss.run(), now.minusMillis(loss.ageMillis())).ifPresent(this::remove);
+  /**
+   * Removes a loss that was no crash.
+   *
+   * @return the traits that it was evidence against
+   */
+  Set<RequestTrait> refute(RunnerLoss loss, Instant now) {
+    Optional<Crash> refuted = find(loss.run(), now.minusMillis(loss.ageMillis()));
+    Set<RequestTrait> traits =
+        refuted.map(crash -> Set.copyOf(crash.sentAt.keySet())).orElse(Set.of());
+    refuted.ifPresent(this::remove);
+    return traits;
   }
 
   private Optional<Crash> find(RunnerRun run, Instant at) {
@@ -228,7 +234,7 @@
    * accuse what their requests share.
    */
   private int independentCrashes(RequestTrait trait, List<Crash> known) {
-    Set<RequestTrait> common = commonTraits(trait);
+    Set<RequestTrait> common = traitsInAllCrashes(trait);
     List<Crash> remaining =
         new ArrayList<>(
             known.subList(Math.max(0, known.size() - MAX_COMPARED_CRASHES), known.size()));
@@ -257,11 +263,32 @@
     return largest;
   }
 
+  /** Returns the contents of the requests that were lost at a crash. */
+  List<RequestTrait> contentsAt(RunnerLoss loss, Instant now) {
+    return find(loss.run(), now.minusMillis(loss.ageMillis())).stream()
+        .flatMap(crash -> crash.sentAt.keySet().stream())
+        .filter(RequestTrait::isContent)
+        .toList();
+  }
+
   /**
-   * Returns the traits that all crashes of a trait have in common. They cannot be distinguished
-   * from it; only a request with all of them is known to crash runners.
+   * Returns the traits that requests with a trait had at all of its crashes. They cannot be
+   * distinguished from it; only a request with all of them is known to crash runners. No request
+   * has two contents, so several are left out.
    */
   Set<RequestTrait> commonTraits(RequestTrait trait) {
+    Set<RequestTrait> common = traitsInAllCrashes(trait);
+    for (Crash crash : crashesByTrait.getOrDefault(trait, List.of())) {
+      common.retainAll(crash.companions.get(trait));
+    }
+    long contents = common.stream().filter(RequestTrait::isContent).count();
+    if (contents > 1) {
+      common.removeIf(other -> other.isContent() && !other.equals(trait));
+    }
+    return common;
+  }
+
+  private Set<RequestTrait> traitsInAllCrashes(RequestTrait trait) {
     Set<RequestTrait> common = null;
     for (Crash crash : crashesByTrait.getOrDefault(trait, List.of())) {
       if (common == null) {
@@ -270,15 +297,19 @@
         common.retainAll(crash.sentAt.keySet());
       }
     }
-    return common == null ? Set.of(trait) : common;
+    return common == null ? new TreeSet<>(Set.of(trait)) : common;
   }
 
-  /** A crash, and for each trait when the last request with it was sent to the runner. */
+  /**
+   * A crash, and for each trait when the last request with it was sent to the runner, and which
+   * traits came with it.
+   */
   private static final class Crash {
 
     private final RunnerRun run;
     private final Instant at;
     private final Map<RequestTrait, Instant> sentAt = new LinkedHashMap<>();
+    private final Map<RequestTrait, Set<RequestTrait>> companions = new HashMap<>();
 
     Crash(RunnerRun run, Instant at) {
       this.run = run;
--- a/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
@@ -1,6 +1,7 @@
 package dev.wisteriarail.core.forward;
 
 import dev.wisteriarail.core.fleet.RunnerRun;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -11,10 +12,11 @@
 /**
  * Finds out which requests crash runners: by their whole content, or by one part of their prompt.
  *
- * <p>A request is evidence against its traits if its connection was lost before any part of the
- * response arrived; it clears them if a part of the response arrived. From the first crash on, a
- * trait that nothing has cleared is suspected, and the caller of this class sends requests with it
- * one at a time. Requests with a trait that is found to crash runners are refused.
+ * <p>Such a request crashes each runner that begins to run it, at any point of its response. A
+ * request is evidence against its traits if its connection was lost before the response was
+ * complete; it clears them if a complete response arrived. From the first crash on, a trait that
+ * nothing has cleared is suspected, and the caller of this class sends requests with it one at a
+ * time. Requests with a trait that is found to crash runners are refused.
  *
  * <p>The load pattern: one request that is sent again and again, or many different requests with
  * one part in common, beside sound requests that share all other parts with them.
@@ -63,10 +65,23 @@
         .filter(traits -> !repeated)
         .ifPresent(traits -> refuse(traits, CrashEvidence.CRASHES_TO_FIND + 1, now, added));
     for (RequestTrait trait : suspects) {
-      if (evidence.isFound(trait) && refusals.find(report.traits(), now).isEmpty()) {
+      // A refusal that is over is not renewed by what led to it.
+      boolean knownBefore = repeated && refusals.contains(trait);
+      if (!knownBefore
+          && evidence.isFound(trait)
+          && refusals.find(report.traits(), Duration.ZERO, now).isEmpty()) {
         refuse(evidence.commonTraits(trait), evidence.count(trait), now, added);
       }
     }
+    // Contents that were lost at the same crashes cannot be distinguished: all of them are refused,
+    // and the trial after the first term clears those that are sound.
+    for (RequestTrait content : evidence.contentsAt(report.loss(), now)) {
+      if (!(repeated && refusals.contains(content))
+          && evidence.isFound(content)
+          && refusals.find(evidence.commonTraits(content), Duration.ZERO, now).isEmpty()) {
+        refuse(evidence.commonTraits(content), evidence.count(content), now, added);
+      }
+    }
     refusals.inForce(now).forEach(refusal -> evidence.explain(refusal.traits()));
     return added;
   }
@@ -74,21 +89,21 @@
   private void refuse(
       Set<RequestTrait> traits, int crashes, Instant now, List<CrashRefusal> added) {
     if (refusals.add(traits, crashes, now)) {
-      refusals.find(traits, now).ifPresent(added::add);
+      refusals.find(traits, Duration.ZERO, now).ifPresent(added::add);
     }
   }
 
   /**
-   * Records that a part of the response to a request with some parts in its prompt arrived.
+   * Records that a complete response to a request with the given traits arrived.
    *
-   * @return the parts that were suspected and are cleared now
+   * @return the traits that were suspected and are cleared now
    */
-  public List<RequestTrait> recordSound(Collection<RequestTrait> parts, Instant now) {
-    sound.confirm(parts, now);
+  public List<RequestTrait> recordSound(Collection<RequestTrait> traits, Instant now) {
+    sound.confirm(traits, now);
     if (evidence.isEmpty() && refusals.isEmpty()) {
       return List.of();
     }
-    return parts.stream().filter(this::clear).toList();
+    return traits.stream().filter(this::clear).toList();
   }
 
   private boolean clear(RequestTrait trait) {
@@ -100,15 +115,20 @@
    * Records a sign of life of a run, which refutes a loss on it that was taken for a crash.
    *
    * @param sentAt when the request was sent that the runner goes on with or has answered
-   * @return the loss that is refuted, if there is one
+   * @return what is refuted, if there is a loss
    */
-  public Optional<RunnerLoss> recordSignOfLife(RunnerRun run, Instant sentAt, Instant now) {
-    return evidence.isEmpty() ? Optional.empty() : evidence.refute(run, sentAt, now);
+  public Optional<CrashRefutation> recordSignOfLife(RunnerRun run, Instant sentAt, Instant now) {
+    return evidence.findRefuted(run, sentAt, now).map(loss -> acceptRefutation(loss, now));
   }
 
-  /** Handles the word of a peer that a loss was no crash. */
-  public void acceptRefutation(RunnerLoss loss, Instant now) {
-    evidence.refute(loss, now);
+  /**
+   * Removes a loss that was no crash, as this node or a peer found, and withdraws the refusals that
+   * have too few crashes left.
+   */
+  public CrashRefutation acceptRefutation(RunnerLoss loss, Instant now) {
+    Set<RequestTrait> traits = evidence.refute(loss, now);
+    return new CrashRefutation(
+        loss, refusals.removeCrash(traits, CrashEvidence.CRASHES_TO_FIND, now));
   }
 
   /**
@@ -142,9 +162,14 @@
     return traits.stream().filter(trait -> sound.contains(trait, now)).toList();
   }
 
-  /** Returns the refusal of a request with the given traits, if it is refused. */
-  public Optional<CrashRefusal> refusal(Collection<RequestTrait> traits, Instant now) {
-    return refusals.isEmpty() ? Optional.empty() : refusals.find(traits, now);
+  /**
+   * Returns the refusal of a request with the given traits, if it is refused.
+   *
+   * @param extension time after the term for which other nodes may try such a request first
+   */
+  public Optional<CrashRefusal> refusal(
+      Collection<RequestTrait> traits, Duration extension, Instant now) {
+    return refusals.find(traits, extension, now);
   }
 
   /** Returns those of the traits that are suspected to crash runners. */
@@ -167,8 +192,13 @@
     return evidence.reports(now);
   }
 
-  /** Returns the refusals that are in force. */
+  /** Returns whether there are refusals, in force or over. */
+  public boolean hasRefusals() {
+    return !refusals.isEmpty();
+  }
+
+  /** Returns the refusals that are in force, and those that are over and still remembered. */
   public List<CrashRefusal> refusals(Instant now) {
-    return refusals.inForce(now);
+    return refusals.all(now);
   }
 }
--- a/src/main/java/dev/wisteriarail/core/forward/CrashRefusal.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashRefusal.java
@@ -7,7 +7,8 @@
  *
  * @param traits requests with all of these traits are refused
  * @param crashes number of crashes that led to the decision
- * @param remainingMillis time until such a request is tried again
+ * @param remainingMillis time until such a request is tried again; negative after that, when a
+ *     single crash refuses it again
  * @param termMillis length of the refusal, which grows with each repetition
  */
 public record CrashRefusal(
--- a/src/main/java/dev/wisteriarail/core/forward/CrashRefusals.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashRefusals.java
@@ -12,14 +12,21 @@
 /**
  * The combinations of traits whose requests are refused because they crash runners.
  *
- * <p>A refusal ends after its term. Its requests are then tried one at a time, and a single crash
- * refuses them again for twice the term. Bounded: the refusal that ends first is dropped first. Not
- * thread-safe.
+ * <p>A refusal ends after its term. Its requests are then tried one at a time, first by one node. A
+ * complete response ends the accusation, and a single crash refuses them again for a longer term.
+ * The first term is short, as an accusation can be wrong: the requests beside the culprit are lost
+ * with it. Bounded: the refusal that ends first is dropped first. Not thread-safe.
  */
 final class CrashRefusals {
 
   /** Length of the first refusal. */
-  private static final Duration FIRST_TERM = Duration.ofMinutes(5);
+  private static final Duration FIRST_TERM = Duration.ofSeconds(8);
+
+  /** Growth of the term with each failed trial, so that few trials crash runners. */
+  private static final int TERM_GROWTH = 8;
+
+  /** Minimum time for which a refusal that is over is remembered. */
+  private static final Duration MIN_RETENTION = Duration.ofMinutes(10);
 
   /** Maximum length of a refusal. */
   private static final Duration MAX_TERM = Duration.ofHours(2);
@@ -49,7 +56,7 @@
           entry.crashes = Math.max(entry.crashes, crashes);
           return false;
         }
-        term = min(entry.term.multipliedBy(2), MAX_TERM);
+        term = min(entry.term.multipliedBy(TERM_GROWTH), MAX_TERM);
       }
     }
     put(new Entry(traits, crashes, now.plus(term), term));
@@ -80,7 +87,7 @@
       }
     }
     put(new Entry(traits, refusal.crashes(), until, term));
-    return true;
+    return now.isBefore(until);
   }
 
   private void put(Entry added) {
@@ -104,9 +111,29 @@
     return changed;
   }
 
-  /** Removes refusals that have been over for as long as they lasted. */
+  /**
+   * Removes a loss that was no crash from the crashes that led to refusals, and the refusals that
+   * have too few crashes left.
+   *
+   * @param lost the traits that the loss was evidence against
+   * @return the traits of each refusal in force that is removed
+   */
+  List<Set<RequestTrait>> removeCrash(Set<RequestTrait> lost, int required, Instant now) {
+    List<Set<RequestTrait>> removed = new ArrayList<>();
+    for (Entry entry : List.copyOf(entries)) {
+      if (now.isBefore(entry.until)
+          && lost.containsAll(entry.traits)
+          && --entry.crashes < required) {
+        entries.remove(entry);
+        removed.add(Set.copyOf(entry.traits));
+      }
+    }
+    return removed;
+  }
+
+  /** Removes refusals that have been over for as long as they lasted, at least for some minutes. */
   void advance(Instant now) {
-    entries.removeIf(entry -> now.isAfter(entry.until.plus(entry.term)));
+    entries.removeIf(entry -> now.isAfter(entry.until.plus(max(entry.term, MIN_RETENTION))));
   }
 
   // Accessors
@@ -115,11 +142,16 @@
     return entries.isEmpty();
   }
 
-  /** Returns the refusal of requests with the given traits that is in force. */
-  Optional<CrashRefusal> find(Collection<RequestTrait> traits, Instant now) {
+  /**
+   * Returns the refusal of requests with the given traits that is in force.
+   *
+   * @param extension time after the term for which it stays in force, for a trial by another node
+   */
+  Optional<CrashRefusal> find(Collection<RequestTrait> traits, Duration extension, Instant now) {
+    Instant asOf = now.minus(extension);
     for (Entry entry : entries) {
-      if (now.isBefore(entry.until) && traits.containsAll(entry.traits)) {
-        return Optional.of(entry.toRefusal(now));
+      if (asOf.isBefore(entry.until) && traits.containsAll(entry.traits)) {
+        return Optional.of(entry.toRefusal(asOf));
       }
     }
     return Optional.empty();
@@ -146,6 +178,15 @@
         .toList();
   }
 
+  /** Returns the refusals in force, and those that are over and still remembered. */
+  List<CrashRefusal> all(Instant now) {
+    return entries.stream().map(entry -> entry.toRefusal(now)).toList();
+  }
+
+  private static Duration max(Duration one, Duration other) {
+    return one.compareTo(other) > 0 ? one : other;
+  }
+
   private static Duration min(Duration one, Duration other) {
     return one.compareTo(other) < 0 ? one : other;
   }
--- a/src/main/java/dev/wisteriarail/core/forward/CrashReport.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashReport.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * A request whose connection ended before any part of its response arrived, as sent to peers. Its
- * runner may have crashed on it.
+ * A request whose connection ended before its response was complete, as sent to peers. Its runner
+ * may have crashed on it.
  *
  * @param loss the loss of the connection
  * @param sentAgeMillis time since the request was sent to the runner
--- a/src/main/java/dev/wisteriarail/core/forward/RequestTrait.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RequestTrait.java
@@ -12,12 +12,14 @@
  */
 public record RequestTrait(String name) implements Comparable<RequestTrait> {
 
+  private static final String CONTENT_PREFIX = "content:";
+
   /** Length from which the identifier of a part is replaced by a hash. */
   private static final int MAX_PART_ID_LENGTH = 64;
 
   /** Returns the trait of all requests with the same content. */
   public static RequestTrait ofContent(long fingerprint) {
-    return new RequestTrait("content:" + Long.toHexString(fingerprint));
+    return new RequestTrait(CONTENT_PREFIX + Long.toHexString(fingerprint));
   }
 
   /** Returns the trait of all requests with a part in their prompt. */
@@ -29,6 +31,11 @@
     return new RequestTrait("part:" + bounded);
   }
 
+  /** Returns whether this is the content of a whole request. */
+  public boolean isContent() {
+    return name.startsWith(CONTENT_PREFIX);
+  }
+
   @Override
   public int compareTo(RequestTrait other) {
     return name.compareTo(other.name);
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptResultHandler.java
@@ -85,8 +85,12 @@
   private void recordEvidence(
       PendingForward forward, LiveAttempt attempt, AttemptResult result, GatewayStep step) {
     switch (result) {
-      case AttemptResult.Started started -> recordResponse(forward, attempt, step);
-      case AttemptResult.Finished finished -> recordResponse(forward, attempt, step);
+      case AttemptResult.Started started ->
+          crashGuard.recordSignOfLife(attempt.runner(), attempt.sentAt(), step);
+      case AttemptResult.Finished finished -> {
+        crashGuard.recordSignOfLife(attempt.runner(), attempt.sentAt(), step);
+        crashGuard.recordCompleteResponse(forward, step);
+      }
       case AttemptResult.Progressed progressed ->
           crashGuard.recordSignOfLife(attempt.runner(), attempt.sentAt(), step);
       case AttemptResult.Prevailed prevailed ->
@@ -98,18 +102,13 @@
       case AttemptResult.NotSent notSent -> {}
       case AttemptResult.LocalFault fault -> {}
       case AttemptResult.Broken broken -> {
-        if (broken.connectionLost() && !broken.started() && !forward.answerStarted()) {
+        if (broken.connectionLost()) {
           crashGuard.recordLoss(forward, attempt, step);
         }
       }
     }
   }
 
-  private void recordResponse(PendingForward forward, LiveAttempt attempt, GatewayStep step) {
-    crashGuard.recordSignOfLife(attempt.runner(), attempt.sentAt(), step);
-    crashGuard.recordResponse(forward, step);
-  }
-
   private void apply(
       PendingForward forward, LiveAttempt attempt, AttemptResult result, GatewayStep step) {
     RunnerEntry runner = attempt.runner();
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
@@ -93,7 +93,7 @@
    * node are concerned.
    */
   boolean maySend(PendingForward forward, Instant now) {
-    return !drain.isTooLateToSend(now) && crashGuard.maySend(forward, pending);
+    return !drain.isTooLateToSend(now) && crashGuard.maySend(forward, pending, now);
   }
 
   /** Returns the runner that can take a request now. */
--- a/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
@@ -8,6 +8,7 @@
 import dev.wisteriarail.core.fleet.RunnerRun;
 import dev.wisteriarail.core.forward.CrashHistory;
 import dev.wisteriarail.core.forward.CrashRefusal;
+import dev.wisteriarail.core.forward.CrashRefutation;
 import dev.wisteriarail.core.forward.CrashReport;
 import dev.wisteriarail.core.forward.RequestTrait;
 import dev.wisteriarail.core.forward.RunnerLoss;
@@ -17,9 +18,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Protects runners from requests that crash them, in the whole fleet.
@@ -29,8 +32,8 @@
  * heartbeats and are kept in the store, for nodes that missed a message or start later.
  *
  * <p>A request with a suspected trait is sent only while no other request of this node with that
- * trait waits for its response, and not to a runner at which another suspected one waits. So a
- * crash accuses few requests, and one response clears the others.
+ * trait waits for its response or has just begun to receive it, and not to a runner at which such a
+ * request is. So a crash accuses few requests, and one complete response clears the others.
  *
  * <p>Life cycle: one per run of a node. Not thread-safe.
  */
@@ -40,36 +43,66 @@
 
   private static final String SOURCE_STORE = "store";
 
+  /** Time after the first event of a response in which its runner is still likely to crash. */
+  private static final Duration PROBE_TIME = Duration.ofSeconds(1);
+
+  /** Time between the first trials of two nodes after a refusal; a crash is told in between. */
+  private static final Duration TRIAL_INTERVAL = Duration.ofSeconds(1);
+
+  /** Maximum number of nodes that this node lets go first with a trial. */
+  private static final int MAX_TRIALS_BEFORE = 7;
+
+  private static final int MAX_REPORTED_TRAITS = 512;
+
+  private final NodeId self;
   private final PeerTable peers;
   private final CrashHistory history = CrashHistory.create();
   private final RefusalSaver saver = RefusalSaver.create();
   private final List<Probe> probes = new ArrayList<>();
+
+  /** Traits of the losses that this node reported to its peers, the oldest first. */
+  private final Set<RequestTrait> reportedTraits = new LinkedHashSet<>();
+
   private boolean refusalAdded;
   private boolean refusalsToTell;
   private boolean refusalsToSave;
 
-  private CrashGuard(PeerTable peers) {
+  private CrashGuard(NodeId self, PeerTable peers) {
+    this.self = self;
     this.peers = peers;
   }
 
-  static CrashGuard create(PeerTable peers) {
-    return new CrashGuard(peers);
+  static CrashGuard create(NodeId self, PeerTable peers) {
+    return new CrashGuard(self, peers);
   }
 
   // Requests
 
   /** Returns the refusal of a request, if it is known to crash runners. */
   Optional<CrashRefusal> refusal(List<RequestTrait> traits, Instant now) {
-    return history.refusal(traits, now);
+    return history.hasRefusals() ? history.refusal(traits, trialDelay(), now) : Optional.empty();
+  }
+
+  /** Returns the time that this node leaves to the nodes that try refused requests before it. */
+  private Duration trialDelay() {
+    long before =
+        peers.addresses().stream()
+            .filter(peer -> peer.node().compareTo(self) < 0)
+            .limit(MAX_TRIALS_BEFORE)
+            .count();
+    return TRIAL_INTERVAL.multipliedBy(before);
   }
 
   /** Returns whether a request may be sent now, as far as suspected traits are concerned. */
-  boolean maySend(PendingForward forward, PendingForwardTable pending) {
+  boolean maySend(PendingForward forward, PendingForwardTable pending, Instant now) {
     List<RequestTrait> suspects = history.suspects(forward.traits());
     if (suspects.isEmpty()) {
       return true;
     }
-    probes.removeIf(probe -> !probe.isOpen(pending));
+    if (refusal(forward.traits(), now).isPresent()) {
+      return false;
+    }
+    probes.removeIf(probe -> !probe.isOpen(pending, now));
     return probes.stream()
         .filter(probe -> probe.exchange() != forward.exchange())
         .noneMatch(probe -> suspects.stream().anyMatch(probe.suspects()::contains));
@@ -85,14 +118,17 @@
   /** Records that a request was sent to a runner. */
   void recordSent(PendingForward forward, LiveAttempt attempt) {
     List<RequestTrait> suspects = history.suspects(forward.traits());
-    if (!suspects.isEmpty() && !forward.answerStarted()) {
+    if (!suspects.isEmpty()) {
       probes.add(new Probe(forward.exchange(), attempt.number(), attempt.runner().id(), suspects));
     }
   }
 
   // Evidence of this node
 
-  /** Handles the loss of a connection on which no part of the response had arrived. */
+  /**
+   * Handles the loss of a connection on which no complete response had arrived. The first events of
+   * a response show nothing: a request may crash its runner after them.
+   */
   void recordLoss(PendingForward forward, LiveAttempt attempt, GatewayStep step) {
     CrashReport report =
         new CrashReport(
@@ -104,11 +140,15 @@
     added.forEach(refusal -> recordRefusal(refusal, SOURCE_ATTEMPT, step));
     added.forEach(saver::add);
     sendToAllPeers(FleetMessage.CrashTold.ofLost(forward.request().fingerprint(), report), step);
+    reportedTraits.addAll(report.traits());
+    while (reportedTraits.size() > MAX_REPORTED_TRAITS) {
+      reportedTraits.remove(reportedTraits.iterator().next());
+    }
   }
 
-  /** Handles a part of a response, which clears the parts of the request. */
-  void recordResponse(PendingForward forward, GatewayStep step) {
-    List<RequestTrait> cleared = history.recordSound(forward.request().sharedParts(), step.now());
+  /** Handles a complete response, which clears the content and the parts of the request. */
+  void recordCompleteResponse(PendingForward forward, GatewayStep step) {
+    List<RequestTrait> cleared = history.recordSound(forward.traits(), step.now());
     if (!cleared.isEmpty()) {
       logCleared(cleared, forward.request().id(), step);
       sendToAllPeers(FleetMessage.CrashTold.ofSound(cleared), step);
@@ -129,12 +169,24 @@
     history
         .recordSignOfLife(run, sentAt, step.now())
         .ifPresent(
-            loss -> {
-              step.log(EventCode.CRASH_REFUTED, "runner", run.id(), "born", run.bornMillis());
-              sendToAllPeers(FleetMessage.CrashTold.ofRefuted(loss), step);
+            refutation -> {
+              logRefuted(refutation, step);
+              sendToAllPeers(FleetMessage.CrashTold.ofRefuted(refutation.loss()), step);
             });
   }
 
+  private static void logRefuted(CrashRefutation refutation, GatewayStep step) {
+    RunnerRun run = refutation.loss().run();
+    step.log(
+        EventCode.CRASH_REFUTED,
+        "runner",
+        run.id(),
+        "born",
+        run.bornMillis(),
+        "withdrawn",
+        refutation.withdrawn());
+  }
+
   // Evidence of peers
 
   /** Handles evidence of a peer. */
@@ -146,10 +198,25 @@
       acceptLoss(new CrashReport(new RunnerLoss(unknown, 0), 0, List.of(content)), from, step);
     }
     told.lost().ifPresent(report -> acceptLoss(report, from, step));
-    told.refuted().ifPresent(loss -> history.acceptRefutation(loss, now));
+    told.refuted()
+        .map(loss -> history.acceptRefutation(loss, now))
+        .filter(refutation -> !refutation.withdrawn().isEmpty())
+        .ifPresent(refutation -> logRefuted(refutation, step));
     List<RequestTrait> cleared = history.recordSound(told.sound(), now);
     if (!cleared.isEmpty()) {
       logCleared(cleared, from.value(), step);
+      relayCleared(cleared, step);
+    }
+  }
+
+  /**
+   * In a large fleet, sends what a peer cleared on to all nodes that got this node's reports: the
+   * peer told only this node.
+   */
+  private void relayCleared(List<RequestTrait> cleared, GatewayStep step) {
+    List<RequestTrait> reported = cleared.stream().filter(reportedTraits::remove).toList();
+    if (peers.isLarge() && !reported.isEmpty()) {
+      sendToAllPeers(FleetMessage.CrashTold.ofSound(reported), step);
     }
   }
 
@@ -164,7 +231,8 @@
   }
 
   /**
-   * In a large fleet only the reporting node gets it, as all nodes may know that a part is sound.
+   * In a large fleet only the reporting node gets it and sends it on, as all nodes may know that a
+   * trait is sound.
    */
   private void sendSound(List<RequestTrait> sound, NodeId reporter, GatewayStep step) {
     FleetMessage.CrashTold message = FleetMessage.CrashTold.ofSound(sound);
@@ -181,6 +249,15 @@
   void acceptHeartbeat(FleetMessage.Beat heartbeat, GatewayStep step) {
     String peer = heartbeat.self().node().value();
     acceptRefusals(heartbeat.refusals(), peer, step);
+    List<RequestTrait> sound =
+        heartbeat.refusals().stream()
+            .flatMap(refusal -> history.proven(refusal.traits(), step.now()).stream())
+            .distinct()
+            .toList();
+    if (!sound.isEmpty()) {
+      step.emit(
+          new GatewayEffect.SendPeer(heartbeat.self(), FleetMessage.CrashTold.ofSound(sound)));
+    }
     for (CrashReport report : heartbeat.crashes()) {
       history
           .recordRepeated(report, step.now())
@@ -215,13 +292,13 @@
    */
   void advance(boolean storeReachable, boolean coordinator, GatewayStep step) {
     history.advance(step.now());
-    List<CrashRefusal> inForce = history.refusals(step.now());
+    List<CrashRefusal> refusals = history.refusals(step.now());
     if (coordinator && refusalsToSave) {
-      inForce.forEach(saver::add);
+      refusals.forEach(saver::add);
     }
     refusalsToSave = false;
     saver
-        .next(inForce, storeReachable, step.now())
+        .next(refusals, storeReachable, step.now())
         .ifPresent(refusal -> step.emit(new GatewayEffect.SaveRefusal(refusal)));
   }
 
@@ -298,12 +375,18 @@
    */
   private record Probe(long exchange, int attempt, String runner, List<RequestTrait> suspects) {
 
-    /** Returns whether the response has not begun. */
-    boolean isOpen(PendingForwardTable pending) {
-      return pending
-          .get(exchange)
-          .filter(forward -> forward.state() == PendingForward.State.SENT)
-          .flatMap(forward -> forward.live(attempt))
+    /** Returns whether the runner may still crash: the response has not begun or just began. */
+    boolean isOpen(PendingForwardTable pending, Instant now) {
+      return pending.get(exchange).filter(forward -> isOpen(forward, now)).isPresent();
+    }
+
+    private boolean isOpen(PendingForward forward, Instant now) {
+      return forward
+          .live(attempt)
+          .filter(
+              live ->
+                  forward.startedAt().isBefore(live.sentAt())
+                      || now.isBefore(forward.startedAt().plus(PROBE_TIME)))
           .isPresent();
     }
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -249,7 +249,7 @@
           forward, ResultCode.DEADLINE_UNREACHABLE, PendingForwardTable.SHORT_RETRY_AFTER, step);
       return true;
     }
-    if (step.now().isBefore(forward.notBefore())) {
+    if (step.now().isBefore(forward.notBefore()) || endIfCrashing(forward, step)) {
       return true;
     }
     if (!sender.maySend(forward, step.now())) {
@@ -270,20 +270,27 @@
     return true;
   }
 
-  /** Ends the requests that are known to crash runners and whose response has not begun. */
+  /** Ends the requests that are known to crash runners, except at runners that respond to them. */
   void refuseCrashing(GatewayStep step) {
-    for (PendingForward forward : pending.all()) {
-      if (!forward.answerStarted()) {
-        crashGuard
-            .refusal(forward.traits(), step.now())
-            .ifPresent(
-                refusal -> {
-                  ForwardLog.refusedAsCrashing(
-                      forward.request(), forward.state().name(), refusal, step);
-                  pending.endCrashing(forward, Duration.ofMillis(refusal.remainingMillis()), step);
-                });
-      }
+    pending.all().forEach(forward -> endIfCrashing(forward, step));
+  }
+
+  /**
+   * Ends a request that is known to crash runners, unless a runner responds to it.
+   *
+   * @return whether it was ended
+   */
+  private boolean endIfCrashing(PendingForward forward, GatewayStep step) {
+    if (forward.answerStarted() && forward.isLive()) {
+      return false;
     }
+    Optional<CrashRefusal> found = crashGuard.refusal(forward.traits(), step.now());
+    found.ifPresent(
+        refusal -> {
+          ForwardLog.refusedAsCrashing(forward.request(), forward.state().name(), refusal, step);
+          pending.endCrashing(forward, Duration.ofMillis(refusal.remainingMillis()), step);
+        });
+    return found.isPresent();
   }
 
   // Timeouts
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -53,6 +53,7 @@
   private Optional<String> lastEvent = Optional.empty();
   private Optional<LiveAttempt> paused = Optional.empty();
   private boolean answerStarted;
+  private Instant startedAt = Instant.MIN;
   private Instant notBefore = Instant.MIN;
   private Instant sentAt = Instant.MIN;
   private Instant lastProgressAt = Instant.MIN;
@@ -134,6 +135,7 @@
 
   void markStarted(Instant now) {
     answerStarted = true;
+    startedAt = now;
     state = State.ANSWERING;
     lastProgressAt = now;
   }
@@ -316,6 +318,11 @@
     return answerStarted;
   }
 
+  /** Returns when an attempt last began to write the response. */
+  Instant startedAt() {
+    return startedAt;
+  }
+
   /** Returns the attempts that have not ended, the oldest first. */
   List<LiveAttempt> live() {
     return List.copyOf(live);
--- a/src/main/java/dev/wisteriarail/core/gateway/RefusalSaver.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/RefusalSaver.java
@@ -35,14 +35,14 @@
   }
 
   /** Returns the refusal to write now, and marks its write as started. */
-  Optional<CrashRefusal> next(List<CrashRefusal> inForce, boolean storeReachable, Instant now) {
+  Optional<CrashRefusal> next(List<CrashRefusal> known, boolean storeReachable, Instant now) {
     if (unsaved.isEmpty() || !saving.isEmpty() || !storeReachable || now.isBefore(nextWriteAt)) {
       return Optional.empty();
     }
     unsaved.removeIf(
-        traits -> inForce.stream().noneMatch(refusal -> refusal.traits().equals(traits)));
+        traits -> known.stream().noneMatch(refusal -> refusal.traits().equals(traits)));
     Optional<CrashRefusal> next =
-        inForce.stream().filter(refusal -> unsaved.contains(refusal.traits())).findFirst();
+        known.stream().filter(refusal -> unsaved.contains(refusal.traits())).findFirst();
     saving = next.map(CrashRefusal::traits).orElse(Set.of());
     return next;
   }
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FakeMetadataStore.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FakeMetadataStore.java
@@ -10,6 +10,7 @@
 import dev.wisteriarail.core.gateway.StoreRead;
 import dev.wisteriarail.core.id.LogPosition;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -75,7 +76,7 @@
 
   // Calls
 
-  StoreAnswer read(StoreRead call) {
+  StoreAnswer read(StoreRead call, Instant now) {
     return switch (call) {
       case StoreRead.NewestConfiguration whole -> readConfiguration(0);
       case StoreRead.NextConfiguration next -> readConfiguration(next.from().offset());
@@ -91,10 +92,20 @@
       }
       case StoreRead.CrashRefusals all ->
           new StoreAnswer.CrashRefusalsRead(
-              refusals.stream().map(Timed::value).distinct().toList(), era);
+              refusals.stream().map(saved -> asOf(saved, now)).distinct().toList(), era);
     };
   }
 
+  /** Returns a saved refusal with the time that remains of it. */
+  private static CrashRefusal asOf(Timed<CrashRefusal> saved, Instant now) {
+    CrashRefusal refusal = saved.value();
+    return new CrashRefusal(
+        refusal.traits(),
+        refusal.crashes(),
+        refusal.remainingMillis() - Duration.between(saved.at(), now).toMillis(),
+        refusal.termMillis());
+  }
+
   /** Returns whether a long-polling read can be answered. */
   boolean hasUpdate(StoreRead call) {
     return !(call instanceof StoreRead.NextConfiguration next)
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/StoreCalls.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/StoreCalls.java
@@ -78,7 +78,7 @@
     if (waits && !store.hasUpdate(call)) {
       time.after(POLL_INTERVAL, () -> read(node, incarnation, call, startedAt));
     } else {
-      StoreAnswer answer = store.read(call);
+      StoreAnswer answer = store.read(call, time.now());
       simulation.deliverAfter(
           network.nextDuration(2, 20),
           node,
