Write orders only to connections on which their runner answered lately

Cause: a reset discards what the sender still holds, not what the receiver's system has taken. An order on a connection that its runner has not accepted yet is read when it is accepted, though the sender reset the connection before. Runners and proxies of slow machines accept late, and after each order that is given up the next one goes to a new connection.

Change: OrderCall checks, when the order gets its connection and before the first byte, that the runner answered on it within the last second. Otherwise it asks for a report first; without an answer the order is reported as not sent.

--- a/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayHttp.java
@@ -3,10 +3,12 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpStatus;
@@ -112,6 +114,17 @@
     }
   }
 
+  /**
+   * Returns whether a part of a response arrived within the given time on the connection on which a
+   * request begins. Otherwise its bytes may wait in a buffer: of an interrupted path, or of a
+   * server that has not accepted the connection yet.
+   */
+  public static boolean hasConnectionAnsweredWithin(Request request, Duration time) {
+    return request.getConnection() instanceof Connection connection
+        && connection.getEndPoint() instanceof ResetAwareEndPoint endPoint
+        && endPoint.hasAnsweredWithin(time);
+  }
+
   /** Returns whether a response is the first one on its connection. */
   public static boolean isFirstOnConnection(Response response) {
     return response.getRequest().getConnection() instanceof Connection connection
--- a/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
+++ b/src/main/java/dev/wisteriarail/gateway/ResetAwareEndPoint.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,6 +33,8 @@
   private final SocketChannel channel;
   private final boolean resetOnClose;
   private final AtomicLong bytesWithoutProgress = new AtomicLong();
+  private volatile boolean answered;
+  private volatile long lastAnswerNanos;
 
   ResetAwareEndPoint(
       SocketChannel channel,
@@ -65,6 +68,13 @@
   /** Records progress of a response: its head is complete, or a part of its body arrived. */
   void recordProgress() {
     bytesWithoutProgress.set(0);
+    lastAnswerNanos = System.nanoTime();
+    answered = true;
+  }
+
+  /** Returns whether a part of a response arrived within the given time. */
+  boolean hasAnsweredWithin(Duration time) {
+    return answered && System.nanoTime() - lastAnswerNanos <= time.toNanos();
   }
 
   @Override
--- a/src/main/java/dev/wisteriarail/platform/HttpPlatformClient.java
+++ b/src/main/java/dev/wisteriarail/platform/HttpPlatformClient.java
@@ -19,21 +19,19 @@
 import dev.wisteriarail.gateway.GatewayHttp;
 import dev.wisteriarail.gateway.PlatformClient;
 import java.io.IOException;
+import java.net.URI;
 import java.time.InstantSource;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.BufferingResponseListener;
-import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
 
 /**
@@ -47,7 +45,7 @@
   /** Timeout of a report request; a healthy runner responds within milliseconds. */
   private static final long REPORT_TIMEOUT_MILLIS = 500;
 
-  private static final int MAX_ANSWER_BYTES = 1024 * 1024;
+  static final int MAX_ANSWER_BYTES = 1024 * 1024;
 
   private final StoreClient store;
   private final HttpClient http;
@@ -184,43 +182,20 @@
       GatewayEffect.SendOrder order,
       Consumer<RunnerNotification> notifications,
       BiConsumer<FleetOrderOutcome, String> callback) {
-    byte[] body;
     try {
-      body = Codecs.json().writeValueAsBytes(orderBody(order));
-    } catch (IOException failure) {
-      callback.accept(FleetOrderOutcome.UNREACHABLE, failure.toString());
-      return;
-    }
-    Request request;
-    try {
-      request = http.POST("http://" + order.runner().address() + WireNames.ORDER_PATH);
-    } catch (IllegalArgumentException unusable) {
+      OrderCall.create(
+              http,
+              URI.create("http://" + order.runner().address() + WireNames.ORDER_PATH),
+              order,
+              Codecs.json().writeValueAsBytes(orderBody(order)),
+              (runner, timeoutMillis, done) ->
+                  requestReport(runner, timeoutMillis, notifications, report -> done.run()),
+              notifications,
+              callback)
+          .send();
+    } catch (IOException | IllegalArgumentException unusable) {
       callback.accept(FleetOrderOutcome.UNREACHABLE, unusable.toString());
-      return;
     }
-    AtomicBoolean sent = new AtomicBoolean();
-    request
-        .headers(headers -> headers.put(WireNames.EXPECTED_RUNNER, order.runner().id()))
-        .body(new BytesRequestContent("application/json", body))
-        .timeout(order.timeout().toMillis(), TimeUnit.MILLISECONDS)
-        .onResponseHeaders(GatewayHttp::recordProgress)
-        .onRequestBegin(begun -> sent.set(true))
-        .send(
-            new BufferingResponseListener(MAX_ANSWER_BYTES) {
-              @Override
-              public void onComplete(Result result) {
-                if (result.isFailed()) {
-                  callback.accept(
-                      sent.get() ? FleetOrderOutcome.UNKNOWN : FleetOrderOutcome.UNREACHABLE,
-                      String.valueOf(result.getFailure().getMessage()));
-                } else {
-                  int status = result.getResponse().getStatus();
-                  RunnerHeaders.notifications(order.runner().id(), result.getResponse())
-                      .forEach(notifications);
-                  callback.accept(outcome(status), status + " " + getContentAsString(UTF_8));
-                }
-              }
-            });
   }
 
   private static Map<String, Object> orderBody(GatewayEffect.SendOrder order) {
@@ -241,25 +216,22 @@
     return body;
   }
 
-  private static FleetOrderOutcome outcome(int status) {
-    return switch (status) {
-      case 202 -> FleetOrderOutcome.ACCEPTED;
-      case 200 -> FleetOrderOutcome.HOLDS;
-      case 409 -> FleetOrderOutcome.CONFLICT;
-      case 412 -> FleetOrderOutcome.FENCED;
-      case 400, 421 -> FleetOrderOutcome.REFUSED;
-      default -> FleetOrderOutcome.UNKNOWN;
-    };
-  }
-
   @Override
   public void requestReport(
       RunnerEntry runner,
       Consumer<RunnerNotification> notifications,
       Consumer<Optional<RunnerReport>> callback) {
+    requestReport(runner, REPORT_TIMEOUT_MILLIS, notifications, callback);
+  }
+
+  private void requestReport(
+      RunnerEntry runner,
+      long timeoutMillis,
+      Consumer<RunnerNotification> notifications,
+      Consumer<Optional<RunnerReport>> callback) {
     http.newRequest("http://" + runner.address() + WireNames.REPORT_PATH)
         .headers(headers -> headers.put(WireNames.EXPECTED_RUNNER, runner.id()))
-        .timeout(REPORT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
         .onResponseHeaders(GatewayHttp::recordProgress)
         .send(
             new BufferingResponseListener(MAX_ANSWER_BYTES) {
