Limit the sum of buffered responses on each node

What callers saw: when many runners sent bodies without end at the same time, sound requests of other callers on the node were cut or got no answer.

Cause: a buffered response is limited to 1 MB by itself. The sum was limited only where [memory] is enabled; there such bodies took the share of the limit that new requests need.

Ruled out: heads, chunks of one byte, events and reports, of which the sum stayed in bounds in the same test.

Change: above a sixteenth of the heap, or a quarter of the limit of [memory], responses of more than 16 KB are read on one by one. Each ends at its own limit or is complete.

--- a/src/main/java/dev/wisteriarail/core/gateway/HeldBytes.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/HeldBytes.java
@@ -37,8 +37,18 @@
    */
   private static final double ONE_STREAM_SHARE = 0.25;
 
+  /**
+   * Share of the limit above which large buffered responses are read one by one, so that many that
+   * do not end leave space for new requests.
+   */
+  private static final double BUFFERED_SHARE = 0.25;
+
+  /** Size up to which a response is read beside large ones, so that these do not delay it. */
+  private static final long SMALL_RESPONSE_BYTES = 16 * 1024;
+
   private final boolean limited;
   private final long limit;
+  private final long bufferLimit;
   private final Map<Kind, Long> heldByKind = new EnumMap<>(Kind.class);
 
   /** The streams that hold bytes. */
@@ -51,9 +61,10 @@
   /** The buffered response that may exceed the limit; null if there is none. */
   private Holding beyondLimit;
 
-  private HeldBytes(boolean limited, long limit) {
+  private HeldBytes(boolean limited, long limit, long bufferLimit) {
     this.limited = limited;
     this.limit = limit;
+    this.bufferLimit = bufferLimit;
   }
 
   /** What bytes are held for. */
@@ -68,15 +79,18 @@
 
   /** Returns an account with a limit in bytes. */
   public static HeldBytes withLimit(long bytes) {
-    return new HeldBytes(true, bytes);
+    return new HeldBytes(true, bytes, Math.round(bytes * BUFFERED_SHARE));
   }
 
   /**
    * Returns an account that only counts: it refuses nothing, and each stream reads from its runner
-   * only after its caller has read what was relayed before.
+   * only after its caller has read what was relayed before. Only buffered responses are limited, as
+   * many runners may send responses without end at the same time.
+   *
+   * @param bufferLimit bytes of all buffered responses above which large ones are read one by one
    */
-  public static HeldBytes countOnly() {
-    return new HeldBytes(false, Long.MAX_VALUE);
+  public static HeldBytes countOnly(long bufferLimit) {
+    return new HeldBytes(false, Long.MAX_VALUE, bufferLimit);
   }
 
   /** Starts to hold bytes of one request, response or stream. */
@@ -108,7 +122,9 @@
 
   /** One response may exceed the limit; otherwise all of them could wait for each other's bytes. */
   private boolean mayBuffer(Holding holding) {
-    if (!limited || holding.closed || total <= limit) {
+    boolean small = holding.bytes <= SMALL_RESPONSE_BYTES;
+    boolean space = small || held(Kind.BUFFERED_RESPONSE) <= bufferLimit;
+    if (holding.closed || (space && total <= limit)) {
       return true;
     }
     if (beyondLimit == null) {
--- a/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
+++ b/src/main/java/dev/wisteriarail/gateway/GatewayNode.java
@@ -63,6 +63,12 @@
    */
   private static final int HEAP_PER_HELD_BYTES = 4;
 
+  /**
+   * The maximum heap divided by the limit on buffered responses where held bytes have no limit. An
+   * array that grows takes up to three times the bytes of its response.
+   */
+  private static final int HEAP_PER_BUFFERED_BYTES = 16;
+
   private final Incarnation incarnation;
   private volatile GatewayFile file;
   private final GatewayRuntime runtime;
@@ -241,7 +247,8 @@
             memory ->
                 memory.heldBytes().orElse(Runtime.getRuntime().maxMemory() / HEAP_PER_HELD_BYTES))
         .map(HeldBytes::withLimit)
-        .orElseGet(HeldBytes::countOnly);
+        .orElseGet(
+            () -> HeldBytes.countOnly(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFERED_BYTES));
   }
 
   private static GatewaySettings settings(GatewayFile file, Incarnation incarnation) {
--- a/src/test/java/dev/wisteriarail/core/gateway/HeldBytesTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/HeldBytesTest.java
@@ -104,7 +104,7 @@
   /** Guards against deployments without a limit being served differently. */
   @Test
   void withoutLimitNothingIsRefusedAndNoStreamIsReadAhead() {
-    HeldBytes account = HeldBytes.countOnly();
+    HeldBytes account = HeldBytes.countOnly(LIMIT);
     account.open(HeldBytes.Kind.BUFFERED_RESPONSE).hold(1L << 40);
     assertThat(account.open(HeldBytes.Kind.REQUEST_BODY).tryReserve(1L << 40)).isTrue();
     assertThat(account.open(HeldBytes.Kind.BUFFERED_RESPONSE).mayReadOn()).isTrue();
--- a/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
@@ -42,7 +42,12 @@
           public boolean handle(Request request, Response response, Callback callback) {
             CallerExchange exchange =
                 new CallerExchange(
-                    forward(), request, response, callback, new byte[0], HeldBytes.countOnly());
+                    forward(),
+                    request,
+                    response,
+                    callback,
+                    new byte[0],
+                    HeldBytes.countOnly(Long.MAX_VALUE));
             exchange.addAttempt(1);
             if (started) {
               exchange.relay(
@@ -77,7 +82,12 @@
           public boolean handle(Request request, Response response, Callback callback) {
             CallerExchange exchange =
                 new CallerExchange(
-                    forward(), request, response, callback, new byte[0], HeldBytes.countOnly());
+                    forward(),
+                    request,
+                    response,
+                    callback,
+                    new byte[0],
+                    HeldBytes.countOnly(Long.MAX_VALUE));
             exchange.addAttempt(1);
             results.add(relay(exchange, 1, "id: 1\ndata: x\n\n"));
             exchange.addAttempt(2);
--- a/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerFrontTest.java
@@ -79,7 +79,7 @@
             threads,
             scheduler,
             CallerHeaders.create(),
-            HeldBytes.countOnly(),
+            HeldBytes.countOnly(Long.MAX_VALUE),
             events::add,
             event -> {},
             ListenerBinder.create(event -> {}, () -> false));
