Bound what a crash remembers of its requests

Cause: the traits that came with a trait were kept as a set for each trait of a crash, up to 512 sets of all parts of a prompt.

Change: a crash keeps the trait lists of some of its requests, 512 traits in all, and the sets are made when a cause is searched. The condition for a newly found trait stood twice and is a method now.

--- a/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
@@ -95,8 +95,8 @@
       if (crash.sentAt.put(trait, sentAt) == null) {
         crashesByTrait.computeIfAbsent(trait, key -> new ArrayList<>()).add(crash);
       }
-      crash.companions.computeIfAbsent(trait, key -> new HashSet<>()).addAll(traits);
     }
+    crash.addRequest(traits);
     if (crashes.size() > MAX_CRASHES) {
       remove(crashes.getFirst());
     }
@@ -279,7 +279,7 @@
   Set<RequestTrait> commonTraits(RequestTrait trait) {
     Set<RequestTrait> common = traitsInAllCrashes(trait);
     for (Crash crash : crashesByTrait.getOrDefault(trait, List.of())) {
-      common.retainAll(crash.companions.get(trait));
+      common.retainAll(crash.companions(trait));
     }
     long contents = common.stream().filter(RequestTrait::isContent).count();
     if (contents > 1) {
@@ -301,19 +301,34 @@
   }
 
   /**
-   * A crash, and for each trait when the last request with it was sent to the runner, and which
-   * traits came with it.
+   * A crash, and for each trait when the last request with it was sent to the runner. Some of the
+   * requests are kept, so that traits of one request are told apart from those of several.
    */
   private static final class Crash {
 
     private final RunnerRun run;
     private final Instant at;
     private final Map<RequestTrait, Instant> sentAt = new LinkedHashMap<>();
-    private final Map<RequestTrait, Set<RequestTrait>> companions = new HashMap<>();
+    private final List<List<RequestTrait>> requests = new ArrayList<>();
+    private int requestTraitCount;
 
     Crash(RunnerRun run, Instant at) {
       this.run = run;
       this.at = at;
     }
+
+    void addRequest(List<RequestTrait> traits) {
+      if (requestTraitCount + traits.size() <= MAX_TRAITS_PER_CRASH) {
+        requestTraitCount += traits.size();
+        requests.add(traits);
+      }
+    }
+
+    /** Returns the traits of the requests with a trait; all traits if no such request is kept. */
+    Set<RequestTrait> companions(RequestTrait trait) {
+      Set<RequestTrait> companions = new HashSet<>();
+      requests.stream().filter(traits -> traits.contains(trait)).forEach(companions::addAll);
+      return companions.isEmpty() ? sentAt.keySet() : companions;
+    }
   }
 }
--- a/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
@@ -65,20 +65,14 @@
         .filter(traits -> !repeated)
         .ifPresent(traits -> refuse(traits, CrashEvidence.CRASHES_TO_FIND + 1, now, added));
     for (RequestTrait trait : suspects) {
-      // A refusal that is over is not renewed by what led to it.
-      boolean knownBefore = repeated && refusals.contains(trait);
-      if (!knownBefore
-          && evidence.isFound(trait)
-          && refusals.find(report.traits(), Duration.ZERO, now).isEmpty()) {
+      if (isNewlyFound(trait, report.traits(), repeated, now)) {
         refuse(evidence.commonTraits(trait), evidence.count(trait), now, added);
       }
     }
     // Contents that were lost at the same crashes cannot be distinguished: all of them are refused,
     // and the trial after the first term clears those that are sound.
     for (RequestTrait content : evidence.contentsAt(report.loss(), now)) {
-      if (!(repeated && refusals.contains(content))
-          && evidence.isFound(content)
-          && refusals.find(evidence.commonTraits(content), Duration.ZERO, now).isEmpty()) {
+      if (isNewlyFound(content, evidence.commonTraits(content), repeated, now)) {
         refuse(evidence.commonTraits(content), evidence.count(content), now, added);
       }
     }
@@ -86,6 +80,19 @@
     return added;
   }
 
+  /**
+   * Returns whether a trait is found to crash runners and requests with it are not refused yet. A
+   * refusal that is over is not renewed by the reports that led to it.
+   *
+   * @param request the traits of a request with this trait
+   */
+  private boolean isNewlyFound(
+      RequestTrait trait, Collection<RequestTrait> request, boolean repeated, Instant now) {
+    return !(repeated && refusals.contains(trait))
+        && evidence.isFound(trait)
+        && refusals.find(request, Duration.ZERO, now).isEmpty();
+  }
+
   private void refuse(
       Set<RequestTrait> traits, int crashes, Instant now, List<CrashRefusal> added) {
     if (refusals.add(traits, crashes, now)) {
