Take the order of trials from the place of the node in its fleet

Cause: the count of nodes before this one was made anew for each request while there were refusals; PeerTable keeps it. The clearing that a node of a large fleet sends on had no test.

Change: CrashGuard uses PeerTable.position. CrashingPartTest has a fleet of 121 nodes in which one peer clears a part: the node that reported it tells all others once.

--- a/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
@@ -54,7 +54,6 @@
 
   private static final int MAX_REPORTED_TRAITS = 512;
 
-  private final NodeId self;
   private final PeerTable peers;
   private final CrashHistory history = CrashHistory.create();
   private final RefusalSaver saver = RefusalSaver.create();
@@ -67,13 +66,12 @@
   private boolean refusalsToTell;
   private boolean refusalsToSave;
 
-  private CrashGuard(NodeId self, PeerTable peers) {
-    this.self = self;
+  private CrashGuard(PeerTable peers) {
     this.peers = peers;
   }
 
-  static CrashGuard create(NodeId self, PeerTable peers) {
-    return new CrashGuard(self, peers);
+  static CrashGuard create(PeerTable peers) {
+    return new CrashGuard(peers);
   }
 
   // Requests
@@ -85,12 +83,7 @@
 
   /** Returns the time that this node leaves to the nodes that try refused requests before it. */
   private Duration trialDelay() {
-    long before =
-        peers.addresses().stream()
-            .filter(peer -> peer.node().compareTo(self) < 0)
-            .limit(MAX_TRIALS_BEFORE)
-            .count();
-    return TRIAL_INTERVAL.multipliedBy(before);
+    return TRIAL_INTERVAL.multipliedBy(Math.min(peers.position().index(), MAX_TRIALS_BEFORE));
   }
 
   /** Returns whether a request may be sent now, as far as suspected traits are concerned. */
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -109,7 +109,7 @@
     lease = OrderLease.create(self.value(), settings.self().incarnation().value(), timings);
     runnerStates = RunnerStateTable.create(directory);
     runnerNotifications = RunnerNotificationHandler.create(directory, runnerStates);
-    crashGuard = CrashGuard.create(self, peers);
+    crashGuard = CrashGuard.create(peers);
     drain = DrainPlan.create(settings.drainGrace());
     confirmation = ConfigurationConfirmation.create(settings.revocation());
     allowances = TenantAllowances.create(settings.allowances());
--- a/src/test/java/dev/wisteriarail/core/gateway/CrashingPartTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CrashingPartTest.java
@@ -139,6 +139,30 @@
     assertThat(node.take(GatewayEffect.SendAttempt.class)).hasSize(1);
   }
 
+  /** A proof that only the reporting node gets must not leave the others accusing a sound part. */
+  @Test
+  void nodeOfLargeFleetSendsOnThatPartsItReportedAreSound() {
+    for (int i = 0; i < 120; i++) {
+      String name = "p" + i;
+      NodeAddress peer =
+          new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.1." + i, 7000, 1000, 0);
+      receive(name, FleetMessage.Beat.of(peer, List.of(), PeerStatus.UNKNOWN, List.of()));
+    }
+    crash("report", "session", "own");
+    node.take(GatewayEffect.class);
+    FleetMessage sound = FleetMessage.CrashTold.ofSound(List.of(RequestTrait.ofPart("session")));
+    receive("p7", sound);
+    assertThat(tellings(sound)).isAtLeast(120);
+    receive("p8", sound);
+    assertThat(tellings(sound)).isEqualTo(0);
+  }
+
+  private long tellings(FleetMessage message) {
+    return node.take(GatewayEffect.SendPeer.class).stream()
+        .filter(send -> send.message().equals(message))
+        .count();
+  }
+
   /** After all nodes have restarted at once, the store is all that knows. */
   @Test
   void storeTellsOneNodeAfterAllRestarted() {
--- a/src/test/java/dev/wisteriarail/core/gateway/QueueSimulation.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/QueueSimulation.java
@@ -120,7 +120,7 @@
               settings,
               state,
               CallerAuthenticator.create(ConfigurationConfirmation.create(RevocationRule.DEFAULT)),
-              CrashGuard.create(base.self().node(), PeerTable.create(base.self(), GRACE, GRACE)),
+              CrashGuard.create(PeerTable.create(base.self(), GRACE, GRACE)),
               TenantAllowances.create(AllowanceLimits.DEFAULT),
               DrainPlan.create(GRACE),
               () -> new FleetPosition(false, 0, 1)));
