Test: an order to a silent engine is reported as not sent

Cause: since orders are written only to connections that have answered, nothing is written to such an engine, so UNREACHABLE is true, and the planner may send the order again. The test asks for exactly that now. What it guarded, that an order which was written and not answered counts as UNKNOWN, is a case of OrderConnectionTest.

--- a/src/test/java/dev/wisteriarail/platform/OrderConnectionTest.java
+++ b/src/test/java/dev/wisteriarail/platform/OrderConnectionTest.java
@@ -109,6 +109,15 @@
     assertThat(received.getLast()).startsWith("POST");
   }
 
+  /** An order that was written may be carried out, so it must not count as not sent. */
+  @Test
+  void outcomeOfOrderWithoutAnswerIsUnknown() throws Exception {
+    serve(0, 1);
+    askForReport();
+    assertThat(sendOrder()).isEqualTo(FleetOrderOutcome.UNKNOWN);
+    assertThat(received.getLast()).startsWith("POST");
+  }
+
   private void askForReport() throws Exception {
     CompletableFuture<Boolean> ended = new CompletableFuture<>();
     client.requestReport(entry(), notification -> {}, report -> ended.complete(report.isPresent()));
--- a/src/test/java/dev/wisteriarail/platform/UnreachableCallTest.java
+++ b/src/test/java/dev/wisteriarail/platform/UnreachableCallTest.java
@@ -96,7 +96,8 @@
   void callsToSilentEngineEnd() throws Exception {
     try (ServerSocket silent = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
       RunnerEntry engine = engine("127.0.0.1", silent.getLocalPort());
-      assertThat(order(engine)).isEqualTo(FleetOrderOutcome.UNKNOWN);
+      // The order is not written, as no connection has answered.
+      assertThat(order(engine)).isEqualTo(FleetOrderOutcome.UNREACHABLE);
       assertThat(report(engine)).isEmpty();
     }
   }
