Search causes of crashes only where a trait is found

- CrashHistory.record made the set of common traits for each content at a crash, for each report, before it asked whether the content is found at all.
A crashed runner with many streams brings one report for each of them to every node.
The set is made only for a content that is found now, and once.
- A sign of life, which each part of a response brings, searched the crashes even if there are none.
- CrashGuard.relayCleared changed a set inside a filter, and OrderCall asked twice for the time left.

--- a/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
@@ -65,15 +65,18 @@
         .filter(traits -> !repeated)
         .ifPresent(traits -> refuse(traits, CrashEvidence.CRASHES_TO_FIND + 1, now, added));
     for (RequestTrait trait : suspects) {
-      if (isNewlyFound(trait, report.traits(), repeated, now)) {
+      if (isNewlyFound(trait, repeated) && !isRefused(report.traits(), now)) {
         refuse(evidence.commonTraits(trait), evidence.count(trait), now, added);
       }
     }
     // Contents that were lost at the same crashes cannot be distinguished: all of them are refused,
     // and the trial after the first term clears those that are sound.
     for (RequestTrait content : evidence.contentsAt(report.loss(), now)) {
-      if (isNewlyFound(content, evidence.commonTraits(content), repeated, now)) {
-        refuse(evidence.commonTraits(content), evidence.count(content), now, added);
+      if (isNewlyFound(content, repeated)) {
+        Set<RequestTrait> common = evidence.commonTraits(content);
+        if (!isRefused(common, now)) {
+          refuse(common, evidence.count(content), now, added);
+        }
       }
     }
     refusals.inForce(now).forEach(refusal -> evidence.explain(refusal.traits()));
@@ -81,16 +84,15 @@
   }
 
   /**
-   * Returns whether a trait is found to crash runners and requests with it are not refused yet. A
-   * refusal that is over is not renewed by the reports that led to it.
-   *
-   * @param request the traits of a request with this trait
+   * Returns whether a trait is found to crash runners. A refusal that is over is not renewed by the
+   * reports that led to it.
    */
-  private boolean isNewlyFound(
-      RequestTrait trait, Collection<RequestTrait> request, boolean repeated, Instant now) {
-    return !(repeated && refusals.contains(trait))
-        && evidence.isFound(trait)
-        && refusals.find(request, Duration.ZERO, now).isEmpty();
+  private boolean isNewlyFound(RequestTrait trait, boolean repeated) {
+    return evidence.isFound(trait) && !(repeated && refusals.contains(trait));
+  }
+
+  private boolean isRefused(Collection<RequestTrait> request, Instant now) {
+    return refusals.find(request, Duration.ZERO, now).isPresent();
   }
 
   private void refuse(
@@ -125,7 +127,9 @@
    * @return what is refuted, if there is a loss
    */
   public Optional<CrashRefutation> recordSignOfLife(RunnerRun run, Instant sentAt, Instant now) {
-    return evidence.findRefuted(run, sentAt, now).map(loss -> acceptRefutation(loss, now));
+    return evidence.isEmpty()
+        ? Optional.empty()
+        : evidence.findRefuted(run, sentAt, now).map(loss -> acceptRefutation(loss, now));
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
@@ -207,7 +207,9 @@
    * peer told only this node.
    */
   private void relayCleared(List<RequestTrait> cleared, GatewayStep step) {
-    List<RequestTrait> reported = cleared.stream().filter(reportedTraits::remove).toList();
+    List<RequestTrait> reported = new ArrayList<>(cleared);
+    reported.retainAll(reportedTraits);
+    reportedTraits.removeAll(reported);
     if (peers.isLarge() && !reported.isEmpty()) {
       sendToAllPeers(FleetMessage.CrashTold.ofSound(reported), step);
     }
@@ -285,14 +287,15 @@
    */
   void advance(boolean storeReachable, boolean coordinator, GatewayStep step) {
     history.advance(step.now());
-    List<CrashRefusal> refusals = history.refusals(step.now());
     if (coordinator && refusalsToSave) {
-      refusals.forEach(saver::add);
+      history.refusals(step.now()).forEach(saver::add);
     }
     refusalsToSave = false;
-    saver
-        .next(refusals, storeReachable, step.now())
-        .ifPresent(refusal -> step.emit(new GatewayEffect.SaveRefusal(refusal)));
+    if (storeReachable && saver.isDue(step.now())) {
+      saver
+          .next(history.refusals(step.now()))
+          .ifPresent(refusal -> step.emit(new GatewayEffect.SaveRefusal(refusal)));
+    }
   }
 
   /** Includes the refusals in the next heartbeat, as a node has started. */
--- a/src/main/java/dev/wisteriarail/core/gateway/RefusalSaver.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/RefusalSaver.java
@@ -34,11 +34,13 @@
     unsaved.add(refusal.traits());
   }
 
+  /** Returns whether refusals are unsaved and no write is in progress or delayed. */
+  boolean isDue(Instant now) {
+    return !unsaved.isEmpty() && saving.isEmpty() && !now.isBefore(nextWriteAt);
+  }
+
   /** Returns the refusal to write now, and marks its write as started. */
-  Optional<CrashRefusal> next(List<CrashRefusal> known, boolean storeReachable, Instant now) {
-    if (unsaved.isEmpty() || !saving.isEmpty() || !storeReachable || now.isBefore(nextWriteAt)) {
-      return Optional.empty();
-    }
+  Optional<CrashRefusal> next(List<CrashRefusal> known) {
     unsaved.removeIf(
         traits -> known.stream().noneMatch(refusal -> refusal.traits().equals(traits)));
     Optional<CrashRefusal> next =
--- a/src/main/java/dev/wisteriarail/platform/OrderCall.java
+++ b/src/main/java/dev/wisteriarail/platform/OrderCall.java
@@ -100,10 +100,11 @@
         order.runner(),
         Math.max(1, millisLeft()),
         () -> {
-          if (millisLeft() < MIN_TIMEOUT_MILLIS) {
+          long timeoutMillis = millisLeft();
+          if (timeoutMillis < MIN_TIMEOUT_MILLIS) {
             fail("no time is left to send the order");
           } else {
-            sendIfProven(millisLeft(), () -> fail("no connection to the runner answers"));
+            sendIfProven(timeoutMillis, () -> fail("no connection to the runner answers"));
           }
         });
   }
