Test: one client for the tests of control calls

OrderConnectionTest wrote the client, the runner entry and the order again that UnreachableCallTest and AbandonedCallTest had. ControlCallFixture serves all three. UnreachableCallTest uses the client for control calls now, as nodes do; its assertions and those of the others are unchanged.

--- a/src/test/java/dev/wisteriarail/platform/AbandonedCallTest.java
+++ b/src/test/java/dev/wisteriarail/platform/AbandonedCallTest.java
@@ -4,26 +4,16 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import dev.wisteriarail.core.fleet.FleetOrder;
 import dev.wisteriarail.core.fleet.LeaseCall;
 import dev.wisteriarail.core.fleet.LeaseRecord;
-import dev.wisteriarail.core.fleet.NumberedOrder;
 import dev.wisteriarail.core.fleet.RunnerEntry;
-import dev.wisteriarail.core.gateway.GatewayEffect;
-import dev.wisteriarail.gateway.GatewayHttp;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.time.Duration;
-import java.util.List;
-import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
-import org.eclipse.jetty.util.thread.Scheduler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,9 +28,7 @@
 
   private static final int LIMIT_MILLIS = 5_000;
 
-  private final QueuedThreadPool threads = new QueuedThreadPool();
-  private final Scheduler scheduler = new ScheduledExecutorScheduler();
-  private HttpClient http;
+  private ControlCallFixture fixture;
 
   enum Call {
     ORDER,
@@ -50,16 +38,12 @@
 
   @BeforeEach
   void start() throws Exception {
-    threads.start();
-    scheduler.start();
-    http = GatewayHttp.startForControlCalls(threads, scheduler, LIMIT_MILLIS);
+    fixture = ControlCallFixture.start();
   }
 
   @AfterEach
   void stop() throws Exception {
-    http.stop();
-    scheduler.stop();
-    threads.stop();
+    fixture.close();
   }
 
   @ParameterizedTest
@@ -91,22 +75,17 @@
   }
 
   private void send(Call call, int port, CountDownLatch ended) {
-    HttpPlatformClient client = HttpPlatformClient.create(http, "127.0.0.1:" + port);
-    RunnerEntry runner =
-        new RunnerEntry(
-            "r", "s", "127.0.0.1", port, "a", 1, false, 1, 0, List.of(), Set.of(), Set.of());
+    HttpPlatformClient client = fixture.client(port);
+    RunnerEntry runner = ControlCallFixture.runner("127.0.0.1", port);
     switch (call) {
-      case ORDER ->
-          client.sendOrder(
-              new GatewayEffect.SendOrder(
-                  runner,
-                  new NumberedOrder(1, "r", 1, 0, new FleetOrder.UnloadModel("m"), "", null),
-                  "n",
-                  1,
-                  Duration.ofMillis(500)),
-              notification -> {},
-              (outcome, text) -> ended.countDown());
-      case REPORT -> client.requestReport(runner, notification -> {}, report -> ended.countDown());
+      case ORDER -> {
+        CompletableFuture<Void> _ =
+            ControlCallFixture.sendOrder(client, runner).thenRun(ended::countDown);
+      }
+      case REPORT -> {
+        CompletableFuture<Void> _ =
+            ControlCallFixture.requestReport(client, runner).thenRun(ended::countDown);
+      }
       default ->
           client.callLease(
               new LeaseCall.Append(1, LeaseRecord.claim("n", 1, 0)), answer -> ended.countDown());
--- a/src/test/java/dev/wisteriarail/platform/OrderConnectionTest.java
+++ b/src/test/java/dev/wisteriarail/platform/OrderConnectionTest.java
@@ -3,26 +3,15 @@
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
-import dev.wisteriarail.core.fleet.FleetOrder;
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
-import dev.wisteriarail.core.fleet.NumberedOrder;
 import dev.wisteriarail.core.fleet.RunnerEntry;
-import dev.wisteriarail.core.gateway.GatewayEffect;
-import dev.wisteriarail.gateway.GatewayHttp;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.time.Duration;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
-import org.eclipse.jetty.util.thread.Scheduler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -39,10 +28,8 @@
   private static final int LIMIT_MILLIS = 5_000;
   private static final int ORDER_TIMEOUT_MILLIS = 500;
 
-  private final QueuedThreadPool threads = new QueuedThreadPool();
-  private final Scheduler scheduler = new ScheduledExecutorScheduler();
   private final List<String> received = new CopyOnWriteArrayList<>();
-  private HttpClient http;
+  private ControlCallFixture fixture;
   private ServerSocket server;
   private HttpPlatformClient client;
 
@@ -63,19 +50,15 @@
 
   @BeforeEach
   void start() throws Exception {
-    threads.start();
-    scheduler.start();
-    http = GatewayHttp.startForControlCalls(threads, scheduler, LIMIT_MILLIS);
+    fixture = ControlCallFixture.start();
     server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
-    client = HttpPlatformClient.create(http, "127.0.0.1:" + server.getLocalPort());
+    client = fixture.client(server.getLocalPort());
   }
 
   @AfterEach
   void stop() throws Exception {
     server.close();
-    http.stop();
-    scheduler.stop();
-    threads.stop();
+    fixture.close();
   }
 
   @ParameterizedTest
@@ -119,29 +102,18 @@
   }
 
   private void askForReport() throws Exception {
-    CompletableFuture<Boolean> ended = new CompletableFuture<>();
-    client.requestReport(entry(), notification -> {}, report -> ended.complete(report.isPresent()));
-    assertThat(ended.get(LIMIT_MILLIS, TimeUnit.MILLISECONDS)).isNotNull();
+    assertThat(
+            ControlCallFixture.requestReport(client, entry())
+                .get(LIMIT_MILLIS, TimeUnit.MILLISECONDS))
+        .isNotNull();
   }
 
   private FleetOrderOutcome sendOrder() throws Exception {
-    CompletableFuture<FleetOrderOutcome> ended = new CompletableFuture<>();
-    client.sendOrder(
-        new GatewayEffect.SendOrder(
-            entry(),
-            new NumberedOrder(1, "r", 1, 0, new FleetOrder.UnloadModel("m"), "", null),
-            "n",
-            1,
-            Duration.ofMillis(ORDER_TIMEOUT_MILLIS)),
-        notification -> {},
-        (outcome, text) -> ended.complete(outcome));
-    return ended.get(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+    return ControlCallFixture.sendOrder(client, entry()).get(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private RunnerEntry entry() {
-    int port = server.getLocalPort();
-    return new RunnerEntry(
-        "r", "s", "127.0.0.1", port, "a", 1, false, 1, 0, List.of(), Set.of(), Set.of());
+    return ControlCallFixture.runner("127.0.0.1", server.getLocalPort());
   }
 
   /** Accepts connections, records the first lines of requests and answers some of them. */
--- a/src/test/java/dev/wisteriarail/platform/UnreachableCallTest.java
+++ b/src/test/java/dev/wisteriarail/platform/UnreachableCallTest.java
@@ -2,26 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import dev.wisteriarail.core.fleet.FleetOrder;
 import dev.wisteriarail.core.fleet.FleetOrderOutcome;
-import dev.wisteriarail.core.fleet.NumberedOrder;
 import dev.wisteriarail.core.fleet.RunnerEntry;
 import dev.wisteriarail.core.fleet.RunnerReport;
-import dev.wisteriarail.core.gateway.GatewayEffect;
-import dev.wisteriarail.gateway.GatewayHttp;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
-import org.eclipse.jetty.util.thread.Scheduler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,51 +20,27 @@
 class UnreachableCallTest {
 
   private static final long LIMIT_SECONDS = 5;
-  private static final long IDLE_MILLIS = 10_000;
 
-  private final QueuedThreadPool threads = new QueuedThreadPool();
-  private final Scheduler scheduler = new ScheduledExecutorScheduler();
-  private HttpClient http;
+  private ControlCallFixture fixture;
   private HttpPlatformClient calls;
 
   @BeforeEach
   void start() throws Exception {
-    threads.start();
-    scheduler.start();
-    http = GatewayHttp.start(threads, scheduler, IDLE_MILLIS, true);
-    calls = HttpPlatformClient.create(http, "127.0.0.1:1");
+    fixture = ControlCallFixture.start();
+    calls = fixture.client(1);
   }
 
   @AfterEach
   void stop() throws Exception {
-    http.stop();
-    scheduler.stop();
-    threads.stop();
-  }
-
-  private static RunnerEntry engine(String host, int port) {
-    return new RunnerEntry(
-        "e", "s", host, port, "a", 1, false, 1, 0, List.of(), Set.of(), Set.of());
+    fixture.close();
   }
 
   private FleetOrderOutcome order(RunnerEntry engine) throws Exception {
-    CompletableFuture<FleetOrderOutcome> result = new CompletableFuture<>();
-    calls.sendOrder(
-        new GatewayEffect.SendOrder(
-            engine,
-            new NumberedOrder(1, "e", 1, 0, new FleetOrder.UnloadModel("m"), "", null),
-            "n",
-            1,
-            Duration.ofMillis(500)),
-        notification -> {},
-        (outcome, text) -> result.complete(outcome));
-    return result.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    return ControlCallFixture.sendOrder(calls, engine).get(LIMIT_SECONDS, TimeUnit.SECONDS);
   }
 
   private Optional<RunnerReport> report(RunnerEntry engine) throws Exception {
-    CompletableFuture<Optional<RunnerReport>> result = new CompletableFuture<>();
-    calls.requestReport(engine, notification -> {}, result::complete);
-    return result.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    return ControlCallFixture.requestReport(calls, engine).get(LIMIT_SECONDS, TimeUnit.SECONDS);
   }
 
   private static int closedPort() throws IOException {
@@ -87,7 +51,7 @@
 
   @Test
   void callsToClosedPortEnd() throws Exception {
-    RunnerEntry engine = engine("127.0.0.1", closedPort());
+    RunnerEntry engine = ControlCallFixture.runner("127.0.0.1", closedPort());
     assertThat(order(engine)).isEqualTo(FleetOrderOutcome.UNREACHABLE);
     assertThat(report(engine)).isEmpty();
   }
@@ -95,7 +59,7 @@
   @Test
   void callsToSilentEngineEnd() throws Exception {
     try (ServerSocket silent = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
-      RunnerEntry engine = engine("127.0.0.1", silent.getLocalPort());
+      RunnerEntry engine = ControlCallFixture.runner("127.0.0.1", silent.getLocalPort());
       // The order is not written, as no connection has answered.
       assertThat(order(engine)).isEqualTo(FleetOrderOutcome.UNREACHABLE);
       assertThat(report(engine)).isEmpty();
@@ -115,7 +79,7 @@
     "256.1.1.1, 80",
   })
   void orderToUnusableAddressEnds(String host, int port) throws Exception {
-    assertThat(order(engine(host, port)))
+    assertThat(order(ControlCallFixture.runner(host, port)))
         .isAnyOf(FleetOrderOutcome.UNREACHABLE, FleetOrderOutcome.UNKNOWN);
   }
 }
