Test: endless responses come from the raw runner that other tests use

ManyEndlessResponsesTest wrote the server, the directory entry and the reading of a request again that RawRunner has. RawRunner is public for it and lets more connections wait. Checks and bounds are unchanged.

--- a/src/test/java/dev/wisteriarail/platform/RawRunner.java
+++ b/src/test/java/dev/wisteriarail/platform/RawRunner.java
@@ -10,7 +10,10 @@
 import java.net.Socket;
 
 /** A runner on the loopback interface whose responses are written by the test as raw bytes. */
-final class RawRunner implements AutoCloseable {
+public final class RawRunner implements AutoCloseable {
+
+  /** Connections that may wait to be accepted, for tests with many callers at once. */
+  private static final int BACKLOG = 500;
 
   private final ServerSocket server;
 
@@ -19,13 +22,15 @@
   }
 
   /** Serves one connection, which is closed afterwards. */
-  interface ConnectionHandler {
+  public interface ConnectionHandler {
+    /** Reads from the connection and writes to it. */
     void handle(Socket socket) throws IOException, InterruptedException;
   }
 
   /** Starts a runner that serves any number of connections concurrently. */
-  static RawRunner start(ConnectionHandler talk) throws IOException {
-    RawRunner runner = new RawRunner(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+  public static RawRunner start(ConnectionHandler talk) throws IOException {
+    RawRunner runner =
+        new RawRunner(new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()));
     Thread.ofVirtual().start(() -> runner.serveAll(talk));
     return runner;
   }
@@ -52,7 +57,7 @@
   }
 
   /** Returns its directory entry as JSON: it is ready and, if it is an engine, has model m0. */
-  String directoryEntry(String service) {
+  public String directoryEntry(String service) {
     String models =
         service.equals("engines") ? "{\"name\":\"m0\",\"version\":1,\"adapters\":[]}" : "";
     return String.format(
@@ -65,12 +70,13 @@
     return server.getLocalPort();
   }
 
-  static BufferedReader reader(Socket socket) throws IOException {
+  /** Returns a reader of the requests on a connection. */
+  public static BufferedReader reader(Socket socket) throws IOException {
     return new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
   }
 
   /** Reads a request head; returns the request's id, or an empty string if there is none. */
-  static String readRequest(BufferedReader in) throws IOException {
+  public static String readRequest(BufferedReader in) throws IOException {
     String request = "";
     String line = in.readLine();
     while (line != null && !line.isEmpty()) {
--- a/src/test/java/dev/wisteriarail/soak/ManyEndlessResponsesTest.java
+++ b/src/test/java/dev/wisteriarail/soak/ManyEndlessResponsesTest.java
@@ -5,14 +5,12 @@
 
 import dev.wisteriarail.KnownRedCondition;
 import dev.wisteriarail.core.event.EventCode;
+import dev.wisteriarail.platform.RawRunner;
 import dev.wisteriarail.standin.LoopbackSettings;
 import dev.wisteriarail.standin.PlatformStandin;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -136,10 +134,9 @@
   private void checkOthersAreServed(EndlessPart part) throws Exception {
     boolean soundIsPlain = part.service.equals("engines");
     awaitServed(soundIsPlain);
-    try (ServerSocket server = new ServerSocket(0, 500, InetAddress.getLoopbackAddress())) {
-      Thread.ofVirtual().start(() -> acceptAll(server, part));
+    try (RawRunner runner = RawRunner.start(socket -> serve(socket, part))) {
       for (int i = 0; i < FAULTY_RUNNERS; i++) {
-        platform.store().put("keyed.servers", "raw-" + i, directoryEntry(server, part));
+        platform.store().put("keyed.servers", "raw-" + i, runner.directoryEntry(part.service));
       }
       List<Thread> callers = new ArrayList<>();
       for (int i = 0; i < CALLERS && !part.isReport(); i++) {
@@ -192,56 +189,20 @@
     return http.send(request.build(), HttpResponse.BodyHandlers.ofString()).statusCode();
   }
 
-  private static String directoryEntry(ServerSocket server, EndlessPart part) {
-    boolean engine = part.service.equals("engines") && !part.isReport();
-    return String.format(
-        "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":6,"
-            + "\"state\":\"ready\",\"models\":[%s],\"sequence\":1,\"born\":1}",
-        part.service,
-        server.getLocalPort(),
-        engine ? "{\"name\":\"m0\",\"version\":1,\"adapters\":[]}" : "");
-  }
-
-  private static void acceptAll(ServerSocket server, EndlessPart part) {
-    while (!server.isClosed()) {
-      try {
-        Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> serve(socket, part));
-      } catch (IOException closed) {
-        return;
-      }
-    }
-  }
-
-  private static void serve(Socket socket, EndlessPart part) {
-    try (socket) {
-      BufferedReader in =
-          new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
-      OutputStream out = socket.getOutputStream();
-      for (String line = in.readLine(); line != null; line = in.readLine()) {
-        boolean report = line.contains(REPORT_PATH);
-        String id = readRequestId(in);
-        if (report == part.isReport()) {
-          out.write(part.start.formatted(id).getBytes(US_ASCII));
-          byte[] repeated = part.repeated.getBytes(US_ASCII);
-          while (true) {
-            out.write(repeated);
-          }
+  private static void serve(Socket socket, EndlessPart part) throws IOException {
+    BufferedReader in = RawRunner.reader(socket);
+    OutputStream out = socket.getOutputStream();
+    for (String line = in.readLine(); line != null; line = in.readLine()) {
+      boolean report = line.contains(REPORT_PATH);
+      String id = RawRunner.readRequest(in);
+      if (report == part.isReport()) {
+        out.write(part.start.formatted(id).getBytes(US_ASCII));
+        byte[] repeated = part.repeated.getBytes(US_ASCII);
+        while (true) {
+          out.write(repeated);
         }
-        out.write("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n".getBytes(US_ASCII));
-      }
-    } catch (IOException closed) {
-      // The node has ended its call.
-    }
-  }
-
-  private static String readRequestId(BufferedReader in) throws IOException {
-    String id = "";
-    for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
-      if (line.startsWith("X-Wisteriarail-Request-Id: ")) {
-        id = line.substring(line.indexOf(' ') + 1);
       }
+      out.write("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n".getBytes(US_ASCII));
     }
-    return id;
   }
 }
