Test: one heartbeat and one caller exchange for the tests that wrote them out

CoreHarness wrote a peer's address and heartbeat in three methods, CrashingPartTest in three more, and CallerExchangeTest made the same exchange twice. Each stands once now. Assertions are unchanged.

--- a/src/main/java/dev/wisteriarail/core/gateway/HeldBytes.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/HeldBytes.java
@@ -13,10 +13,11 @@
  * <p>Load: callers and runners that read slowly, whose bytes would exhaust the node's memory. As
  * the account fills, those yield first whose loss costs callers least: new requests are refused at
  * {@link #REQUEST_SHARE} of the limit, the slow stream with the most bytes stops reading from its
- * runner at {@link #LARGEST_STREAM_SHARE}, and all others stop at the limit. A response that has
- * begun is never ended for lack of space. Bytes that were already received when a holder is told to
- * stop are counted beyond the limit, so the account exceeds it by at most one read per response and
- * one buffered response.
+ * runner at {@link #LARGEST_STREAM_SHARE}, and all others stop at the limit. Large buffered
+ * responses are read one by one before that, as many may not end. A response that has begun is
+ * never ended for lack of space. Bytes that were already received when a holder is told to stop are
+ * counted beyond the limit, so the account exceeds it by at most one read per response and one
+ * buffered response.
  *
  * <p>Life cycle: one per run of a node. Thread-safe.
  */
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -296,8 +296,6 @@
 
   /** Delivers a heartbeat of a peer whose configuration was confirmed some time ago. */
   void receiveConfirmation(long version, Duration age) {
-    NodeAddress address =
-        new NodeAddress(NodeId.of("n2"), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
     PeerStatus status =
         new PeerStatus(
             0,
@@ -312,17 +310,11 @@
             LogPosition.NONE,
             0,
             Optional.of(age.toMillis()));
-    handle(
-        new GatewayEvent.PeerMessageReceived(
-            NodeId.of("n2"),
-            Incarnation.of(1),
-            FleetMessage.Beat.of(address, List.of(), status, List.of())));
+    receiveHeartbeat("n2", status, List.of());
   }
 
   /** Delivers a heartbeat of a node that holds the order lease. */
   void receiveCoordinatorHeartbeat(String name) {
-    NodeAddress address =
-        new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
     PeerStatus status =
         new PeerStatus(
             9,
@@ -337,11 +329,7 @@
             LogPosition.of(0, 5),
             0,
             Optional.empty());
-    handle(
-        new GatewayEvent.PeerMessageReceived(
-            NodeId.of(name),
-            Incarnation.of(1),
-            FleetMessage.Beat.of(address, List.of(), status, List.of())));
+    receiveHeartbeat(name, status, List.of());
   }
 
   /** Delivers a notification from a runner. */
@@ -351,13 +339,20 @@
 
   /** Delivers a heartbeat of a peer that lists leaving runners. */
   void receiveLeavingRunners(String peer, RunnerRun... leaving) {
-    NodeAddress address =
-        new NodeAddress(NodeId.of(peer), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
-    handle(
-        new GatewayEvent.PeerMessageReceived(
-            NodeId.of(peer),
-            Incarnation.of(1),
-            FleetMessage.Beat.of(address, List.of(), PeerStatus.UNKNOWN, List.of(leaving))));
+    receiveHeartbeat(peer, PeerStatus.UNKNOWN, List.of(leaving));
+  }
+
+  private void receiveHeartbeat(String peer, PeerStatus status, List<RunnerRun> leaving) {
+    receive(peer, FleetMessage.Beat.of(peerAddress(peer), List.of(), status, leaving));
+  }
+
+  /** Delivers a message of a peer. */
+  void receive(String peer, FleetMessage message) {
+    handle(new GatewayEvent.PeerMessageReceived(NodeId.of(peer), Incarnation.of(1), message));
+  }
+
+  static NodeAddress peerAddress(String peer) {
+    return new NodeAddress(NodeId.of(peer), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
   }
 
   void updateAttempt(long exchange, int attempt, AttemptResult result) {
--- a/src/test/java/dev/wisteriarail/core/gateway/CrashingPartTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CrashingPartTest.java
@@ -12,8 +12,6 @@
 import dev.wisteriarail.core.forward.CrashReport;
 import dev.wisteriarail.core.forward.RequestTrait;
 import dev.wisteriarail.core.forward.RunnerLoss;
-import dev.wisteriarail.core.id.Incarnation;
-import dev.wisteriarail.core.id.NodeId;
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.peer.PeerMessage;
 import dev.wisteriarail.core.result.ResultCode;
@@ -78,14 +76,10 @@
         Arrays.stream(parts).map(RequestTrait::ofPart).toList());
   }
 
-  private void receive(String peer, FleetMessage message) {
-    node.handle(new GatewayEvent.PeerMessageReceived(NodeId.of(peer), Incarnation.of(1), message));
-  }
-
   @Test
   void crashesThatPeersTellCountLikeOwnOnes() {
     for (int i = 0; i < 3; i++) {
-      receive("n" + (i + 2), FleetMessage.CrashTold.ofLost(i, report("x" + i, "deadly")));
+      node.receive("n" + (i + 2), FleetMessage.CrashTold.ofLost(i, report("x" + i, "deadly")));
       node.pass(Duration.ofMillis(700));
     }
     assertThat(onlyRefusal("shared", "deadly", "own").code())
@@ -96,14 +90,14 @@
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void heartbeatTellsOneNodeThatMissedIt(boolean refusal) {
-    NodeAddress peer =
-        new NodeAddress(NodeId.of("n2"), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
+    NodeAddress peer = CoreHarness.peerAddress("n2");
     FleetMessage.Beat beat = FleetMessage.Beat.of(peer, List.of(), PeerStatus.UNKNOWN, List.of());
     CrashRefusal refused =
         new CrashRefusal(Set.of(RequestTrait.ofPart("deadly")), 3, 60_000, 300_000);
     List<CrashReport> reports =
         List.of(reportOfAge("x1", 9_000), reportOfAge("x2", 6_000), reportOfAge("x3", 3_000));
-    receive("n2", refusal ? beat.with(List.of(refused), List.of()) : beat.with(List.of(), reports));
+    node.receive(
+        "n2", refusal ? beat.with(List.of(refused), List.of()) : beat.with(List.of(), reports));
     assertThat(onlyRefusal("shared", "deadly", "own").code())
         .isEqualTo(ResultCode.CRASHING_REQUEST);
   }
@@ -122,11 +116,10 @@
     node.updateAttempt(whole, 1, new AttemptResult.Started());
     node.updateAttempt(whole, 1, new AttemptResult.Finished(200));
     node.take(GatewayEffect.class);
-    NodeAddress peer =
-        new NodeAddress(NodeId.of("n2"), Incarnation.of(1), "10.0.0.2", 7000, 1000, 0);
+    NodeAddress peer = CoreHarness.peerAddress("n2");
     CrashRefusal outdated =
         new CrashRefusal(Set.of(RequestTrait.ofPart("session")), 3, 60_000, 300_000);
-    receive(
+    node.receive(
         "n2",
         FleetMessage.Beat.of(peer, List.of(), PeerStatus.UNKNOWN, List.of())
             .with(List.of(outdated), List.of()));
@@ -144,16 +137,15 @@
   void nodeOfLargeFleetSendsOnThatPartsItReportedAreSound() {
     for (int i = 0; i < 120; i++) {
       String name = "p" + i;
-      NodeAddress peer =
-          new NodeAddress(NodeId.of(name), Incarnation.of(1), "10.0.1." + i, 7000, 1000, 0);
-      receive(name, FleetMessage.Beat.of(peer, List.of(), PeerStatus.UNKNOWN, List.of()));
+      NodeAddress peer = CoreHarness.peerAddress(name);
+      node.receive(name, FleetMessage.Beat.of(peer, List.of(), PeerStatus.UNKNOWN, List.of()));
     }
     crash("report", "session", "own");
     node.take(GatewayEffect.class);
     FleetMessage sound = FleetMessage.CrashTold.ofSound(List.of(RequestTrait.ofPart("session")));
-    receive("p7", sound);
+    node.receive("p7", sound);
     assertThat(tellings(sound)).isAtLeast(120);
-    receive("p8", sound);
+    node.receive("p8", sound);
     assertThat(tellings(sound)).isEqualTo(0);
   }
 
@@ -230,7 +222,7 @@
   void requestAtOneRunnerIsCancelledWhenItsPartIsFound() {
     node.arrive("report", List.of("shared", "deadly", "own-1"));
     for (int i = 0; i < 3; i++) {
-      receive("n2", FleetMessage.CrashTold.ofLost(i, report("x" + i, "deadly")));
+      node.receive("n2", FleetMessage.CrashTold.ofLost(i, report("x" + i, "deadly")));
       node.pass(Duration.ofMillis(700));
     }
     List<GatewayEffect> effects = node.take(GatewayEffect.class);
@@ -248,7 +240,7 @@
   void messageOfOneEarlierVersionCountsForItsContent() throws Exception {
     String earlier = "{\"type\":\"CrashTold\",\"fingerprint\":77}";
     for (int i = 0; i < 3; i++) {
-      receive("n2", (FleetMessage) Codecs.json().readValue(earlier, PeerMessage.class));
+      node.receive("n2", (FleetMessage) Codecs.json().readValue(earlier, PeerMessage.class));
       node.pass(Duration.ofSeconds(3));
     }
     node.take(GatewayEffect.class);
--- a/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
@@ -40,14 +40,7 @@
         new Handler.Abstract.NonBlocking() {
           @Override
           public boolean handle(Request request, Response response, Callback callback) {
-            CallerExchange exchange =
-                new CallerExchange(
-                    forward(),
-                    request,
-                    response,
-                    callback,
-                    new byte[0],
-                    HeldBytes.countOnly(Long.MAX_VALUE));
+            CallerExchange exchange = exchange(request, response, callback);
             exchange.addAttempt(1);
             if (started) {
               exchange.relay(
@@ -80,14 +73,7 @@
         new Handler.Abstract.NonBlocking() {
           @Override
           public boolean handle(Request request, Response response, Callback callback) {
-            CallerExchange exchange =
-                new CallerExchange(
-                    forward(),
-                    request,
-                    response,
-                    callback,
-                    new byte[0],
-                    HeldBytes.countOnly(Long.MAX_VALUE));
+            CallerExchange exchange = exchange(request, response, callback);
             exchange.addAttempt(1);
             results.add(relay(exchange, 1, "id: 1\ndata: x\n\n"));
             exchange.addAttempt(2);
@@ -152,6 +138,11 @@
     }
   }
 
+  private static CallerExchange exchange(Request request, Response response, Callback callback) {
+    return new CallerExchange(
+        forward(), request, response, callback, new byte[0], HeldBytes.countOnly(Long.MAX_VALUE));
+  }
+
   private static ForwardRequest forward() {
     return new ForwardRequest(
         1,
