--- a/review/standin-2/Config.java
+++ b/review/standin-2/Config.java
@@ -10,6 +10,20 @@
   private Config() {}
 
   static String json(long version, List<String> models, double loadSeconds, double diskSeconds) {
+    return json(version, models, loadSeconds, diskSeconds, "");
+  }
+
+  /**
+   * Builds a configuration.
+   *
+   * @param tenants the list of tenants; empty text to leave it out
+   */
+  static String json(
+      long version,
+      List<String> models,
+      double loadSeconds,
+      double diskSeconds,
+      String tenants) {
     StringBuilder list = new StringBuilder();
     for (String model : models) {
       list.append(list.isEmpty() ? "" : ",");
@@ -18,7 +32,9 @@
               + ",\"adapters\":0,\"adapter_mb\":66.0,\"warm_s\":" + diskSeconds
               + ",\"disk_load_s\":" + diskSeconds + "}");
     }
-    return "{\"version\":" + version + ",\"routes\":["
+    return "{\"version\":" + version
+        + (tenants.isEmpty() ? "" : ",\"tenants\":" + tenants)
+        + ",\"routes\":["
         + route("summary", "/summary/", "streaming", 12_000, 400, 1, ENGINES, 2, true) + ","
         + route("report", "/report/", "streaming", 25_000, 2_500, 0, ENGINES, 1, false) + ","
         + route("dispatch", "/dispatch/", "non_idempotent", 4_000, 121, 2, PLAIN, 1, false) + ","
--- a/review/standin-2/Fleet.java
+++ b/review/standin-2/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 
 /** A small deployment: a store, runners and nodes; {@link #close} ends all that was started. */
@@ -25,7 +26,7 @@
 
   final CaseLog record;
   final Store store;
-  final List<Runner> runners = new ArrayList<>();
+  final List<Runner> runners = new CopyOnWriteArrayList<>();
   final List<Node> nodes = new ArrayList<>();
   final Path root;
   final Path folder;
--- a/review/standin-2/Runner.java
+++ b/review/standin-2/Runner.java
@@ -9,12 +9,16 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** A sound runner: a model runner that carries out orders and streams events, or a plain one. */
 final class Runner implements AutoCloseable {
 
+  /** A request that reached this runner. */
+  record Arrival(long atMillis, String request, String tenant, String credentials) {}
+
   /** An order that was accepted or refused. */
   record Order(long atMillis, String runner, String holder, long token, int status, String text) {}
 
@@ -29,6 +33,7 @@
   private final Http.Server server;
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final List<Order> orders = new ArrayList<>();
+  private final List<Arrival> arrivals = new ArrayList<>();
   private final Map<String, Integer> runs = new TreeMap<>();
   private final Store store;
   private boolean checksFences = true;
@@ -40,6 +45,11 @@
   private int running;
   private volatile boolean draining;
 
+  /** Requests that crash this runner as it begins to run them, and what follows. */
+  volatile Predicate<Http.Request> crashesOn = request -> false;
+
+  volatile Runnable onCrash = () -> {};
+
   /** Time of a load of a model that the runner never held, and of one that it held before. */
   int loadMillis = 1_000;
 
@@ -77,6 +87,30 @@
     return List.copyOf(orders);
   }
 
+  synchronized List<Arrival> arrivals() {
+    return List.copyOf(arrivals);
+  }
+
+  /** Removes this runner's entry; it serves on until it exits. Returns when the store had it. */
+  long leaveUnreported(long servesMillis) {
+    timer.shutdownNow();
+    store.put("keyed.servers", id, "");
+    long at = record.millis();
+    record.line("the entry of " + id + " is removed");
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try {
+                Thread.sleep(servesMillis);
+              } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
+              }
+              record.line(id + " exits");
+              server.close();
+            });
+    return at;
+  }
+
   synchronized Map<String, Integer> runs() {
     return new TreeMap<>(runs);
   }
@@ -197,6 +231,12 @@
     Map<String, String> headers = new LinkedHashMap<>();
     headers.put("X-Wisteriarail-Request-Id", requestId);
     synchronized (this) {
+      arrivals.add(
+          new Arrival(
+              record.millis(),
+              requestId,
+              request.header("X-Wisteriarail-Tenant"),
+              request.header("Authorization")));
       settle();
       if (engine && !models.contains(model)) {
         headers.put("X-Wisteriarail-Not-Executed", "1");
@@ -207,6 +247,12 @@
       running++;
     }
     record.line("run of " + requestId + " at " + id);
+    if (crashesOn.test(request)) {
+      record.line(id + " crashes");
+      close();
+      onCrash.run();
+      throw new IOException("crashed");
+    }
     try {
       headers.put("X-Wisteriarail-Response-Signature", id + "." + requestId);
       if (engine) {
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -64,6 +64,12 @@
     return taken;
   }
 
+  /** Returns the newest record of a topic as text; empty if there is none. */
+  synchronized String last(String name) {
+    Entry entry = topic(name).records.peekLast();
+    return entry == null ? "" : new String(entry.content(), StandardCharsets.UTF_8);
+  }
+
   synchronized String range(String name) {
     Topic topic = topic(name);
     return "first retained offset " + topic.first + ", end " + topic.end();
