--- a/review/standin-2/CrashingCallerCase.java
+++ b/review/standin-2/CrashingCallerCase.java
@@ -41,7 +41,7 @@
   private static boolean holds(Fleet fleet, boolean trouble) throws Exception {
     // For comparison: the sound requests have another path.
     boolean otherPath = "1".equals(System.getenv("OTHER_PATH"));
-    fleet.bounds.put("quota_window_s", "8");
+    fleet.bounds.putAll(Fleet.TENANT_BOUNDS);
     fleet.store.put("keyed.op", "config", Config.json(1, List.of("m0"), 6.0, 0.5, TENANTS));
     for (int i = 0; i < 6; i++) {
       startRunner(fleet);
--- a/review/standin-2/Fleet.java
+++ b/review/standin-2/Fleet.java
@@ -13,14 +13,38 @@
 
   /** Bounds of the sheets of SYSTEM.md. */
   static final Map<String, String> BOUNDS =
+      Map.ofEntries(
+          Map.entry("seed_lag_s", "3"),
+          Map.entry("reuse_after_s", "2"),
+          Map.entry("stability_window_ms", "3000"),
+          Map.entry("ack_ms", "4000"),
+          Map.entry("catch_up_s", "4"),
+          Map.entry("drain_ms", "2000"),
+          Map.entry("grace_s", "8"),
+          Map.entry("loss_slack_ms", "200"),
+          Map.entry("config_apply_ms", "2000"),
+          Map.entry("rollback_slack_ms", "250"),
+          Map.entry("outer_bound_ms", "5000"),
+          Map.entry("retry_budget_ratio", "0.2"),
+          Map.entry("budget_window_s", "10"),
+          Map.entry("retry_budget_slack", "58"),
+          Map.entry("recovery_s", "12"),
+          Map.entry("pass_ms", "120"),
+          Map.entry("retry_after_s", "0"),
+          Map.entry("fencing_enforced", "true"),
+          Map.entry("lease_ms", "3000"),
+          Map.entry("thaw_ms", "300"),
+          Map.entry("ceiling_window_s", "5"),
+          Map.entry("ceiling_overage", "1.1"));
+
+  /** Bounds of a deployment with tenants, in addition. */
+  static final Map<String, String> TENANT_BOUNDS =
       Map.of(
-          "grace_s", "8",
-          "lease_ms", "3000",
-          "fencing_enforced", "true",
-          "drain_ms", "2000",
-          "budget_window_s", "10",
-          "retry_budget_ratio", "0.2",
-          "retry_budget_slack", "58");
+          "revoke_fail_closed", "false",
+          "revoke_ms", "5000",
+          "quota_window_s", "8",
+          "quota_overage", "0.1",
+          "quota_slack", "17000");
 
   private static final int MAX_SECONDS = 115;
 
--- a/review/standin-2/LargeBodiesCase.java
+++ b/review/standin-2/LargeBodiesCase.java
@@ -31,7 +31,7 @@
   private static final int RECOVERY_S = 12;
 
   /** {@code timeout_ms} of their route, and their time limit. */
-  private static final int STREAM_LIMIT_MS = 12_000;
+  private static final int STREAM_LIMIT_MS = 25_000;
 
   private static final int STREAMS = 60;
   private static final int PROBES = 20;
@@ -51,8 +51,8 @@
     for (int i = 0; i < 2; i++) {
       Runner runner = fleet.engine("i-engine" + i, List.of("m0"));
       runner.loadMillis = 6_000;
-      runner.events = 49;
-      runner.eventMillis = 100;
+      runner.events = 95;
+      runner.eventMillis = 200;
     }
     fleet.addNodes(MACHINES);
     if (!fleet.startNodes(20_000)) {
@@ -60,7 +60,7 @@
     }
     Map<String, Integer> ownEnds = new TreeMap<>();
     Thread restarts = Thread.ofPlatform().start(() -> restart(fleet, ownEnds));
-    Thread.sleep(4_000);
+    Thread.sleep(1_000);
 
     AtomicInteger cut = new AtomicInteger();
     AtomicInteger unended = new AtomicInteger();
@@ -69,6 +69,8 @@
     for (int i = 0; i < STREAMS; i++) {
       Node node = fleet.nodes.get(i % MACHINES);
       String id = "stream-" + i;
+      // Not in step with each other.
+      Thread.sleep(50);
       threads.add(Thread.ofVirtual().start(() -> streams(fleet, node, id, cut, unended, done)));
     }
     Thread.sleep(2_000);
@@ -186,7 +188,7 @@
           Http.Response response =
               connection.exchange(
                   "POST",
-                  kept ? "/summary/x" : "/summary/quick",
+                  kept ? "/report/x" : "/report/quick",
                   headers(name, "m0", STREAM_LIMIT_MS),
                   new byte[1_700],
                   STREAM_LIMIT_MS + 500,
--- a/review/standin-2/LastTenantCase.java
+++ b/review/standin-2/LastTenantCase.java
@@ -19,7 +19,7 @@
   private static boolean holds(Fleet fleet, boolean trouble) throws Exception {
     // For comparison: the tenant stays, without keys.
     boolean tenantStays = "1".equals(System.getenv("TENANT_STAYS"));
-    fleet.bounds.put("quota_window_s", "8");
+    fleet.bounds.putAll(Fleet.TENANT_BOUNDS);
     String tenants = "[{\"name\":\"hule930\",\"api_keys\":[\"" + HELD_KEY + "\"]}]";
     fleet.store.put("keyed.op", "config", Config.json(1, List.of("m0"), 6.0, 0.5, tenants));
     for (int i = 0; i < 3; i++) {
--- a/review/standin-2/Node.java
+++ b/review/standin-2/Node.java
@@ -5,9 +5,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.MatchResult;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -80,48 +82,60 @@
     return ip + ":" + peers;
   }
 
-  /** Fills in deploy/node.toml as the platform does. */
+  /**
+   * Fills in deploy/node.toml as the platform does: sections first, then single values; what has no
+   * value is left out.
+   */
   void configure(String storeAddress, List<String> seeds, Map<String, String> bounds)
       throws IOException {
+    Map<String, String> values = new HashMap<>();
+    bounds.forEach((bound, value) -> values.put("bounds." + bound, value));
+    values.put("node_name", name);
+    values.put("role", "gateway");
+    values.put("machine_class", "frontend");
+    values.put("ip", ip);
+    values.put("zone", "z-a");
+    values.put("region", "z");
+    values.put("limits.link_mbps", "1000.0");
+    values.put("limits.cpu_share", "0.75");
+    values.put("limits.cores", "1");
+    values.put("limits.memory_mb", "430");
+    values.put("limits.file_descriptors", "4100");
+    values.put("limits.disk_mb", "0");
+    values.put("listen.frontend", ip + ":" + callers);
+    values.put("listen.ready", ip + ":" + ready);
+    values.put("listen.control_plane", peerAddress());
+    values.put("platform.address", storeAddress);
     String text = Files.readString(root.resolve("deploy/node.toml"));
-    StringBuilder list = new StringBuilder();
-    for (String seed : seeds) {
-      list.append(list.isEmpty() ? "" : ",").append("\"" + seed + "\"");
-    }
-    text = text.replaceAll("\\{\\{#seeds}}.*\\{\\{/seeds}}", Matcher.quoteReplacement(list.toString()));
-    Matcher section =
-        Pattern.compile("(?s)# \\{\\{#bounds\\.(\\w+)}}\\n(.*?)# \\{\\{/bounds\\.\\w+}}\\n?")
-            .matcher(text);
+    Matcher sections =
+        Pattern.compile("(?s)\\{\\{([#^])([^}]+)}}(.*?)\\{\\{/\\2}}").matcher(text);
     text =
-        section.replaceAll(
-            found ->
-                bounds.containsKey(found.group(1))
-                    ? Matcher.quoteReplacement(found.group(2))
-                    : "");
-    Map<String, String> values =
-        Map.of(
-            "node_name", name,
-            "zone", "z-a",
-            "ip", ip,
-            "limits.link_mbps", "1000.0",
-            "limits.cpu_share", "0.75",
-            "limits.cores", "1",
-            "listen.frontend", ip + ":" + callers,
-            "listen.ready", ip + ":" + ready,
-            "listen.control_plane", peerAddress(),
-            "platform.address", storeAddress);
-    for (Map.Entry<String, String> value : values.entrySet()) {
-      text = text.replace("{{" + value.getKey() + "}}", value.getValue());
-    }
-    for (Map.Entry<String, String> bound : bounds.entrySet()) {
-      text = text.replace("{{bounds." + bound.getKey() + "}}", bound.getValue());
-    }
-    if (text.contains("{{")) {
-      throw new IOException("the template has a place that is not filled in: " + text);
-    }
+        sections.replaceAll(
+            found -> Matcher.quoteReplacement(section(found, seeds, values)));
+    Matcher single = Pattern.compile("\\{\\{([^}]+)}}").matcher(text);
+    text =
+        single.replaceAll(
+            found -> Matcher.quoteReplacement(values.getOrDefault(found.group(1), "")));
     Files.writeString(settings, text);
   }
 
+  private static String section(
+      MatchResult found, List<String> seeds, Map<String, String> values) {
+    String content = found.group(3);
+    if (found.group(2).equals("seeds")) {
+      StringBuilder list = new StringBuilder();
+      for (int i = 0; i < seeds.size(); i++) {
+        list.append(
+            content
+                .replace("{{.}}", seeds.get(i))
+                .replace("{{,}}", i < seeds.size() - 1 ? "," : ""));
+      }
+      return list.toString();
+    }
+    boolean present = !values.getOrDefault(found.group(2), "false").equals("false");
+    return present == found.group(1).equals("#") ? content : "";
+  }
+
   void start() throws IOException {
     Matcher run =
         Pattern.compile("(?m)^run = \"(.*)\"$")
