A request that crashes runners for one caller is refused, though sound for others

Tenant hule930's GET /status/report crashed each runner, tenant pufi791's request with the same path was sound. The crashing request reached runners 30 times, 26 of them later than 3 s after the third crash, and was never refused; sound requests and orders beside it were lost.

Cause: the identity of a request was method, target and body. A complete response to one caller cleared the content for all callers for ten minutes.

Change: the content as one caller sends it for one model is a trait of its own, which only a complete response to that caller clears. The content alone is refused if crashes of several callers accuse it. Where three other callers got complete responses, one caller's content needs four crashes instead of three. Nodes tell a node that reports a loss which callers they served that content.

Why it works: a complete response proves that the content alone crashes nothing, and says nothing on what a runner does for another caller. A sound request that is lost beside a culprit three times is explained by the culprit, which is found at the third crash, before the fourth.

--- a/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashEvidence.java
@@ -14,6 +14,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * The recent crashes of runners, and the traits of the requests that were at each runner when it
@@ -33,6 +35,12 @@
   /** Number of crashes after which a trait is found to be the cause. */
   static final int CRASHES_TO_FIND = 3;
 
+  /**
+   * The same for a content of one caller that is sound for several others. The cause of crashes at
+   * which it was lost by chance is found before.
+   */
+  static final int CRASHES_TO_FIND_WIDELY_SOUND = CRASHES_TO_FIND + 1;
+
   /** Time for which a crash is remembered. */
   private static final Duration RETENTION = Duration.ofMinutes(2);
 
@@ -131,12 +139,16 @@
     return true;
   }
 
-  /** Removes all traits but the cause from the crashes that the cause explains. */
+  /**
+   * Removes all traits but the cause from the crashes that the cause explains. Those of single
+   * callers of a content stay: a complete response to another caller may still show that the
+   * content alone is no cause.
+   */
   void explain(Set<RequestTrait> cause) {
     for (Crash crash : crashes) {
       if (crash.sentAt.keySet().containsAll(cause)) {
         Set<RequestTrait> others = new HashSet<>(crash.sentAt.keySet());
-        others.removeAll(cause);
+        others.removeIf(other -> cause.contains(other) || cause.contains(other.content()));
         others.forEach(
             trait -> {
               crash.sentAt.remove(trait);
@@ -214,11 +226,17 @@
     return crashesByTrait.getOrDefault(trait, List.of()).size();
   }
 
-  /** Returns whether a trait is found to crash runners. */
-  boolean isFound(RequestTrait trait) {
+  /**
+   * Returns whether a trait is found to crash runners. A content that one caller sent at all of its
+   * crashes is not: only that caller's content is.
+   *
+   * @param required the number of crashes that are required
+   */
+  boolean isFound(RequestTrait trait, int required) {
     List<Crash> known = crashesByTrait.getOrDefault(trait, List.of());
-    return known.size() >= CRASHES_TO_FIND
-        && independentCrashes(trait, known) >= CRASHES_TO_FIND
+    return known.size() >= required
+        && !hasCommonCaller(trait)
+        && independentCrashes(trait, known) >= required
         && known.stream()
             .anyMatch(
                 later ->
@@ -228,25 +246,42 @@
                                 later.sentAt.get(trait).isAfter(earlier.at.plus(REFUTATION_TIME))));
   }
 
+  private boolean hasCommonCaller(RequestTrait trait) {
+    return trait.isContent()
+        && !trait.isCallerContent()
+        && traitsInAllCrashes(trait).stream()
+            .anyMatch(other -> other.isCallerContent() && other.content().equals(trait));
+  }
+
   /**
    * Returns the number of crashes of a trait, where those that have another trait in common, which
    * the rest lacks, count as one: that trait may be their cause. So two causes at a time do not
    * accuse what their requests share.
    */
   private int independentCrashes(RequestTrait trait, List<Crash> known) {
-    Set<RequestTrait> common = traitsInAllCrashes(trait);
+    Set<RequestTrait> ignored = traitsInAllCrashes(trait);
+    ignored.addAll(callersWithFewCrashes(trait, known));
     List<Crash> remaining =
         new ArrayList<>(
             known.subList(Math.max(0, known.size() - MAX_COMPARED_CRASHES), known.size()));
     int count = 0;
     while (!remaining.isEmpty()) {
-      List<Crash> group = largestGroup(remaining, common);
+      List<Crash> group = largestGroup(remaining, ignored);
       remaining.removeAll(group);
       count++;
     }
     return count;
   }
 
+  /** Returns the callers' contents of a content that cannot be the cause of enough crashes. */
+  private Set<RequestTrait> callersWithFewCrashes(RequestTrait content, List<Crash> known) {
+    return known.stream()
+        .flatMap(crash -> crash.sentAt.keySet().stream())
+        .filter(other -> other.isCallerContent() && other.content().equals(content))
+        .filter(other -> count(other) < CRASHES_TO_FIND)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the crashes with the trait, other than the given ones, that most crashes have. */
   private static List<Crash> largestGroup(List<Crash> crashes, Set<RequestTrait> except) {
     Map<RequestTrait, List<Crash>> groups = new LinkedHashMap<>();
@@ -274,20 +309,26 @@
   /**
    * Returns the traits that requests with a trait had at all of its crashes. They cannot be
    * distinguished from it; only a request with all of them is known to crash runners. No request
-   * has two contents, so several are left out.
+   * has the contents of two requests, so those of several are left out.
    */
   Set<RequestTrait> commonTraits(RequestTrait trait) {
     Set<RequestTrait> common = traitsInAllCrashes(trait);
     for (Crash crash : crashesByTrait.getOrDefault(trait, List.of())) {
       common.retainAll(crash.companions(trait));
     }
-    long contents = common.stream().filter(RequestTrait::isContent).count();
-    if (contents > 1) {
-      common.removeIf(other -> other.isContent() && !other.equals(trait));
-    }
+    removeSeveral(common, RequestTrait::isCallerContent, trait);
+    removeSeveral(common, other -> other.isContent() && !other.isCallerContent(), trait);
     return common;
   }
 
+  /** Removes the traits of a kind if there are several, except for the given one. */
+  private static void removeSeveral(
+      Set<RequestTrait> traits, Predicate<RequestTrait> kind, RequestTrait kept) {
+    if (traits.stream().filter(kind).count() > 1) {
+      traits.removeIf(kind.and(other -> !other.equals(kept)));
+    }
+  }
+
   private Set<RequestTrait> traitsInAllCrashes(RequestTrait trait) {
     Set<RequestTrait> common = null;
     for (Crash crash : crashesByTrait.getOrDefault(trait, List.of())) {
--- a/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashHistory.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -65,14 +66,14 @@
         .filter(traits -> !repeated)
         .ifPresent(traits -> refuse(traits, CrashEvidence.CRASHES_TO_FIND + 1, now, added));
     for (RequestTrait trait : suspects) {
-      if (isNewlyFound(trait, repeated) && !isRefused(report.traits(), now)) {
+      if (isNewlyFound(trait, repeated, now) && !isRefused(report.traits(), now)) {
         refuse(evidence.commonTraits(trait), evidence.count(trait), now, added);
       }
     }
     // Contents that were lost at the same crashes cannot be distinguished: all of them are refused,
     // and the trial after the first term clears those that are sound.
     for (RequestTrait content : evidence.contentsAt(report.loss(), now)) {
-      if (isNewlyFound(content, repeated)) {
+      if (isNewlyFound(content, repeated, now)) {
         Set<RequestTrait> common = evidence.commonTraits(content);
         if (!isRefused(common, now)) {
           refuse(common, evidence.count(content), now, added);
@@ -87,8 +88,17 @@
    * Returns whether a trait is found to crash runners. A refusal that is over is not renewed by the
    * reports that led to it.
    */
-  private boolean isNewlyFound(RequestTrait trait, boolean repeated) {
-    return evidence.isFound(trait) && !(repeated && refusals.contains(trait));
+  private boolean isNewlyFound(RequestTrait trait, boolean repeated, Instant now) {
+    return evidence.isFound(trait, requiredCrashes(Set.of(trait), now))
+        && !(repeated && refusals.contains(trait));
+  }
+
+  /** Returns the number of crashes after which requests with all of the traits are refused. */
+  private int requiredCrashes(Set<RequestTrait> traits, Instant now) {
+    return traits.stream()
+            .anyMatch(trait -> trait.isCallerContent() && sound.isWidelySound(trait, now))
+        ? CrashEvidence.CRASHES_TO_FIND_WIDELY_SOUND
+        : CrashEvidence.CRASHES_TO_FIND;
   }
 
   private boolean isRefused(Collection<RequestTrait> request, Instant now) {
@@ -139,17 +149,20 @@
   public CrashRefutation acceptRefutation(RunnerLoss loss, Instant now) {
     Set<RequestTrait> traits = evidence.refute(loss, now);
     return new CrashRefutation(
-        loss, refusals.removeCrash(traits, CrashEvidence.CRASHES_TO_FIND, now));
+        loss, refusals.removeCrash(traits, refused -> requiredCrashes(refused, now), now));
   }
 
   /**
-   * Applies a refusal of a peer or of the store, without the traits that are known to be sound.
+   * Applies a refusal of a peer or of the store, without the traits that are known to be sound. One
+   * that this node would not decide after so few crashes is ignored.
    *
    * @return whether it is new
    */
   public boolean acceptRefusal(CrashRefusal refusal, Instant now) {
     List<RequestTrait> traits = unproven(refusal.traits(), now);
-    if (traits.isEmpty() || !refusals.merge(refusal, Set.copyOf(traits), now)) {
+    if (traits.isEmpty()
+        || refusal.crashes() < requiredCrashes(Set.copyOf(traits), now)
+        || !refusals.merge(refusal, Set.copyOf(traits), now)) {
       return false;
     }
     evidence.explain(Set.copyOf(traits));
@@ -168,9 +181,20 @@
     return sound.unproven(traits, now);
   }
 
-  /** Returns those of the traits that are known to be sound. */
-  public List<RequestTrait> proven(Collection<RequestTrait> traits, Instant now) {
-    return traits.stream().filter(trait -> sound.contains(trait, now)).toList();
+  /**
+   * Returns what this node knows in favour of the traits: those that are sound, and the contents of
+   * other callers that make one likely to be sound.
+   */
+  public List<RequestTrait> proof(Collection<RequestTrait> traits, Instant now) {
+    Set<RequestTrait> proof = new LinkedHashSet<>();
+    for (RequestTrait trait : traits) {
+      if (sound.contains(trait, now)) {
+        proof.add(trait);
+      } else if (trait.isCallerContent()) {
+        proof.addAll(sound.callersOf(trait.content(), now));
+      }
+    }
+    return List.copyOf(proof);
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/core/forward/CrashRefusals.java
+++ b/src/main/java/dev/wisteriarail/core/forward/CrashRefusals.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.ToIntFunction;
 
 /**
  * The combinations of traits whose requests are refused because they crash runners.
@@ -116,14 +117,16 @@
    * have too few crashes left.
    *
    * @param lost the traits that the loss was evidence against
+   * @param required returns the number of crashes that a refusal of traits requires
    * @return the traits of each refusal in force that is removed
    */
-  List<Set<RequestTrait>> removeCrash(Set<RequestTrait> lost, int required, Instant now) {
+  List<Set<RequestTrait>> removeCrash(
+      Set<RequestTrait> lost, ToIntFunction<Set<RequestTrait>> required, Instant now) {
     List<Set<RequestTrait>> removed = new ArrayList<>();
     for (Entry entry : List.copyOf(entries)) {
       if (now.isBefore(entry.until)
           && lost.containsAll(entry.traits)
-          && --entry.crashes < required) {
+          && --entry.crashes < required.applyAsInt(entry.traits)) {
         entries.remove(entry);
         removed.add(Set.copyOf(entry.traits));
       }
--- a/src/main/java/dev/wisteriarail/core/forward/ForwardRequest.java
+++ b/src/main/java/dev/wisteriarail/core/forward/ForwardRequest.java
@@ -21,6 +21,7 @@
  * @param answerTokens maximum number of tokens of the response; 0 if unknown
  * @param parts the parts of the prompt in order
  * @param fingerprint identifies method, target and body across all attempts, whoever sends them
+ * @param credentials identifies what the headers tell a runner about the caller; 0 without any
  * @param apiKey digest of the caller's API key; empty without usable credentials
  */
 public record ForwardRequest(
@@ -36,6 +37,7 @@
     int answerTokens,
     List<PromptPart> parts,
     long fingerprint,
+    long credentials,
     Optional<ApiKeyDigest> apiKey) {
 
   /** Copies the list of parts. */
@@ -54,6 +56,17 @@
     return RequestTrait.ofContent(fingerprint);
   }
 
+  /**
+   * Returns the content for the model and the caller of the request as a trait.
+   *
+   * @param tenant name of the caller's tenant; empty where the runner gets the caller's credentials
+   */
+  public RequestTrait callerContent(Optional<String> tenant) {
+    String caller = tenant.map(name -> "tenant " + name).orElse("credentials " + credentials);
+    return RequestTrait.ofCallerContent(
+        fingerprint, String.join("\n", caller, model.orElse(""), adapter.orElse("")));
+  }
+
   /**
    * Returns the part of the prompt that identifies the session: the last but one. Empty with fewer
    * than two parts.
--- a/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CrashGuard.java
@@ -216,7 +216,7 @@
   }
 
   private void acceptLoss(CrashReport report, NodeId from, GatewayStep step) {
-    List<RequestTrait> sound = history.proven(report.traits(), step.now());
+    List<RequestTrait> sound = history.proof(report.traits(), step.now());
     if (!sound.isEmpty()) {
       sendSound(sound, from, step);
     }
@@ -246,7 +246,7 @@
     acceptRefusals(heartbeat.refusals(), peer, step);
     List<RequestTrait> sound =
         heartbeat.refusals().stream()
-            .flatMap(refusal -> history.proven(refusal.traits(), step.now()).stream())
+            .flatMap(refusal -> history.proof(refusal.traits(), step.now()).stream())
             .distinct()
             .toList();
     if (!sound.isEmpty()) {
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -77,6 +77,7 @@
     this.tenant = tenant;
     this.arrivedAt = arrivedAt;
     waitingSince = arrivedAt;
+    traits.add(request.callerContent(tenant.map(TenantSpec::name)));
     traits.add(request.content());
     traits.addAll(request.sharedParts());
     Duration callerTimeout = request.callerTimeout().orElse(route.timeout());
--- a/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzCallers.java
+++ b/src/main/java/dev/wisteriarail/fuzz/gateway/FuzzCallers.java
@@ -110,6 +110,7 @@
                 100,
                 parts.stream().map(part -> new PromptPart(part, 10)).toList(),
                 fingerprint,
+                0,
                 Optional.empty())));
   }
 
--- a/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
+++ b/src/main/java/dev/wisteriarail/platform/CallerHeaders.java
@@ -18,6 +18,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.zip.CRC32C;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
@@ -70,6 +71,7 @@
         estimates[1],
         promptParts(headers.get(WireNames.PROMPT_PARTS)),
         fingerprint(request, body),
+        credentials(headers),
         apiKey(headers));
   }
 
@@ -153,6 +155,21 @@
     return (head.getValue() << 32) | content.getValue();
   }
 
+  /**
+   * Returns a checksum of the headers that tell a runner who the caller is, where tenants do not
+   * replace them; 0 without any.
+   */
+  private static long credentials(HttpFields headers) {
+    CRC32C checksum = new CRC32C();
+    for (HttpField field : headers) {
+      if (WireNames.isCallerHeader(field.getName())) {
+        checksum.update(field.getLowerCaseName().getBytes(UTF_8));
+        checksum.update(String.valueOf(field.getValue()).getBytes(UTF_8));
+      }
+    }
+    return checksum.getValue();
+  }
+
   /**
    * Returns the digest of the key in {@code Authorization: Bearer KEY}. Two such headers give no
    * key, since they may name two tenants.
--- a/src/main/java/dev/wisteriarail/platform/WireNames.java
+++ b/src/main/java/dev/wisteriarail/platform/WireNames.java
@@ -50,6 +50,10 @@
           "kv-from",
           "kv-fetch");
 
+  /** Headers by which a runner may tell one caller from another. */
+  private static final Set<String> CALLER_HEADERS =
+      Set.of("authorization", "cookie", "x-wisteriarail-tenant");
+
   /** Headers that apply to a single connection and are not forwarded. */
   private static final Set<String> HOP_BY_HOP_HEADERS =
       Set.of(
@@ -72,6 +76,10 @@
     return SYSTEM_HEADERS.contains(name.toLowerCase(Locale.ROOT));
   }
 
+  static boolean isCallerHeader(String name) {
+    return CALLER_HEADERS.contains(name.toLowerCase(Locale.ROOT));
+  }
+
   static boolean isHopByHopHeader(String name) {
     return HOP_BY_HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT));
   }
--- a/src/test/java/dev/wisteriarail/core/gateway/AllowanceGateTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/AllowanceGateTest.java
@@ -54,6 +54,7 @@
             0,
             List.of(),
             999,
+            0,
             Optional.empty());
     return PendingForward.of(
         request,
--- a/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/CoreHarness.java
@@ -186,6 +186,11 @@
 
   /** Delivers a request to a plain route with the digest of an API key; returns its exchange. */
   long arriveWithKey(String route, Optional<ApiKeyDigest> key) {
+    return arriveFrom(route, exchanges + 1, 0, key);
+  }
+
+  /** Delivers a request to a plain route with the given content and caller. */
+  long arriveFrom(String route, long fingerprint, long credentials, Optional<ApiKeyDigest> key) {
     long exchange = ++exchanges;
     handle(
         new GatewayEvent.RequestArrived(
@@ -201,7 +206,8 @@
                 0,
                 0,
                 List.of(),
-                exchange,
+                fingerprint,
+                credentials,
                 key)));
     return exchange;
   }
@@ -286,6 +292,7 @@
                 10,
                 parts.stream().map(part -> new PromptPart(part, 10)).toList(),
                 fingerprint,
+                0,
                 Optional.empty())));
     return exchange;
   }
--- a/src/test/java/dev/wisteriarail/core/gateway/EvenLoadSimulation.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/EvenLoadSimulation.java
@@ -226,6 +226,7 @@
             (int) millis,
             List.of(),
             random.nextLong(),
+            0,
             Optional.empty());
     PendingForward forward = PendingForward.of(request, route, SERVICE, Optional.empty(), now());
     node.waiting.add(new Job(node, forward, nowMillis, millis));
--- a/src/test/java/dev/wisteriarail/core/gateway/ExtremeValuesTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/ExtremeValuesTest.java
@@ -101,6 +101,7 @@
                 tokens,
                 List.of(new PromptPart("a", tokens), new PromptPart("b", tokens)),
                 exchange,
+                0,
                 Optional.empty())));
     return exchange;
   }
--- a/src/test/java/dev/wisteriarail/core/gateway/QueueSimulation.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/QueueSimulation.java
@@ -167,6 +167,7 @@
             answerTokens,
             List.of(),
             exchange * 0x9E3779B97F4A7C15L,
+            0,
             Optional.empty());
     Optional<TenantSpec> spec =
         tenant.isEmpty()
--- a/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/RollingFleet.java
@@ -342,6 +342,7 @@
                   100,
                   List.of(),
                   exchange,
+                  0,
                   Optional.empty())));
     }
     time.after(REQUEST_INTERVAL, this::sendRequest);
--- a/src/test/java/dev/wisteriarail/core/gateway/RunnerPickerTest.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/RunnerPickerTest.java
@@ -79,6 +79,7 @@
               100,
               List.of(),
               random.nextLong(),
+              0,
               Optional.empty());
       PendingForward forward =
           PendingForward.of(
--- a/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
+++ b/src/test/java/dev/wisteriarail/gateway/CallerExchangeTest.java
@@ -157,6 +157,7 @@
         0,
         List.of(),
         1,
+        0,
         Optional.empty());
   }
 }
