An empty list of tenants refuses all callers instead of admitting them

After a version with "tenants": [] every request ran, with the dropped key and with keys that no configuration ever held, and the keys were passed on to runners.

Cause: a missing field and an empty list were decoded to the same empty list, and hasTenants() asked whether it has elements. The configuration that nodes send each other had one form for both, too.

Change: GatewayConfiguration states whether callers need a key. A message of an earlier build that does not state it and has no tenants is ignored, and the node reads the store itself. The same cause elsewhere: null in a tenant's fields, a priority that is no number (it became the most urgent one), truth values of routes ("public": 1 opened the route), lists that are none: all are errors (event 263), and the version in force stays.

Why it works: all decisions ask requiresKeys(), which an empty list answers with true, and no carrier of the configuration loses the difference.

--- a/src/main/java/dev/wisteriarail/core/forward/UrgencyPolicy.java
+++ b/src/main/java/dev/wisteriarail/core/forward/UrgencyPolicy.java
@@ -47,7 +47,7 @@
     for (RouteSpec route : configuration.routes()) {
       for (ServiceShare share : route.shares()) {
         Set<Integer> ofService = ranks.computeIfAbsent(share.service(), service -> new TreeSet<>());
-        if (configuration.hasTenants() && !route.isPublic()) {
+        if (configuration.requiresKeys() && !route.isPublic()) {
           configuration.tenants().forEach(tenant -> ofService.add(tenant.rank(route.rank())));
         } else {
           ofService.add(route.rank());
@@ -57,7 +57,8 @@
     if (!urgentQueue) {
       ranks
           .keySet()
-          .removeIf(service -> !configuration.hasTenants() || !hasTwoRanks(service, configuration));
+          .removeIf(
+              service -> !configuration.requiresKeys() || !hasTwoRanks(service, configuration));
     }
     return new UrgencyPolicy(ranks);
   }
--- a/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AttemptSender.java
@@ -167,7 +167,7 @@
   private static CallerIdentity identity(
       PendingForward forward, GatewayConfiguration configuration) {
     Optional<String> tenant = forward.tenant().map(TenantSpec::name);
-    return new CallerIdentity(configuration.hasTenants() || tenant.isPresent(), tenant);
+    return new CallerIdentity(configuration.requiresKeys() || tenant.isPresent(), tenant);
   }
 
   private RetryBudget retryBudget(String service) {
--- a/src/main/java/dev/wisteriarail/core/gateway/CallerAuthenticator.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CallerAuthenticator.java
@@ -65,7 +65,7 @@
    */
   Decision decide(
       ForwardRequest request, RouteSpec route, GatewayConfiguration configuration, Instant now) {
-    if (!configuration.hasTenants() || route.isPublic()) {
+    if (!configuration.requiresKeys() || route.isPublic()) {
       return new Decision.Anonymous();
     }
     if (confirmation.isExpired(now)) {
--- a/src/main/java/dev/wisteriarail/core/gateway/ConfigurationConfirmation.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/ConfigurationConfirmation.java
@@ -142,7 +142,8 @@
   /** Logs when this node starts or stops to refuse requests that need a key. */
   void logChange(Optional<GatewayConfiguration> configuration, GatewayStep step) {
     boolean refuses =
-        configuration.filter(GatewayConfiguration::hasTenants).isPresent() && isExpired(step.now());
+        configuration.filter(GatewayConfiguration::requiresKeys).isPresent()
+            && isExpired(step.now());
     if (refuses != expired) {
       expired = refuses;
       step.log(
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -353,7 +353,7 @@
         allowances.accept(fleet.grants(), step.now());
       }
       case FleetMessage.ConfigurationTold configurationUpdate ->
-          apply(configurationUpdate.configuration(), received.from().value(), step);
+          acceptConfiguration(configurationUpdate.configuration(), received.from(), step);
       case FleetMessage.CrashTold crash -> crashGuard.accept(crash, received.from(), step);
       case FleetMessage.DirectoryTold directoryUpdate -> {
         acceptEra(directoryUpdate.change().to().era(), received.from().value(), step);
@@ -362,6 +362,24 @@
     }
   }
 
+  /** Handles a configuration of a peer; one that does not state the access is read again. */
+  private void acceptConfiguration(GatewayConfiguration told, NodeId from, GatewayStep step) {
+    long version = configuration.map(GatewayConfiguration::version).orElse(0L);
+    if (told.access() != GatewayConfiguration.CallerAccess.UNSTATED) {
+      apply(told, from.value(), step);
+    } else if (told.version() > version) {
+      step.log(
+          EventCode.PEER_MESSAGE_IGNORED,
+          "peer",
+          from,
+          "message",
+          FleetMessage.ConfigurationTold.class.getSimpleName(),
+          "whole",
+          true);
+      store.requestConfiguration();
+    }
+  }
+
   private void acceptHeartbeat(FleetMessage.Beat heartbeat, GatewayStep step) {
     Instant now = step.now();
     if (peers.acceptHeartbeat(heartbeat.self(), heartbeat.status(), now)) {
--- a/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/StoreReadScheduler.java
@@ -239,6 +239,11 @@
     configurationRead = true;
   }
 
+  /** Reads the configuration until there is one, though a peer may follow the store. */
+  void requestConfiguration() {
+    configurationRead = false;
+  }
+
   /** Records the end of any call to the store. */
   void recordCall(boolean answered, Instant now) {
     if (answered) {
--- a/src/main/java/dev/wisteriarail/core/route/GatewayConfiguration.java
+++ b/src/main/java/dev/wisteriarail/core/route/GatewayConfiguration.java
@@ -12,20 +12,48 @@
  * @param routes the routes
  * @param services the services by name
  * @param bounds limits on the requests and connections of callers
- * @param tenants the tenants; empty if callers are not told apart
+ * @param tenants the tenants; empty if callers are not told apart, or if none may call
+ * @param access whether callers need an API key
  */
 public record GatewayConfiguration(
     long version,
     List<RouteSpec> routes,
     Map<String, ServicePool> services,
     CallerBounds bounds,
-    List<TenantSpec> tenants) {
+    List<TenantSpec> tenants,
+    CallerAccess access) {
 
-  /** Copies the collections; messages of earlier versions lack the tenants. */
+  /** Whether callers need an API key. The names of the constants are part of peer messages. */
+  public enum CallerAccess {
+    /** The configuration names no tenants: callers are not told apart. */
+    WITHOUT_KEY,
+    /** The configuration names tenants, even an empty list of them. */
+    WITH_KEY,
+    /** An earlier version sent the configuration without saying whether it names tenants. */
+    UNSTATED
+  }
+
+  /** Copies the collections; messages of earlier versions lack the tenants and the access. */
   public GatewayConfiguration {
     routes = List.copyOf(routes);
     services = Map.copyOf(services);
     tenants = tenants == null ? List.of() : List.copyOf(tenants);
+    if (!tenants.isEmpty()) {
+      access = CallerAccess.WITH_KEY;
+    } else if (access == null) {
+      access = CallerAccess.UNSTATED;
+    }
+  }
+
+  /** Returns a configuration whose callers need a key of one of the tenants. */
+  public static GatewayConfiguration withTenants(
+      long version,
+      List<RouteSpec> routes,
+      Map<String, ServicePool> services,
+      CallerBounds bounds,
+      List<TenantSpec> tenants) {
+    return new GatewayConfiguration(
+        version, routes, services, bounds, tenants, CallerAccess.WITH_KEY);
   }
 
   /** Returns a configuration without tenants. */
@@ -34,12 +62,13 @@
       List<RouteSpec> routes,
       Map<String, ServicePool> services,
       CallerBounds bounds) {
-    return new GatewayConfiguration(version, routes, services, bounds, List.of());
+    return new GatewayConfiguration(
+        version, routes, services, bounds, List.of(), CallerAccess.WITHOUT_KEY);
   }
 
   /** Returns whether requests need an API key, except on public routes. */
-  public boolean hasTenants() {
-    return !tenants.isEmpty();
+  public boolean requiresKeys() {
+    return access != CallerAccess.WITHOUT_KEY;
   }
 
   /** Returns the engine configuration of a service; empty for an unknown or plain service. */
--- a/src/main/java/dev/wisteriarail/platform/TenantDocuments.java
+++ b/src/main/java/dev/wisteriarail/platform/TenantDocuments.java
@@ -8,11 +8,12 @@
 import dev.wisteriarail.core.tenant.TenantSpec;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Decodes the tenants of the platform's configuration. Unlike other values of the operators, wrong
- * ones are not replaced by defaults, as a default could admit callers that were to be limited.
- * Stateless.
+ * ones and nulls are not replaced by defaults, as a default could admit callers that were to be
+ * limited. Stateless.
  */
 final class TenantDocuments {
 
@@ -20,10 +21,10 @@
 
   private TenantDocuments() {}
 
-  /** Decodes the list of tenants; empty if the field is missing. */
-  static List<TenantSpec> tenants(JsonNode list) throws InvalidTenantException {
-    if (WireValues.isMissing(list)) {
-      return List.of();
+  /** Decodes the list of tenants, which may have none; empty if the field is missing. */
+  static Optional<List<TenantSpec>> tenants(JsonNode list) throws InvalidTenantException {
+    if (list.isMissingNode()) {
+      return Optional.empty();
     }
     if (!list.isArray()) {
       throw fault("", "'tenants' is not a list");
@@ -36,7 +37,7 @@
     if (!faults.isEmpty()) {
       throw new InvalidTenantException(faults.getFirst());
     }
-    return tenants;
+    return Optional.of(tenants);
   }
 
   private static TenantSpec tenant(JsonNode tenant) throws InvalidTenantException {
@@ -47,14 +48,22 @@
     return new TenantSpec(
         name.textValue(),
         keys(name.textValue(), tenant.path("api_keys")),
-        WireValues.isMissing(tenant.path("priority"))
-            ? TenantSpec.ROUTE_RANK
-            : WireValues.limitedInt(tenant.path("priority"), 0, Integer.MAX_VALUE),
+        priority(name.textValue(), tenant.path("priority")),
         allowance(name.textValue(), tenant));
   }
 
+  private static int priority(String name, JsonNode priority) throws InvalidTenantException {
+    if (priority.isMissingNode()) {
+      return TenantSpec.ROUTE_RANK;
+    }
+    if (!priority.isNumber()) {
+      throw fault(name, "'priority' is not a number");
+    }
+    return WireValues.limitedInt(priority, 0, Integer.MAX_VALUE);
+  }
+
   private static List<ApiKeyDigest> keys(String name, JsonNode list) throws InvalidTenantException {
-    if (!WireValues.isMissing(list) && !list.isArray()) {
+    if (!list.isMissingNode() && !list.isArray()) {
       throw fault(name, "'api_keys' is not a list");
     }
     List<ApiKeyDigest> keys = new ArrayList<>();
@@ -76,7 +85,7 @@
   }
 
   private static Allowance.Unit unit(String name, JsonNode unit) throws InvalidTenantException {
-    if (WireValues.isMissing(unit)) {
+    if (unit.isMissingNode()) {
       return Allowance.Unit.REQUESTS;
     }
     if (!unit.isTextual() || !unit.textValue().equals(TOKEN_UNIT)) {
@@ -88,7 +97,7 @@
   private static double amount(String name, JsonNode tenant, String field)
       throws InvalidTenantException {
     JsonNode value = tenant.path(field);
-    if (!WireValues.isMissing(value) && !value.isNumber()) {
+    if (!value.isMissingNode() && !value.isNumber()) {
       throw fault(name, "'" + field + "' is not a number");
     }
     return value.asDouble();
--- a/src/main/java/dev/wisteriarail/platform/WireDocuments.java
+++ b/src/main/java/dev/wisteriarail/platform/WireDocuments.java
@@ -48,11 +48,11 @@
   static GatewayConfiguration configuration(String json) throws IOException {
     JsonNode root = Codecs.json().readTree(json);
     List<RouteSpec> routes = new ArrayList<>();
-    for (JsonNode route : root.path("routes")) {
+    for (JsonNode route : WireValues.list(root, "routes")) {
       routes.add(route(route));
     }
     Map<String, ServicePool> services = new HashMap<>();
-    for (JsonNode service : root.path("services")) {
+    for (JsonNode service : WireValues.list(root, "services")) {
       ServicePool pool = service(service);
       services.put(pool.name(), pool);
     }
@@ -60,17 +60,20 @@
     if (!version.isIntegralNumber() || !version.canConvertToLong()) {
       throw new IOException("the version is not a whole number");
     }
-    return new GatewayConfiguration(
-        version.longValue(),
-        routes,
-        services,
-        bounds(root.path("limits")),
-        TenantDocuments.tenants(root.path("tenants")));
+    CallerBounds bounds = bounds(root.path("limits"));
+    return TenantDocuments.tenants(root.path("tenants"))
+        .map(
+            tenants ->
+                GatewayConfiguration.withTenants(
+                    version.longValue(), routes, services, bounds, tenants))
+        .orElseGet(
+            () ->
+                GatewayConfiguration.withoutTenants(version.longValue(), routes, services, bounds));
   }
 
   private static RouteSpec route(JsonNode route) throws IOException {
     List<ServiceShare> shares = new ArrayList<>();
-    for (JsonNode share : route.path("split")) {
+    for (JsonNode share : WireValues.list(route, "split")) {
       shares.add(
           new ServiceShare(
               share.path("service").asText(),
@@ -89,10 +92,10 @@
         WireValues.limitedInt(route.path("priority"), 0, Integer.MAX_VALUE),
         shares,
         WireValues.limitedInt(route.path("max_attempts"), 1, MAX_ATTEMPTS),
-        route.path("sticky").asBoolean(),
-        route.path("resumable").asBoolean(),
+        WireValues.flag(route, "sticky"),
+        WireValues.flag(route, "resumable"),
         WireValues.millis(route.path("gap_target_ms")),
-        route.path("public").asBoolean());
+        WireValues.flag(route, "public"));
   }
 
   private static RouteKind kind(String name) throws IOException {
--- a/src/main/java/dev/wisteriarail/platform/WireValues.java
+++ b/src/main/java/dev/wisteriarail/platform/WireValues.java
@@ -164,6 +164,15 @@
 
   // Values of the operators
 
+  /** Returns a list; empty if the field is missing. */
+  static JsonNode list(JsonNode parent, String field) throws IOException {
+    JsonNode list = parent.path(field);
+    if (!isMissing(list) && !list.isArray()) {
+      throw new IOException("'" + field + "' is not a list");
+    }
+    return list;
+  }
+
   /** Returns a whole number, limited to a range; a default if the field holds no number. */
   static long limited(JsonNode value, long defaultValue, long min, long max) {
     if (!value.isNumber()) {
--- a/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
+++ b/src/main/java/dev/wisteriarail/standin/PlatformStandin.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -54,7 +55,7 @@
   private long entrySequence;
   private long version;
   private String publishedConfiguration = "";
-  private List<Map<String, Object>> tenants = List.of();
+  private Optional<List<Map<String, Object>>> tenants = Optional.empty();
   private Set<String> publicRoutes = Set.of();
 
   private PlatformStandin(MetadataStoreStandin store) {
@@ -145,12 +146,12 @@
   /**
    * Sets the tenants and the public routes of the configurations that are published from now on.
    *
-   * @param newTenants the tenants, as in the configuration
+   * @param newTenants the tenants, as in the configuration, which then names them, even none
    * @param newPublicRoutes names of the routes that need no API key
    */
   public synchronized void setTenants(
       List<Map<String, Object>> newTenants, Set<String> newPublicRoutes) {
-    tenants = newTenants;
+    tenants = Optional.of(newTenants);
     publicRoutes = newPublicRoutes;
   }
 
@@ -184,9 +185,7 @@
     routes.forEach(route -> route.put("public", publicRoutes.contains(route.get("name"))));
     Map<String, Object> configuration = new LinkedHashMap<>();
     configuration.put("version", ++version);
-    if (!tenants.isEmpty()) {
-      configuration.put("tenants", tenants);
-    }
+    tenants.ifPresent(all -> configuration.put("tenants", all));
     configuration.put("routes", routes);
     configuration.put("services", List.of(engineService(), plainService()));
     Map<String, Integer> limits = new LinkedHashMap<>();
