The bounds of the platform for tenants reach the nodes again

Nodes tolerated nothing beyond the allowance, though the platform does (quota_overage, quota_slack), and used the default revoke_ms.

Numbers and truth values of the settings may be written as text; an empty text or a placeholder that was not filled in counts as an absent key, anything else is an error that names the key.

Test: GatewayFileTest.templateIsReadWithAndWithoutTheBoundsOfTenants; with the template before, its case with values failed (overage and slack 0 instead of 0.1 and 17000). Also unreadableBoundIsAnError.

--- a/src/main/java/dev/wisteriarail/settings/TomlDocument.java
+++ b/src/main/java/dev/wisteriarail/settings/TomlDocument.java
@@ -1,6 +1,8 @@
 package dev.wisteriarail.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.result.SettingsException;
@@ -12,6 +14,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.regex.Pattern;
 
 /**
  * A parsed TOML file whose values are checked when they are read. It collects all problems, so that
@@ -21,6 +24,12 @@
  */
 public final class TomlDocument {
 
+  private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{[^{}]*}}");
+
+  private static final Pattern SCALAR = Pattern.compile("true|false|-?[0-9][0-9.eE+-]*");
+
+  private static final JsonMapper VALUE_READER = new JsonMapper();
+
   private final String file;
   private final List<String> lines;
   private final JsonNode root;
@@ -84,7 +93,7 @@
 
   /** Returns an integer within bounds, or a default if the key is absent. */
   public long integer(String path, long min, long max, long defaultValue) {
-    JsonNode node = find(path);
+    JsonNode node = findScalar(path);
     if (node.isMissingNode()) {
       return defaultValue;
     }
@@ -97,7 +106,7 @@
 
   /** Returns a number within bounds, or a default if the key is absent. */
   public double number(String path, double min, double max, double defaultValue) {
-    JsonNode node = find(path);
+    JsonNode node = findScalar(path);
     if (node.isMissingNode()) {
       return defaultValue;
     }
@@ -110,7 +119,7 @@
 
   /** Returns a boolean, or a default if the key is absent. */
   public boolean flag(String path, boolean defaultValue) {
-    JsonNode node = find(path);
+    JsonNode node = findScalar(path);
     if (node.isMissingNode()) {
       return defaultValue;
     }
@@ -209,6 +218,29 @@
     return node;
   }
 
+  /**
+   * Returns a number or a boolean, which may be written as text. Text that is empty, or a
+   * placeholder of a template that was not filled in, counts as an absent key.
+   */
+  private JsonNode findScalar(String path) {
+    JsonNode node = find(path);
+    if (!node.isTextual()) {
+      return node;
+    }
+    String text = node.asText().trim();
+    if (text.isEmpty() || PLACEHOLDER.matcher(text).matches()) {
+      return MissingNode.getInstance();
+    }
+    if (!SCALAR.matcher(text).matches()) {
+      return node;
+    }
+    try {
+      return VALUE_READER.readTree(text);
+    } catch (IOException malformed) {
+      return node;
+    }
+  }
+
   private void rejectUnknown(JsonNode node, String path) {
     if (!node.isContainerNode()) {
       if (!readPaths.contains(path)) {
--- a/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
+++ b/src/test/java/dev/wisteriarail/settings/GatewayFileTest.java
@@ -4,12 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import dev.wisteriarail.core.forward.LoadBalance;
+import dev.wisteriarail.core.gateway.RevocationRule;
 import dev.wisteriarail.core.result.SettingsException;
+import dev.wisteriarail.core.tenant.AllowanceLimits;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests of a gateway node's settings: defaults, checks, and which changes need a restart. */
 final class GatewayFileTest {
@@ -107,4 +114,60 @@
   void missingAddressIsRefused() {
     assertThrows(SettingsException.class, () -> parse(TOML.replace("10.0.0.1:8149", "nowhere")));
   }
+
+  /**
+   * Guards against a template that leaves out the platform's bounds, or is no TOML without them.
+   *
+   * @param filled what stands for the bounds of tenants: their values, nothing, or the placeholders
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "VALUES, 8, 0.1, 17000, true, 5000",
+    "NONE, 8, 0, 0, false, 10000",
+    "UNFILLED, 8, 0, 0, false, 10000"
+  })
+  void templateIsReadWithAndWithoutTheBoundsOfTenants(
+      String filled, long window, double overage, double slack, boolean closed, long revokeMillis)
+      throws Exception {
+    String template = Files.readString(Path.of("deploy/node.toml"));
+    Map<String, String> bounds =
+        Map.of(
+            "quota_window_s", "8",
+            "quota_overage", "0.1",
+            "quota_slack", "17000",
+            "revoke_fail_closed", "true",
+            "revoke_ms", "5000");
+    if (!filled.equals("UNFILLED")) {
+      for (Map.Entry<String, String> bound : bounds.entrySet()) {
+        template =
+            template.replace(
+                "{{bounds." + bound.getKey() + "}}",
+                filled.equals("VALUES") ? bound.getValue() : "");
+      }
+    }
+    GatewayFile file = parse(fillOthers(template));
+    assertThat(file.allowances())
+        .isEqualTo(new AllowanceLimits(Duration.ofSeconds(window), overage, slack));
+    assertThat(file.revocation())
+        .isEqualTo(new RevocationRule(closed, Duration.ofMillis(revokeMillis)));
+  }
+
+  /** Fills in the placeholders that have a value on each installation. */
+  private static String fillOthers(String template) {
+    return template
+        .replaceAll("seeds = .*", "seeds = []")
+        .replaceAll("\\{\\{bounds\\.fencing_enforced}}", "true")
+        .replaceAll("\\{\\{(listen\\.[a-z_]+|platform\\.address)}}", "10.0.0.1:8149")
+        .replaceAll("\\{\\{ip}}", "10.0.0.1")
+        .replaceAll("= \\{\\{[a-z_.]+}}", "= 1");
+  }
+
+  /** Guards against a bound of the platform that is unreadable and silently replaced. */
+  @ParameterizedTest
+  @ValueSource(strings = {"x", "1x", "--1", "{{a}} 8", "[8]", "-1", "0x10", "1 2"})
+  void unreadableBoundIsAnError(String value) {
+    String table = "[allowances]\nslack = \"" + value + "\"";
+    SettingsException failure = assertThrows(SettingsException.class, () -> parse(TOML + table));
+    assertThat(failure).hasMessageThat().contains("allowances.slack");
+  }
 }
