A response with an invalid status reaches no caller

Cause: Jetty refuses a status that is no number of three digits above 99; nothing looked at the range after it. RFC 9110, section 15: a code outside 100 to 599 is invalid.

Change: AttemptRelay and HttpEngineClient end such an attempt with an unknown outcome, 502: the request may have run, so 503 would be a false promise. On the chat path a model's 999 counted as "not run" and was sent again.

Why it works: the check is made on the response head, before anything of it is passed on, for each kind of route.

--- a/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
+++ b/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
@@ -14,6 +14,7 @@
 import dev.wisteriarail.core.request.Target;
 import dev.wisteriarail.core.result.PlatformException;
 import dev.wisteriarail.core.result.ResultCode;
+import dev.wisteriarail.http.ResponseFaults;
 import dev.wisteriarail.spi.AttemptListener;
 import dev.wisteriarail.spi.EngineClient;
 import java.io.BufferedReader;
@@ -140,6 +141,9 @@
     try (InputStreamResponseListener stream = new InputStreamResponseListener()) {
       request.send(stream);
       Response response = stream.get(ATTEMPT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+      if (!ResponseFaults.isValidStatus(response.getStatus())) {
+        return invalid(response);
+      }
       if (response.getStatus() != STATUS_OK) {
         String reason = new String(stream.getInputStream().readAllBytes(), UTF_8);
         return new AttemptOutcome.Rejected(reason);
@@ -189,6 +193,9 @@
                         headers.put(
                             "Idempotency-Key", dispatch.request().customer() + "/" + key.value())));
     ContentResponse response = request.send();
+    if (!ResponseFaults.isValidStatus(response.getStatus())) {
+      return invalid(response);
+    }
     if (response.getStatus() == STATUS_UNAVAILABLE) {
       return new AttemptOutcome.Rejected(response.getContentAsString());
     }
@@ -196,6 +203,11 @@
     return new AttemptOutcome.Completed(response.getStatus());
   }
 
+  /** Returns the outcome of a response that does not tell whether the request has run. */
+  private static AttemptOutcome invalid(Response response) {
+    return new AttemptOutcome.Broken("status " + response.getStatus() + " is invalid", false);
+  }
+
   @Override
   public void cancel(AttemptId attempt, RunnerId runner) {
     runners
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -4,6 +4,7 @@
 import dev.wisteriarail.core.forward.AttemptResult;
 import dev.wisteriarail.core.gateway.GatewayEffect;
 import dev.wisteriarail.core.gateway.HeldBytes;
+import dev.wisteriarail.http.ResponseFaults;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
@@ -127,7 +128,9 @@
     head = protocol.parseHead(exchange, attempt, response);
     head.notifications().forEach(notifications);
     GatewayHttp.recordProgress(response);
-    if (!head.matchesRequest()) {
+    if (!ResponseFaults.isValidStatus(head.status())) {
+      abort(response, "status " + head.status() + " is invalid");
+    } else if (!head.matchesRequest()) {
       abort(response, "the response belongs to another request");
     }
   }
--- a/src/test/java/dev/wisteriarail/engine/HttpEngineClientTest.java
+++ b/src/test/java/dev/wisteriarail/engine/HttpEngineClientTest.java
@@ -17,6 +17,7 @@
 import dev.wisteriarail.core.id.ReplicaId;
 import dev.wisteriarail.core.id.RequestId;
 import dev.wisteriarail.core.id.RunnerId;
+import dev.wisteriarail.core.id.ServiceId;
 import dev.wisteriarail.core.request.AttemptOutcome;
 import dev.wisteriarail.core.request.InboundRequest;
 import dev.wisteriarail.core.request.Target;
@@ -152,13 +153,38 @@
     assertThat(sent.get()).isFalse();
   }
 
+  /**
+   * Guards against an invalid status that reaches the caller, or that denies that the request ran.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 600", "true, 999", "false, 600", "false, 999"})
+  void invalidStatusLeavesTheOutcomeUnknown(boolean model, int status) throws Exception {
+    engine.createContext(
+        "/",
+        exchange -> {
+          exchange.sendResponseHeaders(status, -1);
+          exchange.close();
+        });
+    dispatch(
+        model
+            ? new Target.ModelTarget(ModelId.of("m1"), Optional.empty())
+            : new Target.ServiceTarget(ServiceId.of("s1"), "GET", "/1"));
+    assertThat(outcome.get(END_LIMIT_SECONDS, TimeUnit.SECONDS))
+        .isEqualTo(new AttemptOutcome.Broken("status " + status + " is invalid", false));
+    assertThat(texts).isEmpty();
+  }
+
   private void dispatch() {
+    dispatch(new Target.ModelTarget(ModelId.of("m1"), Optional.empty()));
+  }
+
+  private void dispatch(Target target) {
     InboundRequest request =
         new InboundRequest(
             RequestId.of("q1"),
             CustomerId.of("c1"),
             KindId.of("chat"),
-            new Target.ModelTarget(ModelId.of("m1"), Optional.empty()),
+            target,
             Optional.empty(),
             Optional.empty(),
             Optional.empty(),
