An unreadable response is no evidence that its request crashes runners

Cause: each connection that ended without a complete response counted as lost. After an unreadable response this node's HTTP client closes the connection.

Change: ResponseFaults recognises failures of the parser; such an attempt is no evidence of a crash, on the gateway path and on the chat path.

Why it works: a crash ends the connection from outside, with a reset or an end of file, which is still counted.

--- a/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
+++ b/src/main/java/dev/wisteriarail/core/forward/AttemptResult.java
@@ -65,7 +65,8 @@
    * @param reason description of the failure
    * @param started whether a part of the response was relayed to the caller
    * @param lastEvent identifier of the last complete event that was relayed; empty if there is none
-   * @param connectionLost whether the connection ended, as it does when a runner crashes
+   * @param connectionLost whether the connection was lost, as it is when a runner crashes; false if
+   *     this node ended it, for example because it cannot read the response
    */
   record Broken(String reason, boolean started, String lastEvent, boolean connectionLost)
       implements AttemptResult {}
--- a/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
+++ b/src/main/java/dev/wisteriarail/engine/HttpEngineClient.java
@@ -284,7 +284,7 @@
 
   private static AttemptOutcome failed(Exception failure, boolean handedOver) {
     return handedOver
-        ? new AttemptOutcome.Broken(describe(failure), true)
+        ? new AttemptOutcome.Broken(describe(failure), !ResponseFaults.isUnreadable(failure))
         : new AttemptOutcome.NotHandedOver(describe(failure));
   }
 
--- a/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
+++ b/src/main/java/dev/wisteriarail/gateway/AttemptRelay.java
@@ -262,7 +262,7 @@
             reason,
             exchange.isHeadSent(),
             exchange.lastEvent(),
-            !(failure instanceof LocalAbortException)));
+            !(failure instanceof LocalAbortException) && !ResponseFaults.isUnreadable(failure)));
   }
 
   /**
--- a/src/main/java/dev/wisteriarail/http/ResponseFaults.java
+++ b/src/main/java/dev/wisteriarail/http/ResponseFaults.java
@@ -1,5 +1,8 @@
 package dev.wisteriarail.http;
 
+import org.eclipse.jetty.client.HttpResponseException;
+import org.eclipse.jetty.http.HttpException;
+
 /** Recognises responses of runners that are not valid HTTP. Stateless. */
 public final class ResponseFaults {
 
@@ -12,4 +15,17 @@
   public static boolean isValidStatus(int status) {
     return status >= LOWEST_STATUS && status <= HIGHEST_STATUS;
   }
+
+  /**
+   * Returns whether an exchange failed because the response cannot be parsed. The client closes the
+   * connection then, which is no sign that the runner has ended.
+   */
+  public static boolean isUnreadable(Throwable failure) {
+    for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+      if (cause instanceof HttpException || cause instanceof HttpResponseException) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
--- a/src/test/java/dev/wisteriarail/platform/UnreadableAnswerTest.java
+++ b/src/test/java/dev/wisteriarail/platform/UnreadableAnswerTest.java
@@ -7,17 +7,21 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Tests that responses with an invalid status line reach no caller. */
+/** Tests that responses with an invalid status line reach no caller and are taken for no crash. */
 class UnreadableAnswerTest {
 
   private static final String SIGNATURE = "X-Wisteriarail-Response-Signature";
 
+  private final AtomicInteger answers = new AtomicInteger();
   private final List<String> runs = new CopyOnWriteArrayList<>();
 
   /** Answers each request on a connection with a status line and a signed body. */
@@ -35,6 +39,7 @@
               + ": s\r\nContent-Length: 2\r\n\r\nok";
       socket.getOutputStream().write(head.getBytes(US_ASCII));
       socket.getOutputStream().flush();
+      answers.incrementAndGet();
       request = RawRunner.readRequest(in);
     }
   }
@@ -84,4 +89,31 @@
           });
     }
   }
+
+  /** A content was refused as crashing because runners that stayed up sent unreadable responses. */
+  @Test
+  void contentWithUnreadableResponsesIsNotRefusedAsCrashing() throws Exception {
+    try (GatewayFleet fleet = GatewayFleet.start(1, 0, 0);
+        RawRunner first = RawRunner.start(socket -> answer(socket, "HTTP/1.1 2x0 OK"));
+        RawRunner second = RawRunner.start(socket -> answer(socket, "HTTP/1.1 000 OK"));
+        RawRunner third = RawRunner.start(socket -> answer(socket, "HTTP/1.1 999 Odd"))) {
+      List<RawRunner> runners = List.of(first, second, third);
+      for (int i = 0; i < runners.size(); i++) {
+        fleet
+            .platform()
+            .store()
+            .put("keyed.servers", "raw" + i, runners.get(i).directoryEntry("plain"));
+      }
+      fleet.await(() -> send(fleet, "lookup", "l" + System.nanoTime()).statusCode() == 502);
+      Instant end = Instant.now().plus(Duration.ofSeconds(4));
+      fleet.await(
+          () -> {
+            HttpResponse<String> response = send(fleet, "lookup", "l" + System.nanoTime());
+            assertThat(response.headers().firstValue("X-Result-Code").orElse(""))
+                .isNotEqualTo("WR-1211");
+            return Instant.now().isAfter(end);
+          });
+      assertThat(answers.get()).isAtLeast(4);
+    }
+  }
 }
