The coordinator holds most of each allowance and is asked for single requests

Cause: half of each allowance was divided into floors of 66 nodes, and the rest was granted to the 20 to 66 nodes that use it. The share of a tenant of medium size is smaller than one request, so waiting doesn't help, and the large requests fall out first (the largest tenth of dispute-brief).

Change: 0.8 of each allowance is a reserve at the coordinator, one bucket for each tenant. A node whose share doesn't hold a request's cost asks for it (AllowanceAsked, AllowanceAnswered); the request waits at most 400 ms. A refusal tells when the reserve holds the cost; these times follow each other at the rate at which it refills. A new coordinator's reserve starts with the largest debt, so the bound of a window holds.

Why it works: any part of the reserve can be used by a request at any node.

The tests of the bound (hotTenantStaysWithinBound and others) are unchanged; the simulated fleet asks as nodes do.

--- a/src/main/java/dev/wisteriarail/core/tenant/AllowanceBucket.java
+++ b/src/main/java/dev/wisteriarail/core/tenant/AllowanceBucket.java
@@ -16,14 +16,17 @@
   private static final double INITIAL_LEVEL = 0.5;
 
   private final AllowanceLimits limits;
+  private final double ratePart;
   private Allowance allowance;
   private double rateShare;
   private double burstShare;
   private double level;
   private Instant refilledAt;
 
-  private AllowanceBucket(AllowanceLimits limits, Allowance allowance, double share, Instant now) {
+  private AllowanceBucket(
+      AllowanceLimits limits, double ratePart, Allowance allowance, double share, Instant now) {
     this.limits = limits;
+    this.ratePart = ratePart;
     this.allowance = allowance;
     rateShare = share;
     burstShare = share;
@@ -33,7 +36,15 @@
 
   static AllowanceBucket create(
       AllowanceLimits limits, Allowance allowance, double share, Instant now) {
-    return new AllowanceBucket(limits, allowance, share, now);
+    return new AllowanceBucket(limits, AllowanceLimits.NODE_RATE_PART, allowance, share, now);
+  }
+
+  /** Creates a bucket with the largest debt that refills at the whole rate. */
+  static AllowanceBucket createExhausted(
+      AllowanceLimits limits, Allowance allowance, double share, Instant now) {
+    AllowanceBucket bucket = new AllowanceBucket(limits, 1, allowance, share, now);
+    bucket.level = -bucket.debtLimit();
+    return bucket;
   }
 
   /** Adds what has accrued; never more than the capacity, however long ago the last call was. */
@@ -79,7 +90,7 @@
     if (missing <= 0) {
       return 0;
     }
-    boolean never = cost > limits.largestCost(allowance, burstShare) || rate() <= 0;
+    boolean never = cost > capacity() + debtLimit() || rate() <= 0;
     return never ? Double.POSITIVE_INFINITY : missing / rate();
   }
 
@@ -87,12 +98,12 @@
     return burstShare * allowance.burst();
   }
 
-  private double rate() {
-    return rateShare * limits.refillPerSecond(allowance);
+  double rate() {
+    return rateShare * ratePart * allowance.ratePerSecond();
   }
 
   private double debtLimit() {
-    return burstShare * limits.debt(allowance);
+    return burstShare * limits.debt(allowance, ratePart);
   }
 
   /** Returns what the bucket lacks to be full. */
