--- a/src/main/java/dev/wisteriarail/core/gateway/AllowanceGate.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AllowanceGate.java
@@ -35,6 +35,9 @@
   /** Longest time for which a refusal by the coordinator decides about further requests. */
   private static final Duration MAX_REFUSAL_MEMORY = Duration.ofMillis(100);
 
+  /** Retry-after time while no coordinator decides; another node takes over in this time. */
+  private static final Duration UNDECIDED_RETRY_AFTER = Duration.ofSeconds(2);
+
   private final TenantAllowances allowances;
   private final Coordinator coordinator;
   private final Map<String, Refusal> refusals = new HashMap<>();
@@ -90,7 +93,7 @@
       return Outcome.REFUSED;
     }
     if (step.now().isBefore(silentUntil) || !coordinator.ask(question, step)) {
-      refuse(forward, localRetryAfter(forward, step.now()), step);
+      refuse(forward, undecidedRetryAfter(forward, step.now()), step);
       return Outcome.REFUSED;
     }
     forward.awaitAllowance(step.now());
@@ -120,7 +123,7 @@
     Duration retryAfter =
         decision.retryAfter().isPositive()
             ? decision.retryAfter()
-            : localRetryAfter(forward, step.now());
+            : undecidedRetryAfter(forward, step.now());
     refuse(forward, retryAfter, step);
     return Outcome.REFUSED;
   }
@@ -141,7 +144,7 @@
       return false;
     }
     silentUntil = now.plus(SILENCE_PAUSE);
-    refuse(forward, localRetryAfter(forward, now), step);
+    refuse(forward, undecidedRetryAfter(forward, now), step);
     return true;
   }
 
@@ -150,11 +153,16 @@
         forward.exchange(), forward.tenant().orElseThrow().name(), forward.cost());
   }
 
-  /** Returns when this node's share will hold the cost of a request. */
-  private Duration localRetryAfter(PendingForward forward, Instant now) {
+  /**
+   * Returns when a caller returns that the coordinator has not decided on: when this node's share
+   * holds the cost, or when there is likely to be a coordinator again.
+   */
+  private Duration undecidedRetryAfter(PendingForward forward, Instant now) {
     ForwardRequest request = forward.request();
-    return allowances.retryAfter(
-        forward.tenant().orElseThrow(), forward.cost(), request.fingerprint(), now);
+    return min(
+        allowances.retryAfter(
+            forward.tenant().orElseThrow(), forward.cost(), request.fingerprint(), now),
+        UNDECIDED_RETRY_AFTER);
   }
 
   private void refuse(PendingForward forward, Duration retryAfter, GatewayStep step) {
