--- a/src/main/java/dev/wisteriarail/core/forward/RequestTrait.java
+++ b/src/main/java/dev/wisteriarail/core/forward/RequestTrait.java
@@ -3,7 +3,6 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.util.UUID;
-import java.util.zip.CRC32C;
 
 /**
  * A property that requests share and that may crash each runner that serves them: the content of a
@@ -33,10 +32,9 @@
    * @param caller identifies the caller and the model
    */
   public static RequestTrait ofCallerContent(long fingerprint, String caller) {
-    CRC32C checksum = new CRC32C();
-    checksum.update(caller.getBytes(UTF_8));
+    long callerHash = UUID.nameUUIDFromBytes(caller.getBytes(UTF_8)).getMostSignificantBits();
     return new RequestTrait(
-        ofContent(fingerprint).name + CALLER_SEPARATOR + Long.toHexString(checksum.getValue()));
+        ofContent(fingerprint).name + CALLER_SEPARATOR + Long.toHexString(callerHash));
   }
 
   /** Returns the trait of all requests with a part in their prompt. */
