--- a/src/main/java/dev/wisteriarail/core/gateway/AllowanceGate.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/AllowanceGate.java
@@ -35,9 +35,6 @@
   /** Longest time for which a refusal by the coordinator decides about further requests. */
   private static final Duration MAX_REFUSAL_MEMORY = Duration.ofMillis(100);
 
-  /** Retry-after time while no coordinator decides; another node takes over in this time. */
-  private static final Duration UNDECIDED_RETRY_AFTER = Duration.ofSeconds(2);
-
   private final TenantAllowances allowances;
   private final Coordinator coordinator;
   private final Map<String, Refusal> refusals = new HashMap<>();
@@ -93,7 +90,7 @@
       return Outcome.REFUSED;
     }
     if (step.now().isBefore(silentUntil) || !coordinator.ask(question, step)) {
-      refuse(forward, undecidedRetryAfter(forward, step.now()), step);
+      refuse(forward, localRetryAfter(forward, step.now()), step);
       return Outcome.REFUSED;
     }
     forward.awaitAllowance(step.now());
@@ -123,7 +120,7 @@
     Duration retryAfter =
         decision.retryAfter().isPositive()
             ? decision.retryAfter()
-            : undecidedRetryAfter(forward, step.now());
+            : localRetryAfter(forward, step.now());
     refuse(forward, retryAfter, step);
     return Outcome.REFUSED;
   }
@@ -144,7 +141,7 @@
       return false;
     }
     silentUntil = now.plus(SILENCE_PAUSE);
-    refuse(forward, undecidedRetryAfter(forward, now), step);
+    refuse(forward, localRetryAfter(forward, now), step);
     return true;
   }
 
@@ -153,16 +150,11 @@
         forward.exchange(), forward.tenant().orElseThrow().name(), forward.cost());
   }
 
-  /**
-   * Returns when a caller returns that the coordinator has not decided on: when this node's share
-   * holds the cost, or when there is likely to be a coordinator again.
-   */
-  private Duration undecidedRetryAfter(PendingForward forward, Instant now) {
+  /** Returns when this node's share will hold the cost of a request. */
+  private Duration localRetryAfter(PendingForward forward, Instant now) {
     ForwardRequest request = forward.request();
-    return min(
-        allowances.retryAfter(
-            forward.tenant().orElseThrow(), forward.cost(), request.fingerprint(), now),
-        UNDECIDED_RETRY_AFTER);
+    return allowances.retryAfter(
+        forward.tenant().orElseThrow(), forward.cost(), request.fingerprint(), now);
   }
 
   private void refuse(PendingForward forward, Duration retryAfter, GatewayStep step) {
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -18,6 +18,7 @@
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
+import dev.wisteriarail.core.tenant.AllowanceReserve;
 import dev.wisteriarail.core.tenant.TenantAllowances;
 import dev.wisteriarail.core.tenant.TenantCount;
 import dev.wisteriarail.core.tenant.TenantUse;
@@ -83,7 +84,6 @@
   private final Forwarder forwarder;
   private final DrainPlan drain;
   private final CoordinatorRole coordinatorRole;
-  private final ReserveAccess reserveAccess;
   private final TenantAllowances allowances;
   private final FloorCount floorCount = FloorCount.create();
   private final NodeRegistration registration = NodeRegistration.create();
@@ -117,9 +117,6 @@
     drain = DrainPlan.create(settings.drainGrace());
     confirmation = ConfigurationConfirmation.create(settings.revocation());
     allowances = TenantAllowances.create(settings.allowances());
-    coordinatorRole = CoordinatorRole.create(settings, lease, directory, runnerStates, allowances);
-    reserveAccess =
-        ReserveAccess.create(settings.self(), peers, coordinatorRole, () -> coordinatorNode);
     forwarder =
         Forwarder.create(
             settings,
@@ -127,10 +124,11 @@
             CallerAuthenticator.create(confirmation),
             crashGuard,
             allowances,
-            reserveAccess,
+            new ReserveAccess(),
             drain,
             peers::position);
     peerSynchronizer = PeerSynchronizer.create(timings.maxDirectoryAge());
+    coordinatorRole = CoordinatorRole.create(settings, lease, directory, runnerStates, allowances);
   }
 
   /** Creates the core of a node that has no configuration and knows no runners. */
@@ -361,7 +359,7 @@
       }
       case FleetMessage.ConfigurationTold configurationUpdate ->
           acceptConfiguration(configurationUpdate.configuration(), received.from(), step);
-      case FleetMessage.AllowanceAsked asked -> reserveAccess.answer(received, asked, step);
+      case FleetMessage.AllowanceAsked asked -> answerAllowance(received, asked, step);
       case FleetMessage.AllowanceAnswered answered ->
           forwarder.acceptAllowance(answered, configuration, step);
       case FleetMessage.CrashTold crash -> crashGuard.accept(crash, received.from(), step);
@@ -390,6 +388,43 @@
     }
   }
 
+  private void answerAllowance(
+      GatewayEvent.PeerMessageReceived received,
+      FleetMessage.AllowanceAsked asked,
+      GatewayStep step) {
+    AllowanceReserve.Decision decision =
+        coordinatorRole
+            .takeFromReserve(received.from(), received.incarnation(), asked, step.now())
+            .orElse(new AllowanceReserve.Decision(false, Duration.ZERO));
+    FleetMessage.AllowanceAnswered answer =
+        new FleetMessage.AllowanceAnswered(
+            asked.number(), decision.granted(), decision.retryAfter().toMillis());
+    peers
+        .live(received.from(), step.now())
+        .ifPresent(peer -> step.emit(new GatewayEffect.SendPeer(peer.address(), answer)));
+  }
+
+  /** The reserve of this node as the coordinator, or of the node that is it. */
+  private final class ReserveAccess implements AllowanceGate.Coordinator {
+
+    @Override
+    public Optional<AllowanceReserve.Decision> take(
+        FleetMessage.AllowanceAsked question, Instant now) {
+      return coordinatorRole.takeFromReserve(self, settings.self().incarnation(), question, now);
+    }
+
+    @Override
+    public boolean ask(FleetMessage.AllowanceAsked question, GatewayStep step) {
+      Optional<NodeAddress> address =
+          coordinatorNode
+              .filter(node -> !node.equals(self))
+              .flatMap(node -> peers.live(node, step.now()))
+              .map(PeerTable.Peer::address);
+      address.ifPresent(to -> step.emit(new GatewayEffect.SendPeer(to, question)));
+      return address.isPresent();
+    }
+  }
+
   private void acceptHeartbeat(FleetMessage.Beat heartbeat, GatewayStep step) {
     Instant now = step.now();
     if (peers.acceptHeartbeat(heartbeat.self(), heartbeat.status(), now)) {
--- a/src/main/java/dev/wisteriarail/core/tenant/AllowanceReserve.java
+++ b/src/main/java/dev/wisteriarail/core/tenant/AllowanceReserve.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -81,20 +80,12 @@
    * @param question identifies the request among those of all nodes
    */
   public Decision take(String question, String tenant, double cost, Instant now) {
-    dropOldAnswers(now);
+    answers.values().removeIf(answer -> now.isAfter(answer.at().plus(ANSWER_RETENTION)));
     return answers
         .computeIfAbsent(question, key -> new Answer(decide(tenant, cost, now), now))
         .decision();
   }
 
-  /** The answers are in the order of their times. */
-  private void dropOldAnswers(Instant now) {
-    Iterator<Answer> oldest = answers.values().iterator();
-    while (oldest.hasNext() && now.isAfter(oldest.next().at().plus(ANSWER_RETENTION))) {
-      oldest.remove();
-    }
-  }
-
   private Decision decide(String tenant, double cost, Instant now) {
     Account account = accounts.get(tenant);
     if (account == null) {
