--- a/src/main/java/dev/wisteriarail/core/gateway/CoordinatorRole.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/CoordinatorRole.java
@@ -16,7 +16,6 @@
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.core.tenant.AllowanceLedger;
-import dev.wisteriarail.core.tenant.AllowanceReserve;
 import dev.wisteriarail.core.tenant.ShareGrant;
 import dev.wisteriarail.core.tenant.TenantAllowances;
 import java.time.Duration;
@@ -70,7 +69,6 @@
   private final RunnerStateTable runnerStates;
   private final Coordinator coordinator = Coordinator.create();
   private final AllowanceLedger ledger;
-  private final AllowanceReserve reserve;
   private final TenantAllowances allowances;
   private final Map<NodeId, Long> sentRevisions = new HashMap<>();
   private Instant nextViewUpdate = Instant.MIN;
@@ -88,7 +86,6 @@
     this.settings = settings;
     this.allowances = allowances;
     ledger = AllowanceLedger.create(settings.allowances());
-    reserve = AllowanceReserve.create(settings.allowances());
     this.lease = lease;
     this.directory = directory;
     this.runnerStates = runnerStates;
@@ -113,7 +110,6 @@
     coordinator.inherit(lease.predecessorLoads(), lease::hasNoRecentOrders, now);
     coordinator.raiseRevisionTo(fence << REVISION_BITS);
     ledger.begin(fence, now);
-    reserve.begin(now);
     lastOrderAt = Instant.MIN;
     startedAt = now;
     nextPlan = now;
@@ -143,23 +139,8 @@
   }
 
   /** Applies a configuration and the number of nodes that share the tenants' floors. */
-  void configureAllowances(GatewayConfiguration configuration, int nodes, Instant now) {
+  void configureAllowances(GatewayConfiguration configuration, int nodes) {
     ledger.configure(configuration.tenants(), nodes);
-    reserve.configure(configuration.tenants(), now);
-  }
-
-  /**
-   * Takes the cost of a request from the reserve; empty if another node may have gained the lease
-   * meanwhile.
-   *
-   * @param node the node that has the request
-   */
-  Optional<AllowanceReserve.Decision> takeFromReserve(
-      NodeId node, Incarnation incarnation, FleetMessage.AllowanceAsked asked, Instant now) {
-    String question = node.value() + "#" + incarnation.value() + "#" + asked.number();
-    return lease.isExclusive(now)
-        ? Optional.of(reserve.take(question, asked.tenant(), asked.cost(), now))
-        : Optional.empty();
   }
 
   /** Handles a report from an engine. */
--- a/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/Forwarder.java
@@ -9,11 +9,9 @@
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import dev.wisteriarail.core.forward.SlotForecast;
 import dev.wisteriarail.core.forward.WaitRule;
-import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
 import dev.wisteriarail.core.route.RouteSpec;
-import dev.wisteriarail.core.tenant.AllowanceReserve;
 import dev.wisteriarail.core.tenant.TenantAllowances;
 import dev.wisteriarail.core.tenant.TenantSpec;
 import java.time.Duration;
@@ -59,14 +57,13 @@
       CallerAuthenticator authenticator,
       CrashGuard crashGuard,
       TenantAllowances allowances,
-      AllowanceGate.Coordinator reserve,
       DrainPlan drain,
       Supplier<FleetPosition> position) {
     this.authenticator = authenticator;
     this.crashGuard = crashGuard;
     this.runnerStates = runnerStates;
     pending = PendingForwardTable.create(runnerStates, demandCounter, allowances);
-    allowanceGate = AllowanceGate.create(allowances, reserve);
+    allowanceGate = AllowanceGate.create(allowances);
     completionEstimator = CompletionEstimator.create(pending, authenticator, this::startsIn);
     RunnerPicker picker =
         RunnerPicker.create(settings.domain(), settings.balance(), position, runnerStates);
@@ -83,7 +80,6 @@
   /**
    * Creates a forwarder without requests.
    *
-   * @param reserve gives what the node's share of an allowance does not hold
    * @param position returns the node's place among all nodes
    */
   static Forwarder create(
@@ -92,11 +88,10 @@
       CallerAuthenticator authenticator,
       CrashGuard crashGuard,
       TenantAllowances allowances,
-      AllowanceGate.Coordinator reserve,
       DrainPlan drain,
       Supplier<FleetPosition> position) {
     return new Forwarder(
-        settings, runnerStates, authenticator, crashGuard, allowances, reserve, drain, position);
+        settings, runnerStates, authenticator, crashGuard, allowances, drain, position);
   }
 
   /** Applies changed settings. */
@@ -153,35 +148,9 @@
               Optional.of(Duration.ofMillis(refusal.get().remainingMillis()))));
       return;
     }
-    switch (allowanceGate.admit(forward, step)) {
-      case ASKED -> pending.add(forward);
-      case ADMITTED -> enqueue(forward, configuration, step);
-      default -> {}
-    }
-  }
-
-  /** Handles the coordinator's decision on the cost of a request. */
-  void acceptAllowance(
-      FleetMessage.AllowanceAnswered answer,
-      Optional<GatewayConfiguration> configuration,
-      GatewayStep step) {
-    Optional<PendingForward> waiting =
-        pending.get(answer.number()).filter(each -> each.allowanceAskedAt().isPresent());
-    if (waiting.isEmpty() || configuration.isEmpty()) {
+    if (!allowanceGate.tryAdmit(forward, step)) {
       return;
     }
-    PendingForward forward = waiting.get();
-    AllowanceReserve.Decision decision =
-        new AllowanceReserve.Decision(
-            answer.granted(), Duration.ofMillis(answer.retryAfterMillis()));
-    pending.remove(forward);
-    if (allowanceGate.accept(forward, decision, step) == AllowanceGate.Outcome.ADMITTED) {
-      enqueue(forward, configuration.get(), step);
-    }
-  }
-
-  private void enqueue(
-      PendingForward forward, GatewayConfiguration configuration, GatewayStep step) {
     pending.add(forward);
     sender.countRequest(forward.service(), step.now());
     demandCounter.countArrival(forward);
@@ -247,11 +216,7 @@
     }
     List<PendingForward> waiting = new ArrayList<>();
     for (PendingForward forward : pending.all()) {
-      if (forward.allowanceAskedAt().isPresent()) {
-        if (allowanceGate.timedOut(forward, step)) {
-          pending.remove(forward);
-        }
-      } else if (forward.state() == PendingForward.State.WAITING) {
+      if (forward.state() == PendingForward.State.WAITING) {
         waiting.add(forward);
       } else {
         checkDeadline(forward, configuration.get(), step);
--- a/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/GatewayCore.java
@@ -18,7 +18,6 @@
 import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.result.ResultCode;
 import dev.wisteriarail.core.route.GatewayConfiguration;
-import dev.wisteriarail.core.tenant.AllowanceReserve;
 import dev.wisteriarail.core.tenant.TenantAllowances;
 import dev.wisteriarail.core.tenant.TenantCount;
 import dev.wisteriarail.core.tenant.TenantUse;
@@ -121,7 +120,6 @@
             CallerAuthenticator.create(confirmation),
             crashGuard,
             allowances,
-            new ReserveAccess(),
             drain,
             peers::position);
     peerSynchronizer = PeerSynchronizer.create(timings.maxDirectoryAge());
@@ -317,7 +315,7 @@
     store.recordConfiguration();
     confirmation.recordVersion(newer.version());
     allowances.configure(newer.tenants(), step.now());
-    coordinatorRole.configureAllowances(newer, floorCount.nodes(), step.now());
+    coordinatorRole.configureAllowances(newer, floorCount.nodes());
     step.emit(new GatewayEffect.ApplyBounds(newer.bounds()));
     step.log(
         EventCode.CONFIGURATION_APPLIED,
@@ -356,9 +354,6 @@
       }
       case FleetMessage.ConfigurationTold configurationUpdate ->
           acceptConfiguration(configurationUpdate.configuration(), received.from(), step);
-      case FleetMessage.AllowanceAsked asked -> answerAllowance(received, asked, step);
-      case FleetMessage.AllowanceAnswered answered ->
-          forwarder.acceptAllowance(answered, configuration, step);
       case FleetMessage.CrashTold crash -> crashGuard.accept(crash, received.from(), step);
       case FleetMessage.DirectoryTold directoryUpdate -> {
         acceptEra(directoryUpdate.change().to().era(), received.from().value(), step);
@@ -385,43 +380,6 @@
     }
   }
 
-  private void answerAllowance(
-      GatewayEvent.PeerMessageReceived received,
-      FleetMessage.AllowanceAsked asked,
-      GatewayStep step) {
-    AllowanceReserve.Decision decision =
-        coordinatorRole
-            .takeFromReserve(received.from(), received.incarnation(), asked, step.now())
-            .orElse(new AllowanceReserve.Decision(false, Duration.ZERO));
-    FleetMessage.AllowanceAnswered answer =
-        new FleetMessage.AllowanceAnswered(
-            asked.number(), decision.granted(), decision.retryAfter().toMillis());
-    peers
-        .live(received.from(), step.now())
-        .ifPresent(peer -> step.emit(new GatewayEffect.SendPeer(peer.address(), answer)));
-  }
-
-  /** The reserve of this node as the coordinator, or of the node that is it. */
-  private final class ReserveAccess implements AllowanceGate.Coordinator {
-
-    @Override
-    public Optional<AllowanceReserve.Decision> take(
-        FleetMessage.AllowanceAsked question, Instant now) {
-      return coordinatorRole.takeFromReserve(self, settings.self().incarnation(), question, now);
-    }
-
-    @Override
-    public boolean ask(FleetMessage.AllowanceAsked question, GatewayStep step) {
-      Optional<NodeAddress> address =
-          coordinatorNode
-              .filter(node -> !node.equals(self))
-              .flatMap(node -> peers.live(node, step.now()))
-              .map(PeerTable.Peer::address);
-      address.ifPresent(to -> step.emit(new GatewayEffect.SendPeer(to, question)));
-      return address.isPresent();
-    }
-  }
-
   private void acceptHeartbeat(FleetMessage.Beat heartbeat, GatewayStep step) {
     Instant now = step.now();
     if (peers.acceptHeartbeat(heartbeat.self(), heartbeat.status(), now)) {
@@ -507,7 +465,7 @@
     if (changed) {
       allowances.setNodes(floorCount.nodes(), now);
       configuration.ifPresent(
-          known -> coordinatorRole.configureAllowances(known, floorCount.nodes(), now));
+          known -> coordinatorRole.configureAllowances(known, floorCount.nodes()));
     }
   }
 
--- a/src/main/java/dev/wisteriarail/core/gateway/PeerMessageCheck.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PeerMessageCheck.java
@@ -9,7 +9,6 @@
 import dev.wisteriarail.core.tenant.ShareGrant;
 import dev.wisteriarail.core.tenant.TenantChecks;
 import dev.wisteriarail.core.tenant.TenantUse;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -22,9 +21,6 @@
   /** Entries about tenants that one message may have. */
   private static final int MAX_TENANTS = 1_000;
 
-  /** Longest retry-after time that a coordinator may answer. */
-  private static final long MAX_RETRY_AFTER_MILLIS = Duration.ofHours(1).toMillis();
-
   private PeerMessageCheck() {}
 
   /** Returns the usable part of a message; empty and logged if it has none. */
@@ -41,13 +37,6 @@
           case FleetMessage.DirectoryTold told -> usablePart(told);
           case FleetMessage.DemandTold told -> Optional.of(usablePart(told));
           case FleetMessage.FleetTold told -> Optional.of(usablePart(told));
-          case FleetMessage.AllowanceAsked asked
-              when asked.tenant() == null || !Double.isFinite(asked.cost()) || asked.cost() < 0 ->
-              Optional.empty();
-          case FleetMessage.AllowanceAnswered answered
-              when answered.retryAfterMillis() < 0
-                  || answered.retryAfterMillis() > MAX_RETRY_AFTER_MILLIS ->
-              Optional.empty();
           default -> Optional.of(received.message());
         };
     if (usable.isEmpty() || !usable.get().equals(received.message())) {
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForward.java
@@ -48,9 +48,6 @@
   private int rejections;
   private int localFaults;
   private boolean mayHaveRun;
-  private Optional<Instant> allowanceAskedAt = Optional.empty();
-  private Instant allowanceRepeatedAt = Instant.MIN;
-  private boolean costTaken;
   private final List<LiveAttempt> live = new ArrayList<>();
   private Optional<RunnerEntry> lastRunner = Optional.empty();
   private Optional<String> lastEvent = Optional.empty();
@@ -175,40 +172,6 @@
     notBefore = newNotBefore;
   }
 
-  /** Records that the coordinator was asked for the request's cost. */
-  void awaitAllowance(Instant now) {
-    allowanceAskedAt = Optional.of(now);
-    allowanceRepeatedAt = now;
-  }
-
-  /** Records that the coordinator was asked again. */
-  void repeatAllowanceQuestion(Instant now) {
-    allowanceRepeatedAt = now;
-  }
-
-  Instant allowanceRepeatedAt() {
-    return allowanceRepeatedAt;
-  }
-
-  /** Records that the coordinator has decided. */
-  void endAllowanceWait() {
-    allowanceAskedAt = Optional.empty();
-  }
-
-  /** Returns when the coordinator was asked; empty if the request does not wait for an answer. */
-  Optional<Instant> allowanceAskedAt() {
-    return allowanceAskedAt;
-  }
-
-  /** Records that the request's cost was taken from its tenant's allowance. */
-  void markCostTaken() {
-    costTaken = true;
-  }
-
-  boolean isCostTaken() {
-    return costTaken;
-  }
-
   /** Records that a runner did not execute the request. */
   void markRejected() {
     rejections++;
--- a/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
+++ b/src/main/java/dev/wisteriarail/core/gateway/PendingForwardTable.java
@@ -139,7 +139,7 @@
 
   /** Returns the cost of a request that has not run and is at no runner to its tenant. */
   void giveBackCost(PendingForward forward, GatewayStep step) {
-    if (forward.isCostTaken() && forward.isUnexecuted() && !forward.isLive()) {
+    if (forward.isUnexecuted() && !forward.isLive()) {
       forward.tenant().ifPresent(tenant -> allowances.giveBack(tenant, forward.cost(), step.now()));
     }
   }
--- a/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
+++ b/src/main/java/dev/wisteriarail/core/peer/FleetMessage.java
@@ -147,37 +147,6 @@
    */
   record DirectoryTold(DirectoryChange change) implements FleetMessage {}
 
-  /**
-   * Asks the coordinator for the cost of a request that the sender's share does not hold.
-   *
-   * @param number number of the request on the sender
-   * @param tenant name of the tenant
-   * @param cost cost of the request
-   */
-  record AllowanceAsked(long number, String tenant, double cost) implements FleetMessage {
-
-    @Override
-    public boolean urgent() {
-      return true;
-    }
-  }
-
-  /**
-   * Answers {@link AllowanceAsked}.
-   *
-   * @param number number of the request on the receiver
-   * @param granted whether the cost was taken from the reserve
-   * @param retryAfterMillis time until the reserve holds the cost; 0 if it is unknown
-   */
-  record AllowanceAnswered(long number, boolean granted, long retryAfterMillis)
-      implements FleetMessage {
-
-    @Override
-    public boolean urgent() {
-      return true;
-    }
-  }
-
   /**
    * Evidence about requests that crash runners.
    *
--- a/src/main/java/dev/wisteriarail/core/tenant/AllowanceBucket.java
+++ b/src/main/java/dev/wisteriarail/core/tenant/AllowanceBucket.java
@@ -16,17 +16,14 @@
   private static final double INITIAL_LEVEL = 0.5;
 
   private final AllowanceLimits limits;
-  private final double ratePart;
   private Allowance allowance;
   private double rateShare;
   private double burstShare;
   private double level;
   private Instant refilledAt;
 
-  private AllowanceBucket(
-      AllowanceLimits limits, double ratePart, Allowance allowance, double share, Instant now) {
+  private AllowanceBucket(AllowanceLimits limits, Allowance allowance, double share, Instant now) {
     this.limits = limits;
-    this.ratePart = ratePart;
     this.allowance = allowance;
     rateShare = share;
     burstShare = share;
@@ -36,15 +33,7 @@
 
   static AllowanceBucket create(
       AllowanceLimits limits, Allowance allowance, double share, Instant now) {
-    return new AllowanceBucket(limits, AllowanceLimits.NODE_RATE_PART, allowance, share, now);
-  }
-
-  /** Creates a bucket with the largest debt that refills at the whole rate. */
-  static AllowanceBucket createExhausted(
-      AllowanceLimits limits, Allowance allowance, double share, Instant now) {
-    AllowanceBucket bucket = new AllowanceBucket(limits, 1, allowance, share, now);
-    bucket.level = -bucket.debtLimit();
-    return bucket;
+    return new AllowanceBucket(limits, allowance, share, now);
   }
 
   /** Adds what has accrued; never more than the capacity, however long ago the last call was. */
@@ -90,7 +79,7 @@
     if (missing <= 0) {
       return 0;
     }
-    boolean never = cost > capacity() + debtLimit() || rate() <= 0;
+    boolean never = cost > limits.largestCost(allowance, burstShare) || rate() <= 0;
     return never ? Double.POSITIVE_INFINITY : missing / rate();
   }
 
@@ -98,12 +87,12 @@
     return burstShare * allowance.burst();
   }
 
-  double rate() {
-    return rateShare * ratePart * allowance.ratePerSecond();
+  private double rate() {
+    return rateShare * limits.refillPerSecond(allowance);
   }
 
   private double debtLimit() {
-    return burstShare * limits.debt(allowance, ratePart);
+    return burstShare * limits.debt(allowance);
   }
 
   /** Returns what the bucket lacks to be full. */
--- a/src/main/java/dev/wisteriarail/core/tenant/AllowanceLedger.java
+++ b/src/main/java/dev/wisteriarail/core/tenant/AllowanceLedger.java
@@ -10,8 +10,8 @@
 import java.util.TreeMap;
 
 /**
- * Divides the part of each tenant's allowance that is not in the floors and not in the {@link
- * AllowanceReserve} among the nodes, on the coordinator.
+ * Divides the part of each tenant's allowance that is not in the floors among the nodes, on the
+ * coordinator.
  *
  * <p>Every grant counts until the node has acknowledged a later one or until it has expired, so
  * that the sum of the shares in force never exceeds 1, whatever messages are lost. A grant counts
@@ -146,8 +146,8 @@
     double rate = 0;
     double burst = 0;
     if (holder.isUnanswered() && !(takingOver && holder.hasInheritedGrant(now))) {
-      double ratePool = 1 - TenantAllowances.FLOORS - AllowanceReserve.SHARE;
-      double burstPool = 1 - TenantAllowances.FLOORS - AllowanceReserve.SHARE;
+      double ratePool = 1 - TenantAllowances.FLOORS;
+      double burstPool = 1 - TenantAllowances.FLOORS;
       double othersRate = -holder.heldRate(now);
       double othersBurst = -holder.heldBurst(now);
       double inheritedRate = 0;
--- a/src/main/java/dev/wisteriarail/core/tenant/TenantAllowances.java
+++ b/src/main/java/dev/wisteriarail/core/tenant/TenantAllowances.java
@@ -24,7 +24,7 @@
 public final class TenantAllowances {
 
   /** Sum of the floors of all nodes. */
-  public static final double FLOORS = 0.15;
+  public static final double FLOORS = 0.5;
 
   /** Part of its floor that a node lends. */
   static final double LENT_PART = 0.9;
@@ -36,7 +36,7 @@
   private static final int LOAN_REPORTS = 2;
 
   /** Retry-after time of requests that the present share can never admit. */
-  static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(30);
+  private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(30);
 
   /** Part of the retry-after time over which callers are spread. */
   private static final double RETRY_SPREAD = 0.25;
@@ -127,15 +127,6 @@
     return Duration.ofMillis((long) Math.ceil(1_000 * seconds * (1 + spread)));
   }
 
-  /** Counts a refused request as admitted, as the coordinator's reserve holds its cost. */
-  public void recordReserved(TenantSpec tenant, double cost) {
-    Account account = accounts.get(tenant.name());
-    if (account != null) {
-      account.admitted += cost;
-      account.refused -= cost;
-    }
-  }
-
   /** Returns the cost of a request that ended without having run. */
   public void giveBack(TenantSpec tenant, double cost, Instant now) {
     Account account = accounts.get(tenant.name());
--- a/src/test/java/dev/wisteriarail/core/gateway/QueueSimulation.java
+++ b/src/test/java/dev/wisteriarail/core/gateway/QueueSimulation.java
@@ -12,7 +12,6 @@
 import dev.wisteriarail.core.forward.LoadSettings;
 import dev.wisteriarail.core.forward.RunnerStateTable;
 import dev.wisteriarail.core.id.LogPosition;
-import dev.wisteriarail.core.peer.FleetMessage;
 import dev.wisteriarail.core.route.CallerBounds;
 import dev.wisteriarail.core.route.EngineSpec;
 import dev.wisteriarail.core.route.GatewayConfiguration;
@@ -22,7 +21,6 @@
 import dev.wisteriarail.core.route.ServiceShare;
 import dev.wisteriarail.core.tenant.Allowance;
 import dev.wisteriarail.core.tenant.AllowanceLimits;
-import dev.wisteriarail.core.tenant.AllowanceReserve;
 import dev.wisteriarail.core.tenant.TenantAllowances;
 import dev.wisteriarail.core.tenant.TenantSpec;
 import java.time.Duration;
@@ -42,22 +40,6 @@
 
   static final int SLOTS = 16;
   static final int STEP_MILLIS = 10;
-
-  /** A coordinator that is not known. */
-  private static final AllowanceGate.Coordinator NO_RESERVE =
-      new AllowanceGate.Coordinator() {
-        @Override
-        public Optional<AllowanceReserve.Decision> take(
-            FleetMessage.AllowanceAsked question, Instant now) {
-          return Optional.empty();
-        }
-
-        @Override
-        public boolean ask(FleetMessage.AllowanceAsked question, GatewayStep step) {
-          return false;
-        }
-      };
-
   private static final long TOKENS_OF_RUNNER = 85_401;
   private static final String MODEL = "m0";
   private static final String SERVICE = CoreHarness.ENGINES;
@@ -140,7 +122,6 @@
               CallerAuthenticator.create(ConfigurationConfirmation.create(RevocationRule.DEFAULT)),
               CrashGuard.create(PeerTable.create(base.self(), GRACE, GRACE)),
               TenantAllowances.create(AllowanceLimits.DEFAULT),
-              NO_RESERVE,
               DrainPlan.create(GRACE),
               () -> new FleetPosition(false, 0, 1)));
     }
--- a/src/test/java/dev/wisteriarail/core/tenant/AllowanceFleet.java
+++ b/src/test/java/dev/wisteriarail/core/tenant/AllowanceFleet.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * Nodes with one tenant in simulated time. Messages take 10 to 60 ms and are lost with a
@@ -22,8 +21,6 @@
   static final AllowanceLimits LIMITS = new AllowanceLimits(Duration.ofSeconds(8), 0.1, 17_000);
   private static final int STEP_MILLIS = 10;
   private static final int REPORT_MILLIS = 450;
-  private static final int ANSWER_MILLIS = 400;
-  private static final int REPEAT_MILLIS = 100;
   private static final double LOSS = 0.03;
 
   private final Random random = new Random(7);
@@ -34,7 +31,6 @@
   private final Set<Integer> cut = new HashSet<>();
   private final Map<Integer, List<Runnable>> frozen = new HashMap<>();
   private AllowanceLedger ledger = AllowanceLedger.create(LIMITS);
-  private AllowanceReserve reserve = AllowanceReserve.create(LIMITS);
   private TenantSpec tenant = spec(ALLOWANCE);
   private final List<Runnable> held = new ArrayList<>();
   private boolean delayed;
@@ -56,7 +52,6 @@
     }
     ledger.begin(fence, now());
     ledger.configure(List.of(tenant), size);
-    reserve.configure(List.of(tenant), now());
   }
 
   static TenantSpec spec(Allowance allowance) {
@@ -85,7 +80,6 @@
     tenant = spec(allowance);
     nodes.forEach(node -> node.configure(List.of(tenant), now()));
     ledger.configure(List.of(tenant), size);
-    reserve.configure(List.of(tenant), now());
   }
 
   void cut(int node) {
@@ -122,8 +116,6 @@
     ledger = AllowanceLedger.create(LIMITS);
     ledger.begin(++fence, now());
     ledger.configure(List.of(tenant), size);
-    reserve = AllowanceReserve.create(LIMITS);
-    reserve.configure(List.of(tenant), now());
     coordinated = true;
   }
 
@@ -160,50 +152,11 @@
       if (nodes.get(i).tryAcquire(tenant, cost, now())) {
         admittedNow += cost;
       } else {
-        ask(i, cost);
+        refusals++;
       }
     }
   }
 
-  /** Asks the coordinator's reserve; without an answer in time the request is refused. */
-  private void ask(int i, double cost) {
-    refusals++;
-    String question = i + "#" + arrivals;
-    AtomicBoolean answered = new AtomicBoolean();
-    for (int after = 0; after < ANSWER_MILLIS; after += REPEAT_MILLIS) {
-      mail.computeIfAbsent(millis + STEP_MILLIS + after, time -> new ArrayList<>())
-          .add(() -> ask(i, question, cost, answered));
-    }
-  }
-
-  private void ask(int i, String question, double cost, AtomicBoolean answered) {
-    if (answered.get() || frozen.containsKey(i)) {
-      return;
-    }
-    final long incarnation = incarnations[i];
-    final AllowanceReserve to = reserve;
-    send(
-        i,
-        0,
-        () -> {
-          if (coordinated) {
-            boolean granted = to.take(question, tenant.name(), cost, now()).granted();
-            send(
-                i,
-                0,
-                () -> {
-                  if (!frozen.containsKey(i)
-                      && incarnation == incarnations[i]
-                      && !answered.getAndSet(true)
-                      && granted) {
-                    refusals--;
-                    admittedNow += cost;
-                  }
-                });
-          }
-        });
-  }
-
   private void report(int i) {
     List<TenantUse> uses = nodes.get(i).report(now());
     final long incarnation = incarnations[i];
